--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,61 @@
+//! `rockwick explain`: the chain of decisions on one thing.
+
+use bpaf::{construct, positional, Parser};
+
+use super::{escape, print_json, target, Target};
+use crate::clock::{Millis, DAY_MS};
+use crate::error::Result;
+use crate::view::Line;
+
+/// What the command's help begins with.
+pub const USAGE: &str =
+    "Tell what happened to a host, pool, job, wave, request, backend, entry or \
+config, in order and with reasons.";
+
+/// The command's flags.
+#[derive(Clone, Debug)]
+pub struct Args {
+    target: Target,
+    kind: String,
+    id: String,
+}
+
+/// The parser of the command's flags.
+pub fn args() -> impl Parser<Args> {
+    let target = target();
+    let kind = positional("KIND").help("host, pool, job, wave, request, backend, entry or config");
+    let id = positional("ID").help("Its name or id");
+    construct!(Args { target, kind, id })
+}
+
+/// Prints the chain.
+pub fn run(args: Args) -> Result<()> {
+    let path = format!("/v1/explain/{}/{}", escape(&args.kind), args.id);
+    let lines: Vec<Line> = args.target.get(&path)?;
+    if args.target.json() {
+        return print_json(&lines);
+    }
+    if lines.is_empty() {
+        println!("nothing is known of {} {}", args.kind, args.id);
+    }
+    for l in lines {
+        let event = match l.event {
+            0 => "row".to_string(),
+            n => n.to_string(),
+        };
+        println!(
+            "{} {:8} {event:>4} {}",
+            time_of_day(l.at_ms),
+            l.entry,
+            l.what
+        );
+    }
+    Ok(())
+}
+
+/// `HH:MM:SS.mmm` in UTC.
+fn time_of_day(wall_ms: Millis) -> String {
+    let t = wall_ms % DAY_MS;
+    let (h, m, s, ms) = (t / 3_600_000, t / 60_000 % 60, t / 1_000 % 60, t % 1_000);
+    format!("{h:02}:{m:02}:{s:02}.{ms:03}")
+}
--- /dev/null
+++ b/src/cmd/forget.rs
@@ -0,0 +1,32 @@
+//! `rockwick forget`: vouch that an entry has ended.
+
+use bpaf::{construct, positional, Parser};
+
+use super::{target, Target};
+use crate::core::operate::Edit;
+use crate::error::Result;
+
+/// What the command's help begins with.
+pub const USAGE: &str =
+    "Vouch that an entry's process has ended, so that drains no longer wait for \
+it. Only for a process that certainly runs no more: a paused one may still send.";
+
+/// The command's flags.
+#[derive(Clone, Debug)]
+pub struct Args {
+    target: Target,
+    name: String,
+}
+
+/// The parser of the command's flags.
+pub fn args() -> impl Parser<Args> {
+    let target = target();
+    let name = positional("NAME").help("Name of the entry");
+    construct!(Args { target, name })
+}
+
+/// Asks for it.
+pub fn run(args: Args) -> Result<()> {
+    args.target
+        .edit_and_print(&Edit::RemoveEntry { entry: args.name })
+}
--- /dev/null
+++ b/src/cmd/host.rs
@@ -0,0 +1,162 @@
+//! `rockwick host`: list, show, drain, return, move.
+
+use bpaf::{construct, long, positional, Parser};
+
+use super::{escape, print_json, print_table, target, Target};
+use crate::core::operate::Edit;
+use crate::error::Result;
+use crate::view::HostView;
+
+/// What the command's help begins with.
+pub const USAGE: &str = "Look at hosts, drain them, return them, move them between pools.";
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Args {
+    /// All hosts.
+    List(Target),
+    /// One host.
+    Show(Target, String),
+    /// Drain a host.
+    Drain {
+        /// Where to.
+        target: Target,
+        /// Whether it is rebooted.
+        reboot: bool,
+        /// For the history.
+        why: String,
+        /// Which.
+        id: String,
+    },
+    /// Return a host.
+    Return(Target, String),
+    /// Move a host.
+    Move {
+        /// Where to.
+        target: Target,
+        /// The new pool.
+        pool: Option<String>,
+        /// Which.
+        id: String,
+    },
+}
+
+fn id() -> impl Parser<String> {
+    positional("HOST").help("Name of the host")
+}
+
+/// The parser of the command's flags.
+pub fn args() -> impl Parser<Args> {
+    let t = target();
+    let list = construct!(Args::List(t))
+        .to_options()
+        .descr("List all hosts")
+        .command("list");
+    let (t, i) = (target(), id());
+    let show = construct!(Args::Show(t, i))
+        .to_options()
+        .descr("Show one host, and what holds its drain")
+        .command("show");
+    let (t, i) = (target(), id());
+    let back = construct!(Args::Return(t, i))
+        .to_options()
+        .descr("Return a host to its pool, or take its drain back")
+        .command("return");
+    let drain = drain().to_options().descr("Drain a host").command("drain");
+    let moved = moved()
+        .to_options()
+        .descr("Drain a host, then move it to a pool or to the free hosts")
+        .command("move");
+    construct!([list, show, drain, back, moved])
+}
+
+fn drain() -> impl Parser<Args> {
+    let target = target();
+    let reboot = long("reboot")
+        .help("Reboot it when all have let go, and return it by itself")
+        .switch();
+    let why = long("why")
+        .help("Reason, for the history")
+        .argument("TEXT")
+        .fallback("no reason given".to_string());
+    let id = id();
+    construct!(Args::Drain {
+        target,
+        reboot,
+        why,
+        id
+    })
+}
+
+fn moved() -> impl Parser<Args> {
+    let target = target();
+    let pool = long("pool")
+        .help("The new pool; left out, the free hosts")
+        .argument("POOL")
+        .optional();
+    let id = id();
+    construct!(Args::Move { target, pool, id })
+}
+
+/// Does it.
+pub fn run(args: Args) -> Result<()> {
+    match args {
+        Args::List(target) => list(&target),
+        Args::Show(target, id) => show(&target, &id),
+        Args::Drain {
+            target,
+            reboot,
+            why,
+            id,
+        } => target.edit_and_print(&Edit::Drain {
+            host: id,
+            reboot,
+            why,
+        }),
+        Args::Return(target, id) => target.edit_and_print(&Edit::Return { host: id }),
+        Args::Move { target, pool, id } => target.edit_and_print(&Edit::Move { host: id, pool }),
+    }
+}
+
+fn list(target: &Target) -> Result<()> {
+    let hosts: Vec<HostView> = target.get("/v1/hosts")?;
+    if target.json() {
+        return print_json(&hosts);
+    }
+    let rows: Vec<Vec<String>> = hosts.iter().map(row).collect();
+    print_table(
+        &["HOST", "HALL", "RACK", "LIFE", "STATE", "POOL", "JOBS"],
+        &rows,
+    );
+    Ok(())
+}
+
+fn row(h: &HostView) -> Vec<String> {
+    vec![
+        h.id.clone(),
+        h.hall.clone(),
+        h.rack.clone(),
+        h.life.clone(),
+        h.row.state.as_str().to_string(),
+        h.row.pool.clone().unwrap_or_else(|| "-".to_string()),
+        h.jobs.len().to_string(),
+    ]
+}
+
+fn show(target: &Target, id: &str) -> Result<()> {
+    let host: HostView = target.get(&format!("/v1/hosts/{}", escape(id)))?;
+    if target.json() {
+        return print_json(&host);
+    }
+    print_table(
+        &["HOST", "HALL", "RACK", "LIFE", "STATE", "POOL", "JOBS"],
+        &[row(&host)],
+    );
+    if !host.held_by.is_empty() {
+        println!("held by: {}", host.held_by.join(", "));
+    }
+    for job in &host.jobs {
+        println!("job: {job}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/job.rs
@@ -0,0 +1,177 @@
+//! `rockwick job`: submit, show, list, cancel.
+
+use bpaf::{construct, long, positional, Parser};
+
+use super::{escape, print_json, print_table, target, Target};
+use crate::core::config::Class;
+use crate::core::operate::Edit;
+use crate::core::rows::JobSpec;
+use crate::error::{Error, Result};
+use crate::view::JobView;
+
+/// What the command's help begins with.
+pub const USAGE: &str = "Submit jobs for an account, look at them, cancel them.";
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Args {
+    /// Submit a job.
+    Submit(Target, Submit),
+    /// All jobs.
+    List(Target),
+    /// One job.
+    Show(Target, String),
+    /// Cancel a job.
+    Cancel(Target, String),
+}
+
+/// A job as flags say it.
+#[derive(Clone, Debug)]
+pub struct Submit {
+    account: String,
+    pool: String,
+    class: String,
+    cores: u32,
+    memory_mb: u64,
+    run_ms: u64,
+    repeatable: bool,
+    payload: String,
+}
+
+fn id() -> impl Parser<String> {
+    positional("JOB").help("Id of the job")
+}
+
+/// The parser of the command's flags.
+pub fn args() -> impl Parser<Args> {
+    let (t, s) = (target(), submit());
+    let submit = construct!(Args::Submit(t, s))
+        .to_options()
+        .descr("Submit a job")
+        .command("submit");
+    let t = target();
+    let list = construct!(Args::List(t))
+        .to_options()
+        .descr("List jobs")
+        .command("list");
+    let (t, i) = (target(), id());
+    let show = construct!(Args::Show(t, i))
+        .to_options()
+        .descr("Show a job and what happened to it")
+        .command("show");
+    let (t, i) = (target(), id());
+    let cancel = construct!(Args::Cancel(t, i))
+        .to_options()
+        .descr("Cancel a job")
+        .command("cancel");
+    construct!([submit, list, show, cancel])
+}
+
+fn submit() -> impl Parser<Submit> {
+    let account = long("account")
+        .help("Account that it belongs to")
+        .argument("NAME");
+    let pool = long("pool").help("Pool that runs it").argument("POOL");
+    let class = long("class")
+        .help("urgent, normal or batch (default batch)")
+        .argument("CLASS")
+        .fallback("batch".to_string());
+    let cores = long("cores")
+        .help("Cores (default 1)")
+        .argument("N")
+        .fallback(1);
+    let memory_mb = long("memory-mb")
+        .help("Memory (default 0)")
+        .argument("MB")
+        .fallback(0);
+    let run_ms = long("run-ms")
+        .help("Declared run time")
+        .argument("MS")
+        .fallback(0);
+    let repeatable = long("repeatable")
+        .help("May be run again after an attempt was lost")
+        .switch();
+    let payload = long("payload")
+        .help("Handed to the task as it is")
+        .argument("TEXT")
+        .fallback(String::new());
+    construct!(Submit {
+        account,
+        pool,
+        class,
+        cores,
+        memory_mb,
+        run_ms,
+        repeatable,
+        payload
+    })
+}
+
+/// Does it.
+pub fn run(args: Args) -> Result<()> {
+    match args {
+        Args::Submit(target, s) => target.edit_and_print(&s.edit()?),
+        Args::List(target) => list(&target),
+        Args::Show(target, id) => show(&target, &id),
+        Args::Cancel(target, job) => target.edit_and_print(&Edit::Cancel { account: None, job }),
+    }
+}
+
+impl Submit {
+    fn edit(self) -> Result<Edit> {
+        let class = Class::parse(&self.class).ok_or_else(|| {
+            Error::Usage(format!("--class {:?}: urgent, normal or batch", self.class))
+        })?;
+        Ok(Edit::Submit {
+            account: self.account,
+            id: None,
+            spec: JobSpec {
+                pool: self.pool,
+                class,
+                cores: self.cores,
+                memory_mb: self.memory_mb,
+                run_ms: self.run_ms,
+                repeatable: self.repeatable,
+                payload: self.payload,
+            },
+        })
+    }
+}
+
+fn row(j: &JobView) -> Vec<String> {
+    vec![
+        j.id.clone(),
+        j.row.account.clone(),
+        j.row.spec.pool.clone(),
+        j.row.spec.class.as_str().to_string(),
+        j.row.state.as_str().to_string(),
+        j.row.attempt.to_string(),
+        j.row.host.clone().unwrap_or_else(|| "-".to_string()),
+    ]
+}
+
+const HEAD: [&str; 7] = [
+    "JOB", "ACCOUNT", "POOL", "CLASS", "STATE", "ATTEMPT", "HOST",
+];
+
+fn list(target: &Target) -> Result<()> {
+    let jobs: Vec<JobView> = target.get("/v1/jobs")?;
+    if target.json() {
+        return print_json(&jobs);
+    }
+    let rows: Vec<Vec<String>> = jobs.iter().map(row).collect();
+    print_table(&HEAD, &rows);
+    Ok(())
+}
+
+fn show(target: &Target, id: &str) -> Result<()> {
+    let job: JobView = target.get(&format!("/v1/jobs/{}", escape(id)))?;
+    if target.json() {
+        return print_json(&job);
+    }
+    print_table(&HEAD, &[row(&job)]);
+    for step in &job.row.history {
+        println!("{}: {}", step.by, step.what);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/wave.rs
@@ -0,0 +1,119 @@
+//! `rockwick wave`: start, show, list, stop.
+
+use bpaf::{construct, long, positional, Parser};
+
+use super::{escape, print_json, print_table, target, Target};
+use crate::core::operate::Edit;
+use crate::error::Result;
+use crate::view::WaveView;
+
+/// What the command's help begins with.
+pub const USAGE: &str = "Start, watch and stop maintenance waves.";
+
+/// What is to be done.
+#[derive(Clone, Debug)]
+pub enum Args {
+    /// Start a wave.
+    Start {
+        /// Where to.
+        target: Target,
+        /// Which pool.
+        pool: String,
+        /// Times of day.
+        window: Vec<String>,
+    },
+    /// All waves.
+    List(Target),
+    /// One wave.
+    Show(Target, String),
+    /// Stop a wave.
+    Stop(Target, String),
+}
+
+fn id() -> impl Parser<String> {
+    positional("WAVE").help("Id of the wave")
+}
+
+/// The parser of the command's flags.
+pub fn args() -> impl Parser<Args> {
+    let start = start().to_options().descr("Start a wave").command("start");
+    let t = target();
+    let list = construct!(Args::List(t))
+        .to_options()
+        .descr("List waves")
+        .command("list");
+    let (t, i) = (target(), id());
+    let show = construct!(Args::Show(t, i))
+        .to_options()
+        .descr("Show a wave")
+        .command("show");
+    let (t, i) = (target(), id());
+    let stop = construct!(Args::Stop(t, i))
+        .to_options()
+        .descr("Stop a wave; hosts that are out come back")
+        .command("stop");
+    construct!([start, list, show, stop])
+}
+
+fn start() -> impl Parser<Args> {
+    let target = target();
+    let pool = long("pool")
+        .help("Pool, or * for every host")
+        .argument("POOL");
+    let window = long("window")
+        .help("Time of day in UTC in which hosts may leave; may be given again")
+        .argument("HH:MM-HH:MM")
+        .many();
+    construct!(Args::Start {
+        target,
+        pool,
+        window
+    })
+}
+
+/// Does it.
+pub fn run(args: Args) -> Result<()> {
+    match args {
+        Args::Start {
+            target,
+            pool,
+            window,
+        } => target.edit_and_print(&Edit::StartWave {
+            pool,
+            windows: window,
+        }),
+        Args::List(target) => {
+            let waves: Vec<WaveView> = target.get("/v1/waves")?;
+            print(&target, &waves)
+        }
+        Args::Show(target, id) => {
+            let wave: WaveView = target.get(&format!("/v1/waves/{}", escape(&id)))?;
+            print(&target, &[wave])
+        }
+        Args::Stop(target, wave) => target.edit_and_print(&Edit::StopWave { wave }),
+    }
+}
+
+fn print(target: &Target, waves: &[WaveView]) -> Result<()> {
+    if target.json() {
+        return print_json(&waves);
+    }
+    let rows: Vec<Vec<String>> = waves
+        .iter()
+        .map(|w| {
+            let took_ms = match w.row.ended_ms {
+                0 => "-".to_string(),
+                end => end.saturating_sub(w.row.started_ms).to_string(),
+            };
+            vec![
+                w.id.clone(),
+                w.row.pool.clone(),
+                format!("{:?}", w.row.state).to_lowercase(),
+                w.left.to_string(),
+                took_ms,
+            ]
+        })
+        .collect();
+    print_table(&["WAVE", "POOL", "STATE", "LEFT", "TOOK MS"], &rows);
+    Ok(())
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,244 @@
+//! Settings of an entry: flags and environment, checked before anything is opened.
+
+use std::net::SocketAddr;
+
+use bpaf::{construct, long, Parser};
+
+use crate::clock::Millis;
+use crate::error::{Error, Result};
+
+/// Prefix of all environment variables.
+const PREFIX: &str = "ROCKWICK_";
+
+/// The variables that are settings.
+const KNOWN: [&str; 16] = [
+    "ROCKWICK_NAME",
+    "ROCKWICK_HALL",
+    "ROCKWICK_LISTEN",
+    "ROCKWICK_ADMIN",
+    "ROCKWICK_PEER_LISTEN",
+    "ROCKWICK_PEERS",
+    "ROCKWICK_PLATFORM",
+    "ROCKWICK_THREADS",
+    "ROCKWICK_BODY_BYTES",
+    "ROCKWICK_ANSWER_BYTES",
+    "ROCKWICK_GRACE_MS",
+    "ROCKWICK_STOP_MS",
+    "ROCKWICK_DRAIN_MS",
+    "ROCKWICK_OPERATOR_TOKEN_SHA256",
+    "ROCKWICK_ENTRY",
+    "ROCKWICK_TOKEN",
+];
+
+/// The flags as given, not checked yet.
+#[derive(Clone, Debug)]
+pub struct EntryFlags {
+    name: String,
+    hall: String,
+    listen: String,
+    admin: String,
+    peer_listen: String,
+    peers: String,
+    platform: String,
+    threads: String,
+    body_bytes: String,
+    answer_bytes: String,
+    grace_ms: String,
+    stop_ms: String,
+    drain_ms: String,
+    operator_token_sha256: Option<String>,
+}
+
+/// The parser of an entry's flags.
+pub fn entry_flags() -> impl Parser<EntryFlags> {
+    let name = long("name")
+        .env("ROCKWICK_NAME")
+        .help("Name of this entry, unique among all")
+        .argument("NAME");
+    let hall = long("hall")
+        .env("ROCKWICK_HALL")
+        .help("Data hall that it stands in")
+        .argument("HALL");
+    let listen = long("listen")
+        .env("ROCKWICK_LISTEN")
+        .help("Where callers reach it")
+        .argument("IP:PORT");
+    let admin = long("admin")
+        .env("ROCKWICK_ADMIN")
+        .help("Where operators reach it")
+        .argument("IP:PORT");
+    let peer_listen = long("peer-listen")
+        .env("ROCKWICK_PEER_LISTEN")
+        .help("Where other entries reach it")
+        .argument("IP:PORT");
+    let peers = long("peers")
+        .env("ROCKWICK_PEERS")
+        .help("Where it reaches other entries; empty for none")
+        .argument("IP:PORT,...")
+        .fallback(String::new());
+    let platform = long("platform")
+        .env("ROCKWICK_PLATFORM")
+        .help("The platform's service")
+        .argument("IP:PORT");
+    let threads = long("threads")
+        .env("ROCKWICK_THREADS")
+        .help("Traffic threads, 1 to 64 (default 4)")
+        .argument("N")
+        .fallback("4".to_string());
+    let body_bytes = long("body-bytes")
+        .env("ROCKWICK_BODY_BYTES")
+        .help("Bound on a request's body (default 8388608)")
+        .argument("BYTES")
+        .fallback("8388608".to_string());
+    let answer_bytes = long("answer-bytes")
+        .env("ROCKWICK_ANSWER_BYTES")
+        .help("Bound on an answer's body (default 16777216)")
+        .argument("BYTES")
+        .fallback("16777216".to_string());
+    let grace_ms = long("grace-ms")
+        .env("ROCKWICK_GRACE_MS")
+        .help("After SIGTERM, how long new requests are still taken (default 2000)")
+        .argument("MS")
+        .fallback("2000".to_string());
+    let stop_ms = long("stop-ms")
+        .env("ROCKWICK_STOP_MS")
+        .help("After that, how long requests in flight are waited for (default 60000)")
+        .argument("MS")
+        .fallback("60000".to_string());
+    let drain_ms = long("drain-ms")
+        .env("ROCKWICK_DRAIN_MS")
+        .help("A host's drain over this is reported (default 600000)")
+        .argument("MS")
+        .fallback("600000".to_string());
+    let operator_token_sha256 = long("operator-token-sha256")
+        .env("ROCKWICK_OPERATOR_TOKEN_SHA256")
+        .help("SHA-256 of the operators' token; without it --admin must be loopback")
+        .argument("HEX")
+        .optional();
+    construct!(EntryFlags {
+        name,
+        hall,
+        listen,
+        admin,
+        peer_listen,
+        peers,
+        platform,
+        threads,
+        body_bytes,
+        answer_bytes,
+        grace_ms,
+        stop_ms,
+        drain_ms,
+        operator_token_sha256
+    })
+}
+
+/// The settings of an entry, checked.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name, unique among entries.
+    pub name: String,
+    /// Data hall.
+    pub hall: String,
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
+    /// Where peers reach it.
+    pub peer_listen: SocketAddr,
+    /// Where it reaches its peers.
+    pub peers: Vec<SocketAddr>,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// Traffic threads.
+    pub threads: usize,
+    /// Bound on a request's body.
+    pub body_bytes: usize,
+    /// Bound on an answer's body.
+    pub answer_bytes: usize,
+    /// How long new requests are still taken after SIGTERM.
+    pub grace_ms: Millis,
+    /// How long requests in flight are waited for after that.
+    pub stop_ms: Millis,
+    /// A drain over this is reported.
+    pub drain_ms: Millis,
+    /// SHA-256 of the operators' token.
+    pub operator_token_sha256: Option<String>,
+}
+
+impl EntryFlags {
+    /// Checks every flag and makes them into settings.
+    pub fn check(self) -> Result<Settings> {
+        let admin = address("admin", &self.admin)?;
+        if self.operator_token_sha256.is_none() && !admin.ip().is_loopback() {
+            let text = format!(
+                "--admin {admin}: must be a loopback address unless --operator-token-sha256 is set"
+            );
+            return Err(Error::Usage(text));
+        }
+        let peers = self
+            .peers
+            .split(',')
+            .map(str::trim)
+            .filter(|p| !p.is_empty())
+            .map(|p| address("peers", p))
+            .collect::<Result<Vec<_>>>()?;
+        Ok(Settings {
+            name: name("name", self.name)?,
+            hall: name("hall", self.hall)?,
+            listen: address("listen", &self.listen)?,
+            admin,
+            peer_listen: address("peer-listen", &self.peer_listen)?,
+            peers,
+            platform: address("platform", &self.platform)?,
+            threads: number("threads", &self.threads, 1, 64)? as usize,
+            body_bytes: number("body-bytes", &self.body_bytes, 1, 1 << 30)? as usize,
+            answer_bytes: number("answer-bytes", &self.answer_bytes, 1, 1 << 30)? as usize,
+            grace_ms: number("grace-ms", &self.grace_ms, 0, 600_000)?,
+            stop_ms: number("stop-ms", &self.stop_ms, 0, 86_400_000)?,
+            drain_ms: number("drain-ms", &self.drain_ms, 1_000, 86_400_000)?,
+            operator_token_sha256: self.operator_token_sha256.map(hash).transpose()?,
+        })
+    }
+}
+
+fn bad<T>(flag: &str, value: &str, allowed: &str) -> Result<T> {
+    Err(Error::Usage(format!("--{flag} {value:?}: {allowed}")))
+}
+
+fn address(flag: &str, value: &str) -> Result<SocketAddr> {
+    match value.parse::<SocketAddr>() {
+        Ok(addr) => Ok(addr),
+        Err(_) => bad(flag, value, "an IP address and a port, as in 10.0.0.1:8080"),
+    }
+}
+
+fn name(flag: &str, value: String) -> Result<String> {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    if value.is_empty() || value.len() > 64 || !value.bytes().all(fits) {
+        return bad(flag, &value, "1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'");
+    }
+    Ok(value)
+}
+
+fn number(flag: &str, value: &str, min: u64, max: u64) -> Result<u64> {
+    match value.parse::<u64>() {
+        Ok(n) if (min..=max).contains(&n) => Ok(n),
+        _ => bad(flag, value, &format!("a whole number from {min} to {max}")),
+    }
+}
+
+fn hash(value: String) -> Result<String> {
+    if value.len() != 64 || !value.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return bad("operator-token-sha256", &value, "64 hexadecimal digits");
+    }
+    Ok(value.to_ascii_lowercase())
+}
+
+/// Variables that look like settings and are none.
+pub fn unknown_variables() -> Vec<String> {
+    std::env::vars_os()
+        .filter_map(|(name, _)| name.into_string().ok())
+        .filter(|name| name.starts_with(PREFIX) && !KNOWN.contains(&name.as_str()))
+        .collect()
+}
--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -92,7 +92,7 @@
     }
 
     /// Jobs whose present attempt may be running on a host.
-    pub(super) fn jobs_on(&self, host: &str) -> Vec<JobKey> {
+    pub fn jobs_on(&self, host: &str) -> Vec<JobKey> {
         use super::rows::JobState;
         self.jobs
             .iter()
--- a/src/core/members.rs
+++ b/src/core/members.rs
@@ -33,6 +33,8 @@
     pub view_seq: u64,
     /// The configuration in force there.
     pub config_version: u64,
+    /// Whether it has a list of hosts.
+    pub hosts_known: bool,
     /// Leaving hosts on which it has requests in flight.
     pub busy: Vec<String>,
 }
@@ -86,8 +88,12 @@
 
     /// Whether this entry decides for the thing called `name`: rendezvous hashing over those alive.
     pub fn owns(&self, name: &str, alive: &[&str]) -> bool {
-        let best = alive.iter().max_by_key(|e| rank(e, name));
-        best.is_some_and(|e| **e == *self.me.name)
+        self.owner(name, alive) == Some(self.me.name.as_str())
+    }
+
+    /// The entry that decides for the thing called `name`.
+    pub fn owner<'a>(&self, name: &str, alive: &[&'a str]) -> Option<&'a str> {
+        alive.iter().copied().max_by_key(|e| rank(e, name))
     }
 
     /// Entries that may still send work to a host that was marked as leaving in its present row.
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -12,7 +12,8 @@
 use crate::error::{Failure, Kind};
 use crate::event::{Code, Decision, Subject};
 use crate::platform::{
-    Changes, Check, Listing, OrderAnswer, Outcome, Put, Reports, TaskRef, TaskStart, Transaction,
+    Changes, Check, HostFact, Listing, OrderAnswer, Outcome, Put, Reports, TaskRef, TaskStart,
+    Transaction,
 };
 
 /// Names an operator's or caller's question that awaits its answer.
@@ -64,6 +65,8 @@
         changes: Changes,
         /// Whether the peer itself has a whole view.
         complete: bool,
+        /// Its host list, where we had none.
+        hosts: Vec<HostFact>,
     },
     /// A peer polls us; it is answered under `ticket`.
     PeerPolled {
@@ -153,6 +156,8 @@
         changes: Changes,
         /// Whether our own view is whole.
         complete: bool,
+        /// The host list, where the peer has none.
+        hosts: Vec<HostFact>,
     },
     /// Log a decision.
     Log(Decision),
@@ -217,8 +222,12 @@
             digest,
             changes,
             complete,
+            hosts,
         } => {
             state.take_digest(digest, begun_ms, &mut out);
+            if !state.hosts_known && !hosts.is_empty() {
+                state.take_hosts(hosts, now.ms, &mut out);
+            }
             take_peer_rows(state, begun_ms, changes, complete, now, &mut out);
         }
         Event::PeerPolled {
@@ -424,6 +433,10 @@
     out: &mut Vec<Effect>,
 ) {
     state.sponsor(&digest, out);
+    let hosts = match digest.hosts_known {
+        true => Vec::new(),
+        false => state.host_facts(),
+    };
     state.take_digest(digest, now.ms, out);
     let (rows, seq) = state.rows_after(since, PEER_ROWS_MAX);
     let more = seq < state.seq;
@@ -432,10 +445,15 @@
         digest: state.digest(),
         changes: Changes { seq, rows, more },
         complete: state.reads.complete,
+        hosts,
     });
 }
 
 impl State {
+    fn host_facts(&self) -> Vec<HostFact> {
+        self.hosts.values().filter_map(|h| h.fact.clone()).collect()
+    }
+
     /// Sends a transaction, and leaves its rows alone until its outcome is in the view.
     pub fn commit(
         &mut self,
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -580,6 +580,7 @@
             registered: self.is_registered(),
             view_seq,
             config_version: self.config_version,
+            hosts_known: self.hosts_known,
             busy,
         }
     }
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,151 @@
+//! The daemon: traffic on its threads, control on one, peers on theirs.
+
+mod admin;
+mod balance;
+mod control;
+mod keyed;
+mod peer;
+mod shared;
+mod traffic;
+mod upstream;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::{Async, Timer};
+
+use crate::auth;
+use crate::clock::wall_ms;
+use crate::config::{self, Settings};
+use crate::error::{Error, Result};
+use crate::event::{Code, Decision, Subject};
+use crate::http::{server, Limits, Wire};
+use crate::log::Log;
+use crate::runtime::Runtime;
+use shared::Shared;
+
+/// Runs an entry until it is told to stop; comes back when the last request has ended.
+pub fn run(settings: Settings) -> Result<()> {
+    let callers = bind("listen", settings.listen)?;
+    let operators = bind("admin", settings.admin)?;
+    let log = Log::new()?;
+    let runtime = Runtime::new("traffic", settings.threads)
+        .map_err(|e| Error::Io("traffic threads".to_string(), e))?;
+    let incarnation = fastrand::u64(1..);
+    let (shared, inbox) = Shared::new(settings, log, runtime, incarnation);
+    let shared = Arc::new(shared);
+    tell_start(&shared);
+    peer::start(&shared)?;
+    let control = control::start(Arc::clone(&shared), inbox, operators)?;
+    runtime.spawn(accept(Arc::clone(&shared), callers)).detach();
+    smol::block_on(until_stopped(&shared))?;
+    shared.tell_control(control::Message::Leave);
+    let _ = control.join();
+    shared.log.flush();
+    Ok(())
+}
+
+fn bind(flag: &str, addr: SocketAddr) -> Result<Async<TcpListener>> {
+    let io = |e| Error::Io(format!("--{flag} {addr}"), e);
+    let listener = TcpListener::bind(addr).map_err(io)?;
+    Async::new(listener).map_err(io)
+}
+
+fn tell_start(shared: &Shared) {
+    let s = &shared.settings;
+    let why = format!(
+        "hall {}, callers {}, operators {}, peers {} at {:?}, platform {}",
+        s.hall, s.listen, s.admin, s.peer_listen, s.peers, s.platform
+    );
+    shared.tell(
+        Decision::new(Code::EntryStarted, Subject::Entry, &s.name, why)
+            .with("incarnation", shared.incarnation)
+            .with("threads", s.threads as u64)
+            .with("wall_ms", wall_ms()),
+    );
+    for variable in config::unknown_variables() {
+        let why = format!("{variable} is no setting");
+        shared.tell(Decision::new(
+            Code::UnknownSetting,
+            Subject::Entry,
+            &s.name,
+            why,
+        ));
+    }
+    let why = format!("without accounts the token {:?} is accepted", auth::DEMO);
+    shared.tell(Decision::new(
+        Code::DemoAccount,
+        Subject::Entry,
+        &s.name,
+        why,
+    ));
+}
+
+async fn accept(shared: Arc<Shared>, listener: Async<TcpListener>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors, most likely: give some time to be closed.
+            Timer::after(Duration::from_millis(10)).await;
+            continue;
+        };
+        if shared.refusing.load(Ordering::SeqCst) {
+            return;
+        }
+        let shared = Arc::clone(&shared);
+        let runtime = shared.runtime;
+        runtime
+            .spawn(async move {
+                let limits = Limits {
+                    body_bytes: shared.settings.body_bytes,
+                    ..Limits::default()
+                };
+                let stopping = || shared.stopping.load(Ordering::SeqCst);
+                let handle = |incoming| traffic::handle(&shared, incoming);
+                server::serve(Wire::for_requests(stream), limits, stopping, handle).await;
+            })
+            .detach();
+    }
+}
+
+/// SIGTERM: not ready at once; for a grace new requests are still served, so that the balancer can see
+/// it; then what is in flight is waited for, and no longer than the bound.
+async fn until_stopped(shared: &Arc<Shared>) -> Result<()> {
+    let flag = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, Arc::clone(&flag))
+            .map_err(|e| Error::Io("signal".to_string(), e))?;
+    }
+    const LOOK_MS: u64 = 50;
+    while !flag.load(Ordering::SeqCst) {
+        Timer::after(Duration::from_millis(LOOK_MS)).await;
+    }
+    let name = shared.settings.name.clone();
+    shared.stopping.store(true, Ordering::SeqCst);
+    shared.tell(Decision::new(
+        Code::EntryStopping,
+        Subject::Entry,
+        &name,
+        "signal",
+    ));
+    Timer::after(Duration::from_millis(shared.settings.grace_ms)).await;
+    shared.refusing.store(true, Ordering::SeqCst);
+    let began_ms = shared.clock.now_ms();
+    while shared.active.load(Ordering::SeqCst) > 0 {
+        if shared.clock.now_ms() - began_ms > shared.settings.stop_ms {
+            break;
+        }
+        Timer::after(Duration::from_millis(LOOK_MS)).await;
+    }
+    let left = shared.active.load(Ordering::SeqCst) as u64;
+    let why = if left == 0 {
+        "nothing is in flight"
+    } else {
+        "the bound on waiting passed"
+    };
+    shared.tell(
+        Decision::new(Code::EntryStopped, Subject::Entry, &name, why).with("in_flight", left),
+    );
+    Ok(())
+}
--- /dev/null
+++ b/src/entry/peer.rs
@@ -0,0 +1,190 @@
+//! Peers over nng: each entry polls the others, and answers their polls.
+//!
+//! A poll is a question asked after a known moment, so its answer proves that the view was fresh then;
+//! a message that was merely sent to us would prove nothing after a pause of this process.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nng::options::{Options, RecvMaxSize, RecvTimeout, SendTimeout};
+use nng::{Protocol, Socket};
+
+use super::control::Message;
+use super::shared::Shared;
+use crate::clock::Millis;
+use crate::core::Event;
+use crate::error::{Error, Result};
+use crate::event::{Decision, Subject};
+use crate::wire::{decode, encode, Ask, Told, MESSAGE_MAX_BYTES};
+
+/// Between two polls of the same peer.
+const POLL_MS: Millis = 1_000;
+
+/// A peer that takes longer is not heard.
+const ANSWER_MS: Millis = 1_000;
+
+/// Bound on a wait for the control thread.
+const CONTROL_MS: Millis = 800;
+
+/// Starts the thread that answers, and one for each peer that asks.
+pub(super) fn start(shared: &Arc<Shared>) -> Result<()> {
+    let socket = Socket::new(Protocol::Rep0)?;
+    socket.set_opt::<RecvMaxSize>(MESSAGE_MAX_BYTES)?;
+    socket.set_opt::<SendTimeout>(Some(Duration::from_millis(ANSWER_MS)))?;
+    let addr = shared.settings.peer_listen;
+    socket
+        .listen(&format!("tcp://{addr}"))
+        .map_err(|e| Error::Usage(format!("--peer-listen {addr}: {e}")))?;
+    let answering = Arc::clone(shared);
+    spawn("peer-answer", move || answer(&answering, &socket))?;
+    for peer in &shared.settings.peers {
+        if *peer == addr {
+            continue;
+        }
+        let asking = Arc::clone(shared);
+        let peer = *peer;
+        spawn("peer-ask", move || poll(&asking, peer))?;
+    }
+    Ok(())
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<()> {
+    std::thread::Builder::new()
+        .name(name.to_string())
+        .stack_size(256 << 10)
+        .spawn(work)
+        .map(|_| ())
+        .map_err(|e| Error::Io("peer thread".to_string(), e))
+}
+
+fn answer(shared: &Shared, socket: &Socket) {
+    loop {
+        let Ok(message) = socket.recv() else {
+            std::thread::sleep(Duration::from_millis(10));
+            continue;
+        };
+        count(shared, message.len());
+        let told = match decode(&message) {
+            Some(Ask::Poll { digest, since }) => poll_answer(shared, digest, since),
+            Some(Ask::Explain { subject, id }) => Some(Told::Decisions {
+                entry: shared.settings.name.clone(),
+                list: shared.log.about(subject, &id),
+            }),
+            None => None,
+        };
+        // Whoever gets no answer asks again; an nng REP socket is free for the next question at once.
+        if let Some(bytes) = told.as_ref().and_then(encode) {
+            count(shared, bytes.len());
+            let _ = socket.send(bytes.as_slice());
+        }
+    }
+}
+
+fn poll_answer(shared: &Shared, digest: crate::core::members::Digest, since: u64) -> Option<Told> {
+    let (reply, answer) = smol::channel::bounded(1);
+    shared.tell_control(Message::Poll {
+        digest,
+        since,
+        reply,
+    });
+    let wait = async { answer.recv().await.ok() };
+    let late = async {
+        smol::Timer::after(Duration::from_millis(CONTROL_MS)).await;
+        None
+    };
+    smol::block_on(futures_lite::FutureExt::or(wait, late))
+}
+
+fn poll(shared: &Shared, peer: SocketAddr) {
+    let mut socket = None;
+    loop {
+        if socket.is_none() {
+            socket = dial(peer).ok();
+        }
+        let more = match &socket {
+            Some(s) => poll_once(shared, s),
+            None => false,
+        };
+        if !more {
+            std::thread::sleep(Duration::from_millis(POLL_MS));
+        }
+    }
+}
+
+fn dial(peer: SocketAddr) -> Result<Socket> {
+    let socket = Socket::new(Protocol::Req0)?;
+    socket.set_opt::<RecvMaxSize>(MESSAGE_MAX_BYTES)?;
+    socket.set_opt::<SendTimeout>(Some(Duration::from_millis(ANSWER_MS)))?;
+    socket.set_opt::<RecvTimeout>(Some(Duration::from_millis(ANSWER_MS)))?;
+    socket.dial_async(&format!("tcp://{peer}"))?;
+    Ok(socket)
+}
+
+/// Polls once; says whether the peer has more for us right away.
+fn poll_once(shared: &Shared, socket: &Socket) -> bool {
+    let view = shared.peer_view.load_full();
+    let begun_ms = shared.clock.now_ms();
+    let ask = Ask::Poll {
+        digest: view.digest.clone(),
+        since: view.since,
+    };
+    let Some(Told::View {
+        digest,
+        changes,
+        complete,
+        hosts,
+    }) = exchange(shared, socket, &ask)
+    else {
+        return false;
+    };
+    let more = changes.more && complete;
+    shared.tell_control(Message::Event(Event::PeerAnswered {
+        begun_ms,
+        digest,
+        changes,
+        complete,
+        hosts,
+    }));
+    if more {
+        // Let the control thread take the rows in before the next question names what is known.
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    more
+}
+
+fn exchange(shared: &Shared, socket: &Socket, ask: &Ask) -> Option<Told> {
+    let bytes = encode(ask)?;
+    count(shared, bytes.len());
+    socket.send(bytes.as_slice()).ok()?;
+    let message = socket.recv().ok()?;
+    count(shared, message.len());
+    decode(&message)
+}
+
+fn count(shared: &Shared, bytes: usize) {
+    shared
+        .metrics
+        .peer_bytes
+        .fetch_add(bytes as u64, Ordering::Relaxed);
+}
+
+/// What the peers logged about one thing, by entry. Blocks; for a thread that may.
+pub(super) fn explain(shared: &Shared, subject: Subject, id: &str) -> Vec<(String, Decision)> {
+    let mut found = Vec::new();
+    for peer in &shared.settings.peers {
+        if *peer == shared.settings.peer_listen {
+            continue;
+        }
+        let ask = Ask::Explain {
+            subject,
+            id: id.to_string(),
+        };
+        let told = dial(*peer).ok().and_then(|s| exchange(shared, &s, &ask));
+        if let Some(Told::Decisions { entry, list }) = told {
+            found.extend(list.into_iter().map(|d| (entry.clone(), d)));
+        }
+    }
+    found
+}
--- /dev/null
+++ b/src/entry/traffic.rs
@@ -0,0 +1,290 @@
+//! Callers' requests: who asks, for what, under which bounds, and the answer.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::{Method, Response};
+use smol::Timer;
+
+use super::control::{ask, Message};
+use super::keyed::{self, Claimed};
+use super::shared::{lock, Active, Caller, Routes, Shared};
+use super::upstream::{is_safe, relay, Forward};
+use crate::auth;
+use crate::clock::Millis;
+use crate::core::config::Class;
+use crate::core::operate::{Edit, Reply};
+use crate::core::rows::{job_key, JobRow, JobSpec};
+use crate::core::state::decode;
+use crate::error::{Failure, Kind, Run};
+use crate::event::{Code, Decision, Subject};
+use crate::http::{server, Incoming};
+use crate::metrics::Metrics;
+use crate::platform::Table;
+
+/// Bound on a key's length.
+const KEY_MAX_BYTES: usize = 256;
+
+/// Bound on a deadline, in milliseconds.
+const DEADLINE_MAX_MS: Millis = 3_600_000;
+
+/// How long a request waits for a fresh view after a pause of the process.
+const FRESH_MS: Millis = 1_000;
+
+/// How long a cancel waits to tell what truly happened.
+const CANCEL_MS: Millis = 5_000;
+
+/// Answers one request of a caller.
+pub(super) async fn handle(shared: &Arc<Shared>, incoming: Incoming) -> Response {
+    let _active = Active::new(&shared.active);
+    Metrics::add(&shared.metrics.requests);
+    let request = shared.request_id();
+    let result = answer(shared, &incoming, &request).await;
+    let mut res = match result {
+        Ok(res) => {
+            let took = incoming.arrived.elapsed();
+            shared.metrics.request_took(took.as_micros() as u64);
+            Metrics::add(&shared.metrics.answered);
+            res
+        }
+        Err(failure) => {
+            shared.metrics.failed(failure.kind);
+            tell_refused(shared, &request, &failure);
+            server::problem(&failure)
+        }
+    };
+    res.insert_header("rockwick-request", request.as_str());
+    res
+}
+
+fn tell_refused(shared: &Shared, request: &str, failure: &Failure) {
+    let row = failure.kind.row();
+    let why = format!("{}: {}", row.name, failure.detail);
+    let d = Decision::new(Code::RouteRefused, Subject::Request, request, why);
+    shared.tell(d.with("status", u64::from(row.status)));
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    incoming: &Incoming,
+    request: &str,
+) -> Result<Response, Failure> {
+    let path = incoming.head.url().path();
+    let routes = shared.routes.load_full();
+    if !shared.ready.load(Ordering::SeqCst) {
+        return Err(Kind::NotReady.into());
+    }
+    let caller = routes
+        .caller(auth::bearer(incoming.header("authorization")))
+        .ok_or(Kind::Unauthorized)?;
+    if let Some(rest) = path.strip_prefix("/s/") {
+        take_quota(shared, caller)?;
+        return serve(shared, &routes, caller, incoming, request, rest).await;
+    }
+    if path == "/jobs" || path.starts_with("/jobs/") {
+        take_quota(shared, caller)?;
+        return jobs(shared, caller, incoming, path).await;
+    }
+    Err(Kind::UnknownPath.because(path))
+}
+
+fn take_quota(shared: &Shared, caller: &Caller) -> Result<(), Failure> {
+    let now_ms = shared.clock.now_ms();
+    lock(&caller.bucket).take(now_ms).map_err(|wait_ms| {
+        let detail = format!("account {}: come back in {wait_ms} ms", caller.name);
+        Kind::QuotaSpent.because(detail)
+    })
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    routes: &Routes,
+    caller: &Caller,
+    incoming: &Incoming,
+    request: &str,
+    rest: &str,
+) -> Result<Response, Failure> {
+    let (service, tail) = rest.split_once('/').unwrap_or((rest, ""));
+    let route = routes.services.get(service);
+    let route = route.ok_or_else(|| Kind::UnknownService.because(service))?;
+    let method = incoming.head.method();
+    if matches!(method, Method::Connect | Method::Trace) {
+        return Err(Kind::BadRequest.because(format!("method {method}")));
+    }
+    let path = match incoming.head.url().query() {
+        Some(query) => format!("/{tail}?{query}"),
+        None => format!("/{tail}"),
+    };
+    let timeout_ms = deadline_ms(incoming)?.unwrap_or(route.service.timeout_ms);
+    let timeout_ms = timeout_ms.min(route.service.timeout_ms);
+    let forward = Forward {
+        shared,
+        route,
+        incoming,
+        request,
+        path,
+        class: class(incoming)?,
+        entries: routes.entries,
+        deadline_ms: shared.clock.now_ms() + timeout_ms,
+        repeatable: is_safe(method) || route.service.repeatable,
+    };
+    fresh_view(shared).await?;
+    let key = incoming
+        .header("idempotency-key")
+        .filter(|_| !is_safe(method));
+    let answer = match key {
+        Some(key) => return serve_keyed(shared, caller, forward, key).await,
+        None => forward.run().await?,
+    };
+    Ok(relay(answer))
+}
+
+async fn serve_keyed(
+    shared: &Arc<Shared>,
+    caller: &Caller,
+    mut forward: Forward<'_>,
+    key: &str,
+) -> Result<Response, Failure> {
+    if key.is_empty() || key.len() > KEY_MAX_BYTES {
+        return Err(
+            Kind::BadRequest.because(format!("Idempotency-Key: 1 to {KEY_MAX_BYTES} bytes"))
+        );
+    }
+    if forward.route.backends.is_empty() {
+        return Err(Kind::NoBackend.into());
+    }
+    if shared.store_down.load(Ordering::SeqCst) {
+        return Err(Kind::StoreDown.into());
+    }
+    // Whatever the service declares: under a key it runs at most once.
+    forward.repeatable = false;
+    let claim = keyed::claim(shared, &caller.name, key, forward.request, forward.incoming).await?;
+    let claim = match claim {
+        Claimed::Known(res) => return Ok(res),
+        Claimed::Ours(claim) => claim,
+    };
+    let result = forward.run().await;
+    keyed::record(shared, claim, &result).await;
+    result.map(relay)
+}
+
+/// After a pause of the process the view is refreshed before anything is sent.
+async fn fresh_view(shared: &Shared) -> Result<(), Failure> {
+    let until_ms = shared.clock.now_ms() + FRESH_MS;
+    loop {
+        match shared.may_send() {
+            Ok(()) => return Ok(()),
+            Err(kind) if shared.clock.now_ms() >= until_ms => return Err(kind.into()),
+            Err(_) => Timer::after(Duration::from_millis(20)).await,
+        };
+    }
+}
+
+fn class(incoming: &Incoming) -> Result<Class, Failure> {
+    match incoming.header("rockwick-class") {
+        None => Ok(Class::Normal),
+        Some(text) => Class::parse(text).ok_or_else(|| {
+            let detail = format!("Rockwick-Class {text:?}: urgent, normal or batch");
+            Kind::BadRequest.because(detail)
+        }),
+    }
+}
+
+fn deadline_ms(incoming: &Incoming) -> Result<Option<Millis>, Failure> {
+    let Some(text) = incoming.header("rockwick-deadline-ms") else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(ms) if ms <= DEADLINE_MAX_MS => Ok(Some(ms)),
+        _ => {
+            let detail = format!("Rockwick-Deadline-Ms {text:?}: 0 to {DEADLINE_MAX_MS}");
+            Err(Kind::BadRequest.because(detail))
+        }
+    }
+}
+
+async fn jobs(
+    shared: &Arc<Shared>,
+    caller: &Caller,
+    incoming: &Incoming,
+    path: &str,
+) -> Result<Response, Failure> {
+    let id = path
+        .strip_prefix("/jobs")
+        .unwrap_or_default()
+        .trim_start_matches('/');
+    match (incoming.head.method(), id) {
+        (Method::Post, "") => submit(shared, caller, incoming).await,
+        (Method::Get, id) if !id.is_empty() => {
+            let job = find_job(shared, caller, id).await?;
+            Ok(server::with_run(server::json(200, &job), Run::Yes))
+        }
+        (Method::Delete, id) if !id.is_empty() => cancel(shared, caller, id).await,
+        (method, _) => Err(Kind::BadRequest.because(format!("{method} {path}"))),
+    }
+}
+
+async fn submit(
+    shared: &Arc<Shared>,
+    caller: &Caller,
+    incoming: &Incoming,
+) -> Result<Response, Failure> {
+    let spec: JobSpec = serde_json::from_slice(&incoming.body)
+        .map_err(|e| Kind::BadRequest.because(format!("job: {e}")))?;
+    let id = incoming.header("idempotency-key").map(|key| {
+        let hash = auth::sha256_hex(&[caller.name.as_bytes(), key.as_bytes()]);
+        format!("j-{}", &hash[..24])
+    });
+    let edit = Edit::Submit {
+        account: caller.name.clone(),
+        id,
+        spec,
+    };
+    match ask(shared, edit).await? {
+        Reply::Job(id) => {
+            let mut res = server::json(202, &serde_json::json!({ "job": id }));
+            res.insert_header("location", format!("/jobs/{id}"));
+            Ok(res)
+        }
+        other => Err(Kind::Internal.because(format!("{other:?}"))),
+    }
+}
+
+/// The job as this entry knows it, or as the table has it where another entry took it just now.
+async fn find_job(shared: &Arc<Shared>, caller: &Caller, id: &str) -> Result<JobRow, Failure> {
+    let (reply, answer) = smol::channel::bounded(1);
+    let id_here = id.to_string();
+    shared.tell_control(Message::Job { id: id_here, reply });
+    let mut found = answer.recv().await.ok().flatten();
+    if found.is_none() {
+        Metrics::add(&shared.metrics.platform_calls);
+        let row = shared.platform.get(&job_key(id)).await;
+        let row = row.map_err(|_| Failure::from(Kind::StoreDown))?;
+        found = row.and_then(|r| decode(&r).ok().flatten());
+    }
+    found
+        .filter(|job: &JobRow| job.account == caller.name)
+        .ok_or_else(|| Kind::UnknownJob.because(id))
+}
+
+/// Asks for the job to be stopped, and tells what truly happened if that is known soon.
+async fn cancel(shared: &Arc<Shared>, caller: &Caller, id: &str) -> Result<Response, Failure> {
+    find_job(shared, caller, id).await?;
+    let edit = Edit::Cancel {
+        account: Some(caller.name.clone()),
+        job: id.to_string(),
+    };
+    ask(shared, edit).await?;
+    let until_ms = shared.clock.now_ms() + CANCEL_MS;
+    loop {
+        let job = find_job(shared, caller, id).await?;
+        if job.state.is_final() {
+            return Ok(server::json(200, &job));
+        }
+        if shared.clock.now_ms() >= until_ms {
+            return Ok(server::json(202, &job));
+        }
+        Timer::after(Duration::from_millis(100)).await;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,17 @@
 //! Rockwick: a fleet capacity and maintenance manager for small operators with mixed hosts.
 
+pub mod auth;
 pub mod clock;
+pub mod cmd;
+pub mod config;
 pub mod core;
+pub mod entry;
 pub mod error;
 pub mod event;
 pub mod http;
+pub mod log;
+pub mod metrics;
 pub mod platform;
 pub mod runtime;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Counters and histograms, in the Prometheus text format.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+use hdrhistogram::Histogram;
+
+use crate::clock::Millis;
+use crate::error::Kind;
+
+/// Longest time that histograms hold apart: an hour in microseconds.
+const LONGEST_US: u64 = 3_600_000_000;
+
+/// Everything that an entry counts.
+pub struct Metrics {
+    /// Requests that came in.
+    pub requests: AtomicU64,
+    /// Requests answered by a backend server.
+    pub answered: AtomicU64,
+    /// Second and later attempts.
+    pub retries: AtomicU64,
+    /// Refusals by backend servers before running.
+    pub refused_by_backend: AtomicU64,
+    /// Calls to the platform.
+    pub platform_calls: AtomicU64,
+    /// Bytes of peer messages, sent and received.
+    pub peer_bytes: AtomicU64,
+    /// Ticks of the control thread.
+    pub ticks: AtomicU64,
+    failures: Mutex<BTreeMap<&'static str, u64>>,
+    request_us: Mutex<Histogram<u64>>,
+    control_us: Mutex<Histogram<u64>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// All at zero.
+    pub fn new() -> Self {
+        Self {
+            requests: AtomicU64::new(0),
+            answered: AtomicU64::new(0),
+            retries: AtomicU64::new(0),
+            refused_by_backend: AtomicU64::new(0),
+            platform_calls: AtomicU64::new(0),
+            peer_bytes: AtomicU64::new(0),
+            ticks: AtomicU64::new(0),
+            failures: Mutex::new(BTreeMap::new()),
+            request_us: Mutex::new(histogram()),
+            control_us: Mutex::new(histogram()),
+        }
+    }
+
+    /// Counts one.
+    pub fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a failure by its kind.
+    pub fn failed(&self, kind: Kind) {
+        *lock(&self.failures).entry(kind.row().name).or_default() += 1;
+    }
+
+    /// Notes how long an answered request took here, queueing and exchange included.
+    pub fn request_took(&self, us: u64) {
+        lock(&self.request_us).saturating_record(us);
+    }
+
+    /// Notes how long the control thread worked on one event.
+    pub fn control_took(&self, us: u64) {
+        lock(&self.control_us).saturating_record(us);
+    }
+
+    /// The text that `/metrics` answers.
+    pub fn render(&self, log_dropped: u64, uptime_ms: Millis) -> String {
+        let mut text = String::new();
+        let counters = [
+            ("requests_total", &self.requests),
+            ("answered_total", &self.answered),
+            ("retries_total", &self.retries),
+            ("backend_refusals_total", &self.refused_by_backend),
+            ("platform_calls_total", &self.platform_calls),
+            ("peer_bytes_total", &self.peer_bytes),
+            ("ticks_total", &self.ticks),
+        ];
+        for (name, counter) in counters {
+            let value = counter.load(Ordering::Relaxed);
+            let _ = writeln!(
+                text,
+                "# TYPE rockwick_{name} counter\nrockwick_{name} {value}"
+            );
+        }
+        let _ = writeln!(text, "# TYPE rockwick_log_dropped_total counter");
+        let _ = writeln!(text, "rockwick_log_dropped_total {log_dropped}");
+        let _ = writeln!(
+            text,
+            "# TYPE rockwick_uptime_ms gauge\nrockwick_uptime_ms {uptime_ms}"
+        );
+        let _ = writeln!(text, "# TYPE rockwick_failures_total counter");
+        for (name, count) in lock(&self.failures).iter() {
+            let _ = writeln!(text, "rockwick_failures_total{{kind=\"{name}\"}} {count}");
+        }
+        summary(&mut text, "request_us", &lock(&self.request_us));
+        summary(&mut text, "control_us", &lock(&self.control_us));
+        text
+    }
+}
+
+fn summary(text: &mut String, name: &str, h: &Histogram<u64>) {
+    let _ = writeln!(text, "# TYPE rockwick_{name} summary");
+    for q in [0.5, 0.99, 0.999] {
+        let value = h.value_at_quantile(q);
+        let _ = writeln!(text, "rockwick_{name}{{quantile=\"{q}\"}} {value}");
+    }
+    let sum = (h.mean() * h.len() as f64) as u64;
+    let _ = writeln!(
+        text,
+        "rockwick_{name}_sum {sum}\nrockwick_{name}_count {}",
+        h.len()
+    );
+}
+
+fn histogram() -> Histogram<u64> {
+    // Two digits keep it at some tens of kilobytes.
+    match Histogram::new_with_bounds(1, LONGEST_US, 2) {
+        Ok(h) => h,
+        Err(_) => unreachable!("the bounds are constant and valid"),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
