--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, positional, Parser};
 
-use super::{escape, print_json, target, Target};
+use super::{escape, print_json, say, target, Target};
 use crate::clock::{Millis, DAY_MS};
 use crate::error::Result;
 use crate::view::Line;
@@ -36,19 +36,19 @@
         return print_json(&lines);
     }
     if lines.is_empty() {
-        println!("nothing is known of {} {}", args.kind, args.id);
+        say(format!("nothing is known of {} {}", args.kind, args.id));
     }
     for l in lines {
         let event = match l.event {
             0 => "row".to_string(),
             n => n.to_string(),
         };
-        println!(
+        say(format!(
             "{} {:8} {event:>4} {}",
             time_of_day(l.at_ms),
             l.entry,
             l.what
-        );
+        ));
     }
     Ok(())
 }
--- a/src/cmd/host.rs
+++ b/src/cmd/host.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, long, positional, Parser};
 
-use super::{escape, print_json, print_table, target, Target};
+use super::{escape, print_json, print_table, say, target, Target};
 use crate::core::operate::Edit;
 use crate::error::Result;
 use crate::view::HostView;
@@ -153,10 +153,10 @@
         &[row(&host)],
     );
     if !host.held_by.is_empty() {
-        println!("held by: {}", host.held_by.join(", "));
+        say(format!("held by: {}", host.held_by.join(", ")));
     }
     for job in &host.jobs {
-        println!("job: {job}");
+        say(format!("job: {job}"));
     }
     Ok(())
 }
--- a/src/cmd/job.rs
+++ b/src/cmd/job.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, long, positional, Parser};
 
-use super::{escape, print_json, print_table, target, Target};
+use super::{escape, print_json, print_table, say, target, Target};
 use crate::core::config::Class;
 use crate::core::operate::Edit;
 use crate::core::rows::JobSpec;
@@ -171,7 +171,7 @@
     }
     print_table(&HEAD, &[row(&job)]);
     for step in &job.row.history {
-        println!("{}: {}", step.by, step.what);
+        say(format!("{}: {}", step.by, step.what));
     }
     Ok(())
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -110,18 +110,27 @@
             return print_json(&reply);
         }
         match reply {
-            Reply::Version(v) => println!("version {v}"),
-            Reply::Wave(id) | Reply::Job(id) => println!("{id}"),
-            Reply::Done(text) => println!("{text}"),
+            Reply::Version(v) => say(format!("version {v}")),
+            Reply::Wave(id) | Reply::Job(id) => say(id),
+            Reply::Done(text) => say(text),
         }
         Ok(())
     }
 }
 
+/// Prints a line; a reader that has gone away ends the command quietly.
+pub fn say(line: impl std::fmt::Display) {
+    use std::io::Write;
+    let mut out = std::io::stdout().lock();
+    if writeln!(out, "{line}").is_err() {
+        std::process::exit(0);
+    }
+}
+
 /// Prints a value as JSON.
 pub fn print_json<T: Serialize>(value: &T) -> Result<()> {
     let text = serde_json::to_string_pretty(value).map_err(|e| Error::Answer(e.to_string()))?;
-    println!("{text}");
+    say(text);
     Ok(())
 }
 
@@ -135,7 +144,7 @@
     }
     let line = |cells: &mut dyn Iterator<Item = &str>| {
         let padded: Vec<String> = cells.zip(&widths).map(|(c, w)| format!("{c:w$}")).collect();
-        println!("{}", padded.join("  ").trim_end());
+        say(padded.join("  ").trim_end());
     };
     line(&mut head.iter().copied());
     for row in rows {
--- a/src/cmd/pool.rs
+++ b/src/cmd/pool.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, positional, Parser};
 
-use super::{escape, print_json, print_table, target, Target};
+use super::{escape, print_json, print_table, say, target, Target};
 use crate::error::Result;
 use crate::view::PoolView;
 
@@ -49,7 +49,7 @@
             if target.json() {
                 return print_json(&pool);
             }
-            println!("hosts: {}", pool.members.join(" "));
+            say(format!("hosts: {}", pool.members.join(" ")));
             print(&[pool]);
         }
     }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{construct, long, Parser};
 
-use super::{print_json, print_table, target, Target};
+use super::{print_json, print_table, say, target, Target};
 use crate::error::{Error, Result};
 use crate::view::{EntryView, Status};
 
@@ -71,14 +71,14 @@
     if args.target.json() {
         return print_json(s);
     }
-    println!(
+    say(format!(
         "entry {} ready {} store {} version {} seq {}",
         s.entry, s.ready, s.store, s.config_version, s.seq
-    );
+    ));
     let rows: Vec<Vec<String>> = s.entries.iter().map(row).collect();
     print_table(&["ENTRY", "STATE", "VERSION", "VIEW", "SILENT MS"], &rows);
-    println!("hosts: {}", counts(&s.hosts));
-    println!("jobs: {}", counts(&s.jobs));
+    say(format!("hosts: {}", counts(&s.hosts)));
+    say(format!("jobs: {}", counts(&s.jobs)));
     Ok(())
 }
 
--- a/src/cmd/template.rs
+++ b/src/cmd/template.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, long, positional, Parser};
 
-use super::{print_json, target, Target};
+use super::{print_json, say, target, Target};
 use crate::core::config;
 use crate::core::operate::Edit;
 use crate::error::{Error, Result};
@@ -70,12 +70,12 @@
     match args {
         Args::Check(file) => {
             let config = checked(&file)?.1;
-            println!(
+            say(format!(
                 "{file}: {} services, {} accounts, {} pools",
                 config.services.len(),
                 config.accounts.len(),
                 config.pools.len()
-            );
+            ));
             Ok(())
         }
         Args::Show(target) => {
@@ -83,8 +83,8 @@
             if target.json() {
                 return print_json(&view);
             }
-            println!("# version {}", view.version);
-            print!("{}", view.text);
+            say(format!("# version {}", view.version));
+            say(view.text.trim_end());
             Ok(())
         }
         Args::Apply {
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -158,7 +158,7 @@
     }
 
     /// The next to go: of the highest class, the one that came first.
-    pub fn next(&mut self) -> Option<T> {
+    pub fn call(&mut self) -> Option<T> {
         self.waiting.iter_mut().find_map(VecDeque::pop_front)
     }
 
--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -13,6 +13,18 @@
 /// Time between two log lines on the same held drain.
 const HELD_LOG_MS: Millis = 60_000;
 
+/// A leave to be granted.
+pub(super) struct Grant {
+    /// Which host.
+    pub(super) host: HostKey,
+    /// What it leaves for.
+    pub(super) purpose: Purpose,
+    /// The wave that takes it.
+    pub(super) wave: Option<String>,
+    /// The reason, for history and log.
+    pub(super) why: String,
+}
+
 impl State {
     /// A host's next row: the change and the step that tells it.
     pub(super) fn next_row(&self, host: &Host, now: Now, what: &str) -> HostRow {
@@ -58,23 +70,23 @@
     }
 
     /// Marks a host as leaving, together with its pool's row, on condition of both.
+    ///
+    /// `make` says on whose behalf, given the log line.
     pub(super) fn grant_drain(
         &mut self,
-        host: HostKey,
-        purpose: Purpose,
-        wave: Option<String>,
+        grant: Grant,
         make: impl FnOnce(Decision) -> Why,
-        why: &str,
         now: Now,
         out: &mut Vec<Effect>,
     ) {
-        let h = &self.hosts[host];
+        let why = &grant.why;
+        let h = &self.hosts[grant.host];
         let mut row = self.next_row(h, now, &format!("drain: {why}"));
         row.state = HostState::Draining;
-        row.purpose = purpose;
+        row.purpose = grant.purpose;
         row.boots = h.fact.as_ref().map_or(0, |f| f.boots);
-        if wave.is_some() {
-            row.wave = wave;
+        if grant.wave.is_some() {
+            row.wave = grant.wave;
         }
         let id = h.id.clone();
         let mut puts = vec![self.put_host(h, &row)];
@@ -86,7 +98,7 @@
                 }
             }));
         }
-        let line = Decision::new(Code::DrainGranted, Subject::Host, &id, why);
+        let line = Decision::new(Code::DrainGranted, Subject::Host, &id, why.as_str());
         let checks = self.same_config();
         self.commit(checks, puts, make(line), out);
     }
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -4,7 +4,7 @@
 //! is asked for again under the same attempt, which the platform runs once at most. An attempt counts
 //! as not begun only when the platform promised that it never will.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::HashSet;
 
 use super::place::FAILING_JOBS;
 use super::reduce::{Effect, Purpose as Why};
@@ -58,7 +58,7 @@
             return;
         };
         let key = (j.row.account.clone(), j.row.spec.pool.clone());
-        let times = self.learned.entry(key).or_insert_with(VecDeque::new);
+        let times = self.learned.entry(key).or_default();
         times.push_back(ran_ms);
         if times.len() > LEARNED_MAX {
             times.pop_front();
--- a/src/core/members.rs
+++ b/src/core/members.rs
@@ -108,9 +108,8 @@
             if ended {
                 continue;
             }
-            let freed_by = |seq: u64, busy: &[String]| {
-                seq >= host.version && !busy.iter().any(|h| *h == host.id)
-            };
+            let freed_by =
+                |seq: u64, busy: &[String]| seq >= host.version && !busy.contains(&host.id);
             let by_row = freed_by(row.view_seq, &row.busy);
             let by_digest = match &m.digest {
                 Some(d) if *name != self.me.name => {
--- a/src/core/operate.rs
+++ b/src/core/operate.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::config::{self, Window};
+use super::drain::Grant;
 use super::members::expect;
 use super::reduce::{Effect, Purpose as Why, Ticket};
 use super::rows::{
@@ -251,8 +252,13 @@
             reply,
             line,
         };
-        let why = format!("operator: {why}");
-        self.grant_drain(host, purpose, None, make, &why, now, out);
+        let grant = Grant {
+            host,
+            purpose,
+            wave: None,
+            why: format!("operator: {why}"),
+        };
+        self.grant_drain(grant, make, now, out);
         Ok(())
     }
 
@@ -310,7 +316,13 @@
             reply,
             line,
         };
-        self.grant_drain(host, purpose, None, make, &why, now, out);
+        let grant = Grant {
+            host,
+            purpose,
+            wave: None,
+            why,
+        };
+        self.grant_drain(grant, make, now, out);
         Ok(())
     }
 
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -1,6 +1,7 @@
 //! Which host belongs to which pool, and which host runs which job.
 
 use super::config::Class;
+use super::drain::Grant;
 use super::members::expect;
 use super::reduce::{Effect, Purpose as Why};
 use super::rows::{pool_key, HostState, JobState, Purpose, WaveState};
@@ -161,8 +162,13 @@
                 )
             });
         if let Some(host) = candidate {
-            let why = "its pool has more hosts than it asks for";
-            self.grant_drain(host, Purpose::Release, None, Why::Decision, why, now, out);
+            let grant = Grant {
+                host,
+                purpose: Purpose::Release,
+                wave: None,
+                why: "its pool has more hosts than it asks for".to_string(),
+            };
+            self.grant_drain(grant, Why::Decision, now, out);
         }
     }
 
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -267,9 +267,6 @@
     state.watch_members(now, out);
     watch_isolation(state, now, out);
     ask_for_reads(state, now, out);
-    if state.stopping {
-        return;
-    }
     state.keep_own_row(now, out);
     if may_decide(state) {
         decide(state, now, out);
@@ -318,7 +315,11 @@
 
 /// Nothing that needs a new durable fact is begun while the table is out of reach.
 fn may_decide(state: &State) -> bool {
-    state.reads.complete && !state.reads.failing && state.hosts_known && state.is_registered()
+    !state.stopping
+        && state.reads.complete
+        && !state.reads.failing
+        && state.hosts_known
+        && state.is_registered()
 }
 
 fn decide(state: &mut State, now: Now, out: &mut Vec<Effect>) {
@@ -376,6 +377,7 @@
     state.reads.failing = false;
     state.reads.backoff.succeed();
     let more = changes.more;
+    let news = !changes.rows.is_empty();
     state.take_rows(changes.rows, changes.seq, now.ms, out);
     if more {
         state.reads.outstanding = true;
@@ -387,6 +389,10 @@
     confirm(state, begun_ms);
     answer_lost_applies(state, out);
     state.keep_own_row(now, out);
+    // The next step follows from what was read, without waiting for the tick.
+    if news && may_decide(state) {
+        decide(state, now, out);
+    }
 }
 
 fn confirm(state: &mut State, begun_ms: Millis) {
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -539,6 +539,9 @@
             let gone = !host.is_live();
             if gone && host.gone_since_ms.is_none() {
                 host.gone_since_ms = Some(now_ms);
+                if host.row.state == HostState::Out {
+                    continue;
+                }
                 let why = "the platform does not list it as live";
                 let d = Decision::new(Code::HostLost, Subject::Host, &host.id, why);
                 out.push(Effect::Log(d));
--- a/src/core/wave.rs
+++ b/src/core/wave.rs
@@ -4,6 +4,7 @@
 
 use super::budget::{Budget, Member, Verdict};
 use super::config::any_open;
+use super::drain::Grant;
 use super::members::expect;
 use super::reduce::{Effect, Purpose as Why};
 use super::rows::{wave_key, HostState, Purpose, WaveState};
@@ -131,16 +132,13 @@
             self.report_wave_held(pool, &wave, why, now, out);
             return;
         };
-        let why = format!("wave {wave}");
-        self.grant_drain(
-            next,
-            Purpose::Maintenance,
-            Some(wave),
-            Why::Decision,
-            &why,
-            now,
-            out,
-        );
+        let grant = Grant {
+            host: next,
+            purpose: Purpose::Maintenance,
+            why: format!("wave {wave}"),
+            wave: Some(wave),
+        };
+        self.grant_drain(grant, Why::Decision, now, out);
     }
 
     /// The host whose leaving keeps the most for the reserved-for failure; of equals, the one with the
@@ -214,18 +212,14 @@
             .filter(|(_, h)| !self.serves_unassigned(h))
             .map(|(k, _)| k)
             .collect();
-        for key in free {
-            let why = format!("wave {wave}, free");
-            let wave = Some(wave.clone());
-            self.grant_drain(
-                key,
-                Purpose::Maintenance,
-                wave,
-                Why::Decision,
-                &why,
-                now,
-                out,
-            );
+        for host in free {
+            let grant = Grant {
+                host,
+                purpose: Purpose::Maintenance,
+                wave: Some(wave.clone()),
+                why: format!("wave {wave}, free"),
+            };
+            self.grant_drain(grant, Why::Decision, now, out);
         }
     }
 
--- a/src/entry/balance.rs
+++ b/src/entry/balance.rs
@@ -161,7 +161,7 @@
     /// Calls the next one who waits.
     fn call_next(&self) {
         loop {
-            let Some(waiter) = lock(&self.queue).next() else {
+            let Some(waiter) = lock(&self.queue).call() else {
                 return;
             };
             if waiter.call.try_send(Call::Look).is_ok() {
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -125,7 +125,7 @@
 impl Tally {
     fn new() -> Result<Self, String> {
         Ok(Self {
-            times_us: Histogram::new(3).map_err(|e| e.to_string())?,
+            times_us: Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|e| e.to_string())?,
             statuses: BTreeMap::new(),
             ok: 0,
             sent: 0,
