--- a/src/config.rs
+++ b/src/config.rs
@@ -11,7 +11,7 @@
 const PREFIX: &str = "ROCKWICK_";
 
 /// The variables that are settings.
-const KNOWN: [&str; 16] = [
+const KNOWN: [&str; 17] = [
     "ROCKWICK_NAME",
     "ROCKWICK_HALL",
     "ROCKWICK_LISTEN",
@@ -25,6 +25,7 @@
     "ROCKWICK_GRACE_MS",
     "ROCKWICK_STOP_MS",
     "ROCKWICK_DRAIN_MS",
+    "ROCKWICK_REPLACE_MS",
     "ROCKWICK_OPERATOR_TOKEN_SHA256",
     "ROCKWICK_ENTRY",
     "ROCKWICK_TOKEN",
@@ -46,6 +47,7 @@
     grace_ms: String,
     stop_ms: String,
     drain_ms: String,
+    replace_ms: String,
     operator_token_sha256: Option<String>,
 }
 
@@ -110,6 +112,11 @@
         .help("A host's drain over this is reported (default 600000)")
         .argument("MS")
         .fallback("600000".to_string());
+    let replace_ms = long("replace-ms")
+        .env("ROCKWICK_REPLACE_MS")
+        .help("A host gone for so long is replaced (default 300000)")
+        .argument("MS")
+        .fallback("300000".to_string());
     let operator_token_sha256 = long("operator-token-sha256")
         .env("ROCKWICK_OPERATOR_TOKEN_SHA256")
         .help("SHA-256 of the operators' token; without it --admin must be loopback")
@@ -129,6 +136,7 @@
         grace_ms,
         stop_ms,
         drain_ms,
+        replace_ms,
         operator_token_sha256
     })
 }
@@ -162,6 +170,8 @@
     pub stop_ms: Millis,
     /// A drain over this is reported.
     pub drain_ms: Millis,
+    /// A host gone for so long is replaced.
+    pub replace_ms: Millis,
     /// SHA-256 of the operators' token.
     pub operator_token_sha256: Option<String>,
 }
@@ -197,6 +207,7 @@
             grace_ms: number("grace-ms", &self.grace_ms, 0, 600_000)?,
             stop_ms: number("stop-ms", &self.stop_ms, 0, 86_400_000)?,
             drain_ms: number("drain-ms", &self.drain_ms, 1_000, 86_400_000)?,
+            replace_ms: number("replace-ms", &self.replace_ms, 1_000, 86_400_000)?,
             operator_token_sha256: self.operator_token_sha256.map(hash).transpose()?,
         })
     }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -118,6 +118,7 @@
         };
         let tuning = Tuning {
             drain_ms: settings.drain_ms,
+            replace_ms: settings.replace_ms,
             ..Tuning::default()
         };
         let state = State::new(me, tuning, shared.incarnation);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,11 +9,12 @@
 mod traffic;
 mod upstream;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use smol::{Async, Timer};
 
 use crate::auth;
@@ -24,7 +25,7 @@
 use crate::http::{server, Limits, Wire};
 use crate::log::Log;
 use crate::runtime::Runtime;
-use shared::Shared;
+use shared::{Counted, Shared};
 
 /// Runs an entry until it is told to stop; comes back when the last request has ended.
 pub fn run(settings: Settings) -> Result<()> {
@@ -36,6 +37,7 @@
     let incarnation = fastrand::u64(1..);
     let (shared, inbox) = Shared::new(settings, log, runtime, incarnation);
     let shared = Arc::new(shared);
+    tell_panics(&shared);
     tell_start(&shared);
     peer::start(&shared)?;
     let control = control::start(Arc::clone(&shared), inbox, operators)?;
@@ -53,6 +55,20 @@
     Async::new(listener).map_err(io)
 }
 
+/// A panic is a fault of ours: told as one event, and the thread goes on with its other work.
+fn tell_panics(shared: &Arc<Shared>) {
+    let shared = Arc::clone(shared);
+    std::panic::set_hook(Box::new(move |info| {
+        let name = &shared.settings.name;
+        shared.tell(Decision::new(
+            Code::Fault,
+            Subject::Entry,
+            name,
+            info.to_string(),
+        ));
+    }));
+}
+
 fn tell_start(shared: &Shared) {
     let s = &shared.settings;
     let why = format!(
@@ -84,27 +100,45 @@
 }
 
 async fn accept(shared: Arc<Shared>, listener: Async<TcpListener>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors, most likely: give some time to be closed.
-            Timer::after(Duration::from_millis(10)).await;
-            continue;
+    const LOOK_MS: u64 = 50;
+    while !shared.refusing.load(Ordering::SeqCst) {
+        let next = async { Some(listener.accept().await) };
+        let look = async {
+            Timer::after(Duration::from_millis(LOOK_MS)).await;
+            None
         };
-        if shared.refusing.load(Ordering::SeqCst) {
-            return;
+        match next.or(look).await {
+            Some(Ok((stream, _))) => serve(&shared, stream),
+            // Out of descriptors, most likely: give some time to be closed.
+            Some(Err(_)) => {
+                Timer::after(Duration::from_millis(10)).await;
+            }
+            None => {}
         }
-        let shared = Arc::clone(&shared);
-        let runtime = shared.runtime;
-        runtime.run(async move {
-            let limits = Limits {
-                body_bytes: shared.settings.body_bytes,
-                ..Limits::default()
-            };
-            let stopping = || shared.stopping.load(Ordering::SeqCst);
-            let handle = |incoming| traffic::handle(&shared, incoming);
-            server::serve(Wire::for_requests(stream), limits, stopping, handle).await;
-        });
     }
+    // Whoever connected before the listener closes is still served.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        if let Ok(stream) = Async::new(stream) {
+            serve(&shared, stream);
+        }
+    }
+    shared.closed.store(true, Ordering::SeqCst);
+}
+
+fn serve(shared: &Arc<Shared>, stream: Async<TcpStream>) {
+    shared.connections.fetch_add(1, Ordering::SeqCst);
+    let shared = Arc::clone(shared);
+    let runtime = shared.runtime;
+    runtime.run(async move {
+        let _connected = Counted(&shared.connections);
+        let limits = Limits {
+            body_bytes: shared.settings.body_bytes,
+            ..Limits::default()
+        };
+        let stopping = || shared.stopping.load(Ordering::SeqCst);
+        let handle = |incoming| traffic::handle(&shared, incoming);
+        server::serve(Wire::for_requests(stream), limits, stopping, handle).await;
+    });
 }
 
 /// SIGTERM: not ready at once; for a grace new requests are still served, so that the balancer can see
@@ -130,20 +164,25 @@
     Timer::after(Duration::from_millis(shared.settings.grace_ms)).await;
     shared.refusing.store(true, Ordering::SeqCst);
     let began_ms = shared.clock.now_ms();
-    while shared.active.load(Ordering::SeqCst) > 0 {
+    let waiting = || !shared.closed.load(Ordering::SeqCst) || connections(shared) > 0;
+    while waiting() {
         if shared.clock.now_ms() - began_ms > shared.settings.stop_ms {
             break;
         }
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
-    let left = shared.active.load(Ordering::SeqCst) as u64;
+    let left = connections(shared) as u64;
     let why = if left == 0 {
-        "nothing is in flight"
+        "no connection is left"
     } else {
         "the bound on waiting passed"
     };
     shared.tell(
-        Decision::new(Code::EntryStopped, Subject::Entry, &name, why).with("in_flight", left),
+        Decision::new(Code::EntryStopped, Subject::Entry, &name, why).with("connections", left),
     );
     Ok(())
 }
+
+fn connections(shared: &Shared) -> usize {
+    shared.connections.load(Ordering::SeqCst)
+}
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -85,8 +85,10 @@
     pub(super) stopping: AtomicBool,
     /// No new connections.
     pub(super) refusing: AtomicBool,
-    /// Requests in hand.
-    pub(super) active: AtomicUsize,
+    /// The listener is closed, and all that came before is being served.
+    pub(super) closed: AtomicBool,
+    /// Callers' connections.
+    pub(super) connections: AtomicUsize,
     next_request: AtomicU64,
     control: Sender<Message>,
 }
@@ -128,7 +130,8 @@
             store_down: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
-            active: AtomicUsize::new(0),
+            closed: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
             control,
         };
@@ -171,17 +174,10 @@
     }
 }
 
-/// Counts a request as in hand until it is dropped.
-pub(super) struct Active<'a>(&'a AtomicUsize);
+/// Takes one off a count when it is dropped.
+pub(super) struct Counted<'a>(pub(super) &'a AtomicUsize);
 
-impl<'a> Active<'a> {
-    pub(super) fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::SeqCst);
-        Self(count)
-    }
-}
-
-impl Drop for Active<'_> {
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -9,7 +9,7 @@
 
 use super::control::{ask, Message};
 use super::keyed::{self, Claimed};
-use super::shared::{lock, Active, Caller, Routes, Shared};
+use super::shared::{lock, Caller, Routes, Shared};
 use super::upstream::{is_safe, relay, Forward};
 use crate::auth;
 use crate::clock::Millis;
@@ -37,7 +37,6 @@
 
 /// Answers one request of a caller.
 pub(super) async fn handle(shared: &Arc<Shared>, incoming: Incoming) -> Response {
-    let _active = Active::new(&shared.active);
     Metrics::add(&shared.metrics.requests);
     let request = shared.request_id();
     let result = answer(shared, &incoming, &request).await;
@@ -275,8 +274,15 @@
         account: Some(caller.name.clone()),
         job: id.to_string(),
     };
-    ask(shared, edit).await?;
     let until_ms = shared.clock.now_ms() + CANCEL_MS;
+    // It is there, so an entry that does not know it yet, or is just placing it, soon will have.
+    while let Err(failure) = ask(shared, edit.clone()).await {
+        let soon = matches!(failure.kind, Kind::UnknownJob | Kind::Conflict);
+        if !soon || shared.clock.now_ms() >= until_ms {
+            return Err(failure);
+        }
+        Timer::after(Duration::from_millis(100)).await;
+    }
     loop {
         let job = find_job(shared, caller, id).await?;
         if job.state.is_final() {
--- a/src/event.rs
+++ b/src/event.rs
@@ -41,6 +41,7 @@
     UnknownSetting, 105, "unknown-setting", "An environment variable looks like a setting but is none.";
     Resumed, 106, "resumed", "The clock jumped: the process was paused; nothing is sent before a fresh view.";
     LogDropped, 107, "log-dropped", "Log lines were dropped because the sink could not keep up.";
+    Fault, 108, "fault", "A fault of this program; the one request or connection that met it is given up.";
     Routed, 200, "routed", "A request got its answer from this backend server.";
     RouteFailed, 201, "route-failed", "A request was sent and got no whole answer.";
     RouteRefused, 202, "route-refused", "A request was given up on before it was run.";
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -32,6 +32,9 @@
     }
 }
 
+/// How often a connection that waits is looked at.
+const LOOK_MS: u64 = 500;
+
 /// A whole request.
 #[derive(Debug)]
 pub struct Incoming {
@@ -75,7 +78,7 @@
     S: Fn() -> bool,
 {
     loop {
-        match read(&wire, limits).await {
+        match read(&wire, limits, &stopping).await {
             Arrival::Nothing => return,
             Arrival::Bad(failure) => {
                 let res = problem(&failure);
@@ -101,12 +104,12 @@
     }
 }
 
-/// Reads one whole request.
-pub async fn read(wire: &Wire, limits: Limits) -> Arrival {
+/// Reads one whole request; a connection that is idle when `stopping` says so is given up.
+pub async fn read(wire: &Wire, limits: Limits, stopping: impl Fn() -> bool) -> Arrival {
     wire.next_request();
     let head = async { Some(async_h1::server::decode(wire.clone()).await) };
     let late = async {
-        arrival_deadline(wire, limits).await;
+        arrival_deadline(wire, limits, &stopping).await;
         None
     };
     let decoded = match head.or(late).await {
@@ -118,10 +121,10 @@
     read_body(wire, decoded, limits).await
 }
 
-async fn arrival_deadline(wire: &Wire, limits: Limits) {
+async fn arrival_deadline(wire: &Wire, limits: Limits, stopping: impl Fn() -> bool) {
     let idle = Duration::from_millis(limits.idle_ms);
     let arrive = Duration::from_millis(limits.arrive_ms);
-    let step = Duration::from_millis(limits.arrive_ms.min(1_000));
+    let step = Duration::from_millis(limits.arrive_ms.min(LOOK_MS));
     let began = Instant::now();
     let mut first_seen = None;
     loop {
@@ -131,7 +134,7 @@
             if first.elapsed() + step >= arrive {
                 return;
             }
-        } else if began.elapsed() >= idle {
+        } else if began.elapsed() >= idle || stopping() {
             return;
         }
     }
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -215,7 +215,7 @@
     async fn serve(&self, stream: Async<TcpStream>) {
         let wire = Wire::for_requests(stream);
         loop {
-            let incoming = match server::read(&wire, Limits::default()).await {
+            let incoming = match server::read(&wire, Limits::default(), || false).await {
                 Arrival::Request(incoming) => *incoming,
                 _ => return,
             };
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -217,7 +217,7 @@
     async fn serve(&self, stream: Async<TcpStream>) {
         let wire = Wire::for_requests(stream);
         loop {
-            let incoming = match server::read(&wire, Limits::default()).await {
+            let incoming = match server::read(&wire, Limits::default(), || false).await {
                 Arrival::Request(incoming) => *incoming,
                 Arrival::Nothing => return,
                 Arrival::Bad(failure) => {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -195,7 +196,6 @@
     pub(crate) name: String,
     pub(crate) listen: SocketAddr,
     pub(crate) admin: SocketAddr,
-    pub(crate) peer: SocketAddr,
     pub(crate) process: Process,
 }
 
@@ -410,7 +410,6 @@
             name: name.to_string(),
             listen,
             admin,
-            peer,
             process: Process::start("rockwick", &args),
         }
     }
@@ -483,3 +482,70 @@
     std::fs::write(&path, text).expect("the fleet file");
     path
 }
+
+/// Callers that send without pause until they are stopped.
+pub(crate) struct Load {
+    stop: Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<Vec<String>>>,
+}
+
+impl Load {
+    /// So many callers on each address; each request works `work_ms` at its backend server. A caller
+    /// that is told to close goes on at the next address, as a balancer would have it.
+    pub(crate) fn start(addrs: &[SocketAddr], callers: usize, work_ms: u64) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let threads = (0..addrs.len() * callers)
+            .map(|n| {
+                let stop = Arc::clone(&stop);
+                let addrs = addrs.to_vec();
+                std::thread::spawn(move || load_caller(n, &addrs, work_ms, &stop))
+            })
+            .collect();
+        Self { stop, threads }
+    }
+
+    /// What each request came to; the marks of those with a whole answer are checked here.
+    pub(crate) fn stop(self) -> Vec<String> {
+        self.stop.store(true, Ordering::SeqCst);
+        let joined = self
+            .threads
+            .into_iter()
+            .map(|t| t.join().expect("no mix-up"));
+        joined.flatten().collect()
+    }
+}
+
+fn load_caller(n: usize, addrs: &[SocketAddr], work_ms: u64, stop: &AtomicBool) -> Vec<String> {
+    let mut at = n;
+    let mut client = Client::new(addrs[at % addrs.len()]);
+    let mut told = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let mark = format!("load-{n}-{}", told.len());
+        let call = post("/s/route/x", "b")
+            .with("x-mark", &mark)
+            .with("x-work-ms", work_ms);
+        let result = smol::block_on(call.send(&client));
+        if result
+            .as_ref()
+            .is_ok_and(|a| a.header("connection") == Some("close"))
+        {
+            at += 1;
+            client = Client::new(addrs[at % addrs.len()]);
+        }
+        told.push(match result {
+            Ok(answer) if answer.status == 200 => {
+                let got = text(&answer);
+                assert!(got.ends_with(&format!(" {mark} b")), "{mark} got {got}");
+                "200".to_string()
+            }
+            Ok(answer) => format!("{} {}", answer.status, text(&answer)),
+            Err(trouble) => format!("{trouble:?}"),
+        });
+    }
+    told
+}
+
+/// The outcomes other than a whole answer.
+pub(crate) fn failures(told: &[String]) -> Vec<&String> {
+    told.iter().filter(|t| *t != "200").collect()
+}
--- a/tests/test_admit.rs
+++ b/tests/test_admit.rs
@@ -1,1 +1,208 @@
-//! x
+//! Quotas, queues, windows, health and retry budgets, as tables.
+
+use rockwick::core::admit::{Bucket, Queue, Shed};
+use rockwick::core::config::Class;
+use rockwick::core::health::{may_eject, share_percent, Change, Health, Sign};
+use rockwick::core::retry::{Backoff, RetryBudget};
+use rockwick::core::route::{class_may_enter, pick, Candidate, Window};
+
+#[test]
+fn admit_quota_split() {
+    // A quota of 90 a second over 9 entries: together they never pass it, whoever is asked.
+    let mut buckets: Vec<Bucket> = (0..9).map(|_| Bucket::new(90, 90, 9, 0)).collect();
+    let mut taken = 0;
+    for ms in 0..10_000 {
+        for b in &mut buckets {
+            taken += u32::from(b.take(ms).is_ok());
+        }
+    }
+    let most = 90 + 90 * 10;
+    assert!(taken <= most, "{taken} of {most}");
+    assert!(taken >= most * 95 / 100, "{taken} of {most}");
+}
+
+#[test]
+fn admit_quota_wait() {
+    let mut bucket = Bucket::new(2, 1, 1, 0);
+    assert_eq!(bucket.take(0), Ok(()));
+    assert_eq!(bucket.take(0), Err(500));
+    assert_eq!(bucket.take(250), Err(250));
+    assert_eq!(bucket.take(500), Ok(()));
+    assert_eq!(Bucket::new(0, 1, 3, 0).take(0), Ok(()), "no bound");
+}
+
+#[test]
+fn admit_queue_order() {
+    let mut queue = Queue::new();
+    for (n, class) in [Class::Batch, Class::Normal, Class::Urgent, Class::Normal]
+        .iter()
+        .enumerate()
+    {
+        assert_eq!(queue.enter(*class, n, 10, 1, 1_000), Ok(None));
+    }
+    let order: Vec<usize> = std::iter::from_fn(|| queue.call()).collect();
+    assert_eq!(order, [2, 1, 3, 0]);
+}
+
+#[test]
+fn admit_queue_full() {
+    let mut queue = Queue::new();
+    assert_eq!(queue.enter(Class::Batch, 1, 2, 1, 1_000), Ok(None));
+    assert_eq!(queue.enter(Class::Normal, 2, 2, 1, 1_000), Ok(None));
+    assert_eq!(queue.enter(Class::Batch, 3, 2, 1, 1_000), Err(Shed::Full));
+    assert_eq!(
+        queue.enter(Class::Urgent, 4, 2, 1, 1_000),
+        Ok(Some(1)),
+        "batch makes room"
+    );
+    assert_eq!(queue.enter(Class::Urgent, 5, 2, 1, 1_000), Ok(Some(2)));
+    assert_eq!(queue.enter(Class::Urgent, 6, 2, 1, 1_000), Err(Shed::Full));
+}
+
+#[test]
+fn admit_queue_too_late() {
+    let mut queue = Queue::new();
+    queue.note_exchange(100);
+    for n in 0..8 {
+        assert_eq!(queue.enter(Class::Normal, n, 100, 4, 10_000), Ok(None));
+    }
+    assert_eq!(queue.expected_wait_ms(Class::Normal, 4), 300);
+    assert_eq!(
+        queue.enter(Class::Normal, 9, 100, 4, 299),
+        Err(Shed::TooLate)
+    );
+    assert_eq!(
+        queue.enter(Class::Urgent, 9, 100, 4, 299),
+        Ok(None),
+        "it goes before them"
+    );
+}
+
+#[test]
+fn admit_window() {
+    let mut w = Window::new(8, 9);
+    assert_eq!(w.size(), 1, "nine entries start with one each");
+    for _ in 0..200 {
+        w.grow();
+    }
+    assert_eq!(w.size(), 8);
+    w.shrink();
+    assert_eq!(w.size(), 6);
+    for _ in 0..20 {
+        w.shrink();
+    }
+    assert_eq!(w.size(), 1);
+}
+
+#[test]
+fn admit_pick() {
+    let candidate = |in_flight, window, barred| Candidate {
+        in_flight,
+        window,
+        barred,
+        near: true,
+    };
+    let mut rng = fastrand::Rng::with_seed(7);
+    let list = [
+        candidate(4, 4, false),
+        candidate(0, 4, true),
+        candidate(3, 4, false),
+        candidate(1, 4, false),
+    ];
+    let mut counts = [0; 4];
+    for _ in 0..1_000 {
+        let at = pick(list.len(), |i| list[i], &mut rng).expect("there is room");
+        counts[at] += 1;
+    }
+    assert_eq!(
+        (counts[0], counts[1]),
+        (0, 0),
+        "neither the full nor the barred one"
+    );
+    assert!(
+        counts[3] > counts[2],
+        "the less loaded more often: {counts:?}"
+    );
+    assert_eq!(pick(2, |i| list[i], &mut rng), None);
+    assert_eq!(pick(0, |i| list[i], &mut rng), None);
+}
+
+#[test]
+fn admit_batch_leaves_room() {
+    // 80 slots over 9 entries: the batch of all of them together leaves a slot in eight.
+    let mut batch = 0;
+    for _ in 0..9 {
+        let mut here = 0;
+        while class_may_enter(Class::Batch, here, 80, 9) {
+            here += 1;
+        }
+        batch += here;
+    }
+    assert!(batch <= 70, "{batch}");
+    assert!(class_may_enter(Class::Urgent, 70, 80, 9));
+}
+
+#[test]
+fn admit_ejection() {
+    let mut h = Health::default();
+    for _ in 0..4 {
+        assert_eq!(h.note(Sign::Bad, true, 0), Change::None);
+    }
+    assert_eq!(
+        h.note(Sign::Full, true, 0),
+        Change::None,
+        "full is no fault"
+    );
+    assert_eq!(h.note(Sign::Bad, true, 0), Change::Ejected(2_000));
+    assert!(h.is_ejected(1_999) && !h.is_ejected(2_000));
+    assert_eq!(
+        h.note(Sign::Bad, true, 2_000),
+        Change::Ejected(6_000),
+        "on probation one is enough"
+    );
+    assert_eq!(h.note(Sign::Good, true, 6_000), Change::Readmitted);
+    assert_eq!(h.note(Sign::Bad, true, 6_001), Change::None);
+    assert_eq!(share_percent(6_000, 6_000), 10);
+    assert_eq!(share_percent(6_000, 8_500), 50);
+    assert_eq!(share_percent(6_000, 60_000), 100);
+}
+
+#[test]
+fn admit_ejection_cap() {
+    assert!(may_eject(0, 2) && !may_eject(1, 2) && !may_eject(0, 1));
+    let mut h = Health::default();
+    for _ in 0..50 {
+        assert_eq!(h.note(Sign::Bad, false, 0), Change::None);
+    }
+}
+
+#[test]
+fn admit_retry_budget() {
+    let budget = RetryBudget::new();
+    let saved = std::iter::from_fn(|| budget.spend().then_some(())).count();
+    assert_eq!(saved, 10);
+    for _ in 0..1_000 {
+        budget.earn();
+    }
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        retries += u32::from(budget.spend());
+    }
+    assert!(
+        retries <= 110,
+        "a tenth of the traffic and what was saved: {retries}"
+    );
+}
+
+#[test]
+fn admit_backoff() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut b = Backoff::default();
+    for full in [500, 1_000, 2_000, 4_000, 4_000, 4_000] {
+        let ms = b.fail(&mut rng);
+        assert!((full / 2..=full).contains(&ms), "{ms} of {full}");
+    }
+    b.succeed();
+    assert!(b.fail(&mut rng) <= 500);
+}
--- a/tests/test_drain.rs
+++ b/tests/test_drain.rs
@@ -1,1 +1,322 @@
-//! x
+//! Leaving hosts: no new work after the mark, nothing cut, no reboot before all have let go.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use serde_json::{json, Value};
+
+use crate::fleet::{
+    failures, free_addr, get, post, text, value, wait_for, Entry, Fleet, Load, Plan, CONFIG,
+};
+use crate::relay::Relay;
+
+fn drain(entry: &Entry, host: &str) -> (u16, Value) {
+    let edit = json!({ "ask": "drain", "host": host, "reboot": true, "why": "test" });
+    let answer = entry.edit(&edit);
+    (answer.status, value(&answer))
+}
+
+fn wait_state(entry: &Entry, host: &str, state: &str) {
+    let what = format!("{host} is {state} at {}", entry.name);
+    wait_for(&what, || (entry.host_state(host) == state).then_some(()));
+}
+
+fn held_by(entry: &Entry, host: &str) -> Vec<String> {
+    let host = entry.admin(&format!("/v1/hosts/{host}"));
+    let names = host["held_by"].as_array().cloned().unwrap_or_default();
+    names
+        .iter()
+        .filter_map(|n| n.as_str().map(str::to_string))
+        .collect()
+}
+
+fn reboots(fleet: &Fleet, host: &str) -> u64 {
+    fleet.stats()["reboots"][host].as_u64().unwrap_or(0)
+}
+
+fn runs(fleet: &Fleet, host: usize) -> u64 {
+    fleet.backends[host].stats()["runs"].as_u64().unwrap_or(0)
+}
+
+/// The host the drain of which is asked for; its backend server is the first.
+const HOST: &str = "h1";
+
+#[test]
+fn drain_under_load() {
+    let fleet = Plan::new(4, 2).start();
+    let addrs: Vec<_> = fleet.entries.iter().map(|e| e.listen).collect();
+    let load = Load::start(&addrs, 4, 20);
+    wait_for("h1 has work", || (runs(&fleet, 0) > 20).then_some(()));
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    wait_for("h1 is rebooted", || {
+        (reboots(&fleet, HOST) == 1).then_some(())
+    });
+    let stats = fleet.backends[0].stats();
+    assert_eq!(stats["in_flight"], 0, "nothing is in flight at the reboot");
+    let at_reboot = stats["runs"].clone();
+    wait_state(&fleet.entries[0], HOST, "returning");
+    assert_eq!(
+        fleet.backends[0].stats()["runs"],
+        at_reboot,
+        "no work while it is out"
+    );
+    wait_state(&fleet.entries[0], HOST, "serving");
+    wait_for("h1 has work again", || {
+        (runs(&fleet, 0) > at_reboot.as_u64().unwrap_or(0)).then_some(())
+    });
+    let told = load.stop();
+    assert!(failures(&told).is_empty(), "{:?}", failures(&told));
+    assert_eq!(reboots(&fleet, HOST), 1);
+}
+
+#[test]
+fn drain_long_request() {
+    let fleet = Plan::new(2, 2).with_config(TWO).start();
+    fleet.backends[1].set("refuse", 0);
+    let addr = fleet.entries[1].listen;
+    let long =
+        std::thread::spawn(move || post("/s/route/x", "long").with("x-work-ms", 4_000).to(addr));
+    wait_for("h1 works on it", || {
+        (fleet.backends[0].stats()["in_flight"] == 1).then_some(())
+    });
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    wait_for("e2 is named", || {
+        (held_by(&fleet.entries[0], HOST) == ["e2"]).then_some(())
+    });
+    assert_eq!(reboots(&fleet, HOST), 0);
+    let answer = long.join().expect("no panic");
+    assert_eq!(answer.status, 200, "{}", text(&answer));
+    wait_for("h1 is rebooted", || {
+        (reboots(&fleet, HOST) == 1).then_some(())
+    });
+}
+
+/// Two hosts, one must serve.
+const TWO: &str = r#"
+[[service]]
+name = "route"
+timeout_ms = 20000
+[[account]]
+name = "demo"
+token_sha256 = "2a97516c354b68848cdbd8f54a226a0a55b21ed138e207ad6c5cbb9c00aa5aea"
+[[template]]
+name = "plain"
+[template.fields.hosts]
+[template.fields.serving_min]
+[template.fields.reserve]
+[[pool]]
+name = "pool"
+account = "demo"
+template = "plain"
+services = ["route"]
+[pool.parameters]
+hosts = 2
+serving_min = 1
+reserve = "none"
+"#;
+
+#[test]
+fn drain_frozen_entry() {
+    let fleet = Plan::new(4, 2).start();
+    let frozen = &fleet.entries[1];
+    assert_eq!(get("/s/route/x").to(frozen.listen).status, 200);
+    frozen.process.signal(Signal::SIGSTOP);
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    std::thread::sleep(Duration::from_secs(7));
+    assert_eq!(fleet.entries[0].host_state(HOST), "draining");
+    assert_eq!(
+        held_by(&fleet.entries[0], HOST),
+        ["e2"],
+        "silence is no consent"
+    );
+    assert_eq!(reboots(&fleet, HOST), 0);
+    let before = runs(&fleet, 0);
+    // Requests that wait in its sockets are the first thing that it sees when it wakes.
+    let waiting: Vec<_> = (0..16)
+        .map(|_| {
+            let addr = frozen.listen;
+            std::thread::spawn(move || post("/s/route/x", "b").to(addr).status)
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    frozen.process.signal(Signal::SIGCONT);
+    for t in waiting {
+        let status = t.join().expect("no panic");
+        assert!(status == 200 || status == 503, "{status}");
+    }
+    assert_eq!(
+        runs(&fleet, 0),
+        before,
+        "it refreshes its view before it sends"
+    );
+    wait_for("h1 is rebooted", || {
+        (reboots(&fleet, HOST) == 1).then_some(())
+    });
+}
+
+#[test]
+fn drain_cut_from_table() {
+    // e2 does not reach the table; it has the mark from its peer, and its peer has its consent.
+    let fleet = Plan::new(4, 2).start();
+    fleet.faults(json!({ "cut": ["e2"] }));
+    wait_for("e2 misses the table", || {
+        (fleet.entries[1].admin("/v1/status")["store"] == "down").then_some(())
+    });
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    wait_state(&fleet.entries[1], HOST, "draining");
+    let before = runs(&fleet, 0);
+    for _ in 0..20 {
+        assert_eq!(get("/s/route/x").to(fleet.entries[1].listen).status, 200);
+    }
+    assert_eq!(runs(&fleet, 0), before);
+    wait_for("h1 is rebooted", || {
+        (reboots(&fleet, HOST) == 1).then_some(())
+    });
+}
+
+/// Two entries that reach each other through relays.
+fn relayed() -> (Fleet, [Relay; 2]) {
+    let mut fleet = Plan::new(4, 0).without_config().start();
+    let peers = [free_addr(), free_addr()];
+    let relays = [Relay::to(peers[0]), Relay::to(peers[1])];
+    let e1 = fleet.entry("e1", peers[0], &[relays[1].addr]);
+    let e2 = fleet.entry("e2", peers[1], &[relays[0].addr]);
+    e1.wait_ready();
+    e2.wait_ready();
+    fleet.entries = vec![e1, e2];
+    fleet.apply(0, CONFIG);
+    fleet.settle();
+    (fleet, relays)
+}
+
+#[test]
+fn drain_cut_from_peers() {
+    // The entries do not hear each other; consent goes through the table.
+    let (fleet, relays) = relayed();
+    relays.iter().for_each(Relay::cut);
+    wait_for("e1 misses e2", || {
+        (fleet.entries[0].logged("peer-lost") > 0).then_some(())
+    });
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    wait_for("h1 is rebooted", || {
+        (reboots(&fleet, HOST) == 1).then_some(())
+    });
+    relays.iter().for_each(Relay::mend);
+}
+
+#[test]
+fn drain_cut_from_all() {
+    // e2 hears nobody: it stops sending by itself, and its consent is waited for.
+    let (fleet, relays) = relayed();
+    fleet.faults(json!({ "cut": ["e2"] }));
+    relays.iter().for_each(Relay::cut);
+    wait_for("e2 knows that it is cut off", || {
+        let refused = post("/s/route/x", "b").to(fleet.entries[1].listen);
+        (refused.status == 503 && text(&refused).contains("isolated")).then_some(())
+    });
+    let refused = post("/s/route/x", "b").to(fleet.entries[1].listen);
+    assert_eq!(refused.header("rockwick-run"), Some("no"));
+    assert!(refused.header("retry-after").is_some());
+    assert!(!fleet.entries[1].is_ready());
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(held_by(&fleet.entries[0], HOST), ["e2"]);
+    assert_eq!(reboots(&fleet, HOST), 0);
+    fleet.no_faults();
+    relays.iter().for_each(Relay::mend);
+    wait_for("h1 is rebooted", || {
+        (reboots(&fleet, HOST) == 1).then_some(())
+    });
+    fleet.entries[1].wait_ready();
+}
+
+#[test]
+fn drain_dead_entry() {
+    // A dead entry holds the drain until somebody who knows says that it has ended.
+    for by_platform in [true, false] {
+        let fleet = Plan::new(4, 2).start();
+        fleet.entries[1].process.signal(Signal::SIGKILL);
+        assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+        std::thread::sleep(Duration::from_secs(4));
+        assert_eq!(held_by(&fleet.entries[0], HOST), ["e2"]);
+        if by_platform {
+            let body = json!({ "entries": ["e2"] }).to_string();
+            post("/control/ended", &body).to(fleet.platform);
+        } else {
+            let out = fleet.entries[0].command(&["forget", "e2"]);
+            assert!(out.status.success(), "{out:?}");
+        }
+        wait_for("h1 is rebooted", || {
+            (reboots(&fleet, HOST) == 1).then_some(())
+        });
+    }
+}
+
+#[test]
+fn drain_lagging_list() {
+    let fleet = Plan::new(4, 2)
+        .with_platform_args(&["--list-lag-ms", "3000"])
+        .start();
+    let began = Instant::now();
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    wait_state(&fleet.entries[1], HOST, "draining");
+    let before = runs(&fleet, 0);
+    for _ in 0..20 {
+        assert_eq!(get("/s/route/x").to(fleet.entries[1].listen).status, 200);
+    }
+    assert_eq!(
+        runs(&fleet, 0),
+        before,
+        "the mark does not wait for the list"
+    );
+    wait_state(&fleet.entries[0], HOST, "serving");
+    assert!(
+        began.elapsed() > Duration::from_secs(3),
+        "it was seen gone and back"
+    );
+    assert_eq!(reboots(&fleet, HOST), 1);
+}
+
+#[test]
+fn drain_taken_back() {
+    let fleet = Plan::new(4, 2).start();
+    fleet.entries[1].process.signal(Signal::SIGSTOP);
+    assert_eq!(drain(&fleet.entries[0], HOST).0, 200);
+    wait_state(&fleet.entries[0], HOST, "draining");
+    let back = fleet.entries[0].edit(&json!({ "ask": "return", "host": HOST }));
+    assert_eq!(back.status, 200, "{}", text(&back));
+    wait_state(&fleet.entries[0], HOST, "serving");
+    fleet.entries[1].process.signal(Signal::SIGCONT);
+    fleet.settle();
+    assert_eq!(reboots(&fleet, HOST), 0);
+}
+
+#[test]
+fn drain_refusals() {
+    let fleet = Plan::new(4, 1).start();
+    let entry = &fleet.entries[0];
+    assert_eq!(drain(entry, "nowhere").0, 404);
+    for host in ["h1", "h2"] {
+        let edit = json!({ "ask": "drain", "host": host, "reboot": false, "why": "test" });
+        let answer = wait_for("the pool is free for the next change", || {
+            let answer = entry.edit(&edit);
+            (answer.status != 409 || !text(&answer).contains("under way")).then_some(answer)
+        });
+        assert_eq!(answer.status, 200, "{}", text(&answer));
+        wait_state(entry, host, "out");
+    }
+    let (status, problem) = drain(entry, "h3");
+    assert_eq!(status, 409, "{problem}");
+    assert_eq!(problem["type"], "/problems/budget-holds");
+    let (status, problem) = drain(entry, "h1");
+    assert_eq!(
+        (status, &problem["type"]),
+        (409, &json!("/problems/not-allowed"))
+    );
+    fleet.faults(json!({ "down": true }));
+    wait_for("the outage is seen", || {
+        (entry.admin("/v1/status")["store"] == "down").then_some(())
+    });
+    let edit = json!({ "ask": "return", "host": "h1" });
+    assert_eq!(entry.edit(&edit).status, 503);
+}
--- a/tests/test_jobs.rs
+++ b/tests/test_jobs.rs
@@ -1,1 +1,273 @@
-//! x
+//! Jobs: committed before they are accepted, never lost, never run twice where that is forbidden.
+
+use nix::sys::signal::Signal;
+use rockwick::http::Answer;
+use serde_json::{json, Value};
+
+use crate::fleet::{get, post, text, value, wait_for, Call, Fleet, Plan};
+
+/// A job whose task runs for so long and ends so.
+fn job(run_ms: u64, end: &str, repeatable: bool) -> Value {
+    let payload = json!({ "run_ms": run_ms, "end": end }).to_string();
+    json!({ "pool": "pool", "repeatable": repeatable, "payload": payload })
+}
+
+fn submit(fleet: &Fleet, entry: usize, job: &Value) -> String {
+    let answer = post("/jobs", &job.to_string()).to(fleet.entries[entry].listen);
+    assert_eq!(answer.status, 202, "{}", text(&answer));
+    value(&answer)["job"].as_str().expect("an id").to_string()
+}
+
+fn look(fleet: &Fleet, entry: usize, id: &str) -> Value {
+    value(&get(&format!("/jobs/{id}")).to(fleet.entries[entry].listen))
+}
+
+fn wait_state(fleet: &Fleet, entry: usize, id: &str, state: &str) -> Value {
+    wait_for(&format!("{id} is {state}"), || {
+        let job = look(fleet, entry, id);
+        (job["state"] == state).then_some(job)
+    })
+}
+
+fn starts(fleet: &Fleet, id: &str) -> u64 {
+    fleet.stats()["starts"][id].as_u64().unwrap_or(0)
+}
+
+fn wait_started(fleet: &Fleet, id: &str) {
+    wait_for("the task starts", || (starts(fleet, id) == 1).then_some(()));
+}
+
+fn cancel(fleet: &Fleet, entry: usize, id: &str) -> Answer {
+    Call {
+        method: http_types::Method::Delete,
+        ..get(&format!("/jobs/{id}"))
+    }
+    .to(fleet.entries[entry].listen)
+}
+
+#[test]
+fn jobs_done() {
+    let fleet = Plan::new(4, 2).start();
+    let ids: Vec<_> = (0..20)
+        .map(|n| submit(&fleet, n % 2, &job(100, "done", false)))
+        .collect();
+    for id in &ids {
+        wait_state(&fleet, 0, id, "done");
+        assert_eq!(starts(&fleet, id), 1, "{id}");
+    }
+}
+
+#[test]
+fn jobs_survive_entry() {
+    // The entry that accepted it dies at once; another one sees to it.
+    let fleet = Plan::new(4, 2).start();
+    let id = submit(&fleet, 0, &job(300, "done", false));
+    fleet.entries[0].process.signal(Signal::SIGKILL);
+    wait_state(&fleet, 1, &id, "done");
+    assert_eq!(starts(&fleet, &id), 1);
+}
+
+#[test]
+fn jobs_start_answer_lost() {
+    let fleet = Plan::new(4, 2).start();
+    fleet.faults(json!({ "lose_task_answers": 2 }));
+    let id = submit(&fleet, 0, &job(500, "done", false));
+    wait_state(&fleet, 0, &id, "done");
+    assert_eq!(starts(&fleet, &id), 1);
+}
+
+#[test]
+fn jobs_accept_answer_lost() {
+    let fleet = Plan::new(4, 2).start();
+    fleet.faults(json!({ "lose_commits": 1, "lose_prefix": "job/" }));
+    let id = submit(&fleet, 0, &job(100, "done", false));
+    wait_state(&fleet, 1, &id, "done");
+    assert_eq!(starts(&fleet, &id), 1);
+}
+
+#[test]
+fn jobs_lost_host() {
+    // Its host dies under it: what may be repeated is, what may not is told as unknown.
+    let fleet = Plan::new(4, 2).start();
+    for (repeatable, state, times) in [(true, "done", 2), (false, "unknown", 1)] {
+        let id = submit(&fleet, 0, &job(2_500, "done", repeatable));
+        wait_started(&fleet, &id);
+        let host = look(&fleet, 0, &id)["host"]
+            .as_str()
+            .expect("a host")
+            .to_string();
+        fleet.set_life(&host, "gone");
+        wait_state(&fleet, 0, &id, state);
+        assert_eq!(starts(&fleet, &id), times, "repeatable {repeatable}");
+        fleet.set_life(&host, "live");
+        fleet.settle();
+    }
+}
+
+#[test]
+fn jobs_lease_lapses() {
+    // Nobody renews while both entries are frozen; the platform ends the task.
+    let fleet = Plan::new(4, 2).start();
+    let id = submit(&fleet, 0, &job(60_000, "done", false));
+    wait_started(&fleet, &id);
+    let each = |signal| fleet.entries.iter().for_each(|e| e.process.signal(signal));
+    each(Signal::SIGSTOP);
+    std::thread::sleep(std::time::Duration::from_secs(12));
+    each(Signal::SIGCONT);
+    wait_state(&fleet, 0, &id, "unknown");
+    assert_eq!(starts(&fleet, &id), 1);
+}
+
+#[test]
+fn jobs_cancel() {
+    let fleet = Plan::new(4, 2).start();
+    // Running: stopped.
+    let running = submit(&fleet, 0, &job(60_000, "done", false));
+    wait_started(&fleet, &running);
+    let answer = cancel(&fleet, 1, &running);
+    assert_eq!(value(&answer)["state"], "cancelled", "{}", text(&answer));
+    // Finished before: that is told.
+    let done = submit(&fleet, 0, &job(50, "done", false));
+    wait_state(&fleet, 0, &done, "done");
+    let answer = cancel(&fleet, 0, &done);
+    assert_eq!(
+        (answer.status, &value(&answer)["state"]),
+        (200, &json!("done"))
+    );
+    // Waiting: never started.
+    let large: Vec<_> = (0..4)
+        .map(|_| {
+            let mut spec = job(60_000, "done", false);
+            spec["cores"] = json!(16);
+            submit(&fleet, 0, &spec)
+        })
+        .collect();
+    large.iter().for_each(|id| wait_started(&fleet, id));
+    let mut spec = job(100, "done", false);
+    spec["cores"] = json!(16);
+    let waiting = submit(&fleet, 0, &spec);
+    let answer = wait_for("the cancel is taken", || {
+        let answer = cancel(&fleet, 1, &waiting);
+        (answer.status == 200).then_some(answer)
+    });
+    assert_eq!(value(&answer)["state"], "cancelled", "{}", text(&answer));
+    assert_eq!(starts(&fleet, &waiting), 0);
+}
+
+#[test]
+fn jobs_refused() {
+    let fleet = Plan::new(4, 1).start();
+    let entry = fleet.entries[0].listen;
+    let cases = [
+        (
+            json!({ "pool": "pool", "cores": 17 }),
+            422,
+            "job-impossible",
+        ),
+        (
+            json!({ "pool": "pool", "memory_mb": 99_999_999 }),
+            422,
+            "job-impossible",
+        ),
+        (json!({ "pool": "nowhere" }), 404, "unknown-pool"),
+        (
+            json!({ "pool": "pool", "payload": "x".repeat(20_000) }),
+            413,
+            "body-too-large",
+        ),
+    ];
+    for (spec, status, kind) in cases {
+        let answer = post("/jobs", &spec.to_string()).to(entry);
+        assert_eq!(answer.status, status, "{}", text(&answer));
+        assert_eq!(value(&answer)["type"], format!("/problems/{kind}"));
+    }
+    let id = submit(&fleet, 0, &job(10, "done", false));
+    let path = format!("/jobs/{id}");
+    let theirs = get(&path).with("authorization", "Bearer other");
+    assert_eq!(theirs.to(entry).status, 404, "another account's job");
+    fleet.faults(json!({ "down": true }));
+    wait_for("the outage is seen", || {
+        (fleet.entries[0].admin("/v1/status")["store"] == "down").then_some(())
+    });
+    let answer = post("/jobs", &job(10, "done", false).to_string()).to(entry);
+    assert_eq!(
+        (answer.status, answer.header("rockwick-run")),
+        (503, Some("no"))
+    );
+}
+
+#[test]
+fn jobs_same_key() {
+    let fleet = Plan::new(4, 2).start();
+    let spec = job(100, "done", false).to_string();
+    let send = |entry: usize, body: &str| {
+        post("/jobs", body)
+            .with("idempotency-key", "wave-7")
+            .to(fleet.entries[entry].listen)
+    };
+    let first = send(0, &spec);
+    let again = wait_for("the other entry knows it", || {
+        let answer = send(1, &spec);
+        (answer.status == 202).then_some(answer)
+    });
+    assert_eq!(value(&first)["job"], value(&again)["job"]);
+    assert_eq!(send(0, &job(101, "done", false).to_string()).status, 422);
+    let id = value(&first)["job"].as_str().expect("an id").to_string();
+    wait_state(&fleet, 0, &id, "done");
+    assert_eq!(starts(&fleet, &id), 1);
+}
+
+#[test]
+fn jobs_whose_fault() {
+    let fleet = Plan::new(4, 1).start();
+    // One that fails wherever it runs is given up as the job's own fault.
+    let bad = submit(&fleet, 0, &job(50, "failed", true));
+    let told = wait_state(&fleet, 0, &bad, "failed");
+    assert_eq!(starts(&fleet, &bad), 3);
+    assert_eq!(told["failed_on"].as_array().map(Vec::len), Some(2));
+    // A host that fails every job is avoided after a few; they end well elsewhere.
+    let payload = json!({ "run_ms": 50, "fail_on": ["h2"] }).to_string();
+    let spec = json!({ "pool": "pool", "repeatable": true, "cores": 6, "payload": payload });
+    let ids: Vec<_> = (0..24).map(|_| submit(&fleet, 0, &spec)).collect();
+    for id in &ids {
+        wait_state(&fleet, 0, id, "done");
+    }
+    let on_bad = ids.iter().filter(|id| starts(&fleet, id) > 1).count();
+    assert!(
+        (1..=8).contains(&on_bad),
+        "{on_bad} jobs went to the bad host"
+    );
+    assert_eq!(fleet.entries[0].logged("host-fails-jobs"), 1);
+}
+
+#[test]
+fn jobs_leave_host() {
+    // A host that leaves is waited for by what may not be repeated, and left by what may.
+    let fleet = Plan::new(4, 2).start();
+    let stays = submit(&fleet, 0, &job(4_000, "done", false));
+    let moves = submit(&fleet, 0, &job(4_000, "done", true));
+    wait_started(&fleet, &stays);
+    wait_started(&fleet, &moves);
+    let host = look(&fleet, 0, &stays)["host"]
+        .as_str()
+        .expect("a host")
+        .to_string();
+    assert_eq!(
+        look(&fleet, 0, &moves)["host"],
+        host.as_str(),
+        "both are packed on one host"
+    );
+    let edit = json!({ "ask": "drain", "host": host, "reboot": true, "why": "test" });
+    assert_eq!(fleet.entries[0].edit(&edit).status, 200);
+    wait_for("it moves", || {
+        let at = look(&fleet, 0, &moves)["host"].clone();
+        (at.is_string() && at != host.as_str()).then_some(())
+    });
+    wait_state(&fleet, 0, &stays, "done");
+    wait_state(&fleet, 0, &moves, "done");
+    wait_for("the host is rebooted", || {
+        (fleet.stats()["reboots"][&host] == 1).then_some(())
+    });
+    assert_eq!(starts(&fleet, &stays), 1);
+    assert_eq!(fleet.stats()["reboots_over_tasks"], 0);
+}
