--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -68,8 +68,9 @@
 #[derive(Debug)]
 pub struct Queue<T> {
     waiting: [VecDeque<T>; 3],
-    /// Smoothed time of one exchange.
+    /// Smoothed time of one exchange, and of its deviation.
     exchange_ms: u64,
+    deviation_ms: u64,
 }
 
 impl<T> Default for Queue<T> {
@@ -84,6 +85,7 @@
         Self {
             waiting: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
             exchange_ms: 0,
+            deviation_ms: 0,
         }
     }
 
@@ -105,13 +107,20 @@
             .sum()
     }
 
-    /// Takes the length of an exchange in.
+    /// Takes the length of an exchange in, smoothed as TCP does with round trips (RFC 6298).
     pub fn note_exchange(&mut self, ms: Millis) {
-        self.exchange_ms = if self.exchange_ms == 0 {
-            ms
-        } else {
-            (self.exchange_ms * 7 + ms) / 8
-        };
+        if self.exchange_ms == 0 {
+            self.exchange_ms = ms;
+            return;
+        }
+        let deviation_ms = self.exchange_ms.abs_diff(ms);
+        self.deviation_ms = (self.deviation_ms * 3 + deviation_ms) / 4;
+        self.exchange_ms = (self.exchange_ms * 7 + ms) / 8;
+    }
+
+    /// The time that one exchange takes with fair certainty, 0 where none was seen.
+    pub fn likely_exchange_ms(&self) -> Millis {
+        self.exchange_ms + 2 * self.deviation_ms
     }
 
     /// The wait that a newcomer of `class` must expect with so many places at work.
@@ -130,7 +139,8 @@
         places: usize,
         left_ms: Millis,
     ) -> Result<Option<T>, Shed> {
-        if self.expected_wait_ms(class, places) > left_ms {
+        let needed_ms = self.expected_wait_ms(class, places) + self.likely_exchange_ms();
+        if needed_ms > left_ms {
             return Err(Shed::TooLate);
         }
         let mut pushed_out = None;
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -495,7 +495,10 @@
     let checker = Checker { text };
     let raw: RawFile = toml::from_str(text).map_err(|e| Flaw {
         line: e.span().map_or(0, |s| checker.line_at(s.start)),
-        reason: e.message().replace('\n', " "),
+        reason: match e.message().replace('\n', " ") {
+            empty if empty.is_empty() => "not valid TOML".to_string(),
+            told => told,
+        },
     })?;
     let mut config = Config::default();
     for s in &raw.service {
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -18,6 +18,12 @@
 /// likely the entry's own, or everybody's, and ejecting would empty the pool.
 const EJECTED_MAX_PERCENT: usize = 50;
 
+/// After a refusal a backend server is full for so long at least; each further one in a row doubles it.
+const FULL_MS: Millis = 5;
+
+/// Longest time that it is taken for full.
+const FULL_MAX_MS: Millis = 1_000;
+
 /// What an exchange says about a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
@@ -35,6 +41,8 @@
     failures: u32,
     ejections: u32,
     ejected_until_ms: Millis,
+    refusals: u32,
+    full_until_ms: Millis,
 }
 
 /// What a sign changed.
@@ -52,9 +60,15 @@
     /// Takes in a sign; `may_eject` says whether few enough others are ejected.
     pub fn note(&mut self, sign: Sign, may_eject: bool, now_ms: Millis) -> Change {
         match sign {
-            Sign::Full => Change::None,
+            Sign::Full => {
+                let full_ms = (FULL_MS << self.refusals.min(16)).min(FULL_MAX_MS);
+                self.refusals += 1;
+                self.full_until_ms = now_ms + full_ms;
+                Change::None
+            }
             Sign::Good => {
                 self.failures = 0;
+                self.refusals = 0;
                 let was_out = std::mem::take(&mut self.ejections) > 0;
                 if was_out {
                     Change::Readmitted
@@ -85,6 +99,11 @@
         self.ejected_until_ms
     }
 
+    /// Until when it gets no work, ejected or taken for full.
+    pub fn barred_until_ms(&self) -> Millis {
+        self.ejected_until_ms.max(self.full_until_ms)
+    }
+
     /// Whether it gets no work now.
     pub fn is_ejected(&self, now_ms: Millis) -> bool {
         now_ms < self.ejected_until_ms
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -134,6 +134,7 @@
     fn place_waiting(&mut self, pool: PoolKey, now: Now, out: &mut Vec<Effect>) {
         let name = self.pools[pool].name.clone();
         let mut placed = 0;
+        let mut held = Vec::new();
         for key in self.waiting_order(&name, now) {
             if placed == PLACEMENTS_MAX {
                 return;
@@ -141,7 +142,8 @@
             if !self.is_unlocked(&job_key(&self.jobs[key].id)) {
                 continue;
             }
-            let Some(host) = self.place_job(key, now) else {
+            let Some(host) = self.place_job(key, &held, now) else {
+                held.extend(self.host_to_hold(key, &held, now));
                 continue;
             };
             placed += 1;
@@ -164,9 +166,8 @@
             .with("expected_ms", expected_ms)
             .with("waited_ms", waited_ms);
         let put = self.put_job(key, &row);
-        // Counted at once, so that the next placement of this tick sees the room gone.
-        self.jobs[key].row.state = JobState::Placed;
-        self.jobs[key].row.host = Some(host.to_string());
+        // Counted at once, so that the next placement sees the room gone.
+        self.placing.insert(key, host.to_string());
         self.commit(vec![], vec![put], Why::Decision(line), out);
     }
 
@@ -319,8 +320,9 @@
         };
         match answer {
             Some(OrderAnswer::Accepted) => self.jobs[key].confirmed = true,
-            Some(OrderAnswer::NoHost) => {
-                // Only a stop makes certain that this attempt never begins.
+            Some(OrderAnswer::NoHost | OrderAnswer::Fenced) => {
+                // Only a stop makes certain that this attempt never begins. Fenced it may be by a stop
+                // whose answer was lost, or by an entry that died before it could say so.
                 self.jobs[key].stopping = true;
                 self.jobs[key].asked_ms = Some(now.ms);
                 out.push(Effect::StopTask(task.clone()));
--- a/src/core/operate.rs
+++ b/src/core/operate.rs
@@ -275,6 +275,12 @@
             let detail = format!("the host is {}", state.as_str());
             return Err(Kind::NotAllowed.because(detail));
         }
+        // The order to reboot may still be on its way, and must not hit a host that serves again.
+        let rebooting = self.hosts[host].row.purpose == Purpose::Maintenance;
+        if state == HostState::Out && rebooting {
+            let detail = "its reboot is ordered; it returns by itself";
+            return Err(Kind::NotAllowed.because(detail));
+        }
         let what = format!("returned by an operator while {}", state.as_str());
         let line = Decision::new(Code::HostReturned, Subject::Host, id, what.clone());
         let purpose = Why::Edit {
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -14,6 +14,9 @@
 /// How long jobs avoid a host that failed several of them.
 const FAILING_MS: Millis = 600_000;
 
+/// Waiting so long lifts a job by a class, and lets it hold a host that it needs for itself.
+const LIFT_MS: Millis = 600_000;
+
 /// Different jobs in a row that a host must fail to be avoided.
 pub(super) const FAILING_JOBS: usize = 3;
 
@@ -47,11 +50,13 @@
             return 0;
         };
         let view = self.pool_view(pool);
-        let stuck = view.budget.slack(&view.members[..]) == 0;
-        let borrowed = view.keys.len() > config.hosts;
+        let stays = |k: &&HostKey| !self.hosts[**k].is_moving_out();
+        let borrowed = view.keys.iter().filter(stays).count() > config.hosts;
+        let stuck = view.budget.slack(&view.members) == 0;
         let in_wave = self.in_wave(&p.name) && p.members.iter().any(|k| self.awaits_wave(*k));
-        let out = view.members.iter().any(|m| m.out);
-        let borrow = in_wave && (stuck || borrowed) || (borrowed && out);
+        let out = |k: &HostKey| self.hosts[*k].row.state != HostState::Serving;
+        let some_out = view.keys.iter().filter(stays).any(out);
+        let borrow = (in_wave && (stuck || borrowed)) || (borrowed && some_out);
         config.hosts + usize::from(borrow)
     }
 
@@ -67,12 +72,11 @@
             Some(t) => now.ms < t + self.tuning.replace_ms,
             None => true,
         };
-        let leaves = |h: &Host| matches!(h.row.purpose, Purpose::Move(_) | Purpose::Release);
         self.pools[pool]
             .members
             .iter()
             .map(|k| &self.hosts[*k])
-            .filter(|h| lasts(h) && !(h.row.state == HostState::Draining && leaves(h)))
+            .filter(|h| lasts(h) && !h.is_moving_out())
             .count()
     }
 
@@ -204,26 +208,56 @@
     }
 
     /// The host for a job's next attempt: it fits, has not failed this job, does not fail jobs in
-    /// general, and of those one that is not about to leave for a wave; then the one with the least
-    /// free room, so that large jobs find room elsewhere.
-    pub(super) fn place_job(&self, job: JobKey, now: Now) -> Option<HostKey> {
+    /// general, is not held for another job, and of those one that is not about to leave for a wave;
+    /// then the one with the least free room, so that large jobs find room elsewhere.
+    pub(super) fn place_job(&self, job: JobKey, held: &[HostKey], now: Now) -> Option<HostKey> {
         let spec = &self.jobs[job].row.spec;
-        let failed_on = &self.jobs[job].row.failed_on;
-        let pool = self.pool_names.get(&spec.pool)?;
-        self.pools[*pool]
-            .members
-            .iter()
-            .copied()
+        self.suitable(job, now)
+            .filter(|k| !held.contains(k))
             .filter_map(|k| self.room(k, spec.class, spec.cores).map(|room| (k, room)))
-            .filter(|(k, (cores, memory_mb))| {
-                let h = &self.hosts[*k];
-                let fits = *cores >= spec.cores && *memory_mb >= spec.memory_mb;
-                fits && h.is_serving() && !failed_on.contains(&h.id) && !self.is_failing(h, now)
-            })
+            .filter(|(_, (cores, memory_mb))| *cores >= spec.cores && *memory_mb >= spec.memory_mb)
             .min_by_key(|(k, (cores, _))| (self.awaits_wave(*k), *cores, self.hosts[*k].id.clone()))
             .map(|(k, _)| k)
     }
 
+    /// Serving hosts of a job's pool that do not fail jobs in general; those that it has failed on only
+    /// where there is no other.
+    fn suitable(&self, job: JobKey, now: Now) -> impl Iterator<Item = HostKey> + '_ {
+        let row = &self.jobs[job].row;
+        let pool = self.pool_names.get(&row.spec.pool);
+        let members = pool.map(|p| self.pools[*p].members.as_slice());
+        let members = members.unwrap_or_default();
+        let sound = move |k: &HostKey| {
+            let h = &self.hosts[*k];
+            h.is_serving() && !self.is_failing(h, now)
+        };
+        let untried = move |k: &HostKey| !row.failed_on.contains(&self.hosts[*k].id);
+        let any_untried = members.iter().any(|k| sound(k) && untried(k));
+        let fits = move |k: &HostKey| sound(k) && (untried(k) || !any_untried);
+        members.iter().copied().filter(fits)
+    }
+
+    /// The host to be held for a job that has waited for long and finds no room: it would fit there if
+    /// nothing else ran, and the least is running there. Smaller jobs would pass it for ever otherwise.
+    pub(super) fn host_to_hold(&self, job: JobKey, held: &[HostKey], now: Now) -> Option<HostKey> {
+        let row = &self.jobs[job].row;
+        if now.wall_ms < row.submitted_ms + LIFT_MS {
+            return None;
+        }
+        let fits = |k: &HostKey| {
+            let fact = self.hosts[*k].fact.as_ref();
+            fact.is_some_and(|f| f.cores >= row.spec.cores && f.memory_mb >= row.spec.memory_mb)
+        };
+        self.suitable(job, now)
+            .filter(|k| !held.contains(k) && fits(k))
+            .min_by_key(|k| {
+                (
+                    self.jobs_on(&self.hosts[*k].id).len(),
+                    self.hosts[*k].id.clone(),
+                )
+            })
+    }
+
     /// Whether jobs avoid a host since it failed several different ones in a row.
     pub fn is_failing(&self, host: &Host, now: Now) -> bool {
         host.failing_since_ms
@@ -236,7 +270,9 @@
         let fact = h.fact.as_ref().filter(|f| f.life == Life::Live)?;
         let (mut cores, mut memory_mb) = (fact.cores, fact.memory_mb);
         let mut others = 0;
-        for job in self.jobs_on(&h.id) {
+        let placing = self.placing.iter().filter(|(_, at)| **at == h.id);
+        let coming = placing.map(|(job, _)| *job);
+        for job in self.jobs_on(&h.id).into_iter().chain(coming) {
             let spec = &self.jobs[job].row.spec;
             cores = cores.saturating_sub(spec.cores);
             memory_mb = memory_mb.saturating_sub(spec.memory_mb);
@@ -253,7 +289,6 @@
     /// Waiting jobs of a pool in the order in which they are placed: class, then the account with the
     /// least at work, then age. Long waiting lifts a job class by class, so that nothing starves.
     pub(super) fn waiting_order(&self, pool: &str, now: Now) -> Vec<JobKey> {
-        const LIFT_MS: Millis = 600_000;
         let mut at_work: std::collections::HashMap<&str, u32> = std::collections::HashMap::new();
         for j in self
             .jobs
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -483,6 +483,17 @@
     }
 }
 
+impl State {
+    /// A placement that did not come about holds no room. One that may have come about is in the next
+    /// read, and counts from there.
+    fn give_up_placing(&mut self, key: &str) {
+        let job = key.strip_prefix("job/").and_then(|id| self.job_ids.get(id));
+        if let Some(job) = job {
+            self.placing.remove(job);
+        }
+    }
+}
+
 /// A transaction whose outcome is awaited.
 #[derive(Debug)]
 pub struct Pending {
@@ -504,6 +515,7 @@
             }
             _ => {
                 state.locked.remove(key);
+                state.give_up_placing(key);
             }
         }
     }
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -1,6 +1,6 @@
 //! When to try again: pauses that grow with jitter, and a budget as a share of traffic.
 
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 
 use crate::clock::Millis;
 
@@ -34,16 +34,20 @@
 /// Hundredths of a retry that each first attempt earns: one retry for ten requests.
 const EARN: i64 = 10;
 
+/// Hundredths of a retry that each second earns, so that a service with little traffic can retry.
+const EARN_PER_S: i64 = 200;
+
 /// Hundredths that a retry costs.
 const COST: i64 = 100;
 
-/// Hundredths that can be saved up, so that a quiet service can still retry a few times.
+/// Hundredths that can be saved up.
 const SAVED_MAX: i64 = 1_000;
 
-/// A budget of retries as a share of the traffic.
+/// A budget of retries as a share of the traffic, with a small floor.
 #[derive(Debug)]
 pub struct RetryBudget {
     saved: AtomicI64,
+    filled_ms: AtomicU64,
 }
 
 impl Default for RetryBudget {
@@ -57,19 +61,25 @@
     pub fn new() -> Self {
         Self {
             saved: AtomicI64::new(SAVED_MAX),
+            filled_ms: AtomicU64::new(0),
         }
     }
 
     /// Counts a first attempt.
     pub fn earn(&self) {
-        let saved = self.saved.fetch_add(EARN, Ordering::Relaxed);
-        if saved + EARN > SAVED_MAX {
-            self.saved.fetch_sub(EARN, Ordering::Relaxed);
+        self.add(EARN);
+    }
+
+    fn add(&self, hundredths: i64) {
+        let saved = self.saved.fetch_add(hundredths, Ordering::Relaxed) + hundredths;
+        if saved > SAVED_MAX {
+            self.saved.fetch_sub(saved - SAVED_MAX, Ordering::Relaxed);
         }
     }
 
-    /// Takes one retry, if there is one left.
-    pub fn spend(&self) -> bool {
+    /// Takes one retry, if there is one left at this time.
+    pub fn spend(&self, now_ms: Millis) -> bool {
+        self.fill(now_ms);
         let before = self.saved.fetch_sub(COST, Ordering::Relaxed);
         if before < COST {
             self.saved.fetch_add(COST, Ordering::Relaxed);
@@ -77,4 +87,22 @@
         }
         true
     }
+
+    fn fill(&self, now_ms: Millis) {
+        let filled_ms = self.filled_ms.load(Ordering::Relaxed);
+        let passed_ms = now_ms.saturating_sub(filled_ms);
+        let earned = EARN_PER_S * i64::try_from(passed_ms).unwrap_or(0) / 1_000;
+        if earned < COST {
+            return;
+        }
+        let swapped = self.filled_ms.compare_exchange(
+            filled_ms,
+            now_ms,
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        if swapped.is_ok() {
+            self.add(earned.min(SAVED_MAX));
+        }
+    }
 }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -11,7 +11,7 @@
 use super::reduce::{Effect, Pending, Ticket};
 use super::retry::Backoff;
 use super::rows::{
-    EntryRow, EntryState, HeadRow, HostRow, HostState, JobRow, PoolRow, WaveRow, HEAD_KEY,
+    EntryRow, EntryState, HeadRow, HostRow, HostState, JobRow, PoolRow, Purpose, WaveRow, HEAD_KEY,
 };
 use crate::clock::{Millis, SECOND_MS};
 use crate::event::{Code, Decision, Subject};
@@ -119,6 +119,12 @@
         self.row.state == HostState::Serving && self.is_live()
     }
 
+    /// Whether it drains to leave its pool for good.
+    pub fn is_moving_out(&self) -> bool {
+        let leaves = matches!(self.row.purpose, Purpose::Move(_) | Purpose::Release);
+        self.row.state == HostState::Draining && leaves
+    }
+
     /// Hall and rack, for people and for ordering.
     pub fn place(&self) -> (&str, &str) {
         match &self.fact {
@@ -257,6 +263,8 @@
     pub lost_applies: Vec<(Ticket, Arc<Config>, u64)>,
     /// Whether routes must be published anew.
     pub routes_dirty: bool,
+    /// Hosts of placements whose outcome is not in the view yet.
+    pub placing: HashMap<JobKey, String>,
     /// Last renewal of leases.
     pub renewed_ms: Millis,
     /// Run times learned, by account and pool.
@@ -304,6 +312,7 @@
             locked: HashMap::new(),
             lost_applies: Vec::new(),
             routes_dirty: true,
+            placing: HashMap::new(),
             renewed_ms: 0,
             learned: HashMap::new(),
             stopping: false,
@@ -402,10 +411,14 @@
         let Some(body) = body else {
             if let Some(key) = known {
                 self.jobs.remove(key);
+                self.placing.remove(&key);
                 self.job_ids.remove(id);
             }
             return Ok(());
         };
+        if let Some(key) = known {
+            self.placing.remove(&key);
+        }
         match known.and_then(|k| self.jobs.get_mut(k)) {
             Some(job) => {
                 if job.row.attempt != body.attempt || job.row.state != body.state {
--- a/src/entry/balance.rs
+++ b/src/entry/balance.rs
@@ -38,6 +38,7 @@
     pub(super) closed: AtomicBool,
     window_size: AtomicU32,
     ejected_until_ms: AtomicU64,
+    barred_until_ms: AtomicU64,
     judged: Mutex<Judged>,
 }
 
@@ -70,6 +71,7 @@
             closed: AtomicBool::new(false),
             window_size: AtomicU32::new(window.size()),
             ejected_until_ms: AtomicU64::new(0),
+            barred_until_ms: AtomicU64::new(0),
             judged: Mutex::new(Judged {
                 window,
                 health: Health::default(),
@@ -95,11 +97,15 @@
         now_ms < self.ejected_until_ms.load(Ordering::Relaxed)
     }
 
+    fn is_barred(&self, now_ms: Millis) -> bool {
+        now_ms < self.barred_until_ms.load(Ordering::Relaxed)
+    }
+
     fn candidate(&self, barred: bool, now_ms: Millis) -> Candidate {
         Candidate {
             in_flight: self.in_flight.load(Ordering::Relaxed),
             window: self.window(now_ms),
-            barred: barred || self.is_ejected(now_ms) || self.closed.load(Ordering::Relaxed),
+            barred: barred || self.is_barred(now_ms) || self.closed.load(Ordering::Relaxed),
             near: self.near,
         }
     }
@@ -129,7 +135,8 @@
 /// What all requests of a service share at this entry.
 pub(super) struct Lane {
     queue: Mutex<Queue<Waiter>>,
-    pub(super) budget: RetryBudget,
+    /// By class, so that batch can't spend what urgent work needs.
+    budgets: [RetryBudget; 3],
     batch_in_flight: AtomicU32,
     next_waiter: AtomicU64,
 }
@@ -152,12 +159,22 @@
     pub(super) fn new() -> Self {
         Self {
             queue: Mutex::new(Queue::new()),
-            budget: RetryBudget::new(),
+            budgets: [RetryBudget::new(), RetryBudget::new(), RetryBudget::new()],
             batch_in_flight: AtomicU32::new(0),
             next_waiter: AtomicU64::new(0),
         }
     }
 
+    /// The retry budget of a class.
+    pub(super) fn budget(&self, class: Class) -> &RetryBudget {
+        &self.budgets[class as usize]
+    }
+
+    /// The time that one exchange takes with fair certainty.
+    pub(super) fn likely_exchange_ms(&self) -> Millis {
+        lock(&self.queue).likely_exchange_ms()
+    }
+
     /// Calls the next one who waits.
     fn call_next(&self) {
         loop {
@@ -223,6 +240,10 @@
             self.backend
                 .ejected_until_ms
                 .store(until_ms, Ordering::Relaxed);
+            let barred_ms = judged.health.barred_until_ms();
+            self.backend
+                .barred_until_ms
+                .store(barred_ms, Ordering::Relaxed);
             change
         };
         match change {
@@ -325,12 +346,14 @@
                 return Err(Kind::QueueFull);
             }
             self.shared.may_send()?;
+            // With too little time left the answer would come late: better certainly not run.
+            let needed_ms = self.route.lane.likely_exchange_ms();
+            if self.shared.clock.now_ms() + needed_ms >= self.deadline_ms {
+                return Err(Kind::DeadlineUnmeetable);
+            }
             if let Some(place) = self.try_place(barred) {
                 return Ok(place);
             }
-            if self.shared.clock.now_ms() >= self.deadline_ms {
-                return Err(Kind::DeadlineUnmeetable);
-            }
             if heard == Some(Call::Look) {
                 let call = call.clone();
                 lock(&self.route.lane.queue).put_back(self.class, Waiter { id, call });
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -11,6 +11,7 @@
 use crate::clock::Millis;
 use crate::core::config::Class;
 use crate::core::health::Sign;
+use crate::core::retry::RetryBudget;
 use crate::error::{Failure, Kind, Run};
 use crate::event::{Code, Decision, Subject};
 use crate::http::{connection_names, end_to_end, Answer, Incoming, Sent, Trouble};
@@ -19,8 +20,8 @@
 /// Attempts at most, whatever the budget allows.
 const ATTEMPTS_MAX: usize = 6;
 
-/// Pause before a refused request is offered again; it doubles.
-const PAUSE_MS: Millis = 5;
+/// Pause between two looks at a spent budget.
+const PAUSE_MS: Millis = 20;
 
 /// Headers that stay between the caller and us.
 const NOT_FORWARDED: [&str; 5] = [
@@ -60,14 +61,12 @@
     /// Gives the backend server's whole answer, or why there is none.
     pub(super) async fn run(&self) -> Result<Answer, Failure> {
         let mut barred: Vec<SocketAddr> = Vec::new();
-        let mut pause_ms = PAUSE_MS;
-        self.route.lane.budget.earn();
+        self.budget().earn();
         for attempt in 1..=ATTEMPTS_MAX {
-            let place = self.search().place(&barred).await;
-            let place = match (place, attempt) {
+            let place = match (self.search().place(&barred).await, attempt) {
                 (Ok(place), _) => place,
-                // Everybody was asked: what the last one said is the answer.
                 (Err(kind), 1) => return Err(kind.into()),
+                // What those who were asked said is the answer.
                 (Err(_), _) => return Err(Kind::Refused.because("no other backend server is free")),
             };
             let addr = place.backend.address();
@@ -80,23 +79,12 @@
                     return Err(kind.because("the request may have been run"));
                 }
             }
-            if attempt == ATTEMPTS_MAX {
+            if attempt == ATTEMPTS_MAX || !self.wait_for_budget().await {
                 return Err(self.give_up(&miss));
             }
-            if !self.route.lane.budget.spend() {
-                // Out of budget: wait for others' first attempts to earn it again.
-                Timer::after(Duration::from_millis(self.jitter(pause_ms))).await;
-                pause_ms *= 2;
-                let late = self.shared.clock.now_ms() + pause_ms >= self.deadline_ms;
-                if late || !self.route.lane.budget.spend() {
-                    return Err(self.give_up(&miss));
-                }
-            }
             barred.push(addr);
             if barred.len() >= self.route.backends.len() {
                 barred.clear();
-                Timer::after(Duration::from_millis(self.jitter(pause_ms))).await;
-                pause_ms *= 2;
             }
             Metrics::add(&self.shared.metrics.retries);
             self.tell_retry(&miss, attempt);
@@ -104,6 +92,26 @@
         Err(Kind::Refused.into())
     }
 
+    fn budget(&self) -> &RetryBudget {
+        self.route.lane.budget(self.class)
+    }
+
+    /// Waits until the budget has a retry to give, for as long as it would still be in time.
+    async fn wait_for_budget(&self) -> bool {
+        loop {
+            let now_ms = self.shared.clock.now_ms();
+            if self.budget().spend(now_ms) {
+                return true;
+            }
+            let needed_ms = self.route.lane.likely_exchange_ms() + PAUSE_MS;
+            if now_ms + needed_ms >= self.deadline_ms {
+                return false;
+            }
+            let jitter_ms = fastrand::u64(0..=PAUSE_MS);
+            Timer::after(Duration::from_millis(PAUSE_MS / 2 + jitter_ms)).await;
+        }
+    }
+
     fn search(&self) -> Search<'_> {
         Search {
             shared: self.shared,
@@ -114,10 +122,6 @@
         }
     }
 
-    fn jitter(&self, ms: Millis) -> Millis {
-        ms / 2 + fastrand::u64(0..=ms)
-    }
-
     fn give_up(&self, miss: &Miss) -> Failure {
         match miss {
             Miss::Refused => Kind::Refused.into(),
--- a/tests/test_model.rs
+++ b/tests/test_model.rs
@@ -1,1 +1,805 @@
-//! x
+//! Several entries over one table, driven by random events: duplicated, reordered, delayed, lost.
+//! After every step the promises are checked against the table's and the platform's own record.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use proptest::prelude::*;
+use rockwick::clock::Now;
+use rockwick::core::budget::{Budget, Member};
+use rockwick::core::config;
+use rockwick::core::operate::{Edit, Reply};
+use rockwick::core::reduce::Ticket;
+use rockwick::core::rows::{HeadRow, HostRow, HostState, JobRow, JobSpec, PoolRow, HEAD_KEY};
+use rockwick::core::state::{decode, Me, RouteTable, Tuning, TxnKey};
+use rockwick::core::{reduce, Effect, Event, State};
+use rockwick::platform::{
+    Attempt, BackendFact, HostFact, Life, Listing, OrderAnswer, Outcome, Reports, TaskRef,
+    TaskReport, TaskStart, TaskState, Transaction,
+};
+use serde::de::DeserializeOwned;
+
+use crate::table::Rows;
+
+const HOSTS: usize = 8;
+const ENTRIES: usize = 3;
+
+fn config_text(hosts: usize, serving_min: usize, reserve: &str) -> String {
+    let pool = |name: &str| {
+        format!(
+            "[[pool]]\nname = \"{name}\"\naccount = \"demo\"\ntemplate = \"plain\"\n\
+             services = [\"route\"]\n[pool.parameters]\nhosts = {hosts}\n\
+             serving_min = {serving_min}\nreserve = \"{reserve}\"\n"
+        )
+    };
+    format!(
+        "[[service]]\nname = \"route\"\n[[account]]\nname = \"demo\"\ntoken_sha256 = \"{}\"\n\
+         [[template]]\nname = \"plain\"\n[template.fields.hosts]\n[template.fields.serving_min]\n\
+         [template.fields.reserve]\n{}{}",
+        "0".repeat(64),
+        pool("one"),
+        pool("two")
+    )
+}
+
+fn me(name: &str, incarnation: u64) -> Me {
+    Me {
+        name: name.to_string(),
+        incarnation,
+        hall: "a".to_string(),
+        peer: String::new(),
+        has_peers: true,
+    }
+}
+
+/// An entry that knows nothing, for other tests.
+pub(crate) fn quiet_state() -> State {
+    State::new(me("e1", 1), Tuning::default(), 1)
+}
+
+/// A process: the state, what it has asked for, and what is on its way to it.
+struct Entry {
+    state: State,
+    outbox: Vec<Effect>,
+    inbox: Vec<Event>,
+    routes: Option<RouteTable>,
+    published_seq: u64,
+    in_flight: HashMap<String, u32>,
+    frozen: bool,
+    version: u64,
+    /// The hosts believed live when a transaction was decided.
+    decided: HashMap<TxnKey, BTreeSet<String>>,
+}
+
+impl Entry {
+    fn new(name: &str, incarnation: u64) -> Self {
+        Self {
+            state: State::new(me(name, incarnation), Tuning::default(), incarnation),
+            outbox: Vec::new(),
+            inbox: Vec::new(),
+            routes: None,
+            published_seq: 0,
+            in_flight: HashMap::new(),
+            frozen: false,
+            version: 0,
+            decided: HashMap::new(),
+        }
+    }
+
+    fn live_hosts(&self) -> BTreeSet<String> {
+        let live = self.state.hosts.values().filter(|h| h.is_live());
+        live.map(|h| h.id.clone()).collect()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.state.has_view() && self.state.is_registered()
+    }
+
+    fn routed_hosts(&self) -> BTreeSet<&str> {
+        let services = self.routes.iter().flat_map(|r| &r.services);
+        services
+            .flat_map(|s| &s.backends)
+            .map(|b| b.host.as_str())
+            .collect()
+    }
+
+    fn busy(&self) -> Vec<String> {
+        let routed = self.routed_hosts();
+        let held = self.in_flight.iter().filter(|(_, n)| **n > 0);
+        held.map(|(h, _)| h.clone())
+            .filter(|h| !routed.contains(h.as_str()))
+            .collect()
+    }
+}
+
+#[derive(Default)]
+struct Task {
+    attempt: u32,
+    host: String,
+    running: bool,
+    repeatable: bool,
+    starts: u32,
+}
+
+struct World {
+    rng: fastrand::Rng,
+    now: Now,
+    rows: Rows,
+    entries: Vec<Entry>,
+    next_incarnation: u64,
+    facts: Vec<HostFact>,
+    tokens: BTreeSet<String>,
+    tasks: BTreeMap<String, Task>,
+    fenced: HashMap<String, u32>,
+    reports: Vec<TaskReport>,
+    accepted: BTreeSet<String>,
+    finals: BTreeMap<String, rockwick::core::rows::JobState>,
+    tickets: u64,
+    reboots: usize,
+    grants: usize,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let facts = (0..HOSTS)
+            .map(|n| HostFact {
+                id: format!("h{n}"),
+                hall: "a".to_string(),
+                rack: format!("r{}", n / 2),
+                cores: 8,
+                memory_mb: 1_000,
+                life: Life::Live,
+                boots: 0,
+                backends: vec![BackendFact {
+                    service: "route".to_string(),
+                    address: ([127, 0, 0, 1], 1_000 + n as u16).into(),
+                    slots: 8,
+                    connections: 64,
+                }],
+            })
+            .collect();
+        let entries = (0..ENTRIES).map(|n| Entry::new(&format!("e{n}"), n as u64 + 1));
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            now: Now {
+                ms: 1_000,
+                wall_ms: 1_000_000,
+            },
+            rows: Rows::default(),
+            entries: entries.collect(),
+            next_incarnation: 100,
+            facts,
+            tokens: BTreeSet::new(),
+            tasks: BTreeMap::new(),
+            fenced: HashMap::new(),
+            reports: Vec::new(),
+            accepted: BTreeSet::new(),
+            finals: BTreeMap::new(),
+            tickets: 0,
+            reboots: 0,
+            grants: 0,
+        }
+    }
+
+    fn row<T: DeserializeOwned>(&self, key: &str) -> Option<T> {
+        self.rows
+            .rows
+            .get(key)
+            .and_then(|r| decode(r).expect("our own rows decode"))
+    }
+
+    fn feed(&mut self, at: usize, event: Event) {
+        let e = &mut self.entries[at];
+        for effect in reduce(&mut e.state, event, self.now) {
+            match effect {
+                Effect::Publish(routes) => e.routes = Some(*routes),
+                Effect::Log(_) => {}
+                Effect::Answer { result, .. } => {
+                    if let Ok(Reply::Job(id)) = result {
+                        self.accepted.insert(id);
+                    }
+                }
+                other => {
+                    if let Effect::Commit { txn, .. } = &other {
+                        e.decided.insert(*txn, e.live_hosts());
+                    }
+                    e.outbox.push(other);
+                }
+            }
+        }
+        if e.state.has_view() {
+            e.published_seq = e.state.seq;
+        }
+        assert!(
+            e.state.config_version >= e.version,
+            "a configuration never reverts"
+        );
+        e.version = e.state.config_version;
+    }
+
+    fn tick(&mut self, at: usize) {
+        let e = &self.entries[at];
+        let event = Event::Tick {
+            published_seq: e.published_seq,
+            busy: e.busy(),
+        };
+        self.feed(at, event);
+    }
+
+    /// Carries out one effect that an entry asked for; what it comes to is on its way back then.
+    fn carry_out(&mut self, at: usize) {
+        let n = self.entries[at].outbox.len();
+        if n == 0 {
+            return;
+        }
+        let effect = self.entries[at].outbox.swap_remove(self.rng.usize(..n));
+        let fate = self.rng.u32(0..100);
+        let lost = fate < 6;
+        let event = match effect {
+            Effect::ReadTable { since } => Event::TableRead {
+                begun_ms: self.now.ms,
+                changes: (!lost).then(|| self.rows.changes(since)),
+            },
+            Effect::ReadHosts => Event::HostsRead((!lost).then(|| Listing {
+                hosts: self.facts.clone(),
+                ended_entries: vec![],
+            })),
+            Effect::ReadReports { since } => {
+                let seq = self.reports.len() as u64;
+                let from = since as usize;
+                Event::ReportsRead((!lost).then(|| Reports {
+                    seq,
+                    reports: self.reports[from.min(self.reports.len())..].to_vec(),
+                }))
+            }
+            Effect::Commit { txn, transaction } => {
+                let live = self.entries[at].decided.remove(&txn).unwrap_or_default();
+                let outcome = self.commit(&live, &transaction, fate);
+                Event::Committed { txn, outcome }
+            }
+            Effect::StartTask(start) => {
+                let answer = self.start(&start);
+                let task = TaskRef {
+                    job: start.job,
+                    attempt: start.attempt,
+                };
+                Event::StartAnswered {
+                    task,
+                    answer: (!lost).then_some(answer),
+                }
+            }
+            Effect::StopTask(task) => {
+                let answer = self.stop(&task);
+                Event::StopAnswered {
+                    task,
+                    answer: (!lost).then_some(answer),
+                }
+            }
+            Effect::Reboot { host, token } => {
+                self.reboot(&host, token);
+                return;
+            }
+            Effect::RenewTasks(_) | Effect::AnswerPeer { .. } => return,
+            Effect::Publish(_) | Effect::Log(_) | Effect::Answer { .. } => unreachable!(),
+        };
+        self.entries[at].inbox.push(event);
+    }
+
+    fn commit(&mut self, live: &BTreeSet<String>, txn: &Transaction, fate: u32) -> Outcome {
+        if fate < 3 {
+            return Outcome::NotSent;
+        }
+        if fate < 6 {
+            return Outcome::Unknown;
+        }
+        let before = self.host_rows();
+        let attempt = self.rows.apply(txn);
+        if matches!(attempt, Attempt::Committed(_)) {
+            self.check_grants(live, &before);
+        }
+        match attempt {
+            Attempt::Committed(_) if fate < 12 => Outcome::Unknown,
+            Attempt::Committed(seq) => Outcome::Committed(seq),
+            _ => Outcome::Conflict,
+        }
+    }
+
+    fn host_rows(&self) -> BTreeMap<String, HostRow> {
+        let keys = self.rows.rows.keys().filter(|k| k.starts_with("host/"));
+        keys.filter_map(|k| Some((k[5..].to_string(), self.row(k)?)))
+            .collect()
+    }
+
+    /// A grant that took effect left the pool what its budget promises: by the table's own rows, and by
+    /// what the granting entry had been told of failures when it decided.
+    fn check_grants(&mut self, live: &BTreeSet<String>, before: &BTreeMap<String, HostRow>) {
+        let after = self.host_rows();
+        for (id, row) in &after {
+            let was = before.get(id).cloned().unwrap_or_default();
+            let granted = row.state == HostState::Draining && was.state == HostState::Serving;
+            let Some(pool) = row.pool.as_ref().filter(|_| granted) else {
+                continue;
+            };
+            self.grants += 1;
+            let head: HeadRow = self
+                .row(HEAD_KEY)
+                .expect("a pool comes from a configuration");
+            let Some(promised) = config::parse(&head.text).expect("valid").pools.remove(pool)
+            else {
+                continue;
+            };
+            let budget = Budget {
+                serving_min: promised.serving_min,
+                reserve: promised.reserve,
+            };
+            if !live.contains(id) {
+                continue;
+            }
+            let members: Vec<(String, Member)> = before
+                .iter()
+                .filter(|(_, r)| r.pool.as_ref() == Some(pool))
+                .map(|(h, r)| {
+                    let serving = r.state == HostState::Serving && live.contains(h);
+                    let member = Member {
+                        rack: h[1..].parse::<usize>().expect("hN") / 2,
+                        serving,
+                        out: !serving,
+                    };
+                    (h.clone(), member)
+                })
+                .collect();
+            let leaving = members
+                .iter()
+                .position(|(h, _)| h == id)
+                .expect("it was a member");
+            let members: Vec<Member> = members.into_iter().map(|(_, m)| m).collect();
+            let verdict = budget.may_leave(&members, leaving);
+            assert!(
+                verdict.allowed,
+                "{id} left pool {pool}: {verdict:?} of {promised:?}"
+            );
+        }
+    }
+
+    fn start(&mut self, start: &TaskStart) -> OrderAnswer {
+        let job: JobRow = self
+            .row(&format!("job/{}", start.job))
+            .expect("committed before");
+        assert!(
+            job.attempt >= start.attempt,
+            "the row is written before the start"
+        );
+        let host = self.facts.iter().find(|f| f.id == start.host);
+        let live = host.is_some_and(|f| f.life == Life::Live);
+        let task = self.tasks.entry(start.job.clone()).or_default();
+        if task.attempt == start.attempt && task.starts > 0 {
+            return OrderAnswer::Accepted;
+        }
+        let fenced = self
+            .fenced
+            .get(&start.job)
+            .is_some_and(|f| *f >= start.attempt);
+        if task.attempt >= start.attempt || fenced {
+            return OrderAnswer::Fenced;
+        }
+        if !live {
+            return OrderAnswer::NoHost;
+        }
+        assert!(!task.running, "job {} would run twice at once", start.job);
+        *task = Task {
+            attempt: start.attempt,
+            host: start.host.clone(),
+            running: true,
+            repeatable: job.spec.repeatable,
+            starts: task.starts + 1,
+        };
+        assert!(
+            task.repeatable || task.starts == 1,
+            "{} may not be repeated",
+            start.job
+        );
+        self.report(&start.job, TaskState::Running);
+        OrderAnswer::Accepted
+    }
+
+    fn stop(&mut self, task: &TaskRef) -> OrderAnswer {
+        let known = self
+            .tasks
+            .get_mut(&task.job)
+            .filter(|t| t.attempt == task.attempt);
+        match known {
+            Some(t) if t.running => {
+                t.running = false;
+                self.report(&task.job, TaskState::Stopped);
+                OrderAnswer::Accepted
+            }
+            Some(_) => OrderAnswer::AlreadyEnded,
+            None => {
+                let fence = self.fenced.entry(task.job.clone()).or_default();
+                *fence = (*fence).max(task.attempt);
+                OrderAnswer::NeverStarted
+            }
+        }
+    }
+
+    fn report(&mut self, job: &str, state: TaskState) {
+        let t = &self.tasks[job];
+        self.reports.push(TaskReport {
+            job: job.to_string(),
+            attempt: t.attempt,
+            host: t.host.clone(),
+            state,
+            ran_ms: 10,
+        });
+    }
+
+    fn reboot(&mut self, host: &str, token: String) {
+        if !self.tokens.insert(token) {
+            return;
+        }
+        self.reboots += 1;
+        for e in &self.entries {
+            let name = &e.state.me.name;
+            let held = e.in_flight.get(host).copied().unwrap_or(0);
+            assert_eq!(
+                held, 0,
+                "{name} has requests in flight on {host} at its reboot"
+            );
+            let routes = e.is_ready() && e.routed_hosts().contains(host);
+            assert!(!routes, "{name} would still send to {host} at its reboot");
+        }
+        let tasks = self
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.running && t.host == host);
+        assert_eq!(tasks.count(), 0, "{host} is rebooted over a task");
+        let fact = self
+            .facts
+            .iter_mut()
+            .find(|f| f.id == host)
+            .expect("a host");
+        fact.boots += 1;
+    }
+
+    fn edit(&mut self, at: usize) {
+        let host = format!("h{}", self.rng.usize(..HOSTS));
+        let pool = ["one", "two"][self.rng.usize(..2)].to_string();
+        let edit = match self.rng.u32(0..12) {
+            0 => Edit::Drain {
+                host,
+                reboot: self.rng.bool(),
+                why: "model".to_string(),
+            },
+            1 => Edit::Return { host },
+            2 => Edit::Move {
+                host,
+                pool: self.rng.bool().then_some(pool),
+            },
+            3 => Edit::StartWave {
+                pool: if self.rng.bool() {
+                    pool
+                } else {
+                    "*".to_string()
+                },
+                windows: vec![],
+            },
+            4 => {
+                let waves: Vec<String> = self.entries[at].state.waves.keys().cloned().collect();
+                let Some(wave) = waves.last() else { return };
+                Edit::StopWave { wave: wave.clone() }
+            }
+            5 => Edit::Apply {
+                expect: self.entries[at].state.config_version,
+                text: config_text(
+                    self.rng.usize(2..5),
+                    self.rng.usize(0..3),
+                    ["none", "host", "rack"][self.rng.usize(..3)],
+                ),
+            },
+            6 => {
+                let ids: Vec<&String> = self.accepted.iter().collect();
+                if ids.is_empty() {
+                    return;
+                }
+                Edit::Cancel {
+                    account: None,
+                    job: ids[self.rng.usize(..ids.len())].clone(),
+                }
+            }
+            _ => Edit::Submit {
+                account: "demo".to_string(),
+                id: None,
+                spec: JobSpec {
+                    pool,
+                    class: config::Class::Batch,
+                    cores: self.rng.u32(1..9),
+                    memory_mb: 10,
+                    run_ms: 10,
+                    repeatable: self.rng.bool(),
+                    payload: String::new(),
+                },
+            },
+        };
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.feed(at, Event::Asked { ticket, edit });
+    }
+
+    /// One entry polls another; the answer may be lost on the way back.
+    fn poll(&mut self, at: usize) {
+        let other = (at + 1 + self.rng.usize(..ENTRIES - 1)) % ENTRIES;
+        if self.entries[other].frozen {
+            return;
+        }
+        self.tickets += 1;
+        let event = Event::PeerPolled {
+            ticket: Ticket(self.tickets),
+            digest: self.entries[at].state.digest(),
+            since: self.entries[at].state.seq,
+        };
+        let begun_ms = self.now.ms;
+        self.feed(other, event);
+        let outbox = &mut self.entries[other].outbox;
+        let Some(n) = outbox
+            .iter()
+            .position(|e| matches!(e, Effect::AnswerPeer { .. }))
+        else {
+            return;
+        };
+        if let Effect::AnswerPeer {
+            digest,
+            changes,
+            complete,
+            hosts,
+            ..
+        } = outbox.swap_remove(n)
+        {
+            if self.rng.u32(0..10) > 0 {
+                self.entries[at].inbox.push(Event::PeerAnswered {
+                    begun_ms,
+                    digest,
+                    changes,
+                    complete,
+                    hosts,
+                });
+            }
+        }
+    }
+
+    /// Delivers one event that is on its way, whichever; sometimes it stays and comes a second time.
+    fn deliver(&mut self, at: usize) {
+        let n = self.entries[at].inbox.len();
+        if n > 0 {
+            let event = self.entries[at].inbox.swap_remove(self.rng.usize(..n));
+            if let Event::HostsRead(Some(l)) = &event {
+                if self.rng.u32(0..10) == 0 {
+                    let again = Event::HostsRead(Some(l.clone()));
+                    self.entries[at].inbox.push(again);
+                }
+            }
+            self.feed(at, event);
+        }
+    }
+
+    fn traffic(&mut self, at: usize) {
+        let e = &mut self.entries[at];
+        let hosts: Vec<String> = e.routed_hosts().iter().map(|h| h.to_string()).collect();
+        if e.is_ready() && !hosts.is_empty() && self.rng.bool() {
+            let host = &hosts[self.rng.usize(..hosts.len())];
+            *e.in_flight.entry(host.clone()).or_default() += 1;
+        } else {
+            let held: Vec<String> = e.in_flight.keys().cloned().collect();
+            for host in held {
+                e.in_flight.remove(&host);
+            }
+        }
+    }
+
+    fn mishap(&mut self, at: usize) {
+        match self.rng.u32(0..4) {
+            0 => {
+                let n = self.rng.usize(..HOSTS);
+                let fact = &mut self.facts[n];
+                let gone = fact.life == Life::Live;
+                fact.life = if gone { Life::Gone } else { Life::Live };
+                let host = fact.id.clone();
+                self.end_tasks(TaskState::Lost, |t| gone && t.host == host);
+            }
+            1 => self.entries[at].frozen = !self.entries[at].frozen,
+            2 => {
+                // It dies with all that it had on its way, and is replaced under its name.
+                self.next_incarnation += 1;
+                self.entries[at] = Entry::new(&format!("e{at}"), self.next_incarnation);
+            }
+            _ => {
+                let state = [TaskState::Done, TaskState::Failed][self.rng.usize(..2)];
+                let seed = self.rng.u32(..);
+                self.end_tasks(state, |t| t.attempt.wrapping_mul(seed) % 2 == 0);
+            }
+        }
+    }
+
+    fn end_tasks(&mut self, state: TaskState, which: impl Fn(&Task) -> bool) {
+        let ended: Vec<String> = self
+            .tasks
+            .iter_mut()
+            .filter(|(_, t)| t.running && which(t))
+            .map(|(job, t)| {
+                t.running = false;
+                job.clone()
+            })
+            .collect();
+        for job in ended {
+            self.report(&job, state);
+        }
+    }
+
+    /// What must hold at any time, by the table's own rows.
+    fn check(&mut self) {
+        let hosts = self.host_rows();
+        for (pool, row) in ["one", "two"].map(|p| (p, self.row::<PoolRow>(&format!("pool/{p}")))) {
+            let Some(row) = row else { continue };
+            let mut out: Vec<&String> = hosts
+                .iter()
+                .filter(|(_, r)| r.pool.as_deref() == Some(pool) && r.state != HostState::Serving)
+                .map(|(h, _)| h)
+                .collect();
+            let mut told: Vec<&String> = row.out.iter().collect();
+            out.sort();
+            told.sort();
+            assert_eq!(out, told, "pool {pool} counts who is out");
+        }
+        for id in &self.accepted {
+            let job: Option<JobRow> = self.row(&format!("job/{id}"));
+            let job = job.expect("an accepted job is never lost");
+            if let Some(state) = self.finals.get(id) {
+                assert_eq!(*state, job.state, "job {id} left its final state");
+            } else if job.state.is_final() {
+                self.finals.insert(id.clone(), job.state);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        let at = self.rng.usize(..ENTRIES);
+        let what = self.rng.u32(0..100);
+        if self.entries[at].frozen && what < 96 {
+            // Others go on, and time passes.
+            self.now.ms += 50;
+            self.now.wall_ms += 50;
+            return;
+        }
+        match what {
+            0..=24 => {
+                let passed_ms = self.rng.u64(50..900);
+                self.now.ms += passed_ms;
+                self.now.wall_ms += passed_ms;
+                self.tick(at);
+            }
+            25..=49 => self.carry_out(at),
+            50..=74 => self.deliver(at),
+            75..=82 => self.poll(at),
+            83..=89 => self.traffic(at),
+            90..=95 => self.edit(at),
+            _ => self.mishap(at),
+        }
+        self.check();
+    }
+
+    /// All is well again: what was begun comes to its end.
+    fn calm(&mut self) {
+        for f in &mut self.facts {
+            f.life = Life::Live;
+        }
+        for at in 0..ENTRIES {
+            self.entries[at].frozen = false;
+            self.entries[at].in_flight.clear();
+        }
+        for _ in 0..200 {
+            for at in 0..ENTRIES {
+                self.now.ms += 200;
+                self.now.wall_ms += 200;
+                self.tick(at);
+                self.poll(at);
+                for _ in 0..30 {
+                    self.carry_out(at);
+                    self.deliver(at);
+                }
+                self.end_tasks(TaskState::Done, |_| true);
+                self.check();
+            }
+        }
+        for (id, row) in self.host_rows() {
+            let at_rest = matches!(row.state, HostState::Free | HostState::Serving);
+            let held = row.purpose == rockwick::core::rows::Purpose::Hold;
+            assert!(at_rest || held, "{id} is stuck: {row:?}");
+        }
+        for id in &self.accepted {
+            let job: JobRow = self.row(&format!("job/{id}")).expect("there");
+            let state = &self.entries[0].state;
+            let pool = state.pool_names.get(&job.spec.pool).map(|p| &state.pools[*p]);
+            let can_run = pool.into_iter().flat_map(|p| &p.members).any(|k| {
+                let h = &state.hosts[*k];
+                h.is_serving() && !state.is_failing(h, self.now)
+            });
+            assert!(
+                job.state.is_final() || !can_run,
+                "job {id} is stuck: {job:?}"
+            );
+        }
+    }
+}
+
+fn run(seed: u64, steps: usize) -> World {
+    let mut world = World::new(seed);
+    for at in 0..ENTRIES {
+        for _ in 0..20 {
+            world.now.ms += 100;
+            world.tick(at);
+            world.carry_out(at);
+            world.deliver(at);
+        }
+    }
+    let edit = Edit::Apply {
+        expect: 0,
+        text: config_text(3, 1, "none"),
+    };
+    let ticket = Ticket(0);
+    world.feed(0, Event::Asked { ticket, edit });
+    for _ in 0..steps {
+        world.step();
+    }
+    world.calm();
+    world
+}
+
+#[test]
+fn model_does_something() {
+    // The checks are worth nothing if nothing happens.
+    let worlds: Vec<World> = (0..20).map(|seed| run(seed, 1_500)).collect();
+    let sum = |f: fn(&World) -> usize| worlds.iter().map(f).sum::<usize>();
+    assert!(sum(|w| w.reboots) > 50, "{} reboots", sum(|w| w.reboots));
+    assert!(sum(|w| w.grants) > 80, "{} grants", sum(|w| w.grants));
+    assert!(
+        sum(|w| w.accepted.len()) > 100,
+        "{} jobs",
+        sum(|w| w.accepted.len())
+    );
+    assert!(
+        sum(|w| w.tasks.len()) > 50,
+        "{} tasks",
+        sum(|w| w.tasks.len())
+    );
+}
+
+/// Seeds that failed once, kept.
+const SAVED: [(u64, usize); 5] = [
+    // A placement that was not committed held room and drains for ever.
+    (2709426922828149065, 1_073),
+    // A pool took a host for borrowed that it was just giving back, and so on without end.
+    (0, 1_500),
+    (3259529198519870271, 1_123),
+    (4640936066412646744, 1_772),
+    (12423506935067767235, 1_204),
+];
+
+#[test]
+fn model_saved() {
+    for (seed, steps) in SAVED {
+        run(seed, steps);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(20_261_202),
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn model_random(seed in any::<u64>(), steps in 200usize..2_000) {
+        run(seed, steps);
+    }
+}
--- /dev/null
+++ b/tests/test_place.rs
@@ -0,0 +1,203 @@
+//! Placement of jobs, as decisions on a view made by hand.
+
+use rockwick::clock::Now;
+use rockwick::core::config::Class;
+use rockwick::core::rows::{HostRow, HostState, JobRow, JobSpec, JobState};
+use rockwick::core::{reduce, Effect, Event, State};
+use rockwick::platform::{Changes, HostFact, Life, Listing, Row};
+use serde::Serialize;
+
+use crate::test_model::quiet_state;
+
+const NOW: Now = Now {
+    ms: 10_000,
+    wall_ms: 10_000_000,
+};
+
+struct View {
+    state: State,
+    seq: u64,
+    rows: Vec<Row>,
+}
+
+impl View {
+    /// Pool `one` with so many hosts of 8 cores.
+    fn new(hosts: usize) -> Self {
+        let mut view = Self {
+            state: quiet_state(),
+            seq: 0,
+            rows: Vec::new(),
+        };
+        let head = serde_json::json!({
+            "version": 1, "text": crate::fleet::CONFIG, "by": "e1", "at_ms": 0
+        });
+        view.put("config/head", &head);
+        for n in 1..=hosts {
+            let row = HostRow {
+                pool: Some("pool".to_string()),
+                state: HostState::Serving,
+                ..HostRow::default()
+            };
+            view.put(&format!("host/h{n}"), &row);
+        }
+        let facts = (1..=hosts).map(|n| HostFact {
+            id: format!("h{n}"),
+            hall: "a".to_string(),
+            rack: format!("a{n}"),
+            cores: 8,
+            memory_mb: 1_000,
+            life: Life::Live,
+            boots: 0,
+            backends: Vec::new(),
+        });
+        let listing = Listing {
+            hosts: facts.collect(),
+            ended_entries: Vec::new(),
+        };
+        reduce(&mut view.state, Event::HostsRead(Some(listing)), NOW);
+        let me = serde_json::json!({
+            "incarnation": 1, "state": "live", "peer": "", "hall": "a", "view_seq": 0, "busy": []
+        });
+        view.put("entry/e1", &me);
+        view
+    }
+
+    fn put<T: Serialize>(&mut self, key: &str, body: &T) {
+        self.seq += 1;
+        let body = serde_json::to_string(body).expect("JSON");
+        self.rows.push(Row {
+            key: key.to_string(),
+            version: self.seq,
+            value: Some(format!("{{\"token\":\"t\",\"body\":{body}}}")),
+        });
+    }
+
+    fn job(&mut self, id: &str, account: &str, class: Class, cores: u32, waited_ms: u64) {
+        self.put_job(id, account, class, cores, waited_ms, None);
+    }
+
+    fn put_job(
+        &mut self,
+        id: &str,
+        account: &str,
+        class: Class,
+        cores: u32,
+        waited_ms: u64,
+        host: Option<&str>,
+    ) {
+        let row = JobRow {
+            account: account.to_string(),
+            spec: JobSpec {
+                pool: "pool".to_string(),
+                class,
+                cores,
+                memory_mb: 0,
+                run_ms: 0,
+                repeatable: false,
+                payload: String::new(),
+            },
+            state: match host {
+                Some(_) => JobState::Placed,
+                None => JobState::Waiting,
+            },
+            attempt: u32::from(host.is_some()),
+            host: host.map(str::to_string),
+            failed_on: Vec::new(),
+            losses: 0,
+            cancel: false,
+            submitted_ms: NOW.wall_ms - waited_ms,
+            history: Vec::new(),
+        };
+        self.put(&format!("job/{id}"), &row);
+    }
+
+    /// What is placed, in order, as `job@host`.
+    fn placed(mut self) -> Vec<String> {
+        let changes = Changes {
+            seq: self.seq,
+            rows: self.rows,
+            more: false,
+        };
+        let read = Event::TableRead {
+            begun_ms: NOW.ms,
+            changes: Some(changes),
+        };
+        let effects = reduce(&mut self.state, read, NOW);
+        let puts = effects.into_iter().filter_map(|e| match e {
+            Effect::Commit { transaction, .. } => Some(transaction.puts),
+            _ => None,
+        });
+        puts.flatten()
+            .filter_map(|p| {
+                let id = p.key.strip_prefix("job/")?.to_string();
+                let row: JobRow = serde_json::from_str(&p.value?).ok()?;
+                Some(format!("{id}@{}", row.host?))
+            })
+            .collect()
+    }
+}
+
+#[test]
+fn place_order() {
+    let mut view = View::new(1);
+    view.put_job("busy", "loud", Class::Normal, 2, 0, Some("h1"));
+    view.job("batch", "calm", Class::Batch, 1, 5_000);
+    view.job("loud", "loud", Class::Normal, 1, 9_000);
+    view.job("calm", "calm", Class::Normal, 1, 1_000);
+    view.job("urgent", "loud", Class::Urgent, 1, 0);
+    let order = ["urgent@h1", "calm@h1", "loud@h1", "batch@h1"];
+    assert_eq!(
+        view.placed(),
+        order,
+        "class, then the account with less at work, then age"
+    );
+}
+
+#[test]
+fn place_old_batch() {
+    let mut view = View::new(1);
+    view.job("fresh", "a", Class::Urgent, 1, 0);
+    view.job("old", "a", Class::Batch, 1, 1_300_000);
+    assert_eq!(view.placed(), ["old@h1", "fresh@h1"], "nothing starves");
+}
+
+#[test]
+fn place_batch_leaves_room() {
+    let mut view = View::new(1);
+    for n in 0..8 {
+        view.job(&format!("b{n}"), "a", Class::Batch, 1, 0);
+    }
+    assert_eq!(
+        view.placed().len(),
+        7,
+        "one core in eight stays for the others"
+    );
+}
+
+#[test]
+fn place_large_batch() {
+    let mut view = View::new(1);
+    view.job("large", "a", Class::Batch, 8, 0);
+    assert_eq!(
+        view.placed(),
+        ["large@h1"],
+        "alone on its host it may have it all"
+    );
+}
+
+#[test]
+fn place_holds_host() {
+    // A job that needs a whole host has waited for long: smaller ones no longer pass it everywhere.
+    for (waited_ms, expected) in [
+        (0, vec!["s0@h1", "s1@h1"]),
+        (700_000, vec!["s0@h2", "s1@h2"]),
+    ] {
+        let mut view = View::new(2);
+        view.put_job("r1", "b", Class::Normal, 2, 0, Some("h1"));
+        view.put_job("r2", "b", Class::Normal, 2, 0, Some("h2"));
+        view.job("large", "a", Class::Normal, 8, waited_ms);
+        view.job("s0", "a", Class::Normal, 1, 0);
+        view.job("s1", "a", Class::Normal, 1, 0);
+        assert_eq!(view.placed(), expected, "waited {waited_ms}");
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -18,5 +18,6 @@
 mod test_jobs;
 mod test_load;
 mod test_model;
+mod test_place;
 mod test_runs;
 mod test_stop;
