--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -391,7 +391,18 @@
 
     /// Starts one more entry; does not wait for it.
     pub(crate) fn entry(&self, name: &str, peer: SocketAddr, peers: &[SocketAddr]) -> Entry {
-        let (listen, admin) = (free_addr(), free_addr());
+        self.entry_at(name, free_addr(), free_addr(), peer, peers)
+    }
+
+    /// Starts one more entry at these addresses.
+    pub(crate) fn entry_at(
+        &self,
+        name: &str,
+        listen: SocketAddr,
+        admin: SocketAddr,
+        peer: SocketAddr,
+        peers: &[SocketAddr],
+    ) -> Entry {
         let list: Vec<String> = peers.iter().map(|p| p.to_string()).collect();
         let mut args: Vec<String> = vec!["entry".into()];
         let flags = [
--- a/tests/test_model.rs
+++ b/tests/test_model.rs
@@ -716,7 +716,10 @@
         for id in &self.accepted {
             let job: JobRow = self.row(&format!("job/{id}")).expect("there");
             let state = &self.entries[0].state;
-            let pool = state.pool_names.get(&job.spec.pool).map(|p| &state.pools[*p]);
+            let pool = state
+                .pool_names
+                .get(&job.spec.pool)
+                .map(|p| &state.pools[*p]);
             let can_run = pool.into_iter().flat_map(|p| &p.members).any(|k| {
                 let h = &state.hosts[*k];
                 h.is_serving() && !state.is_failing(h, self.now)
