Windows grow slowly, refused requests wait, a refusal costs less budget

A window of one grew after a single answer, so half of all windows were too wide, and a refused request was given up when the budget was spent. Change: sixteen answers at full window for one more; a refused request waits for the budget within its deadline; a retry after a refusal costs 0.4. Also: an edit that names something unknown is looked at again after a fresh read (wave stop at another entry said 'no such wave', budget_wave_stopped), and the experiments waves, routes and slopes.

--- a/src/core/operate.rs
+++ b/src/core/operate.rs
@@ -105,24 +105,50 @@
 
 type Refusal = Failure;
 
+fn refuse(ticket: Ticket, failure: Failure, out: &mut Vec<Effect>) {
+    let result = Err(failure);
+    out.push(Effect::Answer { ticket, result });
+}
+
 impl State {
     /// Checks what is asked for and commits it, or refuses it.
+    ///
+    /// What is not known here may have been committed at another entry a moment ago, so such an edit is
+    /// looked at once more after a fresh read of the table.
     pub(super) fn edit(&mut self, ticket: Ticket, edit: Edit, now: Now, out: &mut Vec<Effect>) {
-        let result = if self.stopping {
-            Err(Kind::Stopping.into())
-        } else if !self.reads.complete {
-            Err(Kind::NotReady.into())
-        } else if self.reads.failing {
-            Err(Kind::StoreDown.into())
-        } else {
-            self.checked(ticket, edit, now, out)
-        };
-        if let Err(failure) = result {
-            out.push(Effect::Answer {
-                ticket,
-                result: Err(failure),
-            });
+        match self.checked(ticket, edit.clone(), now, out) {
+            Ok(()) => {}
+            Err(f) if f.kind.is_unknown_thing() && !self.reads.failing => {
+                self.unknown_edits.push((ticket, edit, now.ms));
+                self.read_soon(now, out);
+            }
+            Err(failure) => refuse(ticket, failure, out),
+        }
+    }
+
+    /// Looks again at edits that named something unknown, after a read begun at `begun_ms`.
+    pub(super) fn edit_again(&mut self, begun_ms: Option<u64>, now: Now, out: &mut Vec<Effect>) {
+        for (ticket, edit, asked_ms) in std::mem::take(&mut self.unknown_edits) {
+            if begun_ms.is_some_and(|t| t < asked_ms) {
+                self.unknown_edits.push((ticket, edit, asked_ms));
+                self.read_soon(now, out);
+            } else if let Err(failure) = self.checked(ticket, edit, now, out) {
+                refuse(ticket, failure, out);
+            }
+        }
+    }
+
+    fn may_edit(&self) -> Result<(), Refusal> {
+        if self.stopping {
+            return Err(Kind::Stopping.into());
+        }
+        if !self.reads.complete {
+            return Err(Kind::NotReady.into());
         }
+        if self.reads.failing {
+            return Err(Kind::StoreDown.into());
+        }
+        Ok(())
     }
 
     fn checked(
@@ -132,6 +158,7 @@
         now: Now,
         out: &mut Vec<Effect>,
     ) -> Result<(), Refusal> {
+        self.may_edit()?;
         match edit {
             Edit::Apply { expect, text } => self.apply(ticket, expect, text, now, out),
             Edit::Drain { host, reboot, why } => self.drain(ticket, &host, reboot, &why, now, out),
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -363,6 +363,7 @@
         }
         state.reads.failing = true;
         answer_lost_applies(state, out);
+        state.edit_again(None, now, out);
         return;
     };
     if state.reads.failing {
@@ -388,6 +389,7 @@
     state.reads.next_ms = now.ms + state.tuning.tick_ms;
     confirm(state, begun_ms);
     answer_lost_applies(state, out);
+    state.edit_again(Some(begun_ms), now, out);
     state.keep_own_row(now, out);
     // The next step follows from what was read, without waiting for the tick.
     if news && may_decide(state) {
@@ -456,6 +458,18 @@
 }
 
 impl State {
+    /// Reads the table now, or as soon as the read under way has ended; not while it is out of reach.
+    pub(super) fn read_soon(&mut self, now: Now, out: &mut Vec<Effect>) {
+        if self.reads.failing {
+            return;
+        }
+        self.reads.next_ms = now.ms;
+        if !self.reads.outstanding {
+            self.reads.outstanding = true;
+            out.push(Effect::ReadTable { since: self.seq });
+        }
+    }
+
     fn host_facts(&self) -> Vec<HostFact> {
         self.hosts.values().filter_map(|h| h.fact.clone()).collect()
     }
@@ -520,11 +534,7 @@
         }
     }
     // The sooner the view has it, the sooner the next step follows.
-    state.reads.next_ms = now.ms;
-    if !state.reads.outstanding && !state.reads.failing {
-        state.reads.outstanding = true;
-        out.push(Effect::ReadTable { since: state.seq });
-    }
+    state.read_soon(now, out);
     settle(state, pending.purpose, outcome, out);
 }
 
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -31,14 +31,32 @@
     }
 }
 
-/// Hundredths of a retry that each first attempt earns: one retry for ten requests.
+/// Hundredths of a retry that each first attempt earns: one repeat of work for ten requests.
 const EARN: i64 = 10;
 
 /// Hundredths of a retry that each second earns, so that a service with little traffic can retry.
-const EARN_PER_S: i64 = 200;
+const EARN_PER_S: i64 = 1_000;
+
+/// What a retry costs the backend servers, which is what it costs the budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cost {
+    /// The first attempt was refused before it ran: a round trip, no work.
+    Refused,
+    /// The first attempt may have run: its work is done twice.
+    Lost,
+}
+
+impl Cost {
+    fn hundredths(self) -> i64 {
+        match self {
+            Cost::Refused => 40,
+            Cost::Lost => 100,
+        }
+    }
+}
 
-/// Hundredths that a retry costs.
-const COST: i64 = 100;
+/// Time is credited in steps of at least so many hundredths.
+const FILL_STEP: i64 = 40;
 
 /// Hundredths that can be saved up.
 const SAVED_MAX: i64 = 1_000;
@@ -78,11 +96,12 @@
     }
 
     /// Takes one retry, if there is one left at this time.
-    pub fn spend(&self, now_ms: Millis) -> bool {
+    pub fn spend(&self, cost: Cost, now_ms: Millis) -> bool {
         self.fill(now_ms);
-        let before = self.saved.fetch_sub(COST, Ordering::Relaxed);
-        if before < COST {
-            self.saved.fetch_add(COST, Ordering::Relaxed);
+        let cost = cost.hundredths();
+        let before = self.saved.fetch_sub(cost, Ordering::Relaxed);
+        if before < cost {
+            self.saved.fetch_add(cost, Ordering::Relaxed);
             return false;
         }
         true
@@ -92,7 +111,7 @@
         let filled_ms = self.filled_ms.load(Ordering::Relaxed);
         let passed_ms = now_ms.saturating_sub(filled_ms);
         let earned = EARN_PER_S * i64::try_from(passed_ms).unwrap_or(0) / 1_000;
-        if earned < COST {
+        if earned < FILL_STEP {
             return;
         }
         let swapped = self.filled_ms.compare_exchange(
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -8,6 +8,9 @@
 /// Parts of one request that windows are counted in, so that they can grow slowly.
 const PART: u32 = 16;
 
+/// Parts that an answer adds while the window is in full use: sixteen such answers for one more request.
+const GROW: u32 = 1;
+
 /// One in so many of the places together is kept from batch.
 const BATCH_LEAVES: u32 = 8;
 
@@ -42,7 +45,7 @@
 
     /// After an answer that came while the window was in full use.
     pub fn grow(&mut self) {
-        self.parts = (self.parts + (PART / self.size().max(1)).max(1)).min(self.most);
+        self.parts = (self.parts + GROW).min(self.most);
     }
 }
 
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -8,6 +8,7 @@
 
 use super::config::{self, Account, Config, Service};
 use super::members::{Digest, Member, Sponsored};
+use super::operate::Edit;
 use super::reduce::{Effect, Pending, Ticket};
 use super::retry::Backoff;
 use super::rows::{
@@ -261,6 +262,8 @@
     pub locked: HashMap<String, u64>,
     /// Operators' applies that lost a race, to be answered with what changed.
     pub lost_applies: Vec<(Ticket, Arc<Config>, u64)>,
+    /// Edits that named something unknown here, to be looked at again after a read begun since then.
+    pub unknown_edits: Vec<(Ticket, Edit, Millis)>,
     /// Whether routes must be published anew.
     pub routes_dirty: bool,
     /// Hosts of placements whose outcome is not in the view yet.
@@ -311,6 +314,7 @@
             pending: SlotMap::with_key(),
             locked: HashMap::new(),
             lost_applies: Vec::new(),
+            unknown_edits: Vec::new(),
             routes_dirty: true,
             placing: HashMap::new(),
             renewed_ms: 0,
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -275,10 +275,9 @@
         job: id.to_string(),
     };
     let until_ms = shared.clock.now_ms() + CANCEL_MS;
-    // It is there, so an entry that does not know it yet, or is just placing it, soon will have.
+    // A conflict means that the job is just being placed.
     while let Err(failure) = ask(shared, edit.clone()).await {
-        let soon = matches!(failure.kind, Kind::UnknownJob | Kind::Conflict);
-        if !soon || shared.clock.now_ms() >= until_ms {
+        if failure.kind != Kind::Conflict || shared.clock.now_ms() >= until_ms {
             return Err(failure);
         }
         Timer::after(Duration::from_millis(100)).await;
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -11,14 +11,14 @@
 use crate::clock::Millis;
 use crate::core::config::Class;
 use crate::core::health::Sign;
-use crate::core::retry::RetryBudget;
+use crate::core::retry::{Cost, RetryBudget};
 use crate::error::{Failure, Kind, Run};
 use crate::event::{Code, Decision, Subject};
 use crate::http::{connection_names, end_to_end, Answer, Incoming, Sent, Trouble};
 use crate::metrics::Metrics;
 
-/// Attempts at most, whatever the budget allows.
-const ATTEMPTS_MAX: usize = 6;
+/// Attempts at most, whatever budget and deadline allow.
+const ATTEMPTS_MAX: usize = 50;
 
 /// Pause between two looks at a spent budget.
 const PAUSE_MS: Millis = 20;
@@ -57,6 +57,15 @@
     Lost(Kind),
 }
 
+impl Miss {
+    fn cost(&self) -> Cost {
+        match self {
+            Miss::Refused | Miss::Unreached => Cost::Refused,
+            Miss::Lost(_) => Cost::Lost,
+        }
+    }
+}
+
 impl Forward<'_> {
     /// Gives the backend server's whole answer, or why there is none.
     pub(super) async fn run(&self) -> Result<Answer, Failure> {
@@ -79,7 +88,7 @@
                     return Err(kind.because("the request may have been run"));
                 }
             }
-            if attempt == ATTEMPTS_MAX || !self.wait_for_budget().await {
+            if attempt == ATTEMPTS_MAX || !self.wait_for_budget(miss.cost()).await {
                 return Err(self.give_up(&miss));
             }
             barred.push(addr);
@@ -97,10 +106,10 @@
     }
 
     /// Waits until the budget has a retry to give, for as long as it would still be in time.
-    async fn wait_for_budget(&self) -> bool {
+    async fn wait_for_budget(&self, cost: Cost) -> bool {
         loop {
             let now_ms = self.shared.clock.now_ms();
-            if self.budget().spend(now_ms) {
+            if self.budget().spend(cost, now_ms) {
                 return true;
             }
             let needed_ms = self.route.lane.likely_exchange_ms() + PAUSE_MS;
--- a/src/error.rs
+++ b/src/error.rs
@@ -108,6 +108,15 @@
         &TABLE[self as usize]
     }
 
+    /// Whether it says that a named thing is not known here.
+    pub fn is_unknown_thing(self) -> bool {
+        use Kind::{UnknownEntry, UnknownHost, UnknownJob, UnknownPool, UnknownWave};
+        matches!(
+            self,
+            UnknownEntry | UnknownHost | UnknownJob | UnknownPool | UnknownWave
+        )
+    }
+
     /// A failure of this kind with the particulars for people.
     pub fn because(self, detail: impl Into<String>) -> Failure {
         Failure {
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,3 @@
+//! What the stand-ins share with tests and experiments.
+
+pub mod rows;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -3,6 +3,9 @@
 mod backend;
 mod load;
 mod platform;
+mod routes;
+mod slopes;
+mod waves;
 
 use bpaf::{construct, OptionParser, Parser};
 
@@ -10,6 +13,9 @@
     Platform(platform::Args),
     Backend(backend::Args),
     Load(load::Args),
+    Waves(waves::Args),
+    Routes(routes::Args),
+    Slopes(slopes::Args),
 }
 
 fn parser() -> OptionParser<Command> {
@@ -28,7 +34,22 @@
         .to_options()
         .descr("Callers at a fixed rate, open loop")
         .command("load");
-    construct!([platform, backend, load]).to_options()
+    let waves = waves::args()
+        .map(Command::Waves)
+        .to_options()
+        .descr("Experiment: waves over a fake fleet, decided by the real reducer")
+        .command("waves");
+    let routes = routes::args()
+        .map(Command::Routes)
+        .to_options()
+        .descr("Experiment: routing ways side by side, discrete events")
+        .command("routes");
+    let slopes = slopes::args()
+        .map(Command::Slopes)
+        .to_options()
+        .descr("Experiment: what control costs against hosts, pools, entries, accounts and jobs")
+        .command("slopes");
+    construct!([platform, backend, load, waves, routes, slopes]).to_options()
 }
 
 fn main() {
@@ -36,6 +57,9 @@
         Command::Platform(args) => platform::run(args),
         Command::Backend(args) => backend::run(args),
         Command::Load(args) => load::run(args),
+        Command::Waves(args) => waves::run(args),
+        Command::Routes(args) => routes::run(args),
+        Command::Slopes(args) => slopes::run(args),
     };
     if let Err(e) = result {
         eprintln!("standin: {e}");
--- /dev/null
+++ b/standin/src/routes.rs
@@ -0,0 +1,510 @@
+//! Routing ways side by side: 9 entries, 50 backend servers of 8 slots, discrete events, no noise.
+//!
+//! The way that the entry ships is driven through its own decisions (`rockwick::core::route`, `health`,
+//! `retry`); the others stand here only, to be measured against.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use bpaf::{construct, long, Parser};
+use hdrhistogram::Histogram;
+use rockwick::core::health::{may_eject, share_percent, Health, Sign};
+use rockwick::core::retry::{Cost, RetryBudget};
+use rockwick::core::route::{pick, Candidate, Window};
+
+const ENTRIES: usize = 9;
+const BACKENDS: usize = 50;
+const SLOTS: u32 = 8;
+const HALLS: usize = 4;
+
+/// Mean time of one request at a healthy backend server, exponential.
+const WORK_US: f64 = 20_000.0;
+/// One way between entry and backend server.
+const HOP_US: u64 = 250;
+/// A request waits no longer than this for a place.
+const PATIENCE_US: u64 = 2_000_000;
+/// What a backend server that hangs costs.
+const HANG_US: u64 = 1_000_000;
+/// How old peers' digests are at most.
+const DIGEST_US: u64 = 1_000_000;
+const WARM_US: u64 = 3_000_000;
+const SPAN_US: u64 = 20_000_000;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Args {
+    seeds: u64,
+}
+
+pub(crate) fn args() -> impl Parser<Args> {
+    let seeds = long("seeds").help("Runs of each").argument("N").fallback(3);
+    construct!(Args { seeds })
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Random,
+    RoundRobin,
+    /// (a) A fixed share of the slots for each entry, the least loaded first.
+    FixedShare,
+    /// (b) Power of two choices on own in-flight plus the peers' as last told.
+    TwoWithDigests,
+    /// (c) As shipped: power of two choices within a window that refusals shrink, retries in a budget.
+    Windows,
+}
+
+const WAYS: [(Way, &str); 5] = [
+    (Way::Random, "random"),
+    (Way::RoundRobin, "round robin"),
+    (Way::FixedShare, "(a) fixed share, least loaded"),
+    (Way::TwoWithDigests, "(b) two choices, peers' digests"),
+    (Way::Windows, "(c) two choices in windows, retry in budget"),
+];
+
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    OneSlow,
+    OneFails,
+    OneHangs,
+    HallGone,
+}
+
+const TROUBLES: [(Trouble, &str); 5] = [
+    (Trouble::None, "healthy"),
+    (Trouble::OneSlow, "one 10 times slower"),
+    (Trouble::OneFails, "one fails all at once"),
+    (Trouble::OneHangs, "one hangs"),
+    (Trouble::HallGone, "a hall gone"),
+];
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    AtBackend {
+        req: usize,
+        backend: usize,
+    },
+    Answer {
+        req: usize,
+        backend: usize,
+        outcome: u8,
+    },
+    Digest,
+    Look {
+        entry: usize,
+    },
+}
+
+const GOOD: u8 = 0;
+const FULL: u8 = 1;
+const BAD: u8 = 2;
+
+struct Req {
+    entry: usize,
+    came_us: u64,
+    attempts: u32,
+    barred: Vec<usize>,
+    /// Whether its next attempt has been taken out of the retry budget.
+    paid: bool,
+    cost: Cost,
+}
+
+struct View {
+    in_flight: u32,
+    window: Window,
+    health: Health,
+}
+
+struct EntrySide {
+    views: Vec<View>,
+    peers: Vec<u32>,
+    queue: Vec<usize>,
+    budget: RetryBudget,
+    next: usize,
+}
+
+#[derive(Default, Clone)]
+struct Figures {
+    offered: u64,
+    good: u64,
+    failed: u64,
+    refused: u64,
+    attempts: u64,
+    over_slots: u64,
+}
+
+struct Sim {
+    way: Way,
+    trouble: Trouble,
+    rng: fastrand::Rng,
+    now_us: u64,
+    order: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    at_work: Vec<u32>,
+    entries: Vec<EntrySide>,
+    reqs: Vec<Req>,
+    gap_us: f64,
+    figures: Figures,
+    times: Histogram<u64>,
+}
+
+impl Sim {
+    fn new(way: Way, trouble: Trouble, load: f64, seed: u64) -> Option<Self> {
+        let capacity_per_us = f64::from(SLOTS) * BACKENDS as f64 / WORK_US;
+        let entry = || EntrySide {
+            views: (0..BACKENDS)
+                .map(|_| View {
+                    in_flight: 0,
+                    window: Window::new(SLOTS, ENTRIES),
+                    health: Health::default(),
+                })
+                .collect(),
+            peers: vec![0; BACKENDS],
+            queue: Vec::new(),
+            budget: RetryBudget::new(),
+            next: 0,
+        };
+        let mut sim = Self {
+            way,
+            trouble,
+            rng: fastrand::Rng::with_seed(seed),
+            now_us: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            at_work: vec![0; BACKENDS],
+            entries: (0..ENTRIES).map(|_| entry()).collect(),
+            reqs: Vec::new(),
+            gap_us: 1.0 / (capacity_per_us * load),
+            figures: Figures::default(),
+            times: Histogram::new_with_bounds(1, 60_000_000, 3).ok()?,
+        };
+        sim.push(0, Event::Arrive);
+        sim.push(DIGEST_US, Event::Digest);
+        for entry in 0..ENTRIES {
+            sim.push(50_000, Event::Look { entry });
+        }
+        Some(sim)
+    }
+
+    fn push(&mut self, at_us: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((at_us, self.order, event)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> u64 {
+        (-(1.0 - self.rng.f64()).ln() * mean) as u64
+    }
+
+    fn counts(&self) -> bool {
+        self.now_us > WARM_US
+    }
+
+    fn run(mut self) -> (Figures, Histogram<u64>) {
+        while let Some(Reverse((at_us, _, event))) = self.events.pop() {
+            self.now_us = at_us;
+            match event {
+                Event::Arrive => self.arrive(),
+                Event::AtBackend { req, backend } => self.at_backend(req, backend),
+                Event::Answer {
+                    req,
+                    backend,
+                    outcome,
+                } => self.answer(req, backend, outcome),
+                Event::Digest => self.digest(),
+                Event::Look { entry } => {
+                    self.call(entry);
+                    if self.now_us < SPAN_US + PATIENCE_US {
+                        self.push(self.now_us + 50_000, Event::Look { entry });
+                    }
+                }
+            }
+        }
+        (self.figures, self.times)
+    }
+
+    fn arrive(&mut self) {
+        if self.now_us >= SPAN_US {
+            return;
+        }
+        let gap = self.exponential(self.gap_us);
+        self.push(self.now_us + gap, Event::Arrive);
+        let entry = self.rng.usize(..ENTRIES);
+        let req = self.reqs.len();
+        self.reqs.push(Req {
+            entry,
+            came_us: self.now_us,
+            attempts: 0,
+            barred: Vec::new(),
+            paid: true,
+            cost: Cost::Refused,
+        });
+        if self.counts() {
+            self.figures.offered += 1;
+        }
+        self.entries[entry].budget.earn();
+        if !self.entries[entry].queue.is_empty() || !self.try_send(req) {
+            self.entries[entry].queue.push(req);
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.now_us / 1_000
+    }
+
+    fn barred(&self, entry: usize, backend: usize, req: usize) -> bool {
+        let v = &self.entries[entry].views[backend];
+        v.health.barred_until_ms() > self.now_ms() || self.reqs[req].barred.contains(&backend)
+    }
+
+    fn choose(&mut self, req: usize) -> Option<usize> {
+        let entry = self.reqs[req].entry;
+        let now_ms = self.now_ms();
+        match self.way {
+            Way::Random => Some(self.rng.usize(..BACKENDS)),
+            Way::RoundRobin => {
+                let e = &mut self.entries[entry];
+                e.next = (e.next + 1) % BACKENDS;
+                Some(e.next)
+            }
+            Way::FixedShare => {
+                let share = (SLOTS / ENTRIES as u32).max(1);
+                let start = self.rng.usize(..BACKENDS);
+                let e = &self.entries[entry];
+                (0..BACKENDS)
+                    .map(|n| (start + n) % BACKENDS)
+                    .filter(|b| !self.barred(entry, *b, req) && e.views[*b].in_flight < share)
+                    .min_by_key(|b| e.views[*b].in_flight)
+            }
+            Way::TwoWithDigests => {
+                let mut rng = fastrand::Rng::with_seed(self.rng.u64(..));
+                let look = |b: usize| {
+                    let told = self.entries[entry].peers[b];
+                    Candidate {
+                        in_flight: self.entries[entry].views[b].in_flight + told,
+                        window: SLOTS,
+                        barred: self.barred(entry, b, req),
+                        near: true,
+                    }
+                };
+                pick(BACKENDS, look, &mut rng)
+            }
+            Way::Windows => {
+                let mut rng = fastrand::Rng::with_seed(self.rng.u64(..));
+                let look = |b: usize| {
+                    let v = &self.entries[entry].views[b];
+                    let share = share_percent(v.health.ejected_until_ms(), now_ms) as u32;
+                    Candidate {
+                        in_flight: v.in_flight,
+                        window: (v.window.size() * share / 100).max(1),
+                        barred: self.barred(entry, b, req),
+                        near: true,
+                    }
+                };
+                pick(BACKENDS, look, &mut rng)
+            }
+        }
+    }
+
+    fn try_send(&mut self, req: usize) -> bool {
+        let Some(backend) = self.choose(req) else {
+            return false;
+        };
+        let entry = self.reqs[req].entry;
+        self.entries[entry].views[backend].in_flight += 1;
+        self.reqs[req].attempts += 1;
+        if self.counts() {
+            self.figures.attempts += 1;
+        }
+        self.push(self.now_us + HOP_US, Event::AtBackend { req, backend });
+        true
+    }
+
+    fn at_backend(&mut self, req: usize, backend: usize) {
+        let first = backend == 0;
+        let gone = self.trouble == Trouble::HallGone && backend.is_multiple_of(HALLS);
+        let answer = |at_us, outcome| {
+            (
+                at_us,
+                Event::Answer {
+                    req,
+                    backend,
+                    outcome,
+                },
+            )
+        };
+        let (at_us, event) = if gone || (first && self.trouble == Trouble::OneFails) {
+            answer(self.now_us + HOP_US, BAD)
+        } else if first && self.trouble == Trouble::OneHangs {
+            answer(self.now_us + HANG_US, BAD)
+        } else if self.at_work[backend] >= SLOTS {
+            if self.counts() {
+                self.figures.over_slots += 1;
+            }
+            answer(self.now_us + HOP_US, FULL)
+        } else {
+            self.at_work[backend] += 1;
+            let slow = first && self.trouble == Trouble::OneSlow;
+            let mean = if slow { WORK_US * 10.0 } else { WORK_US };
+            let took = self.exponential(mean);
+            answer(self.now_us + took + HOP_US, GOOD)
+        };
+        self.push(at_us, event);
+    }
+
+    fn answer(&mut self, req: usize, backend: usize, outcome: u8) {
+        let entry = self.reqs[req].entry;
+        if outcome == GOOD {
+            self.at_work[backend] -= 1;
+        }
+        self.note(entry, backend, outcome);
+        match outcome {
+            GOOD => {
+                if self.counts() {
+                    self.figures.good += 1;
+                    let took = self.now_us - self.reqs[req].came_us;
+                    self.times.saturating_record(took);
+                }
+            }
+            _ => self.again(req, backend, outcome),
+        }
+        self.call(entry);
+    }
+
+    fn note(&mut self, entry: usize, backend: usize, outcome: u8) {
+        let now_ms = self.now_ms();
+        let shipped = self.way == Way::Windows;
+        let out = |v: &View| v.health.is_ejected(now_ms);
+        let ejected = self.entries[entry].views.iter().filter(|v| out(v)).count();
+        let v = &mut self.entries[entry].views[backend];
+        let at_window = v.in_flight >= v.window.size();
+        v.in_flight -= 1;
+        let sign = match outcome {
+            GOOD => Sign::Good,
+            FULL => Sign::Full,
+            _ => Sign::Bad,
+        };
+        if shipped && sign == Sign::Full {
+            v.window.shrink();
+        }
+        if shipped && sign == Sign::Good && at_window {
+            v.window.grow();
+        }
+        // Health is the same for the two-choice ways and the fixed share; the baselines have none.
+        if !matches!(self.way, Way::Random | Way::RoundRobin) {
+            v.health.note(sign, may_eject(ejected, BACKENDS), now_ms);
+        }
+    }
+
+    /// A refused request, or one that failed and may be repeated, goes elsewhere if the way allows it:
+    /// at once while the budget lasts, else when it has earned the next retry.
+    fn again(&mut self, req: usize, backend: usize, outcome: u8) {
+        let entry = self.reqs[req].entry;
+        let late = self.now_us - self.reqs[req].came_us > PATIENCE_US;
+        if late || self.way != Way::Windows {
+            self.give_up(outcome);
+            return;
+        }
+        self.reqs[req].barred.push(backend);
+        self.reqs[req].paid = false;
+        self.reqs[req].cost = if outcome == FULL {
+            Cost::Refused
+        } else {
+            Cost::Lost
+        };
+        self.entries[entry].queue.insert(0, req);
+    }
+
+    /// Whether a request may be attempted now; a retry takes its part of the budget.
+    fn may_attempt(&mut self, req: usize) -> bool {
+        let entry = self.reqs[req].entry;
+        if !self.reqs[req].paid {
+            let cost = self.reqs[req].cost;
+            self.reqs[req].paid = self.entries[entry].budget.spend(cost, self.now_us / 1_000);
+        }
+        self.reqs[req].paid
+    }
+
+    fn give_up(&mut self, outcome: u8) {
+        if !self.counts() {
+            return;
+        }
+        match outcome {
+            BAD => self.figures.failed += 1,
+            _ => self.figures.refused += 1,
+        }
+    }
+
+    /// Sends whoever waits and finds a place. Those who wait for budget do not hold up the others.
+    fn call(&mut self, entry: usize) {
+        let mut at = 0;
+        while let Some(req) = self.entries[entry].queue.get(at).copied() {
+            if self.now_us - self.reqs[req].came_us > PATIENCE_US {
+                self.entries[entry].queue.remove(at);
+                self.give_up(FULL);
+            } else if !self.may_attempt(req) {
+                at += 1;
+            } else if self.try_send(req) {
+                self.entries[entry].queue.remove(at);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn digest(&mut self) {
+        for e in 0..ENTRIES {
+            for b in 0..BACKENDS {
+                let others = (0..ENTRIES).filter(|o| *o != e);
+                let sum = others.map(|o| self.entries[o].views[b].in_flight).sum();
+                self.entries[e].peers[b] = sum;
+            }
+        }
+        if self.now_us < SPAN_US {
+            self.push(self.now_us + DIGEST_US, Event::Digest);
+        }
+    }
+}
+
+pub(crate) fn run(args: Args) -> Result<(), String> {
+    println!(
+        "{ENTRIES} entries, {BACKENDS} backend servers of {SLOTS} slots, 20 ms mean work, {} seeds",
+        args.seeds
+    );
+    let healthy = [0.5, 0.8, 0.95, 1.2].map(|l| (Trouble::None, "healthy", l));
+    let troubled = TROUBLES[1..].iter().map(|(t, name)| (*t, *name, 0.8));
+    for (trouble, name, load) in healthy.into_iter().chain(troubled) {
+        println!("\n{name}, {:.0}% load", load * 100.0);
+        println!("| Way | p50 ms | p99 ms | p99.9 ms | served % | refused % | failed % | attempts/request | over slots/request |");
+        println!("|---|---|---|---|---|---|---|---|---|");
+        for (way, label) in WAYS {
+            let mut all = Figures::default();
+            let mut times =
+                Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|e| e.to_string())?;
+            for seed in 0..args.seeds {
+                let sim = Sim::new(way, trouble, load, seed).ok_or("histogram")?;
+                let (f, t) = sim.run();
+                times.add(t).map_err(|e| e.to_string())?;
+                all.offered += f.offered;
+                all.good += f.good;
+                all.failed += f.failed;
+                all.refused += f.refused;
+                all.attempts += f.attempts;
+                all.over_slots += f.over_slots;
+            }
+            let ms = |q: f64| times.value_at_quantile(q) as f64 / 1_000.0;
+            let share = |n: u64| n as f64 / all.offered as f64;
+            println!(
+                "| {label} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {:.2} | {:.3} | {:.3} |",
+                ms(0.5),
+                ms(0.99),
+                ms(0.999),
+                100.0 * share(all.good),
+                100.0 * share(all.refused),
+                100.0 * share(all.failed),
+                share(all.attempts),
+                share(all.over_slots)
+            );
+        }
+    }
+    Ok(())
+}
