--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -104,14 +104,8 @@
     }
 
     /// Jobs whose present attempt may be running on a host.
-    pub fn jobs_on(&self, host: &str) -> Vec<JobKey> {
-        use super::rows::JobState;
-        self.jobs
-            .iter()
-            .filter(|(_, j)| j.row.state == JobState::Placed)
-            .filter(|(_, j)| j.row.host.as_deref() == Some(host))
-            .map(|(k, _)| k)
-            .collect()
+    pub fn jobs_on(&self, host: &str) -> &[JobKey] {
+        self.placed_on.get(host).map_or(&[], Vec::as_slice)
     }
 
     /// Takes each leaving host that this entry decides for one step further.
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -4,7 +4,7 @@
 //! is asked for again under the same attempt, which the platform runs once at most. An attempt counts
 //! as not begun only when the platform promised that it never will.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 
 use super::place::FAILING_JOBS;
 use super::reduce::{Effect, Purpose as Why};
@@ -125,8 +125,13 @@
                 _ => self.forget_old(*key, now, out),
             }
         }
-        for pool in owned {
-            self.place_waiting(*pool, now, out);
+        let waiting = mine.iter().map(|k| &self.jobs[*k].row);
+        let waiting = waiting.filter(|r| r.state == JobState::Waiting);
+        let pools: BTreeSet<PoolKey> = waiting
+            .filter_map(|r| self.pool_names.get(&r.spec.pool).copied())
+            .collect();
+        for pool in pools {
+            self.place_waiting(pool, now, out);
         }
         self.renew(&mine, now, out);
     }
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -272,7 +272,7 @@
         let mut others = 0;
         let placing = self.placing.iter().filter(|(_, at)| **at == h.id);
         let coming = placing.map(|(job, _)| *job);
-        for job in self.jobs_on(&h.id).into_iter().chain(coming) {
+        for job in self.jobs_on(&h.id).iter().copied().chain(coming) {
             let spec = &self.jobs[job].row.spec;
             cores = cores.saturating_sub(spec.cores);
             memory_mb = memory_mb.saturating_sub(spec.memory_mb);
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -12,7 +12,8 @@
 use super::reduce::{Effect, Pending, Ticket};
 use super::retry::Backoff;
 use super::rows::{
-    EntryRow, EntryState, HeadRow, HostRow, HostState, JobRow, PoolRow, Purpose, WaveRow, HEAD_KEY,
+    EntryRow, EntryState, HeadRow, HostRow, HostState, JobRow, JobState, PoolRow, Purpose, WaveRow,
+    HEAD_KEY,
 };
 use crate::clock::{Millis, SECOND_MS};
 use crate::event::{Code, Decision, Subject};
@@ -218,6 +219,8 @@
     pub jobs: SlotMap<JobKey, Job>,
     /// Jobs by id.
     pub job_ids: BTreeMap<String, JobKey>,
+    /// Jobs whose present attempt may be running, by host.
+    pub placed_on: HashMap<String, Vec<JobKey>>,
     /// Waves by id, with version.
     pub waves: BTreeMap<String, (u64, WaveRow)>,
     /// Entries by name.
@@ -292,6 +295,7 @@
             pool_names: BTreeMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: BTreeMap::new(),
+            placed_on: HashMap::new(),
             waves: BTreeMap::new(),
             members: BTreeMap::new(),
             sponsored: BTreeMap::new(),
@@ -412,6 +416,9 @@
     fn take_job(&mut self, row: &Row, id: &str) -> Result<(), String> {
         let body: Option<JobRow> = decode(row)?;
         let known = self.job_ids.get(id).copied();
+        if let Some(key) = known {
+            self.unplace(key);
+        }
         let Some(body) = body else {
             if let Some(key) = known {
                 self.jobs.remove(key);
@@ -423,6 +430,7 @@
         if let Some(key) = known {
             self.placing.remove(&key);
         }
+        let host = body.host.clone().filter(|_| body.state == JobState::Placed);
         match known.and_then(|k| self.jobs.get_mut(k)) {
             Some(job) => {
                 if job.row.attempt != body.attempt || job.row.state != body.state {
@@ -445,9 +453,21 @@
                 self.job_ids.insert(id.to_string(), key);
             }
         }
+        if let (Some(host), Some(key)) = (host, self.job_ids.get(id)) {
+            self.placed_on.entry(host).or_default().push(*key);
+        }
         Ok(())
     }
 
+    /// Takes a job off the host that it was placed on.
+    fn unplace(&mut self, key: JobKey) {
+        let host = self.jobs.get(key).and_then(|j| j.row.host.as_ref());
+        let Some(list) = host.and_then(|h| self.placed_on.get_mut(h)) else {
+            return;
+        };
+        list.retain(|k| *k != key);
+    }
+
     fn take_entry(&mut self, row: &Row, name: &str) -> Result<(), String> {
         let body: Option<EntryRow> = decode(row)?;
         let member = self.members.entry(name.to_string()).or_default();
--- a/standin/src/slopes.rs
+++ b/standin/src/slopes.rs
@@ -1,5 +1,7 @@
 //! What control costs: the real reducer's tick, its routes, its state and its polls, at several sizes.
 
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use bpaf::{construct, Parser};
@@ -170,7 +172,7 @@
         hosts: facts(size),
         ended_entries: vec![],
     };
-    let before = resident_bytes();
+    let before = held_bytes();
     reduce(&mut state, Event::HostsRead(Some(listing)), now);
     let mut since = 0;
     loop {
@@ -184,7 +186,7 @@
             break;
         }
     }
-    let state_bytes = resident_bytes().saturating_sub(before);
+    let state_bytes = held_bytes().saturating_sub(before);
     let mut spent = 0;
     for _ in 0..TICKS {
         now.ms += 500;
@@ -264,14 +266,31 @@
     length(encode(&ask)) + length(encode(&told))
 }
 
-fn resident_bytes() -> usize {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages: usize = text
-        .split(' ')
-        .nth(1)
-        .and_then(|p| p.parse().ok())
-        .unwrap_or(0);
-    pages * 4_096
+/// Counts what is allocated, so that sizes can be compared within one process.
+struct Counting;
+
+static HELD_BYTES: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is passed to the system's allocator unchanged; only a count is kept beside it.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD_BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`, which is the system's as well.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        HELD_BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: `ptr` came from `alloc` above, so from the system, with this layout.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+fn held_bytes() -> usize {
+    HELD_BYTES.load(Ordering::Relaxed)
 }
 
 /// Least squares through points; the slope, the intercept, and the largest error in percent of the top.
--- a/standin/src/waves.rs
+++ b/standin/src/waves.rs
@@ -611,13 +611,14 @@
         );
         println!("| Way | Roll-out h (min to max) | Peak out | Job moves | Host moves | Budgets broken | Done |");
         println!("|---|---|---|---|---|---|---|");
-        let mut ways = vec![Way::OneByOne, Way::Tenth];
+        let mut ways = Vec::new();
         let paces: &[u64] = if args.svg.is_some() {
             &[10, 25, 50, 75, 100]
         } else {
             &[50, 100]
         };
         ways.extend(paces.iter().map(|p| Way::Wave(*p)));
+        ways.extend([Way::Tenth, Way::OneByOne]);
         let mut curve = Vec::new();
         for way in ways {
             let runs: Vec<Outturn> = (0..args.seeds).map(|s| run_once(case, way, s)).collect();
