A reboot order that got no answer is given again

An order to reboot whose call was lost in an outage was not repeated for ten minutes. Ruled out by reading: the mark (it was out) and consent. Change: the answer to the order is an event; without one the order is given again. The model now loses orders too and fails without the change (a host stuck in state out).

--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -233,6 +233,13 @@
         out.push(Effect::Log(d));
     }
 
+    /// An order to reboot that the platform did not take is given again at the next tick.
+    pub(super) fn forget_reboot_order(&mut self, host: &str) {
+        if let Some(key) = self.host_ids.get(host) {
+            self.hosts[*key].asked_ms = None;
+        }
+    }
+
     fn come_back(&mut self, key: HostKey, boots: u64, now: Now, out: &mut Vec<Effect>) {
         let host = &self.hosts[key];
         let mut row = self.next_row(host, now, "returning: the host has booted");
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -99,6 +99,13 @@
         /// Nothing where the answer was lost.
         answer: Option<OrderAnswer>,
     },
+    /// The platform answered an order to reboot, or did not.
+    RebootAnswered {
+        /// Which host.
+        host: String,
+        /// Whether the order was taken; if not, it is given again.
+        accepted: bool,
+    },
     /// The entry was told to stop.
     Stop,
 }
@@ -239,6 +246,11 @@
         Event::Asked { ticket, edit } => state.edit(ticket, edit, now, &mut out),
         Event::StartAnswered { task, answer } => state.start_answered(&task, answer, now, &mut out),
         Event::StopAnswered { task, answer } => state.stop_answered(&task, answer, now, &mut out),
+        Event::RebootAnswered { host, accepted } => {
+            if !accepted {
+                state.forget_reboot_order(&host);
+            }
+        }
         Event::Stop => {
             state.stopping = true;
             if state.is_registered() {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -27,7 +27,7 @@
 use crate::core::{reduce, Effect, Event, State};
 use crate::error::{Error, Failure, Kind, Result};
 use crate::metrics::Metrics;
-use crate::platform::{commit, HostList, HostOrders, Patience, Table, Tasks};
+use crate::platform::{commit, HostList, HostOrders, OrderAnswer, Patience, Table, Tasks};
 use crate::wire::Told;
 
 /// Bound on the wait for an operator's or a caller's edit; a commit gives up before.
@@ -337,7 +337,9 @@
                     let _ = platform.renew(&tasks).await;
                 }
                 Effect::Reboot { host, token } => {
-                    let _ = platform.reboot(&host, &token).await;
+                    let answer = platform.reboot(&host, &token).await;
+                    let accepted = answer == Ok(OrderAnswer::Accepted);
+                    this.handle(Event::RebootAnswered { host, accepted });
                 }
                 Effect::Log(_)
                 | Effect::Publish(_)
--- a/tests/test_chaos.rs
+++ b/tests/test_chaos.rs
@@ -249,12 +249,11 @@
     }
     stop_waves(&fleet);
     for host in ["h1", "h2", "h3", "h4", "h5", "h6"] {
+        let began = Instant::now();
         wait_for(&format!("{host} is at rest"), || {
-            matches!(
-                fleet.entries[0].host_state(host).as_str(),
-                "serving" | "free"
-            )
-            .then_some(())
+            let told = fleet.entries[0].admin(&format!("/v1/hosts/{host}"));
+            assert!(began.elapsed() < SPAN * 2, "{host} is not at rest: {told}");
+            matches!(told["row"]["state"].as_str(), Some("serving" | "free")).then_some(())
         });
     }
     check_jobs(&fleet, &ids);
--- a/tests/test_model.rs
+++ b/tests/test_model.rs
@@ -277,8 +277,11 @@
                 }
             }
             Effect::Reboot { host, token } => {
-                self.reboot(&host, token);
-                return;
+                if !lost {
+                    self.reboot(&host, token);
+                }
+                let accepted = !lost;
+                Event::RebootAnswered { host, accepted }
             }
             Effect::RenewTasks(_) | Effect::AnswerPeer { .. } => return,
             Effect::Publish(_) | Effect::Log(_) | Effect::Answer { .. } => unreachable!(),
