--- a/src/config.rs
+++ b/src/config.rs
@@ -11,7 +11,7 @@
 const PREFIX: &str = "ROCKWICK_";
 
 /// The variables that are settings.
-const KNOWN: [&str; 17] = [
+const KNOWN: [&str; 21] = [
     "ROCKWICK_NAME",
     "ROCKWICK_HALL",
     "ROCKWICK_LISTEN",
@@ -29,6 +29,10 @@
     "ROCKWICK_OPERATOR_TOKEN_SHA256",
     "ROCKWICK_ENTRY",
     "ROCKWICK_TOKEN",
+    "ROCKWICK_READY",
+    "ROCKWICK_METRICS",
+    "ROCKWICK_STORE",
+    "ROCKWICK_HOSTS",
 ];
 
 /// The flags as given, not checked yet.
@@ -217,14 +221,14 @@
     Err(Error::Usage(format!("--{flag} {value:?}: {allowed}")))
 }
 
-fn address(flag: &str, value: &str) -> Result<SocketAddr> {
+pub(crate) fn address(flag: &str, value: &str) -> Result<SocketAddr> {
     match value.parse::<SocketAddr>() {
         Ok(addr) => Ok(addr),
         Err(_) => bad(flag, value, "an IP address and a port, as in 10.0.0.1:8080"),
     }
 }
 
-fn name(flag: &str, value: String) -> Result<String> {
+pub(crate) fn name(flag: &str, value: String) -> Result<String> {
     let fits = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
     if value.is_empty() || value.len() > 64 || !value.bytes().all(fits) {
         return bad(flag, &value, "1 to 64 of a-z, A-Z, 0-9, '-', '_', '.'");
--- a/src/core/drain.rs
+++ b/src/core/drain.rs
@@ -8,7 +8,7 @@
 use super::state::{Host, HostKey, JobKey, PoolKey, State};
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::{Check, Put};
+use crate::port::{Check, Put};
 
 /// Time between two log lines on the same held drain.
 const HELD_LOG_MS: Millis = 60_000;
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -12,7 +12,7 @@
 use super::state::{JobKey, PoolKey, State};
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::{OrderAnswer, Put, Reports, TaskRef, TaskStart, TaskState};
+use crate::port::{OrderAnswer, Put, Reports, TaskRef, TaskStart, TaskState};
 
 /// Pause between two asks for the same start or stop.
 const ASK_MS: Millis = 2_000;
@@ -72,7 +72,7 @@
         learned.copied().unwrap_or(row.spec.run_ms)
     }
 
-    fn note_host_outcome(&mut self, report: &crate::platform::TaskReport, out: &mut Vec<Effect>) {
+    fn note_host_outcome(&mut self, report: &crate::port::TaskReport, out: &mut Vec<Effect>) {
         let task = TaskRef {
             job: report.job.clone(),
             attempt: report.attempt,
--- a/src/core/members.rs
+++ b/src/core/members.rs
@@ -12,7 +12,7 @@
 use super::state::{Host, State};
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::{Expect, Put};
+use crate::port::{Expect, Put};
 
 /// How long peers' acknowledgements are waited for before ours goes through the table as well.
 const ACK_BY_TABLE_MS: Millis = 1_500;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod route;
 pub mod routes;
 pub mod rows;
+pub mod sched;
 pub mod state;
 pub mod wave;
 
--- a/src/core/operate.rs
+++ b/src/core/operate.rs
@@ -17,7 +17,7 @@
 use crate::clock::Now;
 use crate::error::{Failure, Kind};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::Put;
+use crate::port::Put;
 
 /// Bound on a job's payload.
 pub const PAYLOAD_MAX_BYTES: usize = 16 << 10;
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -9,7 +9,7 @@
 use super::wave::EVERY_POOL;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::Life;
+use crate::port::Life;
 
 /// How long jobs avoid a host that failed several of them.
 const FAILING_MS: Millis = 600_000;
@@ -313,8 +313,8 @@
     }
 
     /// A write of a job's row, on condition that it is as we know it.
-    pub(super) fn put_job(&self, job: JobKey, row: &super::rows::JobRow) -> crate::platform::Put {
+    pub(super) fn put_job(&self, job: JobKey, row: &super::rows::JobRow) -> crate::port::Put {
         let j = &self.jobs[job];
-        crate::platform::Put::new(super::rows::job_key(&j.id), expect(j.version), row)
+        crate::port::Put::new(super::rows::job_key(&j.id), expect(j.version), row)
     }
 }
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -12,7 +12,7 @@
 use crate::clock::{Millis, Now};
 use crate::error::{Failure, Kind};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::{
+use crate::port::{
     Changes, Check, HostFact, Listing, OrderAnswer, Outcome, Put, Reports, TaskRef, TaskStart,
     Transaction,
 };
--- a/src/core/routes.rs
+++ b/src/core/routes.rs
@@ -5,7 +5,7 @@
 use super::config::{Account, Service};
 use super::rows::HostState;
 use super::state::{Host, State};
-use crate::platform::Life;
+use crate::port::Life;
 
 /// A backend server that a service's requests may go to.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/src/core/sched/book.rs
@@ -0,0 +1,582 @@
+//! An owner's books on its pool: jobs, tasks, workers, and what each worker carries.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use slotmap::{new_key_type, SlotMap};
+
+use super::job::{JobSpec, JobState, StepSpec};
+use super::limits::{CLOCK_SLOW_PERCENT, LEASE_SLACK_MS};
+use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
+use crate::clock::Millis;
+use crate::port::fleet::{Capacity, Revision, TaskName, WorkerFact};
+
+new_key_type! {
+    /// A job in the books.
+    pub struct JobKey;
+    /// A worker's life in the books.
+    pub struct WorkerKey;
+}
+
+/// A task in the books.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskKey {
+    /// The job.
+    pub job: JobKey,
+    /// The round, by number.
+    pub round: u32,
+    /// The step.
+    pub step: u16,
+    /// The task of the step.
+    pub index: u16,
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// Its step waits for others.
+    #[default]
+    Blocked,
+    /// It waits for a place.
+    Ready,
+    /// A place was chosen; that is not on record yet, so nothing was sent.
+    Recording(WorkerKey),
+    /// The start is out, unanswered so far.
+    Starting(WorkerKey),
+    /// The worker has it.
+    Running(WorkerKey),
+    /// A stop is out; its end is awaited.
+    Stopping(WorkerKey),
+    /// A former owner recorded it there; the worker has not been heard since.
+    Suspect(WorkerKey),
+    /// Done.
+    Done,
+}
+
+impl Phase {
+    /// The worker whose capacity the task takes.
+    pub fn worker(self) -> Option<WorkerKey> {
+        match self {
+            Phase::Recording(w)
+            | Phase::Starting(w)
+            | Phase::Running(w)
+            | Phase::Stopping(w)
+            | Phase::Suspect(w) => Some(w),
+            Phase::Blocked | Phase::Ready | Phase::Done => None,
+        }
+    }
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Where it stands.
+    pub phase: Phase,
+    /// Its last run; 0 before the first.
+    pub run: u32,
+    /// Runs that failed.
+    pub fails: u16,
+    /// Where the next run goes on from.
+    pub checkpoint: String,
+    /// Where the last run that failed was.
+    pub failed_on: Option<WorkerKey>,
+    /// When it came into its phase.
+    pub since_ms: Millis,
+    /// When the worker answered the order that led here; an account asked for later must show it.
+    pub settled_ms: Option<Millis>,
+}
+
+/// One step of a round.
+#[derive(Clone, Debug, Default)]
+pub struct StepRun {
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: usize,
+    /// The steps before it are done.
+    pub is_open: bool,
+}
+
+/// One round of a job.
+#[derive(Clone, Debug, Default)]
+pub struct Round {
+    /// Its steps.
+    pub steps: Vec<StepRun>,
+}
+
+/// A job in the books.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: String,
+    /// As submitted.
+    pub spec: JobSpec,
+    /// What is on its way to the record.
+    pub state: JobState,
+    /// Rounds that have begun and are not done, by number.
+    pub rounds: BTreeMap<u32, Round>,
+    /// Rounds below this one have begun.
+    pub rounds_begun: u32,
+    /// Failed runs of a task that end the job.
+    pub attempts_max: u32,
+    /// Time at which it should be completed.
+    pub due_ms: Millis,
+    /// Past this time it earns nothing.
+    pub hopeless_ms: Millis,
+    /// Revision of its progress on record.
+    pub revision: Revision,
+    /// When it came to its final state.
+    pub finished_ms: Option<Millis>,
+}
+
+/// A moment on a worker's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockSample {
+    /// Ours, not before the worker read its own.
+    pub local_ms: Millis,
+    /// The worker's.
+    pub worker_ms: Millis,
+}
+
+impl ClockSample {
+    /// What the worker's clock says at most now, were it not fast.
+    pub fn at(self, now_ms: Millis) -> Millis {
+        self.worker_ms + now_ms.saturating_sub(self.local_ms)
+    }
+}
+
+/// What is known of a worker's hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HoldPhase {
+    /// None is out; the next goes at once or by a timer.
+    #[default]
+    Idle,
+    /// One is out since then.
+    Out(Millis),
+    /// Its ends are being recorded; the next goes after that.
+    Recording,
+}
+
+/// A worker's life in the books.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// As it states itself.
+    pub fact: WorkerFact,
+    /// Whether it stands in the platform's list.
+    pub is_listed: bool,
+    /// What its tasks take.
+    pub used: Capacity,
+    /// The tasks on it.
+    pub tasks: BTreeSet<TaskKey>,
+    /// The newest look at its clock.
+    pub clock: Option<ClockSample>,
+    /// Everything ordered there before is over by then, heard or not.
+    pub lease_over_ms: Millis,
+    /// Its hold.
+    pub hold: HoldPhase,
+    /// Whether it answered the last hold.
+    pub answers: bool,
+    /// Ends up to this number were taken into the books.
+    pub taken: u64,
+    /// Ends up to this number are on record.
+    pub recorded: u64,
+    /// Tasks that failed there with none done in between.
+    pub fails_in_row: u32,
+    /// How many times in a row it was left alone.
+    pub suspensions: u32,
+    /// It gets nothing new before.
+    pub suspended_until_ms: Millis,
+    /// Its host is about to leave for upkeep.
+    pub is_closing: bool,
+}
+
+impl Worker {
+    /// A worker not yet heard.
+    pub fn new(fact: WorkerFact, lease_over_ms: Millis) -> Self {
+        Self {
+            fact,
+            is_listed: true,
+            used: Capacity::default(),
+            tasks: BTreeSet::new(),
+            clock: None,
+            lease_over_ms,
+            hold: HoldPhase::Idle,
+            answers: false,
+            taken: 0,
+            recorded: 0,
+            fails_in_row: 0,
+            suspensions: 0,
+            suspended_until_ms: 0,
+            is_closing: false,
+        }
+    }
+
+    /// Whether it may get new work.
+    pub fn is_open(&self, now_ms: Millis) -> bool {
+        self.is_listed
+            && self.answers
+            && self.clock.is_some()
+            && !self.fact.draining
+            && !self.is_closing
+            && now_ms >= self.suspended_until_ms
+    }
+
+    /// Whether `demand` fits beside what it carries.
+    pub fn fits(&self, demand: Capacity) -> bool {
+        let room = self.fact.capacity;
+        self.used.cpu_milli + demand.cpu_milli <= room.cpu_milli
+            && self.used.mem_mb + demand.mem_mb <= room.mem_mb
+            && self.used.gpu + demand.gpu <= room.gpu
+    }
+
+    /// Its rack; by the platform's custom the label behind its kind.
+    pub fn rack(&self) -> &str {
+        self.fact.labels.get(1).map_or("", String::as_str)
+    }
+
+    /// Notes a lease until `lease_until_ms` on its clock that was or may have been given.
+    pub fn lease_given(&mut self, lease_until_ms: Millis) {
+        let Some(clock) = self.clock else { return };
+        let ahead_ms = lease_until_ms.saturating_sub(clock.worker_ms);
+        let longest_ms = ahead_ms * 100 / (100 - CLOCK_SLOW_PERCENT);
+        let over_ms = clock.local_ms + longest_ms + LEASE_SLACK_MS;
+        self.lease_over_ms = self.lease_over_ms.max(over_ms);
+    }
+
+    fn take(&mut self, key: TaskKey, demand: Capacity) {
+        if self.tasks.insert(key) {
+            self.used.cpu_milli += demand.cpu_milli;
+            self.used.mem_mb += demand.mem_mb;
+            self.used.gpu += demand.gpu;
+        }
+    }
+
+    fn release(&mut self, key: TaskKey, demand: Capacity) {
+        if self.tasks.remove(&key) {
+            self.used.cpu_milli -= demand.cpu_milli;
+            self.used.mem_mb -= demand.mem_mb;
+            self.used.gpu -= demand.gpu;
+        }
+    }
+}
+
+/// The order in which waiting tasks get places.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// 0 lasts, 1 can be in time, 2 can't.
+    pub class: u8,
+    /// Earliest objective first.
+    pub due_ms: Millis,
+    /// Settles ties.
+    pub task: TaskKey,
+}
+
+/// The books of one pool.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    /// The jobs.
+    pub jobs: SlotMap<JobKey, Job>,
+    /// Jobs by id.
+    pub by_id: HashMap<String, JobKey>,
+    /// The workers.
+    pub workers: SlotMap<WorkerKey, Worker>,
+    /// Workers by id of their life.
+    pub by_life: HashMap<String, WorkerKey>,
+    /// Tasks that wait for a place.
+    pub ready: BTreeSet<Rank>,
+    /// Jobs whose progress is to be recorded.
+    pub dirty: BTreeSet<JobKey>,
+    /// When the first of them became so.
+    pub dirty_since_ms: Millis,
+    /// Runs that are started once their record is there.
+    pub unsent: Vec<(TaskKey, u32)>,
+    /// Jobs that have not begun, by queue.
+    pub waiting: BTreeMap<String, u64>,
+    /// Room or work came since tasks were last placed.
+    pub wants_placing: bool,
+}
+
+impl Book {
+    /// A task.
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        let round = self.jobs.get(key.job)?.rounds.get(&key.round)?;
+        let step = round.steps.get(usize::from(key.step))?;
+        step.tasks.get(usize::from(key.index))
+    }
+
+    /// A task, to be changed.
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        let round = self.jobs.get_mut(key.job)?.rounds.get_mut(&key.round)?;
+        let step = round.steps.get_mut(usize::from(key.step))?;
+        step.tasks.get_mut(usize::from(key.index))
+    }
+
+    /// What the task's step asks for.
+    pub fn step_spec(&self, key: TaskKey) -> Option<&StepSpec> {
+        self.jobs
+            .get(key.job)?
+            .spec
+            .steps
+            .get(usize::from(key.step))
+    }
+
+    /// The task that a name stands for.
+    pub fn find(&self, name: &TaskName) -> Option<TaskKey> {
+        let key = TaskKey {
+            job: *self.by_id.get(&name.job)?,
+            round: name.round,
+            step: name.step,
+            index: name.index,
+        };
+        self.task(key).map(|_| key)
+    }
+
+    /// The name that a task goes by.
+    pub fn name(&self, key: TaskKey) -> Option<TaskName> {
+        Some(TaskName {
+            job: self.jobs.get(key.job)?.id.clone(),
+            round: key.round,
+            step: key.step,
+            index: key.index,
+        })
+    }
+
+    /// Brings a task into a phase, with the capacity and the queue that go with it.
+    pub fn set_phase(&mut self, key: TaskKey, phase: Phase, now_ms: Millis) {
+        let Some(demand) = self.step_spec(key).map(StepSpec::demand) else {
+            return;
+        };
+        let Some(rank) = self.rank(key, now_ms) else {
+            return;
+        };
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let before = task.phase;
+        task.phase = phase;
+        task.since_ms = now_ms;
+        task.settled_ms = None;
+        if before.worker() != phase.worker() {
+            if let Some(w) = before.worker().and_then(|w| self.workers.get_mut(w)) {
+                w.release(key, demand);
+                self.wants_placing = true;
+            }
+            if let Some(w) = phase.worker().and_then(|w| self.workers.get_mut(w)) {
+                w.take(key, demand);
+            }
+        }
+        if before == Phase::Ready && phase != Phase::Ready {
+            self.unqueue(key, rank);
+        }
+        if phase == Phase::Ready {
+            self.ready.insert(rank);
+            self.wants_placing = true;
+        }
+    }
+
+    fn unqueue(&mut self, key: TaskKey, rank: Rank) {
+        for class in 0..=2 {
+            self.ready.remove(&Rank {
+                class,
+                task: key,
+                ..rank
+            });
+        }
+    }
+
+    fn rank(&self, key: TaskKey, now_ms: Millis) -> Option<Rank> {
+        let job = self.jobs.get(key.job)?;
+        let lasts = job.spec.steps.get(usize::from(key.step))?.lasting;
+        let class = match (lasts, now_ms > job.hopeless_ms) {
+            (true, _) => 0,
+            (false, false) => 1,
+            (false, true) => 2,
+        };
+        Some(Rank {
+            class,
+            due_ms: job.due_ms,
+            task: key,
+        })
+    }
+
+    /// Puts jobs that can't be in time any more behind those that can.
+    pub fn resort(&mut self, now_ms: Millis) {
+        let in_time: Vec<Rank> = self
+            .ready
+            .iter()
+            .copied()
+            .filter(|r| r.class == 1)
+            .collect();
+        for rank in in_time {
+            let late = self.jobs.get(rank.task.job);
+            if late.is_some_and(|job| now_ms > job.hopeless_ms) {
+                self.ready.remove(&rank);
+                self.ready.insert(Rank { class: 2, ..rank });
+            }
+        }
+    }
+
+    /// Notes that a job's progress must be recorded.
+    pub fn mark(&mut self, job: JobKey, now_ms: Millis) {
+        if self.dirty.is_empty() {
+            self.dirty_since_ms = now_ms;
+        }
+        self.dirty.insert(job);
+    }
+
+    /// Brings a job into a state and keeps the count of those that wait.
+    pub fn set_state(&mut self, key: JobKey, state: JobState, now_ms: Millis) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let queue = job.spec.queue.clone();
+        if job.state == JobState::Queued && state != JobState::Queued {
+            if let Some(n) = self.waiting.get_mut(&queue) {
+                *n = n.saturating_sub(1);
+            }
+        }
+        job.state = state;
+        if state.is_final() {
+            job.finished_ms = Some(now_ms);
+        }
+    }
+
+    /// Begins a round: its first steps are open, the others blocked.
+    pub fn begin_round(&mut self, key: JobKey, number: u32, now_ms: Millis) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let steps = job.spec.steps.iter().map(|spec| StepRun {
+            tasks: vec![Task::default(); usize::from(spec.count)],
+            left: usize::from(spec.count),
+            is_open: false,
+        });
+        let round = Round {
+            steps: steps.collect(),
+        };
+        job.rounds.insert(number, round);
+        job.rounds_begun = job.rounds_begun.max(number + 1);
+        self.open_steps(key, number, now_ms);
+    }
+
+    /// Opens the steps of a round whose earlier steps are done.
+    pub fn open_steps(&mut self, key: JobKey, number: u32, now_ms: Millis) {
+        let mut opened = Vec::new();
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let Some(round) = job.rounds.get_mut(&number) else {
+            return;
+        };
+        for (n, spec) in job.spec.steps.iter().enumerate() {
+            let is_done = |s: &u16| {
+                round
+                    .steps
+                    .get(usize::from(*s))
+                    .is_some_and(|s| s.left == 0)
+            };
+            let can_open = !round.steps[n].is_open && spec.after.iter().all(is_done);
+            if can_open {
+                round.steps[n].is_open = true;
+                opened.push(n);
+            }
+        }
+        for step in opened {
+            self.queue_step(key, number, step as u16, now_ms);
+        }
+    }
+
+    fn queue_step(&mut self, job: JobKey, round: u32, step: u16, now_ms: Millis) {
+        let count = self.jobs[job].spec.steps[usize::from(step)].count;
+        for index in 0..count {
+            let key = TaskKey {
+                job,
+                round,
+                step,
+                index,
+            };
+            if self.task(key).is_some_and(|t| t.phase == Phase::Blocked) {
+                self.set_phase(key, Phase::Ready, now_ms);
+            }
+        }
+    }
+
+    /// All tasks of a job.
+    pub fn tasks_of(&self, key: JobKey) -> Vec<TaskKey> {
+        let Some(job) = self.jobs.get(key) else {
+            return Vec::new();
+        };
+        let mut keys = Vec::new();
+        for (round, r) in &job.rounds {
+            for (step, s) in r.steps.iter().enumerate() {
+                keys.extend((0..s.tasks.len()).map(|index| TaskKey {
+                    job: key,
+                    round: *round,
+                    step: step as u16,
+                    index: index as u16,
+                }));
+            }
+        }
+        keys
+    }
+
+    /// How many tasks of the same step (and round) a worker carries.
+    pub fn siblings_on(&self, key: TaskKey, worker: &Worker) -> usize {
+        let same = |t: &&TaskKey| t.job == key.job && t.round == key.round && t.step == key.step;
+        worker.tasks.iter().filter(same).count()
+    }
+
+    /// A job's progress as its row holds it.
+    pub fn progress(&self, key: JobKey) -> Option<ProgressRow> {
+        let job = self.jobs.get(key)?;
+        let mut row = ProgressRow {
+            state: job.state,
+            rounds_done: job
+                .rounds
+                .keys()
+                .next()
+                .copied()
+                .unwrap_or(job.rounds_begun),
+            ..ProgressRow::default()
+        };
+        if job.state.is_final() {
+            return Some(row);
+        }
+        let mut places: HashMap<WorkerKey, u16> = HashMap::new();
+        for (number, round) in &job.rounds {
+            let mut steps = Vec::with_capacity(round.steps.len());
+            for step in &round.steps {
+                let tasks = step.tasks.iter();
+                steps.push(
+                    tasks
+                        .map(|t| self.task_row(t, &mut row, &mut places))
+                        .collect(),
+                );
+            }
+            row.rounds.push(RoundRow {
+                round: *number,
+                steps,
+            });
+        }
+        Some(row)
+    }
+
+    fn task_row(
+        &self,
+        task: &Task,
+        row: &mut ProgressRow,
+        places: &mut HashMap<WorkerKey, u16>,
+    ) -> TaskRow {
+        let standing = match (task.phase, task.phase.worker()) {
+            (Phase::Done, _) => Standing::Done,
+            (_, Some(worker)) => match self.workers.get(worker) {
+                Some(w) => Standing::Started(*places.entry(worker).or_insert_with(|| {
+                    row.workers.push((w.fact.id.clone(), w.fact.host.clone()));
+                    (row.workers.len() - 1) as u16
+                })),
+                None => Standing::Idle,
+            },
+            _ => Standing::Idle,
+        };
+        TaskRow(task.run, task.fails, standing)
+    }
+}
--- /dev/null
+++ b/src/core/sched/holds.rs
@@ -0,0 +1,229 @@
+//! Workers' leases and accounts: one hold after the other to each worker.
+//!
+//! A hold renews the lease of all that runs there, tells which ends are on record, and waits for the
+//! next end. What it answers is the truth about the worker at some moment after it was sent.
+
+use std::collections::HashMap;
+
+use super::book::{Book, ClockSample, HoldPhase, Phase, TaskKey, WorkerKey};
+use super::limits::{HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, WORKER_LEASE_MS};
+use super::runs;
+use super::state::{Ctx, Effect, Timer};
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{HoldAsk, HoldReport, OrderReply, RunningTask, TaskName};
+
+/// Ends that a worker lists at a time; with so many there may be more.
+const ENDS_LISTED_MAX: usize = 500;
+
+/// Sends the next hold to a worker, unless one is out.
+pub fn next(book: &mut Book, key: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(w) = book.workers.get_mut(key) else {
+        return;
+    };
+    if w.hold != HoldPhase::Idle || w.fact.address.port() == 0 {
+        return;
+    }
+    if !ctx.may_send() {
+        ctx.after(HOLD_RETRY_MS, Timer::Hold(key));
+        return;
+    }
+    // A worker that did not answer is only asked: renewing would put off the end of its lease.
+    let clock = w.clock.filter(|_| w.answers);
+    let lease_until_ms = clock.map(|c| c.at(ctx.now.ms) + WORKER_LEASE_MS);
+    if let Some(until_ms) = lease_until_ms {
+        w.lease_given(until_ms);
+    }
+    let wait_ms = match (lease_until_ms, w.tasks.is_empty()) {
+        (None, _) => 0,
+        (Some(_), true) => HOLD_IDLE_WAIT_MS,
+        (Some(_), false) => HOLD_WAIT_MS,
+    };
+    let ask = HoldAsk {
+        lease_until_ms,
+        seen: w.recorded,
+        wait_ms,
+    };
+    w.hold = HoldPhase::Out(ctx.now.ms);
+    if let Some(order) = runs::order(book, key, epoch, ctx) {
+        ctx.out.push(Effect::Hold(order, key, ask));
+    }
+}
+
+/// Takes in a worker's account; says whether the pool is lost.
+pub fn held(
+    book: &mut Book,
+    key: WorkerKey,
+    sent_ms: Millis,
+    result: Result<HoldReport, OrderReply>,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) -> bool {
+    let Some(w) = book.workers.get_mut(key) else {
+        return false;
+    };
+    w.hold = HoldPhase::Idle;
+    match result {
+        Ok(report) => account(book, key, sent_ms, report, epoch, ctx),
+        Err(OrderReply::Fenced) => return true,
+        Err(OrderReply::OtherLife) => {
+            w.is_listed = false;
+            w.lease_over_ms = 0;
+            runs::worker_over(book, key, "another life answered", ctx);
+            forget_if_over(book, key, ctx);
+        }
+        Err(_) => silent(book, key, ctx),
+    }
+    false
+}
+
+fn silent(book: &mut Book, key: WorkerKey, ctx: &mut Ctx<'_>) {
+    let Some(w) = book.workers.get_mut(key) else {
+        return;
+    };
+    let left_ms = w.lease_over_ms.saturating_sub(ctx.now.ms);
+    if w.answers {
+        w.answers = false;
+        ctx.tell(
+            Decision::new(
+                Code::WorkerSilent,
+                Subject::Host,
+                &w.fact.id,
+                "no answer to a hold",
+            )
+            .with("lease_left_ms", left_ms)
+            .with("tasks", w.tasks.len() as u64),
+        );
+    }
+    ctx.after(left_ms, Timer::LeaseOver(key));
+    ctx.after(HOLD_RETRY_MS, Timer::Hold(key));
+}
+
+/// Everything ordered to a worker that is not heard has lapsed.
+pub fn lease_over(book: &mut Book, key: WorkerKey, ctx: &mut Ctx<'_>) {
+    let Some(w) = book.workers.get(key) else {
+        return;
+    };
+    if w.answers || ctx.now.ms < w.lease_over_ms {
+        return;
+    }
+    if !w.tasks.is_empty() {
+        runs::worker_over(book, key, "its lease is over", ctx);
+    }
+    forget_if_over(book, key, ctx);
+}
+
+/// Drops a worker that is neither listed nor heard, with nothing left on it.
+pub fn forget_if_over(book: &mut Book, key: WorkerKey, ctx: &Ctx<'_>) {
+    let Some(w) = book.workers.get(key) else {
+        return;
+    };
+    if w.is_listed || w.answers || ctx.now.ms < w.lease_over_ms || !w.tasks.is_empty() {
+        return;
+    }
+    let id = w.fact.id.clone();
+    book.workers.remove(key);
+    book.by_life.remove(&id);
+}
+
+fn account(
+    book: &mut Book,
+    key: WorkerKey,
+    sent_ms: Millis,
+    report: HoldReport,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let w = &mut book.workers[key];
+    if !w.answers {
+        w.answers = true;
+        book.wants_placing = true;
+    }
+    let sample = ClockSample {
+        local_ms: ctx.now.ms,
+        worker_ms: report.clock_ms,
+    };
+    if w.clock.is_none_or(|c| c.worker_ms <= sample.worker_ms) {
+        w.clock = Some(sample);
+    }
+    let is_whole = report.ended.len() < ENDS_LISTED_MAX;
+    for end in &report.ended {
+        if end.number > book.workers[key].taken {
+            book.workers[key].taken = end.number;
+            runs::take_end(book, key, end, epoch, ctx);
+        }
+    }
+    compare(book, key, sent_ms, &report.running, is_whole, epoch, ctx);
+    let w = &mut book.workers[key];
+    if w.taken > w.recorded {
+        w.hold = HoldPhase::Recording;
+    } else {
+        next(book, key, epoch, ctx);
+    }
+}
+
+/// Compares what a worker says to run with what the books expect there.
+fn compare(
+    book: &mut Book,
+    key: WorkerKey,
+    sent_ms: Millis,
+    running: &[RunningTask],
+    is_whole: bool,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let listed: HashMap<&TaskName, u32> = running.iter().map(|r| (&r.task, r.run)).collect();
+    for run in running {
+        expect(book, key, run, epoch, ctx);
+    }
+    if !is_whole {
+        return;
+    }
+    let expected: Vec<TaskKey> = book.workers[key].tasks.iter().copied().collect();
+    for task in expected {
+        let is_there = book
+            .name(task)
+            .is_some_and(|name| listed.contains_key(&name));
+        if !is_there && must_show(book, task, sent_ms) {
+            runs::requeue(book, task, "not among what the worker runs", ctx);
+        }
+    }
+}
+
+/// Whether an account asked for at `sent_ms` must show the task, were it there.
+fn must_show(book: &Book, key: TaskKey, sent_ms: Millis) -> bool {
+    let Some(task) = book.task(key) else {
+        return false;
+    };
+    match task.phase {
+        // The account carried our fence: nothing older can still come in.
+        Phase::Suspect(_) => task.since_ms <= sent_ms,
+        Phase::Running(_) | Phase::Stopping(_) => task.settled_ms.is_some_and(|at| at < sent_ms),
+        _ => false,
+    }
+}
+
+fn expect(book: &mut Book, worker: WorkerKey, run: &RunningTask, epoch: u64, ctx: &mut Ctx<'_>) {
+    let key = book.find(&run.task);
+    let task = key.and_then(|k| book.task(k));
+    let (Some(key), Some(task)) = (key, task) else {
+        runs::stop_stray(book, worker, &run.task, run.run, epoch, ctx);
+        return;
+    };
+    let is_here = task.run == run.run && task.phase.worker() == Some(worker);
+    match task.phase {
+        Phase::Suspect(_) | Phase::Starting(_) if is_here => {
+            book.set_phase(key, Phase::Running(worker), ctx.now.ms);
+            if let Some(task) = book.task_mut(key) {
+                task.settled_ms = Some(ctx.now.ms);
+            }
+            if book.jobs[key.job].state.is_final() {
+                runs::stop(book, key, epoch, ctx);
+            }
+        }
+        Phase::Running(_) | Phase::Stopping(_) if is_here => {}
+        // A start that is out again while an old copy of it is listed is told apart by its run.
+        _ if task.run == run.run && task.phase.worker() == Some(worker) => {}
+        _ => runs::stop_stray(book, worker, &run.task, run.run, epoch, ctx),
+    }
+}
--- /dev/null
+++ b/src/core/sched/limits.rs
@@ -0,0 +1,81 @@
+//! Times and bounds of scheduling, each with its unit and where the figure comes from.
+
+use crate::clock::Millis;
+
+/// An owner that renewed nothing for so long may be replaced. Measured: see docs/MEASURES.md.
+pub const OWNER_LEASE_MS: Millis = 2_000;
+
+/// An owner stops sending so long before its lease ends: an order's way out plus a late timer.
+pub const OWNER_MARGIN_MS: Millis = 300;
+
+/// An owner renews so often: three tries fit into its lease.
+pub const RENEW_MS: Millis = 500;
+
+/// For one sending of a transaction; an outage is told from a slow answer by repeating it.
+pub const TX_TIMEOUT_MS: Millis = 800;
+
+/// Pause before a transaction that was refused or lost is sent again.
+pub const TX_RETRY_MS: Millis = 60;
+
+/// Spread of entries that want the same pool, so that seldom two try at once: ten answers of the store.
+pub const CLAIM_SPREAD_MS: Millis = 120;
+
+/// Added for each pool already owned, so that owners spread over entries.
+pub const CLAIM_OWNED_MS: Millis = 150;
+
+/// Changes of jobs are gathered for so long before they are committed: two answers of the store.
+pub const GATHER_MS: Millis = 8;
+
+/// Most jobs in one transaction; with the owner's row it stays under the store's 100 entries.
+pub const BATCH_JOBS: usize = 40;
+
+/// Lease that is given to workers: survives an owner's end and a takeover (2.3 s and a hold).
+pub const WORKER_LEASE_MS: Millis = 4_500;
+
+/// Workers' clocks may run slow by 2%.
+pub const CLOCK_SLOW_PERCENT: u64 = 2;
+
+/// Added to the end of a worker's lease before its runs count as over.
+pub const LEASE_SLACK_MS: Millis = 150;
+
+/// How long a worker with work may keep a hold open waiting for an end.
+pub const HOLD_WAIT_MS: Millis = 1_000;
+
+/// The same for a worker without work; less than half of its lease.
+pub const HOLD_IDLE_WAIT_MS: Millis = 2_000;
+
+/// On top of the wait, for the way there and back.
+pub const HOLD_SLACK_MS: Millis = 500;
+
+/// Pause before a worker that did not answer is asked again.
+pub const HOLD_RETRY_MS: Millis = 250;
+
+/// For one sending of an order to a worker.
+pub const ORDER_TIMEOUT_MS: Millis = 400;
+
+/// Pause before an unanswered order is sent again.
+pub const ORDER_RETRY_MS: Millis = 50;
+
+/// Tasks that failed on a worker, with none done in between, after which it gets no more for a while.
+pub const FAILS_IN_A_ROW: u32 = 3;
+
+/// How long such a worker is left alone; doubles with each repetition up to [`SUSPEND_MAX_MS`].
+pub const SUSPEND_MS: Millis = 1_500;
+
+/// Longest time that a failing worker is left alone: shorter than a grey phase lasts on trial days.
+pub const SUSPEND_MAX_MS: Millis = 6_000;
+
+/// A worker that refused for want of room gets nothing for so long: its account comes with a hold.
+pub const FULL_PAUSE_MS: Millis = 200;
+
+/// Most waiting tasks that one round of placement looks at.
+pub const PLACE_LOOKS: usize = 400;
+
+/// Past so many times its objective a job earns nothing and waits behind others.
+pub const HOPELESS_FACTOR: u64 = 3;
+
+/// How often waiting tasks are sorted anew.
+pub const RESORT_MS: Millis = 250;
+
+/// Finished jobs leave the store after so long (the platform's pages ask for 120 s).
+pub const FINISHED_KEPT_MS: Millis = 150_000;
--- /dev/null
+++ b/src/core/sched/load.rs
@@ -0,0 +1,290 @@
+//! A new owner's books: built from rows, and from rows that come later.
+
+use super::book::{Book, Job, JobKey, Phase, Round, StepRun, Task, TaskKey, Worker, WorkerKey};
+use super::job::{JobSpec, JobState};
+use super::limits::{CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, WORKER_LEASE_MS};
+use super::rows::{self, cancelled_job, ProgressRow, RoundRow, Standing, TaskRow};
+use super::runs;
+use super::state::{Ctx, LoadedRows, State};
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{FleetConfig, StoredRow, WorkerFact, ABSENT};
+
+/// Attempts of a job whose queue is not configured any more.
+const ATTEMPTS_DEFAULT: u32 = 3;
+
+/// Target of such a job.
+const TARGET_DEFAULT_MS: Millis = 1_000;
+
+/// Longest time that anything a former owner sent can keep runs alive, from the claim on.
+pub const FOREIGN_LEASE_MS: Millis =
+    WORKER_LEASE_MS * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS;
+
+/// Builds the books of a pool.
+pub fn build(
+    pool: &str,
+    epoch: u64,
+    began_ms: Millis,
+    loaded: LoadedRows,
+    state: &Facts<'_>,
+    ctx: &mut Ctx<'_>,
+) -> Book {
+    let mut book = Book::default();
+    for fact in state.listed.values().filter(|f| f.pool == pool) {
+        add_worker(&mut book, fact.clone(), began_ms);
+    }
+    let mut cancels = Vec::new();
+    for row in loaded.intake {
+        if cancelled_job(&row.key).is_some() {
+            cancels.push(row);
+        } else {
+            add_job(&mut book, &row, state.config, ctx);
+        }
+    }
+    for row in loaded.progress {
+        apply_progress(&mut book, &row, began_ms, state, ctx);
+    }
+    let keys: Vec<JobKey> = book.jobs.keys().collect();
+    for key in keys {
+        begin_if_new(&mut book, key, ctx);
+    }
+    for row in cancels {
+        apply_intake(&mut book, &row, state.config, epoch, ctx);
+    }
+    book.wants_placing = true;
+    book
+}
+
+/// What of the state is needed beside the books.
+pub struct Facts<'a> {
+    /// The configuration.
+    pub config: &'a FleetConfig,
+    /// The list of workers.
+    pub listed: &'a std::collections::BTreeMap<String, WorkerFact>,
+}
+
+impl<'a> Facts<'a> {
+    /// Of this state.
+    pub fn new(state: &'a State) -> Self {
+        Self {
+            config: &state.config,
+            listed: &state.listed,
+        }
+    }
+}
+
+/// Adds a worker's life to the books.
+pub fn add_worker(book: &mut Book, fact: WorkerFact, began_ms: Millis) -> WorkerKey {
+    let id = fact.id.clone();
+    let worker = Worker::new(fact, began_ms + FOREIGN_LEASE_MS);
+    let key = book.workers.insert(worker);
+    book.by_life.insert(id, key);
+    key
+}
+
+/// Takes in a row of intake: a job, or a cancel.
+pub fn apply_intake(
+    book: &mut Book,
+    row: &StoredRow,
+    config: &FleetConfig,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    if row.value.is_none() {
+        return;
+    }
+    if let Some(id) = cancelled_job(&row.key) {
+        if let Some(key) = book.by_id.get(id).copied() {
+            runs::cancel(book, key, epoch, ctx);
+        }
+        return;
+    }
+    if book.by_id.contains_key(&row.key) {
+        return;
+    }
+    if let Some(key) = add_job(book, row, config, ctx) {
+        begin_if_new(book, key, ctx);
+    }
+}
+
+fn add_job(
+    book: &mut Book,
+    row: &StoredRow,
+    config: &FleetConfig,
+    ctx: &mut Ctx<'_>,
+) -> Option<JobKey> {
+    let spec: JobSpec = match rows::decode(row.value.as_deref().unwrap_or_default()) {
+        Ok(spec) => spec,
+        Err(e) => {
+            let why = format!("intake row: {e}");
+            ctx.tell(Decision::new(Code::BadRow, Subject::Job, &row.key, why));
+            return None;
+        }
+    };
+    let policy = config.queues.iter().find(|q| q.name == spec.queue);
+    let target_ms = policy.map_or(TARGET_DEFAULT_MS, |q| q.target_ms);
+    let stretch_milli = policy.map_or(1_000, |q| q.stretch_milli);
+    let objective_ms = target_ms + spec.chain_ms() * stretch_milli / 1_000;
+    let age_ms = ctx.now.wall_ms.saturating_sub(spec.accepted_wall_ms);
+    let begun_ms = ctx.now.ms.saturating_sub(age_ms);
+    *book.waiting.entry(spec.queue.clone()).or_default() += 1;
+    let key = book.jobs.insert(Job {
+        id: row.key.clone(),
+        state: JobState::Queued,
+        rounds: Default::default(),
+        rounds_begun: 0,
+        attempts_max: policy.map_or(ATTEMPTS_DEFAULT, |q| q.attempts_max),
+        due_ms: begun_ms + objective_ms,
+        hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
+        revision: ABSENT,
+        finished_ms: None,
+        spec,
+    });
+    book.by_id.insert(row.key.clone(), key);
+    Some(key)
+}
+
+/// Begins the rounds of a job that are due and were never begun.
+pub fn begin_if_new(book: &mut Book, key: JobKey, ctx: &mut Ctx<'_>) {
+    loop {
+        let Some(job) = book.jobs.get(key) else {
+            return;
+        };
+        let next = job.rounds_begun;
+        let is_due = match job.spec.schedule {
+            None => next == 0,
+            Some(s) => {
+                let due_wall_ms = s.first_wall_ms + Millis::from(next) * s.interval_ms;
+                next < s.rounds && ctx.now.wall_ms >= due_wall_ms
+            }
+        };
+        if !is_due || job.state.is_final() {
+            return;
+        }
+        book.begin_round(key, next, ctx.now.ms);
+    }
+}
+
+fn apply_progress(
+    book: &mut Book,
+    row: &StoredRow,
+    began_ms: Millis,
+    state: &Facts<'_>,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(key) = book.by_id.get(&row.key).copied() else {
+        return;
+    };
+    let progress: ProgressRow = match rows::decode(row.value.as_deref().unwrap_or_default()) {
+        Ok(progress) => progress,
+        Err(e) => {
+            let why = format!("progress row: {e}");
+            ctx.tell(Decision::new(Code::BadRow, Subject::Job, &row.key, why));
+            return;
+        }
+    };
+    book.set_state(key, progress.state, ctx.now.ms);
+    book.jobs[key].revision = row.revision;
+    book.jobs[key].rounds_begun = progress.rounds_done;
+    if progress.state.is_final() {
+        return;
+    }
+    let lives: Vec<WorkerKey> = progress
+        .workers
+        .iter()
+        .map(|(life, host)| known_or_ghost(book, life, host, began_ms, state))
+        .collect();
+    for round in &progress.rounds {
+        apply_round(book, key, round, &lives, ctx.now.ms);
+    }
+}
+
+/// The worker that a row names; one that is not listed may still run what it was told.
+fn known_or_ghost(
+    book: &mut Book,
+    life: &str,
+    host: &str,
+    began_ms: Millis,
+    state: &Facts<'_>,
+) -> WorkerKey {
+    if let Some(key) = book.by_life.get(life) {
+        return *key;
+    }
+    let fact = WorkerFact {
+        id: life.to_string(),
+        host: host.to_string(),
+        pool: String::new(),
+        address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+        hall: String::new(),
+        labels: Vec::new(),
+        capacity: Default::default(),
+        draining: true,
+    };
+    let key = add_worker(book, fact, began_ms);
+    let is_over = state
+        .listed
+        .values()
+        .any(|f| f.host == host && f.id != life);
+    let worker = &mut book.workers[key];
+    worker.is_listed = false;
+    if is_over {
+        // Another life stands on the same host: this one has certainly ended.
+        worker.lease_over_ms = 0;
+    }
+    key
+}
+
+fn apply_round(book: &mut Book, job: JobKey, row: &RoundRow, lives: &[WorkerKey], now_ms: Millis) {
+    let spec = book.jobs[job].spec.clone();
+    let mut round = Round::default();
+    for (n, step) in spec.steps.iter().enumerate() {
+        let recorded = row.steps.get(n);
+        let tasks: Vec<Task> = (0..usize::from(step.count))
+            .map(|i| {
+                recorded
+                    .and_then(|s| s.get(i))
+                    .map_or_else(Task::default, task)
+            })
+            .collect();
+        let left = tasks.iter().filter(|t| t.phase != Phase::Done).count();
+        round.steps.push(StepRun {
+            tasks,
+            left,
+            is_open: false,
+        });
+    }
+    let job_mut = &mut book.jobs[job];
+    job_mut.rounds.insert(row.round, round);
+    job_mut.rounds_begun = job_mut.rounds_begun.max(row.round + 1);
+    for (step, tasks) in row.steps.iter().enumerate() {
+        for (index, task) in tasks.iter().enumerate() {
+            let Standing::Started(place) = task.2 else {
+                continue;
+            };
+            let Some(worker) = lives.get(usize::from(place)) else {
+                continue;
+            };
+            let key = TaskKey {
+                job,
+                round: row.round,
+                step: step as u16,
+                index: index as u16,
+            };
+            book.set_phase(key, Phase::Suspect(*worker), now_ms);
+        }
+    }
+    book.open_steps(job, row.round, now_ms);
+}
+
+fn task(row: &TaskRow) -> Task {
+    Task {
+        phase: if row.2 == Standing::Done {
+            Phase::Done
+        } else {
+            Phase::Blocked
+        },
+        run: row.0,
+        fails: row.1,
+        ..Task::default()
+    }
+}
--- /dev/null
+++ b/src/core/sched/mod.rs
@@ -0,0 +1,21 @@
+//! Scheduling of jobs on pools of workers: one reducer over events, effects as data.
+//!
+//! Data lies at the bottom ([`job`], [`rows`], [`book`]), each decision is a module over it, and
+//! [`reduce`](reduce::reduce) is on top.
+
+pub mod book;
+pub mod commit;
+pub mod holds;
+pub mod job;
+pub mod limits;
+pub mod load;
+pub mod operation;
+pub mod place;
+pub mod reduce;
+pub mod rows;
+pub mod runs;
+pub mod seat;
+pub mod state;
+
+pub use reduce::reduce;
+pub use state::{Effect, Event, State};
--- /dev/null
+++ b/src/core/sched/place.rs
@@ -0,0 +1,123 @@
+//! Where waiting tasks get their place.
+
+use super::book::{Book, Phase, TaskKey, WorkerKey};
+use super::job::{JobState, StepSpec};
+use super::limits::PLACE_LOOKS;
+use super::state::Ctx;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::Capacity;
+
+/// Added to a worker's load, in thousandths, where the data lies elsewhere.
+const FAR_MILLI: u64 = 1_000;
+
+/// The same for the worker on which the task's last run failed.
+const FAILED_HERE_MILLI: u64 = 2_000;
+
+/// The same for each task that failed there in a row.
+const FAILS_MILLI: u64 = 300;
+
+/// Gives places to waiting tasks, in their order, as far as there is room.
+pub fn place(book: &mut Book, ctx: &mut Ctx<'_>) {
+    book.wants_placing = false;
+    let ranks: Vec<TaskKey> = book
+        .ready
+        .iter()
+        .map(|r| r.task)
+        .take(PLACE_LOOKS)
+        .collect();
+    let mut too_large: Vec<Capacity> = Vec::new();
+    for key in ranks {
+        let Some(spec) = book.step_spec(key) else {
+            continue;
+        };
+        let demand = spec.demand();
+        let is_plain = spec.label.is_none() && spec.per_worker_max == 0;
+        if too_large.iter().any(|d| exceeds(demand, *d)) {
+            continue;
+        }
+        match choose(book, key, ctx.now.ms) {
+            Some(worker) => assign(book, key, worker, ctx),
+            None if is_plain => too_large.push(demand),
+            None => {}
+        }
+    }
+}
+
+/// Whether `a` asks for no less than `b` of anything.
+fn exceeds(a: Capacity, b: Capacity) -> bool {
+    a.cpu_milli >= b.cpu_milli && a.mem_mb >= b.mem_mb && a.gpu >= b.gpu
+}
+
+fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Option<WorkerKey> {
+    let spec = book.step_spec(key)?;
+    let demand = spec.demand();
+    let mut best: Option<(u64, WorkerKey)> = None;
+    for (worker_key, worker) in &book.workers {
+        if !worker.is_open(now_ms) || !worker.fits(demand) {
+            continue;
+        }
+        if !suits(book, key, spec, worker_key) {
+            continue;
+        }
+        let cost = cost_milli(book, key, spec, worker_key);
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, worker_key));
+        }
+    }
+    best.map(|(_, worker)| worker)
+}
+
+fn suits(book: &Book, key: TaskKey, spec: &StepSpec, worker: WorkerKey) -> bool {
+    let worker = &book.workers[worker];
+    if let Some(label) = &spec.label {
+        if !worker.fact.labels.contains(label) {
+            return false;
+        }
+    }
+    let most = usize::from(spec.per_worker_max);
+    most == 0 || book.siblings_on(key, worker) < most
+}
+
+/// How much a worker is to be avoided, in thousandths of its load.
+fn cost_milli(book: &Book, key: TaskKey, spec: &StepSpec, worker: WorkerKey) -> u64 {
+    let w = &book.workers[worker];
+    let mut cost = w.used.cpu_milli * 1_000 / w.fact.capacity.cpu_milli.max(1);
+    if spec
+        .data_rack
+        .as_deref()
+        .is_some_and(|rack| rack != w.rack())
+    {
+        cost += FAR_MILLI;
+    }
+    if book.task(key).is_some_and(|t| t.failed_on == Some(worker)) {
+        cost += FAILED_HERE_MILLI;
+    }
+    cost + u64::from(w.fails_in_row) * FAILS_MILLI
+}
+
+fn assign(book: &mut Book, key: TaskKey, worker: WorkerKey, ctx: &mut Ctx<'_>) {
+    book.set_phase(key, Phase::Recording(worker), ctx.now.ms);
+    let Some(task) = book.task_mut(key) else {
+        return;
+    };
+    task.run += 1;
+    let run = task.run;
+    book.unsent.push((key, run));
+    if book.jobs[key.job].state == JobState::Queued {
+        book.set_state(key.job, JobState::Running, ctx.now.ms);
+    }
+    book.mark(key.job, ctx.now.ms);
+    let w = &book.workers[worker];
+    ctx.tell(
+        Decision::new(
+            Code::TaskPlaced,
+            Subject::Job,
+            &book.jobs[key.job].id,
+            &*w.fact.id,
+        )
+        .with("step", u64::from(key.step))
+        .with("task", u64::from(key.index))
+        .with("run", u64::from(run))
+        .with("used_cpu_milli", w.used.cpu_milli),
+    );
+}
--- /dev/null
+++ b/src/core/sched/reduce.rs
@@ -0,0 +1,533 @@
+//! The reducer: one event in, effects out.
+
+use super::book::{Book, WorkerKey};
+use super::commit::{self, Settled};
+use super::holds;
+use super::limits::RESORT_MS;
+use super::load::{self, Facts};
+use super::place;
+use super::rows::{cancelled_job, BEAT_KEY, OWNER_KEY};
+use super::runs;
+use super::seat;
+use super::state::{Ctx, Effect, Event, LoadedRows, Pool, PoolKey, State, Tenure, Timer};
+use crate::clock::{Millis, Now};
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{
+    FleetConfig, HoldReport, OperatorWord, OrderReply, StoredRow, TxOutcome, WorkerFact, WorkerWord,
+};
+
+/// Pause before a pool's rows are read again after that failed.
+const LOAD_RETRY_MS: Millis = 100;
+
+/// Takes in one event.
+pub fn reduce(state: &mut State, event: Event, now: Now) -> Vec<Effect> {
+    let mut out = Vec::new();
+    match event {
+        Event::Tick => {}
+        Event::Operator(word) => operator(state, word, now, &mut out),
+        Event::Worker(word) => worker_word(state, word, now, &mut out),
+        Event::WorkersRead(all) => workers_read(state, all, now, &mut out),
+        Event::Owner(row) => owner_row(state, &row, now, &mut out),
+        Event::Claimed(pool, sent_ms, outcome) => {
+            let nonce = state.nonce;
+            with_pool(state, pool, now, &mut out, |pool, ctx, _| {
+                seat::claimed(pool, sent_ms, outcome, nonce, ctx);
+            });
+        }
+        Event::Renewed(pool, epoch, sent_ms, outcome) => {
+            renewed(state, pool, epoch, sent_ms, outcome, now, &mut out);
+        }
+        Event::Loaded(pool, epoch, rows) => loaded(state, pool, epoch, rows, now, &mut out),
+        Event::Intake(row) => intake(state, &row, now, &mut out),
+        Event::Recorded(pool, epoch, outcome) => {
+            recorded(state, pool, epoch, outcome, now, &mut out);
+        }
+        Event::Started(pool, epoch, task, run, reply) => {
+            with_book(state, pool, epoch, now, &mut out, |book, ctx| {
+                runs::started(book, task, run, reply, ctx)
+            });
+        }
+        Event::Stopped(pool, epoch, task, run, reply) => {
+            with_book(state, pool, epoch, now, &mut out, |book, ctx| {
+                runs::stopped(book, task, run, reply, ctx)
+            });
+        }
+        Event::Held(pool, epoch, worker, sent_ms, result) => {
+            held(state, pool, epoch, worker, sent_ms, result, now, &mut out);
+        }
+        Event::WaveRow(_) | Event::WaveSettled(..) | Event::UpkeepOrdered(..) => {}
+        Event::Stop => stop(state, now, &mut out),
+    }
+    fire_timers(state, now, &mut out);
+    settle_pools(state, now, &mut out);
+    out
+}
+
+/// Runs `work` on a pool, with what is needed of the rest of the state.
+fn with_pool<T>(
+    state: &mut State,
+    key: PoolKey,
+    now: Now,
+    out: &mut Vec<Effect>,
+    work: impl FnOnce(&mut Pool, &mut Ctx<'_>, &Facts<'_>) -> T,
+) -> Option<T> {
+    let pool = state.pools.get_mut(usize::from(key.0))?;
+    let mut ctx = Ctx {
+        now,
+        pool: key,
+        me: &state.me,
+        until_ms: pool.seat.until_ms(),
+        timers: &mut state.timers,
+        out,
+    };
+    let facts = Facts {
+        config: &state.config,
+        listed: &state.listed,
+    };
+    Some(work(pool, &mut ctx, &facts))
+}
+
+/// Runs `work` on the books of a pool that this entry owns under `epoch`; `work` says whether a worker
+/// knows of a later owner.
+fn with_book(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    now: Now,
+    out: &mut Vec<Effect>,
+    work: impl FnOnce(&mut Book, &mut Ctx<'_>) -> bool,
+) {
+    with_pool(state, key, now, out, |pool, ctx, _| {
+        let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
+            return;
+        };
+        let Some(book) = &mut tenure.book else { return };
+        if work(book, ctx) {
+            seat::lose(pool, "a worker has seen a later epoch", ctx);
+        }
+    });
+}
+
+fn pool_key(state: &mut State, name: &str, now: Now) -> PoolKey {
+    if let Some(key) = state.pool_keys.get(name) {
+        return *key;
+    }
+    let key = PoolKey(state.pools.len() as u16);
+    let mut seat = seat::Seat::default();
+    seat.beat_seen_ms = now.ms;
+    state.pools.push(Pool {
+        name: name.to_string(),
+        seat,
+        tenure: None,
+    });
+    state.pool_keys.insert(name.to_string(), key);
+    state.timers.insert((now.ms, key, Timer::Claim));
+    key
+}
+
+fn operator(state: &mut State, word: OperatorWord, now: Now, out: &mut Vec<Effect>) {
+    match word {
+        OperatorWord::Config(config) => adopt(state, config, now, out),
+        OperatorWord::Wave(order) => {
+            state.waves.insert(order.wave, order);
+        }
+        OperatorWord::Unreadable(key, why) => {
+            let decision = Decision::new(Code::BadRow, Subject::Config, &key, why);
+            out.push(Effect::Log(decision));
+        }
+    }
+}
+
+fn adopt(state: &mut State, config: FleetConfig, now: Now, out: &mut Vec<Effect>) {
+    if config.version <= state.config.version {
+        return;
+    }
+    let version = config.version.to_string();
+    let decision = Decision::new(Code::ConfigAdopted, Subject::Config, &version, "newer")
+        .with("from", state.config.version)
+        .with("queues", config.queues.len() as u64)
+        .with("pools", config.pools.len() as u64);
+    out.push(Effect::Log(decision));
+    // Only pools that queues are sent to need an owner; parked ones are needed for their hosts.
+    let names: Vec<String> = config.pools.keys().cloned().collect();
+    state.config = config;
+    for name in names {
+        pool_key(state, &name, now);
+    }
+}
+
+fn owner_row(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
+    if row.key != OWNER_KEY && row.key != BEAT_KEY {
+        return;
+    }
+    let key = pool_key(state, &row.part, now);
+    let me = state.me.clone();
+    let nonce = state.nonce;
+    with_pool(state, key, now, out, |pool, ctx, _| {
+        if let Err(e) = seat::observe(pool, row, now.ms) {
+            ctx.tell(Decision::new(Code::BadRow, Subject::Pool, &pool.name, e));
+        }
+        let is_ours = pool.seat.owner.entry == me && pool.seat.owner.nonce == nonce;
+        let is_newer = pool
+            .tenure
+            .as_ref()
+            .is_some_and(|t| t.epoch < pool.seat.epoch);
+        if is_newer && !is_ours {
+            seat::lose(pool, "another entry owns it", ctx);
+        }
+        if pool.tenure.is_none() && pool.seat.owner.entry.is_empty() {
+            ctx.after(0, Timer::Claim);
+        }
+    });
+}
+
+fn renewed(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    sent_ms: Millis,
+    outcome: TxOutcome,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
+    with_pool(state, key, now, out, |pool, ctx, _| {
+        if pool.tenure.as_ref().is_none_or(|t| t.epoch != epoch) {
+            return;
+        }
+        if seat::renewed(pool, sent_ms, outcome, ctx) {
+            seat::lose(pool, "its row changed", ctx);
+        }
+    });
+}
+
+fn loaded(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    rows: Option<LoadedRows>,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
+    with_pool(state, key, now, out, |pool, ctx, facts| {
+        let name = pool.name.clone();
+        let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
+            return;
+        };
+        let Some(rows) = rows else {
+            ctx.after(LOAD_RETRY_MS, Timer::Load);
+            return;
+        };
+        let mut book = load::build(&name, epoch, tenure.began_ms, rows, facts, ctx);
+        for row in std::mem::take(&mut tenure.early) {
+            load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
+        }
+        tell_loaded(&name, &book, tenure, ctx);
+        let workers: Vec<WorkerKey> = book.workers.keys().collect();
+        for worker in workers {
+            greet(&mut book, worker, epoch, ctx);
+        }
+        tenure.book = Some(book);
+        ctx.after(RESORT_MS, Timer::Upkeep);
+    });
+}
+
+fn tell_loaded(name: &str, book: &Book, tenure: &Tenure, ctx: &mut Ctx<'_>) {
+    let took_ms = ctx.now.ms - tenure.began_ms;
+    ctx.tell(
+        Decision::new(Code::PoolLoaded, Subject::Pool, name, "rows read")
+            .with("epoch", tenure.epoch)
+            .with("jobs", book.jobs.len() as u64)
+            .with("workers", book.workers.len() as u64)
+            .with("took_ms", took_ms),
+    );
+}
+
+/// First hold to a worker, and a look at the end of what others may have ordered there.
+fn greet(book: &mut Book, worker: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let left_ms = book.workers[worker]
+        .lease_over_ms
+        .saturating_sub(ctx.now.ms);
+    ctx.after(left_ms, Timer::LeaseOver(worker));
+    holds::next(book, worker, epoch, ctx);
+}
+
+fn intake(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
+    let Some(key) = state.pool_keys.get(&row.part).copied() else {
+        return;
+    };
+    with_pool(state, key, now, out, |pool, ctx, facts| {
+        let Some(tenure) = &mut pool.tenure else {
+            return;
+        };
+        let epoch = tenure.epoch;
+        match &mut tenure.book {
+            None => tenure.early.push(row.clone()),
+            Some(book) => {
+                let is_new =
+                    cancelled_job(&row.key).is_none() && !book.by_id.contains_key(&row.key);
+                load::apply_intake(book, row, facts.config, epoch, ctx);
+                if is_new && row.value.is_some() {
+                    ctx.tell_job(Code::JobTaken, &row.key, "intake row read");
+                }
+            }
+        }
+    });
+}
+
+fn recorded(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    outcome: TxOutcome,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
+    with_pool(state, key, now, out, |pool, ctx, _| {
+        let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
+            return;
+        };
+        match commit::recorded(tenure, outcome, ctx) {
+            Settled::Fine => {}
+            Settled::PoolLost => seat::lose(pool, "its row changed", ctx),
+            Settled::Diverged => {
+                tenure.batch = None;
+                tenure.book = None;
+                ctx.out
+                    .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
+            }
+        }
+    });
+}
+
+#[allow(clippy::too_many_arguments)]
+fn held(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    worker: WorkerKey,
+    sent_ms: Millis,
+    result: Result<HoldReport, OrderReply>,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
+    with_book(state, key, epoch, now, out, |book, ctx| {
+        holds::held(book, worker, sent_ms, result, epoch, ctx)
+    });
+}
+
+fn worker_word(state: &mut State, word: WorkerWord, now: Now, out: &mut Vec<Effect>) {
+    match word {
+        WorkerWord::Present(fact) => present(state, fact, now, out),
+        WorkerWord::Gone(id) => gone(state, &id, now, out),
+        WorkerWord::Unreadable(id, why) => {
+            let decision = Decision::new(Code::BadRow, Subject::Host, &id, why);
+            out.push(Effect::Log(decision));
+        }
+    }
+}
+
+fn workers_read(state: &mut State, all: Vec<WorkerFact>, now: Now, out: &mut Vec<Effect>) {
+    let missing: Vec<String> = state
+        .listed
+        .keys()
+        .filter(|id| !all.iter().any(|f| f.id == **id))
+        .cloned()
+        .collect();
+    for id in missing {
+        gone(state, &id, now, out);
+    }
+    for fact in all {
+        if state.listed.get(&fact.id) != Some(&fact) {
+            present(state, fact, now, out);
+        }
+    }
+}
+
+fn present(state: &mut State, fact: WorkerFact, now: Now, out: &mut Vec<Effect>) {
+    let earlier: Vec<String> = state
+        .listed
+        .values()
+        .filter(|f| f.host == fact.host && f.id != fact.id)
+        .map(|f| f.id.clone())
+        .collect();
+    for id in &earlier {
+        state.listed.remove(id);
+    }
+    state.listed.insert(fact.id.clone(), fact.clone());
+    for key in owned_pools(state) {
+        with_pool(state, key, now, out, |pool, ctx, _| {
+            let is_its_pool = pool.name == fact.pool;
+            let Some(tenure) = &mut pool.tenure else {
+                return;
+            };
+            let epoch = tenure.epoch;
+            let Some(book) = &mut tenure.book else { return };
+            end_earlier_lives(book, &fact, ctx);
+            if is_its_pool {
+                note_present(book, &fact, epoch, ctx);
+            }
+        });
+    }
+}
+
+/// A host carries one life at a time: those before the one that is listed now are over.
+fn end_earlier_lives(book: &mut Book, fact: &WorkerFact, ctx: &mut Ctx<'_>) {
+    let earlier: Vec<WorkerKey> = book
+        .workers
+        .iter()
+        .filter(|(_, w)| w.fact.host == fact.host && w.fact.id != fact.id)
+        .map(|(key, _)| key)
+        .collect();
+    for key in earlier {
+        let w = &mut book.workers[key];
+        w.is_listed = false;
+        w.lease_over_ms = 0;
+        runs::worker_over(book, key, "its host has a new life", ctx);
+        holds::forget_if_over(book, key, ctx);
+    }
+}
+
+fn note_present(book: &mut Book, fact: &WorkerFact, epoch: u64, ctx: &mut Ctx<'_>) {
+    if let Some(key) = book.by_life.get(&fact.id).copied() {
+        let w = &mut book.workers[key];
+        w.fact = fact.clone();
+        w.is_listed = true;
+        book.wants_placing = true;
+        holds::next(book, key, epoch, ctx);
+        return;
+    }
+    let key = load::add_worker(book, fact.clone(), ctx.now.ms);
+    ctx.tell(Decision::new(
+        Code::WorkerFound,
+        Subject::Host,
+        &fact.id,
+        &*fact.host,
+    ));
+    greet(book, key, epoch, ctx);
+}
+
+fn gone(state: &mut State, id: &str, now: Now, out: &mut Vec<Effect>) {
+    state.listed.remove(id);
+    for key in owned_pools(state) {
+        with_pool(state, key, now, out, |pool, ctx, _| {
+            let Some(book) = pool.tenure.as_mut().and_then(|t| t.book.as_mut()) else {
+                return;
+            };
+            if let Some(worker) = book.by_life.get(id).copied() {
+                book.workers[worker].is_listed = false;
+                holds::forget_if_over(book, worker, ctx);
+            }
+        });
+    }
+}
+
+fn owned_pools(state: &State) -> Vec<PoolKey> {
+    state
+        .pools
+        .iter()
+        .enumerate()
+        .filter(|(_, p)| p.tenure.is_some())
+        .map(|(n, _)| PoolKey(n as u16))
+        .collect()
+}
+
+fn stop(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    state.is_stopping = true;
+    for key in owned_pools(state) {
+        with_pool(state, key, now, out, |pool, _, _| {
+            if let Some(tenure) = &mut pool.tenure {
+                tenure.is_leaving = true;
+            }
+        });
+    }
+}
+
+fn fire_timers(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    while let Some((at_ms, key, timer)) = state.timers.first().copied() {
+        if at_ms > now.ms {
+            return;
+        }
+        state.timers.pop_first();
+        fire(state, key, timer, now, out);
+    }
+}
+
+fn fire(state: &mut State, key: PoolKey, timer: Timer, now: Now, out: &mut Vec<Effect>) {
+    if timer == Timer::Claim {
+        let (owned, is_stopping, nonce) = (state.owned(), state.is_stopping, state.nonce);
+        with_pool(state, key, now, out, |pool, ctx, _| {
+            seat::consider(pool, owned, is_stopping, ctx, nonce);
+        });
+        return;
+    }
+    with_pool(state, key, now, out, |pool, ctx, _| {
+        if timer == Timer::Renew {
+            seat::renew(pool, ctx);
+            return;
+        }
+        let Some(tenure) = &mut pool.tenure else {
+            return;
+        };
+        let epoch = tenure.epoch;
+        match timer {
+            Timer::Load => {
+                ctx.out
+                    .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
+            }
+            Timer::Resend => commit::resend(tenure, ctx),
+            _ => {
+                if let Some(book) = &mut tenure.book {
+                    fire_in_book(book, timer, epoch, ctx);
+                }
+            }
+        }
+    });
+}
+
+fn fire_in_book(book: &mut Book, timer: Timer, epoch: u64, ctx: &mut Ctx<'_>) {
+    match timer {
+        Timer::Hold(worker) => holds::next(book, worker, epoch, ctx),
+        Timer::LeaseOver(worker) => holds::lease_over(book, worker, ctx),
+        Timer::Restart(task, run) => runs::send_start(book, task, run, epoch, ctx),
+        Timer::Restop(task, run) => runs::restop(book, task, run, epoch, ctx),
+        Timer::Upkeep => {
+            book.resort(ctx.now.ms);
+            runs::begin_due_rounds(book, ctx);
+            book.wants_placing = true;
+            // Timers at the same moment are one: this one alone keeps the round going.
+            let is_set =
+                |(_, p, t): &(Millis, PoolKey, Timer)| *p == ctx.pool && *t == Timer::Upkeep;
+            if !ctx.timers.iter().any(is_set) {
+                ctx.after(RESORT_MS, Timer::Upkeep);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// What follows from any event: places for what waits, the next batch, a pool that is given up.
+fn settle_pools(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    for key in owned_pools(state) {
+        with_pool(state, key, now, out, |pool, ctx, _| {
+            let name = pool.name.clone();
+            let Some(tenure) = &mut pool.tenure else {
+                return;
+            };
+            if tenure.is_leaving {
+                if tenure.batch.is_none() {
+                    seat::release(pool, ctx);
+                }
+                return;
+            }
+            if let Some(book) = tenure.book.as_mut() {
+                if book.wants_placing && ctx.may_send() {
+                    place::place(book, ctx);
+                }
+            }
+            commit::flush(tenure, &name, ctx);
+        });
+    }
+    if state.is_stopping && state.owned() == 0 {
+        out.push(Effect::Left);
+    }
+}
--- /dev/null
+++ b/src/core/sched/rows.rs
@@ -0,0 +1,127 @@
+//! What the product's rows hold, and their keys.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::job::JobState;
+use crate::clock::Millis;
+
+/// Key of the row that names a pool's owner; its revision is the owner's epoch.
+pub const OWNER_KEY: &str = "owner";
+
+/// Key of the owner's heartbeat.
+pub const BEAT_KEY: &str = "beat";
+
+/// Behind a job's id in the key of its cancel.
+const CANCEL_SUFFIX: &str = "/cancel";
+
+/// Who owns a pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRow {
+    /// The entry; empty where an owner left.
+    pub entry: String,
+    /// Tells two claims of one entry apart.
+    pub nonce: u64,
+}
+
+/// The owner is alive, and what others may know of its pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatRow {
+    /// The entry.
+    pub entry: String,
+    /// Rises with each heartbeat.
+    pub count: u64,
+    /// Jobs that have not begun, by queue.
+    #[serde(default)]
+    pub waiting: BTreeMap<String, u64>,
+}
+
+/// How far a job is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgressRow {
+    /// What callers are told.
+    pub state: JobState,
+    /// Rounds below this one are done.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub rounds_done: u32,
+    /// Workers that tasks name by their place here: id of the life, and host.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workers: Vec<(String, String)>,
+    /// Rounds that have begun and are not done.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rounds: Vec<RoundRow>,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+/// One round of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoundRow {
+    /// Its number.
+    pub round: u32,
+    /// Tasks by step.
+    pub steps: Vec<Vec<TaskRow>>,
+}
+
+/// One task: run number, failed runs, and where it stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRow(pub u32, pub u16, pub Standing);
+
+/// Where a task stands on record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// Not started, or the last run is certainly over.
+    #[serde(rename = "i")]
+    Idle,
+    /// May run on the worker at this place of [`ProgressRow::workers`].
+    #[serde(rename = "r")]
+    Started(u16),
+    /// Done.
+    #[serde(rename = "d")]
+    Done,
+}
+
+/// A wave's hosts that have been ordered out, by host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRow {
+    /// Hosts that hold a slot: out, or about to be.
+    pub out: BTreeMap<String, SlotRow>,
+    /// Hosts that are back.
+    pub back: Vec<String>,
+}
+
+/// A slot of a wave.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotRow {
+    /// Life of the worker that was on the host.
+    pub life: String,
+    /// The pool whose owner took the slot.
+    pub pool: String,
+    /// Wall clock at that moment.
+    pub taken_wall_ms: Millis,
+}
+
+/// Key of a job's cancel.
+pub fn cancel_key(job: &str) -> String {
+    format!("{job}{CANCEL_SUFFIX}")
+}
+
+/// The job that a cancel's key names.
+pub fn cancelled_job(key: &str) -> Option<&str> {
+    key.strip_suffix(CANCEL_SUFFIX)
+}
+
+/// A row's bytes.
+pub fn encode<T: Serialize>(row: &T) -> Vec<u8> {
+    // Plain structures of ours: serialization has no way to fail.
+    serde_json::to_vec(row).unwrap_or_default()
+}
+
+/// A row from its bytes, or why it can't be read.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(bytes).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/src/core/sched/runs.rs
@@ -0,0 +1,425 @@
+//! Runs of tasks: starts and stops answered, ends taken note of, jobs that come to their end.
+//!
+//! A run that was recorded may be at work until its worker says otherwise, until the worker's life is
+//! over, or until everything ordered there has lapsed. Only then does the next run get its place.
+
+use super::book::{Book, JobKey, Phase, TaskKey, WorkerKey};
+use super::job::JobState;
+use super::limits::{
+    FAILS_IN_A_ROW, FULL_PAUSE_MS, ORDER_RETRY_MS, SUSPEND_MAX_MS, SUSPEND_MS, WORKER_LEASE_MS,
+};
+use super::load;
+use super::state::{Ctx, Effect, Order, Timer};
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{Addressee, EndKind, OrderReply, RunEnd, RunStart, TaskName};
+
+/// Pause for a worker that says that it is unwell or can't be connected to.
+const UNWELL_PAUSE_MS: u64 = 500;
+
+/// Where orders to a worker go.
+pub fn order(book: &Book, worker: WorkerKey, epoch: u64, ctx: &Ctx<'_>) -> Option<Order> {
+    let worker = book.workers.get(worker)?;
+    Some(Order {
+        pool: ctx.pool,
+        to: Addressee {
+            worker: worker.fact.id.clone(),
+            address: worker.fact.address,
+            fence: epoch,
+        },
+        until_ms: ctx.until_ms,
+    })
+}
+
+/// Sends the start of a run that is on record.
+pub fn send_start(book: &mut Book, key: TaskKey, run: u32, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(task) = book.task(key) else { return };
+    let (Phase::Recording(worker) | Phase::Starting(worker)) = task.phase else {
+        return;
+    };
+    if task.run != run {
+        return;
+    }
+    let checkpoint = task.checkpoint.clone();
+    if task.phase == Phase::Recording(worker) {
+        book.set_phase(key, Phase::Starting(worker), ctx.now.ms);
+    }
+    let (Some(name), Some(order)) = (book.name(key), order(book, worker, epoch, ctx)) else {
+        return;
+    };
+    let spec = book.jobs[key.job].spec.payload.clone();
+    let Some(w) = book.workers.get_mut(worker) else {
+        return;
+    };
+    let Some(clock) = w.clock.filter(|_| ctx.may_send() && w.answers) else {
+        ctx.after(ORDER_RETRY_MS, Timer::Restart(key, run));
+        return;
+    };
+    let lease_until_ms = clock.at(ctx.now.ms) + WORKER_LEASE_MS;
+    w.lease_given(lease_until_ms);
+    let start = RunStart {
+        task: name,
+        run,
+        spec,
+        lease_until_ms,
+        checkpoint,
+    };
+    ctx.out.push(Effect::Start(order, key, start));
+}
+
+/// Settles a start; says whether the pool is lost.
+pub fn started(
+    book: &mut Book,
+    key: TaskKey,
+    run: u32,
+    reply: OrderReply,
+    ctx: &mut Ctx<'_>,
+) -> bool {
+    let Some(task) = book.task(key) else {
+        return false;
+    };
+    let Phase::Starting(worker) = task.phase else {
+        return false;
+    };
+    if task.run != run {
+        return false;
+    }
+    match reply {
+        OrderReply::Accepted | OrderReply::Outdated => {
+            // Outdated: it ended or was barred there; the next account tells which.
+            book.set_phase(key, Phase::Running(worker), ctx.now.ms);
+            settle(book, key, ctx);
+        }
+        OrderReply::Silent | OrderReply::TooLate => {
+            ctx.after(ORDER_RETRY_MS, Timer::Restart(key, run));
+        }
+        OrderReply::NoRoom => {
+            pause(book, worker, FULL_PAUSE_MS, ctx);
+            requeue(book, key, "no room", ctx);
+        }
+        OrderReply::Unwell => {
+            pause(book, worker, UNWELL_PAUSE_MS, ctx);
+            requeue(book, key, "worker unwell", ctx);
+        }
+        OrderReply::OtherLife => worker_over(book, worker, "another life answered", ctx),
+        OrderReply::Fenced => return true,
+    }
+    false
+}
+
+fn settle(book: &mut Book, key: TaskKey, ctx: &Ctx<'_>) {
+    if let Some(task) = book.task_mut(key) {
+        task.settled_ms = Some(ctx.now.ms);
+    }
+}
+
+fn pause(book: &mut Book, worker: WorkerKey, ms: u64, ctx: &mut Ctx<'_>) {
+    if let Some(w) = book.workers.get_mut(worker) {
+        w.suspended_until_ms = w.suspended_until_ms.max(ctx.now.ms + ms);
+        ctx.after(ms, Timer::Upkeep);
+    }
+}
+
+/// Orders a run stopped.
+pub fn stop(book: &mut Book, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(task) = book.task(key) else { return };
+    let run = task.run;
+    let worker = match task.phase {
+        Phase::Starting(w) | Phase::Running(w) | Phase::Suspect(w) | Phase::Stopping(w) => w,
+        Phase::Recording(_) => {
+            // Never sent: what is on record is overwritten by the next record.
+            requeue(book, key, "stopped before it was sent", ctx);
+            return;
+        }
+        _ => return,
+    };
+    if task.phase != Phase::Stopping(worker) {
+        book.set_phase(key, Phase::Stopping(worker), ctx.now.ms);
+    }
+    send_stop(book, key, worker, run, epoch, ctx);
+}
+
+fn send_stop(
+    book: &mut Book,
+    key: TaskKey,
+    worker: WorkerKey,
+    run: u32,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let (Some(name), Some(order)) = (book.name(key), order(book, worker, epoch, ctx)) else {
+        return;
+    };
+    if !ctx.may_send() || order.to.address.port() == 0 {
+        ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run));
+        return;
+    }
+    ctx.out.push(Effect::Stop(order, key, name, run));
+}
+
+/// Sends a stop again that got no answer.
+pub fn restop(book: &mut Book, key: TaskKey, run: u32, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(task) = book.task(key) else { return };
+    if let Phase::Stopping(worker) = task.phase {
+        if task.run == run && task.settled_ms.is_none() {
+            send_stop(book, key, worker, run, epoch, ctx);
+        }
+    }
+}
+
+/// Settles a stop; says whether the pool is lost.
+pub fn stopped(
+    book: &mut Book,
+    key: TaskKey,
+    run: u32,
+    reply: OrderReply,
+    ctx: &mut Ctx<'_>,
+) -> bool {
+    let Some(task) = book.task(key) else {
+        return false;
+    };
+    let Phase::Stopping(worker) = task.phase else {
+        return false;
+    };
+    if task.run != run {
+        return false;
+    }
+    match reply {
+        OrderReply::Accepted | OrderReply::Outdated => settle(book, key, ctx),
+        OrderReply::OtherLife => worker_over(book, worker, "another life answered", ctx),
+        OrderReply::Fenced => return true,
+        _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
+    }
+    false
+}
+
+/// Brings a task whose run is certainly over back into the queue, or to rest.
+pub fn requeue(book: &mut Book, key: TaskKey, why: &str, ctx: &mut Ctx<'_>) {
+    let Some(job) = book.jobs.get(key.job) else {
+        return;
+    };
+    if job.state.is_final() {
+        book.set_phase(key, Phase::Blocked, ctx.now.ms);
+        return;
+    }
+    let id = job.id.clone();
+    let run = book.task(key).map_or(0, |t| t.run);
+    book.set_phase(key, Phase::Ready, ctx.now.ms);
+    ctx.tell(
+        Decision::new(Code::TaskRequeued, Subject::Job, &id, why)
+            .with("step", u64::from(key.step))
+            .with("task", u64::from(key.index))
+            .with("run", u64::from(run)),
+    );
+}
+
+/// A worker's life, or everything on it, is certainly over.
+pub fn worker_over(book: &mut Book, worker: WorkerKey, why: &str, ctx: &mut Ctx<'_>) {
+    let Some(w) = book.workers.get_mut(worker) else {
+        return;
+    };
+    w.answers = false;
+    let id = w.fact.id.clone();
+    let tasks: Vec<TaskKey> = w.tasks.iter().copied().collect();
+    ctx.tell(
+        Decision::new(Code::WorkerOver, Subject::Host, &id, why).with("tasks", tasks.len() as u64),
+    );
+    for key in tasks {
+        requeue(book, key, why, ctx);
+    }
+}
+
+/// Takes a run's end into the books.
+pub fn take_end(book: &mut Book, worker: WorkerKey, end: &RunEnd, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(key) = book.find(&end.task) else {
+        return;
+    };
+    let Some(task) = book.task(key) else { return };
+    let is_current = task.run == end.run && task.phase.worker() == Some(worker);
+    if book.jobs[key.job].state.is_final() || task.phase == Phase::Done {
+        if is_current {
+            book.set_phase(key, Phase::Blocked, ctx.now.ms);
+        }
+        return;
+    }
+    match end.kind {
+        EndKind::Done => done(book, key, worker, is_current, epoch, ctx),
+        EndKind::Failed => failed(book, key, worker, is_current, epoch, ctx),
+        _ if is_current => {
+            if let Some(task) = book.task_mut(key) {
+                task.checkpoint.clone_from(&end.checkpoint);
+            }
+            requeue(book, key, "run ended unfinished", ctx);
+        }
+        _ => {}
+    }
+}
+
+fn done(
+    book: &mut Book,
+    key: TaskKey,
+    worker: WorkerKey,
+    is_current: bool,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    if let Some(w) = book.workers.get_mut(worker) {
+        w.fails_in_row = 0;
+        w.suspensions = 0;
+    }
+    if !is_current {
+        stop_other_run(book, key, epoch, ctx);
+    }
+    book.set_phase(key, Phase::Done, ctx.now.ms);
+    book.mark(key.job, ctx.now.ms);
+    let job = &mut book.jobs[key.job];
+    let Some(round) = job.rounds.get_mut(&key.round) else {
+        return;
+    };
+    let step = &mut round.steps[usize::from(key.step)];
+    step.left -= 1;
+    if step.left > 0 {
+        return;
+    }
+    if round.steps.iter().any(|s| s.left > 0) {
+        book.open_steps(key.job, key.round, ctx.now.ms);
+        return;
+    }
+    job.rounds.remove(&key.round);
+    let rounds = job.spec.schedule.map_or(1, |s| s.rounds);
+    if job.rounds.is_empty() && job.rounds_begun >= rounds {
+        let id = job.id.clone();
+        book.set_state(key.job, JobState::Completed, ctx.now.ms);
+        ctx.tell_job(Code::JobEnded, &id, "completed");
+    }
+}
+
+/// An earlier run turned out to be done while a later one is at work elsewhere.
+fn stop_other_run(book: &mut Book, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(task) = book.task(key) else { return };
+    let (Some(worker), run) = (task.phase.worker(), task.run) else {
+        return;
+    };
+    let (Some(name), Some(order)) = (book.name(key), order(book, worker, epoch, ctx)) else {
+        return;
+    };
+    ctx.out.push(Effect::StopStray(order, name, run));
+}
+
+fn failed(
+    book: &mut Book,
+    key: TaskKey,
+    worker: WorkerKey,
+    is_current: bool,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    count_failure(book, worker, ctx);
+    book.mark(key.job, ctx.now.ms);
+    let lasts = book.step_spec(key).is_some_and(|s| s.lasting);
+    let attempts_max = book.jobs[key.job].attempts_max;
+    let Some(task) = book.task_mut(key) else {
+        return;
+    };
+    task.fails = task.fails.saturating_add(1);
+    task.failed_on = Some(worker);
+    let fails = u32::from(task.fails);
+    if is_current {
+        requeue(book, key, "run failed", ctx);
+    }
+    if !lasts && fails >= attempts_max {
+        end_job(book, key.job, JobState::Failed, epoch, ctx);
+    }
+}
+
+/// Leaves a worker alone for a while on which tasks keep failing.
+fn count_failure(book: &mut Book, worker: WorkerKey, ctx: &mut Ctx<'_>) {
+    let Some(w) = book.workers.get_mut(worker) else {
+        return;
+    };
+    w.fails_in_row += 1;
+    if w.fails_in_row < FAILS_IN_A_ROW {
+        return;
+    }
+    let pause_ms = (SUSPEND_MS << w.suspensions.min(4)).min(SUSPEND_MAX_MS);
+    w.suspensions += 1;
+    // One failure more after the pause is enough to leave it alone again.
+    w.fails_in_row = FAILS_IN_A_ROW - 1;
+    let id = w.fact.id.clone();
+    pause(book, worker, pause_ms, ctx);
+    ctx.tell(
+        Decision::new(
+            Code::WorkerSuspended,
+            Subject::Host,
+            &id,
+            "tasks fail there",
+        )
+        .with("pause_ms", pause_ms),
+    );
+}
+
+/// Ends a job before its tasks are done, and stops what runs of it.
+pub fn end_job(book: &mut Book, key: JobKey, state: JobState, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(job) = book.jobs.get(key) else {
+        return;
+    };
+    if job.state.is_final() {
+        return;
+    }
+    let id = job.id.clone();
+    book.set_state(key, state, ctx.now.ms);
+    book.mark(key, ctx.now.ms);
+    for task in book.tasks_of(key) {
+        match book.task(task).map(|t| t.phase) {
+            Some(Phase::Ready | Phase::Recording(_)) => {
+                book.set_phase(task, Phase::Blocked, ctx.now.ms);
+            }
+            Some(Phase::Starting(_) | Phase::Running(_) | Phase::Suspect(_)) => {
+                stop(book, task, epoch, ctx);
+            }
+            _ => {}
+        }
+    }
+    let (code, why) = match state {
+        JobState::Cancelled => (Code::JobCancelled, "cancel on record"),
+        _ => (Code::JobEnded, "a task failed too often"),
+    };
+    ctx.tell_job(code, &id, why);
+}
+
+/// Ends a job that a caller cancelled.
+pub fn cancel(book: &mut Book, key: JobKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    end_job(book, key, JobState::Cancelled, epoch, ctx);
+}
+
+/// Stops a run that a worker lists and the books do not expect there.
+pub fn stop_stray(
+    book: &Book,
+    worker: WorkerKey,
+    name: &TaskName,
+    run: u32,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(order) = order(book, worker, epoch, ctx) else {
+        return;
+    };
+    ctx.tell_job(
+        Code::StrayRun,
+        &name.job,
+        format!("run {run} on {}", order.to.worker),
+    );
+    ctx.out.push(Effect::StopStray(order, name.clone(), run));
+}
+
+/// Begins rounds that fell due.
+pub fn begin_due_rounds(book: &mut Book, ctx: &mut Ctx<'_>) {
+    let timed: Vec<JobKey> = book
+        .jobs
+        .iter()
+        .filter(|(_, job)| job.spec.schedule.is_some() && !job.state.is_final())
+        .map(|(key, _)| key)
+        .collect();
+    for key in timed {
+        load::begin_if_new(book, key, ctx);
+    }
+}
--- /dev/null
+++ b/src/core/sched/seat.rs
@@ -0,0 +1,270 @@
+//! Who owns a pool: one entry at a time, by a row of the store and a lease on it.
+//!
+//! The owner's row changes only when a pool changes hands; its revision is the epoch, which fences all
+//! orders and guards all writes. The heartbeat is another row, so that renewals leave the epoch alone.
+//! A taker writes only where the heartbeat has not changed since it saw it, a whole lease ago.
+
+use super::limits::{
+    CLAIM_OWNED_MS, CLAIM_SPREAD_MS, OWNER_LEASE_MS, OWNER_MARGIN_MS, RENEW_MS, TX_RETRY_MS,
+};
+use super::rows::{self, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY};
+use super::state::{Ctx, Effect, Pool, State, Tenure, Timer};
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, TxOutcome, Write};
+
+/// Who owns a pool, as this entry has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Seat {
+    /// The owner's row.
+    pub owner: OwnerRow,
+    /// Its revision: the epoch.
+    pub epoch: Revision,
+    /// The newest heartbeat.
+    pub beat: BeatRow,
+    /// Its revision.
+    pub beat_revision: Revision,
+    /// When this entry saw the newest heartbeat.
+    pub beat_seen_ms: Millis,
+    /// A claim of ours is out.
+    pub is_claiming: bool,
+    /// Start of our last renewal that was acknowledged.
+    pub renewed_ms: Millis,
+    /// A renewal of ours is out.
+    pub is_renewing: bool,
+}
+
+impl Seat {
+    /// Until when this entry may send orders, if it owns the pool.
+    pub fn until_ms(&self) -> Millis {
+        self.renewed_ms + OWNER_LEASE_MS - OWNER_MARGIN_MS
+    }
+
+    /// How long the pool has been without a living owner; nothing while it has one.
+    fn vacant_since_ms(&self, now_ms: Millis) -> Option<Millis> {
+        if self.owner.entry.is_empty() {
+            return Some(self.beat_seen_ms);
+        }
+        let over_ms = self.beat_seen_ms + OWNER_LEASE_MS;
+        (now_ms >= over_ms).then_some(over_ms)
+    }
+}
+
+/// Takes in a change of the owners' table.
+pub fn observe(pool: &mut Pool, row: &StoredRow, now_ms: Millis) -> Result<(), String> {
+    let seat = &mut pool.seat;
+    let Some(value) = &row.value else {
+        return Ok(());
+    };
+    if row.key == OWNER_KEY && row.revision > seat.epoch {
+        seat.owner = rows::decode(value)?;
+        seat.epoch = row.revision;
+        seat.beat_seen_ms = now_ms;
+    }
+    if row.key == BEAT_KEY && row.revision > seat.beat_revision {
+        seat.beat = rows::decode(value)?;
+        seat.beat_revision = row.revision;
+        seat.beat_seen_ms = now_ms;
+    }
+    Ok(())
+}
+
+/// A fixed spread of entries over pools.
+fn spread_ms(me: &str, pool: &str) -> Millis {
+    // FNV-1a: small, and the same in every build.
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+    for byte in me.bytes().chain(pool.bytes()) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    (hash >> 32) % CLAIM_SPREAD_MS
+}
+
+/// Claims the pool if it has had no living owner for long enough; else looks again when it may.
+pub fn consider(pool: &mut Pool, owned: usize, is_stopping: bool, ctx: &mut Ctx<'_>, nonce: u64) {
+    if pool.tenure.is_some() || pool.seat.is_claiming || is_stopping {
+        return;
+    }
+    let stagger_ms = spread_ms(ctx.me, &pool.name) + owned as Millis * CLAIM_OWNED_MS;
+    let now_ms = ctx.now.ms;
+    match pool.seat.vacant_since_ms(now_ms) {
+        Some(since_ms) if now_ms >= since_ms + stagger_ms => claim(pool, ctx, nonce),
+        Some(since_ms) => ctx.after(since_ms + stagger_ms - now_ms, Timer::Claim),
+        None => {
+            let over_ms = pool.seat.beat_seen_ms + OWNER_LEASE_MS;
+            ctx.after(over_ms - now_ms + stagger_ms, Timer::Claim);
+        }
+    }
+}
+
+fn claim(pool: &mut Pool, ctx: &mut Ctx<'_>, nonce: u64) {
+    let owner = OwnerRow {
+        entry: ctx.me.to_string(),
+        nonce,
+    };
+    let tx = RowTx {
+        part: pool.name.clone(),
+        guards: vec![
+            guard(OWNER_KEY, pool.seat.epoch),
+            guard(BEAT_KEY, pool.seat.beat_revision),
+        ],
+        writes: vec![
+            write(OWNER_KEY, rows::encode(&owner)),
+            write(BEAT_KEY, rows::encode(&beat(pool, ctx.me))),
+        ],
+    };
+    pool.seat.is_claiming = true;
+    ctx.out.push(Effect::Claim(ctx.pool, tx));
+}
+
+fn guard(key: &str, revision: Revision) -> Guard {
+    Guard {
+        table: Table::Owners,
+        key: key.to_string(),
+        revision,
+    }
+}
+
+fn write(key: &str, value: Vec<u8>) -> Write {
+    Write {
+        table: Table::Owners,
+        key: key.to_string(),
+        value: Some(value),
+    }
+}
+
+/// The guard that every write of an owner carries.
+pub fn epoch_guard(epoch: u64) -> Guard {
+    guard(OWNER_KEY, epoch)
+}
+
+fn beat(pool: &Pool, me: &str) -> BeatRow {
+    let book = pool.tenure.as_ref().and_then(|t| t.book.as_ref());
+    BeatRow {
+        entry: me.to_string(),
+        count: pool.seat.beat.count + 1,
+        waiting: book.map_or_else(|| pool.seat.beat.waiting.clone(), |b| b.waiting.clone()),
+    }
+}
+
+/// Settles a claim.
+pub fn claimed(
+    pool: &mut Pool,
+    sent_ms: Millis,
+    outcome: TxOutcome,
+    nonce: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    pool.seat.is_claiming = false;
+    let epoch = match outcome {
+        TxOutcome::Committed(revision) => Some(revision),
+        TxOutcome::Conflict(found) => {
+            for (_, row) in &found {
+                // An undecodable row was logged when the feed brought it.
+                let _ = observe(pool, row, ctx.now.ms);
+            }
+            let is_ours = pool.seat.owner.entry == ctx.me && pool.seat.owner.nonce == nonce;
+            is_ours.then_some(pool.seat.epoch)
+        }
+        TxOutcome::Refused | TxOutcome::Unknown => None,
+    };
+    match epoch {
+        Some(epoch) => begin(pool, epoch, sent_ms, nonce, ctx),
+        None => ctx.after(TX_RETRY_MS, Timer::Claim),
+    }
+}
+
+fn begin(pool: &mut Pool, epoch: u64, sent_ms: Millis, nonce: u64, ctx: &mut Ctx<'_>) {
+    let silent_ms = ctx.now.ms.saturating_sub(pool.seat.beat_seen_ms);
+    let why = format!("no owner since {:?} was last heard", pool.seat.beat.entry);
+    ctx.tell(
+        Decision::new(Code::PoolOwned, Subject::Pool, &pool.name, why)
+            .with("epoch", epoch)
+            .with("silent_ms", silent_ms),
+    );
+    pool.seat.owner = OwnerRow {
+        entry: ctx.me.to_string(),
+        nonce,
+    };
+    pool.seat.epoch = epoch;
+    pool.seat.renewed_ms = sent_ms;
+    pool.seat.is_renewing = false;
+    pool.tenure = Some(Tenure {
+        epoch,
+        book: None,
+        batch: None,
+        early: Vec::new(),
+        is_leaving: false,
+        began_ms: ctx.now.ms,
+    });
+    ctx.out
+        .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
+    ctx.after(RENEW_MS, Timer::Renew);
+}
+
+/// Renews the lease.
+pub fn renew(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    let Some(tenure) = &pool.tenure else { return };
+    if pool.seat.is_renewing {
+        return;
+    }
+    let epoch = tenure.epoch;
+    let tx = RowTx {
+        part: pool.name.clone(),
+        guards: vec![epoch_guard(epoch)],
+        writes: vec![write(BEAT_KEY, rows::encode(&beat(pool, ctx.me)))],
+    };
+    pool.seat.is_renewing = true;
+    pool.seat.beat.count += 1;
+    ctx.out.push(Effect::Renew(ctx.pool, epoch, tx));
+}
+
+/// Settles a renewal; says whether the pool is lost.
+pub fn renewed(pool: &mut Pool, sent_ms: Millis, outcome: TxOutcome, ctx: &mut Ctx<'_>) -> bool {
+    pool.seat.is_renewing = false;
+    match outcome {
+        TxOutcome::Committed(_) => {
+            pool.seat.renewed_ms = pool.seat.renewed_ms.max(sent_ms);
+            let passed_ms = ctx.now.ms.saturating_sub(sent_ms);
+            ctx.after(RENEW_MS.saturating_sub(passed_ms), Timer::Renew);
+            false
+        }
+        TxOutcome::Conflict(_) => true,
+        TxOutcome::Refused | TxOutcome::Unknown => {
+            ctx.after(TX_RETRY_MS, Timer::Renew);
+            false
+        }
+    }
+}
+
+/// Gives the pool up in the store, so that another may take it at once.
+pub fn release(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    let Some(tenure) = pool.tenure.take() else {
+        return;
+    };
+    let tx = RowTx {
+        part: pool.name.clone(),
+        guards: vec![epoch_guard(tenure.epoch)],
+        writes: vec![write(OWNER_KEY, rows::encode(&OwnerRow::default()))],
+    };
+    ctx.out.push(Effect::Release(tx));
+    ctx.tell(
+        Decision::new(Code::PoolReleased, Subject::Pool, &pool.name, "stopping")
+            .with("epoch", tenure.epoch),
+    );
+}
+
+/// Drops the books of a pool that another entry owns now.
+pub fn lose(pool: &mut Pool, why: &str, ctx: &mut Ctx<'_>) {
+    let Some(tenure) = pool.tenure.take() else {
+        return;
+    };
+    ctx.tell(
+        Decision::new(Code::PoolLost, Subject::Pool, &pool.name, why).with("epoch", tenure.epoch),
+    );
+    ctx.after(OWNER_LEASE_MS, Timer::Claim);
+}
+
+/// Whether this entry's lease on the pool is running.
+pub fn is_live(state: &State, pool: &Pool, now_ms: Millis) -> bool {
+    pool.tenure.is_some() && pool.seat.owner.entry == state.me && now_ms < pool.seat.until_ms()
+}
--- /dev/null
+++ b/src/core/sched/state.rs
@@ -0,0 +1,277 @@
+//! All that an entry's scheduler knows, what happens to it, and what it wants done.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::book::{Book, JobKey, TaskKey, WorkerKey};
+use super::seat::Seat;
+use crate::clock::{Millis, Now};
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{
+    Addressee, FleetConfig, HoldAsk, HoldReport, HostReply, OperatorWord, OrderReply, Revision,
+    RowTx, RunStart, StoredRow, TaskName, TxOutcome, WaveOrder, WorkerFact, WorkerWord,
+};
+
+/// A pool, by its place in [`State::pools`]; pools are never removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PoolKey(pub u16);
+
+/// What an owner holds of its pool.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    /// Its epoch: the fence of all its orders.
+    pub epoch: u64,
+    /// The books, once they are read.
+    pub book: Option<Book>,
+    /// The transaction that is out, if one is.
+    pub batch: Option<Batch>,
+    /// Changes of jobs that came while the books were being read.
+    pub early: Vec<StoredRow>,
+    /// It gives the pool up as soon as nothing is out.
+    pub is_leaving: bool,
+    /// When the pool was claimed; everything a former owner sent came before.
+    pub began_ms: Millis,
+}
+
+/// A transaction of progress.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// As sent, and sent again until it is settled.
+    pub tx: RowTx,
+    /// The jobs in it, in the order of its writes.
+    pub jobs: Vec<JobKey>,
+    /// Runs that start once it is settled.
+    pub starts: Vec<(TaskKey, u32)>,
+    /// Workers, and up to which end it records them.
+    pub ends: Vec<(WorkerKey, u64)>,
+}
+
+/// A pool as this entry sees it.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// Its name, which is also the partition of its rows.
+    pub name: String,
+    /// Who owns it.
+    pub seat: Seat,
+    /// Set while this entry does.
+    pub tenure: Option<Tenure>,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// Look whether the pool wants an owner.
+    Claim,
+    /// Renew the owner's lease.
+    Renew,
+    /// Read the pool's rows again.
+    Load,
+    /// Record what was gathered.
+    Flush,
+    /// Send the batch again.
+    Resend,
+    /// Ask a worker for its account.
+    Hold(WorkerKey),
+    /// A worker's lease may be over.
+    LeaseOver(WorkerKey),
+    /// Send a start again.
+    Restart(TaskKey, u32),
+    /// Send a stop again.
+    Restop(TaskKey, u32),
+    /// Sort waiting tasks anew, begin rounds that are due, remove old jobs.
+    Upkeep,
+    /// Look at waves.
+    Wave,
+}
+
+/// Timers of all pools.
+pub type Timers = BTreeSet<(Millis, PoolKey, Timer)>;
+
+/// Something happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed; timers that are due fire.
+    Tick,
+    /// The operator said something.
+    Operator(OperatorWord),
+    /// The list of workers changed.
+    Worker(WorkerWord),
+    /// All workers, read anew.
+    WorkersRead(Vec<WorkerFact>),
+    /// A row of owners changed.
+    Owner(StoredRow),
+    /// A claim was answered.
+    Claimed(PoolKey, Millis, TxOutcome),
+    /// A renewal was answered; it was sent at that time.
+    Renewed(PoolKey, u64, Millis, TxOutcome),
+    /// The pool's rows were read, or could not be.
+    Loaded(PoolKey, u64, Option<LoadedRows>),
+    /// A row of intake changed.
+    Intake(StoredRow),
+    /// The batch was answered.
+    Recorded(PoolKey, u64, TxOutcome),
+    /// A start was answered.
+    Started(PoolKey, u64, TaskKey, u32, OrderReply),
+    /// A stop was answered.
+    Stopped(PoolKey, u64, TaskKey, u32, OrderReply),
+    /// A hold was answered; it was sent at that time.
+    Held(
+        PoolKey,
+        u64,
+        WorkerKey,
+        Millis,
+        Result<HoldReport, OrderReply>,
+    ),
+    /// A wave's row changed or was read.
+    WaveRow(StoredRow),
+    /// A slot was taken or given back, or not.
+    WaveSettled(PoolKey, u64, String, TxOutcome),
+    /// An order for upkeep was answered.
+    UpkeepOrdered(PoolKey, u64, u64, String, HostReply),
+    /// The process was told to stop.
+    Stop,
+}
+
+/// The rows of a pool.
+#[derive(Clone, Debug, Default)]
+pub struct LoadedRows {
+    /// Jobs as submitted, and cancels.
+    pub intake: Vec<StoredRow>,
+    /// Progress.
+    pub progress: Vec<StoredRow>,
+}
+
+/// An order to a worker, sent only before `until_ms`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The pool.
+    pub pool: PoolKey,
+    /// To whom, with which fence.
+    pub to: Addressee,
+    /// The owner's lease ends then; later it must not be sent.
+    pub until_ms: Millis,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Try to become a pool's owner.
+    Claim(PoolKey, RowTx),
+    /// Renew an owner's lease.
+    Renew(PoolKey, u64, RowTx),
+    /// Give a pool up; nobody waits for the answer.
+    Release(RowTx),
+    /// Read a pool's rows.
+    Load(PoolKey, u64, String),
+    /// Record progress.
+    Record(PoolKey, u64, RowTx),
+    /// Start a run.
+    Start(Order, TaskKey, RunStart),
+    /// Stop a run that the books know.
+    Stop(Order, TaskKey, TaskName, u32),
+    /// Stop a run that the books do not know; nobody waits for the answer.
+    StopStray(Order, TaskName, u32),
+    /// Let a run work at a share of full speed.
+    Pace(Order, TaskName, u32, u32),
+    /// Renew a worker's lease.
+    Hold(Order, WorkerKey, HoldAsk),
+    /// Change a wave's row.
+    SettleWave(PoolKey, u64, String, RowTx),
+    /// Tell the operator how a wave is.
+    TellWave(RowTx),
+    /// Order a host down for upkeep: wave, host, until when it may be sent.
+    Upkeep(PoolKey, u64, u64, String, Millis),
+    /// Log a decision.
+    Log(Decision),
+    /// All pools are given up.
+    Left,
+}
+
+/// Everything.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    /// This entry.
+    pub me: String,
+    /// Tells this process's claims from an earlier one's.
+    pub nonce: u64,
+    /// The configuration in force here.
+    pub config: FleetConfig,
+    /// Pools by key.
+    pub pools: Vec<Pool>,
+    /// Keys of pools by name.
+    pub pool_keys: BTreeMap<String, PoolKey>,
+    /// The list of workers.
+    pub listed: BTreeMap<String, WorkerFact>,
+    /// Waves that the operator asked for.
+    pub waves: BTreeMap<u64, WaveOrder>,
+    /// Their rows, with revisions.
+    pub wave_rows: BTreeMap<u64, (Revision, super::rows::WaveRow)>,
+    /// Timers of all pools.
+    pub timers: Timers,
+    /// The process was told to stop.
+    pub is_stopping: bool,
+}
+
+impl State {
+    /// Nothing known yet.
+    pub fn new(me: impl Into<String>, nonce: u64) -> Self {
+        Self {
+            me: me.into(),
+            nonce,
+            ..Self::default()
+        }
+    }
+
+    /// When the reducer wants to be called next.
+    pub fn wake_ms(&self) -> Option<Millis> {
+        self.timers.first().map(|(at_ms, _, _)| *at_ms)
+    }
+
+    /// Number of pools that this entry owns.
+    pub fn owned(&self) -> usize {
+        self.pools.iter().filter(|p| p.tenure.is_some()).count()
+    }
+
+    /// A pool by name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        let key = self.pool_keys.get(name)?;
+        self.pools.get(usize::from(key.0))
+    }
+}
+
+/// What a decision is made with.
+pub struct Ctx<'a> {
+    /// The time.
+    pub now: Now,
+    /// The pool at hand.
+    pub pool: PoolKey,
+    /// This entry.
+    pub me: &'a str,
+    /// Until when orders may be sent.
+    pub until_ms: Millis,
+    /// Timers of all pools.
+    pub timers: &'a mut Timers,
+    /// What is to be done.
+    pub out: &'a mut Vec<Effect>,
+}
+
+impl Ctx<'_> {
+    /// Sets a timer of this pool.
+    pub fn after(&mut self, ms: Millis, timer: Timer) {
+        self.timers.insert((self.now.ms + ms, self.pool, timer));
+    }
+
+    /// Logs a decision.
+    pub fn tell(&mut self, decision: Decision) {
+        self.out.push(Effect::Log(decision));
+    }
+
+    /// Logs a decision on a job.
+    pub fn tell_job(&mut self, code: Code, id: &str, why: impl Into<String>) {
+        self.tell(Decision::new(code, Subject::Job, id, why));
+    }
+
+    /// Whether orders may be sent now.
+    pub fn may_send(&self) -> bool {
+        self.now.ms < self.until_ms
+    }
+}
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -17,7 +17,7 @@
 };
 use crate::clock::{Millis, SECOND_MS};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::{HostFact, Life, Row, Stamped, TaskRef, TaskReport};
+use crate::port::{HostFact, Life, Row, Stamped, TaskRef, TaskReport};
 
 new_key_type! {
     /// Names a host in the arena.
--- a/src/core/wave.rs
+++ b/src/core/wave.rs
@@ -11,7 +11,7 @@
 use super::state::{HostKey, PoolKey, State};
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::platform::Put;
+use crate::port::Put;
 
 /// Names every host.
 pub const EVERY_POOL: &str = "*";
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -19,7 +19,7 @@
 use crate::error::{Failure, Kind};
 use crate::event::{Decision, Subject};
 use crate::http::{server, Incoming, Limits, Wire};
-use crate::platform::Life;
+use crate::port::Life;
 use crate::view::{EntryView, HostView, JobView, Line, PoolView, Status, TemplateView, WaveView};
 
 /// Takes operators' connections, on the control thread.
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -27,7 +27,7 @@
 use crate::core::{reduce, Effect, Event, State};
 use crate::error::{Error, Failure, Kind, Result};
 use crate::metrics::Metrics;
-use crate::platform::{commit, HostList, HostOrders, OrderAnswer, Patience, Table, Tasks};
+use crate::port::{commit, HostList, HostOrders, OrderAnswer, Patience, Table, Tasks};
 use crate::wire::Told;
 
 /// Bound on the wait for an operator's or a caller's edit; a commit gives up before.
@@ -323,7 +323,7 @@
                 }
                 Effect::StartTask(start) => {
                     let answer = platform.start(&start).await.ok();
-                    let task = crate::platform::TaskRef {
+                    let task = crate::port::TaskRef {
                         job: start.job,
                         attempt: start.attempt,
                     };
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -19,7 +19,7 @@
 use crate::event::Decision;
 use crate::log::Log;
 use crate::metrics::Metrics;
-use crate::platform::Http;
+use crate::port::Http;
 use crate::runtime::Runtime;
 
 /// A service as traffic sees it.
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -21,7 +21,7 @@
 use crate::event::{Code, Decision, Subject};
 use crate::http::{server, Incoming};
 use crate::metrics::Metrics;
-use crate::platform::Table;
+use crate::port::Table;
 use crate::util::lock;
 
 /// Bound on a key's length.
--- a/src/event.rs
+++ b/src/event.rs
@@ -85,6 +85,21 @@
     JobRequeued, 504, "job-requeued", "An attempt certainly ended or never began; the job waits again.";
     JobCancelled, 505, "job-cancelled", "A caller asked to stop a job.";
     HostFailsJobs, 506, "host-fails-jobs", "A host failed several different jobs and gets no more for a while.";
+    Reloaded, 109, "reloaded", "A signal asked for a reload; what was taken in.";
+    CallAnswered, 207, "call-answered", "A caller's operation on a job was answered.";
+    CallRefused, 208, "call-refused", "A caller's request is for no queue, or can't be read.";
+    PoolOwned, 600, "pool-owned", "This entry became a pool's owner; its epoch fences all orders.";
+    PoolLoaded, 601, "pool-loaded", "The pool's rows were read; its owner decides from now on.";
+    PoolLost, 602, "pool-lost", "Another entry owns the pool now; nothing more is sent for it.";
+    PoolReleased, 603, "pool-released", "The owner gave the pool up, so that another may take it at once.";
+    JobTaken, 604, "job-taken", "The owner read a new job.";
+    TaskPlaced, 605, "task-placed", "A task got its place; it starts once that is on record.";
+    TaskRequeued, 606, "task-requeued", "A run is certainly over without being done; the task waits for its next.";
+    StrayRun, 607, "stray-run", "A worker runs what the books do not expect there; it is stopped.";
+    WorkerFound, 610, "worker-found", "A worker's life is listed for the first time.";
+    WorkerSilent, 611, "worker-silent", "A worker did not answer a hold; it gets nothing new.";
+    WorkerOver, 612, "worker-over", "Everything that ran on a worker is certainly over.";
+    WorkerSuspended, 613, "worker-suspended", "Tasks keep failing on a worker; it is left alone for a while.";
 }
 
 impl Code {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,11 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+#[path = "../platform/mod.rs"]
 pub mod platform;
+pub mod port;
 pub mod runtime;
+pub mod serve;
 pub mod util;
 pub mod view;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,12 @@
 //! The `rockwick` command: a table of commands and the dispatch to them.
 
 use bpaf::{construct, Args, OptionParser, ParseFailure, Parser};
-use rockwick::cmd::{entry, events, explain, forget, host, job, pool, status, template, wave};
+use rockwick::cmd::{
+    entry, events, explain, forget, host, job, pool, serve, status, template, wave,
+};
 use rockwick::config::EntryFlags;
 use rockwick::error::Result;
+use rockwick::serve::settings::ServeFlags;
 
 /// Width that help is laid out for.
 const HELP_WIDTH: usize = 100;
@@ -13,6 +16,7 @@
 
 enum Command {
     Entry(EntryFlags),
+    Serve(ServeFlags),
     Template(template::Args),
     Pool(pool::Args),
     Host(host::Args),
@@ -37,6 +41,7 @@
 
 fn parser() -> OptionParser<Command> {
     let entry = command!(entry, Entry);
+    let serve = command!(serve, Serve);
     let template = command!(template, Template);
     let pool = command!(pool, Pool);
     let host = command!(host, Host);
@@ -46,7 +51,7 @@
     let explain = command!(explain, Explain);
     let forget = command!(forget, Forget);
     let events = command!(events, Events);
-    construct!([entry, template, pool, host, wave, job, status, explain, forget, events])
+    construct!([entry, serve, template, pool, host, wave, job, status, explain, forget, events])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Fleet capacity and maintenance manager")
@@ -55,6 +60,7 @@
 fn run(command: Command) -> Result<()> {
     match command {
         Command::Entry(args) => entry::run(args),
+        Command::Serve(args) => serve::run(args),
         Command::Template(args) => template::run(args),
         Command::Pool(args) => pool::run(args),
         Command::Host(args) => host::run(args),
--- a/src/platform/mod.rs
+++ b/src/port/mod.rs
@@ -4,6 +4,7 @@
 //! adapter beside this file; [`Http`] is the first.
 
 mod commit;
+pub mod fleet;
 mod http;
 
 use std::future::Future;
--- /dev/null
+++ b/src/serve/control.rs
@@ -0,0 +1,267 @@
+//! The control thread: events into the reducer, its effects out.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures_lite::FutureExt;
+use smol::channel::{Receiver, Sender};
+use smol::{LocalExecutor, Timer};
+
+use super::feeds::{self, Owned};
+use super::operations::whole;
+use super::shared::Shared;
+use crate::clock::Millis;
+use crate::core::sched::limits::{HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_TIMEOUT_MS};
+use crate::core::sched::state::{Effect, Event, LoadedRows, Order, State};
+use crate::core::sched::{reduce, rows};
+use crate::port::fleet::{
+    Directory, HostMoves, OrderReply, ReadError, Rows, StoredRow, Table, TxOutcome, WorkerOrders,
+};
+
+/// Longest sleep of the loop when nothing is due.
+const IDLE_MS: Millis = 1_000;
+
+/// Carries effects out; what they come to comes back as events.
+struct Carrier<P> {
+    platform: P,
+    shared: Arc<Shared>,
+    executor: Rc<LocalExecutor<'static>>,
+    events: Sender<Event>,
+    owned: Rc<Owned>,
+}
+
+/// Runs control; comes back only with the process.
+pub(super) fn run<P>(platform: P, shared: &Arc<Shared>, leave: Receiver<()>)
+where
+    P: Rows + Directory + WorkerOrders + HostMoves + Clone + 'static,
+{
+    let executor = Rc::new(LocalExecutor::new());
+    let (events, inbox) = smol::channel::unbounded();
+    let carrier = Carrier {
+        platform: platform.clone(),
+        shared: Arc::clone(shared),
+        executor: Rc::clone(&executor),
+        events: events.clone(),
+        owned: Rc::new(Owned::default()),
+    };
+    let operator = feeds::operator(platform.clone(), Arc::clone(shared), events.clone());
+    executor.spawn(operator).detach();
+    let workers = feeds::workers(platform.clone(), events.clone());
+    executor.spawn(workers).detach();
+    let owners = feeds::owners(platform.clone(), events.clone());
+    executor.spawn(owners).detach();
+    let intake = feeds::intake(platform, Rc::clone(&carrier.owned), events.clone());
+    executor.spawn(intake).detach();
+    let leaving = async move {
+        if leave.recv().await.is_ok() {
+            let _ = events.send(Event::Stop).await;
+        }
+    };
+    executor.spawn(leaving).detach();
+    smol::block_on(executor.run(turn(&carrier, inbox)));
+}
+
+async fn turn<P>(carrier: &Carrier<P>, inbox: Receiver<Event>)
+where
+    P: Rows + Directory + WorkerOrders + HostMoves + Clone + 'static,
+{
+    let shared = &carrier.shared;
+    let mut state = State::new(shared.settings.name.clone(), fastrand::u64(1..));
+    loop {
+        let event = next_event(shared, &state, &inbox).await;
+        let began = Instant::now();
+        if let Event::Owner(row) = &event {
+            publish_waiting(shared, row);
+        }
+        let effects = reduce(&mut state, event, shared.now());
+        note_owned(carrier, &state);
+        for effect in effects {
+            carrier.carry(effect);
+        }
+        shared
+            .metrics
+            .control_took(began.elapsed().as_micros() as u64);
+    }
+}
+
+async fn next_event(shared: &Shared, state: &State, inbox: &Receiver<Event>) -> Event {
+    if let Ok(event) = inbox.try_recv() {
+        return event;
+    }
+    let now_ms = shared.clock.now_ms();
+    let wake_ms = state.wake_ms().unwrap_or(now_ms + IDLE_MS);
+    let wake = shared.clock.instant(wake_ms.min(now_ms + IDLE_MS));
+    let timer = async {
+        Timer::at(wake).await;
+        Event::Tick
+    };
+    // The sender lives in this thread: the channel is never closed.
+    let message = async { inbox.recv().await.unwrap_or(Event::Tick) };
+    message.or(timer).await
+}
+
+/// Hands on what a pool's owner says of waiting jobs.
+fn publish_waiting(shared: &Shared, row: &StoredRow) {
+    let Some(value) = row.value.as_deref().filter(|_| row.key == rows::BEAT_KEY) else {
+        return;
+    };
+    // A row that can't be read is logged by the reducer.
+    if let Ok(beat) = rows::decode::<rows::BeatRow>(value) {
+        shared.set_waiting(&row.part, beat.waiting);
+    }
+}
+
+fn note_owned<P>(carrier: &Carrier<P>, state: &State) {
+    let pools = state.pools.iter().filter(|p| p.tenure.is_some());
+    let oldest = pools
+        .clone()
+        .filter_map(|p| p.tenure.as_ref().map(|t| t.epoch))
+        .min();
+    match (carrier.owned.intake_from.get(), oldest) {
+        (None, Some(epoch)) => carrier.owned.intake_from.set(Some(epoch)),
+        (Some(_), None) => carrier.owned.intake_from.set(None),
+        _ => {}
+    }
+    let mut names = carrier.owned.pools.borrow_mut();
+    if names.len() != pools.clone().count() || !pools.clone().all(|p| names.contains(&p.name)) {
+        *names = pools.map(|p| p.name.clone()).collect();
+    }
+}
+
+impl<P> Carrier<P>
+where
+    P: Rows + Directory + WorkerOrders + HostMoves + Clone + 'static,
+{
+    fn carry(&self, effect: Effect) {
+        let platform = self.platform.clone();
+        let sent_ms = self.shared.clock.now_ms();
+        match effect {
+            Effect::Claim(pool, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::Claimed(pool, sent_ms, outcome))
+            }),
+            Effect::Renew(pool, epoch, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::Renewed(pool, epoch, sent_ms, outcome))
+            }),
+            Effect::Release(tx) | Effect::TellWave(tx) => self.spawn(async move {
+                insist(&platform, &tx).await;
+                None
+            }),
+            Effect::Load(pool, epoch, name) => self.spawn(async move {
+                let rows = load(&platform, &name).await.ok();
+                Some(Event::Loaded(pool, epoch, rows))
+            }),
+            Effect::Record(pool, epoch, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::Recorded(pool, epoch, outcome))
+            }),
+            Effect::Start(order, task, start) => {
+                let shared = Arc::clone(&self.shared);
+                self.spawn(async move {
+                    let reply = if may_send(&shared, &order) {
+                        platform.start(&order.to, &start, ORDER_TIMEOUT_MS).await
+                    } else {
+                        OrderReply::Silent
+                    };
+                    Some(Event::Started(
+                        order.pool,
+                        order.to.fence,
+                        task,
+                        start.run,
+                        reply,
+                    ))
+                });
+            }
+            Effect::Stop(order, task, name, run) => {
+                let shared = Arc::clone(&self.shared);
+                self.spawn(async move {
+                    let reply = if may_send(&shared, &order) {
+                        platform.stop(&order.to, &name, run, ORDER_TIMEOUT_MS).await
+                    } else {
+                        OrderReply::Silent
+                    };
+                    Some(Event::Stopped(order.pool, order.to.fence, task, run, reply))
+                });
+            }
+            Effect::StopStray(order, name, run) => {
+                let shared = Arc::clone(&self.shared);
+                self.spawn(async move {
+                    if may_send(&shared, &order) {
+                        // Without an answer, the next account shows the run again.
+                        let _ = platform.stop(&order.to, &name, run, ORDER_TIMEOUT_MS).await;
+                    }
+                    None
+                });
+            }
+            Effect::Pace(order, name, run, percent) => {
+                let shared = Arc::clone(&self.shared);
+                self.spawn(async move {
+                    if may_send(&shared, &order) {
+                        // Without an answer, the next account shows the old pace.
+                        let timeout_ms = ORDER_TIMEOUT_MS;
+                        let _ = platform
+                            .pace(&order.to, &name, run, percent, timeout_ms)
+                            .await;
+                    }
+                    None
+                });
+            }
+            Effect::Hold(order, worker, ask) => {
+                let shared = Arc::clone(&self.shared);
+                self.spawn(async move {
+                    let result = if may_send(&shared, &order) {
+                        let timeout_ms = ask.wait_ms + HOLD_SLACK_MS;
+                        platform.hold(&order.to, ask, timeout_ms).await
+                    } else {
+                        Err(OrderReply::Silent)
+                    };
+                    let (pool, epoch) = (order.pool, order.to.fence);
+                    Some(Event::Held(pool, epoch, worker, sent_ms, result))
+                });
+            }
+            Effect::SettleWave(pool, epoch, host, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::WaveSettled(pool, epoch, host, outcome))
+            }),
+            Effect::Upkeep(..) => {}
+            Effect::Log(decision) => self.shared.tell(decision),
+            Effect::Left => {}
+        }
+    }
+
+    fn spawn(&self, work: impl Future<Output = Option<Event>> + 'static) {
+        let events = self.events.clone();
+        let task = async move {
+            if let Some(event) = work.await {
+                // Control is gone only when the process ends.
+                let _ = events.send(event).await;
+            }
+        };
+        self.executor.spawn(task).detach();
+    }
+}
+
+fn may_send(shared: &Shared, order: &Order) -> bool {
+    shared.clock.now_ms() < order.until_ms
+}
+
+/// Sends a transaction until its fate is known; each sending is guarded, so that it takes effect once.
+async fn insist<P: Rows>(platform: &P, tx: &crate::port::fleet::RowTx) {
+    const TRIES: u32 = 5;
+    for _ in 0..TRIES {
+        let outcome = platform.transact(tx, TX_TIMEOUT_MS).await;
+        if matches!(outcome, TxOutcome::Committed(_) | TxOutcome::Conflict(_)) {
+            return;
+        }
+    }
+}
+
+async fn load<P: Rows>(platform: &P, pool: &str) -> Result<LoadedRows, ReadError> {
+    Ok(LoadedRows {
+        intake: whole(platform, Table::Intake, pool).await?,
+        progress: whole(platform, Table::Progress, pool).await?,
+    })
+}
--- /dev/null
+++ b/src/serve/feeds.rs
@@ -0,0 +1,227 @@
+//! Follows the store's tables and hands what changed to control.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::channel::Sender;
+use smol::Timer;
+
+use super::operations::whole;
+use super::shared::Shared;
+use crate::clock::Millis;
+use crate::core::sched::state::Event;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{
+    Directory, Feed, OperatorWord, ReadError, Revision, Rows, Table, WorkerWord,
+};
+
+/// How long the store may hold back an answer that has nothing to tell. An entry that the store turns
+/// away notices within this time.
+const WAIT_MS: Millis = 1_000;
+
+/// Pause after a read that failed, and as much again by chance, so that entries do not return together.
+const RETRY_MS: Millis = 100;
+
+/// Pause after an answer on owners: heartbeats are gathered, each answer costs processor time.
+const OWNERS_PAUSE_MS: Millis = 150;
+
+/// How often a feed that is not needed looks whether it is.
+const UNNEEDED_LOOK_MS: Millis = 20;
+
+/// Names of the pools that this entry owns, and where to read intake from.
+#[derive(Default)]
+pub(super) struct Owned {
+    /// Pools by name.
+    pub(super) pools: RefCell<Vec<String>>,
+    /// Intake behind this revision is followed; nothing while no pool is owned.
+    pub(super) intake_from: Cell<Option<Revision>>,
+}
+
+async fn pause(ms: Millis) {
+    Timer::after(Duration::from_millis(ms)).await;
+}
+
+async fn pause_after_failure() {
+    pause(RETRY_MS + fastrand::u64(0..RETRY_MS)).await;
+}
+
+/// Control is gone only when the process ends.
+async fn send(events: &Sender<Event>, event: Event) {
+    let _ = events.send(event).await;
+}
+
+/// Follows what the operator says; on its answers rests whether the entry is ready.
+pub(super) async fn operator<P: Directory>(
+    platform: P,
+    shared: Arc<Shared>,
+    events: Sender<Event>,
+) {
+    let mut since = None;
+    loop {
+        let got = match since {
+            None => platform.operator().await,
+            Some(revision) => platform.operator_feed(revision, WAIT_MS).await,
+        };
+        note_store(
+            &shared,
+            got.is_ok() || got.as_ref().err() == Some(&ReadError::HistoryGone),
+        );
+        since = match got {
+            Ok(feed) => {
+                adopt(&shared, &events, &feed).await;
+                Some(feed.revision)
+            }
+            Err(ReadError::HistoryGone) => None,
+            Err(ReadError::Down) => {
+                pause_after_failure().await;
+                since
+            }
+        };
+    }
+}
+
+fn note_store(shared: &Shared, answers: bool) {
+    if shared.has_store.swap(answers, Ordering::SeqCst) == answers {
+        return;
+    }
+    let (code, why) = if answers {
+        (Code::StoreFound, "it answers")
+    } else {
+        (Code::StoreLost, "no answer, or a refusal")
+    };
+    let name = &shared.settings.name;
+    shared.tell(Decision::new(code, Subject::Entry, name, why));
+}
+
+async fn adopt(shared: &Shared, events: &Sender<Event>, feed: &Feed<OperatorWord>) {
+    for word in &feed.changes {
+        if let OperatorWord::Config(config) = word {
+            let newest = shared.config.load().as_ref().map_or(0, |c| c.version);
+            if config.version > newest {
+                shared.config.store(Some(Arc::new(config.clone())));
+            }
+        }
+        send(events, Event::Operator(word.clone())).await;
+    }
+}
+
+/// Follows the list of workers.
+pub(super) async fn workers<P: Directory>(platform: P, events: Sender<Event>) {
+    let mut since = None;
+    loop {
+        let got = match since {
+            None => platform.workers().await,
+            Some(revision) => platform.workers_feed(revision, WAIT_MS).await,
+        };
+        match got {
+            Ok(feed) => {
+                if since.is_none() {
+                    send(&events, Event::WorkersRead(present(&feed))).await;
+                } else {
+                    for word in feed.changes {
+                        send(&events, Event::Worker(word)).await;
+                    }
+                }
+                since = Some(feed.revision);
+            }
+            Err(ReadError::HistoryGone) => since = None,
+            Err(ReadError::Down) => pause_after_failure().await,
+        }
+    }
+}
+
+fn present(feed: &Feed<WorkerWord>) -> Vec<crate::port::fleet::WorkerFact> {
+    let facts = feed.changes.iter().filter_map(|word| match word {
+        WorkerWord::Present(fact) => Some(fact.clone()),
+        _ => None,
+    });
+    facts.collect()
+}
+
+/// Follows who owns which pool.
+pub(super) async fn owners<P: Rows>(platform: P, events: Sender<Event>) {
+    let mut since: Option<Revision> = None;
+    loop {
+        let got = match since {
+            Some(revision) => platform.feed(Table::Owners, revision, WAIT_MS).await,
+            None => read_owners(&platform).await,
+        };
+        match got {
+            Ok(feed) => {
+                since = Some(feed.revision);
+                for row in feed.changes {
+                    send(&events, Event::Owner(row)).await;
+                }
+                pause(OWNERS_PAUSE_MS).await;
+            }
+            Err(ReadError::HistoryGone) => since = None,
+            Err(ReadError::Down) => pause_after_failure().await,
+        }
+    }
+}
+
+async fn read_owners<P: Rows>(
+    platform: &P,
+) -> Result<Feed<crate::port::fleet::StoredRow>, ReadError> {
+    let mut all = Feed {
+        changes: Vec::new(),
+        revision: 0,
+    };
+    for part in platform.parts(Table::Owners).await? {
+        let range = Default::default();
+        let scan = platform.scan(Table::Owners, &part, range, WAIT_MS).await?;
+        if all.revision == 0 {
+            all.revision = scan.revision;
+        }
+        all.changes.extend(scan.rows);
+    }
+    if all.revision == 0 {
+        let scan = platform.scan(Table::Owners, "", Default::default(), WAIT_MS);
+        all.revision = scan.await?.revision;
+    }
+    Ok(all)
+}
+
+/// Follows new jobs and cancels while this entry owns a pool.
+pub(super) async fn intake<P: Rows>(platform: P, owned: Rc<Owned>, events: Sender<Event>) {
+    loop {
+        let Some(since) = owned.intake_from.get() else {
+            pause(UNNEEDED_LOOK_MS).await;
+            continue;
+        };
+        let got = match platform.feed(Table::Intake, since, WAIT_MS).await {
+            Err(ReadError::HistoryGone) => read_intake(&platform, &owned).await,
+            other => other,
+        };
+        match got {
+            Ok(feed) => {
+                if owned.intake_from.get().is_some() {
+                    owned.intake_from.set(Some(feed.revision));
+                }
+                for row in feed.changes {
+                    send(&events, Event::Intake(row)).await;
+                }
+            }
+            Err(_) => pause_after_failure().await,
+        }
+    }
+}
+
+/// The history is gone: reads all that owned pools were sent.
+async fn read_intake<P: Rows>(
+    platform: &P,
+    owned: &Owned,
+) -> Result<Feed<crate::port::fleet::StoredRow>, ReadError> {
+    // What changes while the rows are read is told by the feed from this revision on.
+    let newest = platform.scan(Table::Owners, "", Default::default(), WAIT_MS);
+    let revision = newest.await?.revision;
+    let pools = owned.pools.borrow().clone();
+    let mut changes = Vec::new();
+    for pool in pools {
+        changes.extend(whole(platform, Table::Intake, &pool).await?);
+    }
+    Ok(Feed { changes, revision })
+}
--- /dev/null
+++ b/src/serve/front.rs
@@ -0,0 +1,146 @@
+//! The traffic thread: connections of callers, of the balancer and of whoever reads the figures.
+
+use std::future::Future;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_types::Response;
+use smol::{Async, LocalExecutor, Timer};
+
+use super::operations;
+use super::shared::Shared;
+use super::{platform, side, LAME_MS};
+use crate::clock::wall_ms;
+use crate::core::sched::operation::{Operation, Outcome, Request};
+use crate::event::{Code, Decision, Subject};
+use crate::http::{server, Incoming, Limits, Wire};
+use crate::platform::{edge, Platform};
+
+/// Bounds towards callers; the users' configuration names 256 KB and 15 s.
+const CALLER_LIMITS: Limits = Limits {
+    idle_ms: 15_000,
+    arrive_ms: 3_000,
+    body_bytes: 256 << 10,
+};
+
+/// Pause after a connection could not be taken: out of descriptors, most likely.
+const ACCEPT_PAUSE_MS: u64 = 10;
+
+/// Serves all listeners; comes back only with the process.
+pub(super) fn run(
+    shared: &Arc<Shared>,
+    callers: Async<TcpListener>,
+    balancer: Async<TcpListener>,
+    figures: Option<Async<TcpListener>>,
+) {
+    let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
+    let platform = platform(shared);
+    let serve_caller = {
+        let (shared, platform) = (Arc::clone(shared), platform.clone());
+        move |stream| caller(Arc::clone(&shared), platform.clone(), stream)
+    };
+    executor
+        .spawn(accept(Rc::clone(&executor), callers, serve_caller))
+        .detach();
+    let serve_ready = aside(shared, side::ready);
+    executor
+        .spawn(accept(Rc::clone(&executor), balancer, serve_ready))
+        .detach();
+    if let Some(listener) = figures {
+        let serve_figures = aside(shared, side::figures);
+        executor
+            .spawn(accept(Rc::clone(&executor), listener, serve_figures))
+            .detach();
+    }
+    smol::block_on(executor.run(std::future::pending::<()>()));
+}
+
+async fn accept<F: Future<Output = ()> + 'static>(
+    executor: Rc<LocalExecutor<'static>>,
+    listener: Async<TcpListener>,
+    serve: impl Fn(Async<TcpStream>) -> F,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => executor.spawn(serve(stream)).detach(),
+            Err(_) => {
+                Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+/// Serves connections that are not callers'.
+fn aside<F: Future<Output = Response>>(
+    shared: &Arc<Shared>,
+    handler: impl Fn(Arc<Shared>, Incoming) -> F + Copy + 'static,
+) -> impl Fn(Async<TcpStream>) -> std::pin::Pin<Box<dyn Future<Output = ()>>>
+where
+    F: 'static,
+{
+    let shared = Arc::clone(shared);
+    move |stream| {
+        let shared = Arc::clone(&shared);
+        let wire = Wire::for_requests(stream);
+        Box::pin(async move {
+            let handle = |incoming| handler(Arc::clone(&shared), incoming);
+            server::serve(wire, Limits::default(), || false, handle).await;
+        })
+    }
+}
+
+async fn caller(shared: Arc<Shared>, platform: Platform, stream: Async<TcpStream>) {
+    shared.connections.fetch_add(1, Ordering::SeqCst);
+    let stopping = || shared.stopping_for_ms().is_some_and(|ms| ms >= LAME_MS);
+    let handle = |incoming| handle(&shared, &platform, incoming);
+    server::serve(Wire::for_requests(stream), CALLER_LIMITS, stopping, handle).await;
+    shared.connections.fetch_sub(1, Ordering::SeqCst);
+}
+
+async fn handle(shared: &Shared, platform: &Platform, incoming: Incoming) -> Response {
+    let began = Instant::now();
+    shared.metrics.requests.fetch_add(1, Ordering::Relaxed);
+    let config = shared.config.load_full();
+    let outcome = match edge::decode(&incoming, config.as_deref(), wall_ms()) {
+        Ok(request) => {
+            let outcome = operations::carry_out(shared, platform, &request, began).await;
+            tell(shared, &request, &outcome, began);
+            outcome
+        }
+        Err(outcome) => {
+            let path = incoming.head.url().path();
+            let why = format!("{outcome:?}");
+            shared.tell(Decision::new(
+                Code::CallRefused,
+                Subject::Request,
+                path,
+                why,
+            ));
+            outcome
+        }
+    };
+    shared
+        .metrics
+        .request_took(began.elapsed().as_micros() as u64);
+    edge::encode(&outcome)
+}
+
+fn tell(shared: &Shared, request: &Request, outcome: &Outcome, began: Instant) {
+    let (id, what) = match &request.operation {
+        Operation::Submit(id, _) => (id.as_str(), "submit"),
+        Operation::Cancel(id) => (id.as_str(), "cancel"),
+        Operation::Read(id) => (id.as_str(), "read"),
+        Operation::CountWaiting => (request.queue.as_str(), "count"),
+    };
+    let why = format!("{what}: {outcome:?}");
+    let config = shared.config.load();
+    let version = config.as_ref().map_or(0, |c| c.version);
+    shared.tell(
+        Decision::new(Code::CallAnswered, Subject::Request, id, why)
+            .with("took_us", began.elapsed().as_micros() as u64)
+            .with("config", version),
+    );
+}
--- /dev/null
+++ b/src/serve/operations.rs
@@ -0,0 +1,309 @@
+//! Callers' operations on jobs, by rows of the store alone: any entry can carry them out.
+
+use std::time::{Duration, Instant};
+
+use smol::future::zip;
+use smol::Timer;
+
+use super::shared::Shared;
+use crate::clock::Millis;
+use crate::core::sched::job::{JobSpec, JobState};
+use crate::core::sched::limits::TX_TIMEOUT_MS;
+use crate::core::sched::operation::{Operation, Outcome, Request};
+use crate::core::sched::rows::{self, cancel_key, cancelled_job, ProgressRow};
+use crate::port::fleet::{
+    Guard, Range, ReadError, RowTx, Rows, Scan, StoredRow, Table, TxOutcome, Write, ABSENT,
+};
+
+/// Pause before a store that refused or was silent is asked again.
+const RETRY_PAUSE_MS: Millis = 60;
+
+/// A store that refuses is asked so often before the caller is sent elsewhere.
+const REFUSALS_MAX: u32 = 3;
+
+/// What a write may take before the caller is told that its fate is not known; other entries may do
+/// better. Twice the time of one sending.
+const WRITE_MS: Millis = 1_700;
+
+/// Kept back from a caller's deadline for the answer's way.
+const ANSWER_MS: Millis = 100;
+
+/// Advice to a caller that was not taken: the balancer needs two seconds to send it elsewhere.
+const RETRY_AFTER_S: u32 = 1;
+
+/// A count told by an owner serves for so long; the pages allow 2 s.
+const COUNT_FRESH_MS: Millis = 1_600;
+
+/// Most rows in one page of a scan.
+const PAGE_ROWS: u32 = 500;
+
+/// Carries out one operation.
+pub(super) async fn carry_out<R: Rows>(
+    shared: &Shared,
+    store: &R,
+    request: &Request,
+    began: Instant,
+) -> Outcome {
+    let until = began + Duration::from_millis(request.deadline_ms.saturating_sub(ANSWER_MS));
+    match &request.operation {
+        Operation::Submit(id, spec) => submit(store, &request.pool, id, spec, until).await,
+        Operation::Read(id) => read(store, &request.pool, id, until).await,
+        Operation::Cancel(id) => cancel(store, &request.pool, id, until).await,
+        Operation::CountWaiting => count(shared, store, request, until).await,
+    }
+}
+
+/// What a conditional write of a row that must not be there came to.
+enum Insert {
+    Done,
+    /// The row was there, with this content.
+    Found(Vec<u8>),
+    NotDone,
+    Unsure,
+}
+
+/// Writes a row that must not be there, as often as it takes to know what became of it.
+async fn insert<R: Rows>(
+    store: &R,
+    part: &str,
+    key: &str,
+    value: Vec<u8>,
+    until: Instant,
+) -> Insert {
+    let tx = RowTx {
+        part: part.to_string(),
+        guards: vec![Guard {
+            table: Table::Intake,
+            key: key.to_string(),
+            revision: ABSENT,
+        }],
+        writes: vec![Write {
+            table: Table::Intake,
+            key: key.to_string(),
+            value: Some(value),
+        }],
+    };
+    let until = until.min(Instant::now() + Duration::from_millis(WRITE_MS));
+    let mut may_be_done = false;
+    let mut refusals = 0;
+    loop {
+        match store.transact(&tx, TX_TIMEOUT_MS).await {
+            TxOutcome::Committed(_) => return Insert::Done,
+            TxOutcome::Conflict(found) => {
+                let value = found.into_iter().find_map(|(_, row)| row.value);
+                return value.map_or(Insert::Unsure, Insert::Found);
+            }
+            TxOutcome::Unknown => may_be_done = true,
+            TxOutcome::Refused => refusals += 1,
+        }
+        if !may_be_done && refusals >= REFUSALS_MAX {
+            return Insert::NotDone;
+        }
+        let next = Instant::now() + Duration::from_millis(RETRY_PAUSE_MS);
+        if next >= until {
+            return if may_be_done {
+                Insert::Unsure
+            } else {
+                Insert::NotDone
+            };
+        }
+        Timer::at(next).await;
+    }
+}
+
+async fn submit<R: Rows>(
+    store: &R,
+    pool: &str,
+    id: &str,
+    spec: &JobSpec,
+    until: Instant,
+) -> Outcome {
+    match insert(store, pool, id, rows::encode(spec), until).await {
+        Insert::Done => Outcome::Accepted,
+        Insert::Found(bytes) => match rows::decode::<JobSpec>(&bytes) {
+            Ok(there) if is_same_job(&there, spec) => Outcome::Accepted,
+            _ => Outcome::OtherBody,
+        },
+        Insert::NotDone => Outcome::NotTaken {
+            retry_after_s: RETRY_AFTER_S,
+        },
+        Insert::Unsure => Outcome::Unsure,
+    }
+}
+
+/// The same job sent again, at another time perhaps.
+fn is_same_job(a: &JobSpec, b: &JobSpec) -> bool {
+    a.payload == b.payload && a.steps == b.steps && a.schedule == b.schedule
+}
+
+/// The rows of one job.
+struct JobRows {
+    pool: String,
+    is_cancelled: bool,
+    progress: Option<StoredRow>,
+}
+
+/// Looks for a job in the pool of its queue, then in all others: its queue may have been sent to
+/// another pool since.
+async fn find<R: Rows>(
+    store: &R,
+    pool: &str,
+    id: &str,
+    timeout_ms: Millis,
+) -> Result<Option<JobRows>, ReadError> {
+    if let Some(found) = find_in(store, pool, id, timeout_ms).await? {
+        return Ok(Some(found));
+    }
+    for other in store.parts(Table::Intake).await? {
+        if other == pool {
+            continue;
+        }
+        if let Some(found) = find_in(store, &other, id, timeout_ms).await? {
+            return Ok(Some(found));
+        }
+    }
+    Ok(None)
+}
+
+async fn find_in<R: Rows>(
+    store: &R,
+    pool: &str,
+    id: &str,
+    timeout_ms: Millis,
+) -> Result<Option<JobRows>, ReadError> {
+    // Both keys of the job lie in this range: the id, and the id with a suffix.
+    let range = Range {
+        from: id.to_string(),
+        until: format!("{id}~"),
+        rows_max: 0,
+    };
+    let intake = store.scan(Table::Intake, pool, range.clone(), timeout_ms);
+    let progress = store.scan(Table::Progress, pool, range, timeout_ms);
+    let (intake, progress) = zip(intake, progress).await;
+    let (intake, progress): (Scan, Scan) = (intake?, progress?);
+    if !intake.rows.iter().any(|row| row.key == id) {
+        return Ok(None);
+    }
+    Ok(Some(JobRows {
+        pool: pool.to_string(),
+        is_cancelled: intake
+            .rows
+            .iter()
+            .any(|row| cancelled_job(&row.key).is_some()),
+        progress: progress.rows.into_iter().next(),
+    }))
+}
+
+/// Finds a job, trying again while the caller waits.
+async fn find_until<R: Rows>(
+    store: &R,
+    pool: &str,
+    id: &str,
+    until: Instant,
+) -> Option<Option<JobRows>> {
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let timeout_ms = TX_TIMEOUT_MS.min(left.as_millis() as Millis);
+        if timeout_ms == 0 {
+            return None;
+        }
+        if let Ok(found) = find(store, pool, id, timeout_ms).await {
+            return Some(found);
+        }
+        Timer::after(Duration::from_millis(RETRY_PAUSE_MS)).await;
+    }
+}
+
+async fn read<R: Rows>(store: &R, pool: &str, id: &str, until: Instant) -> Outcome {
+    let found = match find_until(store, pool, id, until).await {
+        None => return Outcome::Unsure,
+        Some(None) => return Outcome::UnknownJob,
+        Some(Some(found)) => found,
+    };
+    let recorded = match &found.progress {
+        None => JobState::Queued,
+        Some(row) => match rows::decode::<ProgressRow>(row.value.as_deref().unwrap_or_default()) {
+            Ok(progress) => progress.state,
+            // The job is there; how it is, this program can't read.
+            Err(_) => return Outcome::Unsure,
+        },
+    };
+    if found.is_cancelled && !recorded.is_final() {
+        return Outcome::State(JobState::Cancelled);
+    }
+    Outcome::State(recorded)
+}
+
+async fn cancel<R: Rows>(store: &R, pool: &str, id: &str, until: Instant) -> Outcome {
+    let found = match find_until(store, pool, id, until).await {
+        None => return Outcome::Unsure,
+        Some(None) => return Outcome::UnknownJob,
+        Some(Some(found)) => found,
+    };
+    if found.is_cancelled {
+        return Outcome::Cancelled;
+    }
+    match insert(store, &found.pool, &cancel_key(id), b"{}".to_vec(), until).await {
+        Insert::Done | Insert::Found(_) => Outcome::Cancelled,
+        Insert::NotDone => Outcome::NotTaken {
+            retry_after_s: RETRY_AFTER_S,
+        },
+        Insert::Unsure => Outcome::Unsure,
+    }
+}
+
+async fn count<R: Rows>(shared: &Shared, store: &R, request: &Request, until: Instant) -> Outcome {
+    if let Some(told) = shared.waiting(&request.pool) {
+        if shared.clock.now_ms().saturating_sub(told.seen_ms) <= COUNT_FRESH_MS {
+            let waiting = told.by_queue.get(&request.queue).copied().unwrap_or(0);
+            return Outcome::Waiting(waiting);
+        }
+    }
+    loop {
+        if let Ok(waiting) = count_rows(store, &request.pool, &request.queue).await {
+            return Outcome::Waiting(waiting);
+        }
+        if Instant::now() + Duration::from_millis(RETRY_PAUSE_MS) >= until {
+            return Outcome::Unsure;
+        }
+        Timer::after(Duration::from_millis(RETRY_PAUSE_MS)).await;
+    }
+}
+
+/// Counts jobs that have not begun, from the rows.
+async fn count_rows<R: Rows>(store: &R, pool: &str, queue: &str) -> Result<u64, ReadError> {
+    let intake = whole(store, Table::Intake, pool).await?;
+    let progress = whole(store, Table::Progress, pool).await?;
+    let begun = |id: &str| progress.iter().any(|row| row.key == id);
+    let cancelled = |id: &str| intake.iter().any(|row| cancelled_job(&row.key) == Some(id));
+    let waits = |row: &&StoredRow| {
+        let spec = rows::decode::<JobSpec>(row.value.as_deref().unwrap_or_default());
+        spec.is_ok_and(|s| s.queue == queue) && !begun(&row.key) && !cancelled(&row.key)
+    };
+    Ok(intake.iter().filter(waits).count() as u64)
+}
+
+/// All rows of one partition of a table.
+pub(super) async fn whole<R: Rows>(
+    store: &R,
+    table: Table,
+    part: &str,
+) -> Result<Vec<StoredRow>, ReadError> {
+    let mut rows = Vec::new();
+    let mut range = Range {
+        rows_max: PAGE_ROWS,
+        ..Range::default()
+    };
+    loop {
+        let scan = store
+            .scan(table, part, range.clone(), TX_TIMEOUT_MS)
+            .await?;
+        let last = scan.rows.last().map(|row| row.key.clone());
+        rows.extend(scan.rows);
+        match last {
+            // The least key behind the last one, but for keys that hold control characters.
+            Some(key) if scan.more => range.from = format!("{key}\u{1}"),
+            _ => return Ok(rows),
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/settings.rs
@@ -0,0 +1,104 @@
+//! Settings of `rockwick serve`: flags and environment, checked before anything is opened.
+
+use std::net::SocketAddr;
+
+use bpaf::{construct, long, Parser};
+
+use crate::config::{address, name};
+use crate::error::Result;
+
+/// The flags as given, not checked yet.
+#[derive(Clone, Debug)]
+pub struct ServeFlags {
+    name: String,
+    hall: String,
+    listen: String,
+    ready: String,
+    metrics: String,
+    store: String,
+    hosts: String,
+}
+
+/// The parser of the command's flags.
+pub fn serve_flags() -> impl Parser<ServeFlags> {
+    let name = long("name")
+        .env("ROCKWICK_NAME")
+        .help("Name of this entry, unique among all")
+        .argument("NAME");
+    let hall = long("hall")
+        .env("ROCKWICK_HALL")
+        .help("Data hall that it stands in")
+        .argument("HALL");
+    let listen = long("listen")
+        .env("ROCKWICK_LISTEN")
+        .help("Where callers reach it")
+        .argument("IP:PORT");
+    let ready = long("ready")
+        .env("ROCKWICK_READY")
+        .help("Where the balancer asks whether it is ready")
+        .argument("IP:PORT");
+    let metrics = long("metrics")
+        .env("ROCKWICK_METRICS")
+        .help("Where it tells its figures; empty for nowhere")
+        .argument("IP:PORT")
+        .fallback(String::new());
+    let store = long("store")
+        .env("ROCKWICK_STORE")
+        .help("The platform's row store")
+        .argument("IP:PORT");
+    let hosts = long("hosts")
+        .env("ROCKWICK_HOSTS")
+        .help("Where the platform takes orders to hosts; empty for nowhere")
+        .argument("IP:PORT")
+        .fallback(String::new());
+    construct!(ServeFlags {
+        name,
+        hall,
+        listen,
+        ready,
+        metrics,
+        store,
+        hosts
+    })
+}
+
+/// The settings, checked.
+#[derive(Clone, Debug)]
+pub struct ServeSettings {
+    /// Name, unique among entries.
+    pub name: String,
+    /// Data hall.
+    pub hall: String,
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// Where figures are told.
+    pub metrics: Option<SocketAddr>,
+    /// The row store.
+    pub store: SocketAddr,
+    /// Where orders to hosts go.
+    pub hosts: Option<SocketAddr>,
+}
+
+impl ServeFlags {
+    /// Checks every flag and makes them into settings.
+    pub fn check(self) -> Result<ServeSettings> {
+        Ok(ServeSettings {
+            name: name("name", self.name)?,
+            hall: name("hall", self.hall)?,
+            listen: address("listen", &self.listen)?,
+            ready: address("ready", &self.ready)?,
+            metrics: optional("metrics", &self.metrics)?,
+            store: address("store", &self.store)?,
+            hosts: optional("hosts", &self.hosts)?,
+        })
+    }
+}
+
+fn optional(flag: &str, value: &str) -> Result<Option<SocketAddr>> {
+    if value.is_empty() {
+        return Ok(None);
+    }
+    address(flag, value).map(Some)
+}
--- /dev/null
+++ b/src/serve/shared.rs
@@ -0,0 +1,102 @@
+//! What the control thread and the traffic thread share: a snapshot each way, never a wait.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Mutex;
+
+use arc_swap::ArcSwapOption;
+
+use super::settings::ServeSettings;
+use crate::clock::{wall_ms, Clock, Millis, Now};
+use crate::event::Decision;
+use crate::log::Log;
+use crate::metrics::Metrics;
+use crate::port::fleet::FleetConfig;
+use crate::util::lock;
+
+/// Jobs of a pool that wait, as its owner told.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Waiting {
+    /// By queue.
+    pub(super) by_queue: BTreeMap<String, u64>,
+    /// When the owner's word came here.
+    pub(super) seen_ms: Millis,
+}
+
+/// Shared by the threads of one process.
+pub(super) struct Shared {
+    /// The settings.
+    pub(super) settings: ServeSettings,
+    /// The clock.
+    pub(super) clock: Clock,
+    /// The log.
+    pub(super) log: Log,
+    /// The figures.
+    pub(super) metrics: Metrics,
+    /// The configuration in force here.
+    pub(super) config: ArcSwapOption<FleetConfig>,
+    /// Whether the store answers this entry.
+    pub(super) has_store: AtomicBool,
+    /// When the process was told to stop; 0 before.
+    pub(super) stopping_at_ms: AtomicU64,
+    /// Open connections of callers.
+    pub(super) connections: AtomicU64,
+    waiting: Mutex<BTreeMap<String, Waiting>>,
+}
+
+impl Shared {
+    /// Nothing known yet.
+    pub(super) fn new(settings: ServeSettings, log: Log) -> Self {
+        Self {
+            settings,
+            clock: Clock::new(),
+            log,
+            metrics: Metrics::new(),
+            config: ArcSwapOption::empty(),
+            has_store: AtomicBool::new(false),
+            stopping_at_ms: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
+            waiting: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// The time on both clocks.
+    pub(super) fn now(&self) -> Now {
+        Now {
+            ms: self.clock.now_ms(),
+            wall_ms: wall_ms(),
+        }
+    }
+
+    /// Logs a decision.
+    pub(super) fn tell(&self, decision: Decision) {
+        self.log.decision(decision);
+    }
+
+    /// How long ago the process was told to stop.
+    pub(super) fn stopping_for_ms(&self) -> Option<Millis> {
+        let at_ms = self.stopping_at_ms.load(Ordering::SeqCst);
+        (at_ms > 0).then(|| self.clock.now_ms().saturating_sub(at_ms))
+    }
+
+    /// Whether the balancer should send callers here.
+    pub(super) fn is_ready(&self) -> bool {
+        self.stopping_for_ms().is_none()
+            && self.has_store.load(Ordering::SeqCst)
+            && self.config.load().is_some()
+    }
+
+    /// Notes what a pool's owner told.
+    pub(super) fn set_waiting(&self, pool: &str, by_queue: BTreeMap<String, u64>) {
+        let waiting = Waiting {
+            by_queue,
+            seen_ms: self.clock.now_ms(),
+        };
+        lock(&self.waiting).insert(pool.to_string(), waiting);
+    }
+
+    /// What a pool's owner told last.
+    pub(super) fn waiting(&self, pool: &str) -> Option<Waiting> {
+        lock(&self.waiting).get(pool).cloned()
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,7 @@
 
 use crate::core::members::Digest;
 use crate::event::{Decision, Subject};
-use crate::platform::{Changes, HostFact};
+use crate::port::{Changes, HostFact};
 
 /// Bound on a message; a larger one is refused.
 pub const MESSAGE_MAX_BYTES: usize = 8 << 20;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -10,7 +10,7 @@
 use rockwick::clock::{Clock, Millis};
 use rockwick::http::server::{self, Arrival};
 use rockwick::http::{Incoming, Limits, Wire};
-use rockwick::platform::{
+use rockwick::port::{
     Attempt, Committed, HostFact, Life, Listing, OrderAnswer, Ordered, Reboot, Reports, TaskRef,
     TaskReport, TaskStart, TaskState, Transaction,
 };
--- a/standin/src/rows.rs
+++ b/standin/src/rows.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use rockwick::platform::{Attempt, Changes, Expect, Row, Transaction};
+use rockwick::port::{Attempt, Changes, Expect, Row, Transaction};
 
 /// Rows in one answer.
 const PAGE_ROWS: usize = 1_000;
--- a/standin/src/slopes.rs
+++ b/standin/src/slopes.rs
@@ -12,7 +12,7 @@
 };
 use rockwick::core::state::{Me, Tuning};
 use rockwick::core::{reduce, Effect, Event, State};
-use rockwick::platform::{BackendFact, Changes, Expect, HostFact, Life, Listing, Put, Transaction};
+use rockwick::port::{BackendFact, Changes, Expect, HostFact, Life, Listing, Put, Transaction};
 use rockwick::wire::{encode, Ask, Told};
 use serde::Serialize;
 use standin::rows::Rows;
--- a/standin/src/waves.rs
+++ b/standin/src/waves.rs
@@ -10,7 +10,7 @@
 use rockwick::core::rows::{HostState, WaveState};
 use rockwick::core::state::{Me, Tuning};
 use rockwick::core::{reduce, Effect, Event, State};
-use rockwick::platform::{
+use rockwick::port::{
     Attempt, BackendFact, HostFact, Life, Listing, OrderAnswer, Outcome, Reports, TaskRef,
     TaskReport, TaskState,
 };
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -4,7 +4,7 @@
 use std::future::{ready, Future};
 use std::sync::Mutex;
 
-use rockwick::platform::{Attempt, Changes, Down, Row, Table, Transaction};
+use rockwick::port::{Attempt, Changes, Down, Row, Table, Transaction};
 use standin::rows::Rows;
 
 /// What happens to one sending.
--- a/tests/test_commit.rs
+++ b/tests/test_commit.rs
@@ -1,6 +1,6 @@
 //! The table's contract: a lost answer is not a failure.
 
-use rockwick::platform::{commit, Expect, Outcome, Patience, Put, Transaction};
+use rockwick::port::{commit, Expect, Outcome, Patience, Put, Transaction};
 
 use crate::table::{FakeTable, Fate};
 
@@ -80,7 +80,7 @@
         puts: vec![Put::new("host/h", Expect::Version(1), &2)],
     };
     smol::block_on(async {
-        use rockwick::platform::Table;
+        use rockwick::port::Table;
         table.send(&txn).await;
         table.send(&over).await;
     });
--- a/tests/test_fuzz.rs
+++ b/tests/test_fuzz.rs
@@ -11,7 +11,7 @@
 use rockwick::http::client::within_ms;
 use rockwick::http::server::{self, Arrival};
 use rockwick::http::{Client, Limits, Wire};
-use rockwick::platform::{Changes, Down, Http, Table};
+use rockwick::port::{Changes, Down, Http, Table};
 use rockwick::wire::{decode, encode, Ask, Told};
 use smol::Async;
 
--- a/tests/test_model.rs
+++ b/tests/test_model.rs
@@ -15,7 +15,7 @@
 };
 use rockwick::core::state::{decode, Me, Tuning, TxnKey};
 use rockwick::core::{reduce, Effect, Event, State};
-use rockwick::platform::{
+use rockwick::port::{
     Attempt, BackendFact, HostFact, Life, Listing, OrderAnswer, Outcome, Reports, TaskRef,
     TaskReport, TaskStart, TaskState, Transaction,
 };
--- a/tests/test_place.rs
+++ b/tests/test_place.rs
@@ -4,7 +4,7 @@
 use rockwick::core::config::Class;
 use rockwick::core::rows::{HostRow, HostState, JobRow, JobSpec, JobState};
 use rockwick::core::{reduce, Effect, Event, State};
-use rockwick::platform::{Changes, HostFact, Life, Listing, Row};
+use rockwick::port::{Changes, HostFact, Life, Listing, Row};
 use serde::Serialize;
 
 use crate::test_model::quiet_state;
