--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -187,6 +187,8 @@
     pub suspended_until_ms: Millis,
     /// Its host is about to leave for upkeep.
     pub is_closing: bool,
+    /// A wave has its host still before it.
+    pub is_due: bool,
 }
 
 impl Worker {
@@ -207,6 +209,7 @@
             suspensions: 0,
             suspended_until_ms: 0,
             is_closing: false,
+            is_due: false,
         }
     }
 
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -16,6 +16,7 @@
 pub mod runs;
 pub mod seat;
 pub mod state;
+pub mod wave;
 
 pub use reduce::reduce;
 pub use state::{Effect, Event, State};
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -13,6 +13,9 @@
 /// The same for the worker on which the task's last run failed.
 const FAILED_HERE_MILLI: u64 = 2_000;
 
+/// The same, for a task that lasts, where the host is due for upkeep: it would have to move.
+const DUE_MILLI: u64 = 700;
+
 /// The same for each task that failed there in a row.
 const FAILS_MILLI: u64 = 300;
 
@@ -92,6 +95,9 @@
     if book.task(key).is_some_and(|t| t.failed_on == Some(worker)) {
         cost += FAILED_HERE_MILLI;
     }
+    if spec.lasting && w.is_due {
+        cost += DUE_MILLI;
+    }
     cost + u64::from(w.fails_in_row) * FAILS_MILLI
 }
 
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -1,5 +1,7 @@
 //! The reducer: one event in, effects out.
 
+use std::collections::BTreeMap;
+
 use super::book::{Book, WorkerKey};
 use super::commit::{self, Settled};
 use super::holds;
@@ -9,7 +11,10 @@
 use super::rows::{cancelled_job, BEAT_KEY, OWNER_KEY};
 use super::runs;
 use super::seat;
-use super::state::{Ctx, Effect, Event, LoadedRows, Pool, PoolKey, State, Tenure, Timer};
+use super::state::{
+    Ctx, Effect, Event, LoadedRows, Pool, PoolKey, State, Tenure, Timer, WaveKnown,
+};
+use super::wave::{self, WaveDuty};
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
@@ -55,7 +60,24 @@
         Event::Held(pool, epoch, worker, sent_ms, result) => {
             held(state, pool, epoch, worker, sent_ms, result, now, &mut out);
         }
-        Event::WaveRow(_) | Event::WaveSettled(..) | Event::UpkeepOrdered(..) => {}
+        Event::WaveRow(row) => wave_row(state, &row, now, &mut out),
+        Event::WaveSettled(pool, _, outcome) => {
+            with_duty(state, pool, now, &mut out, |_, duty, waves, _, ctx| {
+                wave::settled(duty, waves, outcome, ctx);
+            });
+        }
+        Event::UpkeepOrdered(pool, epoch, number, host, reply) => {
+            with_duty(state, pool, now, &mut out, |book, duty, _, tenure, ctx| {
+                if tenure.0 == epoch {
+                    wave::ordered(book, duty, number, &host, reply, ctx);
+                }
+            });
+        }
+        Event::HostsRead(pool, _, hosts) => {
+            with_duty(state, pool, now, &mut out, |_, duty, _, _, _| {
+                wave::hosts_read(duty, hosts);
+            });
+        }
         Event::Stop => stop(state, now, &mut out),
     }
     fire_timers(state, now, &mut out);
@@ -108,6 +130,49 @@
     });
 }
 
+/// Runs `work` on what an owner does for waves; it is given epoch and beginning of the tenure, too.
+fn with_duty(
+    state: &mut State,
+    key: PoolKey,
+    now: Now,
+    out: &mut Vec<Effect>,
+    work: impl FnOnce(
+        &mut Book,
+        &mut WaveDuty,
+        &mut BTreeMap<u64, WaveKnown>,
+        (u64, Millis, &str),
+        &mut Ctx<'_>,
+    ),
+) {
+    let mut waves = std::mem::take(&mut state.waves);
+    with_pool(state, key, now, out, |pool, ctx, _| {
+        let Some(tenure) = &mut pool.tenure else {
+            return;
+        };
+        let facts = (tenure.epoch, tenure.began_ms, pool.name.as_str());
+        if let Some(book) = &mut tenure.book {
+            work(book, &mut tenure.duty, &mut waves, facts, ctx);
+        }
+    });
+    state.waves = waves;
+}
+
+fn wave_row(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
+    let number = row.key.parse::<u64>().ok();
+    let Some(wave) = number.and_then(|n| state.waves.get_mut(&n)) else {
+        return;
+    };
+    let mut ctx = Ctx {
+        now,
+        pool: PoolKey(0),
+        me: &state.me,
+        until_ms: 0,
+        timers: &mut state.timers,
+        out,
+    };
+    wave::observe(wave, row, &mut ctx);
+}
+
 fn pool_key(state: &mut State, name: &str, now: Now) -> PoolKey {
     if let Some(key) = state.pool_keys.get(name) {
         return *key;
@@ -129,7 +194,15 @@
     match word {
         OperatorWord::Config(config) => adopt(state, config, now, out),
         OperatorWord::Wave(order) => {
-            state.waves.insert(order.wave, order);
+            let known = WaveKnown {
+                order,
+                seen_ms: now.ms,
+                ..WaveKnown::default()
+            };
+            state.waves.entry(known.order.wave).or_insert(known);
+            for key in owned_pools(state) {
+                state.timers.insert((now.ms, key, Timer::Wave));
+            }
         }
         OperatorWord::Unreadable(key, why) => {
             let decision = Decision::new(Code::BadRow, Subject::Config, &key, why);
@@ -208,6 +281,14 @@
     now: Now,
     out: &mut Vec<Effect>,
 ) {
+    if let Some(rows) = &rows {
+        if state.owned() <= 1 {
+            workers_read(state, rows.workers.clone(), now, out);
+        }
+        for row in &rows.waves {
+            wave_row(state, row, now, out);
+        }
+    }
     with_pool(state, key, now, out, |pool, ctx, facts| {
         let name = pool.name.clone();
         let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
@@ -228,6 +309,7 @@
         }
         tenure.book = Some(book);
         ctx.after(RESORT_MS, Timer::Upkeep);
+        ctx.after(0, Timer::Wave);
     });
 }
 
@@ -460,6 +542,18 @@
         });
         return;
     }
+    if timer == Timer::Wave {
+        with_duty(
+            state,
+            key,
+            now,
+            out,
+            |book, duty, waves, (epoch, began, name), ctx| {
+                wave::look(book, duty, waves, began, name, epoch, ctx);
+            },
+        );
+        return;
+    }
     with_pool(state, key, now, out, |pool, ctx, _| {
         if timer == Timer::Renew {
             seat::renew(pool, ctx);
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -92,6 +92,9 @@
     pub out: BTreeMap<String, SlotRow>,
     /// Hosts that are back.
     pub back: Vec<String>,
+    /// Wall clock when the first slot was taken.
+    #[serde(default)]
+    pub began_wall_ms: Millis,
 }
 
 /// A slot of a wave.
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -195,6 +195,7 @@
         early: Vec::new(),
         is_leaving: false,
         began_ms: ctx.now.ms,
+        duty: Default::default(),
     });
     ctx.out
         .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -3,12 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::book::{Book, JobKey, TaskKey, WorkerKey};
+use super::rows::WaveRow;
 use super::seat::Seat;
+use super::wave::WaveDuty;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    Addressee, FleetConfig, HoldAsk, HoldReport, HostReply, OperatorWord, OrderReply, Revision,
-    RowTx, RunStart, StoredRow, TaskName, TxOutcome, WaveOrder, WorkerFact, WorkerWord,
+    Addressee, FleetConfig, HoldAsk, HoldReport, HostRecord, HostReply, OperatorWord, OrderReply,
+    Revision, RowTx, RunStart, StoredRow, TaskName, TxOutcome, WaveOrder, WaveState, WorkerFact,
+    WorkerWord,
 };
 
 /// A pool, by its place in [`State::pools`]; pools are never removed.
@@ -30,6 +33,23 @@
     pub is_leaving: bool,
     /// When the pool was claimed; everything a former owner sent came before.
     pub began_ms: Millis,
+    /// What it does for waves.
+    pub duty: WaveDuty,
+}
+
+/// A wave as this entry knows it.
+#[derive(Clone, Debug, Default)]
+pub struct WaveKnown {
+    /// As the operator asked for it.
+    pub order: WaveOrder,
+    /// When this entry saw it first.
+    pub seen_ms: Millis,
+    /// Its row.
+    pub row: WaveRow,
+    /// The row's revision.
+    pub revision: Revision,
+    /// Every host has been through.
+    pub is_done: bool,
 }
 
 /// A transaction of progress.
@@ -123,10 +143,12 @@
     ),
     /// A wave's row changed or was read.
     WaveRow(StoredRow),
-    /// A slot was taken or given back, or not.
-    WaveSettled(PoolKey, u64, String, TxOutcome),
-    /// An order for upkeep was answered.
+    /// A slot of a wave was taken or given back, or not.
+    WaveSettled(PoolKey, u64, TxOutcome),
+    /// An order for upkeep was answered: epoch, wave, host.
     UpkeepOrdered(PoolKey, u64, u64, String, HostReply),
+    /// The list of hosts was read.
+    HostsRead(PoolKey, u64, Vec<HostRecord>),
     /// The process was told to stop.
     Stop,
 }
@@ -138,6 +160,10 @@
     pub intake: Vec<StoredRow>,
     /// Progress.
     pub progress: Vec<StoredRow>,
+    /// The list of workers.
+    pub workers: Vec<WorkerFact>,
+    /// Rows of waves.
+    pub waves: Vec<StoredRow>,
 }
 
 /// An order to a worker, sent only before `until_ms`.
@@ -175,10 +201,12 @@
     /// Renew a worker's lease.
     Hold(Order, WorkerKey, HoldAsk),
     /// Change a wave's row.
-    SettleWave(PoolKey, u64, String, RowTx),
+    SettleWave(PoolKey, u64, RowTx),
     /// Tell the operator how a wave is.
-    TellWave(RowTx),
-    /// Order a host down for upkeep: wave, host, until when it may be sent.
+    TellWave(u64, WaveState),
+    /// Read the list of hosts.
+    ReadHosts(PoolKey, u64),
+    /// Order a host down for upkeep: epoch, wave, host, until when it may be sent.
     Upkeep(PoolKey, u64, u64, String, Millis),
     /// Log a decision.
     Log(Decision),
@@ -202,9 +230,7 @@
     /// The list of workers.
     pub listed: BTreeMap<String, WorkerFact>,
     /// Waves that the operator asked for.
-    pub waves: BTreeMap<u64, WaveOrder>,
-    /// Their rows, with revisions.
-    pub wave_rows: BTreeMap<u64, (Revision, super::rows::WaveRow)>,
+    pub waves: BTreeMap<u64, WaveKnown>,
     /// Timers of all pools.
     pub timers: Timers,
     /// The process was told to stop.
--- /dev/null
+++ b/src/core/sched/wave.rs
@@ -0,0 +1,522 @@
+//! Waves of upkeep: every host of a list goes out once, with at most so many out at a time.
+//!
+//! The owner of a host's pool takes it through: no new work goes there, short tasks end, lasting tasks
+//! move as far as their steps allow, then a slot of the wave is taken by a conditional row, and only
+//! then the order goes out. A wave spans pools; its row counts the slots for all of them.
+
+use std::collections::BTreeMap;
+
+use super::book::{Book, Phase, TaskKey, WorkerKey};
+use super::rows::{self, SlotRow, WaveRow};
+use super::runs;
+use super::state::{Ctx, Effect, Timer, WaveKnown};
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{
+    Guard, HostRecord, HostReply, HostState, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
+};
+
+/// How often a wave is looked at.
+pub const LOOK_MS: Millis = 150;
+
+/// How often the list of hosts is read while a wave runs.
+const HOSTS_MS: Millis = 700;
+
+/// What a host's turn takes: closing, upkeep, the list's lag. From runs on the users' sites.
+const TURN_MS: Millis = 6_500;
+
+/// Share of a wave's time that is planned with, so that a late host is still in time.
+const TIME_PERCENT: u64 = 75;
+
+/// How long short tasks may keep a host that is to go.
+const CLOSE_MS: Millis = 3_000;
+
+/// After a change of owner nobody orders a host for so long: the pages bound orders of two holders in
+/// turn by 3 s.
+const QUIET_MS: Millis = 3_300;
+
+/// Pause before an order to a host is sent again.
+const ORDER_RETRY_MS: Millis = 400;
+
+/// A task that lasts counts as at work so long after its start was answered.
+const AT_WORK_MS: Millis = 2_000;
+
+/// Where a host's turn stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It gets nothing new; since then.
+    Closing(Millis),
+    /// It holds a slot. The life that was there is over once the order is accepted.
+    Holding(String),
+    /// The order is out, or goes out again at that time.
+    Ordered(String, Millis),
+    /// It is out; that life has ended.
+    Away(String),
+}
+
+/// A change of a wave's row that is out.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    wave: u64,
+    row: WaveRow,
+    host: String,
+    is_take: bool,
+}
+
+/// What an owner does for waves.
+#[derive(Clone, Debug, Default)]
+pub struct WaveDuty {
+    turns: BTreeMap<String, (u64, Turn)>,
+    pending: Option<Pending>,
+    hosts: Vec<HostRecord>,
+    hosts_due_ms: Millis,
+}
+
+/// Looks at all waves that are not done.
+pub fn look(
+    book: &mut Book,
+    duty: &mut WaveDuty,
+    known: &mut BTreeMap<u64, WaveKnown>,
+    began_ms: Millis,
+    pool: &str,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let mut is_any = false;
+    for wave in known.values_mut().filter(|w| !w.is_done) {
+        is_any = true;
+        if is_complete(wave, duty) {
+            wave.is_done = true;
+            let number = wave.order.wave;
+            ctx.out.push(Effect::TellWave(number, WaveState::Completed));
+            let id = number.to_string();
+            ctx.tell(Decision::new(
+                Code::WaveDone,
+                Subject::Wave,
+                &id,
+                "every host is back",
+            ));
+            continue;
+        }
+        recover(duty, wave, pool);
+        mark_due(book, wave);
+        let quiet_until_ms = began_ms + QUIET_MS;
+        advance(book, duty, wave, quiet_until_ms, pool, epoch, ctx);
+        begin_turns(book, duty, wave, pool, ctx);
+    }
+    if !is_any {
+        return;
+    }
+    if ctx.now.ms >= duty.hosts_due_ms {
+        duty.hosts_due_ms = ctx.now.ms + HOSTS_MS;
+        ctx.out.push(Effect::ReadHosts(ctx.pool, epoch));
+    }
+    ctx.after(LOOK_MS, Timer::Wave);
+}
+
+/// Whether every host that still exists is back.
+fn is_complete(wave: &WaveKnown, duty: &WaveDuty) -> bool {
+    let is_back = |host: &String| {
+        let is_gone = !duty.hosts.is_empty() && !duty.hosts.iter().any(|h| h.host == *host);
+        wave.row.back.contains(host) || (is_gone && !wave.row.out.contains_key(host))
+    };
+    wave.order.hosts.iter().all(is_back)
+}
+
+/// Slots that this pool's former owner took.
+fn recover(duty: &mut WaveDuty, wave: &WaveKnown, pool: &str) {
+    for (host, slot) in &wave.row.out {
+        if slot.pool == pool && !duty.turns.contains_key(host) {
+            let turn = Turn::Holding(slot.life.clone());
+            duty.turns.insert(host.clone(), (wave.order.wave, turn));
+        }
+    }
+}
+
+fn mark_due(book: &mut Book, wave: &WaveKnown) {
+    for (_, worker) in &mut book.workers {
+        let host = &worker.fact.host;
+        worker.is_due = wave.order.hosts.contains(host) && !wave.row.back.contains(host);
+    }
+}
+
+fn worker_on(book: &Book, host: &str) -> Option<WorkerKey> {
+    let found = book
+        .workers
+        .iter()
+        .find(|(_, w)| w.fact.host == host && w.is_listed);
+    found.map(|(key, _)| key)
+}
+
+/// The life on a host: by the list of workers, or by the list of hosts where workers are off.
+fn life_on(book: &Book, duty: &WaveDuty, host: &str) -> String {
+    if let Some(key) = worker_on(book, host) {
+        return book.workers[key].fact.id.clone();
+    }
+    let record = duty.hosts.iter().find(|h| h.host == host);
+    record.map(|h| h.life.clone()).unwrap_or_default()
+}
+
+fn advance(
+    book: &mut Book,
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    quiet_until_ms: Millis,
+    pool: &str,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let turns: Vec<(String, Turn)> = duty
+        .turns
+        .iter()
+        .filter(|(_, (number, _))| *number == wave.order.wave)
+        .map(|(host, (_, turn))| (host.clone(), turn.clone()))
+        .collect();
+    for (host, turn) in turns {
+        match turn {
+            Turn::Closing(since_ms) => {
+                if clear(book, &host, since_ms, epoch, ctx) {
+                    take_slot(book, duty, wave, &host, pool, ctx);
+                }
+            }
+            Turn::Holding(life) => order(duty, wave, &host, life, quiet_until_ms, epoch, ctx),
+            Turn::Ordered(life, again_ms) if ctx.now.ms >= again_ms => {
+                order(duty, wave, &host, life, quiet_until_ms, epoch, ctx);
+            }
+            Turn::Ordered(..) => {}
+            Turn::Away(life) => give_back(book, duty, wave, &host, &life, ctx),
+        }
+    }
+}
+
+/// Moves what lasts and waits for the rest; says whether the host may go.
+fn clear(book: &mut Book, host: &str, since_ms: Millis, epoch: u64, ctx: &mut Ctx<'_>) -> bool {
+    let Some(worker) = worker_on(book, host) else {
+        return true;
+    };
+    let tasks: Vec<TaskKey> = book.workers[worker].tasks.iter().copied().collect();
+    let mut lasting_left = 0;
+    for key in &tasks {
+        if !book.step_spec(*key).is_some_and(|s| s.lasting) {
+            continue;
+        }
+        lasting_left += 1;
+        let is_running = book
+            .task(*key)
+            .is_some_and(|t| matches!(t.phase, Phase::Running(_)));
+        if is_running && may_miss(book, *key, ctx.now.ms) {
+            runs::stop(book, *key, epoch, ctx);
+        }
+    }
+    let is_patient = ctx.now.ms < since_ms + CLOSE_MS;
+    lasting_left == 0 && (tasks.is_empty() || !is_patient)
+}
+
+/// Whether the system may take a lasting task away now: few enough of its step are away already.
+pub fn may_miss(book: &Book, key: TaskKey, now_ms: Millis) -> bool {
+    let Some(spec) = book.step_spec(key) else {
+        return false;
+    };
+    let most = spec.away_max.map_or(1, usize::from);
+    let others = (0..spec.count).filter(|index| *index != key.index);
+    let away = others.filter(|index| {
+        let other = TaskKey {
+            index: *index,
+            ..key
+        };
+        !book.task(other).is_some_and(|t| {
+            matches!(t.phase, Phase::Running(_)) && now_ms >= t.since_ms + AT_WORK_MS
+        })
+    });
+    away.count() < most
+}
+
+fn settle(
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    row: WaveRow,
+    host: &str,
+    is_take: bool,
+    ctx: &mut Ctx<'_>,
+) {
+    let key = wave.order.wave.to_string();
+    let tx = RowTx {
+        part: String::new(),
+        guards: vec![Guard {
+            table: Table::Waves,
+            key: key.clone(),
+            revision: wave.revision,
+        }],
+        writes: vec![Write {
+            table: Table::Waves,
+            key,
+            value: Some(rows::encode(&row)),
+        }],
+    };
+    duty.pending = Some(Pending {
+        wave: wave.order.wave,
+        row,
+        host: host.to_string(),
+        is_take,
+    });
+    ctx.out
+        .push(Effect::SettleWave(ctx.pool, wave.order.wave, tx));
+}
+
+fn take_slot(
+    book: &Book,
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    host: &str,
+    pool: &str,
+    ctx: &mut Ctx<'_>,
+) {
+    if duty.pending.is_some() || wave.row.out.len() >= wave.order.out_max {
+        return;
+    }
+    let mut row = wave.row.clone();
+    if row.began_wall_ms == 0 {
+        row.began_wall_ms = ctx.now.wall_ms;
+        ctx.out
+            .push(Effect::TellWave(wave.order.wave, WaveState::Running));
+    }
+    let slot = SlotRow {
+        life: life_on(book, duty, host),
+        pool: pool.to_string(),
+        taken_wall_ms: ctx.now.wall_ms,
+    };
+    row.out.insert(host.to_string(), slot);
+    settle(duty, wave, row, host, true, ctx);
+}
+
+fn give_back(
+    book: &Book,
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    host: &str,
+    life: &str,
+    ctx: &mut Ctx<'_>,
+) {
+    if duty.pending.is_some() {
+        return;
+    }
+    let record = duty.hosts.iter().find(|h| h.host == host);
+    let is_listed_up = record.is_some_and(|h| h.state == HostState::Up && h.life != life);
+    let has_new_life = worker_on(book, host).is_some_and(|k| book.workers[k].fact.id != life);
+    if !is_listed_up && !has_new_life {
+        return;
+    }
+    let mut row = wave.row.clone();
+    row.out.remove(host);
+    row.back.push(host.to_string());
+    settle(duty, wave, row, host, false, ctx);
+}
+
+fn order(
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    host: &str,
+    life: String,
+    quiet_until_ms: Millis,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    if ctx.now.ms < quiet_until_ms || !ctx.may_send() {
+        return;
+    }
+    let again_ms = ctx.now.ms + 4 * ORDER_RETRY_MS;
+    let turn = Turn::Ordered(life, again_ms);
+    duty.turns.insert(host.to_string(), (wave.order.wave, turn));
+    let number = wave.order.wave;
+    ctx.tell(
+        Decision::new(Code::UpkeepOrdered, Subject::Host, host, "it holds a slot")
+            .with("wave", number)
+            .with("out", wave.row.out.len() as u64)
+            .with("out_max", wave.order.out_max as u64)
+            .with("epoch", epoch),
+    );
+    let until_ms = ctx.until_ms;
+    ctx.out.push(Effect::Upkeep(
+        ctx.pool,
+        epoch,
+        number,
+        host.to_string(),
+        until_ms,
+    ));
+}
+
+/// Settles an order for upkeep.
+pub fn ordered(
+    book: &mut Book,
+    duty: &mut WaveDuty,
+    wave: u64,
+    host: &str,
+    reply: HostReply,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some((_, Turn::Ordered(life, _))) = duty.turns.get(host).cloned() else {
+        return;
+    };
+    let id = wave.to_string();
+    ctx.tell(Decision::new(
+        Code::UpkeepAnswered,
+        Subject::Host,
+        host,
+        format!("wave {id}: {reply:?}"),
+    ));
+    let next = match reply {
+        HostReply::Accepted => {
+            if let Some(worker) = book.by_life.get(&life).copied() {
+                let w = &mut book.workers[worker];
+                w.is_listed = false;
+                w.lease_over_ms = 0;
+                runs::worker_over(book, worker, "its host is out for upkeep", ctx);
+                super::holds::forget_if_over(book, worker, ctx);
+            }
+            duty.hosts_due_ms = ctx.now.ms + HOSTS_MS;
+            Turn::Away(life)
+        }
+        _ => Turn::Ordered(life, ctx.now.ms + ORDER_RETRY_MS),
+    };
+    duty.turns.insert(host.to_string(), (wave, next));
+}
+
+/// Takes in what became of a change of a wave's row.
+pub fn settled(
+    duty: &mut WaveDuty,
+    known: &mut BTreeMap<u64, WaveKnown>,
+    outcome: TxOutcome,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(pending) = duty.pending.take() else {
+        return;
+    };
+    let Some(wave) = known.get_mut(&pending.wave) else {
+        return;
+    };
+    let is_done = match outcome {
+        TxOutcome::Committed(revision) => {
+            wave.revision = revision;
+            wave.row = pending.row.clone();
+            true
+        }
+        TxOutcome::Conflict(found) => {
+            for (_, row) in found {
+                observe(wave, &row, ctx);
+            }
+            // An earlier sending of ours may have taken effect.
+            wave.row == pending.row
+        }
+        TxOutcome::Refused | TxOutcome::Unknown => false,
+    };
+    if !is_done {
+        return;
+    }
+    if pending.is_take {
+        let slot = pending.row.out.get(&pending.host);
+        let life = slot.map(|s| s.life.clone()).unwrap_or_default();
+        let turn = (pending.wave, Turn::Holding(life));
+        duty.turns.insert(pending.host, turn);
+        ctx.after(0, Timer::Wave);
+    } else {
+        let id = pending.wave.to_string();
+        let left = wave.order.hosts.len().saturating_sub(wave.row.back.len());
+        ctx.tell(
+            Decision::new(
+                Code::HostBack,
+                Subject::Host,
+                &pending.host,
+                format!("wave {id}"),
+            )
+            .with("left", left as u64),
+        );
+        duty.turns.remove(&pending.host);
+    }
+}
+
+/// Takes in a wave's row as read.
+pub fn observe(wave: &mut WaveKnown, row: &StoredRow, ctx: &mut Ctx<'_>) {
+    if row.revision <= wave.revision {
+        return;
+    }
+    let Some(value) = &row.value else { return };
+    match rows::decode(value) {
+        Ok(decoded) => {
+            wave.row = decoded;
+            wave.revision = row.revision;
+        }
+        Err(e) => ctx.tell(Decision::new(Code::BadRow, Subject::Wave, &row.key, e)),
+    }
+}
+
+/// Takes in the list of hosts.
+pub fn hosts_read(duty: &mut WaveDuty, hosts: Vec<HostRecord>) {
+    duty.hosts = hosts;
+}
+
+/// Closes as many hosts as the wave's time asks for.
+fn begin_turns(
+    book: &mut Book,
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    pool: &str,
+    ctx: &mut Ctx<'_>,
+) {
+    let candidates = candidates(book, duty, wave, pool);
+    let in_turn = duty
+        .turns
+        .values()
+        .filter(|(n, _)| *n == wave.order.wave)
+        .count();
+    let left = candidates.len() + in_turn;
+    let allowed = side_by_side(wave, left, ctx.now.ms);
+    for (host, _) in candidates.into_iter().take(allowed.saturating_sub(in_turn)) {
+        if let Some(key) = worker_on(book, &host) {
+            book.workers[key].is_closing = true;
+        }
+        let turn = Turn::Closing(ctx.now.ms);
+        ctx.tell(
+            Decision::new(Code::HostClosing, Subject::Host, &host, "its wave is due")
+                .with("wave", wave.order.wave)
+                .with("left", left as u64),
+        );
+        duty.turns.insert(host, (wave.order.wave, turn));
+    }
+}
+
+/// How many hosts of a pool take their turns at a time, so that all are through in time.
+fn side_by_side(wave: &WaveKnown, left: usize, now_ms: Millis) -> usize {
+    let planned_ms = wave.order.duration_ms * TIME_PERCENT / 100;
+    let left_ms = (wave.seen_ms + planned_ms)
+        .saturating_sub(now_ms)
+        .max(TURN_MS);
+    let at_a_time = (left as u64 * TURN_MS).div_ceil(left_ms) as usize;
+    at_a_time.clamp(1, wave.order.out_max)
+}
+
+/// Hosts of the pool whose turn may begin, those with the least work first.
+fn candidates(book: &Book, duty: &WaveDuty, wave: &WaveKnown, pool: &str) -> Vec<(String, u64)> {
+    let is_due = |host: &String| {
+        !wave.row.back.contains(host)
+            && !wave.row.out.contains_key(host)
+            && !duty.turns.contains_key(host)
+    };
+    let mut found: Vec<(String, u64)> = Vec::new();
+    for host in wave.order.hosts.iter().filter(|h| is_due(h)) {
+        if let Some(key) = worker_on(book, host) {
+            let w = &book.workers[key];
+            if w.answers && !w.fact.draining {
+                found.push((host.clone(), w.used.cpu_milli + w.tasks.len() as u64));
+            }
+            continue;
+        }
+        let record = duty.hosts.iter().find(|h| h.host == *host);
+        let is_off =
+            |h: &HostRecord| h.pool == pool && h.state == HostState::Up && h.life.is_empty();
+        if record.is_some_and(is_off) {
+            found.push((host.clone(), 0));
+        }
+    }
+    found.sort_by_key(|(_, work)| *work);
+    found
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -100,6 +100,9 @@
     WorkerSilent, 611, "worker-silent", "A worker did not answer a hold; it gets nothing new.";
     WorkerOver, 612, "worker-over", "Everything that ran on a worker is certainly over.";
     WorkerSuspended, 613, "worker-suspended", "Tasks keep failing on a worker; it is left alone for a while.";
+    HostClosing, 620, "host-closing", "A host is due for upkeep; it gets no new work.";
+    UpkeepOrdered, 621, "upkeep-ordered", "A host holds a slot of its wave and is ordered out.";
+    UpkeepAnswered, 622, "upkeep-answered", "What the platform said to an order for upkeep.";
 }
 
 impl Code {
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -26,8 +26,6 @@
     Progress,
     /// Slots taken by waves of upkeep.
     Waves,
-    /// What the operator reads about waves.
-    Status,
 }
 
 /// A row of one of the product's tables.
@@ -478,8 +476,51 @@
     Silent,
 }
 
+/// How a host is, as the platform lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostState {
+    /// In service, or off where its pool is parked.
+    Up,
+    /// On its way to another pool.
+    Moving,
+    /// Out for upkeep.
+    Upkeep,
+    /// Not running.
+    Down,
+}
+
+/// A host as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostRecord {
+    /// Its name.
+    pub host: String,
+    /// Its pool.
+    pub pool: String,
+    /// How it is.
+    pub state: HostState,
+    /// The life of the worker on it; empty for none.
+    pub life: String,
+}
+
+/// How a wave is, for the operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaveState {
+    /// Hosts are due.
+    Running,
+    /// Every host has been through.
+    Completed,
+}
+
+/// What the operator reads about waves.
+pub trait WaveStatus {
+    /// Tells how a wave is; `Running` is told only where nothing was told before.
+    fn tell_wave(&self, wave: u64, state: WaveState) -> impl Future<Output = TxOutcome>;
+}
+
 /// Orders to hosts.
 pub trait HostMoves {
+    /// All hosts.
+    fn hosts(&self) -> impl Future<Output = Result<Vec<HostRecord>, ReadError>>;
     /// Takes a host down for its upkeep in a wave.
     fn upkeep(
         &self,
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use smol::channel::{Receiver, Sender};
@@ -13,11 +13,12 @@
 use super::operations::whole;
 use super::shared::Shared;
 use crate::clock::Millis;
-use crate::core::sched::limits::{HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_TIMEOUT_MS};
+use crate::core::sched::limits::{HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_RETRY_MS, TX_TIMEOUT_MS};
 use crate::core::sched::state::{Effect, Event, LoadedRows, Order, State};
 use crate::core::sched::{reduce, rows};
 use crate::port::fleet::{
-    Directory, HostMoves, OrderReply, ReadError, Rows, StoredRow, Table, TxOutcome, WorkerOrders,
+    Directory, HostAuthority, HostMoves, HostReply, OrderReply, ReadError, Rows, StoredRow, Table,
+    TxOutcome, WaveStatus, WorkerOrders,
 };
 
 /// Longest sleep of the loop when nothing is due.
@@ -35,7 +36,7 @@
 /// Runs control; comes back only with the process.
 pub(super) fn run<P>(platform: P, shared: &Arc<Shared>, leave: Receiver<()>)
 where
-    P: Rows + Directory + WorkerOrders + HostMoves + Clone + 'static,
+    P: Rows + Directory + WorkerOrders + HostMoves + WaveStatus + Clone + 'static,
 {
     let executor = Rc::new(LocalExecutor::new());
     let (events, inbox) = smol::channel::unbounded();
@@ -48,10 +49,12 @@
     };
     let operator = feeds::operator(platform.clone(), Arc::clone(shared), events.clone());
     executor.spawn(operator).detach();
-    let workers = feeds::workers(platform.clone(), events.clone());
+    let workers = feeds::workers(platform.clone(), Rc::clone(&carrier.owned), events.clone());
     executor.spawn(workers).detach();
     let owners = feeds::owners(platform.clone(), events.clone());
     executor.spawn(owners).detach();
+    let waves = feeds::waves(platform.clone(), Rc::clone(&carrier.owned), events.clone());
+    executor.spawn(waves).detach();
     let intake = feeds::intake(platform, Rc::clone(&carrier.owned), events.clone());
     executor.spawn(intake).detach();
     let leaving = async move {
@@ -65,7 +68,7 @@
 
 async fn turn<P>(carrier: &Carrier<P>, inbox: Receiver<Event>)
 where
-    P: Rows + Directory + WorkerOrders + HostMoves + Clone + 'static,
+    P: Rows + Directory + WorkerOrders + HostMoves + WaveStatus + Clone + 'static,
 {
     let shared = &carrier.shared;
     let mut state = State::new(shared.settings.name.clone(), fastrand::u64(1..));
@@ -132,7 +135,7 @@
 
 impl<P> Carrier<P>
 where
-    P: Rows + Directory + WorkerOrders + HostMoves + Clone + 'static,
+    P: Rows + Directory + WorkerOrders + HostMoves + WaveStatus + Clone + 'static,
 {
     fn carry(&self, effect: Effect) {
         let platform = self.platform.clone();
@@ -146,10 +149,19 @@
                 let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
                 Some(Event::Renewed(pool, epoch, sent_ms, outcome))
             }),
-            Effect::Release(tx) | Effect::TellWave(tx) => self.spawn(async move {
-                insist(&platform, &tx).await;
+            Effect::Release(tx) => self.spawn(async move {
+                insist(|| platform.transact(&tx, TX_TIMEOUT_MS)).await;
                 None
             }),
+            Effect::TellWave(wave, status) => self.spawn(async move {
+                insist(|| platform.tell_wave(wave, status)).await;
+                None
+            }),
+            Effect::ReadHosts(pool, epoch) => self.spawn(async move {
+                // Without the list, the next look at the wave asks again.
+                let hosts = platform.hosts().await.ok()?;
+                Some(Event::HostsRead(pool, epoch, hosts))
+            }),
             Effect::Load(pool, epoch, name) => self.spawn(async move {
                 let rows = load(&platform, &name).await.ok();
                 Some(Event::Loaded(pool, epoch, rows))
@@ -222,11 +234,25 @@
                     Some(Event::Held(pool, epoch, worker, sent_ms, result))
                 });
             }
-            Effect::SettleWave(pool, epoch, host, tx) => self.spawn(async move {
+            Effect::SettleWave(pool, wave, tx) => self.spawn(async move {
                 let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
-                Some(Event::WaveSettled(pool, epoch, host, outcome))
+                Some(Event::WaveSettled(pool, wave, outcome))
             }),
-            Effect::Upkeep(..) => {}
+            Effect::Upkeep(pool, epoch, wave, host, until_ms) => {
+                let shared = Arc::clone(&self.shared);
+                self.spawn(async move {
+                    let who = HostAuthority {
+                        entry: shared.settings.name.clone(),
+                        fence: epoch,
+                    };
+                    let reply = if shared.clock.now_ms() < until_ms {
+                        platform.upkeep(&who, &host, wave, TX_TIMEOUT_MS).await
+                    } else {
+                        HostReply::TooMany
+                    };
+                    Some(Event::UpkeepOrdered(pool, epoch, wave, host, reply))
+                });
+            }
             Effect::Log(decision) => self.shared.tell(decision),
             Effect::Left => {}
         }
@@ -248,20 +274,23 @@
     shared.clock.now_ms() < order.until_ms
 }
 
-/// Sends a transaction until its fate is known; each sending is guarded, so that it takes effect once.
-async fn insist<P: Rows>(platform: &P, tx: &crate::port::fleet::RowTx) {
+/// Sends a guarded or repeatable write until its fate is known.
+async fn insist<F: Future<Output = TxOutcome>>(send: impl Fn() -> F) {
     const TRIES: u32 = 5;
     for _ in 0..TRIES {
-        let outcome = platform.transact(tx, TX_TIMEOUT_MS).await;
+        let outcome = send().await;
         if matches!(outcome, TxOutcome::Committed(_) | TxOutcome::Conflict(_)) {
             return;
         }
+        Timer::after(Duration::from_millis(TX_RETRY_MS)).await;
     }
 }
 
-async fn load<P: Rows>(platform: &P, pool: &str) -> Result<LoadedRows, ReadError> {
+async fn load<P: Rows + Directory>(platform: &P, pool: &str) -> Result<LoadedRows, ReadError> {
     Ok(LoadedRows {
         intake: whole(platform, Table::Intake, pool).await?,
         progress: whole(platform, Table::Progress, pool).await?,
+        workers: feeds::present(&platform.workers().await?),
+        waves: whole(platform, Table::Waves, "").await?,
     })
 }
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -28,8 +28,14 @@
 /// Pause after an answer on owners: heartbeats are gathered, each answer costs processor time.
 const OWNERS_PAUSE_MS: Millis = 150;
 
+/// The same for the list of workers: each beats every second or two.
+const WORKERS_PAUSE_MS: Millis = 100;
+
+/// The same for rows of waves, which change at most a few times a second.
+const WAVES_PAUSE_MS: Millis = 100;
+
 /// How often a feed that is not needed looks whether it is.
-const UNNEEDED_LOOK_MS: Millis = 20;
+const UNNEEDED_LOOK_MS: Millis = 60;
 
 /// Names of the pools that this entry owns, and where to read intake from.
 #[derive(Default)]
@@ -108,10 +114,15 @@
     }
 }
 
-/// Follows the list of workers.
-pub(super) async fn workers<P: Directory>(platform: P, events: Sender<Event>) {
+/// Follows the list of workers while this entry owns a pool.
+pub(super) async fn workers<P: Directory>(platform: P, owned: Rc<Owned>, events: Sender<Event>) {
     let mut since = None;
     loop {
+        if owned.intake_from.get().is_none() {
+            since = None;
+            pause(UNNEEDED_LOOK_MS).await;
+            continue;
+        }
         let got = match since {
             None => platform.workers().await,
             Some(revision) => platform.workers_feed(revision, WAIT_MS).await,
@@ -126,6 +137,40 @@
                     }
                 }
                 since = Some(feed.revision);
+                pause(WORKERS_PAUSE_MS).await;
+            }
+            Err(ReadError::HistoryGone) => since = None,
+            Err(ReadError::Down) => pause_after_failure().await,
+        }
+    }
+}
+
+/// Follows the rows of waves while this entry owns a pool.
+pub(super) async fn waves<P: Rows>(platform: P, owned: Rc<Owned>, events: Sender<Event>) {
+    let mut since = None;
+    loop {
+        if owned.intake_from.get().is_none() {
+            since = None;
+            pause(UNNEEDED_LOOK_MS).await;
+            continue;
+        }
+        let got = match since {
+            Some(revision) => platform.feed(Table::Waves, revision, WAIT_MS).await,
+            None => platform
+                .scan(Table::Waves, "", Default::default(), WAIT_MS)
+                .await
+                .map(|scan| Feed {
+                    changes: scan.rows,
+                    revision: scan.revision,
+                }),
+        };
+        match got {
+            Ok(feed) => {
+                since = Some(feed.revision);
+                for row in feed.changes {
+                    send(&events, Event::WaveRow(row)).await;
+                }
+                pause(WAVES_PAUSE_MS).await;
             }
             Err(ReadError::HistoryGone) => since = None,
             Err(ReadError::Down) => pause_after_failure().await,
@@ -133,7 +178,7 @@
     }
 }
 
-fn present(feed: &Feed<WorkerWord>) -> Vec<crate::port::fleet::WorkerFact> {
+pub(super) fn present(feed: &Feed<WorkerWord>) -> Vec<crate::port::fleet::WorkerFact> {
     let facts = feed.changes.iter().filter_map(|word| match word {
         WorkerWord::Present(fact) => Some(fact.clone()),
         _ => None,
