Parked hosts come back in waves; jobs that will be late wait behind those in time

Cause: a parked host carries no life before or after its upkeep, so it never counted as back; under overload the earliest objective first made every job late in turn. Change: a list of hosts newer than the order tells that a parked host is back; classes in time, late, hopeless by the estimated chain that is left.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -128,6 +128,24 @@
     pub finished_ms: Option<Millis>,
 }
 
+impl Job {
+    /// What the job can still earn: 1 in time, 2 late, 3 nothing.
+    fn class(&self, now_ms: Millis) -> u8 {
+        if now_ms > self.hopeless_ms {
+            return 3;
+        }
+        let left_ms = self
+            .rounds
+            .values()
+            .map(|r| self.spec.longest_ms(|n| r.steps[n].left > 0))
+            .max();
+        if now_ms + left_ms.unwrap_or(0) > self.due_ms {
+            return 2;
+        }
+        1
+    }
+}
+
 /// A moment on a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClockSample {
@@ -265,7 +283,7 @@
 /// The order in which waiting tasks get places.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// 0 lasts, 1 can be in time, 2 can't.
+    /// 0 lasts, 1 can be in time, 2 will be late, 3 earns nothing any more.
     pub class: u8,
     /// Earliest objective first.
     pub due_ms: Millis,
@@ -377,7 +395,7 @@
     }
 
     fn unqueue(&mut self, key: TaskKey, rank: Rank) {
-        for class in 0..=2 {
+        for class in 0..=3 {
             self.ready.remove(&Rank {
                 class,
                 task: key,
@@ -389,11 +407,7 @@
     fn rank(&self, key: TaskKey, now_ms: Millis) -> Option<Rank> {
         let job = self.jobs.get(key.job)?;
         let lasts = job.spec.steps.get(usize::from(key.step))?.lasting;
-        let class = match (lasts, now_ms > job.hopeless_ms) {
-            (true, _) => 0,
-            (false, false) => 1,
-            (false, true) => 2,
-        };
+        let class = if lasts { 0 } else { job.class(now_ms) };
         Some(Rank {
             class,
             due_ms: job.due_ms,
@@ -403,17 +417,12 @@
 
     /// Puts jobs that can't be in time any more behind those that can.
     pub fn resort(&mut self, now_ms: Millis) {
-        let in_time: Vec<Rank> = self
-            .ready
-            .iter()
-            .copied()
-            .filter(|r| r.class == 1)
-            .collect();
-        for rank in in_time {
-            let late = self.jobs.get(rank.task.job);
-            if late.is_some_and(|job| now_ms > job.hopeless_ms) {
+        let waiting: Vec<Rank> = self.ready.iter().copied().collect();
+        for rank in waiting.into_iter().filter(|r| r.class > 0) {
+            let class = self.jobs.get(rank.task.job).map(|job| job.class(now_ms));
+            if let Some(class) = class.filter(|c| *c != rank.class) {
                 self.ready.remove(&rank);
-                self.ready.insert(Rank { class: 2, ..rank });
+                self.ready.insert(Rank { class, ..rank });
             }
         }
     }
--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -114,8 +114,13 @@
 
     /// The longest chain of estimated work through its steps.
     pub fn chain_ms(&self) -> Millis {
+        self.longest_ms(|_| true)
+    }
+
+    /// The longest chain through the steps that `counts` names.
+    pub fn longest_ms(&self, counts: impl Fn(usize) -> bool) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (n, step) in self.steps.iter().enumerate() {
             let begin = step
                 .after
                 .iter()
@@ -123,7 +128,8 @@
                 .max()
                 .copied()
                 .unwrap_or(0);
-            ends.push(begin + step.estimate_ms);
+            let own_ms = if counts(n) { step.estimate_ms } else { 0 };
+            ends.push(begin + own_ms);
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -50,8 +50,8 @@
     Holding(String),
     /// The order is out, or goes out again at that time.
     Ordered(String, Millis),
-    /// It is out; that life has ended.
-    Away(String),
+    /// It is out since then; that life has ended.
+    Away(String, Millis),
 }
 
 /// A change of a wave's row that is out.
@@ -70,6 +70,8 @@
     pending: Option<Pending>,
     hosts: Vec<HostRecord>,
     hosts_due_ms: Millis,
+    hosts_asking_ms: Millis,
+    hosts_asked_ms: Millis,
 }
 
 /// Looks at all waves that are not done.
@@ -109,6 +111,7 @@
     }
     if ctx.now.ms >= duty.hosts_due_ms {
         duty.hosts_due_ms = ctx.now.ms + HOSTS_MS;
+        duty.hosts_asking_ms = ctx.now.ms;
         ctx.out.push(Effect::ReadHosts(ctx.pool, epoch));
     }
     ctx.after(LOOK_MS, Timer::Wave);
@@ -184,7 +187,9 @@
                 order(duty, wave, &host, life, quiet_until_ms, epoch, ctx);
             }
             Turn::Ordered(..) => {}
-            Turn::Away(life) => give_back(book, duty, wave, &host, &life, ctx),
+            Turn::Away(life, since_ms) => {
+                give_back(book, duty, wave, &host, (&life, since_ms), ctx);
+            }
         }
     }
 }
@@ -294,14 +299,16 @@
     duty: &mut WaveDuty,
     wave: &WaveKnown,
     host: &str,
-    life: &str,
+    (life, since_ms): (&str, Millis),
     ctx: &mut Ctx<'_>,
 ) {
     if duty.pending.is_some() {
         return;
     }
     let record = duty.hosts.iter().find(|h| h.host == host);
-    let is_listed_up = record.is_some_and(|h| h.state == HostState::Up && h.life != life);
+    // A host of a parked pool carries no life before and after: the list must be newer than the order.
+    let is_newer = duty.hosts_asked_ms > since_ms;
+    let is_listed_up = is_newer && record.is_some_and(|h| h.state == HostState::Up);
     let has_new_life = worker_on(book, host).is_some_and(|k| book.workers[k].fact.id != life);
     if !is_listed_up && !has_new_life {
         return;
@@ -374,7 +381,7 @@
                 super::holds::forget_if_over(book, worker, ctx);
             }
             duty.hosts_due_ms = ctx.now.ms + HOSTS_MS;
-            Turn::Away(life)
+            Turn::Away(life, ctx.now.ms)
         }
         _ => Turn::Ordered(life, ctx.now.ms + ORDER_RETRY_MS),
     };
@@ -452,6 +459,7 @@
 /// Takes in the list of hosts.
 pub fn hosts_read(duty: &mut WaveDuty, hosts: Vec<HostRecord>) {
     duty.hosts = hosts;
+    duty.hosts_asked_ms = duty.hosts_asking_ms;
 }
 
 /// Closes as many hosts as the wave's time asks for.
