Of two lives on one host, the one whose entry was written later is alive

A life that ended with its host's upkeep stays listed for three heartbeats; a new owner that read the list anew took the old entry for the new life and declared the living one over. Ruled out: the takeover itself (silent 50 ms, rows complete), the lease. Change: entries carry the revision of their last write; the earlier one is passed over.

--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -219,6 +219,7 @@
         labels: Vec::new(),
         capacity: Default::default(),
         draining: true,
+        written: 0,
     };
     let key = add_worker(book, fact, began_ms);
     let is_over = state
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -419,19 +419,19 @@
         gone(state, &id, now, out);
     }
     for fact in all {
-        if state.listed.get(&fact.id) != Some(&fact) {
-            present(state, fact, now, out);
-        }
+        present(state, fact, now, out);
     }
 }
 
 fn present(state: &mut State, fact: WorkerFact, now: Now, out: &mut Vec<Effect>) {
-    let earlier: Vec<String> = state
-        .listed
-        .values()
-        .filter(|f| f.host == fact.host && f.id != fact.id)
-        .map(|f| f.id.clone())
-        .collect();
+    let others = state.listed.values();
+    let others = others.filter(|f| f.host == fact.host && f.id != fact.id);
+    let (later, earlier): (Vec<_>, Vec<_>) = others.partition(|f| f.written > fact.written);
+    if !later.is_empty() {
+        // The entry of a life that is over stays listed for some heartbeats.
+        return;
+    }
+    let earlier: Vec<String> = earlier.into_iter().map(|f| f.id.clone()).collect();
     for id in &earlier {
         state.listed.remove(id);
     }
