Failed runs count once each; lasting tasks move only past others that are at work

Change: failed runs are bits; a lasting task is at work when its worker says so, lately; a turn ends where the host has been through.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -73,8 +73,8 @@
     pub phase: Phase,
     /// Its last run; 0 before the first.
     pub run: u32,
-    /// Runs that failed.
-    pub fails: u16,
+    /// Runs that failed, a bit each: an end that is told again counts once.
+    pub failed_runs: u64,
     /// Where the next run goes on from.
     pub checkpoint: String,
     /// Where the last run that failed was.
@@ -83,6 +83,20 @@
     pub since_ms: Millis,
     /// When the worker answered the order that led here; an account asked for later must show it.
     pub settled_ms: Option<Millis>,
+    /// The worker said that it is past its start-up.
+    pub is_at_work: bool,
+}
+
+impl Task {
+    /// Notes a failed run; of the 64th and later ones only that there are some.
+    pub fn note_failure(&mut self, run: u32) {
+        self.failed_runs |= 1 << run.saturating_sub(1).min(63);
+    }
+
+    /// Number of failed runs.
+    pub fn fails(&self) -> u32 {
+        self.failed_runs.count_ones()
+    }
 }
 
 /// One step of a round.
@@ -193,6 +207,8 @@
     pub hold: HoldPhase,
     /// Whether it answered the last hold.
     pub answers: bool,
+    /// When it last answered one.
+    pub heard_ms: Millis,
     /// Ends up to this number were taken into the books.
     pub taken: u64,
     /// Ends up to this number are on record.
@@ -221,6 +237,7 @@
             lease_over_ms,
             hold: HoldPhase::Idle,
             answers: false,
+            heard_ms: 0,
             taken: 0,
             recorded: 0,
             fails_in_row: 0,
@@ -376,6 +393,7 @@
         task.phase = phase;
         task.since_ms = now_ms;
         task.settled_ms = None;
+        task.is_at_work = false;
         if before.worker() != phase.worker() {
             if let Some(w) = before.worker().and_then(|w| self.workers.get_mut(w)) {
                 w.release(key, demand);
@@ -589,6 +607,6 @@
             },
             _ => Standing::Idle,
         };
-        TaskRow(task.run, task.fails, standing)
+        TaskRow(task.run, task.failed_runs, standing)
     }
 }
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -139,6 +139,7 @@
         w.answers = true;
         book.wants_placing = true;
     }
+    w.heard_ms = ctx.now.ms;
     let sample = ClockSample {
         local_ms: ctx.now.ms,
         worker_ms: report.clock_ms,
@@ -221,7 +222,12 @@
                 runs::stop(book, key, epoch, ctx);
             }
         }
-        Phase::Running(_) | Phase::Stopping(_) if is_here => {}
+        Phase::Running(_) if is_here => {
+            if let Some(task) = book.task_mut(key) {
+                task.is_at_work = run.percent >= 100;
+            }
+        }
+        Phase::Stopping(_) if is_here => {}
         // A start that is out again while an old copy of it is listed is told apart by its run.
         _ if task.run == run.run && task.phase.worker() == Some(worker) => {}
         _ => runs::stop_stray(book, worker, &run.task, run.run, epoch, ctx),
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -285,7 +285,7 @@
             Phase::Blocked
         },
         run: row.0,
-        fails: row.1,
+        failed_runs: row.1,
         ..Task::default()
     }
 }
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -67,9 +67,9 @@
     pub steps: Vec<Vec<TaskRow>>,
 }
 
-/// One task: run number, failed runs, and where it stands.
+/// One task: run number, failed runs as bits, and where it stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TaskRow(pub u32, pub u16, pub Standing);
+pub struct TaskRow(pub u32, pub u64, pub Standing);
 
 /// Where a task stands on record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -243,7 +243,7 @@
     }
     match end.kind {
         EndKind::Done => done(book, key, worker, is_current, epoch, ctx),
-        EndKind::Failed => failed(book, key, worker, is_current, epoch, ctx),
+        EndKind::Failed => failed(book, key, worker, end.run, epoch, ctx),
         _ if is_current => {
             if let Some(task) = book.task_mut(key) {
                 task.checkpoint.clone_from(&end.checkpoint);
@@ -309,20 +309,26 @@
     book: &mut Book,
     key: TaskKey,
     worker: WorkerKey,
-    is_current: bool,
+    run: u32,
     epoch: u64,
     ctx: &mut Ctx<'_>,
 ) {
-    count_failure(book, worker, ctx);
-    book.mark(key.job, ctx.now.ms);
     let lasts = book.step_spec(key).is_some_and(|s| s.lasting);
     let attempts_max = book.jobs[key.job].attempts_max;
     let Some(task) = book.task_mut(key) else {
         return;
     };
-    task.fails = task.fails.saturating_add(1);
+    let is_current = task.run == run && task.phase.worker() == Some(worker);
+    let before = task.failed_runs;
+    task.note_failure(run);
+    if task.failed_runs == before && !is_current {
+        // Told again after it was recorded.
+        return;
+    }
     task.failed_on = Some(worker);
-    let fails = u32::from(task.fails);
+    let fails = task.fails();
+    book.mark(key.job, ctx.now.ms);
+    count_failure(book, worker, ctx);
     if is_current {
         requeue(book, key, "run failed", ctx);
     }
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -48,8 +48,8 @@
 /// Pause before an order to a host is sent again.
 const ORDER_RETRY_MS: Millis = 400;
 
-/// A task that lasts counts as at work so long after its start was answered.
-const AT_WORK_MS: Millis = 2_000;
+/// An account older than that tells nothing of what is at work; holds come back every second.
+const HEARD_MS: Millis = 1_500;
 
 /// Where a host's turn stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -189,11 +189,15 @@
         .collect();
     for (host, turn) in turns {
         match turn {
+            // A former owner, or the next one, took it through.
+            Turn::Closing(_) if wave.row.back.contains(&host) => {
+                reopen(book, duty, &host, "it has been through", ctx);
+            }
             Turn::Closing(since_ms) => {
                 if clear(book, &host, since_ms, epoch, ctx) {
                     take_slot(book, duty, wave, &host, pool, ctx);
                 } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS {
-                    reopen(book, duty, &host, ctx);
+                    reopen(book, duty, &host, "what lasts there could not move", ctx);
                 }
             }
             Turn::Holding(life) => order(duty, wave, &host, life, quiet_until_ms, epoch, ctx),
@@ -238,8 +242,8 @@
     lasting.all(|key| may_miss(book, *key, now_ms) && place::has_other(book, *key, worker, now_ms))
 }
 
-/// Gives a host back to its pool for a while: what lasts there has nowhere to go.
-fn reopen(book: &mut Book, duty: &mut WaveDuty, host: &str, ctx: &mut Ctx<'_>) {
+/// Gives a host back to its pool for a while.
+fn reopen(book: &mut Book, duty: &mut WaveDuty, host: &str, why: &str, ctx: &mut Ctx<'_>) {
     duty.turns.remove(host);
     let again_ms = ctx.now.ms + REOPENED_MS;
     duty.reopened.insert(host.to_string(), again_ms);
@@ -247,12 +251,7 @@
         book.workers[key].is_closing = false;
         book.wants_placing = true;
     }
-    ctx.tell(Decision::new(
-        Code::HostReopened,
-        Subject::Host,
-        host,
-        "what lasts there could not move",
-    ));
+    ctx.tell(Decision::new(Code::HostReopened, Subject::Host, host, why));
 }
 
 /// Whether the system may take a lasting task away now: few enough of its step are away already.
@@ -267,13 +266,20 @@
             index: *index,
             ..key
         };
-        !book.task(other).is_some_and(|t| {
-            matches!(t.phase, Phase::Running(_)) && now_ms >= t.since_ms + AT_WORK_MS
-        })
+        !is_at_work(book, other, now_ms)
     });
     away.count() < most
 }
 
+/// Whether a task is at work, by an account that is not old.
+fn is_at_work(book: &Book, key: TaskKey, now_ms: Millis) -> bool {
+    let Some(task) = book.task(key).filter(|t| t.is_at_work) else {
+        return false;
+    };
+    let worker = task.phase.worker().and_then(|w| book.workers.get(w));
+    worker.is_some_and(|w| w.answers && now_ms < w.heard_ms + HEARD_MS)
+}
+
 fn settle(
     duty: &mut WaveDuty,
     wave: &WaveKnown,
@@ -314,7 +320,8 @@
     pool: &str,
     ctx: &mut Ctx<'_>,
 ) {
-    if duty.pending.is_some() || wave.row.out.len() >= wave.order.out_max {
+    let is_full = wave.row.out.len() >= wave.order.out_max;
+    if duty.pending.is_some() || is_full || !ctx.may_send() {
         return;
     }
     let mut row = wave.row.clone();
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -355,8 +355,8 @@
     pub run: u32,
     /// Where it could go on from.
     pub checkpoint: String,
-    /// At which share of full speed it may work.
-    pub pace_percent: u32,
+    /// How much of its work is done; of a task that lasts, 100 once it is at work.
+    pub percent: u32,
     /// For a task that serves, its tail in milliseconds; for others the processor in use.
     pub gauge: u64,
 }
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -106,6 +106,8 @@
 struct Running {
     run: u32,
     demand: Capacity,
+    /// From then on, a task that lasts is at work.
+    at_work_ms: u64,
 }
 
 /// A worker's life.
@@ -156,6 +158,9 @@
     config: FleetConfig,
     waves: Vec<WaveOrder>,
     noted_done: HashSet<TaskName>,
+    failed_runs: HashMap<TaskName, HashSet<u32>>,
+    /// Lasting tasks that orders ended, until they are at work again.
+    ordered_away: HashSet<TaskName>,
     cancelled_at_ms: HashMap<String, u64>,
     specs: HashMap<String, JobSpec>,
     next_life: u64,
@@ -229,6 +234,8 @@
             config: config(1),
             waves: Vec::new(),
             noted_done: HashSet::new(),
+            failed_runs: HashMap::new(),
+            ordered_away: HashSet::new(),
             cancelled_at_ms: HashMap::new(),
             specs: HashMap::new(),
             next_life: 0,
@@ -508,6 +515,11 @@
         let key = (Table::Progress, POOL.to_string(), id.to_string());
         let row: ProgressRow = rows::decode(&self.store[&key].0).expect("progress decodes");
         let spec = &self.specs[id];
+        if row.state == JobState::Failed {
+            let failed = self.failed_runs.iter().filter(|(task, _)| task.job == id);
+            let most = failed.map(|(_, runs)| runs.len()).max().unwrap_or(0);
+            assert!(most >= 3, "{id} shown as failed after {most} failed runs");
+        }
         if row.state == JobState::Completed {
             for (step, s) in spec.steps.iter().enumerate() {
                 for index in 0..s.count {
@@ -763,8 +775,15 @@
             return HostReply::Busy;
         };
         w.is_up = false;
-        w.running.clear();
+        let id = w.fact.id.clone();
+        let ended: Vec<TaskName> = w.running.keys().cloned().collect();
         upkept.insert(host.to_string());
+        for task in &ended {
+            self.check_away(&id, task);
+        }
+        if let Some(w) = self.workers.get_mut(&id) {
+            w.running.clear();
+        }
         self.out.insert(host.to_string());
         self.out_most = self.out_most.max(self.out.len());
         self.at(2_000, Happening::UpkeepOver(host.to_string()));
@@ -776,6 +795,8 @@
         let spec = self.specs.get(&start.task.job).expect("a caller sent it");
         let step = spec.steps[usize::from(start.task.step)].clone();
         let demand = step.demand();
+        let slow = if self.rng.u32(0..6) == 0 { 6 } else { 1 };
+        let at_work_ms = now_ms + self.rng.u64(400..1_400) * slow;
         let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
             return OrderReply::Silent;
         };
@@ -807,6 +828,7 @@
         let run = Running {
             run: start.run,
             demand,
+            at_work_ms,
         };
         w.running.insert(start.task.clone(), run);
         self.starts += 1;
@@ -856,11 +878,38 @@
         let barred = w.barred.entry(task.clone()).or_default();
         *barred = (*barred).max(run);
         if w.running.get(task).is_some_and(|r| r.run == run) {
+            self.check_away(id, task);
             self.end(id, task, run, EndKind::Stopped);
         }
         OrderReply::Accepted
     }
 
+    /// The promise on lasting tasks that an order ends.
+    fn check_away(&mut self, id: &str, task: &TaskName) {
+        let now_ms = self.now_ms;
+        let Some(most) = self.specs[&task.job].steps[usize::from(task.step)].away_max else {
+            return;
+        };
+        let lives = self.workers.values().filter(|w| w.is_up);
+        let at_work: HashSet<TaskName> = lives
+            .flat_map(|w| w.running.iter())
+            .filter(|(_, r)| now_ms >= r.at_work_ms)
+            .map(|(t, _)| t.clone())
+            .collect();
+        self.ordered_away.retain(|t| !at_work.contains(t));
+        if !at_work.contains(task) || self.cancelled_at_ms.contains_key(&task.job) {
+            return;
+        }
+        let others = self.ordered_away.iter();
+        let others = others.filter(|t| t.job == task.job && t.step == task.step && *t != task);
+        let away = others.count();
+        assert!(
+            away < usize::from(most),
+            "{now_ms} ms: {task:?} is ended on {id} while {away} others are away"
+        );
+        self.ordered_away.insert(task.clone());
+    }
+
     fn hold(&mut self, id: &str, fence: u64, ask: HoldAsk) -> Result<HoldReport, OrderReply> {
         let now_ms = self.now_ms;
         let w = self.workers.get_mut(id).filter(|w| w.is_up);
@@ -885,7 +934,7 @@
                     task: task.clone(),
                     run: r.run,
                     checkpoint: String::new(),
-                    pace_percent: 100,
+                    percent: if now_ms >= r.at_work_ms { 100 } else { 0 },
                     gauge: 0,
                 })
                 .collect(),
@@ -908,6 +957,10 @@
         w.running.remove(task);
         let barred = w.barred.entry(task.clone()).or_default();
         *barred = (*barred).max(run);
+        if kind == EndKind::Failed {
+            let runs = self.failed_runs.entry(task.clone()).or_default();
+            runs.insert(run);
+        }
         let number = w.next_end;
         w.next_end += 1;
         w.ended.push(RunEnd {
