--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -311,6 +311,8 @@
 /// The books of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
+    /// The pool.
+    pub name: String,
     /// The jobs.
     pub jobs: SlotMap<JobKey, Job>,
     /// Jobs by id.
@@ -329,6 +331,8 @@
     pub unsent: Vec<(TaskKey, u32)>,
     /// Jobs that have not begun, by queue.
     pub waiting: BTreeMap<String, u64>,
+    /// When the pool's load was last told.
+    pub load_told_ms: Millis,
     /// Room or work came since tasks were last placed.
     pub wants_placing: bool,
 }
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -29,7 +29,10 @@
     state: &Facts<'_>,
     ctx: &mut Ctx<'_>,
 ) -> Book {
-    let mut book = Book::default();
+    let mut book = Book {
+        name: pool.to_string(),
+        ..Book::default()
+    };
     for fact in state.listed.values().filter(|f| f.pool == pool) {
         add_worker(&mut book, fact.clone(), began_ms);
     }
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -24,6 +24,9 @@
 /// Pause before a pool's rows are read again after that failed.
 const LOAD_RETRY_MS: Millis = 100;
 
+/// How often an owner tells how full its pool is.
+const LOAD_TOLD_MS: Millis = 1_000;
+
 /// Takes in one event.
 pub fn reduce(state: &mut State, event: Event, now: Now) -> Vec<Effect> {
     let mut out = Vec::new();
@@ -586,6 +589,7 @@
         Timer::Restop(task, run) => runs::restop(book, task, run, epoch, ctx),
         Timer::Upkeep => {
             book.resort(ctx.now.ms);
+            tell_load(book, ctx);
             runs::begin_due_rounds(book, ctx);
             book.wants_placing = true;
             // Timers at the same moment are one: this one alone keeps the round going.
@@ -599,6 +603,32 @@
     }
 }
 
+/// Once in a while, how full the pool is.
+fn tell_load(book: &mut Book, ctx: &mut Ctx<'_>) {
+    if ctx.now.ms < book.load_told_ms + LOAD_TOLD_MS {
+        return;
+    }
+    book.load_told_ms = ctx.now.ms;
+    let open: Vec<_> = book
+        .workers
+        .values()
+        .filter(|w| w.is_open(ctx.now.ms))
+        .collect();
+    let room: u64 = open.iter().map(|w| w.fact.capacity.cpu_milli).sum();
+    let used: u64 = open.iter().map(|w| w.used.cpu_milli).sum();
+    let in_time = book.ready.iter().filter(|r| r.class <= 1).count();
+    let name = book.name.clone();
+    ctx.tell(
+        Decision::new(Code::PoolLoad, Subject::Pool, &name, "the last second")
+            .with("open", open.len() as u64)
+            .with("workers", book.workers.len() as u64)
+            .with("room_cpu_milli", room)
+            .with("used_cpu_milli", used)
+            .with("waiting", book.ready.len() as u64)
+            .with("in_time", in_time as u64),
+    );
+}
+
 /// What follows from any event: places for what waits, the next batch, a pool that is given up.
 fn settle_pools(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     for key in owned_pools(state) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -92,6 +92,7 @@
     PoolLoaded, 601, "pool-loaded", "The pool's rows were read; its owner decides from now on.";
     PoolLost, 602, "pool-lost", "Another entry owns the pool now; nothing more is sent for it.";
     PoolReleased, 603, "pool-released", "The owner gave the pool up, so that another may take it at once.";
+    PoolLoad, 608, "pool-load", "How full a pool is: told by its owner once a second.";
     JobTaken, 604, "job-taken", "The owner read a new job.";
     TaskPlaced, 605, "task-placed", "A task got its place; it starts once that is on record.";
     TaskRequeued, 606, "task-requeued", "A run is certainly over without being done; the task waits for its next.";
