Pools sized to their load: one entry orders all hosts, owners tell what they want and can spare

Change: hosts.rs (the owner of the parked pool orders moves and upkeeps for the fleet), sizing.rs (need, spare, told with the heartbeat); upkeep goes by the wave's slot.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -223,6 +223,8 @@
     pub is_closing: bool,
     /// A wave has its host still before it.
     pub is_due: bool,
+    /// Its host was told to be spare.
+    pub is_spare: bool,
 }
 
 impl Worker {
@@ -245,6 +247,7 @@
             suspended_until_ms: 0,
             is_closing: false,
             is_due: false,
+            is_spare: false,
         }
     }
 
@@ -255,6 +258,7 @@
             && self.clock.is_some()
             && !self.fact.draining
             && !self.is_closing
+            && !self.is_spare
             && now_ms >= self.suspended_until_ms
     }
 
--- /dev/null
+++ b/src/core/sched/hosts.rs
@@ -0,0 +1,375 @@
+//! Orders to hosts, all from one entry: the owner of one pool carries them out for the fleet.
+//!
+//! Two holders must not order one host about in turn, so neither pools' owners nor anybody else sends
+//! such orders. Owners say in their heartbeats what they want and can spare, and in a wave's row which
+//! host holds a slot; this entry moves hosts and takes them down.
+
+use std::collections::BTreeMap;
+
+use super::rows::{self, WaveRow};
+use super::state::{Ctx, Effect, Timer, WaveKnown};
+use super::wave;
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{
+    FleetConfig, Guard, HostRecord, HostReply, HostState, RowTx, Table, TxOutcome, Write,
+};
+
+/// How often orders to hosts are looked at.
+pub const LOOK_MS: Millis = 100;
+
+/// How often the list of hosts is read.
+const LIST_MS: Millis = 600;
+
+/// After a change of the entry that orders hosts, the new one waits so long: the pages bound orders of
+/// two holders in turn by 3 s.
+const QUIET_MS: Millis = 3_300;
+
+/// Pause before an order to a host is sent again that got no answer.
+const RETRY_MS: Millis = 400;
+
+/// A heartbeat older than that moves nothing; less than [`super::sizing::WITHDRAW_MS`].
+const BEAT_FRESH_MS: Millis = 1_000;
+
+/// A move that is not seen in the list by then is forgotten. A move takes 2 s.
+const MOVE_MAX_MS: Millis = 6_000;
+
+/// What a pool's owner says of its size.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolNeed {
+    /// The pool.
+    pub pool: String,
+    /// Hosts that it wants.
+    pub wanted: u64,
+    /// Hosts that it can spare.
+    pub spare: Vec<String>,
+    /// When that was heard.
+    pub heard_ms: Millis,
+}
+
+/// What a host is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostTask {
+    /// Go to this pool.
+    Move(String),
+    /// Go down for its upkeep in this wave.
+    Upkeep(u64),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct HostOrder {
+    task: HostTask,
+    /// The life on the host when the order went out first.
+    life: String,
+    /// Sent again then; nothing once it was accepted.
+    again_ms: Option<Millis>,
+    /// When it was accepted, or first sent.
+    since_ms: Millis,
+}
+
+/// What the entry that orders hosts knows.
+#[derive(Clone, Debug, Default)]
+pub struct HostDuty {
+    list: Vec<HostRecord>,
+    list_asking_ms: Millis,
+    list_asked_ms: Millis,
+    list_due_ms: Millis,
+    orders: BTreeMap<String, HostOrder>,
+    pending: Option<(u64, WaveRow)>,
+}
+
+/// The pool whose owner orders hosts: the first parked one, else the first.
+pub fn duty_pool(config: &FleetConfig) -> Option<&str> {
+    let parked = config.pools.values().find(|p| p.is_parked);
+    let pool = parked.or_else(|| config.pools.values().next());
+    pool.map(|p| p.name.as_str())
+}
+
+/// What a look is made with.
+pub struct Look<'a> {
+    /// The configuration.
+    pub config: &'a FleetConfig,
+    /// What owners said.
+    pub needs: &'a [PoolNeed],
+    /// The epoch: fence of all orders.
+    pub epoch: u64,
+    /// When this entry took the pool.
+    pub began_ms: Millis,
+}
+
+/// Looks at what hosts are to do.
+pub fn look(
+    duty: &mut HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    with: &Look<'_>,
+    ctx: &mut Ctx<'_>,
+) {
+    ctx.after(LOOK_MS, Timer::Hosts);
+    if ctx.now.ms >= duty.list_due_ms {
+        duty.list_due_ms = ctx.now.ms + LIST_MS;
+        duty.list_asking_ms = ctx.now.ms;
+        ctx.out.push(Effect::ReadHosts(ctx.pool, with.epoch));
+    }
+    if ctx.now.ms < with.began_ms + QUIET_MS || !ctx.may_send() || duty.list_asked_ms == 0 {
+        return;
+    }
+    settle_orders(duty, waves, with.epoch, ctx);
+    for wave in waves.values().filter(|w| !w.is_done) {
+        order_upkeep(duty, wave, with.epoch, ctx);
+    }
+    move_hosts(duty, waves, with, ctx);
+}
+
+/// Takes in the list of hosts.
+pub fn list_read(duty: &mut HostDuty, list: Vec<HostRecord>) {
+    duty.list = list;
+    duty.list_asked_ms = duty.list_asking_ms;
+}
+
+/// Sends again what got no answer, and drops what is seen to be done.
+fn settle_orders(
+    duty: &mut HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let now_ms = ctx.now.ms;
+    let list_asked_ms = duty.list_asked_ms;
+    let list = &duty.list;
+    duty.orders.retain(|host, order| {
+        let record = list.iter().find(|h| h.host == *host);
+        let is_listed_since = list_asked_ms > order.since_ms;
+        match &order.task {
+            HostTask::Move(to) => {
+                let is_there = record.is_some_and(|h| h.pool == *to && h.state == HostState::Up);
+                let is_done = order.again_ms.is_none() && is_listed_since && is_there;
+                !is_done && now_ms < order.since_ms + MOVE_MAX_MS
+            }
+            HostTask::Upkeep(number) => {
+                let wave = waves.get(number);
+                wave.is_some_and(|w| w.row.out.get(host).is_some_and(|slot| !slot.is_ordered))
+            }
+        }
+    });
+    let again: Vec<(String, HostTask)> = duty
+        .orders
+        .iter()
+        .filter(|(_, order)| order.again_ms.is_some_and(|at| now_ms >= at))
+        .map(|(host, order)| (host.clone(), order.task.clone()))
+        .collect();
+    for (host, task) in again {
+        if let Some(order) = duty.orders.get_mut(&host) {
+            order.again_ms = Some(now_ms + 2 * RETRY_MS);
+        }
+        send(&host, &task, epoch, ctx);
+    }
+    record_accepted(duty, waves, ctx);
+}
+
+fn send(host: &str, task: &HostTask, epoch: u64, ctx: &mut Ctx<'_>) {
+    let (code, why) = match task {
+        HostTask::Move(to) => (Code::MoveOrdered, format!("to {to}")),
+        HostTask::Upkeep(wave) => (Code::UpkeepOrdered, format!("wave {wave}")),
+    };
+    ctx.tell(Decision::new(code, Subject::Host, host, why).with("epoch", epoch));
+    let until_ms = ctx.until_ms;
+    ctx.out.push(Effect::OrderHost(
+        ctx.pool,
+        epoch,
+        host.to_string(),
+        task.clone(),
+        until_ms,
+    ));
+}
+
+fn begin(duty: &mut HostDuty, host: &str, task: HostTask, epoch: u64, ctx: &mut Ctx<'_>) {
+    let record = duty.list.iter().find(|h| h.host == host);
+    let order = HostOrder {
+        task: task.clone(),
+        life: record.map(|h| h.life.clone()).unwrap_or_default(),
+        again_ms: Some(ctx.now.ms + 2 * RETRY_MS),
+        since_ms: ctx.now.ms,
+    };
+    duty.orders.insert(host.to_string(), order);
+    send(host, &task, epoch, ctx);
+}
+
+fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, epoch: u64, ctx: &mut Ctx<'_>) {
+    for (host, slot) in &wave.row.out {
+        if slot.is_ordered || duty.orders.contains_key(host) {
+            continue;
+        }
+        let record = duty.list.iter().find(|h| h.host == *host);
+        if record.is_some_and(|h| h.pool == slot.pool) {
+            begin(duty, host, HostTask::Upkeep(wave.order.wave), epoch, ctx);
+        } else if record.is_some() {
+            // It was moved before its slot was taken: its new pool takes it through.
+            let mut row = wave.row.clone();
+            row.out.remove(host);
+            settle(duty, wave, row, ctx);
+        }
+    }
+}
+
+/// Puts on record which slots' hosts are out.
+fn record_accepted(duty: &mut HostDuty, waves: &BTreeMap<u64, WaveKnown>, ctx: &mut Ctx<'_>) {
+    for wave in waves.values() {
+        let mut row = wave.row.clone();
+        for (host, order) in &duty.orders {
+            let is_accepted =
+                order.task == HostTask::Upkeep(wave.order.wave) && order.again_ms.is_none();
+            if let Some(slot) = row.out.get_mut(host).filter(|_| is_accepted) {
+                slot.is_ordered = true;
+                if !order.life.is_empty() {
+                    slot.life.clone_from(&order.life);
+                }
+            }
+        }
+        if row != wave.row {
+            settle(duty, wave, row, ctx);
+        }
+    }
+}
+
+fn settle(duty: &mut HostDuty, wave: &WaveKnown, row: WaveRow, ctx: &mut Ctx<'_>) {
+    if duty.pending.is_some() {
+        return;
+    }
+    let number = wave.order.wave;
+    let key = number.to_string();
+    let tx = RowTx {
+        part: String::new(),
+        guards: vec![Guard {
+            table: Table::Waves,
+            key: key.clone(),
+            revision: wave.revision,
+        }],
+        writes: vec![Write {
+            table: Table::Waves,
+            key,
+            value: Some(rows::encode(&row)),
+        }],
+    };
+    duty.pending = Some((number, row));
+    ctx.out.push(Effect::SettleOrdered(ctx.pool, tx));
+}
+
+/// Takes in what became of a change of a wave's row.
+pub fn settled(
+    duty: &mut HostDuty,
+    waves: &mut BTreeMap<u64, WaveKnown>,
+    outcome: TxOutcome,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some((number, row)) = duty.pending.take() else {
+        return;
+    };
+    let Some(known) = waves.get_mut(&number) else {
+        return;
+    };
+    match outcome {
+        TxOutcome::Committed(revision) if revision > known.revision => {
+            known.revision = revision;
+            known.row = row;
+        }
+        TxOutcome::Conflict(found) => {
+            for (_, row) in found {
+                wave::observe(known, &row, ctx);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Settles an order to a host.
+pub fn ordered(duty: &mut HostDuty, host: &str, reply: HostReply, ctx: &mut Ctx<'_>) {
+    let Some(order) = duty.orders.get_mut(host) else {
+        return;
+    };
+    let why = format!("{:?}: {reply:?}", order.task);
+    ctx.tell(Decision::new(Code::HostAnswered, Subject::Host, host, why));
+    match reply {
+        HostReply::Accepted => {
+            order.again_ms = None;
+            order.since_ms = ctx.now.ms;
+            duty.list_due_ms = duty.list_due_ms.min(ctx.now.ms + LOOK_MS);
+        }
+        HostReply::Silent | HostReply::TooMany => {
+            order.again_ms = Some(ctx.now.ms + RETRY_MS);
+        }
+        HostReply::Busy | HostReply::Wrong | HostReply::Fenced => {
+            let is_move = matches!(order.task, HostTask::Move(_));
+            order.again_ms = Some(ctx.now.ms + RETRY_MS);
+            if is_move {
+                duty.orders.remove(host);
+            }
+        }
+    }
+}
+
+/// Sends hosts where they are wanted, and parks those that nobody wants.
+fn move_hosts(
+    duty: &mut HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    with: &Look<'_>,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(parked) = with.config.pools.values().find(|p| p.is_parked) else {
+        return;
+    };
+    let fresh = |need: &&PoolNeed| ctx.now.ms < need.heard_ms + BEAT_FRESH_MS;
+    let needs: Vec<&PoolNeed> = with.needs.iter().filter(fresh).collect();
+    let mut spare: Vec<(String, String)> = Vec::new();
+    for need in &needs {
+        let hosts = need
+            .spare
+            .iter()
+            .filter(|host| is_free(duty, waves, host, &need.pool));
+        spare.extend(hosts.map(|host| (need.pool.clone(), host.clone())));
+    }
+    let mut idle: Vec<String> = duty
+        .list
+        .iter()
+        .filter(|h| is_free(duty, waves, &h.host, &parked.name))
+        .map(|h| h.host.clone())
+        .collect();
+    while let Some(need) = shortest(duty, &needs) {
+        let host = idle.pop().or_else(|| take_other(&mut spare, &need.pool));
+        let Some(host) = host else { break };
+        let task = HostTask::Move(need.pool.clone());
+        begin(duty, &host, task, with.epoch, ctx);
+    }
+    for (_, host) in spare {
+        let task = HostTask::Move(parked.name.clone());
+        begin(duty, &host, task, with.epoch, ctx);
+    }
+}
+
+/// The pool that has the least of what it wants.
+fn shortest<'a>(duty: &HostDuty, needs: &[&'a PoolNeed]) -> Option<&'a PoolNeed> {
+    let share_milli = |need: &PoolNeed| count(duty, need) * 1_000 / need.wanted.max(1);
+    let short = needs.iter().filter(|need| share_milli(need) < 1_000);
+    short.min_by_key(|need| share_milli(need)).copied()
+}
+
+/// A spare host of another pool.
+fn take_other(spare: &mut Vec<(String, String)>, pool: &str) -> Option<String> {
+    let at = spare.iter().position(|(owner, _)| owner != pool)?;
+    Some(spare.swap_remove(at).1)
+}
+
+/// Whether a host is up in this pool, with no order out and no slot of a wave.
+fn is_free(duty: &HostDuty, waves: &BTreeMap<u64, WaveKnown>, host: &str, pool: &str) -> bool {
+    let is_there = |h: &HostRecord| h.host == host && h.pool == pool && h.state == HostState::Up;
+    let has_slot = waves.values().any(|w| w.row.out.contains_key(host));
+    duty.list.iter().any(is_there) && !has_slot && !duty.orders.contains_key(host)
+}
+
+/// Hosts that serve a pool: those on their way to it included, those that leave it or are spare not.
+fn count(duty: &HostDuty, need: &PoolNeed) -> u64 {
+    let serves = |h: &&HostRecord| match duty.orders.get(&h.host).map(|o| &o.task) {
+        Some(HostTask::Move(to)) => *to == need.pool,
+        _ => h.pool == need.pool && h.state != HostState::Down && !need.spare.contains(&h.host),
+    };
+    duty.list.iter().filter(serves).count() as u64
+}
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -6,6 +6,7 @@
 pub mod book;
 pub mod commit;
 pub mod holds;
+pub mod hosts;
 pub mod job;
 pub mod limits;
 pub mod load;
@@ -15,6 +16,7 @@
 pub mod rows;
 pub mod runs;
 pub mod seat;
+pub mod sizing;
 pub mod state;
 pub mod wave;
 
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -5,12 +5,14 @@
 use super::book::{Book, WorkerKey};
 use super::commit::{self, Settled};
 use super::holds;
+use super::hosts::{self, HostDuty, PoolNeed};
 use super::limits::RESORT_MS;
 use super::load::{self, Facts};
 use super::place;
 use super::rows::{cancelled_job, BEAT_KEY, OWNER_KEY};
 use super::runs;
 use super::seat;
+use super::sizing;
 use super::state::{
     Ctx, Effect, Event, LoadedRows, Pool, PoolKey, State, Tenure, Timer, WaveKnown,
 };
@@ -69,16 +71,24 @@
                 wave::settled(duty, waves, outcome, ctx);
             });
         }
-        Event::UpkeepOrdered(pool, epoch, number, host, reply) => {
-            with_duty(state, pool, now, &mut out, |book, duty, _, tenure, ctx| {
-                if tenure.0 == epoch {
-                    wave::ordered(book, duty, number, &host, reply, ctx);
+        Event::OrderedSettled(pool, outcome) => {
+            with_hosts(state, pool, now, &mut out, |duty, waves, _, ctx| {
+                hosts::settled(duty, waves, outcome, ctx);
+            });
+        }
+        Event::HostOrdered(pool, epoch, host, reply) => {
+            with_hosts(state, pool, now, &mut out, |duty, _, look, ctx| {
+                if look.epoch == epoch {
+                    hosts::ordered(duty, &host, reply, ctx);
                 }
             });
         }
-        Event::HostsRead(pool, _, hosts) => {
+        Event::HostsRead(pool, _, list) => {
             with_duty(state, pool, now, &mut out, |_, duty, _, _, _| {
-                wave::hosts_read(duty, hosts);
+                wave::hosts_read(duty, list.clone());
+            });
+            with_hosts(state, pool, now, &mut out, |duty, _, _, _| {
+                hosts::list_read(duty, list);
             });
         }
         Event::Stop => stop(state, now, &mut out),
@@ -133,7 +143,68 @@
     });
 }
 
-/// Runs `work` on what an owner does for waves; it is given epoch and beginning of the tenure, too.
+/// Runs `work` on what the owner of the pool that carries it does for hosts.
+fn with_hosts(
+    state: &mut State,
+    key: PoolKey,
+    now: Now,
+    out: &mut Vec<Effect>,
+    work: impl FnOnce(&mut HostDuty, &mut BTreeMap<u64, WaveKnown>, &hosts::Look<'_>, &mut Ctx<'_>),
+) {
+    let is_duty_pool = state
+        .pools
+        .get(usize::from(key.0))
+        .is_some_and(|p| hosts::duty_pool(&state.config) == Some(p.name.as_str()));
+    if !is_duty_pool {
+        return;
+    }
+    let needs: Vec<PoolNeed> = state.pools.iter().map(need).collect();
+    let mut waves = std::mem::take(&mut state.waves);
+    with_pool(state, key, now, out, |pool, ctx, facts| {
+        let Some(tenure) = &mut pool.tenure else {
+            return;
+        };
+        let look = hosts::Look {
+            config: facts.config,
+            needs: &needs,
+            epoch: tenure.epoch,
+            began_ms: tenure.began_ms,
+        };
+        work(&mut tenure.hosts, &mut waves, &look, ctx);
+    });
+    state.waves = waves;
+}
+
+/// What a pool's owner said of its size.
+fn need(pool: &Pool) -> PoolNeed {
+    let beat = &pool.seat.beat;
+    PoolNeed {
+        pool: pool.name.clone(),
+        wanted: beat.wanted,
+        spare: beat.spare.clone(),
+        heard_ms: pool.seat.beat_seen_ms,
+    }
+}
+
+/// Looks at the size of a pool, and tells its owner's mind at once where it changed.
+fn size(state: &mut State, key: PoolKey, now: Now, out: &mut Vec<Effect>) {
+    with_pool(state, key, now, out, |pool, ctx, facts| {
+        let is_parked = |name: &str| facts.config.pools.get(name).is_some_and(|p| p.is_parked);
+        let can_park = facts.config.pools.values().any(|p| p.is_parked);
+        if is_parked(&pool.name) {
+            return;
+        }
+        let Some(tenure) = &mut pool.tenure else {
+            return;
+        };
+        let Some(book) = &mut tenure.book else { return };
+        if sizing::look(book, &mut tenure.sizing, can_park, ctx) {
+            seat::renew(pool, ctx);
+        }
+    });
+}
+
+/// Runs `work` on what an owner does for waves; it is given the epoch and the pool's name, too.
 fn with_duty(
     state: &mut State,
     key: PoolKey,
@@ -143,7 +214,7 @@
         &mut Book,
         &mut WaveDuty,
         &mut BTreeMap<u64, WaveKnown>,
-        (u64, Millis, &str),
+        (u64, &str),
         &mut Ctx<'_>,
     ),
 ) {
@@ -152,7 +223,7 @@
         let Some(tenure) = &mut pool.tenure else {
             return;
         };
-        let facts = (tenure.epoch, tenure.began_ms, pool.name.as_str());
+        let facts = (tenure.epoch, pool.name.as_str());
         if let Some(book) = &mut tenure.book {
             work(book, &mut tenure.duty, &mut waves, facts, ctx);
         }
@@ -313,6 +384,8 @@
         tenure.book = Some(book);
         ctx.after(RESORT_MS, Timer::Upkeep);
         ctx.after(0, Timer::Wave);
+        ctx.after(0, Timer::Size);
+        ctx.after(0, Timer::Hosts);
     });
 }
 
@@ -545,14 +618,24 @@
         });
         return;
     }
+    if timer == Timer::Size {
+        size(state, key, now, out);
+        return;
+    }
+    if timer == Timer::Hosts {
+        with_hosts(state, key, now, out, |duty, waves, look, ctx| {
+            hosts::look(duty, waves, look, ctx);
+        });
+        return;
+    }
     if timer == Timer::Wave {
         with_duty(
             state,
             key,
             now,
             out,
-            |book, duty, waves, (epoch, began, name), ctx| {
-                wave::look(book, duty, waves, began, name, epoch, ctx);
+            |book, duty, waves, (epoch, name), ctx| {
+                wave::look(book, duty, waves, name, epoch, ctx);
             },
         );
         return;
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -36,6 +36,12 @@
     /// Jobs that have not begun, by queue.
     #[serde(default)]
     pub waiting: BTreeMap<String, u64>,
+    /// Hosts that the pool wants; 0 where its owner does not know yet.
+    #[serde(default)]
+    pub wanted: u64,
+    /// Hosts that it can spare: they carry nothing and get nothing.
+    #[serde(default)]
+    pub spare: Vec<String>,
 }
 
 /// How far a job is.
@@ -106,6 +112,9 @@
     pub pool: String,
     /// Wall clock at that moment.
     pub taken_wall_ms: Millis,
+    /// The order was accepted: `life` has ended.
+    #[serde(default)]
+    pub is_ordered: bool,
 }
 
 /// Key of a job's cancel.
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -145,7 +145,10 @@
 
 fn beat(pool: &Pool, me: &str) -> BeatRow {
     let book = pool.tenure.as_ref().and_then(|t| t.book.as_ref());
+    let sizing = pool.tenure.as_ref().map(|t| &t.sizing);
     BeatRow {
+        wanted: sizing.map_or(0, |s| s.wanted),
+        spare: sizing.map(|s| s.spare.clone()).unwrap_or_default(),
         entry: me.to_string(),
         count: pool.seat.beat.count + 1,
         waiting: book.map_or_else(|| pool.seat.beat.waiting.clone(), |b| b.waiting.clone()),
@@ -202,6 +205,8 @@
         is_leaving: false,
         began_ms: ctx.now.ms,
         duty: Default::default(),
+        sizing: Default::default(),
+        hosts: Default::default(),
     });
     ctx.out
         .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
--- /dev/null
+++ b/src/core/sched/sizing.rs
@@ -0,0 +1,186 @@
+//! How many hosts a pool wants, and which it can spare: told with its owner's heartbeat.
+//!
+//! A spare host carries nothing and gets nothing. Once told, it stays closed until the word that it is
+//! wanted again is old enough that nobody moves it on the earlier word.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::book::{Book, Worker, WorkerKey};
+use super::state::{Ctx, Timer};
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+
+/// How often a pool's size is looked at.
+pub const LOOK_MS: Millis = 100;
+
+/// Hosts are kept so long after they were last needed. A move costs as much as a host for 1.1 s on the
+/// users' sites, and a host that was sent away comes back with another move.
+const KEEP_MS: Millis = 1_500;
+
+/// A host that is wanted again serves after so long: heartbeats older than that move nothing.
+pub const WITHDRAW_MS: Millis = 1_500;
+
+/// Hosts that a pool keeps at the least.
+const HOSTS_MIN: u64 = 3;
+
+/// Hosts beyond what is needed now, in percent: the next jobs find room while others come.
+const ROOM_PERCENT: u64 = 125;
+
+/// What a pool's owner thinks of its size.
+#[derive(Clone, Debug, Default)]
+pub struct Sizing {
+    /// Hosts that it wants.
+    pub wanted: u64,
+    /// Hosts that it can spare.
+    pub spare: Vec<String>,
+    /// What was needed of late.
+    needs: VecDeque<(Millis, u64)>,
+    /// Hosts that are wanted again, since then.
+    withdrawn: BTreeMap<String, Millis>,
+    /// What was last told.
+    told: (u64, Vec<String>),
+}
+
+/// Looks at the pool's size; says whether that should be told at once.
+pub fn look(book: &mut Book, sizing: &mut Sizing, can_park: bool, ctx: &mut Ctx<'_>) -> bool {
+    ctx.after(LOOK_MS, Timer::Size);
+    let need = need(book);
+    let now_ms = ctx.now.ms;
+    sizing.needs.retain(|(at_ms, _)| now_ms < at_ms + KEEP_MS);
+    sizing.needs.push_back((now_ms, need));
+    sizing.wanted = sizing.needs.iter().map(|(_, n)| *n).max().unwrap_or(need);
+    reopen(book, sizing, now_ms);
+    if can_park {
+        choose_spare(book, sizing, now_ms);
+    }
+    let now_told = (sizing.wanted, sizing.spare.clone());
+    if sizing.told == now_told {
+        return false;
+    }
+    ctx.tell(
+        Decision::new(Code::PoolSized, Subject::Pool, &book.name, "need changed")
+            .with("wanted", sizing.wanted)
+            .with("needed", need)
+            .with("spare", sizing.spare.len() as u64),
+    );
+    sizing.told = now_told;
+    true
+}
+
+/// Hosts needed for what runs and waits, and for tasks that must stand apart.
+fn need(book: &Book) -> u64 {
+    let count = book.workers.values().filter(|w| w.is_listed).count().max(1) as u64;
+    let listed = book.workers.values().filter(|w| w.is_listed);
+    let host_cpu = listed
+        .clone()
+        .map(|w| w.fact.capacity.cpu_milli)
+        .sum::<u64>()
+        / count;
+    let host_mem = listed.clone().map(|w| w.fact.capacity.mem_mb).sum::<u64>() / count;
+    let mut cpu: u64 = book.workers.values().map(|w| w.used.cpu_milli).sum();
+    let mut mem: u64 = book.workers.values().map(|w| w.used.mem_mb).sum();
+    for rank in book.ready.iter().filter(|r| r.class <= 2) {
+        if let Some(spec) = book.step_spec(rank.task) {
+            cpu += spec.demand().cpu_milli;
+            mem += spec.demand().mem_mb;
+        }
+    }
+    let with_room = |sum: u64, host: u64| (sum * ROOM_PERCENT / 100).div_ceil(host.max(1));
+    with_room(cpu, host_cpu)
+        .max(with_room(mem, host_mem))
+        .max(apart(book) + 1)
+        .max(HOSTS_MIN)
+}
+
+/// The widest lasting step, by hosts that its tasks must stand on.
+fn apart(book: &Book) -> u64 {
+    let live = book.jobs.values().filter(|job| !job.state.is_final());
+    let steps = live.flat_map(|job| job.spec.steps.iter().filter(|s| s.lasting));
+    let hosts = steps.map(|s| u64::from(s.count) / u64::from(s.per_worker_max.max(1)));
+    hosts.max().unwrap_or(0)
+}
+
+fn worker_on(book: &Book, host: &str) -> Option<WorkerKey> {
+    let found = book
+        .workers
+        .iter()
+        .find(|(_, w)| w.fact.host == host && w.is_listed);
+    found.map(|(key, _)| key)
+}
+
+/// Hosts that were wanted again long enough ago serve.
+fn reopen(book: &mut Book, sizing: &mut Sizing, now_ms: Millis) {
+    let over = |since: &Millis| now_ms >= since + WITHDRAW_MS;
+    let ready: Vec<String> = sizing
+        .withdrawn
+        .iter()
+        .filter(|(_, since)| over(since))
+        .map(|(host, _)| host.clone())
+        .collect();
+    for host in ready {
+        sizing.withdrawn.remove(&host);
+        if let Some(key) = worker_on(book, &host) {
+            book.workers[key].is_spare = false;
+            book.wants_placing = true;
+        }
+    }
+}
+
+/// Closes as many hosts as are not wanted, those with the least work first, and tells them as spare once
+/// they are empty; opens them again where they are wanted.
+fn choose_spare(book: &mut Book, sizing: &mut Sizing, now_ms: Millis) {
+    // Whoever moved away is in the books no more, or is back as another life.
+    let is_spare = |host: &String| worker_on(book, host).is_some_and(|k| book.workers[k].is_spare);
+    sizing.spare.retain(is_spare);
+    let serving = book.workers.values().filter(|w| w.is_open(now_ms)).count() as u64;
+    if serving < sizing.wanted {
+        open_some(book, sizing, (sizing.wanted - serving) as usize, now_ms);
+    } else {
+        close_some(book, (serving - sizing.wanted) as usize, now_ms);
+    }
+    for worker in book.workers.values() {
+        let host = &worker.fact.host;
+        let is_told = sizing.spare.contains(host) || sizing.withdrawn.contains_key(host);
+        if worker.is_spare && worker.is_listed && worker.tasks.is_empty() && !is_told {
+            sizing.spare.push(host.clone());
+        }
+    }
+}
+
+fn open_some(book: &mut Book, sizing: &mut Sizing, count: usize, now_ms: Millis) {
+    let mut left = count;
+    // Hosts that were closed and never told can serve at once.
+    for worker in book.workers.values_mut() {
+        let host = &worker.fact.host;
+        let is_told = sizing.spare.contains(host) || sizing.withdrawn.contains_key(host);
+        if left > 0 && worker.is_spare && !is_told {
+            worker.is_spare = false;
+            book.wants_placing = true;
+            left -= 1;
+        }
+    }
+    for _ in 0..left {
+        let Some(host) = sizing.spare.pop() else {
+            break;
+        };
+        sizing.withdrawn.insert(host, now_ms);
+    }
+}
+
+fn close_some(book: &mut Book, count: usize, now_ms: Millis) {
+    let mut idle: Vec<(u64, WorkerKey)> = book
+        .workers
+        .iter()
+        .filter(|(_, w)| w.is_open(now_ms) && !carries_lasting(book, w))
+        .map(|(key, w)| (w.used.cpu_milli, key))
+        .collect();
+    idle.sort_unstable();
+    for (_, key) in idle.into_iter().take(count) {
+        book.workers[key].is_spare = true;
+    }
+}
+
+fn carries_lasting(book: &Book, worker: &Worker) -> bool {
+    let mut tasks = worker.tasks.iter();
+    tasks.any(|key| book.step_spec(*key).is_some_and(|s| s.lasting))
+}
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -3,8 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::book::{Book, JobKey, TaskKey, WorkerKey};
+use super::hosts::{HostDuty, HostTask};
 use super::rows::WaveRow;
 use super::seat::Seat;
+use super::sizing::Sizing;
 use super::wave::WaveDuty;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
@@ -35,6 +37,10 @@
     pub began_ms: Millis,
     /// What it does for waves.
     pub duty: WaveDuty,
+    /// What it thinks of the pool's size.
+    pub sizing: Sizing,
+    /// What it knows as the entry that orders hosts.
+    pub hosts: HostDuty,
 }
 
 /// A wave as this entry knows it.
@@ -101,6 +107,10 @@
     Upkeep,
     /// Look at waves.
     Wave,
+    /// Look at the pool's size.
+    Size,
+    /// Look at orders to hosts.
+    Hosts,
 }
 
 /// Timers of all pools.
@@ -145,8 +155,10 @@
     WaveRow(StoredRow),
     /// A slot of a wave was taken or given back, or not.
     WaveSettled(PoolKey, u64, TxOutcome),
-    /// An order for upkeep was answered: epoch, wave, host.
-    UpkeepOrdered(PoolKey, u64, u64, String, HostReply),
+    /// The record of hosts that are out was changed, or not.
+    OrderedSettled(PoolKey, TxOutcome),
+    /// An order to a host was answered: epoch, host.
+    HostOrdered(PoolKey, u64, String, HostReply),
     /// The list of hosts was read.
     HostsRead(PoolKey, u64, Vec<HostRecord>),
     /// The process was told to stop.
@@ -206,8 +218,10 @@
     TellWave(u64, WaveState),
     /// Read the list of hosts.
     ReadHosts(PoolKey, u64),
-    /// Order a host down for upkeep: epoch, wave, host, until when it may be sent.
-    Upkeep(PoolKey, u64, u64, String, Millis),
+    /// Change the record of hosts that are out.
+    SettleOrdered(PoolKey, RowTx),
+    /// Order a host: epoch, host, what, until when it may be sent.
+    OrderHost(PoolKey, u64, String, HostTask, Millis),
     /// Log a decision.
     Log(Decision),
     /// All pools are given up.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -1,8 +1,9 @@
 //! Waves of upkeep: every host of a list goes out once, with at most so many out at a time.
 //!
 //! The owner of a host's pool takes it through: no new work goes there, short tasks end, lasting tasks
-//! move as far as their steps allow, then a slot of the wave is taken by a conditional row, and only
-//! then the order goes out. A wave spans pools; its row counts the slots for all of them.
+//! move as far as their steps allow, then a slot of the wave is taken by a conditional row. Whoever orders
+//! hosts ([`super::hosts`]) sees the slot and sends the order. A wave spans pools; its row counts the
+//! slots for all of them.
 
 use std::collections::BTreeMap;
 
@@ -14,7 +15,7 @@
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    Guard, HostRecord, HostReply, HostState, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
+    Guard, HostRecord, HostState, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
 };
 
 /// How often a wave is looked at.
@@ -41,13 +42,6 @@
 /// For so long at least.
 const REOPENED_MS: Millis = 3_000;
 
-/// After a change of owner nobody orders a host for so long: the pages bound orders of two holders in
-/// turn by 3 s.
-const QUIET_MS: Millis = 3_300;
-
-/// Pause before an order to a host is sent again.
-const ORDER_RETRY_MS: Millis = 400;
-
 /// An account older than that tells nothing of what is at work; holds come back every second.
 const HEARD_MS: Millis = 1_500;
 
@@ -56,10 +50,8 @@
 pub enum Turn {
     /// It gets nothing new; since then.
     Closing(Millis),
-    /// It holds a slot. The life that was there is over once the order is accepted.
-    Holding(String),
-    /// The order is out, or goes out again at that time.
-    Ordered(String, Millis),
+    /// It holds a slot, and waits for the order.
+    Holding,
     /// It is out since then; that life has ended.
     Away(String, Millis),
 }
@@ -91,7 +83,6 @@
     book: &mut Book,
     duty: &mut WaveDuty,
     known: &mut BTreeMap<u64, WaveKnown>,
-    began_ms: Millis,
     pool: &str,
     epoch: u64,
     ctx: &mut Ctx<'_>,
@@ -114,8 +105,7 @@
         }
         recover(duty, wave, pool);
         mark_due(book, wave);
-        let quiet_until_ms = began_ms + QUIET_MS;
-        advance(book, duty, wave, quiet_until_ms, pool, epoch, ctx);
+        advance(book, duty, wave, pool, epoch, ctx);
         begin_turns(book, duty, wave, pool, ctx);
     }
     if !is_any {
@@ -142,8 +132,8 @@
 fn recover(duty: &mut WaveDuty, wave: &WaveKnown, pool: &str) {
     for (host, slot) in &wave.row.out {
         if slot.pool == pool && !duty.turns.contains_key(host) {
-            let turn = Turn::Holding(slot.life.clone());
-            duty.turns.insert(host.clone(), (wave.order.wave, turn));
+            duty.turns
+                .insert(host.clone(), (wave.order.wave, Turn::Holding));
         }
     }
 }
@@ -176,7 +166,6 @@
     book: &mut Book,
     duty: &mut WaveDuty,
     wave: &WaveKnown,
-    quiet_until_ms: Millis,
     pool: &str,
     epoch: u64,
     ctx: &mut Ctx<'_>,
@@ -189,6 +178,9 @@
         .collect();
     for (host, turn) in turns {
         match turn {
+            Turn::Closing(_) if !has_host(book, duty, &host, pool) => {
+                duty.turns.remove(&host);
+            }
             // A former owner, or the next one, took it through.
             Turn::Closing(_) if wave.row.back.contains(&host) => {
                 reopen(book, duty, &host, "it has been through", ctx);
@@ -200,11 +192,7 @@
                     reopen(book, duty, &host, "what lasts there could not move", ctx);
                 }
             }
-            Turn::Holding(life) => order(duty, wave, &host, life, quiet_until_ms, epoch, ctx),
-            Turn::Ordered(life, again_ms) if ctx.now.ms >= again_ms => {
-                order(duty, wave, &host, life, quiet_until_ms, epoch, ctx);
-            }
-            Turn::Ordered(..) => {}
+            Turn::Holding => go_out(book, duty, wave, &host, ctx),
             Turn::Away(life, since_ms) => {
                 give_back(book, duty, wave, &host, (&life, since_ms), ctx);
             }
@@ -334,6 +322,7 @@
         life: life_on(book, duty, host),
         pool: pool.to_string(),
         taken_wall_ms: ctx.now.wall_ms,
+        is_ordered: false,
     };
     row.out.insert(host.to_string(), slot);
     settle(duty, wave, row, host, true, ctx);
@@ -364,73 +353,32 @@
     settle(duty, wave, row, host, false, ctx);
 }
 
-fn order(
-    duty: &mut WaveDuty,
-    wave: &WaveKnown,
-    host: &str,
-    life: String,
-    quiet_until_ms: Millis,
-    epoch: u64,
-    ctx: &mut Ctx<'_>,
-) {
-    if ctx.now.ms < quiet_until_ms || !ctx.may_send() {
-        return;
-    }
-    let again_ms = ctx.now.ms + 4 * ORDER_RETRY_MS;
-    let turn = Turn::Ordered(life, again_ms);
-    duty.turns.insert(host.to_string(), (wave.order.wave, turn));
-    let number = wave.order.wave;
-    ctx.tell(
-        Decision::new(Code::UpkeepOrdered, Subject::Host, host, "it holds a slot")
-            .with("wave", number)
-            .with("out", wave.row.out.len() as u64)
-            .with("out_max", wave.order.out_max as u64)
-            .with("epoch", epoch),
-    );
-    let until_ms = ctx.until_ms;
-    ctx.out.push(Effect::Upkeep(
-        ctx.pool,
-        epoch,
-        number,
-        host.to_string(),
-        until_ms,
-    ));
+/// Whether a host is still this pool's.
+fn has_host(book: &Book, duty: &WaveDuty, host: &str, pool: &str) -> bool {
+    let record = duty.hosts.iter().find(|h| h.host == host);
+    worker_on(book, host).is_some() || record.is_none_or(|h| h.pool == pool)
 }
 
-/// Settles an order for upkeep.
-pub fn ordered(
-    book: &mut Book,
-    duty: &mut WaveDuty,
-    wave: u64,
-    host: &str,
-    reply: HostReply,
-    ctx: &mut Ctx<'_>,
-) {
-    let Some((_, Turn::Ordered(life, _))) = duty.turns.get(host).cloned() else {
+/// Takes note that the host of a slot was ordered out, or that its slot was given up for it.
+fn go_out(book: &mut Book, duty: &mut WaveDuty, wave: &WaveKnown, host: &str, ctx: &mut Ctx<'_>) {
+    let Some(slot) = wave.row.out.get(host) else {
+        let why = "its slot was given up";
+        reopen(book, duty, host, why, ctx);
         return;
     };
-    let id = wave.to_string();
-    ctx.tell(Decision::new(
-        Code::UpkeepAnswered,
-        Subject::Host,
-        host,
-        format!("wave {id}: {reply:?}"),
-    ));
-    let next = match reply {
-        HostReply::Accepted => {
-            if let Some(worker) = book.by_life.get(&life).copied() {
-                let w = &mut book.workers[worker];
-                w.is_listed = false;
-                w.lease_over_ms = 0;
-                runs::worker_over(book, worker, "its host is out for upkeep", ctx);
-                super::holds::forget_if_over(book, worker, ctx);
-            }
-            duty.hosts_due_ms = ctx.now.ms + HOSTS_MS;
-            Turn::Away(life, ctx.now.ms)
-        }
-        _ => Turn::Ordered(life, ctx.now.ms + ORDER_RETRY_MS),
-    };
-    duty.turns.insert(host.to_string(), (wave, next));
+    if !slot.is_ordered {
+        return;
+    }
+    let life = slot.life.clone();
+    if let Some(worker) = book.by_life.get(&life).copied() {
+        let w = &mut book.workers[worker];
+        w.is_listed = false;
+        w.lease_over_ms = 0;
+        runs::worker_over(book, worker, "its host is out for upkeep", ctx);
+        super::holds::forget_if_over(book, worker, ctx);
+    }
+    let turn = Turn::Away(life, ctx.now.ms);
+    duty.turns.insert(host.to_string(), (wave.order.wave, turn));
 }
 
 /// Takes in what became of a change of a wave's row.
@@ -465,10 +413,8 @@
         return;
     }
     if pending.is_take {
-        let slot = pending.row.out.get(&pending.host);
-        let life = slot.map(|s| s.life.clone()).unwrap_or_default();
-        let turn = (pending.wave, Turn::Holding(life));
-        duty.turns.insert(pending.host, turn);
+        duty.turns
+            .insert(pending.host, (pending.wave, Turn::Holding));
         ctx.after(0, Timer::Wave);
     } else {
         let id = pending.wave.to_string();
@@ -567,7 +513,7 @@
     for host in wave.order.hosts.iter().filter(|h| is_due(h)) {
         if let Some(key) = worker_on(book, host) {
             let w = &book.workers[key];
-            if w.answers && !w.fact.draining && can_clear(book, key, now_ms) {
+            if w.answers && !w.fact.draining && !w.is_spare && can_clear(book, key, now_ms) {
                 found.push((host.clone(), w.used.cpu_milli + w.tasks.len() as u64));
             }
             continue;
--- a/src/event.rs
+++ b/src/event.rs
@@ -104,7 +104,9 @@
     HostClosing, 620, "host-closing", "A host is due for upkeep; it gets no new work.";
     UpkeepOrdered, 621, "upkeep-ordered", "A host holds a slot of its wave and is ordered out.";
     HostReopened, 623, "host-reopened", "A host that was closing serves its pool again; its turn comes later.";
-    UpkeepAnswered, 622, "upkeep-answered", "What the platform said to an order for upkeep.";
+    HostAnswered, 622, "host-answered", "What the platform said to an order to a host.";
+    MoveOrdered, 624, "move-ordered", "A host is sent to another pool.";
+    PoolSized, 625, "pool-sized", "What a pool's owner thinks of its size changed.";
 }
 
 impl Code {
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -177,7 +177,7 @@
     /// Name.
     pub name: String,
     /// Its hosts are off and cost nothing.
-    pub parked: bool,
+    pub is_parked: bool,
 }
 
 /// The operator's configuration, whole.
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -13,6 +13,7 @@
 use super::operations::whole;
 use super::shared::Shared;
 use crate::clock::Millis;
+use crate::core::sched::hosts::HostTask;
 use crate::core::sched::limits::{HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_RETRY_MS, TX_TIMEOUT_MS};
 use crate::core::sched::state::{Effect, Event, LoadedRows, Order, State};
 use crate::core::sched::{reduce, rows};
@@ -238,7 +239,11 @@
                 let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
                 Some(Event::WaveSettled(pool, wave, outcome))
             }),
-            Effect::Upkeep(pool, epoch, wave, host, until_ms) => {
+            Effect::SettleOrdered(pool, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::OrderedSettled(pool, outcome))
+            }),
+            Effect::OrderHost(pool, epoch, host, task, until_ms) => {
                 let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
                     let who = HostAuthority {
@@ -246,11 +251,11 @@
                         fence: epoch,
                     };
                     let reply = if shared.clock.now_ms() < until_ms {
-                        platform.upkeep(&who, &host, wave, TX_TIMEOUT_MS).await
+                        order_host(&platform, &who, &host, &task).await
                     } else {
                         HostReply::TooMany
                     };
-                    Some(Event::UpkeepOrdered(pool, epoch, wave, host, reply))
+                    Some(Event::HostOrdered(pool, epoch, host, reply))
                 });
             }
             Effect::Log(decision) => self.shared.tell(decision),
@@ -274,6 +279,18 @@
     shared.clock.now_ms() < order.until_ms
 }
 
+async fn order_host<P: HostMoves>(
+    platform: &P,
+    who: &HostAuthority,
+    host: &str,
+    task: &HostTask,
+) -> HostReply {
+    match task {
+        HostTask::Move(pool) => platform.move_to(who, host, pool, TX_TIMEOUT_MS).await,
+        HostTask::Upkeep(wave) => platform.upkeep(who, host, *wave, TX_TIMEOUT_MS).await,
+    }
+}
+
 /// Sends a guarded or repeatable write until its fate is known.
 async fn insist<F: Future<Output = TxOutcome>>(send: impl Fn() -> F) {
     const TRIES: u32 = 5;
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -9,6 +9,7 @@
 
 use fastrand::Rng;
 use rockwick::clock::Now;
+use rockwick::core::sched::hosts::HostTask;
 use rockwick::core::sched::job::{JobSpec, JobState, StepSpec};
 use rockwick::core::sched::reduce;
 use rockwick::core::sched::rows::{self, cancel_key, ProgressRow};
@@ -697,9 +698,16 @@
                 let event = Event::Held(order.pool, fence, worker, sent_ms, result);
                 self.reply(n, after_ms, event);
             }
-            Effect::Upkeep(pool, epoch, wave, host, _) => {
-                let reply = self.upkeep(wave, &host);
-                self.reply(n, 5, Event::UpkeepOrdered(pool, epoch, wave, host, reply));
+            Effect::SettleOrdered(pool, tx) => {
+                let (after_ms, outcome) = self.store_call(n, &tx);
+                self.reply(n, after_ms, Event::OrderedSettled(pool, outcome));
+            }
+            Effect::OrderHost(pool, epoch, host, task, _) => {
+                let reply = match task {
+                    HostTask::Upkeep(wave) => self.upkeep(wave, &host),
+                    HostTask::Move(_) => HostReply::Wrong,
+                };
+                self.reply(n, 5, Event::HostOrdered(pool, epoch, host, reply));
             }
             Effect::Left => self.kill(n),
             Effect::Pace(..) | Effect::Log(_) => {}
