Pools keep their first hosts until another lacks some; a host is back only by its new life

Cause: shrunken pools met their next peak with half their hosts; donors held on to theirs for 1.5 s and more. Change: beats tell needed, serving and warm hosts; under pressure donors keep 0.3 s and 60% of their warm size.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -18,6 +18,9 @@
 /// How often orders to hosts are looked at.
 pub const LOOK_MS: Millis = 100;
 
+/// How often an owner looks whether its pool carries the orders now.
+pub const IDLE_LOOK_MS: Millis = 1_000;
+
 /// How often the list of hosts is read.
 const LIST_MS: Millis = 600;
 
@@ -29,7 +32,7 @@
 const RETRY_MS: Millis = 400;
 
 /// A heartbeat older than that moves nothing; less than [`super::sizing::WITHDRAW_MS`].
-const BEAT_FRESH_MS: Millis = 1_000;
+pub const BEAT_FRESH_MS: Millis = 1_000;
 
 /// A move that is not seen in the list by then is forgotten. A move takes 2 s.
 const MOVE_MAX_MS: Millis = 6_000;
@@ -41,6 +44,8 @@
     pub pool: String,
     /// Hosts that it wants.
     pub wanted: u64,
+    /// Hosts that its work needs now.
+    pub needed: u64,
     /// Hosts that it can spare.
     pub spare: Vec<String>,
     /// When that was heard.
@@ -80,9 +85,9 @@
 
 /// The pool whose owner orders hosts: the first parked one, else the first.
 pub fn duty_pool(config: &FleetConfig) -> Option<&str> {
-    let parked = config.pools.values().find(|p| p.is_parked);
-    let pool = parked.or_else(|| config.pools.values().next());
-    pool.map(|p| p.name.as_str())
+    let parked = config.pools.iter().find(|(_, p)| p.is_parked);
+    let pool = parked.or_else(|| config.pools.iter().next());
+    pool.map(|(name, _)| name.as_str())
 }
 
 /// What a look is made with.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -67,8 +67,8 @@
         }
         Event::WaveRow(row) => wave_row(state, &row, now, &mut out),
         Event::WaveSettled(pool, _, outcome) => {
-            with_duty(state, pool, now, &mut out, |_, duty, waves, _, ctx| {
-                wave::settled(duty, waves, outcome, ctx);
+            with_duty(state, pool, now, &mut out, |book, duty, waves, _, ctx| {
+                wave::settled(book, duty, waves, outcome, ctx);
             });
         }
         Event::OrderedSettled(pool, outcome) => {
@@ -143,20 +143,20 @@
     });
 }
 
-/// Runs `work` on what the owner of the pool that carries it does for hosts.
+/// Runs `work` on what an owner does for hosts, if its pool carries that; says so.
 fn with_hosts(
     state: &mut State,
     key: PoolKey,
     now: Now,
     out: &mut Vec<Effect>,
     work: impl FnOnce(&mut HostDuty, &mut BTreeMap<u64, WaveKnown>, &hosts::Look<'_>, &mut Ctx<'_>),
-) {
+) -> bool {
     let is_duty_pool = state
         .pools
         .get(usize::from(key.0))
         .is_some_and(|p| hosts::duty_pool(&state.config) == Some(p.name.as_str()));
     if !is_duty_pool {
-        return;
+        return false;
     }
     let needs: Vec<PoolNeed> = state.pools.iter().map(need).collect();
     let mut waves = std::mem::take(&mut state.waves);
@@ -173,6 +173,7 @@
         work(&mut tenure.hosts, &mut waves, &look, ctx);
     });
     state.waves = waves;
+    true
 }
 
 /// What a pool's owner said of its size.
@@ -181,13 +182,29 @@
     PoolNeed {
         pool: pool.name.clone(),
         wanted: beat.wanted,
+        needed: beat.needed,
         spare: beat.spare.clone(),
         heard_ms: pool.seat.beat_seen_ms,
     }
 }
 
+/// Whether another pool lacks hosts for the work that it has.
+fn is_pressed(state: &State, key: PoolKey, now_ms: Millis) -> bool {
+    let others = state
+        .pools
+        .iter()
+        .enumerate()
+        .filter(|(n, _)| *n != usize::from(key.0));
+    let mut seats = others.map(|(_, pool)| &pool.seat);
+    seats.any(|seat| {
+        let is_fresh = now_ms < seat.beat_seen_ms + hosts::BEAT_FRESH_MS;
+        is_fresh && seat.beat.needed > seat.beat.serving
+    })
+}
+
 /// Looks at the size of a pool, and tells its owner's mind at once where it changed.
 fn size(state: &mut State, key: PoolKey, now: Now, out: &mut Vec<Effect>) {
+    let pressed = is_pressed(state, key, now.ms);
     with_pool(state, key, now, out, |pool, ctx, facts| {
         let is_parked = |name: &str| facts.config.pools.get(name).is_some_and(|p| p.is_parked);
         let can_park = facts.config.pools.values().any(|p| p.is_parked);
@@ -198,7 +215,11 @@
             return;
         };
         let Some(book) = &mut tenure.book else { return };
-        if sizing::look(book, &mut tenure.sizing, can_park, ctx) {
+        if tenure.sizing.warm == 0 {
+            tenure.sizing.warm = pool.seat.beat.warm;
+        }
+        let with = sizing::Look { can_park, pressed };
+        if sizing::look(book, &mut tenure.sizing, &with, ctx) {
             seat::renew(pool, ctx);
         }
     });
@@ -623,9 +644,13 @@
         return;
     }
     if timer == Timer::Hosts {
-        with_hosts(state, key, now, out, |duty, waves, look, ctx| {
+        let is_ours = with_hosts(state, key, now, out, |duty, waves, look, ctx| {
             hosts::look(duty, waves, look, ctx);
         });
+        if !is_ours {
+            let at_ms = now.ms + hosts::IDLE_LOOK_MS;
+            state.timers.insert((at_ms, key, timer));
+        }
         return;
     }
     if timer == Timer::Wave {
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -39,6 +39,15 @@
     /// Hosts that the pool wants; 0 where its owner does not know yet.
     #[serde(default)]
     pub wanted: u64,
+    /// Hosts that its work needs now.
+    #[serde(default)]
+    pub needed: u64,
+    /// Hosts that take its work now.
+    #[serde(default)]
+    pub serving: u64,
+    /// Hosts that it had when it was first owned.
+    #[serde(default)]
+    pub warm: u64,
     /// Hosts that it can spare: they carry nothing and get nothing.
     #[serde(default)]
     pub spare: Vec<String>,
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -148,6 +148,9 @@
     let sizing = pool.tenure.as_ref().map(|t| &t.sizing);
     BeatRow {
         wanted: sizing.map_or(0, |s| s.wanted),
+        needed: sizing.map_or(0, |s| s.needed),
+        serving: sizing.map_or(0, |s| s.serving),
+        warm: sizing.map_or(pool.seat.beat.warm, |s| s.warm.max(pool.seat.beat.warm)),
         spare: sizing.map(|s| s.spare.clone()).unwrap_or_default(),
         entry: me.to_string(),
         count: pool.seat.beat.count + 1,
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -17,6 +17,19 @@
 /// users' sites, and a host that was sent away comes back with another move.
 const KEEP_MS: Millis = 1_500;
 
+/// The same while another pool lacks hosts: a few looks, against the noise of single jobs.
+const KEEP_PRESSED_MS: Millis = 300;
+
+/// Share of its first hosts that a pool keeps without work, in percent: its next peak finds them, others
+/// come 2.5 s later. Measured: see docs/MEASURES.md.
+const FLOOR_PERCENT: u64 = 100;
+
+/// The same while another pool lacks hosts.
+const FLOOR_PRESSED_PERCENT: u64 = 60;
+
+/// All workers are listed so long after the first start.
+const SETTLE_MS: Millis = 4_000;
+
 /// A host that is wanted again serves after so long: heartbeats older than that move nothing.
 pub const WITHDRAW_MS: Millis = 1_500;
 
@@ -38,29 +51,73 @@
     /// Hosts that are wanted again, since then.
     withdrawn: BTreeMap<String, Millis>,
     /// What was last told.
-    told: (u64, Vec<String>),
+    told: (u64, u64, Vec<String>),
+    /// Hosts that its work needs now.
+    pub needed: u64,
+    /// Hosts that take its work now.
+    pub serving: u64,
+    /// Hosts that it had when it was first owned; 0 while that is not known.
+    pub warm: u64,
+    /// When the pool was first looked at.
+    first_ms: Option<Millis>,
+}
+
+/// What a look is made with.
+#[derive(Clone, Copy, Debug)]
+pub struct Look {
+    /// There is a pool whose hosts are off.
+    pub can_park: bool,
+    /// Another pool lacks hosts for the work that it has.
+    pub pressed: bool,
 }
 
 /// Looks at the pool's size; says whether that should be told at once.
-pub fn look(book: &mut Book, sizing: &mut Sizing, can_park: bool, ctx: &mut Ctx<'_>) -> bool {
+pub fn look(book: &mut Book, sizing: &mut Sizing, with: &Look, ctx: &mut Ctx<'_>) -> bool {
     ctx.after(LOOK_MS, Timer::Size);
-    let need = need(book);
     let now_ms = ctx.now.ms;
-    sizing.needs.retain(|(at_ms, _)| now_ms < at_ms + KEEP_MS);
-    sizing.needs.push_back((now_ms, need));
-    sizing.wanted = sizing.needs.iter().map(|(_, n)| *n).max().unwrap_or(need);
+    let keep_ms = if with.pressed {
+        KEEP_PRESSED_MS
+    } else {
+        KEEP_MS
+    };
+    sizing.needs.push_back((now_ms, need(book)));
+    sizing.needs.retain(|(at_ms, _)| now_ms < at_ms + keep_ms);
+    sizing.needed = sizing
+        .needs
+        .iter()
+        .map(|(_, n)| *n)
+        .max()
+        .unwrap_or(HOSTS_MIN);
+    if sizing.warm == 0 {
+        // At the first start all workers are listed within some seconds.
+        let is_settled = now_ms >= *sizing.first_ms.get_or_insert(now_ms) + SETTLE_MS;
+        let listed = book.workers.values().filter(|w| w.is_listed).count() as u64;
+        sizing.warm = if is_settled { listed } else { 0 };
+        sizing.wanted = sizing.needed;
+        return false;
+    }
+    let floor_percent = if with.pressed {
+        FLOOR_PRESSED_PERCENT
+    } else {
+        FLOOR_PERCENT
+    };
+    sizing.wanted = sizing
+        .needed
+        .max((sizing.warm * floor_percent).div_ceil(100));
     reopen(book, sizing, now_ms);
-    if can_park {
+    if with.can_park {
         choose_spare(book, sizing, now_ms);
     }
-    let now_told = (sizing.wanted, sizing.spare.clone());
+    sizing.serving = book.workers.values().filter(|w| w.is_open(now_ms)).count() as u64;
+    let now_told = (sizing.wanted, sizing.needed, sizing.spare.clone());
     if sizing.told == now_told {
         return false;
     }
     ctx.tell(
         Decision::new(Code::PoolSized, Subject::Pool, &book.name, "need changed")
             .with("wanted", sizing.wanted)
-            .with("needed", need)
+            .with("needed", sizing.needed)
+            .with("serving", sizing.serving)
             .with("spare", sizing.spare.len() as u64),
     );
     sizing.told = now_told;
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -369,20 +369,15 @@
     if !slot.is_ordered {
         return;
     }
-    let life = slot.life.clone();
-    if let Some(worker) = book.by_life.get(&life).copied() {
-        let w = &mut book.workers[worker];
-        w.is_listed = false;
-        w.lease_over_ms = 0;
-        runs::worker_over(book, worker, "its host is out for upkeep", ctx);
-        super::holds::forget_if_over(book, worker, ctx);
-    }
-    let turn = Turn::Away(life, ctx.now.ms);
+    // The order may have been carried out before, on another's word: only a new life shows that the one
+    // that is known here has ended.
+    let turn = Turn::Away(slot.life.clone(), ctx.now.ms);
     duty.turns.insert(host.to_string(), (wave.order.wave, turn));
 }
 
 /// Takes in what became of a change of a wave's row.
 pub fn settled(
+    book: &mut Book,
     duty: &mut WaveDuty,
     known: &mut BTreeMap<u64, WaveKnown>,
     outcome: TxOutcome,
@@ -429,6 +424,10 @@
             .with("left", left as u64),
         );
         duty.turns.remove(&pending.host);
+        if let Some(key) = worker_on(book, &pending.host) {
+            book.workers[key].is_closing = false;
+            book.wants_placing = true;
+        }
     }
 }
 
