--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -350,11 +350,14 @@
     }
 }
 
-/// The pool that has the least of what it wants.
+/// The pool that has the least of what its work needs, or else of what it wants.
 fn shortest<'a>(duty: &HostDuty, needs: &[&'a PoolNeed]) -> Option<&'a PoolNeed> {
-    let share_milli = |need: &PoolNeed| count(duty, need) * 1_000 / need.wanted.max(1);
-    let short = needs.iter().filter(|need| share_milli(need) < 1_000);
-    short.min_by_key(|need| share_milli(need)).copied()
+    let least = |hosts: fn(&PoolNeed) -> u64| {
+        let share_milli = |need: &PoolNeed| count(duty, need) * 1_000 / hosts(need).max(1);
+        let short = needs.iter().filter(|need| share_milli(need) < 1_000);
+        short.min_by_key(|need| share_milli(need)).copied()
+    };
+    least(|need| need.needed).or_else(|| least(|need| need.wanted))
 }
 
 /// A spare host of another pool.
