--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,3 +1,4 @@
 //! What the stand-ins share with tests and experiments.
 
+pub mod fleet;
 pub mod rows;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -62,7 +62,7 @@
 }
 
 impl Process {
-    fn start(name: &str, args: &[String]) -> Self {
+    pub(crate) fn start(name: &str, args: &[String]) -> Self {
         let mut child = Command::new(binary(name))
             .args(args)
             .stdout(Stdio::piped())
--- /dev/null
+++ b/tests/test_platform.rs
@@ -0,0 +1,272 @@
+//! The contract with the platform of workers: each interface of the adapter, with its faults.
+
+use rockwick::platform::Platform;
+use rockwick::port::fleet::{
+    Addressee, Directory, Guard, HoldAsk, HostAuthority, HostMoves, HostReply, HostState,
+    OperatorWord, OrderReply, Range, ReadError, RowTx, Rows, RunStart, Table, TaskName, TxOutcome,
+    WaveState, WaveStatus, WorkerOrders, WorkerWord, Write, ABSENT,
+};
+use serde_json::json;
+use standin::fleet::{Fleet, StoreFault};
+
+const TIMEOUT_MS: u64 = 5_000;
+const SHORT_MS: u64 = 300;
+
+fn fleet() -> (Fleet, Platform) {
+    let fleet = Fleet::start("pool", 2, 50).expect("it starts");
+    let platform = Platform::new(fleet.address, Some(fleet.address));
+    (fleet, platform)
+}
+
+fn tx(key: &str, revision: u64, value: &[u8]) -> RowTx {
+    RowTx {
+        part: "a/b".to_string(),
+        guards: vec![Guard {
+            table: Table::Intake,
+            key: key.to_string(),
+            revision,
+        }],
+        writes: vec![Write {
+            table: Table::Intake,
+            key: key.to_string(),
+            value: Some(value.to_vec()),
+        }],
+    }
+}
+
+#[test]
+fn platform_transactions() {
+    let (fleet, platform) = fleet();
+    smol::block_on(async {
+        let first = platform
+            .transact(&tx("k", ABSENT, b"one"), TIMEOUT_MS)
+            .await;
+        let TxOutcome::Committed(revision) = first else {
+            panic!("{first:?}");
+        };
+        let again = platform
+            .transact(&tx("k", ABSENT, b"two"), TIMEOUT_MS)
+            .await;
+        let TxOutcome::Conflict(found) = again else {
+            panic!("{again:?}");
+        };
+        assert_eq!(found[0].1.value.as_deref(), Some(&b"one"[..]));
+        assert_eq!(found[0].1.revision, revision);
+        fleet.set_fault(StoreFault::Busy);
+        let busy = platform.transact(&tx("l", ABSENT, b""), TIMEOUT_MS).await;
+        assert_eq!(busy, TxOutcome::Refused);
+        fleet.set_fault(StoreFault::Mute);
+        let mute = platform.transact(&tx("m", ABSENT, b"done"), SHORT_MS).await;
+        assert_eq!(mute, TxOutcome::Unknown);
+        fleet.set_fault(StoreFault::None);
+        let after = platform
+            .transact(&tx("m", ABSENT, b"done"), TIMEOUT_MS)
+            .await;
+        assert!(
+            matches!(after, TxOutcome::Conflict(_)),
+            "it had been done: {after:?}"
+        );
+    });
+}
+
+#[test]
+fn platform_nobody_there() {
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = dead.local_addr().expect("bound");
+    drop(dead);
+    let platform = Platform::new(address, None);
+    smol::block_on(async {
+        let outcome = platform.transact(&tx("k", ABSENT, b""), TIMEOUT_MS).await;
+        assert_eq!(outcome, TxOutcome::Refused, "not a byte was sent");
+        let read = platform.operator().await;
+        assert_eq!(read.err(), Some(ReadError::Down));
+        assert_eq!(platform.hosts().await.err(), Some(ReadError::Down));
+    });
+}
+
+#[test]
+fn platform_scans_and_feeds() {
+    let (fleet, platform) = fleet();
+    smol::block_on(async {
+        for n in 0..5 {
+            let outcome = platform
+                .transact(&tx(&format!("k{n}"), ABSENT, b"v"), TIMEOUT_MS)
+                .await;
+            assert!(matches!(outcome, TxOutcome::Committed(_)));
+        }
+        let range = Range {
+            from: "k1".to_string(),
+            until: "k4".to_string(),
+            rows_max: 2,
+        };
+        let scan = platform
+            .scan(Table::Intake, "a/b", range, TIMEOUT_MS)
+            .await
+            .expect("read");
+        let keys: Vec<&str> = scan.rows.iter().map(|r| r.key.as_str()).collect();
+        assert_eq!((keys, scan.more), (vec!["k1", "k2"], true));
+        let none = platform
+            .feed(Table::Intake, scan.revision, 20)
+            .await
+            .expect("read");
+        assert!(none.changes.is_empty());
+        let gone = RowTx {
+            guards: Vec::new(),
+            writes: vec![Write {
+                table: Table::Intake,
+                key: "k0".to_string(),
+                value: None,
+            }],
+            part: "a/b".to_string(),
+        };
+        platform.transact(&gone, TIMEOUT_MS).await;
+        let feed = platform
+            .feed(Table::Intake, none.revision, 1_000)
+            .await
+            .expect("read");
+        assert_eq!(feed.changes[0].value, None, "a removed row has no value");
+        fleet.set_fault(StoreFault::Forgetful);
+        let forgot = platform.feed(Table::Intake, 1, 20).await;
+        assert_eq!(forgot.err(), Some(ReadError::HistoryGone));
+        assert_eq!(
+            platform.parts(Table::Intake).await.expect("read"),
+            vec!["a/b"]
+        );
+    });
+}
+
+#[test]
+fn platform_directory() {
+    let (fleet, platform) = fleet();
+    fleet.configure(7, "pool");
+    fleet.put(
+        "op",
+        "",
+        "wave/3",
+        &json!({"wave": 3, "machines": ["m-0"], "duration_s": 20.5, "maximum": 2}),
+    );
+    fleet.put_bytes("op", "", "wave/4", b"\xff{");
+    fleet.put("op", "", "unheard", &json!({}));
+    fleet.put_bytes("servers", "", "i-9", b"{}");
+    smol::block_on(async {
+        let words = platform.operator().await.expect("read").changes;
+        let config = words.iter().find_map(|w| match w {
+            OperatorWord::Config(config) => Some(config),
+            _ => None,
+        });
+        let config = config.expect("a configuration");
+        assert_eq!((config.version, config.queues[0].stretch_milli), (7, 1_600));
+        assert!(words
+            .iter()
+            .any(|w| matches!(w, OperatorWord::Wave(o) if o.duration_ms == 20_500)));
+        assert!(words
+            .iter()
+            .any(|w| matches!(w, OperatorWord::Unreadable(k, _) if k == "wave/4")));
+        assert_eq!(words.len(), 3, "a key that nobody knows is passed over");
+        let workers = platform.workers().await.expect("read").changes;
+        assert!(workers
+            .iter()
+            .any(|w| matches!(w, WorkerWord::Unreadable(k, _) if k == "i-9")));
+        let present = workers
+            .iter()
+            .filter(|w| matches!(w, WorkerWord::Present(_)));
+        assert_eq!(present.count(), 2);
+    });
+}
+
+fn start(run: u32, lease_until_ms: u64) -> RunStart {
+    RunStart {
+        task: TaskName {
+            job: "0123456789abcdef".to_string(),
+            round: 0,
+            step: 1,
+            index: 2,
+        },
+        run,
+        spec: "lasts".to_string(),
+        lease_until_ms,
+        checkpoint: String::new(),
+    }
+}
+
+#[test]
+fn platform_orders() {
+    let (_fleet, platform) = fleet();
+    smol::block_on(async {
+        let workers = platform.workers().await.expect("read").changes;
+        let Some(WorkerWord::Present(fact)) = workers.into_iter().next() else {
+            panic!("a worker");
+        };
+        let to = |fence, worker: &str| Addressee {
+            worker: worker.to_string(),
+            address: fact.address,
+            fence,
+        };
+        let far_ms = 1_000_000;
+        let ask = HoldAsk {
+            lease_until_ms: None,
+            seen: 0,
+            wait_ms: 0,
+        };
+        let cases = [
+            (5, fact.id.as_str(), start(1, far_ms), OrderReply::Accepted),
+            (5, fact.id.as_str(), start(1, far_ms), OrderReply::Accepted),
+            (4, fact.id.as_str(), start(2, far_ms), OrderReply::Fenced),
+            (5, fact.id.as_str(), start(2, 0), OrderReply::TooLate),
+            (5, "another", start(2, far_ms), OrderReply::OtherLife),
+        ];
+        for (fence, worker, order, wanted) in cases {
+            let reply = platform.start(&to(fence, worker), &order, TIMEOUT_MS).await;
+            assert_eq!(
+                reply, wanted,
+                "fence {fence} worker {worker} run {}",
+                order.run
+            );
+        }
+        let held = platform
+            .hold(&to(5, &fact.id), ask, TIMEOUT_MS)
+            .await
+            .expect("an account");
+        assert_eq!(held.running[0].task, start(1, 0).task);
+        assert_eq!(held.running[0].percent, 100);
+        let stop = platform
+            .stop(&to(5, &fact.id), &start(1, 0).task, 1, TIMEOUT_MS)
+            .await;
+        assert_eq!(stop, OrderReply::Accepted);
+        let held = platform
+            .hold(&to(6, &fact.id), ask, TIMEOUT_MS)
+            .await
+            .expect("an account");
+        assert_eq!((held.running.len(), held.ended.len()), (0, 1));
+        let old = platform.hold(&to(5, &fact.id), ask, TIMEOUT_MS).await;
+        assert_eq!(old.err(), Some(OrderReply::Fenced));
+    });
+}
+
+#[test]
+fn platform_hosts() {
+    let (fleet, platform) = fleet();
+    smol::block_on(async {
+        let hosts = platform.hosts().await.expect("read");
+        assert_eq!(hosts.len(), 2);
+        assert_eq!(hosts[0].state, HostState::Up);
+        let who = HostAuthority {
+            entry: "e1".to_string(),
+            fence: 3,
+        };
+        let done = platform.upkeep(&who, "m-1", 1, TIMEOUT_MS).await;
+        assert_eq!(done, HostReply::Accepted);
+        assert_eq!(fleet.upkeeps(), vec!["m-1"]);
+        let unknown = platform.move_to(&who, "m-7", "pool", TIMEOUT_MS).await;
+        assert_eq!(unknown, HostReply::Wrong);
+        let running = platform.tell_wave(1, WaveState::Running).await;
+        assert!(matches!(running, TxOutcome::Committed(_)));
+        let completed = platform.tell_wave(1, WaveState::Completed).await;
+        assert!(matches!(completed, TxOutcome::Committed(_)));
+        let late = platform.tell_wave(1, WaveState::Running).await;
+        assert!(
+            matches!(late, TxOutcome::Conflict(_)),
+            "never back to running: {late:?}"
+        );
+    });
+}
--- /dev/null
+++ b/tests/test_serve.rs
@@ -0,0 +1,188 @@
+//! `rockwick serve` as processes, against the stand-in of the platform of workers.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use http_types::Method;
+use rockwick::http::client::within_ms;
+use rockwick::http::{Answer, Client};
+use serde_json::{json, Value};
+use standin::fleet::{Fleet, StoreFault};
+
+use crate::fleet::{Process, PATIENCE};
+
+const POOL: &str = "pool";
+
+struct Entry {
+    process: Process,
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+/// A port that the system just gave out; bound again by the process a moment later.
+fn port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("bound")
+}
+
+fn entry(fleet: &Fleet, name: &str) -> Entry {
+    let (callers, ready, metrics) = (port(), port(), port());
+    let args = [
+        ("--name", name.to_string()),
+        ("--hall", "hall".to_string()),
+        ("--listen", callers.to_string()),
+        ("--ready", ready.to_string()),
+        ("--metrics", metrics.to_string()),
+        ("--store", fleet.address.to_string()),
+        ("--hosts", fleet.address.to_string()),
+    ];
+    let flags = args
+        .into_iter()
+        .flat_map(|(flag, value)| [flag.to_string(), value]);
+    let args: Vec<String> = std::iter::once("serve".to_string()).chain(flags).collect();
+    let process = Process::start("rockwick", &args);
+    let entry = Entry {
+        process,
+        callers,
+        ready,
+    };
+    until("ready", || status(entry.ready, "/readyz") == Some(200));
+    entry
+}
+
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "never: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn call(to: SocketAddr, method: Method, path: &str, body: &Value) -> Option<Answer> {
+    let client = Client::new(to);
+    let mut req = client.request(method, path)?;
+    req.insert_header("host", "queue.example");
+    if method == Method::Post {
+        req.set_body(body.to_string().into_bytes());
+    }
+    smol::block_on(client.exchange(req, within_ms(10_000))).ok()
+}
+
+fn status(to: SocketAddr, path: &str) -> Option<u16> {
+    call(to, Method::Get, path, &Value::Null).map(|a| a.status)
+}
+
+fn state(to: SocketAddr, id: &str) -> String {
+    let answer = call(to, Method::Get, &format!("/q/{id}"), &Value::Null);
+    let body: Option<Value> = answer.and_then(|a| a.json());
+    body.and_then(|b| b["state"].as_str().map(str::to_string))
+        .unwrap_or_default()
+}
+
+fn submit(to: SocketAddr, id: &str, spec: &str) -> Option<u16> {
+    let body = json!({"spec": spec, "steps": [{"count": 3, "cpu": 500, "mem_mb": 100, "estimate_ms": 50}],
+        "unknown": 1});
+    call(to, Method::Post, &format!("/q/{id}"), &body).map(|a| a.status)
+}
+
+const A: &str = "00000000000000aa";
+const B: &str = "00000000000000bb";
+
+#[test]
+fn serve_runs_jobs() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let (one, two) = (entry(&fleet, "e1"), entry(&fleet, "e2"));
+    assert_eq!(submit(one.callers, A, "work"), Some(200));
+    assert_eq!(
+        submit(two.callers, A, "work"),
+        Some(200),
+        "the same again is the same job"
+    );
+    assert_eq!(
+        submit(two.callers, A, "other"),
+        Some(409),
+        "another under its id is not"
+    );
+    until("completed", || state(two.callers, A) == "completed");
+    assert_eq!(fleet.starts(), 3);
+    assert_eq!(status(one.callers, "/q/"), Some(200));
+    assert_eq!(status(one.callers, &format!("/q/{B}")), Some(410));
+    assert_eq!(status(one.callers, "/elsewhere/"), Some(404));
+    let bad = call(
+        one.callers,
+        Method::Post,
+        &format!("/q/{B}"),
+        &json!({"steps": []}),
+    );
+    assert_eq!(bad.map(|a| a.status), Some(400));
+}
+
+#[test]
+fn serve_cancels() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let one = entry(&fleet, "e1");
+    assert_eq!(submit(one.callers, A, "lasts"), Some(200));
+    until("running", || fleet.running() == 3);
+    let gone = call(
+        one.callers,
+        Method::Delete,
+        &format!("/q/{A}"),
+        &Value::Null,
+    );
+    assert_eq!(gone.map(|a| a.status), Some(200));
+    until("stopped", || fleet.running() == 0);
+    assert_eq!(state(one.callers, A), "cancelled");
+    let none = call(
+        one.callers,
+        Method::Delete,
+        &format!("/q/{B}"),
+        &Value::Null,
+    );
+    assert_eq!(none.map(|a| a.status), Some(410));
+}
+
+#[test]
+fn serve_takes_over() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let one = entry(&fleet, "e1");
+    assert_eq!(submit(one.callers, A, "lasts"), Some(200));
+    until("running", || fleet.running() == 3);
+    let two = entry(&fleet, "e2");
+    drop(one);
+    assert_eq!(submit(two.callers, B, "work"), Some(200));
+    until("completed", || state(two.callers, B) == "completed");
+    assert_eq!(fleet.running(), 3, "what ran went on");
+    assert_eq!(fleet.starts(), 6, "and was not started again");
+    let lines = two.process.lines();
+    assert!(lines.iter().any(|l| l.contains("\"pool-owned\"")));
+}
+
+#[test]
+fn serve_store_refuses() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let one = entry(&fleet, "e1");
+    fleet.set_fault(StoreFault::Busy);
+    let refused = call(
+        one.callers,
+        Method::Post,
+        &format!("/q/{A}"),
+        &json!({"steps": [{"count": 1}]}),
+    );
+    let refused = refused.expect("an answer");
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.header("retry-after"), Some("1"));
+    until("not ready", || status(one.ready, "/readyz") == Some(503));
+    fleet.set_fault(StoreFault::None);
+    until("ready", || status(one.ready, "/readyz") == Some(200));
+    assert_eq!(
+        status(one.callers, &format!("/q/{A}")),
+        Some(410),
+        "it was not taken"
+    );
+    assert_eq!(submit(one.callers, A, "work"), Some(200));
+    until("completed", || state(one.callers, A) == "completed");
+}
