After a failure the next run waits for another worker

Change: the worker of the last failure is passed over while another may take the task. Test sched_fails_elsewhere_next, seen failing first.

--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -10,9 +10,6 @@
 /// Added to a worker's load, in thousandths, where the data lies elsewhere.
 const FAR_MILLI: u64 = 1_000;
 
-/// The same for the worker on which the task's last run failed.
-const FAILED_HERE_MILLI: u64 = 2_000;
-
 /// The same, for a task that lasts, where the host is due for upkeep: it would have to move.
 const DUE_MILLI: u64 = 700;
 
@@ -59,7 +56,7 @@
         if !worker.is_open(now_ms) || !worker.fits(demand) {
             continue;
         }
-        if !suits(book, key, spec, worker_key) {
+        if !suits(book, key, spec, worker_key) || failed_there(book, key, worker_key, now_ms) {
             continue;
         }
         let cost = cost_milli(book, key, spec, worker_key);
@@ -70,6 +67,16 @@
     best.map(|(_, worker)| worker)
 }
 
+/// Whether the task's last run failed on this worker and another one may take it, with room or later: three
+/// failures on one bad worker would end the job.
+fn failed_there(book: &Book, key: TaskKey, worker: WorkerKey, now_ms: u64) -> bool {
+    if book.task(key).is_none_or(|t| t.failed_on != Some(worker)) {
+        return false;
+    }
+    let mut others = book.workers.iter().filter(|(other, _)| *other != worker);
+    others.any(|(_, w)| w.is_open(now_ms))
+}
+
 /// Whether a task could go to another worker than the one it is on.
 pub fn has_other(book: &Book, key: TaskKey, worker: WorkerKey, now_ms: u64) -> bool {
     let Some(spec) = book.step_spec(key) else {
@@ -103,9 +110,6 @@
     {
         cost += FAR_MILLI;
     }
-    if book.task(key).is_some_and(|t| t.failed_on == Some(worker)) {
-        cost += FAILED_HERE_MILLI;
-    }
     if spec.lasting && w.is_due {
         cost += DUE_MILLI;
     }
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -140,6 +140,24 @@
     assert_eq!(world.recorded("a"), JobState::Completed);
 }
 
+/// Only the bad worker has room at first: the next run waits for another one.
+#[test]
+fn sched_fails_elsewhere_next() {
+    let mut world = World::new(11, 1, 2);
+    world.run(SETTLE_MS);
+    let lives = world.lives();
+    world.submit("long", job(1, 8_000, 4_000));
+    world.run(50);
+    let bad = lives
+        .iter()
+        .find(|id| world.running_on(id) == 0)
+        .expect("one is free");
+    world.bad_worker = Some(bad.clone());
+    world.submit("a", job(1, 8_000, 100));
+    world.run(15_000);
+    assert_eq!(world.recorded("a"), JobState::Completed);
+}
+
 #[test]
 fn sched_fails_at_bound() {
     let mut world = World::new(9, 2, 3);
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -151,6 +151,8 @@
     pub(crate) upkept: HashMap<u64, HashSet<String>>,
     /// Runs started, for progress in tests.
     pub(crate) starts: u64,
+    /// A worker on which all runs fail.
+    pub(crate) bad_worker: Option<String>,
     /// Most hosts that were out at a time.
     pub(crate) out_most: usize,
     revision: u64,
@@ -232,6 +234,7 @@
             waves_done: HashSet::new(),
             upkept: HashMap::new(),
             starts: 0,
+            bad_worker: None,
             out_most: 0,
             revision: 1,
             number: 0,
@@ -461,6 +464,11 @@
         row.map_or(JobState::Queued, |r| r.state)
     }
 
+    /// Tasks that run on a worker now.
+    pub(crate) fn running_on(&self, id: &str) -> usize {
+        self.workers[id].running.len()
+    }
+
     /// Tasks that run now, by job.
     pub(crate) fn running(&self, id: &str) -> usize {
         let lives = self.workers.values().filter(|w| w.is_up);
@@ -1029,7 +1037,8 @@
             Happening::RunEnds(id, task, run) => {
                 let there = self.workers.get(&id).and_then(|w| w.running.get(&task));
                 if there.is_some_and(|r| r.run == run) {
-                    let fails = self.chance(self.faults.run_fails);
+                    let is_bad = self.bad_worker.as_ref() == Some(&id);
+                    let fails = self.chance(self.faults.run_fails) || is_bad;
                     let kind = if fails {
                         EndKind::Failed
                     } else {
