Among jobs in time, the work that is left puts a job back

Cause: under overload the earliest objective went first whatever its size; small jobs earn more for the same work, and jobs nearly done earn with little. Change: rank by objective plus the work left, 3 core-milliseconds a millisecond, 8 s at most.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -5,7 +5,7 @@
 use slotmap::{new_key_type, SlotMap};
 
 use super::job::{JobSpec, JobState, StepSpec};
-use super::limits::{CLOCK_SLOW_PERCENT, LEASE_SLACK_MS};
+use super::limits::{CLOCK_SLOW_PERCENT, LEASE_SLACK_MS, WEIGHT_MAX_MS, WORK_PER_MS};
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
 use crate::clock::Millis;
 use crate::port::fleet::{Capacity, Revision, TaskName, WorkerFact};
@@ -85,6 +85,8 @@
     pub settled_ms: Option<Millis>,
     /// The worker said that it is past its start-up.
     pub is_at_work: bool,
+    /// Its place among waiting tasks.
+    pub queued: Option<Rank>,
 }
 
 impl Task {
@@ -143,6 +145,19 @@
 }
 
 impl Job {
+    /// How much later than its objective a job counts for the work that it has left: under overload small
+    /// jobs earn more for the same work.
+    fn weight_ms(&self, round: u32) -> Millis {
+        let Some(round) = self.rounds.get(&round) else {
+            return 0;
+        };
+        let steps = self.spec.steps.iter().zip(&round.steps);
+        let work: u64 = steps
+            .map(|(spec, step)| spec.cpu_milli * spec.estimate_ms * step.left as u64)
+            .sum();
+        (work / 1_000 / WORK_PER_MS).min(WEIGHT_MAX_MS)
+    }
+
     /// What the job can still earn: 1 in time, 2 late, 3 nothing.
     fn class(&self, now_ms: Millis) -> u8 {
         if now_ms > self.hopeless_ms {
@@ -411,32 +426,32 @@
                 w.take(key, demand);
             }
         }
-        if before == Phase::Ready && phase != Phase::Ready {
-            self.unqueue(key, rank);
+        self.queue(key, (phase == Phase::Ready).then_some(rank));
+    }
+
+    /// Puts a task among those that wait, or takes it out.
+    fn queue(&mut self, key: TaskKey, rank: Option<Rank>) {
+        let Some(task) = self.task_mut(key) else {
+            return;
+        };
+        let before = std::mem::replace(&mut task.queued, rank);
+        if let Some(before) = before {
+            self.ready.remove(&before);
         }
-        if phase == Phase::Ready {
+        if let Some(rank) = rank {
             self.ready.insert(rank);
             self.wants_placing = true;
         }
     }
 
-    fn unqueue(&mut self, key: TaskKey, rank: Rank) {
-        for class in 0..=3 {
-            self.ready.remove(&Rank {
-                class,
-                task: key,
-                ..rank
-            });
-        }
-    }
-
     fn rank(&self, key: TaskKey, now_ms: Millis) -> Option<Rank> {
         let job = self.jobs.get(key.job)?;
         let lasts = job.spec.steps.get(usize::from(key.step))?.lasting;
         let class = if lasts { 0 } else { job.class(now_ms) };
+        let weight_ms = if lasts { 0 } else { job.weight_ms(key.round) };
         Some(Rank {
             class,
-            due_ms: job.due_ms,
+            due_ms: job.due_ms + weight_ms,
             task: key,
         })
     }
@@ -447,8 +462,7 @@
         for rank in waiting.into_iter().filter(|r| r.class > 0) {
             let class = self.jobs.get(rank.task.job).map(|job| job.class(now_ms));
             if let Some(class) = class.filter(|c| *c != rank.class) {
-                self.ready.remove(&rank);
-                self.ready.insert(Rank { class, ..rank });
+                self.queue(rank.task, Some(Rank { class, ..rank }));
             }
         }
     }
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -74,6 +74,13 @@
 /// Past so many times its objective a job earns nothing and waits behind others.
 pub const HOPELESS_FACTOR: u64 = 3;
 
+/// So many core-milliseconds of work put a job back by one millisecond among those in time. Measured: see
+/// docs/MEASURES.md.
+pub const WORK_PER_MS: u64 = 3;
+
+/// Longest that work puts a job back.
+pub const WEIGHT_MAX_MS: Millis = 8_000;
+
 /// How often waiting tasks are sorted anew.
 pub const RESORT_MS: Millis = 250;
 
