Which life of a host is alive is told by answers, not by the list

Ruled out: takeover, leases (the owner was the same all the while). Change: a life is over when a later life of its host answers a hold that was sent after it was last heard, when another life answers in its place, or when all leases lapsed. The list ends nobody. Tests: the model lets heartbeats of ended lives through; sched_two_lives_listed tells one without any order.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod config;
 pub mod drain;
+pub mod events;
 pub mod health;
 pub mod job;
 pub mod members;
@@ -16,6 +17,7 @@
 pub mod rows;
 pub mod sched;
 pub mod state;
+pub mod tuning;
 pub mod wave;
 
 pub use reduce::{reduce, Effect, Event};
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -419,6 +419,16 @@
         keys
     }
 
+    /// The worker on a host: the life that answers, else one that is listed.
+    pub fn worker_on(&self, host: &str) -> Option<WorkerKey> {
+        let on_host = || {
+            let listed = self.workers.iter().filter(|(_, w)| w.is_listed);
+            listed.filter(|(_, w)| w.fact.host == host)
+        };
+        let answering = on_host().find(|(_, w)| w.answers);
+        answering.or_else(|| on_host().next()).map(|(key, _)| key)
+    }
+
     /// How many tasks of the same step (and round) a worker carries.
     pub fn siblings_on(&self, key: TaskKey, worker: &Worker) -> usize {
         let same = |t: &&TaskKey| t.job == key.job && t.round == key.round && t.step == key.step;
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -142,6 +142,8 @@
         book.wants_placing = true;
     }
     w.heard_ms = ctx.now.ms;
+    end_earlier_lives(book, key, sent_ms, ctx);
+    let w = &mut book.workers[key];
     let sample = ClockSample {
         local_ms: ctx.now.ms,
         worker_ms: report.clock_ms,
@@ -165,6 +167,24 @@
     }
 }
 
+/// A host carries one life at a time: those that were last heard before this one was asked are over, and so
+/// are those that a former owner gave work to. One that was never heard nor given work may be younger.
+fn end_earlier_lives(book: &mut Book, key: WorkerKey, sent_ms: Millis, ctx: &mut Ctx<'_>) {
+    let host = book.workers[key].fact.host.clone();
+    let others = book.workers.iter().filter(|(other, w)| {
+        let was_there = w.heard_ms > 0 || !w.tasks.is_empty();
+        *other != key && w.fact.host == host && was_there && w.heard_ms < sent_ms
+    });
+    let earlier: Vec<WorkerKey> = others.map(|(other, _)| other).collect();
+    for other in earlier {
+        let w = &mut book.workers[other];
+        w.is_listed = false;
+        w.lease_over_ms = 0;
+        runs::worker_over(book, other, "a later life of its host answers", ctx);
+        forget_if_over(book, other, ctx);
+    }
+}
+
 /// Compares what a worker says to run with what the books expect there.
 fn compare(
     book: &mut Book,
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -1,11 +1,13 @@
-//! The list of workers: lives that appear, that are over, that the platform took from its list.
+//! The list of workers: lives that appear, and that the platform took from its list.
+//!
+//! The list tells nothing of which life of a host is alive: entries of lives that are over stay for some
+//! heartbeats, and a write that was held up may bring one back.
 
 use super::access::{owned_pools, with_pool};
 use super::book::Book;
 use super::holds;
 use super::keys::WorkerKey;
 use super::load;
-use super::runs;
 use super::state::{Ctx, Effect, State, Timer};
 use crate::clock::Now;
 use crate::event::{Code, Decision, Subject};
@@ -43,17 +45,6 @@
 }
 
 pub(super) fn present(state: &mut State, fact: WorkerFact, now: Now, out: &mut Vec<Effect>) {
-    let others = state.listed.values();
-    let others = others.filter(|f| f.host == fact.host && f.id != fact.id);
-    let (later, earlier): (Vec<_>, Vec<_>) = others.partition(|f| f.written > fact.written);
-    if !later.is_empty() {
-        // The entry of a life that is over stays listed for some heartbeats.
-        return;
-    }
-    let earlier: Vec<String> = earlier.into_iter().map(|f| f.id.clone()).collect();
-    for id in &earlier {
-        state.listed.remove(id);
-    }
     state.listed.insert(fact.id.clone(), fact.clone());
     for key in owned_pools(state) {
         with_pool(state, key, now, out, |pool, ctx, _| {
@@ -63,7 +54,6 @@
             };
             let epoch = tenure.epoch;
             let Some(book) = &mut tenure.book else { return };
-            end_earlier_lives(book, &fact, ctx);
             if is_its_pool {
                 note_present(book, &fact, epoch, ctx);
             }
@@ -71,23 +61,6 @@
     }
 }
 
-/// A host carries one life at a time: those before the one that is listed now are over.
-pub(super) fn end_earlier_lives(book: &mut Book, fact: &WorkerFact, ctx: &mut Ctx<'_>) {
-    let earlier: Vec<WorkerKey> = book
-        .workers
-        .iter()
-        .filter(|(_, w)| w.fact.host == fact.host && w.fact.id != fact.id)
-        .map(|(key, _)| key)
-        .collect();
-    for key in earlier {
-        let w = &mut book.workers[key];
-        w.is_listed = false;
-        w.lease_over_ms = 0;
-        runs::worker_over(book, key, "its host has a new life", ctx);
-        holds::forget_if_over(book, key, ctx);
-    }
-}
-
 pub(super) fn note_present(book: &mut Book, fact: &WorkerFact, epoch: u64, ctx: &mut Ctx<'_>) {
     if let Some(key) = book.by_life.get(&fact.id).copied() {
         let w = &mut book.workers[key];
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -47,7 +47,7 @@
         }
     }
     for row in loaded.progress {
-        apply_progress(&mut book, &row, began_ms, state, ctx);
+        apply_progress(&mut book, &row, began_ms, ctx);
     }
     let keys: Vec<JobKey> = book.jobs.keys().collect();
     for key in keys {
@@ -170,13 +170,7 @@
     }
 }
 
-fn apply_progress(
-    book: &mut Book,
-    row: &StoredRow,
-    began_ms: Millis,
-    state: &Facts<'_>,
-    ctx: &mut Ctx<'_>,
-) {
+fn apply_progress(book: &mut Book, row: &StoredRow, began_ms: Millis, ctx: &mut Ctx<'_>) {
     let Some(key) = book.by_id.get(&row.key).copied() else {
         return;
     };
@@ -197,21 +191,16 @@
     let lives: Vec<WorkerKey> = progress
         .workers
         .iter()
-        .map(|(life, host)| known_or_ghost(book, life, host, began_ms, state))
+        .map(|(life, host)| known_or_ghost(book, life, host, began_ms))
         .collect();
     for round in &progress.rounds {
         apply_round(book, key, round, &lives, ctx.now.ms);
     }
 }
 
-/// The worker that a row names; one that is not listed may still run what it was told.
-fn known_or_ghost(
-    book: &mut Book,
-    life: &str,
-    host: &str,
-    began_ms: Millis,
-    state: &Facts<'_>,
-) -> WorkerKey {
+/// The worker that a row names; one that is not listed may still run what it was told, until a later life
+/// of its host answers or everything told to it has lapsed.
+fn known_or_ghost(book: &mut Book, life: &str, host: &str, began_ms: Millis) -> WorkerKey {
     if let Some(key) = book.by_life.get(life) {
         return *key;
     }
@@ -224,19 +213,9 @@
         labels: Vec::new(),
         capacity: Default::default(),
         draining: true,
-        written: 0,
     };
     let key = add_worker(book, fact, began_ms);
-    let is_over = state
-        .listed
-        .values()
-        .any(|f| f.host == host && f.id != life);
-    let worker = &mut book.workers[key];
-    worker.is_listed = false;
-    if is_over {
-        // Another life stands on the same host: this one has certainly ended.
-        worker.lease_over_ms = 0;
-    }
+    book.workers[key].is_listed = false;
     key
 }
 
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -159,14 +159,6 @@
     hosts.max().unwrap_or(0)
 }
 
-fn worker_on(book: &Book, host: &str) -> Option<WorkerKey> {
-    let found = book
-        .workers
-        .iter()
-        .find(|(_, w)| w.fact.host == host && w.is_listed);
-    found.map(|(key, _)| key)
-}
-
 /// Hosts that were wanted again long enough ago serve.
 fn reopen(book: &mut Book, sizing: &mut Sizing, now_ms: Millis) {
     let over = |since: &Millis| now_ms >= since + WITHDRAW_MS;
@@ -178,7 +170,7 @@
         .collect();
     for host in ready {
         sizing.withdrawn.remove(&host);
-        if let Some(key) = worker_on(book, &host) {
+        if let Some(key) = book.worker_on(&host) {
             book.workers[key].is_spare = false;
             book.wants_placing = true;
         }
@@ -189,7 +181,10 @@
 /// they are empty; opens them again where they are wanted.
 fn choose_spare(book: &mut Book, sizing: &mut Sizing, now_ms: Millis) {
     // Whoever moved away is in the books no more, or is back as another life.
-    let is_spare = |host: &String| worker_on(book, host).is_some_and(|k| book.workers[k].is_spare);
+    let is_spare = |host: &String| {
+        book.worker_on(host)
+            .is_some_and(|k| book.workers[k].is_spare)
+    };
     sizing.spare.retain(is_spare);
     let serving = book.workers.values().filter(|w| w.is_open(now_ms)).count() as u64;
     if serving < sizing.wanted {
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -146,17 +146,9 @@
     }
 }
 
-fn worker_on(book: &Book, host: &str) -> Option<WorkerKey> {
-    let found = book
-        .workers
-        .iter()
-        .find(|(_, w)| w.fact.host == host && w.is_listed);
-    found.map(|(key, _)| key)
-}
-
 /// The life on a host: by the list of workers, or by the list of hosts where workers are off.
 fn life_on(book: &Book, duty: &WaveDuty, host: &str) -> String {
-    if let Some(key) = worker_on(book, host) {
+    if let Some(key) = book.worker_on(host) {
         return book.workers[key].fact.id.clone();
     }
     let record = duty.hosts.iter().find(|h| h.host == host);
@@ -203,7 +195,7 @@
 
 /// Moves what lasts and waits for the rest; says whether the host may go.
 fn clear(book: &mut Book, host: &str, since_ms: Millis, epoch: u64, ctx: &mut Ctx<'_>) -> bool {
-    let Some(worker) = worker_on(book, host) else {
+    let Some(worker) = book.worker_on(host) else {
         return true;
     };
     let tasks: Vec<TaskKey> = book.workers[worker].tasks.iter().copied().collect();
@@ -236,7 +228,7 @@
     duty.turns.remove(host);
     let again_ms = ctx.now.ms + REOPENED_MS;
     duty.reopened.insert(host.to_string(), again_ms);
-    if let Some(key) = worker_on(book, host) {
+    if let Some(key) = book.worker_on(host) {
         book.workers[key].is_closing = false;
         book.wants_placing = true;
     }
@@ -344,7 +336,9 @@
     // A host of a parked pool carries no life before and after: the list must be newer than the order.
     let is_newer = duty.hosts_asked_ms > since_ms;
     let is_listed_up = is_newer && record.is_some_and(|h| h.state == HostState::Up);
-    let has_new_life = worker_on(book, host).is_some_and(|k| book.workers[k].fact.id != life);
+    let has_new_life = book
+        .worker_on(host)
+        .is_some_and(|k| book.workers[k].fact.id != life);
     if !is_listed_up && !has_new_life {
         return;
     }
@@ -357,7 +351,7 @@
 /// Whether a host is still this pool's.
 fn has_host(book: &Book, duty: &WaveDuty, host: &str, pool: &str) -> bool {
     let record = duty.hosts.iter().find(|h| h.host == host);
-    worker_on(book, host).is_some() || record.is_none_or(|h| h.pool == pool)
+    book.worker_on(host).is_some() || record.is_none_or(|h| h.pool == pool)
 }
 
 /// Takes note that the host of a slot was ordered out, or that its slot was given up for it.
@@ -425,7 +419,7 @@
             .with("left", left as u64),
         );
         duty.turns.remove(&pending.host);
-        if let Some(key) = worker_on(book, &pending.host) {
+        if let Some(key) = book.worker_on(&pending.host) {
             book.workers[key].is_closing = false;
             book.wants_placing = true;
         }
@@ -472,7 +466,7 @@
     let most = (listed / POOL_PART).max(1);
     let allowed = side_by_side(wave, left, ctx.now.ms).min(most);
     for (host, _) in candidates.into_iter().take(allowed.saturating_sub(in_turn)) {
-        if let Some(key) = worker_on(book, &host) {
+        if let Some(key) = book.worker_on(&host) {
             book.workers[key].is_closing = true;
         }
         let turn = Turn::Closing(ctx.now.ms);
@@ -511,7 +505,7 @@
     };
     let mut found: Vec<(String, u64)> = Vec::new();
     for host in wave.order.hosts.iter().filter(|h| is_due(h)) {
-        if let Some(key) = worker_on(book, host) {
+        if let Some(key) = book.worker_on(host) {
             let w = &book.workers[key];
             if w.answers && !w.fact.draining && !w.is_spare && can_clear(book, key, now_ms) {
                 found.push((host.clone(), w.used.cpu_milli + w.tasks.len() as u64));
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -251,8 +251,6 @@
     pub capacity: Capacity,
     /// It takes no new work and leaves.
     pub draining: bool,
-    /// When its entry was last written; of two lives on one host the later one is alive.
-    pub written: Revision,
 }
 
 /// A change in the list of workers.
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -26,7 +26,7 @@
     let n = rng.usize(0..world.entries.len());
     let lives = world.lives();
     let life = (!lives.is_empty()).then(|| lives[rng.usize(0..lives.len())].clone());
-    match rng.u32(0..9) {
+    match rng.u32(0..10) {
         0 => world.kill(n),
         1 => world.freeze(n, rng.u64(100..6_000)),
         2 => world.cut_entry(n, rng.u64(100..6_000)),
@@ -46,6 +46,7 @@
                 world.kill(n);
             }
         }
+        8 => world.relist(),
         _ => {}
     }
     for n in 0..world.entries.len() {
--- /dev/null
+++ b/tests/world/jobs.rs
@@ -0,0 +1,50 @@
+//! The configuration of all worlds, and jobs for them.
+
+use super::*;
+
+/// A queue on the pool, as configured in all worlds.
+pub(crate) fn config(version: u64) -> FleetConfig {
+    FleetConfig {
+        version,
+        queues: vec![QueueConfig {
+            name: QUEUE.to_string(),
+            host: "host".to_string(),
+            path_prefix: "/q/".to_string(),
+            pool: POOL.to_string(),
+            priority: 0,
+            attempts_max: 3,
+            target_ms: 600,
+            stretch_milli: 1_600,
+        }],
+        pools: [(POOL.to_string(), PoolConfig::default())].into(),
+        body_bytes: 1 << 18,
+        header_ms: 3_000,
+        idle_ms: 15_000,
+    }
+}
+
+/// A job of one step.
+pub(crate) fn job(count: u16, cpu_milli: u64, estimate_ms: u64) -> JobSpec {
+    JobSpec {
+        queue: QUEUE.to_string(),
+        payload: "work".to_string(),
+        steps: vec![StepSpec {
+            count,
+            cpu_milli,
+            mem_mb: 100,
+            estimate_ms,
+            ..StepSpec::default()
+        }],
+        schedule: None,
+        accepted_wall_ms: WALL_MS,
+    }
+}
+
+/// A job that lasts.
+pub(crate) fn lasting(count: u16, away_max: u16) -> JobSpec {
+    let mut spec = job(count, 500, 700);
+    spec.steps[0].lasting = true;
+    spec.steps[0].per_worker_max = 1;
+    spec.steps[0].away_max = Some(away_max);
+    spec
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 //! crash, are cut off and run on. The promises are checked while it runs.
 
 mod carry;
+mod jobs;
 mod store;
 mod workers;
 
@@ -24,6 +25,8 @@
     StoredRow, Table, TaskName, TxOutcome, WaveOrder, WaveState, WorkerFact, WorkerWord,
 };
 
+pub(crate) use jobs::{config, job, lasting};
+
 /// The only pool.
 pub(crate) const POOL: &str = "pool";
 
@@ -179,53 +182,6 @@
     out: HashSet<String>,
 }
 
-/// A queue on the pool, as configured in all worlds.
-pub(crate) fn config(version: u64) -> FleetConfig {
-    FleetConfig {
-        version,
-        queues: vec![QueueConfig {
-            name: QUEUE.to_string(),
-            host: "host".to_string(),
-            path_prefix: "/q/".to_string(),
-            pool: POOL.to_string(),
-            priority: 0,
-            attempts_max: 3,
-            target_ms: 600,
-            stretch_milli: 1_600,
-        }],
-        pools: [(POOL.to_string(), PoolConfig::default())].into(),
-        body_bytes: 1 << 18,
-        header_ms: 3_000,
-        idle_ms: 15_000,
-    }
-}
-
-/// A job of one step.
-pub(crate) fn job(count: u16, cpu_milli: u64, estimate_ms: u64) -> JobSpec {
-    JobSpec {
-        queue: QUEUE.to_string(),
-        payload: "work".to_string(),
-        steps: vec![StepSpec {
-            count,
-            cpu_milli,
-            mem_mb: 100,
-            estimate_ms,
-            ..StepSpec::default()
-        }],
-        schedule: None,
-        accepted_wall_ms: WALL_MS,
-    }
-}
-
-/// A job that lasts.
-pub(crate) fn lasting(count: u16, away_max: u16) -> JobSpec {
-    let mut spec = job(count, 500, 700);
-    spec.steps[0].lasting = true;
-    spec.steps[0].per_worker_max = 1;
-    spec.steps[0].away_max = Some(away_max);
-    spec
-}
-
 impl World {
     /// So many entries and workers, and nothing wrong yet.
     pub(crate) fn new(seed: u64, entries: usize, workers: usize) -> Self {
@@ -433,12 +389,24 @@
 
     /// What a life before this one on the same host would have stated.
     pub(crate) fn earlier_fact(&self, id: &str) -> WorkerFact {
-        let fact = self.fact(id);
         WorkerFact {
             id: "earlier".to_string(),
             address: SocketAddr::from(([10, 0, 0, 2], 1)),
-            written: fact.written - 1,
-            ..fact
+            ..self.fact(id)
+        }
+    }
+
+    /// A heartbeat of a life that has ended comes through now.
+    pub(crate) fn relist(&mut self) {
+        let ended: Vec<WorkerFact> = self
+            .workers
+            .values()
+            .filter(|w| !w.is_up)
+            .map(|w| w.fact.clone())
+            .collect();
+        if !ended.is_empty() {
+            let fact = ended[self.rng.usize(0..ended.len())].clone();
+            self.broadcast(&Event::Worker(WorkerWord::Present(fact)));
         }
     }
 
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -22,7 +22,6 @@
                 gpu: 0,
             },
             draining: false,
-            written: self.revision,
         };
         let worker = Worker {
             fact: fact.clone(),
