A run that a done task leaves behind is stopped until that is answered

Cause (model seed 3043): a start without an answer was carried out 3 s late, after an earlier run's end had been noted. The run left behind was stopped once, outside the phases that repeat stops, and that stop was lost, too.

Ruled out: a lease that still lets the late start in (its end lay ahead, so no margin helps); stopping at the next account only (the run is not there yet, nothing would be listed).

Change: Book::left keeps such a run, with its room, until its stop is answered and a later account lacks it, or its worker's life or lease is over. Until then the end that made it one does not count as seen.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -10,7 +10,7 @@
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
 use super::worker::Worker;
 use crate::clock::Millis;
-use crate::port::fleet::{Revision, TaskName};
+use crate::port::fleet::{Capacity, Revision, TaskName};
 
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -168,6 +168,21 @@
     pub task: TaskKey,
 }
 
+/// A run that is at work, or may yet start, although an earlier run of its task is done.
+#[derive(Clone, Debug)]
+pub struct LeftRun {
+    /// The task's name; its job may be forgotten first.
+    pub name: TaskName,
+    /// Where it may run.
+    pub worker: WorkerKey,
+    /// The room that it takes there.
+    pub demand: Capacity,
+    /// The worker that listed the end, and its number: it counts as seen only once this run is over.
+    pub noticed: (WorkerKey, u64),
+    /// When its stop was answered; an account asked for later must not show it.
+    pub settled_ms: Option<Millis>,
+}
+
 /// The books of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -189,6 +204,8 @@
     pub dirty_since_ms: Millis,
     /// Runs that are started once their record is there.
     pub unsent: Vec<(TaskKey, u32)>,
+    /// Runs left behind by tasks that are done, by task and run.
+    pub left: BTreeMap<(TaskKey, u32), LeftRun>,
     /// Jobs that have not begun, by queue.
     pub waiting: BTreeMap<String, u64>,
     /// When the pool's load was last told.
@@ -400,6 +417,41 @@
         }
     }
 
+    /// Keeps a run of a done task, with its room, until it is certainly over.
+    pub fn leave_run(&mut self, key: TaskKey, run: u32, left: LeftRun) {
+        if let Some(w) = self.workers.get_mut(left.worker) {
+            w.used.add(left.demand);
+        }
+        self.left.insert((key, run), left);
+    }
+
+    /// Drops the runs left behind that `is_over` names, with their room.
+    pub fn drop_left(&mut self, is_over: impl Fn(&TaskKey, &LeftRun) -> bool) {
+        let over = self
+            .left
+            .iter()
+            .filter(|((key, _), left)| is_over(key, left));
+        let over: Vec<(TaskKey, u32)> = over.map(|(key, _)| *key).collect();
+        for key in over {
+            let Some(left) = self.left.remove(&key) else {
+                continue;
+            };
+            if let Some(w) = self.workers.get_mut(left.worker) {
+                w.used.sub(left.demand);
+                self.wants_placing = true;
+            }
+        }
+    }
+
+    /// Up to which end a worker may be told that its ends were seen: those on record, but for ends of tasks
+    /// that left another run behind.
+    pub fn seen_up_to(&self, worker: WorkerKey) -> u64 {
+        let recorded = self.workers.get(worker).map_or(0, |w| w.recorded);
+        let blocked = self.left.values().map(|left| left.noticed);
+        let blocked = blocked.filter(|(by, _)| *by == worker);
+        blocked.fold(recorded, |seen, (_, end)| seen.min(end.saturating_sub(1)))
+    }
+
     /// All tasks of a job.
     pub fn tasks_of(&self, key: JobKey) -> Vec<TaskKey> {
         let Some(job) = self.jobs.get(key) else {
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -20,6 +20,7 @@
 
 /// Sends the next hold to a worker, unless one is out.
 pub fn next(book: &mut Book, key: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let seen = book.seen_up_to(key);
     let Some(w) = book.workers.get_mut(key) else {
         return;
     };
@@ -43,7 +44,7 @@
     };
     let ask = HoldAsk {
         lease_until_ms,
-        seen: w.recorded,
+        seen,
         wait_ms,
     };
     w.hold = HoldPhase::Out(ctx.now.ms);
@@ -109,7 +110,8 @@
     if w.answers || ctx.now.ms < w.lease_over_ms {
         return;
     }
-    if !w.tasks.is_empty() {
+    let has_left = book.left.values().any(|left| left.worker == key);
+    if !w.tasks.is_empty() || has_left {
         runs::worker_over(book, key, "its lease is over", ctx);
     }
     forget_if_over(book, key, ctx);
@@ -159,14 +161,31 @@
         }
     }
     compare(book, key, sent_ms, &report.running, is_whole, epoch, ctx);
+    drop_left(book, key, sent_ms, &report.running);
+    let is_blocked = book.seen_up_to(key) < book.workers[key].recorded;
     let w = &mut book.workers[key];
     if w.taken > w.recorded {
         w.hold = HoldPhase::Recording;
+    } else if is_blocked {
+        // It would answer at once with the ends that may not count as seen yet.
+        ctx.after(HOLD_RETRY_MS, Timer::Hold(key));
     } else {
         next(book, key, epoch, ctx);
     }
 }
 
+/// Runs left behind whose stop was answered before this account was asked for, and that it lacks, are over.
+fn drop_left(book: &mut Book, key: WorkerKey, sent_ms: Millis, running: &[RunningTask]) {
+    if book.left.is_empty() {
+        return;
+    }
+    book.drop_left(|_, left| {
+        let is_asked_later = left.settled_ms.is_some_and(|at| at < sent_ms);
+        let is_there = running.iter().any(|r| r.task == left.name);
+        left.worker == key && is_asked_later && !is_there
+    });
+}
+
 /// A host carries one life at a time: those that were last heard before this one was asked are over, and so
 /// are those that a former owner gave work to. One that was never heard nor given work may be younger.
 fn end_earlier_lives(book: &mut Book, key: WorkerKey, sent_ms: Millis, ctx: &mut Ctx<'_>) {
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -3,7 +3,7 @@
 //! A run that was recorded may be at work until its worker says otherwise, until the worker's life is
 //! over, or until everything ordered there has lapsed. Only then does the next run get its place.
 
-use super::book::{Book, Phase};
+use super::book::{Book, LeftRun, Phase};
 use super::job::JobState;
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::{
@@ -159,6 +159,10 @@
 
 /// Sends a stop again that got no answer.
 pub fn restop(book: &mut Book, key: TaskKey, run: u32, epoch: u64, ctx: &mut Ctx<'_>) {
+    if book.left.contains_key(&(key, run)) {
+        stop_left(book, key, run, epoch, ctx);
+        return;
+    }
     let Some(task) = book.task(key) else { return };
     if let Phase::Stopping(worker) = task.phase {
         if task.run == run && task.settled_ms.is_none() {
@@ -175,6 +179,9 @@
     reply: OrderReply,
     ctx: &mut Ctx<'_>,
 ) -> bool {
+    if book.left.contains_key(&(key, run)) {
+        return left_stopped(book, key, run, reply, ctx);
+    }
     let Some(task) = book.task(key) else {
         return false;
     };
@@ -227,6 +234,7 @@
     for key in tasks {
         requeue(book, key, why, ctx);
     }
+    book.drop_left(|_, left| left.worker == worker);
 }
 
 /// Takes a run's end into the books.
@@ -243,7 +251,7 @@
         return;
     }
     match end.kind {
-        EndKind::Done => done(book, key, worker, is_current, epoch, ctx),
+        EndKind::Done => done(book, key, worker, (end.number, is_current), epoch, ctx),
         EndKind::Failed => failed(book, key, worker, end.run, epoch, ctx),
         _ if is_current => {
             if let Some(task) = book.task_mut(key) {
@@ -259,7 +267,7 @@
     book: &mut Book,
     key: TaskKey,
     worker: WorkerKey,
-    is_current: bool,
+    (number, is_current): (u64, bool),
     epoch: u64,
     ctx: &mut Ctx<'_>,
 ) {
@@ -268,7 +276,7 @@
         w.suspensions = 0;
     }
     if !is_current {
-        stop_other_run(book, key, epoch, ctx);
+        leave_other_run(book, key, (worker, number), epoch, ctx);
     }
     book.set_phase(key, Phase::Done, ctx.now.ms);
     book.mark(key.job, ctx.now.ms);
@@ -294,16 +302,72 @@
     }
 }
 
-/// An earlier run turned out to be done while a later one is at work elsewhere.
-fn stop_other_run(book: &mut Book, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
+/// An earlier run turned out to be done while a later one may be at work elsewhere: that one stays in the
+/// books until its stop is answered, since its start may be carried out seconds late.
+fn leave_other_run(
+    book: &mut Book,
+    key: TaskKey,
+    noticed: (WorkerKey, u64),
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
     let Some(task) = book.task(key) else { return };
-    let (Some(worker), run) = (task.phase.worker(), task.run) else {
+    let worker = match task.phase {
+        Phase::Starting(w) | Phase::Running(w) | Phase::Stopping(w) | Phase::Suspect(w) => w,
+        // Nothing was sent.
+        _ => return,
+    };
+    let run = task.run;
+    let (Some(name), Some(spec)) = (book.name(key), book.step_spec(key)) else {
         return;
     };
-    let (Some(name), Some(order)) = (book.name(key), order(book, worker, epoch, ctx)) else {
+    let left = LeftRun {
+        name,
+        worker,
+        demand: spec.demand(),
+        noticed,
+        settled_ms: None,
+    };
+    book.leave_run(key, run, left);
+    stop_left(book, key, run, epoch, ctx);
+}
+
+fn stop_left(book: &Book, key: TaskKey, run: u32, epoch: u64, ctx: &mut Ctx<'_>) {
+    let Some(left) = book.left.get(&(key, run)) else {
         return;
     };
-    ctx.out.push(Effect::StopStray(order, name, run));
+    if left.settled_ms.is_some() {
+        return;
+    }
+    match order(book, left.worker, epoch, ctx) {
+        Some(order) if ctx.may_send() && order.to.address.port() != 0 => {
+            ctx.out
+                .push(Effect::Stop(order, key, left.name.clone(), run));
+        }
+        _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
+    }
+}
+
+fn left_stopped(
+    book: &mut Book,
+    key: TaskKey,
+    run: u32,
+    reply: OrderReply,
+    ctx: &mut Ctx<'_>,
+) -> bool {
+    let Some(left) = book.left.get_mut(&(key, run)) else {
+        return false;
+    };
+    match reply {
+        OrderReply::Accepted | OrderReply::Outdated => left.settled_ms = Some(ctx.now.ms),
+        OrderReply::OtherLife => {
+            let worker = left.worker;
+            worker_over(book, worker, "another life answered", ctx);
+        }
+        OrderReply::Fenced => return true,
+        _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
+    }
+    false
 }
 
 fn failed(
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -134,18 +134,14 @@
     /// Counts a task in.
     pub fn take(&mut self, key: TaskKey, demand: Capacity) {
         if self.tasks.insert(key) {
-            self.used.cpu_milli += demand.cpu_milli;
-            self.used.mem_mb += demand.mem_mb;
-            self.used.gpu += demand.gpu;
+            self.used.add(demand);
         }
     }
 
     /// Counts a task out.
     pub fn release(&mut self, key: TaskKey, demand: Capacity) {
         if self.tasks.remove(&key) {
-            self.used.cpu_milli -= demand.cpu_milli;
-            self.used.mem_mb -= demand.mem_mb;
-            self.used.gpu -= demand.gpu;
+            self.used.sub(demand);
         }
     }
 }
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -232,6 +232,22 @@
     pub gpu: u64,
 }
 
+impl Capacity {
+    /// Counts `other` in.
+    pub fn add(&mut self, other: Capacity) {
+        self.cpu_milli += other.cpu_milli;
+        self.mem_mb += other.mem_mb;
+        self.gpu += other.gpu;
+    }
+
+    /// Counts `other`, which was counted in before, out.
+    pub fn sub(&mut self, other: Capacity) {
+        self.cpu_milli -= other.cpu_milli;
+        self.mem_mb -= other.mem_mb;
+        self.gpu -= other.gpu;
+    }
+}
+
 /// One life of a worker, as it states itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerFact {
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -9,6 +9,10 @@
 /// Seeds in CI; more by ROCKWICK_SEEDS.
 const SEEDS: u64 = 60;
 
+/// Seeds that failed once. 3043: a start that got no answer was carried out seconds after an earlier run's
+/// end was noted, since the stop of the run that was left behind was lost, too, and not repeated.
+const SAVED: [u64; 1] = [3_043];
+
 fn seeds() -> std::ops::Range<u64> {
     let first = std::env::var("ROCKWICK_SEED")
         .ok()
@@ -128,3 +132,10 @@
         );
     }
 }
+
+#[test]
+fn sched_model_saved() {
+    for seed in SAVED {
+        play(seed);
+    }
+}
