Pools are sized by work that can be in time and by its rate; learned times; owners where there is processor time

A pool whose queue was past its peak kept over 200 hosts for jobs that were late and earned nothing, while the next pool waited with 40 and in-time work for 130. Estimates are off by a factor of 2 to 17, so jobs counted as late that were not. The busiest owner stood on a host with 0.12 cores and used 0.107 to 0.124 of them.

Ruled out: moves themselves (1.6 s from order to the new life, none refused), the store, rate limits.

Change: needed counts work in time (open steps, or the rate of the last 400 ms if that is more), late work only while no pool lacks hosts; no floor while another pool lacks hosts; steps' times learned by queue, weighed with the estimate by how little each scatters, handed on in the heartbeat; an entry with less than 0.25 cores claims later (ROCKWICK_CPU_SHARE).

--- a/src/config.rs
+++ b/src/config.rs
@@ -217,7 +217,7 @@
     }
 }
 
-fn bad<T>(flag: &str, value: &str, allowed: &str) -> Result<T> {
+pub(crate) fn bad<T>(flag: &str, value: &str, allowed: &str) -> Result<T> {
     Err(Error::Usage(format!("--{flag} {value:?}: {allowed}")))
 }
 
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -1,13 +1,14 @@
 //! An owner's books on its pool: jobs, tasks, workers, and what each worker carries.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use slotmap::SlotMap;
 
 use super::job::{JobSpec, JobState, StepSpec};
 use super::keys::{JobKey, TaskKey, WorkerKey};
-use super::limits::{WEIGHT_MAX_MS, WORK_PER_MS};
+use super::limits::{ARRIVALS_MS, WEIGHT_MAX_MS, WORK_PER_MS};
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
+use super::times::Times;
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::port::fleet::{Capacity, Revision, TaskName};
@@ -65,6 +66,8 @@
     pub since_ms: Millis,
     /// When the worker answered the order that led here; an account asked for later must show it.
     pub settled_ms: Option<Millis>,
+    /// When its run was started, where that was answered.
+    pub started_ms: Option<Millis>,
     /// The worker said that it is past its start-up.
     pub is_at_work: bool,
     /// Its place among waiting tasks.
@@ -90,6 +93,8 @@
     pub tasks: Vec<Task>,
     /// Tasks that are not done.
     pub left: usize,
+    /// What its longest task took that was seen from start to end.
+    pub longest_ms: Millis,
     /// The steps before it are done.
     pub is_open: bool,
 }
@@ -108,6 +113,8 @@
     pub id: String,
     /// As submitted.
     pub spec: JobSpec,
+    /// How long its steps are expected to take.
+    pub step_ms: Vec<Millis>,
     /// What is on its way to the record.
     pub state: JobState,
     /// Rounds that have begun and are not done, by number.
@@ -133,22 +140,34 @@
         let Some(round) = self.rounds.get(&round) else {
             return 0;
         };
-        let steps = self.spec.steps.iter().zip(&round.steps);
+        let steps = self.spec.steps.iter().zip(&round.steps).zip(&self.step_ms);
         let work: u64 = steps
-            .map(|(spec, step)| spec.cpu_milli * spec.estimate_ms * step.left as u64)
+            .map(|((spec, step), ms)| spec.cpu_milli * ms * step.left as u64)
             .sum();
         (work / 1_000 / WORK_PER_MS).min(WEIGHT_MAX_MS)
     }
 
+    /// What its tasks take that run or may start now.
+    pub fn open_demand(&self) -> Capacity {
+        let mut sum = Capacity::default();
+        for round in self.rounds.values() {
+            let steps = self.spec.steps.iter().zip(&round.steps);
+            for (spec, step) in steps.filter(|(_, step)| step.is_open) {
+                sum.add(spec.demand().times(step.left as u64));
+            }
+        }
+        sum
+    }
+
     /// What the job can still earn: 1 in time, 2 late, 3 nothing.
-    fn class(&self, now_ms: Millis) -> u8 {
+    pub fn class(&self, now_ms: Millis) -> u8 {
         if now_ms > self.hopeless_ms {
             return 3;
         }
         let left_ms = self
             .rounds
             .values()
-            .map(|r| self.spec.longest_ms(|n| r.steps[n].left > 0))
+            .map(|r| self.spec.longest_ms(&self.step_ms, |n| r.steps[n].left > 0))
             .max();
         if now_ms + left_ms.unwrap_or(0) > self.due_ms {
             return 2;
@@ -208,6 +227,10 @@
     pub left: BTreeMap<(TaskKey, u32), LeftRun>,
     /// Jobs that have not begun, by queue.
     pub waiting: BTreeMap<String, u64>,
+    /// What steps took of late.
+    pub times: Times,
+    /// Jobs that came of late: when, and their work in core-milliseconds.
+    pub arrivals: VecDeque<(Millis, u64)>,
     /// When the pool's load was last told.
     pub load_told_ms: Millis,
     /// Room or work came since tasks were last placed.
@@ -274,6 +297,7 @@
         task.phase = phase;
         task.since_ms = now_ms;
         task.settled_ms = None;
+        task.started_ms = None;
         task.is_at_work = false;
         if before.worker() != phase.worker() {
             if let Some(w) = before.worker().and_then(|w| self.workers.get_mut(w)) {
@@ -317,9 +341,15 @@
     /// Puts jobs that can't be in time any more behind those that can.
     pub fn resort(&mut self, now_ms: Millis) {
         let waiting: Vec<Rank> = self.ready.iter().copied().collect();
+        let mut classes: HashMap<JobKey, u8> = HashMap::new();
         for rank in waiting.into_iter().filter(|r| r.class > 0) {
-            let class = self.jobs.get(rank.task.job).map(|job| job.class(now_ms));
-            if let Some(class) = class.filter(|c| *c != rank.class) {
+            let Some(job) = self.jobs.get(rank.task.job) else {
+                continue;
+            };
+            let class = *classes
+                .entry(rank.task.job)
+                .or_insert_with(|| job.class(now_ms));
+            if class != rank.class {
                 self.queue(rank.task, Some(Rank { class, ..rank }));
             }
         }
@@ -358,6 +388,7 @@
         let steps = job.spec.steps.iter().map(|spec| StepRun {
             tasks: vec![Task::default(); usize::from(spec.count)],
             left: usize::from(spec.count),
+            longest_ms: 0,
             is_open: false,
         });
         let round = Round {
@@ -410,6 +441,31 @@
         }
     }
 
+    /// Notes the work of a job that came now.
+    pub fn note_arrival(&mut self, key: JobKey, now_ms: Millis) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let work = job.spec.work(&job.step_ms);
+        self.arrivals.push_back((now_ms, work));
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|(at, _)| now_ms > at + ARRIVALS_MS)
+        {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Processors that jobs keep busy in the long run if they go on coming as they did of late.
+    pub fn arriving_cpu_milli(&self, now_ms: Millis) -> u64 {
+        let recent = self
+            .arrivals
+            .iter()
+            .filter(|(at, _)| now_ms <= at + ARRIVALS_MS);
+        recent.map(|(_, work)| work * 1_000).sum::<u64>() / ARRIVALS_MS
+    }
+
     /// Drops a finished job.
     pub fn forget(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.remove(key) {
--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -112,13 +112,15 @@
         self.steps.iter().any(|s| s.lasting)
     }
 
-    /// The longest chain of estimated work through its steps.
-    pub fn chain_ms(&self) -> Millis {
-        self.longest_ms(|_| true)
+    /// Its work in core-milliseconds, but for what lasts, if each step takes as long as `step_ms` says.
+    pub fn work(&self, step_ms: &[Millis]) -> u64 {
+        let ends = self.steps.iter().zip(step_ms).filter(|(s, _)| !s.lasting);
+        ends.map(|(s, ms)| u64::from(s.count) * s.demand().cpu_milli * ms / 1_000)
+            .sum()
     }
 
-    /// The longest chain through the steps that `counts` names.
-    pub fn longest_ms(&self, counts: impl Fn(usize) -> bool) -> Millis {
+    /// The longest chain through the steps that `counts` names, each as long as `step_ms` says.
+    pub fn longest_ms(&self, step_ms: &[Millis], counts: impl Fn(usize) -> bool) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
         for (n, step) in self.steps.iter().enumerate() {
             let begin = step
@@ -128,7 +130,7 @@
                 .max()
                 .copied()
                 .unwrap_or(0);
-            let own_ms = if counts(n) { step.estimate_ms } else { 0 };
+            let own_ms = if counts(n) { step_ms[n] } else { 0 };
             ends.push(begin + own_ms);
         }
         ends.into_iter().max().unwrap_or(0)
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -23,6 +23,14 @@
 /// Added for each pool already owned, so that owners spread over entries.
 pub const CLAIM_OWNED_MS: Millis = 150;
 
+/// An entry with so much processor time can own any pool of the users' sites (an owner of 85 workers used
+/// 120 of 1,000 at its peak); those with less claim later.
+pub const CPU_FULL_MILLI: u64 = 250;
+
+/// Added to the claim of an entry without any processor time; in proportion for those with some. More than an
+/// entry waits that owns two pools already.
+pub const CLAIM_WEAK_MS: Millis = 800;
+
 /// Changes of jobs are gathered for so long before they are committed: two answers of the store.
 pub const GATHER_MS: Millis = 8;
 
@@ -89,3 +97,7 @@
 
 /// Finished jobs leave the store after so long (the platform's pages ask for 120 s).
 pub const FINISHED_KEPT_MS: Millis = 150_000;
+
+/// The rate at which work comes is taken over so long: a peak's rise is seen before its queue is. Measured:
+/// see docs/MEASURES.md.
+pub const ARRIVALS_MS: Millis = 400;
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -7,6 +7,7 @@
 use super::rows::{self, cancelled_job, ProgressRow, RoundRow, Standing, TaskRow};
 use super::runs;
 use super::state::{Ctx, LoadedRows, State};
+use super::times::Times;
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -27,12 +28,14 @@
     pool: &str,
     epoch: u64,
     began_ms: Millis,
+    times: Times,
     loaded: LoadedRows,
     state: &Facts<'_>,
     ctx: &mut Ctx<'_>,
 ) -> Book {
     let mut book = Book {
         name: pool.to_string(),
+        times,
         ..Book::default()
     };
     for fact in state.listed.values().filter(|f| f.pool == pool) {
@@ -108,6 +111,7 @@
         return;
     }
     if let Some(key) = add_job(book, row, config, ctx) {
+        book.note_arrival(key, ctx.now.ms);
         begin_if_new(book, key, ctx);
     }
 }
@@ -129,7 +133,9 @@
     let policy = config.queues.iter().find(|q| q.name == spec.queue);
     let target_ms = policy.map_or(TARGET_DEFAULT_MS, |q| q.target_ms);
     let stretch_milli = policy.map_or(1_000, |q| q.stretch_milli);
-    let objective_ms = target_ms + spec.chain_ms() * stretch_milli / 1_000;
+    let step_ms = book.times.expect(&spec);
+    let chain_ms = spec.longest_ms(&step_ms, |_| true);
+    let objective_ms = target_ms + chain_ms * stretch_milli / 1_000;
     let age_ms = ctx.now.wall_ms.saturating_sub(spec.accepted_wall_ms);
     let begun_ms = ctx.now.ms.saturating_sub(age_ms);
     *book.waiting.entry(spec.queue.clone()).or_default() += 1;
@@ -143,6 +149,7 @@
         hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
         revision: ABSENT,
         finished_ms: None,
+        step_ms,
         spec,
     });
     book.by_id.insert(row.key.clone(), key);
@@ -235,6 +242,7 @@
         round.steps.push(StepRun {
             tasks,
             left,
+            longest_ms: 0,
             is_open: false,
         });
     }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -21,6 +21,7 @@
 pub mod seat;
 pub mod sizing;
 pub mod state;
+pub mod times;
 pub mod wave;
 pub mod worker;
 
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -219,7 +219,8 @@
             ctx.after(LOAD_RETRY_MS, Timer::Load);
             return;
         };
-        let mut book = load::build(&name, epoch, tenure.began_ms, rows, facts, ctx);
+        let times = pool.seat.beat.times.clone();
+        let mut book = load::build(&name, epoch, tenure.began_ms, times, rows, facts, ctx);
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
         }
@@ -262,14 +263,27 @@
                 let is_new =
                     cancelled_job(&row.key).is_none() && !book.by_id.contains_key(&row.key);
                 load::apply_intake(book, row, facts.config, epoch, ctx);
-                if is_new && row.value.is_some() {
-                    ctx.tell_job(Code::JobTaken, &row.key, "intake row read");
+                if is_new {
+                    tell_taken(book, &row.key, ctx);
                 }
             }
         }
     });
 }
 
+/// A new job, and what its order among others will rest on.
+fn tell_taken(book: &Book, id: &str, ctx: &mut Ctx<'_>) {
+    let Some(job) = book.by_id.get(id).and_then(|key| book.jobs.get(*key)) else {
+        return;
+    };
+    ctx.tell(
+        Decision::new(Code::JobTaken, Subject::Job, id, &*job.spec.queue)
+            .with("work_core_ms", job.spec.work(&job.step_ms))
+            .with("chain_ms", job.spec.longest_ms(&job.step_ms, |_| true))
+            .with("due_in_ms", job.due_ms.saturating_sub(ctx.now.ms)),
+    );
+}
+
 fn recorded(
     state: &mut State,
     key: PoolKey,
@@ -334,9 +348,14 @@
 
 fn fire(state: &mut State, key: PoolKey, timer: Timer, now: Now, out: &mut Vec<Effect>) {
     if timer == Timer::Claim {
-        let (owned, is_stopping, nonce) = (state.owned(), state.is_stopping, state.nonce);
+        let me = seat::Claimant {
+            owned: state.owned(),
+            cpu_milli: state.cpu_milli,
+            is_stopping: state.is_stopping,
+            nonce: state.nonce,
+        };
         with_pool(state, key, now, out, |pool, ctx, _| {
-            seat::consider(pool, owned, is_stopping, ctx, nonce);
+            seat::consider(pool, &me, ctx);
         });
         return;
     }
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::JobState;
+use super::times::Times;
 use crate::clock::Millis;
 
 /// Key of the row that names a pool's owner; its revision is the owner's epoch.
@@ -27,7 +28,7 @@
 }
 
 /// The owner is alive, and what others may know of its pool.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct BeatRow {
     /// The entry.
     pub entry: String,
@@ -48,6 +49,9 @@
     /// Hosts that it had when it was first owned.
     #[serde(default)]
     pub warm: u64,
+    /// What steps took of late, for the next owner.
+    #[serde(default)]
+    pub times: Times,
     /// Hosts that it can spare: they carry nothing and get nothing.
     #[serde(default)]
     pub spare: Vec<String>,
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -89,6 +89,9 @@
             // Outdated: it ended or was barred there; the next account tells which.
             book.set_phase(key, Phase::Running(worker), ctx.now.ms);
             settle(book, key, ctx);
+            if let Some(task) = book.task_mut(key).filter(|_| reply == OrderReply::Accepted) {
+                task.started_ms = Some(ctx.now.ms);
+            }
         }
         OrderReply::Silent | OrderReply::TooLate => {
             ctx.after(ORDER_RETRY_MS, Timer::Restart(key, run));
@@ -278,6 +281,8 @@
     if !is_current {
         leave_other_run(book, key, (worker, number), epoch, ctx);
     }
+    let started_ms = book.task(key).and_then(|t| t.started_ms);
+    let took_ms = started_ms.map(|at| ctx.now.ms.saturating_sub(at));
     book.set_phase(key, Phase::Done, ctx.now.ms);
     book.mark(key.job, ctx.now.ms);
     let job = &mut book.jobs[key.job];
@@ -286,9 +291,15 @@
     };
     let step = &mut round.steps[usize::from(key.step)];
     step.left -= 1;
+    step.longest_ms = step.longest_ms.max(took_ms.unwrap_or(0));
     if step.left > 0 {
         return;
     }
+    if step.longest_ms > 0 {
+        let estimate_ms = job.spec.steps[usize::from(key.step)].estimate_ms;
+        let took_ms = step.longest_ms;
+        book.times.note(&job.spec.queue, estimate_ms, took_ms);
+    }
     if round.steps.iter().any(|s| s.left > 0) {
         book.open_steps(key.job, key.round, ctx.now.ms);
         return;
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -5,7 +5,8 @@
 //! A taker writes only where the heartbeat has not changed since it saw it, a whole lease ago.
 
 use super::limits::{
-    CLAIM_OWNED_MS, CLAIM_SPREAD_MS, OWNER_LEASE_MS, OWNER_MARGIN_MS, RENEW_MS, TX_RETRY_MS,
+    CLAIM_OWNED_MS, CLAIM_SPREAD_MS, CLAIM_WEAK_MS, CPU_FULL_MILLI, OWNER_LEASE_MS,
+    OWNER_MARGIN_MS, RENEW_MS, TX_RETRY_MS,
 };
 use super::rows::{self, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY};
 use super::state::{Ctx, Effect, Pool, State, Tenure, Timer};
@@ -83,15 +84,37 @@
     (hash >> 32) % CLAIM_SPREAD_MS
 }
 
+/// The entry that may claim a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Claimant {
+    /// Pools that it owns.
+    pub owned: usize,
+    /// Thousandths of a core that it may use.
+    pub cpu_milli: u64,
+    /// It was told to stop.
+    pub is_stopping: bool,
+    /// Tells its claims from those of an earlier process.
+    pub nonce: u64,
+}
+
+impl Claimant {
+    /// How much later it claims than an entry that owns nothing and has processor time enough.
+    fn handicap_ms(&self) -> Millis {
+        let lacking = CPU_FULL_MILLI.saturating_sub(self.cpu_milli);
+        let weak_ms = lacking * CLAIM_WEAK_MS / CPU_FULL_MILLI;
+        weak_ms + self.owned as Millis * CLAIM_OWNED_MS
+    }
+}
+
 /// Claims the pool if it has had no living owner for long enough; else looks again when it may.
-pub fn consider(pool: &mut Pool, owned: usize, is_stopping: bool, ctx: &mut Ctx<'_>, nonce: u64) {
-    if pool.tenure.is_some() || pool.seat.is_claiming || is_stopping {
+pub fn consider(pool: &mut Pool, me: &Claimant, ctx: &mut Ctx<'_>) {
+    if pool.tenure.is_some() || pool.seat.is_claiming || me.is_stopping {
         return;
     }
-    let stagger_ms = spread_ms(ctx.me, &pool.name) + owned as Millis * CLAIM_OWNED_MS;
+    let stagger_ms = spread_ms(ctx.me, &pool.name) + me.handicap_ms();
     let now_ms = ctx.now.ms;
     match pool.seat.vacant_since_ms(now_ms) {
-        Some(since_ms) if now_ms >= since_ms + stagger_ms => claim(pool, ctx, nonce),
+        Some(since_ms) if now_ms >= since_ms + stagger_ms => claim(pool, ctx, me.nonce),
         Some(since_ms) => ctx.after(since_ms + stagger_ms - now_ms, Timer::Claim),
         None => {
             let over_ms = pool.seat.beat_seen_ms + OWNER_LEASE_MS;
@@ -152,6 +175,7 @@
         serving: sizing.map_or(0, |s| s.serving),
         warm: sizing.map_or(pool.seat.beat.warm, |s| s.warm.max(pool.seat.beat.warm)),
         spare: sizing.map(|s| s.spare.clone()).unwrap_or_default(),
+        times: book.map_or_else(|| pool.seat.beat.times.clone(), |b| b.times.clone()),
         entry: me.to_string(),
         count: pool.seat.beat.count + 1,
         waiting: book.map_or_else(|| pool.seat.beat.waiting.clone(), |b| b.waiting.clone()),
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -11,6 +11,7 @@
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::Capacity;
 
 /// How often a pool's size is looked at.
 pub const LOOK_MS: Millis = 100;
@@ -20,14 +21,14 @@
 const KEEP_MS: Millis = 1_500;
 
 /// The same while another pool lacks hosts: a few looks, against the noise of single jobs.
-const KEEP_PRESSED_MS: Millis = 300;
+const KEEP_PRESSED_MS: Millis = 150;
 
 /// Share of its first hosts that a pool keeps without work, in percent: its next peak finds them, others
 /// come 2.5 s later. Measured: see docs/MEASURES.md.
 const FLOOR_PERCENT: u64 = 100;
 
 /// The same while another pool lacks hosts.
-const FLOOR_PRESSED_PERCENT: u64 = 60;
+const FLOOR_PRESSED_PERCENT: u64 = 0;
 
 /// All workers are listed so long after the first start.
 const SETTLE_MS: Millis = 4_000;
@@ -49,7 +50,7 @@
     /// Hosts that it can spare.
     pub spare: Vec<String>,
     /// What was needed of late.
-    needs: VecDeque<(Millis, u64)>,
+    needs: VecDeque<(Millis, Need)>,
     /// Hosts that are wanted again, since then.
     withdrawn: BTreeMap<String, Millis>,
     /// What was last told.
@@ -64,6 +65,15 @@
     first_ms: Option<Millis>,
 }
 
+/// Hosts that a pool could use.
+#[derive(Clone, Copy, Debug, Default)]
+struct Need {
+    /// For work that lasts and for what can still be in time.
+    in_time: u64,
+    /// For all work.
+    all: u64,
+}
+
 /// What a look is made with.
 #[derive(Clone, Copy, Debug)]
 pub struct Look {
@@ -82,14 +92,12 @@
     } else {
         KEEP_MS
     };
-    sizing.needs.push_back((now_ms, need(book)));
+    sizing.needs.push_back((now_ms, need(book, now_ms)));
     sizing.needs.retain(|(at_ms, _)| now_ms < at_ms + keep_ms);
-    sizing.needed = sizing
-        .needs
-        .iter()
-        .map(|(_, n)| *n)
-        .max()
-        .unwrap_or(HOSTS_MIN);
+    let most = |hosts: fn(&Need) -> u64| sizing.needs.iter().map(|(_, n)| hosts(n)).max();
+    let needed = most(|n| n.in_time).unwrap_or(HOSTS_MIN);
+    let for_all = most(|n| n.all).unwrap_or(HOSTS_MIN);
+    sizing.needed = needed;
     if sizing.warm == 0 {
         // At the first start all workers are listed within some seconds.
         let is_settled = now_ms >= *sizing.first_ms.get_or_insert(now_ms) + SETTLE_MS;
@@ -103,9 +111,9 @@
     } else {
         FLOOR_PERCENT
     };
-    sizing.wanted = sizing
-        .needed
-        .max((sizing.warm * floor_percent).div_ceil(100));
+    // Work that is late already waits while another pool lacks hosts for work that can be in time.
+    let for_work = if with.pressed { needed } else { for_all };
+    sizing.wanted = for_work.max((sizing.warm * floor_percent).div_ceil(100));
     reopen(book, sizing, now_ms);
     if with.can_park {
         choose_spare(book, sizing, now_ms);
@@ -126,29 +134,39 @@
     true
 }
 
-/// Hosts needed for what runs and waits, and for tasks that must stand apart.
-fn need(book: &Book) -> u64 {
-    let count = book.workers.values().filter(|w| w.is_listed).count().max(1) as u64;
+/// Hosts needed for what runs and waits, for what is on its way by the rate of late, and for tasks that must
+/// stand apart.
+fn need(book: &Book, now_ms: Millis) -> Need {
     let listed = book.workers.values().filter(|w| w.is_listed);
-    let host_cpu = listed
-        .clone()
-        .map(|w| w.fact.capacity.cpu_milli)
-        .sum::<u64>()
-        / count;
-    let host_mem = listed.clone().map(|w| w.fact.capacity.mem_mb).sum::<u64>() / count;
-    let mut cpu: u64 = book.workers.values().map(|w| w.used.cpu_milli).sum();
-    let mut mem: u64 = book.workers.values().map(|w| w.used.mem_mb).sum();
-    for rank in book.ready.iter().filter(|r| r.class <= 2) {
-        if let Some(spec) = book.step_spec(rank.task) {
-            cpu += spec.demand().cpu_milli;
-            mem += spec.demand().mem_mb;
-        }
+    let mut host = Capacity::default();
+    for worker in listed.clone() {
+        host.add(worker.fact.capacity);
+    }
+    let count = (listed.count() as u64).max(1);
+    let (host_cpu, host_mem) = (host.cpu_milli / count, host.mem_mb / count);
+    let hosts = |sum: Capacity| {
+        let with_room = |sum: u64, host: u64| (sum * ROOM_PERCENT / 100).div_ceil(host.max(1));
+        with_room(sum.cpu_milli, host_cpu).max(with_room(sum.mem_mb, host_mem))
+    };
+    let mut lasting = Capacity::default();
+    let mut in_time = Capacity::default();
+    let mut late = Capacity::default();
+    for job in book.jobs.values().filter(|job| !job.state.is_final()) {
+        let sum = match job.class(now_ms) {
+            _ if job.spec.is_lasting() => &mut lasting,
+            1 => &mut in_time,
+            _ => &mut late,
+        };
+        sum.add(job.open_demand());
+    }
+    in_time.cpu_milli = in_time.cpu_milli.max(book.arriving_cpu_milli(now_ms));
+    let least = (apart(book) + 1).max(HOSTS_MIN);
+    in_time.add(lasting);
+    late.add(in_time);
+    Need {
+        in_time: hosts(in_time).max(least),
+        all: hosts(late).max(least),
     }
-    let with_room = |sum: u64, host: u64| (sum * ROOM_PERCENT / 100).div_ceil(host.max(1));
-    with_room(cpu, host_cpu)
-        .max(with_room(mem, host_mem))
-        .max(apart(book) + 1)
-        .max(HOSTS_MIN)
 }
 
 /// The widest lasting step, by hosts that its tasks must stand on.
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -5,6 +5,7 @@
 use super::book::Book;
 use super::hosts::{HostDuty, HostTask};
 use super::keys::{JobKey, TaskKey, WorkerKey};
+use super::limits::CPU_FULL_MILLI;
 use super::rows::WaveRow;
 use super::seat::Seat;
 use super::sizing::Sizing;
@@ -238,6 +239,8 @@
     pub me: String,
     /// Tells this process's claims from an earlier one's.
     pub nonce: u64,
+    /// Thousandths of a core that this entry may use.
+    pub cpu_milli: u64,
     /// The configuration in force here.
     pub config: FleetConfig,
     /// Pools by key.
@@ -260,10 +263,16 @@
         Self {
             me: me.into(),
             nonce,
+            cpu_milli: CPU_FULL_MILLI,
             ..Self::default()
         }
     }
 
+    /// With so many thousandths of a core.
+    pub fn with_cpu_milli(self, cpu_milli: u64) -> Self {
+        Self { cpu_milli, ..self }
+    }
+
     /// When the reducer wants to be called next.
     pub fn wake_ms(&self) -> Option<Millis> {
         self.timers.first().map(|(at_ms, _, _)| *at_ms)
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -240,6 +240,15 @@
         self.gpu += other.gpu;
     }
 
+    /// So many of it.
+    pub fn times(self, count: u64) -> Capacity {
+        Capacity {
+            cpu_milli: self.cpu_milli * count,
+            mem_mb: self.mem_mb * count,
+            gpu: self.gpu * count,
+        }
+    }
+
     /// Counts `other`, which was counted in before, out.
     pub fn sub(&mut self, other: Capacity) {
         self.cpu_milli -= other.cpu_milli;
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -72,7 +72,8 @@
     P: Rows + Directory + WorkerOrders + HostMoves + WaveStatus + Clone + 'static,
 {
     let shared = &carrier.shared;
-    let mut state = State::new(shared.settings.name.clone(), fastrand::u64(1..));
+    let mut state = State::new(shared.settings.name.clone(), fastrand::u64(1..))
+        .with_cpu_milli(shared.settings.cpu_milli);
     loop {
         let event = next_event(shared, &state, &inbox).await;
         let began = Instant::now();
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{construct, long, Parser};
 
-use crate::config::{address, name};
+use crate::config::{address, bad, name};
 use crate::error::Result;
 
 /// The flags as given, not checked yet.
@@ -15,6 +15,7 @@
     listen: String,
     ready: String,
     metrics: String,
+    cpu_share: f64,
     store: String,
     hosts: String,
 }
@@ -42,6 +43,11 @@
         .help("Where it tells its figures; empty for nowhere")
         .argument("IP:PORT")
         .fallback(String::new());
+    let cpu_share = long("cpu-share")
+        .env("ROCKWICK_CPU_SHARE")
+        .help("Cores that it may use; entries with more of them own pools first")
+        .argument("CORES")
+        .fallback(1.0);
     let store = long("store")
         .env("ROCKWICK_STORE")
         .help("The platform's row store")
@@ -57,6 +63,7 @@
         listen,
         ready,
         metrics,
+        cpu_share,
         store,
         hosts
     })
@@ -75,6 +82,8 @@
     pub ready: SocketAddr,
     /// Where figures are told.
     pub metrics: Option<SocketAddr>,
+    /// Thousandths of a core that it may use.
+    pub cpu_milli: u64,
     /// The row store.
     pub store: SocketAddr,
     /// Where orders to hosts go.
@@ -90,12 +99,21 @@
             listen: address("listen", &self.listen)?,
             ready: address("ready", &self.ready)?,
             metrics: optional("metrics", &self.metrics)?,
+            cpu_milli: cpu_milli(self.cpu_share)?,
             store: address("store", &self.store)?,
             hosts: optional("hosts", &self.hosts)?,
         })
     }
 }
 
+fn cpu_milli(share: f64) -> Result<u64> {
+    let milli = (share * 1_000.0).round();
+    if (1.0..=1_000_000.0).contains(&milli) {
+        return Ok(milli as u64);
+    }
+    bad("cpu-share", &share.to_string(), "0.001 to 1000 cores")
+}
+
 fn optional(flag: &str, value: &str) -> Result<Option<SocketAddr>> {
     if value.is_empty() {
         return Ok(None);
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -40,6 +40,19 @@
     assert_eq!(owners.map(|s| s.owned()).sum::<usize>(), 1);
 }
 
+#[test]
+fn sched_strong_entry_owns() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, 5, 2);
+        for weak in [0, 1, 3, 4] {
+            world.set_cpu(weak, 120);
+        }
+        world.run(SETTLE_MS);
+        let strong = world.entries[2].state.as_ref();
+        assert_eq!(strong.map(|s| s.owned()), Some(1), "seed {seed}");
+    }
+}
+
 #[test]
 fn sched_takeover_keeps_runs() {
     let mut world = World::new(4, 3, 4);
--- /dev/null
+++ b/tests/test_sizing.rs
@@ -0,0 +1,148 @@
+//! How many hosts a pool wants, by what its work can still earn.
+
+use rockwick::clock::Now;
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::job::JobSpec;
+use rockwick::core::sched::sizing::{self, Look, Sizing};
+use rockwick::core::sched::state::{Ctx, PoolKey, Timers};
+use rockwick::core::sched::{load, rows};
+use rockwick::port::fleet::{Capacity, StoredRow, WorkerFact};
+
+use crate::world::{config, job, POOL};
+
+/// A pool of hosts with 16 cores each, and nothing to do.
+struct Bench {
+    book: Book,
+    sizing: Sizing,
+    timers: Timers,
+    now_ms: u64,
+    jobs: u64,
+}
+
+impl Bench {
+    fn new(hosts: u16) -> Self {
+        let mut book = Book::default();
+        for n in 0..hosts {
+            let fact = WorkerFact {
+                id: format!("life-{n}"),
+                host: format!("host-{n}"),
+                pool: POOL.to_string(),
+                address: std::net::SocketAddr::from(([10, 0, 0, 1], n + 1)),
+                hall: "hall".to_string(),
+                labels: Vec::new(),
+                capacity: Capacity {
+                    cpu_milli: 16_000,
+                    mem_mb: 32_000,
+                    gpu: 0,
+                },
+                draining: false,
+            };
+            load::add_worker(&mut book, fact, 0);
+        }
+        let mut sizing = Sizing::default();
+        sizing.warm = u64::from(hosts);
+        Self {
+            book,
+            sizing,
+            timers: Timers::new(),
+            now_ms: 100_000,
+            jobs: 0,
+        }
+    }
+
+    fn with_ctx(&mut self, work: impl FnOnce(&mut Book, &mut Sizing, &mut Ctx<'_>)) {
+        let mut out = Vec::new();
+        let mut ctx = Ctx {
+            now: Now {
+                ms: self.now_ms,
+                wall_ms: self.now_ms,
+            },
+            pool: PoolKey(0),
+            me: "entry",
+            until_ms: u64::MAX,
+            timers: &mut self.timers,
+            out: &mut out,
+        };
+        work(&mut self.book, &mut self.sizing, &mut ctx);
+    }
+
+    fn submit(&mut self, spec: &JobSpec, accepted_ms: u64) {
+        self.jobs += 1;
+        let spec = JobSpec {
+            accepted_wall_ms: accepted_ms,
+            ..spec.clone()
+        };
+        let row = StoredRow {
+            part: POOL.to_string(),
+            key: format!("job-{}", self.jobs),
+            value: Some(rows::encode(&spec)),
+            revision: self.jobs,
+        };
+        self.with_ctx(|book, _, ctx| load::apply_intake(book, &row, &config(1), 1, ctx));
+    }
+
+    /// Hosts needed and wanted, looked at for a second in which nothing changes.
+    fn look(&mut self, pressed: bool) -> (u64, u64) {
+        let with = Look {
+            can_park: false,
+            pressed,
+        };
+        for _ in 0..10 {
+            self.now_ms += 100;
+            self.with_ctx(|book, sizing, ctx| {
+                sizing::look(book, sizing, &with, ctx);
+            });
+        }
+        (self.sizing.needed, self.sizing.wanted)
+    }
+}
+
+#[test]
+fn sizing_late_work_waits() {
+    let mut bench = Bench::new(10);
+    // 160 cores of work that should have been done a minute ago.
+    for _ in 0..20 {
+        bench.submit(&job(8, 1_000, 1_000), bench.now_ms - 60_000);
+    }
+    bench.look(true);
+    let (needed, wanted) = bench.look(true);
+    assert_eq!(
+        (needed, wanted),
+        (3, 3),
+        "another pool lacks hosts for work in time"
+    );
+    let (_, wanted) = bench.look(false);
+    assert_eq!(
+        wanted, 13,
+        "nobody else lacks any: 160 cores and room beside them"
+    );
+}
+
+#[test]
+fn sizing_work_in_time() {
+    let mut bench = Bench::new(10);
+    for _ in 0..20 {
+        bench.submit(&job(8, 1_000, 60_000), bench.now_ms);
+    }
+    let (needed, wanted) = bench.look(true);
+    assert_eq!((needed, wanted), (13, 13));
+}
+
+#[test]
+fn sizing_sees_rate() {
+    let mut bench = Bench::new(10);
+    // Within 200 ms come 20 jobs of one task that keeps 4 cores busy for 2 s.
+    for _ in 0..20 {
+        bench.submit(&job(1, 4_000, 2_000), bench.now_ms);
+        bench.now_ms += 10;
+    }
+    let with = Look {
+        can_park: false,
+        pressed: true,
+    };
+    bench.with_ctx(|book, sizing, ctx| {
+        sizing::look(book, sizing, &with, ctx);
+    });
+    // What came takes 80 cores; at that rate it will take 400.
+    assert_eq!(bench.sizing.needed, 32);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -25,4 +25,6 @@
 mod test_sched;
 mod test_sched_model;
 mod test_serve;
+mod test_sizing;
 mod test_stop;
+mod test_times;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -264,6 +264,13 @@
         self.at(5, Happening::Wake(n));
     }
 
+    /// Gives an entry so much processor time.
+    pub(crate) fn set_cpu(&mut self, n: usize, cpu_milli: u64) {
+        if let Some(state) = &mut self.entries[n].state {
+            state.cpu_milli = cpu_milli;
+        }
+    }
+
     /// Kills an entry's process.
     pub(crate) fn kill(&mut self, n: usize) {
         self.entries[n].state = None;
