--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -79,8 +79,8 @@
         let look = hosts::Look {
             config: facts.config,
             needs: &needs,
+            pool: &pool.name,
             epoch: tenure.epoch,
-            began_ms: tenure.began_ms,
         };
         work(&mut tenure.hosts, &mut waves, &look, ctx);
     });
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -4,15 +4,16 @@
 //! such orders. Owners say in their heartbeats what they want and can spare, and in a wave's row which
 //! host holds a slot; this entry moves hosts and takes them down.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::rows::{self, WaveRow};
+use super::rows::{self, HostOrdersRow, WaveRow, HOST_ORDERS_KEY};
+use super::seat::epoch_guard;
 use super::state::{Ctx, Effect, Timer, WaveKnown};
 use super::wave;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    FleetConfig, Guard, HostRecord, HostReply, HostState, RowTx, Table, TxOutcome, Write,
+    FleetConfig, HostRecord, HostReply, HostState, RowTx, StoredRow, Table, TxOutcome, Write,
 };
 
 /// How often orders to hosts are looked at.
@@ -24,8 +25,8 @@
 /// How often the list of hosts is read.
 const LIST_MS: Millis = 600;
 
-/// After a change of the entry that orders hosts, the new one waits so long: the pages bound orders of
-/// two holders in turn by 3 s.
+/// After a change of the entry that orders hosts, the new one leaves those alone for so long that the former
+/// one ordered last: the pages bound orders of two holders in turn by 3 s.
 const QUIET_MS: Millis = 3_300;
 
 /// Pause before an order to a host is sent again that got no answer.
@@ -64,6 +65,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct HostOrder {
     task: HostTask,
+    /// It is on record that the host is ordered about: the order may be sent.
+    is_recorded: bool,
     /// The life on the host when the order went out first.
     life: String,
     /// Sent again then; nothing once it was accepted.
@@ -81,6 +84,47 @@
     list_due_ms: Millis,
     orders: BTreeMap<String, HostOrder>,
     pending: Option<(u64, WaveRow)>,
+    /// Hosts that are being put on record.
+    recording: Option<BTreeSet<String>>,
+    /// When hosts were last ordered about by this entry.
+    sent_ms: BTreeMap<String, Millis>,
+    /// What the former holder left is known.
+    is_ready: bool,
+    /// Hosts that a former holder ordered about last, until when they are left alone.
+    quiet: BTreeMap<String, Millis>,
+    /// Until when all hosts are left alone: what the former holder ordered can't be read.
+    all_quiet_ms: Millis,
+}
+
+impl HostDuty {
+    /// The duty as a former holder left it; the same holder need not leave any host alone.
+    pub fn new(rows: &[StoredRow], is_same_holder: bool, ctx: &mut Ctx<'_>) -> Self {
+        let mut duty = Self {
+            is_ready: true,
+            ..Self::default()
+        };
+        if is_same_holder {
+            return duty;
+        }
+        let until_ms = ctx.now.ms + QUIET_MS;
+        for row in rows {
+            let value = row.value.as_deref().unwrap_or_default();
+            match rows::decode::<HostOrdersRow>(value) {
+                Ok(row) => duty
+                    .quiet
+                    .extend(row.hosts.into_iter().map(|host| (host, until_ms))),
+                Err(e) => {
+                    duty.all_quiet_ms = until_ms;
+                    ctx.tell(Decision::new(Code::BadRow, Subject::Host, &row.key, e));
+                }
+            }
+        }
+        duty
+    }
+
+    fn is_quiet(&self, host: &str, now_ms: Millis) -> bool {
+        now_ms < self.all_quiet_ms || self.quiet.get(host).is_some_and(|until| now_ms < *until)
+    }
 }
 
 /// The pool whose owner orders hosts: the first parked one, else the first.
@@ -96,10 +140,10 @@
     pub config: &'a FleetConfig,
     /// What owners said.
     pub needs: &'a [PoolNeed],
+    /// The pool that carries the orders.
+    pub pool: &'a str,
     /// The epoch: fence of all orders.
     pub epoch: u64,
-    /// When this entry took the pool.
-    pub began_ms: Millis,
 }
 
 /// Looks at what hosts are to do.
@@ -115,14 +159,60 @@
         duty.list_asking_ms = ctx.now.ms;
         ctx.out.push(Effect::ReadHosts(ctx.pool, with.epoch));
     }
-    if ctx.now.ms < with.began_ms + QUIET_MS || !ctx.may_send() || duty.list_asked_ms == 0 {
+    if !duty.is_ready || !ctx.may_send() || duty.list_asked_ms == 0 {
         return;
     }
     settle_orders(duty, waves, with.epoch, ctx);
     for wave in waves.values().filter(|w| !w.is_done) {
-        order_upkeep(duty, wave, with.epoch, ctx);
+        order_upkeep(duty, wave, ctx);
     }
     move_hosts(duty, waves, with, ctx);
+    record_orders(duty, with, ctx);
+}
+
+/// Puts on record which hosts are about to be ordered about.
+fn record_orders(duty: &mut HostDuty, with: &Look<'_>, ctx: &mut Ctx<'_>) {
+    let fresh = duty.orders.iter().filter(|(_, order)| !order.is_recorded);
+    let fresh: BTreeSet<String> = fresh.map(|(host, _)| host.clone()).collect();
+    if fresh.is_empty() || duty.recording.is_some() {
+        return;
+    }
+    let now_ms = ctx.now.ms;
+    duty.sent_ms.retain(|_, at| now_ms < *at + QUIET_MS);
+    let mut row = HostOrdersRow::default();
+    row.hosts.extend(duty.orders.keys().cloned());
+    row.hosts.extend(duty.sent_ms.keys().cloned());
+    let tx = RowTx {
+        part: with.pool.to_string(),
+        guards: vec![epoch_guard(with.epoch)],
+        writes: vec![Write {
+            table: Table::HostOrders,
+            key: HOST_ORDERS_KEY.to_string(),
+            value: Some(rows::encode(&row)),
+        }],
+    };
+    duty.recording = Some(fresh);
+    ctx.out
+        .push(Effect::RecordHostOrders(ctx.pool, with.epoch, tx));
+}
+
+/// Sends the orders that are on record now.
+pub fn recorded(duty: &mut HostDuty, outcome: &TxOutcome, epoch: u64, ctx: &mut Ctx<'_>) {
+    let hosts = duty.recording.take().unwrap_or_default();
+    if !matches!(outcome, TxOutcome::Committed(_)) {
+        // The next look tries again; with another epoch the pool is lost, as the next renewal tells.
+        return;
+    }
+    for host in hosts {
+        let Some(order) = duty.orders.get_mut(&host) else {
+            continue;
+        };
+        order.is_recorded = true;
+        order.since_ms = ctx.now.ms;
+        order.again_ms = Some(ctx.now.ms + 2 * RETRY_MS);
+        let task = order.task.clone();
+        send(duty, &host, &task, epoch, ctx);
+    }
 }
 
 /// Takes in the list of hosts.
@@ -159,19 +249,20 @@
     let again: Vec<(String, HostTask)> = duty
         .orders
         .iter()
-        .filter(|(_, order)| order.again_ms.is_some_and(|at| now_ms >= at))
+        .filter(|(_, order)| order.is_recorded && order.again_ms.is_some_and(|at| now_ms >= at))
         .map(|(host, order)| (host.clone(), order.task.clone()))
         .collect();
     for (host, task) in again {
         if let Some(order) = duty.orders.get_mut(&host) {
             order.again_ms = Some(now_ms + 2 * RETRY_MS);
         }
-        send(&host, &task, epoch, ctx);
+        send(duty, &host, &task, epoch, ctx);
     }
     record_accepted(duty, waves, ctx);
 }
 
-fn send(host: &str, task: &HostTask, epoch: u64, ctx: &mut Ctx<'_>) {
+fn send(duty: &mut HostDuty, host: &str, task: &HostTask, epoch: u64, ctx: &mut Ctx<'_>) {
+    duty.sent_ms.insert(host.to_string(), ctx.now.ms);
     let (code, why) = match task {
         HostTask::Move(to) => (Code::MoveOrdered, format!("to {to}")),
         HostTask::Upkeep(wave) => (Code::UpkeepOrdered, format!("wave {wave}")),
@@ -187,26 +278,28 @@
     ));
 }
 
-fn begin(duty: &mut HostDuty, host: &str, task: HostTask, epoch: u64, ctx: &mut Ctx<'_>) {
+/// Wants an order to a host; it goes out once it is on record.
+fn begin(duty: &mut HostDuty, host: &str, task: HostTask, ctx: &Ctx<'_>) {
     let record = duty.list.iter().find(|h| h.host == host);
     let order = HostOrder {
-        task: task.clone(),
+        task,
+        is_recorded: false,
         life: record.map(|h| h.life.clone()).unwrap_or_default(),
-        again_ms: Some(ctx.now.ms + 2 * RETRY_MS),
+        again_ms: Some(ctx.now.ms),
         since_ms: ctx.now.ms,
     };
     duty.orders.insert(host.to_string(), order);
-    send(host, &task, epoch, ctx);
 }
 
-fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, epoch: u64, ctx: &mut Ctx<'_>) {
+fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, ctx: &mut Ctx<'_>) {
     for (host, slot) in &wave.row.out {
-        if slot.is_ordered || duty.orders.contains_key(host) {
+        let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, ctx.now.ms);
+        if slot.is_ordered || is_busy {
             continue;
         }
         let record = duty.list.iter().find(|h| h.host == *host);
         if record.is_some_and(|h| h.pool == slot.pool) {
-            begin(duty, host, HostTask::Upkeep(wave.order.wave), epoch, ctx);
+            begin(duty, host, HostTask::Upkeep(wave.order.wave), ctx);
         } else if record.is_some() {
             // It was moved before its slot was taken: its new pool takes it through.
             let mut row = wave.row.clone();
@@ -240,22 +333,8 @@
     if duty.pending.is_some() {
         return;
     }
-    let number = wave.order.wave;
-    let key = number.to_string();
-    let tx = RowTx {
-        part: String::new(),
-        guards: vec![Guard {
-            table: Table::Waves,
-            key: key.clone(),
-            revision: wave.revision,
-        }],
-        writes: vec![Write {
-            table: Table::Waves,
-            key,
-            value: Some(rows::encode(&row)),
-        }],
-    };
-    duty.pending = Some((number, row));
+    let tx = wave::row_tx(wave, &row);
+    duty.pending = Some((wave.order.wave, row));
     ctx.out.push(Effect::SettleOrdered(ctx.pool, tx));
 }
 
@@ -329,24 +408,24 @@
         let hosts = need
             .spare
             .iter()
-            .filter(|host| is_free(duty, waves, host, &need.pool));
+            .filter(|host| is_free(duty, waves, host, &need.pool, ctx.now.ms));
         spare.extend(hosts.map(|host| (need.pool.clone(), host.clone())));
     }
     let mut idle: Vec<String> = duty
         .list
         .iter()
-        .filter(|h| is_free(duty, waves, &h.host, &parked.name))
+        .filter(|h| is_free(duty, waves, &h.host, &parked.name, ctx.now.ms))
         .map(|h| h.host.clone())
         .collect();
     while let Some(need) = shortest(duty, &needs) {
         let host = idle.pop().or_else(|| take_other(&mut spare, &need.pool));
         let Some(host) = host else { break };
         let task = HostTask::Move(need.pool.clone());
-        begin(duty, &host, task, with.epoch, ctx);
+        begin(duty, &host, task, ctx);
     }
     for (_, host) in spare {
         let task = HostTask::Move(parked.name.clone());
-        begin(duty, &host, task, with.epoch, ctx);
+        begin(duty, &host, task, ctx);
     }
 }
 
@@ -366,11 +445,18 @@
     Some(spare.swap_remove(at).1)
 }
 
-/// Whether a host is up in this pool, with no order out and no slot of a wave.
-fn is_free(duty: &HostDuty, waves: &BTreeMap<u64, WaveKnown>, host: &str, pool: &str) -> bool {
+/// Whether a host is up in this pool, with no order out, no slot of a wave and nobody else's orders of late.
+fn is_free(
+    duty: &HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    host: &str,
+    pool: &str,
+    now_ms: Millis,
+) -> bool {
     let is_there = |h: &HostRecord| h.host == host && h.pool == pool && h.state == HostState::Up;
     let has_slot = waves.values().any(|w| w.row.out.contains_key(host));
-    duty.list.iter().any(is_there) && !has_slot && !duty.orders.contains_key(host)
+    let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, now_ms);
+    duty.list.iter().any(is_there) && !has_slot && !is_busy
 }
 
 /// Hosts that serve a pool: those on their way to it included, those that leave it or are spare not.
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -3,13 +3,17 @@
 use crate::clock::Millis;
 
 /// An owner that renewed nothing for so long may be replaced. Measured: see docs/MEASURES.md.
-pub const OWNER_LEASE_MS: Millis = 2_000;
+pub const OWNER_LEASE_MS: Millis = 1_500;
 
 /// An owner stops sending so long before its lease ends: an order's way out plus a late timer.
 pub const OWNER_MARGIN_MS: Millis = 300;
 
 /// An owner renews so often: three tries fit into its lease.
-pub const RENEW_MS: Millis = 500;
+pub const RENEW_MS: Millis = 400;
+
+/// For one sending of a renewal: a store that is slow fifty times over answers in 250 ms, and two sendings fit
+/// into the lease.
+pub const RENEW_TIMEOUT_MS: Millis = 350;
 
 /// For one sending of a transaction; an outage is told from a slow answer by repeating it.
 pub const TX_TIMEOUT_MS: Millis = 800;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -73,6 +73,13 @@
                 hosts::settled(duty, waves, outcome, ctx);
             });
         }
+        Event::HostOrdersRecorded(pool, epoch, outcome) => {
+            with_hosts(state, pool, now, &mut out, |duty, _, look, ctx| {
+                if look.epoch == epoch {
+                    hosts::recorded(duty, &outcome, epoch, ctx);
+                }
+            });
+        }
         Event::HostOrdered(pool, epoch, host, reply) => {
             with_hosts(state, pool, now, &mut out, |duty, _, look, ctx| {
                 if look.epoch == epoch {
@@ -169,7 +176,8 @@
         if is_newer && !is_ours {
             seat::lose(pool, "another entry owns it", ctx);
         }
-        if pool.tenure.is_none() && pool.seat.owner.entry.is_empty() {
+        let is_free = pool.seat.owner.entry.is_empty() || pool.seat.owner.entry == me;
+        if pool.tenure.is_none() && is_free {
             ctx.after(0, Timer::Claim);
         }
     });
@@ -219,6 +227,8 @@
             ctx.after(LOAD_RETRY_MS, Timer::Load);
             return;
         };
+        let is_same_holder = pool.seat.claim_after == ctx.me;
+        tenure.hosts = hosts::HostDuty::new(&rows.host_orders, is_same_holder, ctx);
         let times = pool.seat.beat.times.clone();
         let mut book = load::build(&name, epoch, tenure.began_ms, times, rows, facts, ctx);
         for row in std::mem::take(&mut tenure.early) {
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -1,6 +1,6 @@
 //! What the product's rows hold, and their keys.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -57,6 +57,16 @@
     pub spare: Vec<String>,
 }
 
+/// Key of the row of hosts that were ordered about.
+pub const HOST_ORDERS_KEY: &str = "hosts";
+
+/// Hosts that were ordered about of late, or are about to be: nobody else gives them orders soon after.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostOrdersRow {
+    /// Their names.
+    pub hosts: BTreeSet<String>,
+}
+
 /// How far a job is.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgressRow {
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -37,6 +37,8 @@
     pub renewed_ms: Millis,
     /// A renewal of ours is out.
     pub is_renewing: bool,
+    /// Count of our last renewal, and when it was sent.
+    pub sent: (u64, Millis),
 }
 
 impl Seat {
@@ -45,6 +47,11 @@
         self.renewed_ms + OWNER_LEASE_MS - OWNER_MARGIN_MS
     }
 
+    /// Whether an earlier process of this entry owned the pool: it has ended, since this one runs.
+    fn was_ours(&self, me: &str, nonce: u64) -> bool {
+        self.owner.entry == me && self.owner.nonce != nonce
+    }
+
     /// How long the pool has been without a living owner; nothing while it has one.
     fn vacant_since_ms(&self, now_ms: Millis) -> Option<Millis> {
         if self.owner.entry.is_empty() {
@@ -70,6 +77,12 @@
         seat.beat = rows::decode(value)?;
         seat.beat_revision = row.revision;
         seat.beat_seen_ms = now_ms;
+        let (count, sent_ms) = seat.sent;
+        if pool.tenure.is_some() && seat.beat.entry == seat.owner.entry && seat.beat.count == count
+        {
+            // The answer to our renewal may be lost: the feed tells that it was done.
+            seat.renewed_ms = seat.renewed_ms.max(sent_ms);
+        }
     }
     Ok(())
 }
@@ -111,8 +124,12 @@
     if pool.tenure.is_some() || pool.seat.is_claiming || me.is_stopping {
         return;
     }
-    let stagger_ms = spread_ms(ctx.me, &pool.name) + me.handicap_ms();
     let now_ms = ctx.now.ms;
+    if pool.seat.was_ours(ctx.me, me.nonce) {
+        claim(pool, ctx, me.nonce);
+        return;
+    }
+    let stagger_ms = spread_ms(ctx.me, &pool.name) + me.handicap_ms();
     match pool.seat.vacant_since_ms(now_ms) {
         Some(since_ms) if now_ms >= since_ms + stagger_ms => claim(pool, ctx, me.nonce),
         Some(since_ms) => ctx.after(since_ms + stagger_ms - now_ms, Timer::Claim),
@@ -254,6 +271,7 @@
     };
     pool.seat.is_renewing = true;
     pool.seat.beat.count += 1;
+    pool.seat.sent = (pool.seat.beat.count, ctx.now.ms);
     ctx.out.push(Effect::Renew(ctx.pool, epoch, tx));
 }
 
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -161,6 +161,8 @@
     WaveSettled(PoolKey, u64, TxOutcome),
     /// The record of hosts that are out was changed, or not.
     OrderedSettled(PoolKey, TxOutcome),
+    /// Orders to hosts were put on record, or not: epoch.
+    HostOrdersRecorded(PoolKey, u64, TxOutcome),
     /// An order to a host was answered: epoch, host.
     HostOrdered(PoolKey, u64, String, HostReply),
     /// The list of hosts was read.
@@ -180,6 +182,8 @@
     pub workers: Vec<WorkerFact>,
     /// Rows of waves.
     pub waves: Vec<StoredRow>,
+    /// Hosts that the former owner ordered about, if this is the pool that carries such orders.
+    pub host_orders: Vec<StoredRow>,
 }
 
 /// An order to a worker, sent only before `until_ms`.
@@ -224,6 +228,8 @@
     ReadHosts(PoolKey, u64),
     /// Change the record of hosts that are out.
     SettleOrdered(PoolKey, RowTx),
+    /// Put on record which hosts are about to be ordered about.
+    RecordHostOrders(PoolKey, u64, RowTx),
     /// Order a host: epoch, host, what, until when it may be sent.
     OrderHost(PoolKey, u64, String, HostTask, Millis),
     /// Log a decision.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -261,16 +261,10 @@
     worker.is_some_and(|w| w.answers && now_ms < w.heard_ms + HEARD_MS)
 }
 
-fn settle(
-    duty: &mut WaveDuty,
-    wave: &WaveKnown,
-    row: WaveRow,
-    host: &str,
-    is_take: bool,
-    ctx: &mut Ctx<'_>,
-) {
+/// The transaction that changes a wave's row, if nobody else changed it.
+pub(super) fn row_tx(wave: &WaveKnown, row: &WaveRow) -> RowTx {
     let key = wave.order.wave.to_string();
-    let tx = RowTx {
+    RowTx {
         part: String::new(),
         guards: vec![Guard {
             table: Table::Waves,
@@ -280,9 +274,20 @@
         writes: vec![Write {
             table: Table::Waves,
             key,
-            value: Some(rows::encode(&row)),
+            value: Some(rows::encode(row)),
         }],
-    };
+    }
+}
+
+fn settle(
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    row: WaveRow,
+    host: &str,
+    is_take: bool,
+    ctx: &mut Ctx<'_>,
+) {
+    let tx = row_tx(wave, &row);
     duty.pending = Some(Pending {
         wave: wave.order.wave,
         row,
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -26,6 +26,8 @@
     Progress,
     /// Slots taken by waves of upkeep.
     Waves,
+    /// Hosts that were ordered about of late.
+    HostOrders,
 }
 
 /// A row of one of the product's tables.
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -14,7 +14,9 @@
 use super::shared::Shared;
 use crate::clock::Millis;
 use crate::core::sched::hosts::HostTask;
-use crate::core::sched::limits::{HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_RETRY_MS, TX_TIMEOUT_MS};
+use crate::core::sched::limits::{
+    HOLD_SLACK_MS, ORDER_TIMEOUT_MS, RENEW_TIMEOUT_MS, TX_RETRY_MS, TX_TIMEOUT_MS,
+};
 use crate::core::sched::state::{Effect, Event, LoadedRows, Order, State};
 use crate::core::sched::{reduce, rows};
 use crate::port::fleet::{
@@ -148,7 +150,7 @@
                 Some(Event::Claimed(pool, sent_ms, outcome))
             }),
             Effect::Renew(pool, epoch, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = platform.transact(&tx, RENEW_TIMEOUT_MS).await;
                 Some(Event::Renewed(pool, epoch, sent_ms, outcome))
             }),
             Effect::Release(tx) => self.spawn(async move {
@@ -244,6 +246,10 @@
                 let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
                 Some(Event::OrderedSettled(pool, outcome))
             }),
+            Effect::RecordHostOrders(pool, epoch, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::HostOrdersRecorded(pool, epoch, outcome))
+            }),
             Effect::OrderHost(pool, epoch, host, task, until_ms) => {
                 let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
@@ -310,5 +316,6 @@
         progress: whole(platform, Table::Progress, pool).await?,
         workers: feeds::present(&platform.workers().await?),
         waves: whole(platform, Table::Waves, "").await?,
+        host_orders: whole(platform, Table::HostOrders, pool).await?,
     })
 }
--- /dev/null
+++ b/standin/src/fleet/mod.rs
@@ -0,0 +1,247 @@
+//! A small platform of workers over HTTP, for tests and the soak: row store with its feed, workers with
+//! leases, hosts.
+//!
+//! It speaks what the adapter in `platform/` expects, takes faults on command and notes each promise that it
+//! sees broken. It knows one pool of workers.
+
+mod promises;
+mod store;
+mod workers;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use rockwick::http::server::serve;
+use rockwick::http::{Incoming, Limits, Wire};
+use rockwick::runtime::Runtime;
+use serde_json::{json, Value};
+use smol::{Async, Timer};
+
+use promises::Promises;
+
+/// How often a call that waits looks again.
+const LOOK_MS: u64 = 5;
+
+/// A call that gets no answer is held for so long: longer than anybody waits for one.
+const UNANSWERED_MS: u64 = 5_000;
+
+/// What an upkeep takes.
+const UPKEEP_MS: u64 = 600;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It refuses all calls and does nothing.
+    Busy,
+    /// It does what it is told and never answers.
+    Mute,
+    /// Its history is gone.
+    Forgetful,
+    /// Its answers take so many milliseconds longer.
+    Slow(u64),
+    /// One write in three is done and not answered.
+    Lossy,
+}
+
+/// What befalls orders to workers, in percent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OrderFault {
+    /// Orders that are not carried out and get no answer.
+    pub lost: u32,
+    /// Orders that get no answer and are carried out 1 to 4 s later.
+    pub late: u32,
+}
+
+/// A row: base64 text and version; no text where it was removed.
+#[derive(Clone, Debug)]
+struct Stored {
+    value: Option<String>,
+    ver: u64,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+struct Run {
+    run: u64,
+    ends_ms: Option<u64>,
+}
+
+/// A worker's life.
+#[derive(Default)]
+struct Worker {
+    fence: u64,
+    lease_until_ms: u64,
+    running: BTreeMap<String, Run>,
+    /// Runs up to this one were stopped or have ended here.
+    barred: HashMap<String, u64>,
+    ended: Vec<Value>,
+    next_end: u64,
+    starts: u64,
+}
+
+struct Host {
+    name: String,
+    /// Where its worker takes orders, as it states.
+    address: SocketAddr,
+    /// The life of its worker; none while it is down.
+    life: Option<String>,
+    is_out: bool,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<(String, String, String), Stored>,
+    ver: u64,
+    fault: StoreFault,
+    order_fault: OrderFault,
+    rng: fastrand::Rng,
+    /// Lives, ended ones included.
+    workers: BTreeMap<String, Worker>,
+    hosts: Vec<Host>,
+    lives: u64,
+    upkeeps: Vec<String>,
+    /// Hosts that were through a wave.
+    upkept: BTreeMap<u64, BTreeSet<String>>,
+    promises: Promises,
+}
+
+/// The platform, as tests hold it.
+#[derive(Clone)]
+pub struct Fleet {
+    state: Arc<Mutex<State>>,
+    runtime: Runtime,
+    began: Instant,
+    pool: String,
+    work_ms: u64,
+    /// Where the store, and orders to hosts, are.
+    pub address: SocketAddr,
+}
+
+impl Fleet {
+    /// Serves the store and so many workers of a pool on ports of the system's choice.
+    pub fn start(pool: &str, workers: usize, work_ms: u64) -> std::io::Result<Self> {
+        let runtime = Runtime::new("fleet", 1)?;
+        let listener = Async::new(TcpListener::bind("127.0.0.1:0")?)?;
+        let fleet = Self {
+            state: Arc::default(),
+            runtime,
+            began: Instant::now(),
+            pool: pool.to_string(),
+            work_ms,
+            address: listener.get_ref().local_addr()?,
+        };
+        fleet.listen(listener, None);
+        for n in 0..workers {
+            let listener = Async::new(TcpListener::bind("127.0.0.1:0")?)?;
+            let host = Host {
+                name: format!("m-{n}"),
+                address: listener.get_ref().local_addr()?,
+                life: None,
+                is_out: false,
+            };
+            fleet.lock().hosts.push(host);
+            fleet.new_life(n);
+            fleet.listen(listener, Some(n));
+        }
+        Ok(fleet)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    /// Seeds what goes wrong by chance.
+    pub fn set_seed(&self, seed: u64) {
+        self.lock().rng = fastrand::Rng::with_seed(seed);
+    }
+
+    /// Writes a row as the operator or a worker would.
+    pub fn put(&self, table: &str, part: &str, key: &str, value: &Value) {
+        self.put_bytes(table, part, key, value.to_string().as_bytes());
+    }
+
+    /// Writes any bytes.
+    pub fn put_bytes(&self, table: &str, part: &str, key: &str, bytes: &[u8]) {
+        self.write(table, part, key, Some(store::base64(bytes)));
+    }
+
+    fn write(&self, table: &str, part: &str, key: &str, value: Option<String>) {
+        let mut state = self.lock();
+        state.ver += 1;
+        let ver = state.ver;
+        let place = (table.to_string(), part.to_string(), key.to_string());
+        state.rows.insert(place, Stored { value, ver });
+    }
+
+    /// A configuration with one queue under `/q/` of host `queue.example`.
+    pub fn configure(&self, version: u64, pool: &str) {
+        self.configure_more(version, pool, 0);
+    }
+
+    /// The same, and so many more queues under `/x1/`, `/x2/` and so on.
+    pub fn configure_more(&self, version: u64, pool: &str, more: u64) {
+        let route = |name: String| {
+            json!({"name": name, "host": "queue.example", "path_prefix": format!("/{name}/"),
+                "service": pool, "priority": 0, "max_attempts": 3, "stretch": 1.6,
+                "target_latency_ms": 600, "news": 1})
+        };
+        let names = (1..=more).map(|n| format!("x{n}"));
+        let routes: Vec<Value> = std::iter::once("q".to_string())
+            .chain(names)
+            .map(route)
+            .collect();
+        let config = json!({
+            "version": version,
+            "routes": routes,
+            "services": [{"name": pool, "headroom": false}],
+            "limits": {"max_body_bytes": 262_144}
+        });
+        self.put("op", "", "config", &config);
+    }
+
+    /// Breaks the store, or mends it.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.lock().fault = fault;
+    }
+
+    /// Starts that all workers accepted.
+    pub fn starts(&self) -> u64 {
+        self.lock().workers.values().map(|w| w.starts).sum()
+    }
+
+    async fn unanswered(&self) {
+        Timer::after(Duration::from_millis(UNANSWERED_MS)).await;
+    }
+
+    /// Serves the store, or one host's worker.
+    fn listen(&self, listener: Async<TcpListener>, host: Option<usize>) {
+        let fleet = self.clone();
+        self.runtime.run(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let served = fleet.clone();
+                fleet.runtime.run(async move {
+                    let handle = |incoming: Incoming| {
+                        let fleet = served.clone();
+                        async move {
+                            match host {
+                                Some(n) => fleet.order(n, &incoming).await,
+                                None => fleet.store(&incoming).await,
+                            }
+                        }
+                    };
+                    let wire = Wire::for_requests(stream);
+                    serve(wire, Limits::default(), || false, handle).await;
+                });
+            }
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/fleet/store.rs
@@ -0,0 +1,179 @@
+//! The row store: conditional transactions, ranges, changes.
+
+use std::time::{Duration, Instant};
+
+use http_types::Response;
+use rockwick::http::server::{answer, json};
+use rockwick::http::Incoming;
+use serde_json::{json, Value};
+use smol::Timer;
+
+use super::{Fleet, State, StoreFault, Stored, LOOK_MS};
+
+impl Fleet {
+    pub(super) async fn store(&self, incoming: &Incoming) -> Response {
+        let fault = self.lock().fault;
+        let path = incoming.head.url().path().to_string();
+        if path.starts_with("/machine") {
+            return self.hosts(&path, incoming);
+        }
+        match fault {
+            StoreFault::Busy => return answer(503, "application/json", Vec::new()),
+            StoreFault::Forgetful if path == "/rows-feed" => {
+                return answer(410, "application/json", Vec::new())
+            }
+            StoreFault::Slow(ms) => {
+                Timer::after(Duration::from_millis(ms)).await;
+            }
+            _ => {}
+        }
+        let res = match path.as_str() {
+            "/rows-tx" => self.transact(&incoming.body),
+            "/rows-get" => self.read(incoming),
+            "/rows-feed" => self.feed(incoming).await,
+            "/rows-parts" => self.parts(incoming),
+            _ => answer(404, "application/json", Vec::new()),
+        };
+        let is_lost =
+            fault == StoreFault::Lossy && path == "/rows-tx" && self.lock().rng.u32(..3) == 0;
+        if fault == StoreFault::Mute || is_lost {
+            self.unanswered().await;
+        }
+        res
+    }
+
+    fn transact(&self, body: &[u8]) -> Response {
+        let Ok(tx) = serde_json::from_slice::<Value>(body) else {
+            return answer(400, "application/json", Vec::new());
+        };
+        let mut state = self.lock();
+        let guards = list(&tx["expected_revision"]);
+        let ver_of = |state: &State, g: &Value| {
+            let stored = state.rows.get(&place(g)).filter(|s| s.value.is_some());
+            stored.map_or(0, |s| s.ver)
+        };
+        if guards
+            .iter()
+            .any(|g| ver_of(&state, g) != g["ver"].as_u64().unwrap_or(0))
+        {
+            let rows: Vec<Value> = guards
+                .iter()
+                .map(|g| row(&place(g), state.rows.get(&place(g))))
+                .collect();
+            return json(412, &json!({"rows": rows, "ver": state.ver, "now_ms": 1}));
+        }
+        state.ver += 1;
+        let ver = state.ver;
+        for put in list(&tx["put"]) {
+            let value = put["value"].as_str().map(str::to_string);
+            state.rows.insert(place(&put), Stored { value, ver });
+        }
+        for gone in list(&tx["remove"]) {
+            state.rows.insert(place(&gone), Stored { value: None, ver });
+        }
+        json(200, &json!({"ver": ver, "now_ms": 1}))
+    }
+
+    fn read(&self, incoming: &Incoming) -> Response {
+        let q = |name: &str| query(incoming, name);
+        let state = self.lock();
+        let until = q("target_version");
+        let limit = q("limit").parse::<usize>().unwrap_or(500);
+        let of = |k: &(String, String, String)| {
+            k.0 == q("table")
+                && k.1 == q("part")
+                && k.2 >= q("from")
+                && (until.is_empty() || k.2 < until)
+        };
+        let there = state
+            .rows
+            .iter()
+            .filter(|(k, s)| of(k) && s.value.is_some());
+        let mut rows: Vec<Value> = there.map(|(k, s)| row(k, Some(s))).collect();
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        json(
+            200,
+            &json!({"rows": rows, "more": more, "ver": state.ver, "now_ms": 1}),
+        )
+    }
+
+    async fn feed(&self, incoming: &Incoming) -> Response {
+        let since = query(incoming, "depends_on").parse::<u64>().unwrap_or(0);
+        let wait_ms = query(incoming, "wait_ms").parse::<u64>().unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        let table = query(incoming, "table");
+        loop {
+            let (mut rows, ver) = {
+                let state = self.lock();
+                let new = state
+                    .rows
+                    .iter()
+                    .filter(|(k, s)| k.0 == table && s.ver > since);
+                let rows: Vec<Value> = new.map(|(k, s)| row(k, Some(s))).collect();
+                (rows, state.ver)
+            };
+            if !rows.is_empty() || Instant::now() >= until {
+                rows.sort_by_key(|r| r["ver"].as_u64());
+                return json(200, &json!({"rows": rows, "ver": ver, "now_ms": 1}));
+            }
+            Timer::after(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    fn parts(&self, incoming: &Incoming) -> Response {
+        let table = query(incoming, "table");
+        let state = self.lock();
+        let mut parts: Vec<String> = Vec::new();
+        for (k, _) in state.rows.iter().filter(|(k, _)| k.0 == table) {
+            if !parts.contains(&k.1) {
+                parts.push(k.1.clone());
+            }
+        }
+        json(200, &json!({"parts": parts, "more": false}))
+    }
+}
+
+fn list(value: &Value) -> Vec<Value> {
+    value.as_array().cloned().unwrap_or_default()
+}
+
+fn place(of: &Value) -> (String, String, String) {
+    let text = |name: &str| of[name].as_str().unwrap_or("").to_string();
+    (text("table"), text("part"), text("key"))
+}
+
+fn row(place: &(String, String, String), stored: Option<&Stored>) -> Value {
+    let value = stored.and_then(|s| s.value.clone());
+    let ver = stored.filter(|s| s.value.is_some()).map_or(0, |s| s.ver);
+    json!({"table": place.0, "part": place.1, "key": place.2, "value": value, "ver": ver,
+        "gone": value.is_none()})
+}
+
+fn query(incoming: &Incoming, name: &str) -> String {
+    let pairs = incoming.head.url().query_pairs();
+    let found = pairs.into_iter().find(|(n, _)| n == name);
+    found
+        .map(|(_, value)| value.into_owned())
+        .unwrap_or_default()
+}
+
+/// Base64 with padding, as the store's values are.
+pub(super) fn base64(bytes: &[u8]) -> String {
+    const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let word = (0..3).fold(0u32, |w, i| {
+            (w << 8) | u32::from(*chunk.get(i).unwrap_or(&0))
+        });
+        for i in 0..4 {
+            let sign = SIGNS[(word >> (18 - 6 * i)) as usize & 63];
+            text.push(if i <= chunk.len() {
+                char::from(sign)
+            } else {
+                '='
+            });
+        }
+    }
+    text
+}
--- /dev/null
+++ b/standin/src/fleet/workers.rs
@@ -0,0 +1,346 @@
+//! Workers and hosts: orders, leases, accounts, and what may befall them.
+
+use std::time::{Duration, Instant};
+
+use http_types::{Method, Response};
+use rockwick::http::server::{answer, json};
+use rockwick::http::Incoming;
+use serde_json::{json, Value};
+use smol::Timer;
+
+use super::{Fleet, OrderFault, Run, State, Worker, LOOK_MS, UPKEEP_MS};
+
+/// A lease that a worker takes at most.
+const LEASE_MAX_MS: u64 = 10_000;
+
+/// Room of a worker, in thousandths of a core.
+const ROOM_MILLI: u64 = 16_000;
+
+impl State {
+    /// Ends runs of a life that are over by their work or by its lease.
+    fn settle(&mut self, life: &str, now_ms: u64) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        let lease_ms = worker.lease_until_ms;
+        let how = |r: &Run| match r.ends_ms {
+            Some(at) if at <= now_ms.min(lease_ms) => Some("done"),
+            _ if lease_ms <= now_ms => Some("lapsed"),
+            _ => None,
+        };
+        let over = worker.running.iter();
+        let over: Vec<(String, u64, &str)> = over
+            .filter_map(|(task, r)| Some((task.clone(), r.run, how(r)?)))
+            .collect();
+        for (task, run, how) in over {
+            self.end(life, &task, run, how);
+        }
+    }
+
+    fn settle_all(&mut self, now_ms: u64) {
+        let lives: Vec<String> = self.hosts.iter().filter_map(|h| h.life.clone()).collect();
+        for life in lives {
+            self.settle(&life, now_ms);
+        }
+    }
+
+    fn end(&mut self, life: &str, task: &str, run: u64, how: &str) {
+        let Some(worker) = self.workers.get_mut(life) else {
+            return;
+        };
+        worker.running.remove(task);
+        let barred = worker.barred.entry(task.to_string()).or_default();
+        *barred = (*barred).max(run);
+        worker.next_end += 1;
+        let row = json!([worker.next_end, task, run, how, ""]);
+        worker.ended.push(row);
+        self.promises.note_end(task, how);
+    }
+
+    /// A host's worker ends, with all that runs there.
+    fn end_life(&mut self, n: usize, now_ms: u64) -> Option<String> {
+        let life = self.hosts[n].life.take()?;
+        self.settle(&life, now_ms);
+        if let Some(worker) = self.workers.get_mut(&life) {
+            worker.running.clear();
+        }
+        Some(life)
+    }
+}
+
+impl Fleet {
+    /// A worker's new life on a host.
+    pub(super) fn new_life(&self, n: usize) {
+        let (life, row) = {
+            let mut state = self.lock();
+            let life = format!("i-{}", state.lives);
+            state.lives += 1;
+            state.workers.insert(life.clone(), Worker::default());
+            let host = &mut state.hosts[n];
+            host.life = Some(life.clone());
+            host.is_out = false;
+            let row = entry(&self.pool, &host.name, &host.address.to_string());
+            (life, row)
+        };
+        self.put("servers", "", &life, &row);
+    }
+
+    /// States another address for a host's worker, such as a relay's before it.
+    pub fn announce(&self, n: usize, address: std::net::SocketAddr) {
+        let mut state = self.lock();
+        state.hosts[n].address = address;
+        let host = &state.hosts[n];
+        let row = entry(&self.pool, &host.name, &address.to_string());
+        let life = host.life.clone();
+        drop(state);
+        if let Some(life) = life {
+            self.put("servers", "", &life, &row);
+        }
+    }
+
+    /// Where a host's worker takes orders.
+    pub fn worker_address(&self, n: usize) -> std::net::SocketAddr {
+        self.lock().hosts[n].address
+    }
+
+    /// What befalls orders to workers from now on.
+    pub fn set_order_fault(&self, fault: OrderFault) {
+        self.lock().order_fault = fault;
+    }
+
+    /// A host's worker crashes; another life comes so much later.
+    pub fn crash(&self, n: usize, back_ms: u64) {
+        let life = self.lock().end_life(n, self.clock_ms());
+        if let Some(life) = life {
+            self.come_back(n, life, back_ms);
+        }
+    }
+
+    fn come_back(&self, n: usize, life: String, after_ms: u64) {
+        let fleet = self.clone();
+        self.runtime.run(async move {
+            Timer::after(Duration::from_millis(after_ms)).await;
+            fleet.new_life(n);
+            fleet.write("servers", "", &life, None);
+        });
+    }
+
+    /// Tasks that run now.
+    pub fn running(&self) -> usize {
+        let mut state = self.lock();
+        state.settle_all(self.clock_ms());
+        let lives = state.hosts.iter().filter_map(|h| h.life.as_ref());
+        lives.map(|life| state.workers[life].running.len()).sum()
+    }
+
+    /// Tasks of a job that run now.
+    pub fn running_of(&self, job: &str) -> usize {
+        let mut state = self.lock();
+        state.settle_all(self.clock_ms());
+        let lives = state.hosts.iter().filter_map(|h| h.life.as_ref());
+        let tasks = lives.flat_map(|life| state.workers[life].running.keys());
+        tasks.filter(|task| task.starts_with(job)).count()
+    }
+
+    /// Hosts that were ordered down, in order.
+    pub fn upkeeps(&self) -> Vec<String> {
+        self.lock().upkeeps.clone()
+    }
+
+    pub(super) fn hosts(&self, path: &str, incoming: &Incoming) -> Response {
+        if path == "/machines" {
+            let state = self.lock();
+            let of = |h: &super::Host| {
+                let name = if h.life.is_some() { "up" } else { "upkeep" };
+                let id = h.life.clone().unwrap_or_default();
+                json!({"machine": h.name, "pool": self.pool, "state": name, "id": id})
+            };
+            let hosts: Vec<Value> = state.hosts.iter().map(of).collect();
+            return json(200, &json!({"machines": hosts, "next_token": null}));
+        }
+        let body: Value = serde_json::from_slice(&incoming.body).unwrap_or_default();
+        let holder = incoming.header("Rockwick-Duty-Holder").unwrap_or("");
+        if holder.is_empty() || incoming.header("Rockwick-Fencing-Token").is_none() {
+            return json(409, &json!({"reason": "fence"}));
+        }
+        let name = body["machine"].as_str().unwrap_or("");
+        let wave = body["wave"].as_u64().unwrap_or(0);
+        let Some(n) = self.lock().hosts.iter().position(|h| h.name == name) else {
+            return answer(400, "application/json", Vec::new());
+        };
+        self.upkeep(n, wave)
+    }
+
+    fn upkeep(&self, n: usize, wave: u64) -> Response {
+        let mut state = self.lock();
+        let name = state.hosts[n].name.clone();
+        if state
+            .upkept
+            .get(&wave)
+            .is_some_and(|done| done.contains(&name))
+        {
+            return json(200, &json!({}));
+        }
+        let Some(life) = state.end_life(n, self.clock_ms()) else {
+            return json(409, &json!({"reason": "busy"}));
+        };
+        state.hosts[n].is_out = true;
+        state.upkeeps.push(name.clone());
+        state.upkept.entry(wave).or_default().insert(name);
+        state.check_out(wave);
+        drop(state);
+        self.come_back(n, life, UPKEEP_MS);
+        json(200, &json!({}))
+    }
+
+    pub(super) async fn order(&self, n: usize, incoming: &Incoming) -> Response {
+        let body: Value = serde_json::from_slice(&incoming.body).unwrap_or_default();
+        let (fault, chance) = {
+            let mut state = self.lock();
+            (state.order_fault, state.rng.u32(..100))
+        };
+        if chance < fault.lost {
+            self.unanswered().await;
+        } else if chance < fault.lost + fault.late {
+            let late_ms = self.lock().rng.u64(1_000..4_000);
+            Timer::after(Duration::from_millis(late_ms)).await;
+            // Carried out after the sender gave up; nobody reads the answer.
+            let res = self.carry_out(n, incoming, &body).await;
+            self.unanswered().await;
+            return res;
+        }
+        self.carry_out(n, incoming, &body).await
+    }
+
+    async fn carry_out(&self, n: usize, incoming: &Incoming, body: &Value) -> Response {
+        let Some(life) = self.lock().hosts[n].life.clone() else {
+            self.unanswered().await;
+            return answer(503, "application/json", Vec::new());
+        };
+        let named = incoming.header("Rockwick-Expected-Instance");
+        if named.is_some_and(|want| want != life) {
+            return answer(421, "application/json", Vec::new());
+        }
+        let fence = body["fencing_token"].as_u64().unwrap_or(0);
+        {
+            let mut state = self.lock();
+            state.settle_all(self.clock_ms());
+            let Some(worker) = state.workers.get_mut(&life) else {
+                return answer(421, "application/json", Vec::new());
+            };
+            if fence < worker.fence {
+                return self.refusal("fence");
+            }
+            worker.fence = fence;
+            let until_ms = body["deadline_ms"].as_u64().unwrap_or(0);
+            let until_ms = until_ms.min(self.clock_ms() + LEASE_MAX_MS);
+            worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+        }
+        match (incoming.head.method(), incoming.head.url().path()) {
+            (Method::Post, "/run-start") => self.run_start(&life, body),
+            (Method::Post, "/run-stop") => self.run_stop(&life, body),
+            (Method::Post, "/hold") => self.hold(&life, body).await,
+            _ => answer(404, "application/json", Vec::new()),
+        }
+    }
+
+    fn refusal(&self, reason: &str) -> Response {
+        let body = json!({"clock_ms": self.clock_ms(), "reason": reason});
+        json(409, &body)
+    }
+
+    fn run_start(&self, life: &str, body: &Value) -> Response {
+        let now_ms = self.clock_ms();
+        if body["deadline_ms"].as_u64().unwrap_or(0) <= now_ms {
+            return self.refusal("late");
+        }
+        let spec = body["spec"].as_str().unwrap_or("");
+        let task = body["task"].as_str().unwrap_or("").to_string();
+        let run = body["run"].as_u64().unwrap_or(0);
+        let mut state = self.lock();
+        let Some(worker) = state.workers.get(life) else {
+            return answer(421, "application/json", Vec::new());
+        };
+        if worker.running.get(&task).is_some_and(|r| r.run == run) {
+            return json(200, &json!({"clock_ms": now_ms}));
+        }
+        if worker
+            .barred
+            .get(&task)
+            .is_some_and(|barred| run <= *barred)
+        {
+            drop(state);
+            return self.refusal("old");
+        }
+        // Tasks of the stand-in's callers take half a core.
+        if (worker.running.len() as u64 + 1) * 500 > ROOM_MILLI {
+            drop(state);
+            return self.refusal("room");
+        }
+        state.check_start(life, &task, spec, now_ms);
+        let ends_ms = (!spec.contains("lasts")).then(|| now_ms + self.work_ms);
+        if let Some(worker) = state.workers.get_mut(life) {
+            worker.running.insert(task, Run { run, ends_ms });
+            worker.starts += 1;
+        }
+        json(200, &json!({"clock_ms": now_ms}))
+    }
+
+    fn run_stop(&self, life: &str, body: &Value) -> Response {
+        let mut state = self.lock();
+        let task = body["task"].as_str().unwrap_or("").to_string();
+        let run = body["run"].as_u64().unwrap_or(0);
+        if let Some(worker) = state.workers.get_mut(life) {
+            let there = worker.running.get(&task).is_some_and(|r| r.run == run);
+            let barred = worker.barred.entry(task.clone()).or_default();
+            *barred = (*barred).max(run);
+            if there {
+                state.end(life, &task, run, "stopped");
+            }
+        }
+        json(200, &json!({"clock_ms": self.clock_ms()}))
+    }
+
+    async fn hold(&self, life: &str, body: &Value) -> Response {
+        let wait_ms = body["wait_ms"].as_u64().unwrap_or(0);
+        let seen = body["last_seen"].as_u64().unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            if let Some(res) = self.account(life, seen, Instant::now() >= until) {
+                return res;
+            }
+            Timer::after(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    /// The worker's account, if there is an end to tell or `at_once` asks for it.
+    fn account(&self, life: &str, seen: u64, at_once: bool) -> Option<Response> {
+        let clock_ms = self.clock_ms();
+        let mut state = self.lock();
+        state.settle(life, clock_ms);
+        let worker = state.workers.get_mut(life)?;
+        let is_seen = |e: &Value| e[0].as_u64().unwrap_or(0) <= seen;
+        let (noted, rest): (Vec<Value>, Vec<Value>) = worker.ended.drain(..).partition(is_seen);
+        worker.ended = rest;
+        let ended = worker.ended.clone();
+        let running = worker.running.iter();
+        let running: Vec<Value> = running
+            .map(|(task, r)| json!([task, r.run, "", 100, 0]))
+            .collect();
+        for end in noted {
+            let text = |n: usize| end[n].as_str().unwrap_or("").to_string();
+            state.promises.note_seen(&text(1), &text(3));
+        }
+        if ended.is_empty() && !at_once {
+            return None;
+        }
+        let body = json!({"clock_ms": clock_ms, "running": running, "ended": ended});
+        Some(json(200, &body))
+    }
+}
+
+fn entry(pool: &str, host: &str, address: &str) -> Value {
+    json!({"service": pool, "address": address, "zone": "hall", "state": "ready", "machine": host,
+        "capacity": {"cpu": ROOM_MILLI, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
+        "sequence": 1})
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod platform;
 mod routes;
 mod slopes;
+mod soak;
 mod waves;
 
 use bpaf::{construct, OptionParser, Parser};
@@ -16,6 +17,7 @@
     Waves(waves::Args),
     Routes(routes::Args),
     Slopes(slopes::Args),
+    Soak(soak::Args),
 }
 
 fn parser() -> OptionParser<Command> {
@@ -49,7 +51,12 @@
         .to_options()
         .descr("Experiment: what control costs against hosts, pools, entries, accounts and jobs")
         .command("slopes");
-    construct!([platform, backend, load, waves, routes, slopes]).to_options()
+    let soak = soak::args()
+        .map(Command::Soak)
+        .to_options()
+        .descr("Fault soak: real entries as processes, faults from outside, promises checked")
+        .command("soak");
+    construct!([platform, backend, load, waves, routes, slopes, soak]).to_options()
 }
 
 fn main() {
@@ -60,6 +67,7 @@
         Command::Waves(args) => waves::run(args),
         Command::Routes(args) => routes::run(args),
         Command::Slopes(args) => slopes::run(args),
+        Command::Soak(args) => soak::run(args),
     };
     if let Err(e) = result {
         eprintln!("standin: {e}");
--- /dev/null
+++ b/standin/src/soak/faults.rs
@@ -0,0 +1,211 @@
+//! The faults of a day: drawn by the seed, in series and overlapping, each ended after its time.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use nix::sys::signal::Signal;
+
+use super::proxy::Trouble;
+use super::Stage;
+use standin::fleet::{OrderFault, StoreFault};
+
+/// What ends a fault.
+#[derive(Clone, Copy, Debug)]
+enum Undo {
+    Wake(usize),
+    Start(usize),
+    MendStorePath(usize),
+    MendWorkerPath(usize),
+    MendStore,
+    MendOrders,
+}
+
+/// Faults that are under way.
+pub(crate) struct Faults {
+    rng: Rng,
+    due: Vec<(Instant, Undo)>,
+    killed: Vec<bool>,
+    /// What happened, a line each.
+    pub(crate) told: Vec<String>,
+    waves: u64,
+    began: Instant,
+}
+
+impl Faults {
+    /// None yet.
+    pub(crate) fn new(seed: u64, entries: usize) -> Self {
+        Self {
+            rng: Rng::with_seed(seed),
+            due: Vec::new(),
+            killed: vec![false; entries],
+            told: Vec::new(),
+            waves: 0,
+            began: Instant::now(),
+        }
+    }
+
+    fn later(&mut self, ms: u64, undo: Undo) {
+        self.due
+            .push((Instant::now() + Duration::from_millis(ms), undo));
+    }
+
+    fn tell(&mut self, what: String) {
+        let at_ms = self.began.elapsed().as_millis();
+        self.told.push(format!("{at_ms} ms: {what}"));
+    }
+
+    /// Pause until the next fault.
+    pub(crate) fn pause(&mut self) -> Duration {
+        Duration::from_millis(self.rng.u64(50..1_500))
+    }
+
+    /// Waves that were asked for.
+    pub(crate) fn waves(&self) -> u64 {
+        self.waves
+    }
+
+    /// Brings one fault.
+    pub(crate) fn strike(&mut self, stage: &mut Stage) {
+        let n = self.rng.usize(..stage.entries.len());
+        let ms = self.rng.u64(200..5_000);
+        match self.rng.u32(..13) {
+            0 => self.kill(stage, n, ms),
+            1 => {
+                for n in 0..stage.entries.len() {
+                    self.kill(stage, n, ms.min(1_500));
+                }
+            }
+            2 => self.freeze(stage, n, ms),
+            3 | 4 => self.stop(stage, n),
+            5 | 6 => self.store_path(stage, n, ms),
+            7 | 8 => self.worker_path(stage, ms),
+            9 => self.store(stage, ms),
+            10 => {
+                let fault = OrderFault {
+                    lost: self.rng.u32(..30),
+                    late: self.rng.u32(..30),
+                };
+                stage.fleet.set_order_fault(fault);
+                self.tell(format!("{fault:?} for {ms} ms"));
+                self.later(ms, Undo::MendOrders);
+            }
+            11 => {
+                let host = self.rng.usize(..stage.workers.len());
+                stage.fleet.crash(host, ms);
+                self.tell(format!("host {host} crashes, back after {ms} ms"));
+            }
+            _ => {
+                stage.change_config();
+                self.tell(format!("configuration {}", stage.version));
+                if self.waves < 3 && self.rng.bool() {
+                    self.waves += 1;
+                    let most = self.rng.usize(1..4);
+                    stage.fleet.begin_wave(self.waves, 30, most);
+                    self.tell(format!("wave {}, {most} at once", self.waves));
+                }
+            }
+        }
+    }
+
+    fn kill(&mut self, stage: &mut Stage, n: usize, down_ms: u64) {
+        stage.calm.disturb(n, down_ms);
+        stage.entries[n].signal(Signal::SIGKILL);
+        self.killed[n] = true;
+        self.tell(format!("entry {n} is killed, down for {down_ms} ms"));
+        self.later(down_ms, Undo::Start(n));
+    }
+
+    fn freeze(&mut self, stage: &mut Stage, n: usize, ms: u64) {
+        stage.calm.disturb(n, ms);
+        stage.entries[n].signal(Signal::SIGSTOP);
+        self.tell(format!("entry {n} stands still for {ms} ms"));
+        self.later(ms, Undo::Wake(n));
+    }
+
+    /// Planned: the entry must answer what it has read.
+    fn stop(&mut self, stage: &mut Stage, n: usize) {
+        stage.entries[n].signal(Signal::SIGTERM);
+        self.tell(format!("entry {n} is told to stop"));
+    }
+
+    fn trouble(&mut self) -> Trouble {
+        match self.rng.u32(..4) {
+            0 => Trouble::Delay(self.rng.u64(20..400)),
+            1 => Trouble::Silence,
+            2 => Trouble::OneWay,
+            _ => Trouble::Reset,
+        }
+    }
+
+    fn store_path(&mut self, stage: &mut Stage, n: usize, ms: u64) {
+        let trouble = self.trouble();
+        stage.calm.disturb(n, ms);
+        stage.store_paths[n].set(trouble);
+        self.tell(format!("entry {n} to the store: {trouble:?} for {ms} ms"));
+        self.later(ms, Undo::MendStorePath(n));
+    }
+
+    fn worker_path(&mut self, stage: &mut Stage, ms: u64) {
+        let host = self.rng.usize(..stage.workers.len());
+        let trouble = self.trouble();
+        stage.workers[host].set(trouble);
+        self.tell(format!("host {host}: {trouble:?} for {ms} ms"));
+        self.later(ms, Undo::MendWorkerPath(host));
+    }
+
+    fn store(&mut self, stage: &mut Stage, ms: u64) {
+        let fault = match self.rng.u32(..5) {
+            0 => StoreFault::Busy,
+            1 => StoreFault::Mute,
+            2 => StoreFault::Forgetful,
+            3 => StoreFault::Slow(self.rng.u64(20..250)),
+            _ => StoreFault::Lossy,
+        };
+        stage.calm.disturb_all(ms);
+        stage.fleet.set_fault(fault);
+        self.tell(format!("store: {fault:?} for {ms} ms"));
+        self.later(ms, Undo::MendStore);
+    }
+
+    /// Ends faults whose time is over, and starts processes that have ended.
+    pub(crate) fn tend(&mut self, stage: &mut Stage) -> std::io::Result<()> {
+        let now = Instant::now();
+        let (over, rest) = self.due.drain(..).partition(|(at, _)| *at <= now);
+        self.due = rest;
+        self.undo(stage, over)?;
+        for n in 0..stage.entries.len() {
+            if let Some(what) = stage.entries[n].ended(self.killed[n]) {
+                stage.fleet.broken(what);
+            }
+            let is_due = |(_, undo): &(Instant, Undo)| matches!(undo, Undo::Start(m) if *m == n);
+            if !stage.entries[n].runs() && !self.due.iter().any(is_due) {
+                self.killed[n] = false;
+                stage.entries[n].start(&stage.binary)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all faults.
+    pub(crate) fn end(&mut self, stage: &mut Stage) -> std::io::Result<()> {
+        let all = std::mem::take(&mut self.due);
+        self.undo(stage, all)?;
+        self.tell("calm".to_string());
+        Ok(())
+    }
+
+    fn undo(&mut self, stage: &mut Stage, over: Vec<(Instant, Undo)>) -> std::io::Result<()> {
+        for (_, undo) in over {
+            match undo {
+                Undo::Wake(n) => stage.entries[n].signal(Signal::SIGCONT),
+                // `tend` starts what does not run.
+                Undo::Start(_) => {}
+                Undo::MendStorePath(n) => stage.store_paths[n].set(Trouble::None),
+                Undo::MendWorkerPath(n) => stage.workers[n].set(Trouble::None),
+                Undo::MendStore => stage.fleet.set_fault(StoreFault::None),
+                Undo::MendOrders => stage.fleet.set_order_fault(OrderFault::default()),
+            }
+        }
+        Ok(())
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -45,7 +45,7 @@
 reserve = "none"
 "#;
 
-fn binary(name: &str) -> PathBuf {
+pub(crate) fn binary(name: &str) -> PathBuf {
     let mut path = PathBuf::from(env!("CARGO_BIN_EXE_rockwick"));
     path.set_file_name(name);
     assert!(
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -53,6 +53,41 @@
     }
 }
 
+/// The entry that owns the pool.
+fn owner(world: &World) -> Option<usize> {
+    let owns = |e: &crate::world::Entry| e.state.as_ref().is_some_and(|s| s.owned() > 0);
+    world.entries.iter().position(owns)
+}
+
+#[test]
+fn sched_restarted_owner_owns() {
+    let mut world = World::new(14, 3, 4);
+    world.run(SETTLE_MS);
+    let before = owner(&world).expect("somebody owns the pool");
+    world.kill(before);
+    world.run(300);
+    world.boot(before);
+    world.run(200);
+    assert_eq!(owner(&world), Some(before), "its earlier process has ended");
+}
+
+#[test]
+fn sched_wave_goes_on() {
+    let mut world = World::new(15, 3, 6);
+    world.run(SETTLE_MS);
+    world.wave(1, 60_000, 1);
+    world.run(1_000);
+    let out_before = world.upkept[&1].len();
+    assert!(out_before > 0, "the wave has begun");
+    world.kill(owner(&world).expect("somebody owns the pool"));
+    // A lease, the claim, and the turn of a host that the former owner gave no order to.
+    world.run(4_000);
+    assert!(
+        world.upkept[&1].len() > out_before,
+        "hosts that nobody ordered need not wait"
+    );
+}
+
 #[test]
 fn sched_takeover_keeps_runs() {
     let mut world = World::new(4, 3, 4);
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -26,5 +26,6 @@
 mod test_sched_model;
 mod test_serve;
 mod test_sizing;
+mod test_soak;
 mod test_stop;
 mod test_times;
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -96,6 +96,10 @@
                 let (after_ms, outcome) = self.store_call(n, &tx);
                 self.reply(n, after_ms, Event::OrderedSettled(pool, outcome));
             }
+            Effect::RecordHostOrders(pool, epoch, tx) => {
+                let (after_ms, outcome) = self.store_call(n, &tx);
+                self.reply(n, after_ms, Event::HostOrdersRecorded(pool, epoch, outcome));
+            }
             Effect::OrderHost(pool, epoch, host, task, _) => {
                 let reply = match task {
                     HostTask::Upkeep(wave) => self.upkeep(wave, &host),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -589,6 +589,6 @@
         Table::Owners => Some(Event::Owner(row)),
         Table::Intake => Some(Event::Intake(row)),
         Table::Waves => Some(Event::WaveRow(row)),
-        Table::Progress => None,
+        Table::Progress | Table::HostOrders => None,
     }
 }
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -138,6 +138,7 @@
             progress: of(Table::Progress, POOL),
             workers: self.workers.values().map(|w| w.fact.clone()).collect(),
             waves: of(Table::Waves, ""),
+            host_orders: of(Table::HostOrders, POOL),
         }
     }
 }
