Moves of hosts are sent only on fresh words

Orders go on record first now, one record at a time; one that waited for its record over half a second was sent although the pool had taken the host back and given it work. The same held for an unanswered move that was sent again 0.8 s later.

Ruled out: tasks placed on spare hosts (none is open while it is told as spare, or for 1.5 s after).

Change: a move is dropped when its record took 0.3 s or more; an unanswered move is sent again only while its pool gives the host away by a word of the last 0.8 s; a host that is wanted again serves 2.0 s later (was 1.5).

Tests, seen failing without the guards: hosts_late_record, hosts_old_word; hosts_recorded_first, hosts_former_holder.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -32,8 +32,12 @@
 /// Pause before an order to a host is sent again that got no answer.
 const RETRY_MS: Millis = 400;
 
-/// A heartbeat older than that moves nothing; less than [`super::sizing::WITHDRAW_MS`].
-pub const BEAT_FRESH_MS: Millis = 1_000;
+/// A heartbeat that was heard longer ago moves nothing. With [`MOVE_FRESH_MS`] and the 600 ms that a heartbeat
+/// may take here it stays under [`super::sizing::WITHDRAW_MS`].
+pub const BEAT_FRESH_MS: Millis = 800;
+
+/// A move that could not be put on record by then is not sent: what the heartbeat said may be true no more.
+pub const MOVE_FRESH_MS: Millis = 300;
 
 /// A move that is not seen in the list by then is forgotten. A move takes 2 s.
 const MOVE_MAX_MS: Millis = 6_000;
@@ -146,6 +150,19 @@
     pub epoch: u64,
 }
 
+impl Look<'_> {
+    /// Whether nobody needs a host where it is: its pool is parked, or gives it away by a fresh word.
+    fn is_given(&self, host: &str, record: Option<&HostRecord>, now_ms: Millis) -> bool {
+        let Some(record) = record else { return false };
+        let pool = self.config.pools.get(&record.pool);
+        let need = self.needs.iter().find(|need| need.pool == record.pool);
+        let is_spare = need.is_some_and(|need| {
+            now_ms < need.heard_ms + BEAT_FRESH_MS && need.spare.iter().any(|h| h == host)
+        });
+        pool.is_some_and(|p| p.is_parked) || is_spare
+    }
+}
+
 /// Looks at what hosts are to do.
 pub fn look(
     duty: &mut HostDuty,
@@ -162,7 +179,7 @@
     if !duty.is_ready || !ctx.may_send() || duty.list_asked_ms == 0 {
         return;
     }
-    settle_orders(duty, waves, with.epoch, ctx);
+    settle_orders(duty, waves, with, ctx);
     for wave in waves.values().filter(|w| !w.is_done) {
         order_upkeep(duty, wave, ctx);
     }
@@ -207,6 +224,11 @@
         let Some(order) = duty.orders.get_mut(&host) else {
             continue;
         };
+        let is_move = matches!(order.task, HostTask::Move(_));
+        if is_move && ctx.now.ms >= order.since_ms + MOVE_FRESH_MS {
+            duty.orders.remove(&host);
+            continue;
+        }
         order.is_recorded = true;
         order.since_ms = ctx.now.ms;
         order.again_ms = Some(ctx.now.ms + 2 * RETRY_MS);
@@ -225,7 +247,7 @@
 fn settle_orders(
     duty: &mut HostDuty,
     waves: &BTreeMap<u64, WaveKnown>,
-    epoch: u64,
+    with: &Look<'_>,
     ctx: &mut Ctx<'_>,
 ) {
     let now_ms = ctx.now.ms;
@@ -238,7 +260,11 @@
             HostTask::Move(to) => {
                 let is_there = record.is_some_and(|h| h.pool == *to && h.state == HostState::Up);
                 let is_done = order.again_ms.is_none() && is_listed_since && is_there;
-                !is_done && now_ms < order.since_ms + MOVE_MAX_MS
+                let is_due = order.again_ms.is_some_and(|at| now_ms >= at);
+                // Where its pool took the host back meanwhile, the order is not sent again.
+                let is_refuted =
+                    order.is_recorded && is_due && !with.is_given(host, record, now_ms);
+                !is_done && !is_refuted && now_ms < order.since_ms + MOVE_MAX_MS
             }
             HostTask::Upkeep(number) => {
                 let wave = waves.get(number);
@@ -256,7 +282,7 @@
         if let Some(order) = duty.orders.get_mut(&host) {
             order.again_ms = Some(now_ms + 2 * RETRY_MS);
         }
-        send(duty, &host, &task, epoch, ctx);
+        send(duty, &host, &task, with.epoch, ctx);
     }
     record_accepted(duty, waves, ctx);
 }
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -34,7 +34,7 @@
 const SETTLE_MS: Millis = 4_000;
 
 /// A host that is wanted again serves after so long: heartbeats older than that move nothing.
-pub const WITHDRAW_MS: Millis = 1_500;
+pub const WITHDRAW_MS: Millis = 2_000;
 
 /// Hosts that a pool keeps at the least.
 const HOSTS_MIN: u64 = 3;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -16,6 +16,7 @@
 mod test_drain;
 mod test_edge;
 mod test_fuzz;
+mod test_hosts;
 mod test_intake;
 mod test_jobs;
 mod test_load;
