--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -53,6 +53,29 @@
     }
 }
 
+/// Entries of the list lapse while the store is away, and come back with it: what runs goes on, and nothing new is
+/// placed on a worker that is not listed.
+#[test]
+fn sched_lapsed_entries() {
+    let mut world = World::new(18, 1, 2);
+    world.run(SETTLE_MS);
+    world.submit("lasts", lasting(2, 1));
+    world.run(2_000);
+    let facts: Vec<_> = world.lives().iter().map(|id| world.fact(id)).collect();
+    for fact in &facts {
+        world.tell(0, Event::Worker(WorkerWord::Gone(fact.id.clone())));
+    }
+    world.submit("a", job(1, 1_000, 200));
+    world.run(1_500);
+    assert_eq!((world.starts, world.running("lasts")), (2, 2));
+    for fact in facts {
+        world.tell(0, Event::Worker(WorkerWord::Present(fact)));
+    }
+    world.run(2_000);
+    assert_eq!(world.recorded("a"), JobState::Completed);
+    assert_eq!((world.starts, world.running("lasts")), (3, 2));
+}
+
 /// A gang of two that needs two workers, while one of them is busy for a while.
 #[test]
 fn sched_gang_at_once() {
