--- /dev/null
+++ b/tests/compare/main.rs
@@ -0,0 +1,237 @@
+//! Plays the same days with the same seeds on two checkouts in turn, and prints the paired differences.
+//!
+//! `cargo run --release --example compare -- --bench PATH --site FILE --before DIR --after DIR --why TEXT DAY...`
+
+mod paired;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::Mutex;
+
+use bpaf::{construct, long, positional, OptionParser, Parser};
+
+use paired::{Difference, Played, WORTH};
+
+/// Differences below this are not printed part by part.
+const SHOWN: f64 = 0.002;
+
+/// What is to be compared.
+#[derive(Clone, Debug)]
+struct Args {
+    bench: PathBuf,
+    site: PathBuf,
+    before: PathBuf,
+    after: PathBuf,
+    why: String,
+    seeds: u64,
+    first_seed: u64,
+    jobs: usize,
+    days: Vec<String>,
+}
+
+fn args() -> OptionParser<Args> {
+    let bench = long("bench")
+        .help("The bench's program")
+        .argument::<PathBuf>("PATH");
+    let site = long("site")
+        .help("The deployment")
+        .argument::<PathBuf>("FILE");
+    let before = long("before")
+        .help("Checkout to compare with")
+        .argument::<PathBuf>("DIR");
+    let after = long("after")
+        .help("Checkout that was changed")
+        .argument::<PathBuf>("DIR");
+    let why = long("why")
+        .help("A line for the journal")
+        .argument::<String>("TEXT");
+    let seeds = long("seeds")
+        .help("Seeds a day")
+        .argument::<u64>("N")
+        .fallback(3);
+    let first_seed = long("first-seed")
+        .help("The first of them")
+        .argument::<u64>("N")
+        .fallback(1);
+    let jobs = long("jobs")
+        .help("Days played at a time")
+        .argument::<usize>("N")
+        .fallback(4);
+    let days = positional::<String>("DAY")
+        .help("Days to play")
+        .some("a day");
+    construct!(Args {
+        bench,
+        site,
+        before,
+        after,
+        why,
+        seeds,
+        first_seed,
+        jobs,
+        days
+    })
+    .to_options()
+    .descr("Paired comparison of two checkouts by days of a deployment.")
+}
+
+/// One day with one seed on one of the checkouts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Play {
+    day: String,
+    seed: u64,
+    is_after: bool,
+}
+
+fn main() {
+    let args = args().run();
+    for dir in [&args.before, &args.after] {
+        let built = Command::new(&args.bench)
+            .arg("build")
+            .current_dir(dir)
+            .stdout(Stdio::null())
+            .status();
+        if !built.is_ok_and(|status| status.success()) {
+            eprintln!("compare: {} does not build", dir.display());
+            std::process::exit(1);
+        }
+    }
+    let mut plays = Vec::new();
+    for day in &args.days {
+        for seed in args.first_seed..args.first_seed + args.seeds {
+            for is_after in [true, false] {
+                let day = day.clone();
+                plays.push(Play {
+                    day,
+                    seed,
+                    is_after,
+                });
+            }
+        }
+    }
+    let played = play_all(&args, plays);
+    report(&args, &played);
+}
+
+fn play_all(args: &Args, plays: Vec<Play>) -> BTreeMap<Play, Played> {
+    let queue = Mutex::new(plays);
+    let played = Mutex::new(BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..args.jobs.max(1) {
+            scope.spawn(|| loop {
+                let Some(next) = queue.lock().ok().and_then(|mut q| q.pop()) else {
+                    return;
+                };
+                match play(args, &next) {
+                    Ok(day) => {
+                        if let Ok(mut played) = played.lock() {
+                            played.insert(next, day);
+                        }
+                    }
+                    Err(why) => eprintln!("compare: {next:?}: {why}"),
+                }
+            });
+        }
+    });
+    played.into_inner().unwrap_or_default()
+}
+
+fn play(args: &Args, play: &Play) -> Result<Played, String> {
+    let dir = if play.is_after {
+        &args.after
+    } else {
+        &args.before
+    };
+    let name = format!(
+        "compare-{}-{}-{}-{}.json",
+        std::process::id(),
+        play.day.replace('/', "_"),
+        play.seed,
+        play.is_after
+    );
+    let report = std::env::temp_dir().join(name);
+    let why = format!(
+        "{} ({})",
+        args.why,
+        if play.is_after { "after" } else { "before" }
+    );
+    let out = Command::new(&args.bench)
+        .arg("run")
+        .args([args.site.as_path(), Path::new(&play.day)])
+        .args(["--seed", &play.seed.to_string(), "--why", &why])
+        .arg("--report")
+        .arg(&report)
+        .current_dir(dir)
+        .output()
+        .map_err(|e| e.to_string())?;
+    let text = std::fs::read_to_string(&report).map_err(|e| {
+        let said = String::from_utf8_lossy(&out.stderr);
+        format!("{e}: {}", said.lines().last().unwrap_or_default())
+    })?;
+    let _ = std::fs::remove_file(&report);
+    Played::parse(&text).map_err(|e| e.to_string())
+}
+
+fn report(args: &Args, played: &BTreeMap<Play, Played>) {
+    println!(
+        "{:<28} {:>7} {:>7} {:>8} {:>7}",
+        "", "before", "after", "diff", "+-"
+    );
+    let mut all: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
+    for day in &args.days {
+        let mut worth = Vec::new();
+        let mut notes = Vec::new();
+        for (play, after) in played.iter().filter(|(p, _)| p.is_after && p.day == *day) {
+            let twin = Play {
+                is_after: false,
+                ..play.clone()
+            };
+            let Some(before) = played.get(&twin) else {
+                continue;
+            };
+            let names: BTreeSet<&String> =
+                before.figures.keys().chain(after.figures.keys()).collect();
+            for name in names {
+                let figure = |day: &Played| day.figures.get(name).copied().unwrap_or(0.0);
+                let pairs = all.entry(name).or_default();
+                pairs.push((figure(before), figure(after)));
+            }
+            worth.push((before.figures[WORTH], after.figures[WORTH]));
+            for (which, day) in [("before", before), ("after", after)] {
+                if !day.broken.is_empty() || day.short > 0 {
+                    let broken = day.broken.join(" ");
+                    notes.push(format!(
+                        "seed {} {which}: {broken} floors missed {}",
+                        play.seed, day.short
+                    ));
+                }
+            }
+        }
+        line(day, &worth);
+        for note in notes {
+            println!("    {note}");
+        }
+    }
+    for (name, pairs) in &all {
+        let is_large = Difference::new(pairs).is_some_and(|d| d.mean().abs() >= SHOWN);
+        if *name == WORTH || is_large {
+            line(&format!("all: {name}"), pairs);
+        }
+    }
+}
+
+fn line(name: &str, pairs: &[(f64, f64)]) {
+    let Some(d) = Difference::new(pairs) else {
+        println!("{name:<28} not played");
+        return;
+    };
+    println!(
+        "{name:<28} {:>7.3} {:>7.3} {:>+8.3} {:>7.3}  n={}",
+        d.before,
+        d.after,
+        d.mean(),
+        d.half_width,
+        pairs.len()
+    );
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,8 @@
 //! All tests, one module a feature; those that need processes run the real binaries.
 
 mod fleet;
+#[path = "compare/paired.rs"]
+mod paired;
 mod relay;
 mod table;
 mod world;
@@ -12,6 +14,7 @@
 mod test_chaos;
 mod test_commands;
 mod test_commit;
+mod test_compare;
 mod test_config;
 mod test_drain;
 mod test_edge;
