A host of a wave is back by the list only

The slot still named the life before the crash, so the next one, which the order was just ending, was taken for the host's return, and another host went out beside it. Ruled out: naming the life at the last sending. The list that tells it may be older than a second crash, and an order that was carried out without an answer would then name the life that is the return. Change: a slot is given back only by a list asked for after the order was known to be accepted; the list is read each 300 ms while a host is out (700 before). Slots and orders no longer name lives. Test: waves_crashed_host_is_out, failing before.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -71,8 +71,6 @@
     task: HostTask,
     /// It is on record that the host is ordered about: the order may be sent.
     is_recorded: bool,
-    /// The life on the host when the order went out first.
-    life: String,
     /// Sent again then; nothing once it was accepted.
     again_ms: Option<Millis>,
     /// When it was accepted, or first sent.
@@ -306,11 +304,9 @@
 
 /// Wants an order to a host; it goes out once it is on record.
 fn begin(duty: &mut HostDuty, host: &str, task: HostTask, ctx: &Ctx<'_>) {
-    let record = duty.list.iter().find(|h| h.host == host);
     let order = HostOrder {
         task,
         is_recorded: false,
-        life: record.map(|h| h.life.clone()).unwrap_or_default(),
         again_ms: Some(ctx.now.ms),
         since_ms: ctx.now.ms,
     };
@@ -344,9 +340,6 @@
                 order.task == HostTask::Upkeep(wave.order.wave) && order.again_ms.is_none();
             if let Some(slot) = row.out.get_mut(host).filter(|_| is_accepted) {
                 slot.is_ordered = true;
-                if !order.life.is_empty() {
-                    slot.life.clone_from(&order.life);
-                }
             }
         }
         if row != wave.row {
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -130,13 +130,11 @@
 /// A slot of a wave.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotRow {
-    /// Life of the worker that was on the host.
-    pub life: String,
     /// The pool whose owner took the slot.
     pub pool: String,
     /// Wall clock at that moment.
     pub taken_wall_ms: Millis,
-    /// The order was accepted: `life` has ended.
+    /// The order was accepted.
     #[serde(default)]
     pub is_ordered: bool,
 }
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -25,6 +25,9 @@
 /// How often the list of hosts is read while a wave runs.
 const HOSTS_MS: Millis = 700;
 
+/// The same while a host is out: only the list tells that it is back.
+const HOSTS_AWAY_MS: Millis = 300;
+
 /// What a host's turn takes: closing, upkeep, the list's lag. From runs on the users' sites.
 const TURN_MS: Millis = 6_500;
 
@@ -53,8 +56,8 @@
     Closing(Millis),
     /// It holds a slot, and waits for the order.
     Holding,
-    /// It is out since then; that life has ended.
-    Away(String, Millis),
+    /// It was ordered out, as is known since then.
+    Away(Millis),
 }
 
 /// A change of a wave's row that is out.
@@ -113,7 +116,12 @@
         return;
     }
     if ctx.now.ms >= duty.hosts_due_ms {
-        duty.hosts_due_ms = ctx.now.ms + HOSTS_MS;
+        let is_away = |(_, turn): &(u64, Turn)| matches!(turn, Turn::Away(_));
+        let pause_ms = match duty.turns.values().any(is_away) {
+            true => HOSTS_AWAY_MS,
+            false => HOSTS_MS,
+        };
+        duty.hosts_due_ms = ctx.now.ms + pause_ms;
         duty.hosts_asking_ms = ctx.now.ms;
         ctx.out.push(Effect::ReadHosts(ctx.pool, epoch));
     }
@@ -146,15 +154,6 @@
     }
 }
 
-/// The life on a host: by the list of workers, or by the list of hosts where workers are off.
-fn life_on(book: &Book, duty: &WaveDuty, host: &str) -> String {
-    if let Some(key) = book.worker_on(host) {
-        return book.workers[key].fact.id.clone();
-    }
-    let record = duty.hosts.iter().find(|h| h.host == host);
-    record.map(|h| h.life.clone()).unwrap_or_default()
-}
-
 fn advance(
     book: &mut Book,
     duty: &mut WaveDuty,
@@ -180,15 +179,13 @@
             }
             Turn::Closing(since_ms) => {
                 if clear(book, &host, since_ms, epoch, ctx) {
-                    take_slot(book, duty, wave, &host, pool, ctx);
+                    take_slot(duty, wave, &host, pool, ctx);
                 } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS {
                     reopen(book, duty, &host, "what lasts there could not move", ctx);
                 }
             }
             Turn::Holding => go_out(book, duty, wave, &host, ctx),
-            Turn::Away(life, since_ms) => {
-                give_back(book, duty, wave, &host, (&life, since_ms), ctx);
-            }
+            Turn::Away(since_ms) => give_back(duty, wave, &host, since_ms, ctx),
         }
     }
 }
@@ -298,14 +295,7 @@
         .push(Effect::SettleWave(ctx.pool, wave.order.wave, tx));
 }
 
-fn take_slot(
-    book: &Book,
-    duty: &mut WaveDuty,
-    wave: &WaveKnown,
-    host: &str,
-    pool: &str,
-    ctx: &mut Ctx<'_>,
-) {
+fn take_slot(duty: &mut WaveDuty, wave: &WaveKnown, host: &str, pool: &str, ctx: &mut Ctx<'_>) {
     let is_full = wave.row.out.len() >= wave.order.out_max;
     if duty.pending.is_some() || is_full || !ctx.may_send() {
         return;
@@ -317,7 +307,6 @@
             .push(Effect::TellWave(wave.order.wave, WaveState::Running));
     }
     let slot = SlotRow {
-        life: life_on(book, duty, host),
         pool: pool.to_string(),
         taken_wall_ms: ctx.now.wall_ms,
         is_ordered: false,
@@ -326,25 +315,20 @@
     settle(duty, wave, row, host, true, ctx);
 }
 
+/// Gives the slot of a host back that is up again by a list that was asked for after its order was accepted. A
+/// new life alone proves nothing: it may have come of a crash, with the upkeep still to follow.
 fn give_back(
-    book: &Book,
     duty: &mut WaveDuty,
     wave: &WaveKnown,
     host: &str,
-    (life, since_ms): (&str, Millis),
+    since_ms: Millis,
     ctx: &mut Ctx<'_>,
 ) {
-    if duty.pending.is_some() {
+    if duty.pending.is_some() || duty.hosts_asked_ms <= since_ms {
         return;
     }
     let record = duty.hosts.iter().find(|h| h.host == host);
-    // A host of a parked pool carries no life before and after: the list must be newer than the order.
-    let is_newer = duty.hosts_asked_ms > since_ms;
-    let is_listed_up = is_newer && record.is_some_and(|h| h.state == HostState::Up);
-    let has_new_life = book
-        .worker_on(host)
-        .is_some_and(|k| book.workers[k].fact.id != life);
-    if !is_listed_up && !has_new_life {
+    if record.is_none_or(|h| h.state != HostState::Up) {
         return;
     }
     let mut row = wave.row.clone();
@@ -369,9 +353,7 @@
     if !slot.is_ordered {
         return;
     }
-    // The order may have been carried out before, on another's word: only a new life shows that the one
-    // that is known here has ended.
-    let turn = Turn::Away(slot.life.clone(), ctx.now.ms);
+    let turn = Turn::Away(ctx.now.ms);
     duty.turns.insert(host.to_string(), (wave.order.wave, turn));
 }
 
--- /dev/null
+++ b/tests/test_waves.rs
@@ -0,0 +1,97 @@
+//! Waves of upkeep: whose host is out, and when it is back.
+
+use std::collections::BTreeMap;
+
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::load;
+use rockwick::core::sched::rows::{SlotRow, WaveRow};
+use rockwick::core::sched::state::{Effect, WaveKnown};
+use rockwick::core::sched::wave::{self, WaveDuty};
+use rockwick::port::fleet::{HostRecord, HostState, WaveOrder};
+
+use crate::decide::decide;
+use crate::world::{worker_fact, POOL};
+
+const HOST: &str = "host-1";
+
+/// A pool with one host, whose order to go for upkeep was accepted.
+struct Out {
+    book: Book,
+    duty: WaveDuty,
+    waves: BTreeMap<u64, WaveKnown>,
+    now_ms: u64,
+}
+
+impl Out {
+    fn new() -> Self {
+        let mut book = Book::default();
+        load::add_worker(&mut book, worker_fact("life-2", HOST), 0);
+        let slot = SlotRow {
+            pool: POOL.to_string(),
+            is_ordered: true,
+            ..SlotRow::default()
+        };
+        let wave = WaveKnown {
+            order: WaveOrder {
+                wave: 1,
+                hosts: vec![HOST.to_string()],
+                duration_ms: 60_000,
+                out_max: 1,
+            },
+            row: WaveRow {
+                out: BTreeMap::from([(HOST.to_string(), slot)]),
+                ..WaveRow::default()
+            },
+            ..WaveKnown::default()
+        };
+        Self {
+            book,
+            duty: WaveDuty::default(),
+            waves: BTreeMap::from([(1, wave)]),
+            now_ms: 10_000,
+        }
+    }
+
+    /// Looks for a second; whether the slot was given back.
+    fn look(&mut self) -> bool {
+        let mut is_given_back = false;
+        for _ in 0..10 {
+            self.now_ms += 100;
+            let effects = decide(self.now_ms, |ctx| {
+                wave::look(
+                    &mut self.book,
+                    &mut self.duty,
+                    &mut self.waves,
+                    POOL,
+                    7,
+                    ctx,
+                );
+            });
+            let is_settled = |e: &Effect| matches!(e, Effect::SettleWave(..));
+            is_given_back |= effects.iter().any(is_settled);
+        }
+        is_given_back
+    }
+
+    fn read(&mut self, state: HostState) {
+        let record = HostRecord {
+            host: HOST.to_string(),
+            pool: POOL.to_string(),
+            state,
+            life: "life-2".to_string(),
+        };
+        wave::hosts_read(&mut self.duty, vec![record]);
+    }
+}
+
+/// The host crashed while it held its slot, and the order met its next life, which is just ending: that life
+/// in the books must not count as the host's return, or another host goes out beside it.
+#[test]
+fn waves_crashed_host_is_out() {
+    let mut out = Out::new();
+    assert!(!out.look(), "nobody has seen the host up since its order");
+    out.read(HostState::Upkeep);
+    assert!(!out.look(), "the list says that it is out");
+    out.read(HostState::Up);
+    assert!(out.look(), "the list says that it is back");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,5 +1,6 @@
 //! All tests, one module a feature; those that need processes run the real binaries.
 
+mod decide;
 mod fleet;
 #[path = "compare/paired.rs"]
 mod paired;
@@ -22,6 +23,7 @@
 mod test_hosts;
 mod test_intake;
 mod test_jobs;
+mod test_links;
 mod test_load;
 mod test_model;
 mod test_place;
@@ -34,3 +36,4 @@
 mod test_soak;
 mod test_stop;
 mod test_times;
+mod test_waves;
--- a/tests/world/jobs.rs
+++ b/tests/world/jobs.rs
@@ -48,3 +48,21 @@
     spec.steps[0].away_max = Some(away_max);
     spec
 }
+
+/// A worker of 16 cores and 32 GB on a host, as the platform lists it.
+pub(crate) fn worker_fact(life: &str, host: &str) -> WorkerFact {
+    WorkerFact {
+        id: life.to_string(),
+        host: host.to_string(),
+        pool: POOL.to_string(),
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000)),
+        hall: "hall".to_string(),
+        labels: Vec::new(),
+        capacity: Capacity {
+            cpu_milli: 16_000,
+            mem_mb: 32_000,
+            gpu: 0,
+        },
+        draining: false,
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -25,7 +25,7 @@
     StoredRow, Table, TaskName, TxOutcome, WaveOrder, WaveState, WorkerFact, WorkerWord,
 };
 
-pub(crate) use jobs::{config, job, lasting};
+pub(crate) use jobs::{config, job, lasting, worker_fact};
 
 /// The only pool.
 pub(crate) const POOL: &str = "pool";
