Open connections that fall silent cost one timeout, not one each

Each kept connection of a client then cost its user a timeout of its own: up to four of 400 to 800 ms in a row to one worker or to the store, longer than an owner's lease. Ruled out: a cheap call over each of the others first; a new connection is as cheap and proves as much. Keep-alives of the kernel: one second at the least, no better than the calls' own bounds. Change: a timeout on a kept connection closes the others to that address that nobody uses; those in use have bounds of their own. Answers to callers that read nothing are given up after 10 s (they were never).

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -134,6 +134,12 @@
                 let wire = self.connect(deadline).await?;
                 self.carry(&wire, again, deadline).await
             }
+            // A path may drop what is sent on its open connections while new ones work: the others of this
+            // pool would each cost a caller one more timeout.
+            Err(Trouble::Timeout(_)) if reused => {
+                self.forget_idle();
+                result
+            }
             other => other,
         }
     }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -32,6 +32,10 @@
     }
 }
 
+/// For handing an answer to the connection: a peer that reads nothing for so long gets no more of it. As long
+/// as a request's head may take by default.
+const ANSWER_MS: u64 = 10_000;
+
 /// How often a connection that waits is looked at.
 const LOOK_MS: u64 = 500;
 
@@ -197,7 +201,11 @@
         .read_to_end(&mut bytes)
         .await?;
     let mut out = wire.clone();
-    out.write_all(&bytes).await
+    let late = async {
+        Timer::after(Duration::from_millis(ANSWER_MS)).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    out.write_all(&bytes).or(late).await
 }
 
 /// Reads on for a moment after the last answer: closing at once over unread bytes would reset the
