An entry that sees its own claim in the feed owns the pool

Change: the tenure begins when the feed brings the claim, from the time at which the first claim of open fate was sent. With it, two more: - a claim that is answered after the entry was told to stop was held until the process ended; it is released at once now; - rows that are read again within a tenure made a new HostDuty and dropped the orders that were out; what a former holder left is taken in once. Ruled out: reading the row back after an unknown answer; the feed tells it anyway. Tests, failing before: sched_claim_unanswered, sched_stop_while_claiming, sched_reload_keeps_host_orders.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -124,6 +124,16 @@
         duty
     }
 
+    /// Whether what the former holder left is known.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
+    /// Whether an order to this host is out, or about to be.
+    pub fn has_order(&self, host: &str) -> bool {
+        self.orders.contains_key(host)
+    }
+
     fn is_quiet(&self, host: &str, now_ms: Millis) -> bool {
         now_ms < self.all_quiet_ms || self.quiet.get(host).is_some_and(|until| now_ms < *until)
     }
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -104,7 +104,7 @@
                 hosts::list_read(duty, list);
             });
         }
-        Event::Stop => stop(state, now, &mut out),
+        Event::Stop => state.is_stopping = true,
     }
     fire_timers(state, now, &mut out);
     settle_pools(state, now, &mut out);
@@ -190,6 +190,7 @@
         if is_newer && !is_ours {
             seat::lose(pool, "another entry owns it", ctx);
         }
+        seat::begin_if_claimed(pool, nonce, ctx);
         let is_free = pool.seat.owner.entry.is_empty() || pool.seat.owner.entry == me;
         if pool.tenure.is_none() && is_free {
             ctx.after(0, Timer::Claim);
@@ -242,7 +243,9 @@
             return;
         };
         let is_same_holder = pool.seat.claim_after == ctx.me;
-        tenure.hosts = hosts::HostDuty::new(&rows.host_orders, is_same_holder, ctx);
+        if !tenure.hosts.is_ready() {
+            tenure.hosts = hosts::HostDuty::new(&rows.host_orders, is_same_holder, ctx);
+        }
         let times = pool.seat.beat.times.clone();
         let mut book = load::build(&name, epoch, tenure.began_ms, times, rows, facts, ctx);
         for row in std::mem::take(&mut tenure.early) {
@@ -352,17 +355,6 @@
     });
 }
 
-fn stop(state: &mut State, now: Now, out: &mut Vec<Effect>) {
-    state.is_stopping = true;
-    for key in owned_pools(state) {
-        with_pool(state, key, now, out, |pool, _, _| {
-            if let Some(tenure) = &mut pool.tenure {
-                tenure.is_leaving = true;
-            }
-        });
-    }
-}
-
 fn fire_timers(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     while let Some((at_ms, key, timer)) = state.timers.first().copied() {
         if at_ms > now.ms {
@@ -524,13 +516,14 @@
 
 /// What follows from any event: places for what waits, the next batch, a pool that is given up.
 fn settle_pools(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let is_stopping = state.is_stopping;
     for key in owned_pools(state) {
         with_pool(state, key, now, out, |pool, ctx, _| {
             let name = pool.name.clone();
             let Some(tenure) = &mut pool.tenure else {
                 return;
             };
-            if tenure.is_leaving {
+            if is_stopping {
                 if tenure.batch.is_none() {
                     seat::release(pool, ctx);
                 }
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -9,7 +9,7 @@
     OWNER_MARGIN_MS, RENEW_MS, TX_RETRY_MS,
 };
 use super::rows::{self, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY};
-use super::state::{Ctx, Effect, Pool, State, Tenure, Timer};
+use super::state::{Ctx, Effect, Pool, Tenure, Timer};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, TxOutcome, Write};
@@ -34,6 +34,10 @@
     pub claim_after: String,
     /// When that owner was last heard.
     pub claim_after_ms: Millis,
+    /// When the first of our claims was sent whose fate is open.
+    pub claim_open_ms: Option<Millis>,
+    /// Epoch of our last tenure.
+    pub held_epoch: Revision,
     /// Start of our last renewal that was acknowledged.
     pub renewed_ms: Millis,
     /// A renewal of ours is out.
@@ -156,6 +160,7 @@
         ],
     };
     pool.seat.is_claiming = true;
+    pool.seat.claim_open_ms.get_or_insert(ctx.now.ms);
     pool.seat.claim_after = pool.seat.owner.entry.clone();
     pool.seat.claim_after_ms = pool.seat.beat_seen_ms;
     ctx.out.push(Effect::Claim(ctx.pool, tx));
@@ -207,25 +212,42 @@
     ctx: &mut Ctx<'_>,
 ) {
     pool.seat.is_claiming = false;
-    let epoch = match outcome {
-        TxOutcome::Committed(revision) => Some(revision),
+    match outcome {
+        TxOutcome::Committed(revision) => begin(pool, revision, sent_ms, nonce, ctx),
         TxOutcome::Conflict(found) => {
             for (_, row) in &found {
                 // An undecodable row was logged when the feed brought it.
                 let _ = observe(pool, row, ctx.now.ms);
             }
-            let is_ours = pool.seat.owner.entry == ctx.me && pool.seat.owner.nonce == nonce;
-            is_ours.then_some(pool.seat.epoch)
+            begin_if_claimed(pool, nonce, ctx);
+            // Whatever earlier claim was on its way, its condition holds no more.
+            pool.seat.claim_open_ms = None;
         }
-        TxOutcome::Refused | TxOutcome::Unknown => None,
-    };
-    match epoch {
-        Some(epoch) => begin(pool, epoch, sent_ms, nonce, ctx),
-        None => ctx.after(TX_RETRY_MS, Timer::Claim),
+        TxOutcome::Refused | TxOutcome::Unknown => {}
+    }
+    if pool.tenure.is_none() {
+        ctx.after(TX_RETRY_MS, Timer::Claim);
     }
 }
 
+/// Begins the tenure of a claim of ours that is seen in the store, its answer lost or still on its way.
+pub fn begin_if_claimed(pool: &mut Pool, nonce: u64, ctx: &mut Ctx<'_>) {
+    let seat = &pool.seat;
+    let is_ours = seat.owner.entry == ctx.me && seat.owner.nonce == nonce;
+    let is_begun = pool.tenure.is_some() || seat.epoch <= seat.held_epoch;
+    let Some(sent_ms) = seat.claim_open_ms.filter(|_| is_ours && !is_begun) else {
+        return;
+    };
+    begin(pool, seat.epoch, sent_ms, nonce, ctx);
+}
+
 fn begin(pool: &mut Pool, epoch: u64, sent_ms: Millis, nonce: u64, ctx: &mut Ctx<'_>) {
+    pool.seat.claim_open_ms = None;
+    if epoch <= pool.seat.held_epoch {
+        // The feed was faster than the answer.
+        return;
+    }
+    pool.seat.held_epoch = epoch;
     let silent_ms = sent_ms.saturating_sub(pool.seat.claim_after_ms);
     let why = format!("before: {:?}", pool.seat.claim_after);
     ctx.tell(
@@ -247,7 +269,6 @@
         removing: Vec::new(),
         removable: Vec::new(),
         early: Vec::new(),
-        is_leaving: false,
         began_ms: ctx.now.ms,
         duty: Default::default(),
         sizing: Default::default(),
@@ -255,7 +276,8 @@
     });
     ctx.out
         .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
-    ctx.after(RENEW_MS, Timer::Renew);
+    let passed_ms = ctx.now.ms.saturating_sub(sent_ms);
+    ctx.after(RENEW_MS.saturating_sub(passed_ms), Timer::Renew);
 }
 
 /// Renews the lease.
@@ -321,8 +343,3 @@
     );
     ctx.after(OWNER_LEASE_MS, Timer::Claim);
 }
-
-/// Whether this entry's lease on the pool is running.
-pub fn is_live(state: &State, pool: &Pool, now_ms: Millis) -> bool {
-    pool.tenure.is_some() && pool.seat.owner.entry == state.me && now_ms < pool.seat.until_ms()
-}
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -37,8 +37,6 @@
     pub removable: Vec<JobKey>,
     /// Changes of jobs that came while the books were being read.
     pub early: Vec<StoredRow>,
-    /// It gives the pool up as soon as nothing is out.
-    pub is_leaving: bool,
     /// When the pool was claimed; everything a former owner sent came before.
     pub began_ms: Millis,
     /// What it does for waves.
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -1,10 +1,12 @@
 //! The scheduler on a made-up clock: one fault at a time.
 
+use rockwick::clock::Now;
 use rockwick::core::sched::job::JobState;
-use rockwick::core::sched::state::Event;
-use rockwick::port::fleet::WorkerWord;
+use rockwick::core::sched::reduce;
+use rockwick::core::sched::state::{Effect, Event, PoolKey, State};
+use rockwick::port::fleet::{OperatorWord, TxOutcome, WorkerWord};
 
-use crate::world::{job, lasting, World, POOL};
+use crate::world::{config, job, lasting, World, POOL};
 
 /// Long enough for owners to be found, and for a lease and a takeover to pass.
 const SETTLE_MS: u64 = 8_000;
@@ -127,6 +129,56 @@
     assert_eq!(owner(&world), Some(before), "its earlier process has ended");
 }
 
+/// The store did what it was told, and its answer was lost: the feed brings the entry its own claim.
+#[test]
+fn sched_claim_unanswered() {
+    let mut world = World::new(19, 1, 2);
+    world.claims_unanswered = 1;
+    world.run(300);
+    assert_eq!(owner(&world), Some(0), "it has seen its own claim");
+    world.submit("a", job(2, 1_000, 200));
+    world.run(2_000);
+    assert_eq!(world.recorded("a"), JobState::Completed);
+}
+
+/// A claim that is answered after the entry was told to stop is given up at once.
+#[test]
+fn sched_stop_while_claiming() {
+    let mut state = State::new("entry", 7);
+    let now = |ms| Now { ms, wall_ms: ms };
+    let word = OperatorWord::Config(config(1));
+    reduce(&mut state, Event::Operator(word), now(10));
+    let effects = reduce(&mut state, Event::Tick, now(2_500));
+    let is_claim = |e: &Effect| matches!(e, Effect::Claim(..));
+    assert!(effects.iter().any(is_claim), "{effects:?}");
+    reduce(&mut state, Event::Stop, now(2_510));
+    let claimed = Event::Claimed(PoolKey(0), 2_500, TxOutcome::Committed(5));
+    let effects = reduce(&mut state, claimed, now(2_520));
+    let is_release = |e: &Effect| matches!(e, Effect::Release(..));
+    assert!(effects.iter().any(is_release), "{effects:?}");
+}
+
+/// Rows that are read again within a tenure tell an owner nothing of its own orders to hosts.
+#[test]
+fn sched_reload_keeps_host_orders() {
+    let mut world = World::new(20, 1, 4);
+    world.run(SETTLE_MS);
+    world.is_host_deaf = true;
+    world.wave(1, 60_000, 1);
+    world.run(1_000);
+    let ordered = |world: &World| {
+        let pool = world.owner().and_then(|s| s.pool(POOL));
+        let tenure = pool.and_then(|p| p.tenure.as_ref());
+        let hosts = (0..4).map(|n| format!("host-{n}"));
+        let mut out = hosts.filter(|host| tenure.is_some_and(|t| t.hosts.has_order(host)));
+        out.next()
+    };
+    let before = ordered(&world);
+    assert!(before.is_some(), "an order is out");
+    world.reload(0);
+    assert_eq!(ordered(&world), before);
+}
+
 #[test]
 fn sched_wave_goes_on() {
     let mut world = World::new(15, 3, 6);
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -1,5 +1,6 @@
 //! Carries an entry's effects out, with whatever may befall them.
 
+use super::store::STORE_TIMEOUT_MS;
 use super::*;
 
 impl World {
@@ -11,7 +12,11 @@
         match effect {
             Effect::Claim(pool, tx) => {
                 let sent_ms = self.now_ms;
-                let (after_ms, outcome) = self.store_call(n, &tx);
+                let (mut after_ms, mut outcome) = self.store_call(n, &tx);
+                if self.claims_unanswered > 0 {
+                    self.claims_unanswered -= 1;
+                    (after_ms, outcome) = (STORE_TIMEOUT_MS, TxOutcome::Unknown);
+                }
                 self.reply(n, after_ms, Event::Claimed(pool, sent_ms, outcome));
             }
             Effect::Renew(pool, epoch, tx) => {
@@ -106,6 +111,7 @@
             }
             Effect::OrderHost(pool, epoch, host, task, _) => {
                 let reply = match task {
+                    _ if self.is_host_deaf => HostReply::Silent,
                     HostTask::Upkeep(wave) => self.upkeep(wave, &host),
                     HostTask::Move(_) => HostReply::Wrong,
                 };
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -18,7 +18,7 @@
 use rockwick::core::sched::job::{JobSpec, JobState, StepSpec};
 use rockwick::core::sched::reduce;
 use rockwick::core::sched::rows::{self, cancel_key, intake_part, pool_of_part, ProgressRow};
-use rockwick::core::sched::state::{Effect, Event, LoadedRows, State};
+use rockwick::core::sched::state::{Effect, Event, LoadedRows, PoolKey, State};
 use rockwick::port::fleet::{
     Capacity, EndKind, FleetConfig, HoldAsk, HoldReport, HostRecord, HostReply, HostState,
     OperatorWord, OrderReply, PoolConfig, QueueConfig, RowTx, RunEnd, RunStart, RunningTask,
@@ -162,6 +162,10 @@
     pub(crate) upkept: HashMap<u64, HashSet<String>>,
     /// Runs started, for progress in tests.
     pub(crate) starts: u64,
+    /// So many claims take effect without an answer.
+    pub(crate) claims_unanswered: u32,
+    /// Orders to hosts get no answer, and are not carried out.
+    pub(crate) is_host_deaf: bool,
     /// A worker on which all runs fail.
     pub(crate) bad_worker: Option<String>,
     /// Most hosts that were out at a time.
@@ -198,6 +202,8 @@
             waves_done: HashSet::new(),
             upkept: HashMap::new(),
             starts: 0,
+            claims_unanswered: 0,
+            is_host_deaf: false,
             bad_worker: None,
             out_most: 0,
             revision: 1,
@@ -575,6 +581,15 @@
         states.into_iter().find(|s| s.owned() > 0)
     }
 
+    /// An entry reads the rows of its pool again, within the same tenure.
+    pub(crate) fn reload(&mut self, n: usize) {
+        let state = self.entries[n].state.as_ref();
+        let tenure = state.and_then(|s| s.pool(POOL)?.tenure.as_ref());
+        let epoch = tenure.expect("it owns the pool").epoch;
+        let rows = self.rows();
+        self.tell(n, Event::Loaded(PoolKey(0), epoch, Some(rows)));
+    }
+
     /// How a job stands in its owner's books, for messages.
     pub(crate) fn describe(&self, id: &str) -> String {
         let pool = self.owner().and_then(|s| s.pool(POOL));
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A call that got no answer is given up after so long.
+pub(super) const STORE_TIMEOUT_MS: u64 = 800;
+
 impl World {
     pub(super) fn put(&mut self, table: Table, part: &str, key: &str, value: Vec<u8>) {
         self.revision += 1;
@@ -104,9 +107,8 @@
 
     /// Sends a transaction with whatever may befall it.
     pub(super) fn store_call(&mut self, n: usize, tx: &RowTx) -> (u64, TxOutcome) {
-        const TIMEOUT_MS: u64 = 800;
         if self.entries[n].cut_until_ms > self.now_ms {
-            return (TIMEOUT_MS, TxOutcome::Unknown);
+            return (STORE_TIMEOUT_MS, TxOutcome::Unknown);
         }
         if self.chance(self.faults.store_lost) {
             if self.chance(500) {
@@ -115,7 +117,7 @@
                 let late_ms = self.rng.u64(1_000..6_000);
                 self.at(late_ms, Happening::Apply(tx.clone()));
             }
-            return (TIMEOUT_MS, TxOutcome::Unknown);
+            return (STORE_TIMEOUT_MS, TxOutcome::Unknown);
         }
         let outcome = self.transact(tx);
         (self.delay() + 4, outcome)
