--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -78,8 +78,13 @@
     /// Sends a signal to its process, if one runs.
     pub(crate) fn signal(&mut self, signal: Signal) {
         let Some(child) = &self.child else { return };
-        if signal == Signal::SIGTERM {
-            self.told_to_stop.get_or_insert_with(Instant::now);
+        match signal {
+            Signal::SIGTERM => {
+                self.told_to_stop.get_or_insert_with(Instant::now);
+            }
+            // It could not see the signal while it stood still: its time runs from now on.
+            Signal::SIGCONT => self.told_to_stop = self.told_to_stop.map(|_| Instant::now()),
+            _ => {}
         }
         // It may have ended by itself: `ended` finds that out.
         let _ = kill(Pid::from_raw(child.id() as i32), signal);
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -9,6 +9,9 @@
 use super::Stage;
 use standin::fleet::{OrderFault, StoreFault};
 
+/// With one in so many faults, all open connections go silent, too: a few times in a day of 10 s.
+const SILENCE_ONE_IN: u32 = 6;
+
 /// What ends a fault.
 #[derive(Clone, Copy, Debug)]
 enum Undo {
@@ -23,6 +26,8 @@
 /// Faults that are under way.
 pub(crate) struct Faults {
     rng: Rng,
+    /// Draws of their own: seeds that failed before there were such faults play the others as they did.
+    silences: Rng,
     due: Vec<(Instant, Undo)>,
     killed: Vec<bool>,
     /// What happened, a line each.
@@ -36,6 +41,7 @@
     pub(crate) fn new(seed: u64, entries: usize) -> Self {
         Self {
             rng: Rng::with_seed(seed),
+            silences: Rng::with_seed(!seed),
             due: Vec::new(),
             killed: vec![false; entries],
             told: Vec::new(),
@@ -68,6 +74,9 @@
     pub(crate) fn strike(&mut self, stage: &mut Stage) {
         let n = self.rng.usize(..stage.entries.len());
         let ms = self.rng.u64(200..5_000);
+        if self.silences.u32(..SILENCE_ONE_IN) == 0 {
+            self.deafen(stage);
+        }
         match self.rng.u32(..13) {
             0 => self.kill(stage, n, ms),
             1 => {
@@ -153,6 +162,16 @@
         self.later(ms, Undo::MendWorkerPath(host));
     }
 
+    /// Every connection that is open between entries, the store and workers falls silent for good.
+    fn deafen(&mut self, stage: &mut Stage) {
+        stage.calm.disturb_all(0);
+        let paths = stage.store_paths.iter().chain(&stage.workers);
+        for path in paths {
+            path.set(Trouble::Deaf);
+        }
+        self.tell("all open connections go silent".to_string());
+    }
+
     fn store(&mut self, stage: &mut Stage, ms: u64) {
         let fault = match self.rng.u32(..5) {
             0 => StoreFault::Busy,
--- a/standin/src/soak/proxy.rs
+++ b/standin/src/soak/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP relay on loopback whose connections can be delayed, reset, silenced or cut one way.
+//! A TCP relay on loopback whose connections can be delayed, reset, silenced, cut one way or made deaf.
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -29,6 +29,8 @@
     OneWay,
     /// Connections are closed as soon as something moves on them, new ones at once.
     Reset,
+    /// Connections that are open now never pass anything on again; new ones work.
+    Deaf,
 }
 
 impl Trouble {
@@ -39,6 +41,7 @@
             Trouble::Silence => 1,
             Trouble::OneWay => 2,
             Trouble::Reset => 3,
+            Trouble::Deaf => 4,
             Trouble::Delay(ms) => 16 + ms,
         }
     }
@@ -49,6 +52,7 @@
             1 => Trouble::Silence,
             2 => Trouble::OneWay,
             3 => Trouble::Reset,
+            4 => Trouble::Deaf,
             ms => Trouble::Delay(ms - 16),
         }
     }
@@ -60,6 +64,8 @@
     /// Where it takes connections.
     pub(crate) address: SocketAddr,
     trouble: Arc<AtomicU64>,
+    /// Rises each time that the connections open at that moment go deaf.
+    generation: Arc<AtomicU64>,
     open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -70,6 +76,7 @@
         let proxy = Self {
             address: listener.get_ref().local_addr()?,
             trouble: Arc::default(),
+            generation: Arc::default(),
             open: Arc::default(),
         };
         let relay = proxy.clone();
@@ -96,6 +103,9 @@
 
     /// Brings trouble, or ends it with [`Trouble::None`].
     pub(crate) fn set(&self, trouble: Trouble) {
+        if trouble == Trouble::Deaf {
+            self.generation.fetch_add(1, Ordering::SeqCst);
+        }
         self.trouble.store(trouble.encode(), Ordering::SeqCst);
         if trouble != Trouble::Reset {
             return;
@@ -116,8 +126,9 @@
                 self.held().push(clone);
             }
         }
-        let there = self.pump(&from, &to, false);
-        let back = self.pump(&to, &from, true);
+        let born = self.generation.load(Ordering::SeqCst);
+        let there = self.pump(&from, &to, false, born);
+        let back = self.pump(&to, &from, true, born);
         smol::future::or(there, back).await;
         // One side is done: so is the other.
         let _ = from.get_ref().shutdown(std::net::Shutdown::Both);
@@ -126,11 +137,11 @@
         self.held().retain(|s| !closed(s));
     }
 
-    async fn pump(&self, from: &Async<TcpStream>, to: &Async<TcpStream>, is_back: bool) {
+    async fn pump(&self, from: &Async<TcpStream>, to: &Async<TcpStream>, is_back: bool, born: u64) {
         let (mut from, mut to) = (from, to);
         let mut piece = vec![0; PIECE_BYTES];
         while let Ok(n) = from.read(&mut piece).await {
-            if n == 0 || !self.let_through(is_back).await {
+            if n == 0 || !self.let_through(is_back, born).await {
                 return;
             }
             if to.write_all(&piece[..n]).await.is_err() {
@@ -139,11 +150,16 @@
         }
     }
 
-    /// Waits as the trouble asks for; says whether the connection lives on.
-    async fn let_through(&self, is_back: bool) -> bool {
+    /// Waits as the trouble asks for; says whether the connection lives on. A deaf one waits for ever: whoever
+    /// closes it first ends both ways.
+    async fn let_through(&self, is_back: bool, born: u64) -> bool {
         loop {
+            if self.generation.load(Ordering::SeqCst) != born {
+                Timer::after(Duration::from_millis(LOOK_MS)).await;
+                continue;
+            }
             match self.trouble() {
-                Trouble::None => return true,
+                Trouble::None | Trouble::Deaf => return true,
                 Trouble::Reset => return false,
                 Trouble::OneWay if !is_back => return true,
                 Trouble::Delay(ms) => {
