--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -70,7 +70,7 @@
     if !is_duty_pool {
         return false;
     }
-    let needs: Vec<PoolNeed> = state.pools.iter().map(need).collect();
+    let needs: Vec<PoolNeed> = state.pools.iter().map(PoolNeed::of).collect();
     let mut waves = std::mem::take(&mut state.waves);
     with_pool(state, key, now, out, |pool, ctx, facts| {
         let Some(tenure) = &mut pool.tenure else {
@@ -88,18 +88,6 @@
     true
 }
 
-/// What a pool's owner said of its size.
-pub(super) fn need(pool: &Pool) -> PoolNeed {
-    let beat = &pool.seat.beat;
-    PoolNeed {
-        pool: pool.name.clone(),
-        wanted: beat.wanted,
-        needed: beat.needed,
-        spare: beat.spare.clone(),
-        heard_ms: pool.seat.beat_seen_ms,
-    }
-}
-
 /// Runs `work` on what an owner does for waves; it is given the epoch and the pool's name, too.
 pub(super) fn with_duty(
     state: &mut State,
@@ -140,6 +128,7 @@
     state.pools.push(Pool {
         name: name.to_string(),
         seat,
+        offers: Default::default(),
         tenure: None,
     });
     state.pool_keys.insert(name.to_string(), key);
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -1,14 +1,15 @@
 //! Orders to hosts, all from one entry: the owner of one pool carries them out for the fleet.
 //!
 //! Two holders must not order one host about in turn, so neither pools' owners nor anybody else sends
-//! such orders. Owners say in their heartbeats what they want and can spare, and in a wave's row which
-//! host holds a slot; this entry moves hosts and takes them down.
+//! such orders. Owners say in their heartbeats what they want, in a row of offers which hosts they can spare,
+//! and in a wave's row which host holds a slot; this entry moves hosts and takes them down.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::offers::{Offers, OffersRow, Taken};
 use super::rows::{self, HostOrdersRow, WaveRow, HOST_ORDERS_KEY};
-use super::seat::epoch_guard;
-use super::state::{Ctx, Effect, Timer, WaveKnown};
+use super::seat::{epoch_guard, FormerOrders};
+use super::state::{Ctx, Effect, Pool, Timer, WaveKnown};
 use super::wave;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -25,25 +26,26 @@
 /// How often the list of hosts is read.
 const LIST_MS: Millis = 600;
 
-/// After a change of the entry that orders hosts, the new one leaves those alone for so long that the former
-/// one ordered last: the pages bound orders of two holders in turn by 3 s.
-const QUIET_MS: Millis = 3_300;
+/// Orders of two entries to one host are kept so far apart: the platform's pages bound them by 3 s, an order's
+/// way and a late timer on top.
+pub const ORDERS_APART_MS: Millis = 3_300;
 
 /// Pause before an order to a host is sent again that got no answer.
 const RETRY_MS: Millis = 400;
 
-/// A heartbeat that was heard longer ago moves nothing. With [`MOVE_FRESH_MS`] and the 600 ms that a heartbeat
-/// may take here it stays under [`super::sizing::WITHDRAW_MS`].
-pub const BEAT_FRESH_MS: Millis = 800;
+/// What a pool needs counts for so long after its owner was last heard: a lease and the time that a new owner
+/// takes to read the rows.
+pub const NEED_KEPT_MS: Millis = 3_000;
 
-/// A move that could not be put on record by then is not sent: what the heartbeat said may be true no more.
-pub const MOVE_FRESH_MS: Millis = 300;
+/// A move that could not be put on record, or whose host could not be taken, is given up by then: both take one
+/// answer of the store, 300 ms each on the users' slow days.
+const UNSENT_MAX_MS: Millis = 2_000;
 
 /// A move that is not seen in the list by then is forgotten. A move takes 2 s.
 const MOVE_MAX_MS: Millis = 6_000;
 
 /// What a pool's owner says of its size.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct PoolNeed {
     /// The pool.
     pub pool: String,
@@ -51,12 +53,31 @@
     pub wanted: u64,
     /// Hosts that its work needs now.
     pub needed: u64,
-    /// Hosts that it can spare.
-    pub spare: Vec<String>,
-    /// When that was heard.
+    /// Hosts that are to leave it.
+    pub offers: Offers,
+    /// When its owner was last heard.
     pub heard_ms: Millis,
 }
 
+impl PoolNeed {
+    /// As this entry has heard of the pool.
+    pub fn of(pool: &Pool) -> Self {
+        Self {
+            pool: pool.name.clone(),
+            wanted: pool.seat.beat.wanted,
+            needed: pool.seat.beat.needed,
+            offers: pool.offers.clone(),
+            heard_ms: pool.seat.beat_seen_ms,
+        }
+    }
+
+    /// Whether the host is to leave this pool.
+    fn gives(&self, host: &str) -> bool {
+        let row = &self.offers.row;
+        row.offered.contains_key(host) || row.taken.contains_key(host)
+    }
+}
+
 /// What a host is to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostTask {
@@ -69,8 +90,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct HostOrder {
     task: HostTask,
-    /// It is on record that the host is ordered about: the order may be sent.
+    /// The pool that offers the host, until it is taken.
+    offered_by: Option<String>,
+    /// It is on record that the host is ordered about.
     is_recorded: bool,
+    /// The order went out; before, the host was taken and the order put on record.
+    is_sent: bool,
     /// Sent again then; nothing once it was accepted.
     again_ms: Option<Millis>,
     /// When it was accepted, or first sent.
@@ -88,6 +113,8 @@
     pending: Option<(u64, WaveRow)>,
     /// Hosts that are being put on record.
     recording: Option<BTreeSet<String>>,
+    /// Changes of offers that are out, by pool.
+    taking: BTreeMap<String, OffersRow>,
     /// When hosts were last ordered about by this entry.
     sent_ms: BTreeMap<String, Millis>,
     /// What the former holder left is known.
@@ -100,7 +127,12 @@
 
 impl HostDuty {
     /// The duty as a former holder left it; the same holder need not leave any host alone.
-    pub fn new(rows: &[StoredRow], is_same_holder: bool, ctx: &mut Ctx<'_>) -> Self {
+    pub fn new(
+        rows: &[StoredRow],
+        former: &FormerOrders,
+        is_same_holder: bool,
+        ctx: &mut Ctx<'_>,
+    ) -> Self {
         let mut duty = Self {
             is_ready: true,
             ..Self::default()
@@ -108,22 +140,36 @@
         if is_same_holder {
             return duty;
         }
-        let until_ms = ctx.now.ms + QUIET_MS;
+        let over_ms = former.over_ms + ORDERS_APART_MS;
         for row in rows {
             let value = row.value.as_deref().unwrap_or_default();
             match rows::decode::<HostOrdersRow>(value) {
                 Ok(row) => duty
                     .quiet
-                    .extend(row.hosts.into_iter().map(|host| (host, until_ms))),
+                    .extend(row.hosts.into_iter().map(|host| (host, over_ms))),
                 Err(e) => {
-                    duty.all_quiet_ms = until_ms;
+                    duty.all_quiet_ms = over_ms;
                     ctx.tell(Decision::new(Code::BadRow, Subject::Host, &row.key, e));
                 }
             }
         }
+        // Of those that it named in a heartbeat, the time of the order is known better.
+        let told = former.told_ms.iter();
+        duty.quiet
+            .extend(told.map(|(host, at_ms)| (host.clone(), at_ms + ORDERS_APART_MS)));
         duty
     }
 
+    /// Hosts that were ordered about of late, by this entry or a former holder, and the latest time of that.
+    pub fn ordered_ms(&self, now_ms: Millis) -> BTreeMap<String, Millis> {
+        let quiet = self.quiet.iter().filter(|(_, until)| now_ms < **until);
+        let former = quiet.map(|(host, until)| (host, until.saturating_sub(ORDERS_APART_MS)));
+        let mut all: BTreeMap<String, Millis> =
+            former.map(|(host, at_ms)| (host.clone(), at_ms)).collect();
+        all.extend(self.sent_ms.iter().map(|(host, at)| (host.clone(), *at)));
+        all
+    }
+
     /// Whether what the former holder left is known.
     pub fn is_ready(&self) -> bool {
         self.is_ready
@@ -159,15 +205,14 @@
 }
 
 impl Look<'_> {
-    /// Whether nobody needs a host where it is: its pool is parked, or gives it away by a fresh word.
-    fn is_given(&self, host: &str, record: Option<&HostRecord>, now_ms: Millis) -> bool {
+    /// Whether nobody may need a host where it is: its pool is parked, or it was taken from it.
+    fn is_given(&self, host: &str, record: Option<&HostRecord>) -> bool {
         let Some(record) = record else { return false };
         let pool = self.config.pools.get(&record.pool);
         let need = self.needs.iter().find(|need| need.pool == record.pool);
-        let is_spare = need.is_some_and(|need| {
-            now_ms < need.heard_ms + BEAT_FRESH_MS && need.spare.iter().any(|h| h == host)
-        });
-        pool.is_some_and(|p| p.is_parked) || is_spare
+        let taken = need.and_then(|need| need.offers.row.taken.get(host));
+        let is_ours = taken.is_some_and(|taken| taken.epoch == self.epoch);
+        pool.is_some_and(|p| p.is_parked) || is_ours
     }
 }
 
@@ -192,9 +237,83 @@
         order_upkeep(duty, wave, ctx);
     }
     move_hosts(duty, waves, with, ctx);
+    take_hosts(duty, with, ctx);
     record_orders(duty, with, ctx);
 }
 
+/// Takes the hosts that are about to be moved from those that offer them, and gives back what was taken and is
+/// not moved.
+fn take_hosts(duty: &mut HostDuty, with: &Look<'_>, ctx: &mut Ctx<'_>) {
+    for need in with.needs {
+        if duty.taking.contains_key(&need.pool) {
+            continue;
+        }
+        let row = with_taken(duty, need, with.epoch, ctx.now.ms);
+        if row == need.offers.row {
+            continue;
+        }
+        let tx = need.offers.write(&need.pool, &row);
+        duty.taking.insert(need.pool.clone(), row);
+        let pool = need.pool.clone();
+        ctx.out
+            .push(Effect::TakeHosts(ctx.pool, with.epoch, pool, tx));
+    }
+}
+
+/// A pool's offers once the hosts that orders wait for are taken. Orders for hosts that are on offer no more are
+/// dropped.
+fn with_taken(duty: &mut HostDuty, need: &PoolNeed, epoch: u64, now_ms: Millis) -> OffersRow {
+    let mut row = need.offers.row.clone();
+    duty.orders.retain(|host, order| {
+        if order.offered_by.as_ref() != Some(&need.pool) {
+            return true;
+        }
+        let life = match row.taken.remove(host) {
+            Some(taken) => Some(taken.life),
+            None => row.offered.remove(host),
+        };
+        let is_there = life.is_some();
+        if let Some(life) = life {
+            row.taken.insert(host.clone(), Taken { life, epoch });
+        }
+        is_there
+    });
+    row.taken.retain(|host, taken| {
+        let record = duty.list.iter().find(|h| h.host == *host);
+        let is_here = record.is_some_and(|h| h.pool == need.pool);
+        let is_ours = taken.epoch == epoch;
+        let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, now_ms);
+        let was_ordered = duty.sent_ms.contains_key(host);
+        // Moved, or never ordered: nothing of ours can still move it.
+        is_busy || (is_here && is_ours && was_ordered)
+    });
+    row
+}
+
+/// Settles a change of a pool's offers; gives the row as it is now known, if it was written.
+pub fn taken(
+    duty: &mut HostDuty,
+    pool: &str,
+    is_done: bool,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) -> Option<OffersRow> {
+    let row = duty.taking.remove(pool)?;
+    if !is_done {
+        // Where it took effect without an answer, the feed tells; the next look goes by the row as it is then.
+        duty.orders
+            .retain(|_, order| order.offered_by.as_deref() != Some(pool));
+        return None;
+    }
+    for (host, order) in &mut duty.orders {
+        if order.offered_by.as_deref() == Some(pool) && row.taken.contains_key(host) {
+            order.offered_by = None;
+        }
+    }
+    send_ready(duty, epoch, ctx);
+    Some(row)
+}
+
 /// Puts on record which hosts are about to be ordered about.
 fn record_orders(duty: &mut HostDuty, with: &Look<'_>, ctx: &mut Ctx<'_>) {
     let fresh = duty.orders.iter().filter(|(_, order)| !order.is_recorded);
@@ -203,7 +322,7 @@
         return;
     }
     let now_ms = ctx.now.ms;
-    duty.sent_ms.retain(|_, at| now_ms < *at + QUIET_MS);
+    duty.sent_ms.retain(|_, at| now_ms < *at + ORDERS_APART_MS);
     let mut row = HostOrdersRow::default();
     row.hosts.extend(duty.orders.keys().cloned());
     row.hosts.extend(duty.sent_ms.keys().cloned());
@@ -221,7 +340,7 @@
         .push(Effect::RecordHostOrders(ctx.pool, with.epoch, tx));
 }
 
-/// Sends the orders that are on record now.
+/// Takes note of the orders that are on record now.
 pub fn recorded(duty: &mut HostDuty, outcome: &TxOutcome, epoch: u64, ctx: &mut Ctx<'_>) {
     let hosts = duty.recording.take().unwrap_or_default();
     if !matches!(outcome, TxOutcome::Committed(_)) {
@@ -229,18 +348,26 @@
         return;
     }
     for host in hosts {
-        let Some(order) = duty.orders.get_mut(&host) else {
-            continue;
-        };
-        let is_move = matches!(order.task, HostTask::Move(_));
-        if is_move && ctx.now.ms >= order.since_ms + MOVE_FRESH_MS {
-            duty.orders.remove(&host);
+        if let Some(order) = duty.orders.get_mut(&host) {
+            order.is_recorded = true;
+        }
+    }
+    send_ready(duty, epoch, ctx);
+}
+
+/// Sends the orders that are on record and whose hosts were taken.
+fn send_ready(duty: &mut HostDuty, epoch: u64, ctx: &mut Ctx<'_>) {
+    let mut ready = Vec::new();
+    for (host, order) in &mut duty.orders {
+        if order.is_sent || !order.is_recorded || order.offered_by.is_some() {
             continue;
         }
-        order.is_recorded = true;
+        order.is_sent = true;
         order.since_ms = ctx.now.ms;
         order.again_ms = Some(ctx.now.ms + 2 * RETRY_MS);
-        let task = order.task.clone();
+        ready.push((host.clone(), order.task.clone()));
+    }
+    for (host, task) in ready {
         send(duty, &host, &task, epoch, ctx);
     }
 }
@@ -269,10 +396,13 @@
                 let is_there = record.is_some_and(|h| h.pool == *to && h.state == HostState::Up);
                 let is_done = order.again_ms.is_none() && is_listed_since && is_there;
                 let is_due = order.again_ms.is_some_and(|at| now_ms >= at);
-                // Where its pool took the host back meanwhile, the order is not sent again.
-                let is_refuted =
-                    order.is_recorded && is_due && !with.is_given(host, record, now_ms);
-                !is_done && !is_refuted && now_ms < order.since_ms + MOVE_MAX_MS
+                let is_refuted = order.is_sent && is_due && !with.is_given(host, record);
+                let most_ms = if order.is_sent {
+                    MOVE_MAX_MS
+                } else {
+                    UNSENT_MAX_MS
+                };
+                !is_done && !is_refuted && now_ms < order.since_ms + most_ms
             }
             HostTask::Upkeep(number) => {
                 let wave = waves.get(number);
@@ -283,7 +413,7 @@
     let again: Vec<(String, HostTask)> = duty
         .orders
         .iter()
-        .filter(|(_, order)| order.is_recorded && order.again_ms.is_some_and(|at| now_ms >= at))
+        .filter(|(_, order)| order.is_sent && order.again_ms.is_some_and(|at| now_ms >= at))
         .map(|(host, order)| (host.clone(), order.task.clone()))
         .collect();
     for (host, task) in again {
@@ -312,11 +442,19 @@
     ));
 }
 
-/// Wants an order to a host; it goes out once it is on record.
-fn begin(duty: &mut HostDuty, host: &str, task: HostTask, ctx: &Ctx<'_>) {
+/// Wants an order to a host; it goes out once it is on record, and the host taken from the pool that offers it.
+fn begin(
+    duty: &mut HostDuty,
+    host: &str,
+    task: HostTask,
+    offered_by: Option<String>,
+    ctx: &Ctx<'_>,
+) {
     let order = HostOrder {
         task,
+        offered_by,
         is_recorded: false,
+        is_sent: false,
         again_ms: Some(ctx.now.ms),
         since_ms: ctx.now.ms,
     };
@@ -331,7 +469,7 @@
         }
         let record = duty.list.iter().find(|h| h.host == *host);
         if record.is_some_and(|h| h.pool == slot.pool) {
-            begin(duty, host, HostTask::Upkeep(wave.order.wave), ctx);
+            begin(duty, host, HostTask::Upkeep(wave.order.wave), None, ctx);
         } else if record.is_some() {
             // It was moved before its slot was taken: its new pool takes it through.
             let mut row = wave.row.clone();
@@ -430,15 +568,11 @@
     let Some(parked) = with.config.pools.values().find(|p| p.is_parked) else {
         return;
     };
-    let fresh = |need: &&PoolNeed| ctx.now.ms < need.heard_ms + BEAT_FRESH_MS;
-    let needs: Vec<&PoolNeed> = with.needs.iter().filter(fresh).collect();
-    let mut spare: Vec<(String, String)> = Vec::new();
-    for need in &needs {
-        let hosts = need
-            .spare
-            .iter()
-            .filter(|host| is_free(duty, waves, host, &need.pool, ctx.now.ms));
-        spare.extend(hosts.map(|host| (need.pool.clone(), host.clone())));
+    let is_heard = |need: &&PoolNeed| ctx.now.ms < need.heard_ms + NEED_KEPT_MS;
+    let needs: Vec<&PoolNeed> = with.needs.iter().filter(is_heard).collect();
+    let mut spare: Vec<Spare> = Vec::new();
+    for need in with.needs {
+        spare.extend(spare_of(duty, waves, need, with.epoch, ctx.now.ms));
     }
     let mut idle: Vec<String> = duty
         .list
@@ -447,17 +581,60 @@
         .map(|h| h.host.clone())
         .collect();
     while let Some(need) = shortest(duty, &needs) {
-        let host = idle.pop().or_else(|| take_other(&mut spare, &need.pool));
-        let Some(host) = host else { break };
         let task = HostTask::Move(need.pool.clone());
-        begin(duty, &host, task, ctx);
+        if let Some(host) = idle.pop() {
+            begin(duty, &host, task, None, ctx);
+        } else if let Some(other) = take_other(&mut spare, &need.pool) {
+            begin(duty, &other.host, task, other.offered_by(), ctx);
+        } else {
+            break;
+        }
     }
-    for (_, host) in spare {
+    for other in spare.into_iter().filter(|other| other.is_offered) {
         let task = HostTask::Move(parked.name.clone());
-        begin(duty, &host, task, ctx);
+        begin(duty, &other.host, task, other.offered_by(), ctx);
+    }
+}
+
+/// A host that may leave its pool.
+struct Spare {
+    host: String,
+    pool: String,
+    /// It is on offer, and its owner may take it back.
+    is_offered: bool,
+    /// It was taken by this entry.
+    is_taken: bool,
+}
+
+impl Spare {
+    /// The pool that it is still to be taken from.
+    fn offered_by(&self) -> Option<String> {
+        (!self.is_taken).then(|| self.pool.clone())
     }
 }
 
+/// Hosts of a pool that are on offer, or were taken and not moved, by this entry or a former one.
+fn spare_of(
+    duty: &HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    need: &PoolNeed,
+    epoch: u64,
+    now_ms: Millis,
+) -> Vec<Spare> {
+    let row = &need.offers.row;
+    let spare = |host: &String, is_offered, is_taken| Spare {
+        host: host.clone(),
+        pool: need.pool.clone(),
+        is_offered,
+        is_taken,
+    };
+    let offered = row.offered.keys().map(|host| spare(host, true, false));
+    let taken = row.taken.iter();
+    let taken = taken.map(|(host, by)| spare(host, false, by.epoch == epoch));
+    let is_free = |other: &Spare| is_free(duty, waves, &other.host, &need.pool, now_ms);
+    offered.chain(taken).filter(is_free).collect()
+}
+
 /// The pool that has the least of what its work needs, or else of what it wants.
 fn shortest<'a>(duty: &HostDuty, needs: &[&'a PoolNeed]) -> Option<&'a PoolNeed> {
     let least = |hosts: fn(&PoolNeed) -> u64| {
@@ -469,9 +646,9 @@
 }
 
 /// A spare host of another pool.
-fn take_other(spare: &mut Vec<(String, String)>, pool: &str) -> Option<String> {
-    let at = spare.iter().position(|(owner, _)| owner != pool)?;
-    Some(spare.swap_remove(at).1)
+fn take_other(spare: &mut Vec<Spare>, pool: &str) -> Option<Spare> {
+    let at = spare.iter().position(|other| other.pool != pool)?;
+    Some(spare.swap_remove(at))
 }
 
 /// Whether a host is up in this pool, with no order out, no slot of a wave and nobody else's orders of late.
@@ -485,6 +662,9 @@
     let is_there = |h: &HostRecord| h.host == host && h.pool == pool && h.state == HostState::Up;
     let has_slot = waves.values().any(|w| w.row.out.contains_key(host));
     let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, now_ms);
+    // What was refused is not tried again at once.
+    let was_sent = |at: &Millis| now_ms < at + 2 * RETRY_MS;
+    let is_busy = is_busy || duty.sent_ms.get(host).is_some_and(was_sent);
     duty.list.iter().any(is_there) && !has_slot && !is_busy
 }
 
@@ -492,7 +672,7 @@
 fn count(duty: &HostDuty, need: &PoolNeed) -> u64 {
     let serves = |h: &&HostRecord| match duty.orders.get(&h.host).map(|o| &o.task) {
         Some(HostTask::Move(to)) => *to == need.pool,
-        _ => h.pool == need.pool && h.state != HostState::Down && !need.spare.contains(&h.host),
+        _ => h.pool == need.pool && h.state != HostState::Down && !need.gives(&h.host),
     };
     duty.list.iter().filter(serves).count() as u64
 }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 mod lives;
 pub mod load;
+pub mod offers;
 pub mod operation;
 pub mod place;
 pub mod reduce;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -10,6 +10,7 @@
 use super::limits::{RENEW_MS, RESORT_MS};
 use super::lives::{greet, worker_word, workers_read};
 use super::load;
+use super::offers::{Offers, OFFERS_KEY};
 use super::place;
 use super::remove;
 use super::rows::{cancelled_job, pool_of_part, BEAT_KEY, OWNER_KEY};
@@ -20,7 +21,9 @@
 use super::wave;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::{FleetConfig, HoldReport, OperatorWord, OrderReply, StoredRow, TxOutcome};
+use crate::port::fleet::{
+    FleetConfig, HoldReport, OperatorWord, OrderReply, StoredRow, Table, TxOutcome,
+};
 
 /// Pause before a pool's rows are read again after that failed.
 const LOAD_RETRY_MS: Millis = 100;
@@ -82,6 +85,12 @@
                 }
             });
         }
+        Event::OffersSettled(pool, epoch, outcome) => {
+            offers_settled(state, pool, epoch, outcome, now, &mut out);
+        }
+        Event::HostsTaken(pool, epoch, from, outcome) => {
+            hosts_taken(state, pool, epoch, &from, outcome, now, &mut out);
+        }
         Event::HostOrdersRecorded(pool, epoch, outcome) => {
             with_hosts(state, pool, now, &mut out, |duty, _, look, ctx| {
                 if look.epoch == epoch {
@@ -167,10 +176,16 @@
 }
 
 fn owner_row(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
+    let key = pool_key(state, &row.part, now);
+    if row.key == OFFERS_KEY {
+        with_pool(state, key, now, out, |pool, ctx, _| {
+            observe_offers(&mut pool.offers, &pool.name, [row], ctx);
+        });
+        return;
+    }
     if row.key != OWNER_KEY && row.key != BEAT_KEY {
         return;
     }
-    let key = pool_key(state, &row.part, now);
     let me = state.me.clone();
     let nonce = state.nonce;
     with_pool(state, key, now, out, |pool, ctx, _| {
@@ -244,10 +259,14 @@
         };
         let is_same_holder = pool.seat.claim_after == ctx.me;
         if !tenure.hosts.is_ready() {
-            tenure.hosts = hosts::HostDuty::new(&rows.host_orders, is_same_holder, ctx);
+            let former = &pool.seat.former;
+            tenure.hosts = hosts::HostDuty::new(&rows.host_orders, former, is_same_holder, ctx);
         }
+        let offers = rows.owner.iter().find(|row| row.key == OFFERS_KEY);
+        observe_offers(&mut pool.offers, &pool.name, offers, ctx);
         let times = pool.seat.beat.times.clone();
         let mut book = load::build(&name, epoch, tenure.began_ms, times, rows, facts, ctx);
+        close_given(&mut book, &pool.offers);
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
         }
@@ -265,6 +284,87 @@
     });
 }
 
+/// Hosts that are on offer, or were taken, get no work from a new owner either.
+fn close_given(book: &mut Book, offers: &Offers) {
+    sizing::mark_offered(book, offers);
+    for (_, worker) in &mut book.workers {
+        worker.is_spare = worker.is_offered;
+    }
+}
+
+fn observe_offers<'a>(
+    offers: &mut Offers,
+    pool: &str,
+    rows: impl IntoIterator<Item = &'a StoredRow>,
+    ctx: &mut Ctx<'_>,
+) {
+    for row in rows {
+        if let Err(e) = offers.observe(row) {
+            ctx.tell(Decision::new(Code::BadRow, Subject::Pool, pool, e));
+        }
+    }
+}
+
+fn offers_settled(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    outcome: TxOutcome,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
+    with_pool(state, key, now, out, |pool, ctx, _| {
+        if pool.tenure.as_ref().is_none_or(|t| t.epoch != epoch) {
+            return;
+        }
+        match outcome {
+            TxOutcome::Committed(revision) => pool.offers.changed(revision),
+            TxOutcome::Conflict(found) => {
+                pool.offers.pending = None;
+                observe_offers(&mut pool.offers, &pool.name, offers_in(&found), ctx);
+            }
+            TxOutcome::Refused => pool.offers.pending = None,
+            TxOutcome::Unknown => pool.offers.left_open(),
+        }
+    });
+}
+
+/// The row of offers among what a conflict found.
+fn offers_in(found: &[(Table, StoredRow)]) -> Option<&StoredRow> {
+    let mut rows = found.iter().map(|(_, row)| row);
+    rows.find(|row| row.key == OFFERS_KEY && row.value.is_some())
+}
+
+fn hosts_taken(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    from: &str,
+    outcome: TxOutcome,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
+    let is_done = matches!(outcome, TxOutcome::Committed(_));
+    let mut written = None;
+    with_hosts(state, key, now, out, |duty, _, look, ctx| {
+        if look.epoch == epoch {
+            written = hosts::taken(duty, from, is_done, epoch, ctx);
+        }
+    });
+    let Some(donor) = state.pool_keys.get(from).copied() else {
+        return;
+    };
+    with_pool(state, donor, now, out, |pool, ctx, _| {
+        match (outcome, written) {
+            (TxOutcome::Committed(revision), Some(row)) => pool.offers.took(row, revision),
+            (TxOutcome::Conflict(found), _) => {
+                observe_offers(&mut pool.offers, &pool.name, offers_in(&found), ctx);
+            }
+            _ => {}
+        }
+    });
+}
+
 fn tell_loaded(name: &str, book: &Book, tenure: &Tenure, ctx: &mut Ctx<'_>) {
     let took_ms = ctx.now.ms - tenure.began_ms;
     ctx.tell(
@@ -486,8 +586,8 @@
         .filter(|(n, _)| *n != usize::from(key.0));
     let mut seats = others.map(|(_, pool)| &pool.seat);
     seats.any(|seat| {
-        let is_fresh = now_ms < seat.beat_seen_ms + hosts::BEAT_FRESH_MS;
-        is_fresh && seat.beat.needed > seat.beat.serving
+        let is_heard = now_ms < seat.beat_seen_ms + hosts::NEED_KEPT_MS;
+        is_heard && seat.beat.needed > seat.beat.serving
     })
 }
 
@@ -503,12 +603,18 @@
         let Some(tenure) = &mut pool.tenure else {
             return;
         };
+        let epoch = tenure.epoch;
         let Some(book) = &mut tenure.book else { return };
         if tenure.sizing.warm == 0 {
             tenure.sizing.warm = pool.seat.beat.warm;
         }
-        let with = sizing::Look { can_park, pressed };
-        if sizing::look(book, &mut tenure.sizing, &with, ctx) {
+        let with = sizing::Look {
+            pool: &pool.name,
+            epoch,
+            can_park,
+            pressed,
+        };
+        if sizing::look(book, &mut tenure.sizing, &mut pool.offers, &with, ctx) {
             seat::renew(pool, ctx);
         }
     });
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -53,9 +53,9 @@
     /// What steps took of late, for the next owner.
     #[serde(default)]
     pub times: Times,
-    /// Hosts that it can spare: they carry nothing and get nothing.
-    #[serde(default)]
-    pub spare: Vec<String>,
+    /// Hosts that were ordered about of late, and how long ago in milliseconds.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub ordered: BTreeMap<String, Millis>,
 }
 
 /// Key of the row of hosts that were ordered about.
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -4,6 +4,9 @@
 //! orders and guards all writes. The heartbeat is another row, so that renewals leave the epoch alone.
 //! A taker writes only where the heartbeat has not changed since it saw it, a whole lease ago.
 
+use std::collections::BTreeMap;
+
+use super::hosts::ORDERS_APART_MS;
 use super::limits::{
     CLAIM_OWNED_MS, CLAIM_SPREAD_MS, CLAIM_WEAK_MS, CPU_FULL_MILLI, OWNER_LEASE_MS,
     OWNER_MARGIN_MS, RENEW_MS, TX_RETRY_MS,
@@ -15,6 +18,15 @@
 use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, TxOutcome, Write};
 use crate::util::fnv1a;
 
+/// When the owner before a claim ordered hosts about, as far as it told.
+#[derive(Clone, Debug, Default)]
+pub struct FormerOrders {
+    /// Hosts that it named in its last heartbeat, and the latest time of their orders.
+    pub told_ms: BTreeMap<String, Millis>,
+    /// It sent no order later than that.
+    pub over_ms: Millis,
+}
+
 /// Who owns a pool, as this entry has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Seat {
@@ -38,6 +50,8 @@
     pub claim_open_ms: Option<Millis>,
     /// Epoch of our last tenure.
     pub held_epoch: Revision,
+    /// Orders to hosts of the owner before our claim.
+    pub former: FormerOrders,
     /// Start of our last renewal that was acknowledged.
     pub renewed_ms: Millis,
     /// A renewal of ours is out.
@@ -52,6 +66,18 @@
         self.renewed_ms + OWNER_LEASE_MS - OWNER_MARGIN_MS
     }
 
+    /// What the owner that was heard last ordered hosts about.
+    fn former_orders(&self) -> FormerOrders {
+        let heard_ms = self.beat_seen_ms;
+        let ordered = self.beat.ordered.iter();
+        FormerOrders {
+            told_ms: ordered
+                .map(|(host, age_ms)| (host.clone(), heard_ms.saturating_sub(*age_ms)))
+                .collect(),
+            over_ms: heard_ms + OWNER_LEASE_MS - OWNER_MARGIN_MS,
+        }
+    }
+
     /// Whether an earlier process of this entry owned the pool: it has ended, since this one runs.
     fn was_ours(&self, me: &str, nonce: u64) -> bool {
         self.owner.entry == me && self.owner.nonce != nonce
@@ -156,13 +182,14 @@
         ],
         writes: vec![
             write(OWNER_KEY, rows::encode(&owner)),
-            write(BEAT_KEY, rows::encode(&beat(pool, ctx.me))),
+            write(BEAT_KEY, rows::encode(&beat(pool, ctx))),
         ],
     };
     pool.seat.is_claiming = true;
     pool.seat.claim_open_ms.get_or_insert(ctx.now.ms);
     pool.seat.claim_after = pool.seat.owner.entry.clone();
     pool.seat.claim_after_ms = pool.seat.beat_seen_ms;
+    pool.seat.former = pool.seat.former_orders();
     ctx.out.push(Effect::Claim(ctx.pool, tx));
 }
 
@@ -187,7 +214,7 @@
     guard(OWNER_KEY, epoch)
 }
 
-fn beat(pool: &Pool, me: &str) -> BeatRow {
+fn beat(pool: &Pool, ctx: &Ctx<'_>) -> BeatRow {
     let book = pool.tenure.as_ref().and_then(|t| t.book.as_ref());
     let sizing = pool.tenure.as_ref().map(|t| &t.sizing);
     BeatRow {
@@ -195,14 +222,26 @@
         needed: sizing.map_or(0, |s| s.needed),
         serving: sizing.map_or(0, |s| s.serving),
         warm: sizing.map_or(pool.seat.beat.warm, |s| s.warm.max(pool.seat.beat.warm)),
-        spare: sizing.map(|s| s.spare.clone()).unwrap_or_default(),
+        ordered: ordered(pool, ctx.now.ms),
         times: book.map_or_else(|| pool.seat.beat.times.clone(), |b| b.times.clone()),
-        entry: me.to_string(),
+        entry: ctx.me.to_string(),
         count: pool.seat.beat.count + 1,
         waiting: book.map_or_else(|| pool.seat.beat.waiting.clone(), |b| b.waiting.clone()),
     }
 }
 
+/// Hosts that were ordered about of late, and how long ago: by this owner, or by the one that it claims after.
+fn ordered(pool: &Pool, now_ms: Millis) -> BTreeMap<String, Millis> {
+    let told_ms = match &pool.tenure {
+        Some(tenure) => tenure.hosts.ordered_ms(now_ms),
+        None => pool.seat.former_orders().told_ms,
+    };
+    let ages = told_ms.into_iter();
+    ages.map(|(host, at_ms)| (host, now_ms.saturating_sub(at_ms)))
+        .filter(|(_, age_ms)| *age_ms < ORDERS_APART_MS)
+        .collect()
+}
+
 /// Settles a claim.
 pub fn claimed(
     pool: &mut Pool,
@@ -248,6 +287,8 @@
         return;
     }
     pool.seat.held_epoch = epoch;
+    pool.offers.pending = None;
+    pool.offers.unsure.clear();
     let silent_ms = sent_ms.saturating_sub(pool.seat.claim_after_ms);
     let why = format!("before: {:?}", pool.seat.claim_after);
     ctx.tell(
@@ -290,7 +331,7 @@
     let tx = RowTx {
         part: pool.name.clone(),
         guards: vec![epoch_guard(epoch)],
-        writes: vec![write(BEAT_KEY, rows::encode(&beat(pool, ctx.me)))],
+        writes: vec![write(BEAT_KEY, rows::encode(&beat(pool, ctx)))],
     };
     pool.seat.is_renewing = true;
     pool.seat.beat.count += 1;
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -1,13 +1,12 @@
-//! How many hosts a pool wants, and which it can spare: told with its owner's heartbeat.
-//!
-//! A spare host carries nothing and gets nothing. Once told, it stays closed until the word that it is
-//! wanted again is old enough that nobody moves it on the earlier word.
+//! How many hosts a pool wants, told with its owner's heartbeat, and which it can spare: offered in a row of
+//! their own ([`super::offers`]).
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::book::Book;
 use super::keys::WorkerKey;
-use super::state::{Ctx, Timer};
+use super::offers::Offers;
+use super::state::{Ctx, Effect, Timer};
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -33,9 +32,6 @@
 /// All workers are listed so long after the first start.
 const SETTLE_MS: Millis = 4_000;
 
-/// A host that is wanted again serves after so long: heartbeats older than that move nothing.
-pub const WITHDRAW_MS: Millis = 2_000;
-
 /// Hosts that a pool keeps at the least.
 const HOSTS_MIN: u64 = 3;
 
@@ -47,14 +43,12 @@
 pub struct Sizing {
     /// Hosts that it wants.
     pub wanted: u64,
-    /// Hosts that it can spare.
-    pub spare: Vec<String>,
     /// What was needed of late.
     needs: VecDeque<(Millis, Need)>,
-    /// Hosts that are wanted again, since then.
-    withdrawn: BTreeMap<String, Millis>,
-    /// What was last told.
-    told: (u64, u64, Vec<String>),
+    /// Hosts on offer that are wanted again.
+    withdrawn: BTreeSet<String>,
+    /// What was last told: wanted and needed.
+    told: (u64, u64),
     /// Hosts that its work needs now.
     pub needed: u64,
     /// Hosts that take its work now.
@@ -76,7 +70,11 @@
 
 /// What a look is made with.
 #[derive(Clone, Copy, Debug)]
-pub struct Look {
+pub struct Look<'a> {
+    /// The pool's name, which is also the partition of its rows.
+    pub pool: &'a str,
+    /// The owner's epoch.
+    pub epoch: u64,
     /// There is a pool whose hosts are off.
     pub can_park: bool,
     /// Another pool lacks hosts for the work that it has.
@@ -84,7 +82,13 @@
 }
 
 /// Looks at the pool's size; says whether that should be told at once.
-pub fn look(book: &mut Book, sizing: &mut Sizing, with: &Look, ctx: &mut Ctx<'_>) -> bool {
+pub fn look(
+    book: &mut Book,
+    sizing: &mut Sizing,
+    offers: &mut Offers,
+    with: &Look<'_>,
+    ctx: &mut Ctx<'_>,
+) -> bool {
     ctx.after(LOOK_MS, Timer::Size);
     let now_ms = ctx.now.ms;
     let keep_ms = if with.pressed {
@@ -114,12 +118,12 @@
     // Work that is late already waits while another pool lacks hosts for work that can be in time.
     let for_work = if with.pressed { needed } else { for_all };
     sizing.wanted = for_work.max((sizing.warm * floor_percent).div_ceil(100));
-    reopen(book, sizing, now_ms);
     if with.can_park {
-        choose_spare(book, sizing, now_ms);
+        choose_spare(book, sizing, offers, now_ms);
+        settle_offers(book, sizing, offers, with, ctx);
     }
     sizing.serving = book.workers.values().filter(|w| w.is_open(now_ms)).count() as u64;
-    let now_told = (sizing.wanted, sizing.needed, sizing.spare.clone());
+    let now_told = (sizing.wanted, sizing.needed);
     if sizing.told == now_told {
         return false;
     }
@@ -128,7 +132,8 @@
             .with("wanted", sizing.wanted)
             .with("needed", sizing.needed)
             .with("serving", sizing.serving)
-            .with("spare", sizing.spare.len() as u64),
+            .with("offered", offers.row.offered.len() as u64)
+            .with("taken", offers.row.taken.len() as u64),
     );
     sizing.told = now_told;
     true
@@ -177,65 +182,102 @@
     hosts.max().unwrap_or(0)
 }
 
-/// Hosts that were wanted again long enough ago serve.
-fn reopen(book: &mut Book, sizing: &mut Sizing, now_ms: Millis) {
-    let over = |since: &Millis| now_ms >= since + WITHDRAW_MS;
-    let ready: Vec<String> = sizing
-        .withdrawn
-        .iter()
-        .filter(|(_, since)| over(since))
-        .map(|(host, _)| host.clone())
-        .collect();
-    for host in ready {
-        sizing.withdrawn.remove(&host);
-        if let Some(key) = book.worker_on(&host) {
-            book.workers[key].is_spare = false;
-            book.wants_placing = true;
-        }
-    }
-}
-
-/// Closes as many hosts as are not wanted, those with the least work first, and tells them as spare once
-/// they are empty; opens them again where they are wanted.
-fn choose_spare(book: &mut Book, sizing: &mut Sizing, now_ms: Millis) {
-    // Whoever moved away is in the books no more, or is back as another life.
-    let is_spare = |host: &String| {
-        book.worker_on(host)
-            .is_some_and(|k| book.workers[k].is_spare)
-    };
-    sizing.spare.retain(is_spare);
+/// Closes as many hosts as are not wanted, those with the least work first; opens them again where they are.
+fn choose_spare(book: &mut Book, sizing: &mut Sizing, offers: &Offers, now_ms: Millis) {
+    reopen(book, sizing, offers);
     let serving = book.workers.values().filter(|w| w.is_open(now_ms)).count() as u64;
     if serving < sizing.wanted {
-        open_some(book, sizing, (sizing.wanted - serving) as usize, now_ms);
+        open_some(book, sizing, offers, (sizing.wanted - serving) as usize);
     } else {
+        sizing.withdrawn.clear();
         close_some(book, (serving - sizing.wanted) as usize, now_ms);
     }
-    for worker in book.workers.values() {
-        let host = &worker.fact.host;
-        let is_told = sizing.spare.contains(host) || sizing.withdrawn.contains_key(host);
-        if worker.is_spare && worker.is_listed && worker.tasks.is_empty() && !is_told {
-            sizing.spare.push(host.clone());
+}
+
+/// Hosts that are wanted again serve once they are off the row of offers.
+fn reopen(book: &mut Book, sizing: &mut Sizing, offers: &Offers) {
+    let mut is_any = false;
+    sizing.withdrawn.retain(|host| {
+        let Some(key) = book.worker_on(host) else {
+            return false;
+        };
+        let worker = &mut book.workers[key];
+        let life = &worker.fact.id;
+        if offers.is_taken(host, life) {
+            return false;
         }
-    }
+        let is_off = !offers.is_offered(host, life);
+        if is_off {
+            worker.is_spare = false;
+            is_any = true;
+        }
+        !is_off
+    });
+    book.wants_placing |= is_any;
 }
 
-fn open_some(book: &mut Book, sizing: &mut Sizing, count: usize, now_ms: Millis) {
+fn open_some(book: &mut Book, sizing: &mut Sizing, offers: &Offers, count: usize) {
     let mut left = count;
-    // Hosts that were closed and never told can serve at once.
-    for worker in book.workers.values_mut() {
-        let host = &worker.fact.host;
-        let is_told = sizing.spare.contains(host) || sizing.withdrawn.contains_key(host);
-        if left > 0 && worker.is_spare && !is_told {
+    let mut offered: Vec<&str> = Vec::new();
+    for worker in book.workers.values_mut().filter(|w| w.is_spare) {
+        let (host, life) = (&worker.fact.host, &worker.fact.id);
+        if offers.is_taken(host, life) {
+            continue;
+        }
+        if offers.is_offered(host, life) {
+            offered.push(host);
+        } else if left > 0 {
+            // It was closed and never offered: it can serve at once.
             worker.is_spare = false;
             book.wants_placing = true;
             left -= 1;
         }
     }
-    for _ in 0..left {
-        let Some(host) = sizing.spare.pop() else {
-            break;
-        };
-        sizing.withdrawn.insert(host, now_ms);
+    let coming = offered.iter().filter(|h| sizing.withdrawn.contains(**h));
+    left = left.saturating_sub(coming.count());
+    let more = offered
+        .into_iter()
+        .filter(|h| !sizing.withdrawn.contains(*h));
+    let more: Vec<String> = more.take(left).map(str::to_string).collect();
+    sizing.withdrawn.extend(more);
+}
+
+/// Puts hosts that are spare and empty on offer, and takes those off that are wanted again.
+fn settle_offers(
+    book: &mut Book,
+    sizing: &Sizing,
+    offers: &mut Offers,
+    with: &Look<'_>,
+    ctx: &mut Ctx<'_>,
+) {
+    if !ctx.may_send() {
+        return;
+    }
+    let mut offered = BTreeMap::new();
+    for (key, worker) in book.workers.iter().filter(|(_, w)| w.is_spare) {
+        let (host, life) = (&worker.fact.host, &worker.fact.id);
+        let is_idle = worker.is_listed && worker.answers && worker.tasks.is_empty();
+        let is_idle = is_idle && !worker.is_closing;
+        let has_left = book.left.values().any(|left| left.worker == key);
+        // A host that carries nothing is best taken through its upkeep first.
+        let is_kept = worker.is_due && !with.pressed;
+        let is_wanted = is_kept || sizing.withdrawn.contains(host);
+        if is_idle && !has_left && !is_wanted && !offers.is_taken(host, life) {
+            offered.insert(host.clone(), life.clone());
+        }
+    }
+    let is_known = |life: &str| book.by_life.contains_key(life);
+    if let Some(tx) = offers.change(with.pool, with.epoch, offered, is_known) {
+        ctx.out.push(Effect::SettleOffers(ctx.pool, with.epoch, tx));
+    }
+    mark_offered(book, offers);
+}
+
+/// Notes which hosts are on offer, or were taken.
+pub fn mark_offered(book: &mut Book, offers: &Offers) {
+    for (_, worker) in &mut book.workers {
+        let (host, life) = (&worker.fact.host, &worker.fact.id);
+        worker.is_offered = offers.is_offered(host, life) || offers.is_taken(host, life);
     }
 }
 
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -6,6 +6,7 @@
 use super::hosts::{HostDuty, HostTask};
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::CPU_FULL_MILLI;
+use super::offers::Offers;
 use super::rows::WaveRow;
 use super::seat::Seat;
 use super::sizing::Sizing;
@@ -84,6 +85,8 @@
     pub name: String,
     /// Who owns it.
     pub seat: Seat,
+    /// Its hosts that are to leave it.
+    pub offers: Offers,
     /// Set while this entry does.
     pub tenure: Option<Tenure>,
 }
@@ -167,6 +170,10 @@
     OrderedSettled(PoolKey, TxOutcome),
     /// Rows of intake were removed, or not.
     IntakeRemoved(PoolKey, u64, TxOutcome),
+    /// A change of the pool's offers was answered: epoch.
+    OffersSettled(PoolKey, u64, TxOutcome),
+    /// Hosts on offer were taken, or not: epoch, the pool that offered them.
+    HostsTaken(PoolKey, u64, String, TxOutcome),
     /// Orders to hosts were put on record, or not: epoch.
     HostOrdersRecorded(PoolKey, u64, TxOutcome),
     /// An order to a host was answered: epoch, host.
@@ -184,6 +191,8 @@
     pub intake: Vec<StoredRow>,
     /// Progress.
     pub progress: Vec<StoredRow>,
+    /// The owner's row, its heartbeat and its offers.
+    pub owner: Vec<StoredRow>,
     /// The list of workers.
     pub workers: Vec<WorkerFact>,
     /// Rows of waves.
@@ -236,6 +245,10 @@
     SettleOrdered(PoolKey, RowTx),
     /// Remove rows of intake.
     RemoveIntake(PoolKey, u64, RowTx),
+    /// Change the pool's offers.
+    SettleOffers(PoolKey, u64, RowTx),
+    /// Take hosts that a pool offers, by its name.
+    TakeHosts(PoolKey, u64, String, RowTx),
     /// Put on record which hosts are about to be ordered about.
     RecordHostOrders(PoolKey, u64, RowTx),
     /// Order a host: epoch, host, what, until when it may be sent.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -494,7 +494,7 @@
     for host in wave.order.hosts.iter().filter(|h| is_due(h)) {
         if let Some(key) = book.worker_on(host) {
             let w = &book.workers[key];
-            if w.answers && !w.fact.draining && !w.is_spare && can_clear(book, key, now_ms) {
+            if w.answers && !w.fact.draining && !w.is_offered && can_clear(book, key, now_ms) {
                 found.push((host.clone(), w.used.cpu_milli + w.tasks.len() as u64));
             }
             continue;
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -70,8 +70,10 @@
     pub is_closing: bool,
     /// A wave has its host still before it.
     pub is_due: bool,
-    /// Its host was told to be spare.
+    /// Its host is not wanted in the pool.
     pub is_spare: bool,
+    /// Its host is on offer to other pools, or was taken.
+    pub is_offered: bool,
 }
 
 impl Worker {
@@ -95,6 +97,7 @@
             is_closing: false,
             is_due: false,
             is_spare: false,
+            is_offered: false,
         }
     }
 
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -248,6 +248,14 @@
                 let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
                 Some(Event::IntakeRemoved(pool, epoch, outcome))
             }),
+            Effect::SettleOffers(pool, epoch, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::OffersSettled(pool, epoch, outcome))
+            }),
+            Effect::TakeHosts(pool, epoch, from, tx) => self.spawn(async move {
+                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                Some(Event::HostsTaken(pool, epoch, from, outcome))
+            }),
             Effect::RecordHostOrders(pool, epoch, tx) => self.spawn(async move {
                 let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
                 Some(Event::HostOrdersRecorded(pool, epoch, outcome))
@@ -316,6 +324,7 @@
     Ok(LoadedRows {
         intake: whole_intake(platform, pool).await?,
         progress: whole(platform, Table::Progress, pool).await?,
+        owner: whole(platform, Table::Owners, pool).await?,
         workers: feeds::present(&platform.workers().await?),
         waves: whole(platform, Table::Waves, "").await?,
         host_orders: whole(platform, Table::HostOrders, pool).await?,
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -1,26 +1,33 @@
-//! Orders to hosts: on record before they are sent, and only on fresh words.
+//! Orders to hosts: on record and taken before they are sent, and no two holders in turn.
 
 use std::collections::BTreeMap;
 
-use rockwick::clock::Now;
 use rockwick::core::sched::hosts::{self, HostDuty, HostTask, Look, PoolNeed};
+use rockwick::core::sched::offers::{Offers, OffersRow, Taken};
 use rockwick::core::sched::rows::{encode, HostOrdersRow};
-use rockwick::core::sched::state::{Ctx, Effect, PoolKey, Timers};
+use rockwick::core::sched::seat::FormerOrders;
+use rockwick::core::sched::state::{Ctx, Effect};
 use rockwick::port::fleet::{
     FleetConfig, HostRecord, HostReply, HostState, PoolConfig, StoredRow, TxOutcome,
 };
 
-/// The entry that orders hosts: pool `busy` lacks one, pool `idle` gives `h1` away.
+use crate::decide::decide;
+
+/// Epoch of the entry that orders hosts.
+const EPOCH: u64 = 7;
+
+/// The entry that orders hosts: pool `busy` lacks one, pool `idle` offers `h1`.
 struct Holder {
     duty: HostDuty,
     config: FleetConfig,
-    timers: Timers,
     now_ms: u64,
-    heard_ms: u64,
+    /// What `idle` offers.
+    offers: Offers,
 }
 
 impl Holder {
-    fn new(former: &[&str]) -> Self {
+    /// After a holder that ordered these hosts, and told of some in its last heartbeat, two seconds ago.
+    fn new(former: &[&str], told_ms: &[(&str, u64)]) -> Self {
         let pool = |name: &str, is_parked| {
             let config = PoolConfig {
                 name: name.to_string(),
@@ -42,14 +49,21 @@
             value: Some(encode(&row)),
             revision: 1,
         };
+        let told = told_ms.iter().map(|(host, at)| (host.to_string(), *at));
+        let former = FormerOrders {
+            told_ms: told.collect(),
+            over_ms: 49_500,
+        };
+        let mut offers = Offers::default();
+        offers.row.offered = BTreeMap::from([("h1".to_string(), "life".to_string())]);
+        offers.revision = 3;
         let mut holder = Self {
             duty: HostDuty::default(),
             config,
-            timers: Timers::new(),
             now_ms: 50_000,
-            heard_ms: 50_000,
+            offers,
         };
-        holder.with_ctx(|duty, _, ctx| *duty = HostDuty::new(&[row], false, ctx));
+        holder.with_ctx(|duty, _, ctx| *duty = HostDuty::new(&[row], &former, false, ctx));
         let list = ["h1", "h2"].map(|host| HostRecord {
             host: host.to_string(),
             pool: "idle".to_string(),
@@ -66,34 +80,24 @@
         &mut self,
         work: impl FnOnce(&mut HostDuty, &Look<'_>, &mut Ctx<'_>),
     ) -> Vec<Effect> {
-        let need = |pool: &str, needed, spare: &[&str]| PoolNeed {
+        let need = |pool: &str, needed, offers: &Offers| PoolNeed {
             pool: pool.to_string(),
             wanted: needed,
             needed,
-            spare: spare.iter().map(|host| host.to_string()).collect(),
-            heard_ms: self.heard_ms,
+            offers: offers.clone(),
+            heard_ms: self.now_ms,
         };
-        let needs = [need("busy", 1, &[]), need("idle", 1, &["h1"])];
+        let needs = [
+            need("busy", 1, &Offers::default()),
+            need("idle", 1, &self.offers),
+        ];
         let look = Look {
             config: &self.config,
             needs: &needs,
             pool: "off",
-            epoch: 7,
-        };
-        let mut out = Vec::new();
-        let mut ctx = Ctx {
-            now: Now {
-                ms: self.now_ms,
-                wall_ms: self.now_ms,
-            },
-            pool: PoolKey(0),
-            me: "entry",
-            until_ms: u64::MAX,
-            timers: &mut self.timers,
-            out: &mut out,
+            epoch: EPOCH,
         };
-        work(&mut self.duty, &look, &mut ctx);
-        out
+        decide(self.now_ms, |ctx| work(&mut self.duty, &look, ctx))
     }
 
     fn look(&mut self) -> Vec<Effect> {
@@ -101,7 +105,17 @@
     }
 
     fn recorded(&mut self) -> Vec<Effect> {
-        self.with_ctx(|duty, _, ctx| hosts::recorded(duty, &TxOutcome::Committed(9), 7, ctx))
+        self.with_ctx(|duty, _, ctx| hosts::recorded(duty, &TxOutcome::Committed(9), EPOCH, ctx))
+    }
+
+    /// The host was taken from `idle`, or its offer was withdrawn meanwhile.
+    fn taken(&mut self, is_done: bool) -> Vec<Effect> {
+        let mut row = None;
+        let effects = self.with_ctx(|duty, _, ctx| {
+            row = hosts::taken(duty, "idle", is_done, EPOCH, ctx);
+        });
+        self.offers.took(row.unwrap_or_default(), 10);
+        effects
     }
 }
 
@@ -110,6 +124,11 @@
     effects.iter().filter(is_record).count()
 }
 
+fn takes(effects: &[Effect]) -> usize {
+    let is_take = |e: &&Effect| matches!(e, Effect::TakeHosts(..));
+    effects.iter().filter(is_take).count()
+}
+
 fn moves(effects: &[Effect]) -> Vec<(String, HostTask)> {
     let orders = effects.iter().filter_map(|e| match e {
         Effect::OrderHost(_, _, host, task, _) => Some((host.clone(), task.clone())),
@@ -118,47 +137,98 @@
     orders.collect()
 }
 
+fn to_busy() -> Vec<(String, HostTask)> {
+    vec![("h1".to_string(), HostTask::Move("busy".to_string()))]
+}
+
 #[test]
 fn hosts_recorded_first() {
-    let mut holder = Holder::new(&[]);
+    let mut holder = Holder::new(&[], &[]);
     let effects = holder.look();
-    assert_eq!((records(&effects), moves(&effects).len()), (1, 0));
-    holder.now_ms += 10;
-    let sent = moves(&holder.recorded());
-    let task = HostTask::Move("busy".to_string());
-    assert_eq!(sent, [("h1".to_string(), task)]);
+    assert_eq!((records(&effects), takes(&effects)), (1, 1));
+    assert_eq!(moves(&effects), []);
+    assert_eq!(moves(&holder.taken(true)), [], "not on record yet");
+    assert_eq!(moves(&holder.recorded()), to_busy());
 }
 
-/// Its pool may have taken the host back by then, and given it work.
 #[test]
-fn hosts_late_record() {
-    let mut holder = Holder::new(&[]);
-    assert_eq!(records(&holder.look()), 1);
-    holder.now_ms += hosts::MOVE_FRESH_MS;
-    assert_eq!(moves(&holder.recorded()), []);
+fn hosts_taken_first() {
+    let mut holder = Holder::new(&[], &[]);
+    holder.look();
+    assert_eq!(moves(&holder.recorded()), [], "its pool still offers it");
+    // A slow store: what was taken is taken, however long it took.
+    holder.now_ms += 1_500;
+    assert_eq!(moves(&holder.taken(true)), to_busy());
 }
 
+/// Its pool took the host back before it could be taken, and may have given it work.
 #[test]
-fn hosts_old_word() {
-    let mut holder = Holder::new(&[]);
+fn hosts_withdrawn() {
+    let mut holder = Holder::new(&[], &[]);
     holder.look();
-    holder.now_ms += 10;
-    assert_eq!(moves(&holder.recorded()).len(), 1);
-    holder.with_ctx(|duty, _, ctx| hosts::ordered(duty, "h1", HostReply::Silent, ctx));
+    holder.recorded();
+    assert_eq!(moves(&holder.taken(false)), []);
+    holder.offers.took(OffersRow::default(), 11);
     holder.now_ms += 2_000;
     let effects = holder.look();
-    assert_eq!(
-        moves(&effects),
-        [],
-        "nobody said lately that the host is spare"
-    );
+    assert_eq!((moves(&effects), takes(&effects)), (vec![], 0));
+}
+
+#[test]
+fn hosts_silent_again() {
+    let mut holder = Holder::new(&[], &[]);
+    holder.look();
+    holder.recorded();
+    assert_eq!(moves(&holder.taken(true)).len(), 1);
+    holder.with_ctx(|duty, _, ctx| hosts::ordered(duty, "h1", HostReply::Silent, ctx));
+    holder.now_ms += 500;
+    assert_eq!(moves(&holder.look()), to_busy(), "it is taken: sent again");
+    holder.with_ctx(|duty, _, ctx| hosts::ordered(duty, "h1", HostReply::Silent, ctx));
+    holder.offers.took(OffersRow::default(), 12);
+    holder.now_ms += 500;
+    assert_eq!(moves(&holder.look()), [], "it is not taken any more");
+}
+
+/// What was taken and is not moved goes back to its pool, once no order can still move it.
+#[test]
+fn hosts_given_back() {
+    let mut holder = Holder::new(&[], &[]);
+    holder.offers.row = OffersRow::default();
+    let taken = |epoch| Taken {
+        life: "life".to_string(),
+        epoch,
+    };
+    let by_former = BTreeMap::from([("h1".to_string(), taken(EPOCH - 1))]);
+    holder.offers.row.taken = by_former;
+    let effects = holder.with_ctx(|duty, look, ctx| {
+        let needs = [look.needs[1].clone()];
+        let calm = Look {
+            needs: &needs,
+            ..*look
+        };
+        hosts::look(duty, &BTreeMap::new(), &calm, ctx);
+    });
+    // Nobody lacks a host: the former holder's mark goes.
+    assert_eq!((takes(&effects), moves(&effects).len()), (1, 0));
+    holder.taken(true);
+    assert!(holder.offers.row.taken.is_empty());
 }
 
 #[test]
 fn hosts_former_holder() {
-    let mut holder = Holder::new(&["h1"]);
+    let mut holder = Holder::new(&["h1"], &[]);
+    holder.now_ms = 49_500 + hosts::ORDERS_APART_MS - 1;
     assert_eq!(records(&holder.look()), 0, "another entry ordered it last");
-    holder.now_ms += 3_300;
-    holder.heard_ms = holder.now_ms;
+    holder.now_ms += 1;
+    assert_eq!(records(&holder.look()), 1);
+}
+
+/// The former holder said in its heartbeats when it ordered the host about: only what is left is waited for.
+#[test]
+fn hosts_former_told() {
+    let mut holder = Holder::new(&["h1"], &[("h1", 47_000)]);
+    holder.now_ms = 47_000 + hosts::ORDERS_APART_MS - 1;
+    assert_eq!(records(&holder.look()), 0);
+    holder.now_ms += 1;
     assert_eq!(records(&holder.look()), 1);
 }
--- /dev/null
+++ b/tests/test_offers.rs
@@ -0,0 +1,393 @@
+//! Hosts on offer: taken back at once or moved, never both, whatever happens to answers of the store.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fastrand::Rng;
+use rockwick::clock::Millis;
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::hosts::{self, HostDuty, HostTask, Look, PoolNeed};
+use rockwick::core::sched::keys::TaskKey;
+use rockwick::core::sched::load;
+use rockwick::core::sched::offers::{Offers, OFFERS_KEY};
+use rockwick::core::sched::seat::FormerOrders;
+use rockwick::core::sched::sizing::{self, Sizing};
+use rockwick::core::sched::state::{Ctx, Effect};
+use rockwick::core::sched::worker::ClockSample;
+use rockwick::port::fleet::{
+    Capacity, FleetConfig, HostRecord, HostReply, HostState, PoolConfig, RowTx, StoredRow,
+    TxOutcome,
+};
+
+use crate::decide::decide;
+use crate::world::{worker_fact, POOL};
+
+/// Seeds in CI.
+const SEEDS: u64 = 300;
+
+/// Hosts of the pool that offers some.
+const HOSTS: usize = 6;
+
+/// Epoch of both sides; another guards none of the rows here.
+const EPOCH: u64 = 7;
+
+/// A call to the store that gets no answer is given up then.
+const TIMEOUT_MS: Millis = 800;
+
+enum Arrival {
+    Settled(TxOutcome),
+    Taken(TxOutcome),
+    Recorded,
+    Ordered(String, HostReply),
+    /// The row as the owner's feed tells it.
+    ToOwner(StoredRow),
+    /// The same for the entry that orders hosts.
+    ToHolder(StoredRow),
+    /// A write whose answer was lost takes effect.
+    Applies(RowTx),
+}
+
+/// An owner, the entry that orders hosts, and the one row between them.
+struct Pair {
+    rng: Rng,
+    now_ms: Millis,
+    book: Book,
+    sizing: Sizing,
+    offers: Offers,
+    duty: HostDuty,
+    seen: Offers,
+    config: FleetConfig,
+    row: Option<(Vec<u8>, u64)>,
+    arrivals: Vec<(Millis, Arrival)>,
+    /// Hosts that were ordered away and are not gone yet, and when they go.
+    leaving: BTreeMap<String, Millis>,
+    gone: BTreeSet<String>,
+    moved: usize,
+    reopened: usize,
+    lacks: u64,
+}
+
+impl Pair {
+    fn new(seed: u64) -> Self {
+        let mut book = Book::default();
+        for n in 0..HOSTS {
+            let host = format!("host-{n}");
+            let fact = worker_fact(&format!("life-{n}"), &host);
+            let key = load::add_worker(&mut book, fact, 0);
+            let worker = &mut book.workers[key];
+            worker.answers = true;
+            worker.clock = Some(ClockSample {
+                local_ms: 0,
+                worker_ms: 0,
+            });
+        }
+        let mut duty = HostDuty::default();
+        decide(0, |ctx| {
+            duty = HostDuty::new(&[], &FormerOrders::default(), true, ctx);
+        });
+        let mut sizing = Sizing::default();
+        sizing.warm = HOSTS as u64;
+        let pool = |name: &str, is_parked| {
+            let config = PoolConfig {
+                name: name.to_string(),
+                is_parked,
+            };
+            (name.to_string(), config)
+        };
+        let pools = [pool(POOL, false), pool("busy", false), pool("off", true)];
+        Self {
+            rng: Rng::with_seed(seed),
+            now_ms: 100_000,
+            book,
+            sizing,
+            offers: Offers::default(),
+            duty,
+            seen: Offers::default(),
+            config: FleetConfig {
+                pools: pools.into(),
+                ..FleetConfig::default()
+            },
+            row: None,
+            arrivals: Vec::new(),
+            leaving: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            moved: 0,
+            reopened: 0,
+            lacks: 0,
+        }
+    }
+
+    fn later(&mut self, ms: Millis, what: Arrival) {
+        self.arrivals.push((self.now_ms + ms, what));
+    }
+
+    fn stored(&self) -> StoredRow {
+        let (value, revision) = self.row.clone().unwrap_or_default();
+        StoredRow {
+            part: POOL.to_string(),
+            key: OFFERS_KEY.to_string(),
+            value: (revision > 0).then_some(value),
+            revision,
+        }
+    }
+
+    fn transact(&mut self, tx: &RowTx) -> TxOutcome {
+        let revision = self.row.as_ref().map_or(0, |(_, revision)| *revision);
+        let guard = tx.guards.iter().find(|g| g.key == OFFERS_KEY);
+        if guard.is_some_and(|g| g.revision != revision) {
+            return TxOutcome::Conflict(vec![(tx.writes[0].table, self.stored())]);
+        }
+        let value = tx.writes[0].value.clone().unwrap_or_default();
+        self.row = Some((value, revision + 1));
+        let row = self.stored();
+        let (a, b) = (self.rng.u64(1..400), self.rng.u64(1..400));
+        self.later(a, Arrival::ToOwner(row.clone()));
+        self.later(b, Arrival::ToHolder(row));
+        TxOutcome::Committed(revision + 1)
+    }
+
+    /// Sends a transaction; its answer may be lost, and its effect late.
+    fn call(&mut self, tx: &RowTx, answer: impl FnOnce(TxOutcome) -> Arrival) {
+        match self.rng.u32(0..10) {
+            0 => {
+                self.transact(tx);
+                self.later(TIMEOUT_MS, answer(TxOutcome::Unknown));
+            }
+            1 => {
+                let late_ms = self.rng.u64(900..5_000);
+                self.later(late_ms, Arrival::Applies(tx.clone()));
+                self.later(TIMEOUT_MS, answer(TxOutcome::Unknown));
+            }
+            2 => self.later(TIMEOUT_MS, answer(TxOutcome::Unknown)),
+            3 => self.later(5, answer(TxOutcome::Refused)),
+            _ => {
+                let outcome = self.transact(tx);
+                let after_ms = self.rng.u64(2..300);
+                self.later(after_ms, answer(outcome));
+            }
+        }
+    }
+
+    fn carry(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::SettleOffers(_, _, tx) => self.call(&tx, Arrival::Settled),
+                Effect::TakeHosts(_, _, _, tx) => self.call(&tx, Arrival::Taken),
+                Effect::RecordHostOrders(..) => {
+                    let after_ms = self.rng.u64(2..300);
+                    self.later(after_ms, Arrival::Recorded);
+                }
+                Effect::OrderHost(_, _, host, HostTask::Move(_), _) => self.order(&host),
+                _ => {}
+            }
+        }
+    }
+
+    /// A host is ordered away: its owner must not use it.
+    fn order(&mut self, host: &str) {
+        self.check_idle(host);
+        let is_silent = self.rng.u32(0..5) == 0;
+        if !self.gone.contains(host) {
+            let goes_ms = self.now_ms + self.rng.u64(1..200);
+            self.leaving.entry(host.to_string()).or_insert(goes_ms);
+        }
+        let reply = if is_silent {
+            HostReply::Silent
+        } else {
+            HostReply::Accepted
+        };
+        self.later(20, Arrival::Ordered(host.to_string(), reply));
+    }
+
+    fn check_idle(&self, host: &str) {
+        let Some(key) = self.book.worker_on(host) else {
+            return;
+        };
+        let worker = &self.book.workers[key];
+        assert!(
+            !worker.is_open(self.now_ms) && worker.tasks.is_empty(),
+            "{host} is ordered away while its pool uses it"
+        );
+    }
+
+    fn owner_looks(&mut self) {
+        let open = |pair: &Self| {
+            let workers = pair.book.workers.values();
+            workers.filter(|w| w.is_open(pair.now_ms)).count()
+        };
+        let before = open(self);
+        self.sizing.warm = self.rng.u64(1..=HOSTS as u64);
+        let with = sizing::Look {
+            pool: POOL,
+            epoch: EPOCH,
+            can_park: true,
+            pressed: false,
+        };
+        let effects = decide(self.now_ms, |ctx| {
+            sizing::look(
+                &mut self.book,
+                &mut self.sizing,
+                &mut self.offers,
+                &with,
+                ctx,
+            );
+        });
+        self.reopened += usize::from(open(self) > before);
+        self.carry(effects);
+        self.work();
+    }
+
+    /// Work comes to some host that is open, and ends on others.
+    fn work(&mut self) {
+        let keys: Vec<_> = self.book.workers.keys().collect();
+        let key = keys[self.rng.usize(0..keys.len())];
+        let demand = Capacity {
+            cpu_milli: 100,
+            ..Capacity::default()
+        };
+        let task = TaskKey {
+            job: Default::default(),
+            round: 0,
+            step: 0,
+            index: 0,
+        };
+        let is_open = self.book.workers[key].is_open(self.now_ms);
+        let worker = &mut self.book.workers[key];
+        if is_open && self.rng.bool() {
+            worker.take(task, demand);
+        } else {
+            worker.release(task, demand);
+        }
+    }
+
+    fn holder(&mut self, work: impl FnOnce(&mut HostDuty, &Look<'_>, &mut Ctx<'_>)) {
+        let need = |pool: &str, needed, offers: &Offers| PoolNeed {
+            pool: pool.to_string(),
+            wanted: needed,
+            needed,
+            offers: offers.clone(),
+            heard_ms: self.now_ms,
+        };
+        let needs = [
+            need("busy", self.lacks, &Offers::default()),
+            need(POOL, 0, &self.seen),
+        ];
+        let look = Look {
+            config: &self.config,
+            needs: &needs,
+            pool: "off",
+            epoch: EPOCH,
+        };
+        let duty = &mut self.duty;
+        let effects = decide(self.now_ms, |ctx| work(duty, &look, ctx));
+        self.carry(effects);
+    }
+
+    fn list(&self) -> Vec<HostRecord> {
+        let hosts = (0..HOSTS).map(|n| format!("host-{n}"));
+        hosts
+            .map(|host| HostRecord {
+                pool: match self.gone.contains(&host) {
+                    true => "busy".to_string(),
+                    false => POOL.to_string(),
+                },
+                state: HostState::Up,
+                life: String::new(),
+                host,
+            })
+            .collect()
+    }
+
+    fn arrive(&mut self, what: Arrival) {
+        match what {
+            Arrival::Settled(outcome) => match outcome {
+                TxOutcome::Committed(revision) => self.offers.changed(revision),
+                TxOutcome::Conflict(found) => {
+                    self.offers.pending = None;
+                    observe(&mut self.offers, &found[0].1);
+                }
+                TxOutcome::Refused => self.offers.pending = None,
+                TxOutcome::Unknown => self.offers.left_open(),
+            },
+            Arrival::Taken(outcome) => {
+                let is_done = matches!(outcome, TxOutcome::Committed(_));
+                let mut row = None;
+                self.holder(|duty, _, ctx| {
+                    row = hosts::taken(duty, POOL, is_done, EPOCH, ctx);
+                });
+                match (outcome, row) {
+                    (TxOutcome::Committed(revision), Some(row)) => self.seen.took(row, revision),
+                    (TxOutcome::Conflict(found), _) => observe(&mut self.seen, &found[0].1),
+                    _ => {}
+                }
+            }
+            Arrival::Recorded => self.holder(|duty, _, ctx| {
+                hosts::recorded(duty, &TxOutcome::Committed(1), EPOCH, ctx);
+            }),
+            Arrival::Ordered(host, reply) => self.holder(|duty, _, ctx| {
+                hosts::ordered(duty, &host, reply, ctx);
+            }),
+            Arrival::ToOwner(row) => observe(&mut self.offers, &row),
+            Arrival::ToHolder(row) => observe(&mut self.seen, &row),
+            Arrival::Applies(tx) => {
+                self.transact(&tx);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += 10;
+        let now_ms = self.now_ms;
+        let (due, rest) = self.arrivals.drain(..).partition(|(at, _)| *at <= now_ms);
+        self.arrivals = rest;
+        let due: Vec<(Millis, Arrival)> = due;
+        for (_, what) in due {
+            self.arrive(what);
+        }
+        let leaving: Vec<String> = self.leaving.keys().cloned().collect();
+        for host in &leaving {
+            self.check_idle(host);
+        }
+        let goes = self.leaving.iter().filter(|(_, at)| **at <= now_ms);
+        let goes: Vec<String> = goes.map(|(host, _)| host.clone()).collect();
+        for host in goes {
+            self.leaving.remove(&host);
+            self.gone.insert(host.clone());
+            self.moved += 1;
+            if let Some(key) = self.book.worker_on(&host) {
+                self.book.workers[key].is_listed = false;
+            }
+        }
+        if now_ms % 100 == 0 {
+            if self.rng.u32(0..8) == 0 {
+                self.lacks = self.rng.u64(0..=HOSTS as u64);
+            }
+            self.owner_looks();
+            let list = self.list();
+            self.holder(|duty, look, ctx| {
+                hosts::list_read(duty, list);
+                hosts::look(duty, &BTreeMap::new(), look, ctx);
+            });
+        }
+    }
+}
+
+fn observe(offers: &mut Offers, row: &StoredRow) {
+    if row.revision > 0 {
+        offers.observe(row).expect("the row decodes");
+    }
+}
+
+/// Random withdrawals and moves over a store that loses answers, is late and refuses.
+#[test]
+fn offers_random() {
+    let (mut moved, mut reopened) = (0, 0);
+    for seed in 0..SEEDS {
+        let mut pair = Pair::new(seed);
+        for _ in 0..1_000 {
+            pair.step();
+        }
+        moved += pair.moved;
+        reopened += pair.reopened;
+    }
+    assert!(moved > 200 && reopened > 200, "{moved} {reopened}");
+}
--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -1,20 +1,20 @@
 //! How many hosts a pool wants, by what its work can still earn.
 
-use rockwick::clock::Now;
 use rockwick::core::sched::book::Book;
 use rockwick::core::sched::job::JobSpec;
+use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::sizing::{self, Look, Sizing};
-use rockwick::core::sched::state::{Ctx, PoolKey, Timers};
+use rockwick::core::sched::state::Ctx;
 use rockwick::core::sched::{load, rows};
-use rockwick::port::fleet::{Capacity, StoredRow, WorkerFact};
+use rockwick::port::fleet::StoredRow;
 
-use crate::world::{config, job, POOL};
+use crate::decide::decide;
+use crate::world::{config, job, worker_fact, POOL};
 
 /// A pool of hosts with 16 cores each, and nothing to do.
 struct Bench {
     book: Book,
     sizing: Sizing,
-    timers: Timers,
     now_ms: u64,
     jobs: u64,
 }
@@ -23,20 +23,7 @@
     fn new(hosts: u16) -> Self {
         let mut book = Book::default();
         for n in 0..hosts {
-            let fact = WorkerFact {
-                id: format!("life-{n}"),
-                host: format!("host-{n}"),
-                pool: POOL.to_string(),
-                address: std::net::SocketAddr::from(([10, 0, 0, 1], n + 1)),
-                hall: "hall".to_string(),
-                labels: Vec::new(),
-                capacity: Capacity {
-                    cpu_milli: 16_000,
-                    mem_mb: 32_000,
-                    gpu: 0,
-                },
-                draining: false,
-            };
+            let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
             load::add_worker(&mut book, fact, 0);
         }
         let mut sizing = Sizing::default();
@@ -44,26 +31,15 @@
         Self {
             book,
             sizing,
-            timers: Timers::new(),
             now_ms: 100_000,
             jobs: 0,
         }
     }
 
     fn with_ctx(&mut self, work: impl FnOnce(&mut Book, &mut Sizing, &mut Ctx<'_>)) {
-        let mut out = Vec::new();
-        let mut ctx = Ctx {
-            now: Now {
-                ms: self.now_ms,
-                wall_ms: self.now_ms,
-            },
-            pool: PoolKey(0),
-            me: "entry",
-            until_ms: u64::MAX,
-            timers: &mut self.timers,
-            out: &mut out,
-        };
-        work(&mut self.book, &mut self.sizing, &mut ctx);
+        decide(self.now_ms, |ctx| {
+            work(&mut self.book, &mut self.sizing, ctx);
+        });
     }
 
     fn submit(&mut self, spec: &JobSpec, accepted_ms: u64) {
@@ -83,20 +59,27 @@
 
     /// Hosts needed and wanted, looked at for a second in which nothing changes.
     fn look(&mut self, pressed: bool) -> (u64, u64) {
-        let with = Look {
-            can_park: false,
-            pressed,
-        };
+        let with = calm(pressed);
         for _ in 0..10 {
             self.now_ms += 100;
             self.with_ctx(|book, sizing, ctx| {
-                sizing::look(book, sizing, &with, ctx);
+                sizing::look(book, sizing, &mut Offers::default(), &with, ctx);
             });
         }
         (self.sizing.needed, self.sizing.wanted)
     }
 }
 
+/// A look where no host can be given away.
+fn calm(pressed: bool) -> Look<'static> {
+    Look {
+        pool: POOL,
+        epoch: 1,
+        can_park: false,
+        pressed,
+    }
+}
+
 #[test]
 fn sizing_late_work_waits() {
     let mut bench = Bench::new(10);
@@ -136,12 +119,9 @@
         bench.submit(&job(1, 4_000, 2_000), bench.now_ms);
         bench.now_ms += 10;
     }
-    let with = Look {
-        can_park: false,
-        pressed: true,
-    };
+    let with = calm(true);
     bench.with_ctx(|book, sizing, ctx| {
-        sizing::look(book, sizing, &with, ctx);
+        sizing::look(book, sizing, &mut Offers::default(), &with, ctx);
     });
     // What came takes 80 cores; at that rate it will take 400.
     assert_eq!(bench.sizing.needed, 32);
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -105,6 +105,15 @@
                 let (after_ms, outcome) = self.store_call(n, &tx);
                 self.reply(n, after_ms, Event::IntakeRemoved(pool, epoch, outcome));
             }
+            Effect::SettleOffers(pool, epoch, tx) => {
+                let (after_ms, outcome) = self.store_call(n, &tx);
+                self.reply(n, after_ms, Event::OffersSettled(pool, epoch, outcome));
+            }
+            Effect::TakeHosts(pool, epoch, from, tx) => {
+                let (after_ms, outcome) = self.store_call(n, &tx);
+                let event = Event::HostsTaken(pool, epoch, from, outcome);
+                self.reply(n, after_ms, event);
+            }
             Effect::RecordHostOrders(pool, epoch, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
                 self.reply(n, after_ms, Event::HostOrdersRecorded(pool, epoch, outcome));
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -139,6 +139,7 @@
         LoadedRows {
             intake: of(Table::Intake, POOL),
             progress: of(Table::Progress, POOL),
+            owner: of(Table::Owners, POOL),
             workers: self.workers.values().map(|w| w.fact.clone()).collect(),
             waves: of(Table::Waves, ""),
             host_orders: of(Table::HostOrders, POOL),
