--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -357,7 +357,7 @@
                 self.book.workers[key].is_listed = false;
             }
         }
-        if now_ms % 100 == 0 {
+        if now_ms.is_multiple_of(100) {
             if self.rng.u32(0..8) == 0 {
                 self.lacks = self.rng.u64(0..=HOSTS as u64);
             }
