Tasks go to the fullest worker that fits

Change: a worker costs what of its room stays free, not what is used; data elsewhere, a due host and failures count on top as before. Ruled out: an index by free room, which a pool of 85 does not need yet. Tests: packing_fills_one, packing_keeps_apart, failing before.

--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -11,7 +11,7 @@
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::Capacity;
 
-/// Added to a worker's load, in thousandths, where the data lies elsewhere.
+/// Added to a worker's cost, in thousandths, where the data lies elsewhere.
 const FAR_MILLI: u64 = 1_000;
 
 /// The same, for a task that lasts, where the host is due for upkeep: it would have to move.
@@ -111,10 +111,13 @@
     most == 0 || book.siblings_on(key, worker) < most
 }
 
-/// How much a worker is to be avoided, in thousandths of its load; `more` is about to be placed there, too.
+/// How much a worker is to be avoided, in thousandths of its room that stay free; `more` is about to be placed
+/// there, too. Full workers first: others stay empty and can go where they are wanted.
 pub(super) fn cost_milli(book: &Book, spec: &StepSpec, worker: WorkerKey, more: Capacity) -> u64 {
     let w = &book.workers[worker];
-    let mut cost = (w.used.cpu_milli + more.cpu_milli) * 1_000 / w.fact.capacity.cpu_milli.max(1);
+    let room = w.fact.capacity.cpu_milli;
+    let free = room.saturating_sub(w.used.cpu_milli + more.cpu_milli);
+    let mut cost = free * 1_000 / room.max(1);
     if spec
         .data_rack
         .as_deref()
