Spare hosts are always on offer; idle ones are turned off after 4 s

Hypothesis: floors and pressure (a pool kept all its first hosts until another lacked some, then gave them after a look) cost a feed and two looks at each peak, and their noise closed hosts that were needed. An offer is taken back within one answer of the store now, so hosts beyond the need can be on offer at any time. Parking at once after a peak sends hosts off that the next queue needs two moves later; two moves cost as much as a host for 2.3 s. Change: no floor, no first hosts kept on record; what is not needed for 300 ms is on offer; the orderer turns off what nobody took for 4 s. A pool without any job asks for nothing. A pool without any listed host asked for one host a millicore. What this entry took and did not move goes back first; failing before.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -30,6 +30,10 @@
 /// way and a late timer on top.
 pub const ORDERS_APART_MS: Millis = 3_300;
 
+/// A host that is on offer and wanted by nobody for so long is turned off. On the users' sites two moves cost as
+/// much as a host for 2.3 s; after that long, the next use is at least as far away on the whole.
+const PARK_MS: Millis = 4_000;
+
 /// Pause before an order to a host is sent again that got no answer.
 const RETRY_MS: Millis = 400;
 
@@ -113,6 +117,8 @@
     pending: Option<(u64, WaveRow)>,
     /// Hosts that are being put on record.
     recording: Option<BTreeSet<String>>,
+    /// Hosts on offer, and since when.
+    offered_ms: BTreeMap<String, Millis>,
     /// Changes of offers that are out, by pool.
     taking: BTreeMap<String, OffersRow>,
     /// When hosts were last ordered about by this entry.
@@ -585,14 +591,32 @@
         if let Some(host) = idle.pop() {
             begin(duty, &host, task, None, ctx);
         } else if let Some(other) = take_other(&mut spare, &need.pool) {
-            begin(duty, &other.host, task, other.offered_by(), ctx);
+            begin(duty, &other.host, task, Some(other.pool), ctx);
         } else {
             break;
         }
     }
+    note_offers(duty, with, ctx.now.ms);
     for other in spare.into_iter().filter(|other| other.is_offered) {
-        let task = HostTask::Move(parked.name.clone());
-        begin(duty, &other.host, task, other.offered_by(), ctx);
+        let since_ms = duty.offered_ms.get(&other.host);
+        if since_ms.is_some_and(|since| ctx.now.ms >= since + PARK_MS) {
+            let task = HostTask::Move(parked.name.clone());
+            begin(duty, &other.host, task, Some(other.pool), ctx);
+        }
+    }
+}
+
+/// Notes since when hosts are on offer.
+fn note_offers(duty: &mut HostDuty, with: &Look<'_>, now_ms: Millis) {
+    let is_offered = |host: &str| {
+        let mut rows = with.needs.iter().map(|need| &need.offers.row);
+        rows.any(|row| row.offered.contains_key(host))
+    };
+    duty.offered_ms.retain(|host, _| is_offered(host));
+    for need in with.needs {
+        for host in need.offers.row.offered.keys() {
+            duty.offered_ms.entry(host.clone()).or_insert(now_ms);
+        }
     }
 }
 
@@ -600,20 +624,12 @@
 struct Spare {
     host: String,
     pool: String,
-    /// It is on offer, and its owner may take it back.
+    /// It is on offer; else a former holder took it.
     is_offered: bool,
-    /// It was taken by this entry.
-    is_taken: bool,
-}
-
-impl Spare {
-    /// The pool that it is still to be taken from.
-    fn offered_by(&self) -> Option<String> {
-        (!self.is_taken).then(|| self.pool.clone())
-    }
 }
 
-/// Hosts of a pool that are on offer, or were taken and not moved, by this entry or a former one.
+/// Hosts of a pool that are on offer, or that a former holder took and did not move. What this one took and
+/// did not move goes back first: its return may be on its way.
 fn spare_of(
     duty: &HostDuty,
     waves: &BTreeMap<u64, WaveKnown>,
@@ -622,15 +638,14 @@
     now_ms: Millis,
 ) -> Vec<Spare> {
     let row = &need.offers.row;
-    let spare = |host: &String, is_offered, is_taken| Spare {
+    let spare = |host: &String, is_offered| Spare {
         host: host.clone(),
         pool: need.pool.clone(),
         is_offered,
-        is_taken,
     };
-    let offered = row.offered.keys().map(|host| spare(host, true, false));
-    let taken = row.taken.iter();
-    let taken = taken.map(|(host, by)| spare(host, false, by.epoch == epoch));
+    let offered = row.offered.keys().map(|host| spare(host, true));
+    let taken = row.taken.iter().filter(|(_, by)| by.epoch != epoch);
+    let taken = taken.map(|(host, _)| spare(host, false));
     let is_free = |other: &Spare| is_free(duty, waves, &other.host, &need.pool, now_ms);
     offered.chain(taken).filter(is_free).collect()
 }
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -605,9 +605,6 @@
         };
         let epoch = tenure.epoch;
         let Some(book) = &mut tenure.book else { return };
-        if tenure.sizing.warm == 0 {
-            tenure.sizing.warm = pool.seat.beat.warm;
-        }
         let with = sizing::Look {
             pool: &pool.name,
             epoch,
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -47,9 +47,6 @@
     /// Hosts that take its work now.
     #[serde(default)]
     pub serving: u64,
-    /// Hosts that it had when it was first owned.
-    #[serde(default)]
-    pub warm: u64,
     /// What steps took of late, for the next owner.
     #[serde(default)]
     pub times: Times,
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -221,7 +221,6 @@
         wanted: sizing.map_or(0, |s| s.wanted),
         needed: sizing.map_or(0, |s| s.needed),
         serving: sizing.map_or(0, |s| s.serving),
-        warm: sizing.map_or(pool.seat.beat.warm, |s| s.warm.max(pool.seat.beat.warm)),
         ordered: ordered(pool, ctx.now.ms),
         times: book.map_or_else(|| pool.seat.beat.times.clone(), |b| b.times.clone()),
         entry: ctx.me.to_string(),
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -15,22 +15,9 @@
 /// How often a pool's size is looked at.
 pub const LOOK_MS: Millis = 100;
 
-/// Hosts are kept so long after they were last needed. A move costs as much as a host for 1.1 s on the
-/// users' sites, and a host that was sent away comes back with another move.
-const KEEP_MS: Millis = 1_500;
-
-/// The same while another pool lacks hosts: a few looks, against the noise of single jobs.
-const KEEP_PRESSED_MS: Millis = 150;
-
-/// Share of its first hosts that a pool keeps without work, in percent: its next peak finds them, others
-/// come 2.5 s later. Measured: see docs/MEASURES.md.
-const FLOOR_PERCENT: u64 = 100;
-
-/// The same while another pool lacks hosts.
-const FLOOR_PRESSED_PERCENT: u64 = 0;
-
-/// All workers are listed so long after the first start.
-const SETTLE_MS: Millis = 4_000;
+/// Hosts are kept so long after they were last needed: a few looks, against the noise of single jobs. One that
+/// is on offer comes back within an answer of the store.
+const KEEP_MS: Millis = 300;
 
 /// Hosts that a pool keeps at the least.
 const HOSTS_MIN: u64 = 3;
@@ -53,10 +40,6 @@
     pub needed: u64,
     /// Hosts that take its work now.
     pub serving: u64,
-    /// Hosts that it had when it was first owned; 0 while that is not known.
-    pub warm: u64,
-    /// When the pool was first looked at.
-    first_ms: Option<Millis>,
 }
 
 /// Hosts that a pool could use.
@@ -91,34 +74,18 @@
 ) -> bool {
     ctx.after(LOOK_MS, Timer::Size);
     let now_ms = ctx.now.ms;
-    let keep_ms = if with.pressed {
-        KEEP_PRESSED_MS
-    } else {
-        KEEP_MS
-    };
     sizing.needs.push_back((now_ms, need(book, now_ms)));
-    sizing.needs.retain(|(at_ms, _)| now_ms < at_ms + keep_ms);
+    sizing.needs.retain(|(at_ms, _)| now_ms < at_ms + KEEP_MS);
     let most = |hosts: fn(&Need) -> u64| sizing.needs.iter().map(|(_, n)| hosts(n)).max();
     let needed = most(|n| n.in_time).unwrap_or(HOSTS_MIN);
     let for_all = most(|n| n.all).unwrap_or(HOSTS_MIN);
-    sizing.needed = needed;
-    if sizing.warm == 0 {
-        // At the first start all workers are listed within some seconds.
-        let is_settled = now_ms >= *sizing.first_ms.get_or_insert(now_ms) + SETTLE_MS;
-        let listed = book.workers.values().filter(|w| w.is_listed).count() as u64;
-        sizing.warm = if is_settled { listed } else { 0 };
-        sizing.wanted = sizing.needed;
-        return false;
-    }
-    let floor_percent = if with.pressed {
-        FLOOR_PRESSED_PERCENT
-    } else {
-        FLOOR_PERCENT
-    };
+    // Before the first job nothing is known of the load: the pool keeps what it has.
+    let has_load = !book.jobs.is_empty();
+    sizing.needed = if has_load { needed } else { 0 };
     // Work that is late already waits while another pool lacks hosts for work that can be in time.
     let for_work = if with.pressed { needed } else { for_all };
-    sizing.wanted = for_work.max((sizing.warm * floor_percent).div_ceil(100));
-    if with.can_park {
+    sizing.wanted = if has_load { for_work } else { 0 };
+    if with.can_park && (has_load || with.pressed) {
         choose_spare(book, sizing, offers, now_ms);
         settle_offers(book, sizing, offers, with, ctx);
     }
@@ -150,6 +117,10 @@
     let count = (listed.count() as u64).max(1);
     let (host_cpu, host_mem) = (host.cpu_milli / count, host.mem_mb / count);
     let hosts = |sum: Capacity| {
+        if host_cpu == 0 {
+            // No host is listed yet that tells how large one is.
+            return HOSTS_MIN;
+        }
         let with_room = |sum: u64, host: u64| (sum * ROOM_PERCENT / 100).div_ceil(host.max(1));
         with_room(sum.cpu_milli, host_cpu).max(with_room(sum.mem_mb, host_mem))
     };
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -9,6 +9,7 @@
 use rockwick::core::sched::keys::TaskKey;
 use rockwick::core::sched::load;
 use rockwick::core::sched::offers::{Offers, OFFERS_KEY};
+use rockwick::core::sched::rows;
 use rockwick::core::sched::seat::FormerOrders;
 use rockwick::core::sched::sizing::{self, Sizing};
 use rockwick::core::sched::state::{Ctx, Effect};
@@ -19,7 +20,7 @@
 };
 
 use crate::decide::decide;
-use crate::world::{worker_fact, POOL};
+use crate::world::{config, job, worker_fact, POOL};
 
 /// Seeds in CI.
 const SEEDS: u64 = 300;
@@ -84,8 +85,7 @@
         decide(0, |ctx| {
             duty = HostDuty::new(&[], &FormerOrders::default(), true, ctx);
         });
-        let mut sizing = Sizing::default();
-        sizing.warm = HOSTS as u64;
+        let sizing = Sizing::default();
         let pool = |name: &str, is_parked| {
             let config = PoolConfig {
                 name: name.to_string(),
@@ -215,7 +215,7 @@
             workers.filter(|w| w.is_open(pair.now_ms)).count()
         };
         let before = open(self);
-        self.sizing.warm = self.rng.u64(1..=HOSTS as u64);
+        self.change_load();
         let with = sizing::Look {
             pool: POOL,
             epoch: EPOCH,
@@ -236,6 +236,29 @@
         self.work();
     }
 
+    /// What the pool needs rises and falls: jobs that never get a place come and go.
+    fn change_load(&mut self) {
+        if self.rng.u32(0..4) > 0 {
+            return;
+        }
+        let keys: Vec<_> = self.book.jobs.keys().collect();
+        if keys.len() > 2 || self.rng.bool() {
+            for key in keys.into_iter().skip(1) {
+                self.book.forget(key);
+            }
+            return;
+        }
+        let row = StoredRow {
+            part: POOL.to_string(),
+            key: format!("job-{}", self.now_ms),
+            value: Some(rows::encode(&job(8, 4_000, 60_000))),
+            revision: 1,
+        };
+        decide(self.now_ms, |ctx| {
+            load::apply_intake(&mut self.book, &row, &config(1), EPOCH, ctx);
+        });
+    }
+
     /// Work comes to some host that is open, and ends on others.
     fn work(&mut self) {
         let keys: Vec<_> = self.book.workers.keys().collect();
--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -26,8 +26,7 @@
             let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
             load::add_worker(&mut book, fact, 0);
         }
-        let mut sizing = Sizing::default();
-        sizing.warm = u64::from(hosts);
+        let sizing = Sizing::default();
         Self {
             book,
             sizing,
@@ -80,6 +79,19 @@
     }
 }
 
+#[test]
+fn sizing_no_load_yet() {
+    let mut bench = Bench::new(10);
+    assert_eq!(bench.look(false), (0, 0), "it asks for nothing");
+}
+
+#[test]
+fn sizing_no_host_yet() {
+    let mut bench = Bench::new(0);
+    bench.submit(&job(8, 1_000, 60_000), bench.now_ms);
+    assert_eq!(bench.look(false), (3, 3), "nobody knows how large one is");
+}
+
 #[test]
 fn sizing_late_work_waits() {
     let mut bench = Bench::new(10);
