Heartbeats go with changes of jobs

Cause: writes of one part go in turn. Change: each record of progress carries the heartbeat; one of its own goes only where none was sent for 400 ms. Changed needs are told at once only while hosts are lacking and the store answers within 100 ms, and 100 ms apart. A record that is sent again counts for the lease from its first sending. Renewals that the feed showed as done began a second round of timers; all rounds fall together now. Ruled out: another part for progress, which the owner's epoch must guard.

--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -8,9 +8,10 @@
 use super::remove;
 use super::rows;
 use super::runs;
-use super::seat::epoch_guard;
-use super::state::{Batch, Ctx, Effect, Tenure, Timer};
+use super::seat::{self, epoch_guard, Seat};
+use super::state::{Batch, Ctx, Effect, Pool, Tenure, Timer};
 use super::worker::HoldPhase;
+use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, TxOutcome, Write};
 
@@ -26,8 +27,12 @@
 }
 
 /// Sends what was gathered, if it is time and no batch is out.
-pub fn flush(tenure: &mut Tenure, part: &str, ctx: &mut Ctx<'_>) {
+pub fn flush(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    let Some(tenure) = &mut pool.tenure else {
+        return;
+    };
     let epoch = tenure.epoch;
+    let part = &pool.name;
     let Some(book) = &mut tenure.book else { return };
     if tenure.batch.is_some() || !ctx.may_send() {
         return;
@@ -42,10 +47,14 @@
         ctx.after(due_ms - ctx.now.ms, Timer::Flush);
         return;
     }
-    let batch = gather(book, part, epoch);
+    let mut batch = gather(book, part, epoch, ctx.now.ms);
+    // One write less where writes of a part go in turn, 300 ms each on the users' slow days.
+    batch.tx.writes.push(seat::next_beat(pool, ctx));
     ctx.out
         .push(Effect::Record(ctx.pool, epoch, batch.tx.clone()));
-    tenure.batch = Some(batch);
+    if let Some(tenure) = &mut pool.tenure {
+        tenure.batch = Some(batch);
+    }
 }
 
 /// Ends that change nothing on record count as seen at once.
@@ -74,7 +83,7 @@
     }
 }
 
-fn gather(book: &mut Book, part: &str, epoch: u64) -> Batch {
+fn gather(book: &mut Book, part: &str, epoch: u64, now_ms: Millis) -> Batch {
     let jobs: Vec<JobKey> = book.dirty.iter().copied().take(BATCH_JOBS).collect();
     for job in &jobs {
         book.dirty.remove(job);
@@ -112,6 +121,7 @@
         jobs: kept,
         starts,
         removed: Vec::new(),
+        beat_ms: Some(now_ms),
         // Ends may only count as seen with every change that they brought.
         ends: if book.dirty.is_empty() {
             ends(book)
@@ -122,7 +132,12 @@
 }
 
 /// Settles the batch that is out.
-pub fn recorded(tenure: &mut Tenure, outcome: TxOutcome, ctx: &mut Ctx<'_>) -> Settled {
+pub fn recorded(
+    tenure: &mut Tenure,
+    seat: &mut Seat,
+    outcome: TxOutcome,
+    ctx: &mut Ctx<'_>,
+) -> Settled {
     let epoch = tenure.epoch;
     let Some(batch) = &tenure.batch else {
         return Settled::Fine;
@@ -153,6 +168,10 @@
     let (Some(batch), Some(book)) = (tenure.batch.take(), &mut tenure.book) else {
         return Settled::Fine;
     };
+    // Sent again, it may have taken effect the first time: the lease counts from then.
+    if let Some(sent_ms) = batch.beat_ms {
+        seat.note_renewed(sent_ms, ctx.now.ms);
+    }
     for key in &batch.jobs {
         if let Some(job) = book.jobs.get_mut(*key) {
             job.revision = revision;
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -11,6 +11,12 @@
 /// An owner renews so often: three tries fit into its lease.
 pub const RENEW_MS: Millis = 400;
 
+/// Heartbeats that only tell a change of needs are so far apart at the least: what changes jobs tells it, too.
+pub const TOLD_APART_MS: Millis = 100;
+
+/// A store that takes longer than that is slow: it answers in 5 to 15 ms, and in 285 on the users' slow days.
+pub const SLOW_ANSWER_MS: Millis = 100;
+
 /// For one sending of a transaction; an outage is told from a slow answer by repeating it.
 pub const TX_TIMEOUT_MS: Millis = 800;
 
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -424,7 +424,7 @@
         let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
             return;
         };
-        match commit::recorded(tenure, outcome, ctx) {
+        match commit::recorded(tenure, &mut pool.seat, outcome, ctx) {
             Settled::Fine => {}
             Settled::PoolLost => seat::lose(pool, "its row changed", ctx),
             Settled::Diverged => {
@@ -612,7 +612,7 @@
             pressed,
         };
         if sizing::look(book, &mut tenure.sizing, &mut pool.offers, &with, ctx) {
-            seat::renew(pool, ctx);
+            seat::tell(pool, ctx);
         }
     });
 }
@@ -622,7 +622,6 @@
     let is_stopping = state.is_stopping;
     for key in owned_pools(state) {
         with_pool(state, key, now, out, |pool, ctx, _| {
-            let name = pool.name.clone();
             let Some(tenure) = &mut pool.tenure else {
                 return;
             };
@@ -639,7 +638,7 @@
                     place::place(book, ctx);
                 }
             }
-            commit::flush(tenure, &name, ctx);
+            commit::flush(pool, ctx);
         });
     }
     if state.is_stopping && state.owned() == 0 {
--- a/src/core/sched/remove.rs
+++ b/src/core/sched/remove.rs
@@ -90,5 +90,6 @@
         starts: Vec::new(),
         ends: Vec::new(),
         removed,
+        beat_ms: None,
     });
 }
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -9,7 +9,7 @@
 use super::hosts::ORDERS_APART_MS;
 use super::limits::{
     CLAIM_OWNED_MS, CLAIM_SPREAD_MS, CLAIM_WEAK_MS, CPU_FULL_MILLI, OWNER_LEASE_MS,
-    OWNER_MARGIN_MS, RENEW_MS, TX_RETRY_MS,
+    OWNER_MARGIN_MS, RENEW_MS, SLOW_ANSWER_MS, TOLD_APART_MS, TX_RETRY_MS,
 };
 use super::rows::{self, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY};
 use super::state::{Ctx, Effect, Pool, Tenure, Timer};
@@ -56,8 +56,12 @@
     pub renewed_ms: Millis,
     /// A renewal of ours is out.
     pub is_renewing: bool,
-    /// Count of our last renewal, and when it was sent.
+    /// Count of our last heartbeat, and when it was sent.
     pub sent: (u64, Millis),
+    /// When the next one is due; changes of jobs carry heartbeats, too.
+    pub beat_due_ms: Millis,
+    /// What the store took for the last one.
+    pub answer_ms: Millis,
 }
 
 impl Seat {
@@ -78,6 +82,12 @@
         }
     }
 
+    /// Takes note of a heartbeat that is in the store, sent at that time.
+    pub fn note_renewed(&mut self, sent_ms: Millis, now_ms: Millis) {
+        self.renewed_ms = self.renewed_ms.max(sent_ms);
+        self.answer_ms = now_ms.saturating_sub(sent_ms);
+    }
+
     /// Whether an earlier process of this entry owned the pool: it has ended, since this one runs.
     fn was_ours(&self, me: &str, nonce: u64) -> bool {
         self.owner.entry == me && self.owner.nonce != nonce
@@ -316,12 +326,35 @@
     });
     ctx.out
         .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
-    let passed_ms = ctx.now.ms.saturating_sub(sent_ms);
-    ctx.after(RENEW_MS.saturating_sub(passed_ms), Timer::Renew);
+    pool.seat.beat_due_ms = sent_ms + RENEW_MS;
+    ctx.after(
+        pool.seat.beat_due_ms.saturating_sub(ctx.now.ms),
+        Timer::Renew,
+    );
 }
 
-/// Renews the lease.
+/// Renews the lease, if no heartbeat was sent of late.
 pub fn renew(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    let due_ms = pool.seat.beat_due_ms;
+    if ctx.now.ms < due_ms {
+        ctx.after(due_ms - ctx.now.ms, Timer::Renew);
+        return;
+    }
+    send_beat(pool, ctx);
+}
+
+/// Tells soon what changed in the pool's needs, unless the store is slow: then it comes with the next
+/// heartbeat, since each of its own would hold up changes of jobs.
+pub fn tell(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    if pool.seat.answer_ms >= SLOW_ANSWER_MS {
+        return;
+    }
+    let due_ms = pool.seat.sent.1 + TOLD_APART_MS;
+    pool.seat.beat_due_ms = pool.seat.beat_due_ms.min(due_ms);
+    ctx.after(due_ms.saturating_sub(ctx.now.ms), Timer::Renew);
+}
+
+fn send_beat(pool: &mut Pool, ctx: &mut Ctx<'_>) {
     let Some(tenure) = &pool.tenure else { return };
     if pool.seat.is_renewing {
         return;
@@ -330,12 +363,19 @@
     let tx = RowTx {
         part: pool.name.clone(),
         guards: vec![epoch_guard(epoch)],
-        writes: vec![write(BEAT_KEY, rows::encode(&beat(pool, ctx)))],
+        writes: vec![next_beat(pool, ctx)],
     };
     pool.seat.is_renewing = true;
+    ctx.out.push(Effect::Renew(ctx.pool, epoch, tx));
+}
+
+/// The write of the next heartbeat, which is sent now.
+pub fn next_beat(pool: &mut Pool, ctx: &Ctx<'_>) -> Write {
+    let write = write(BEAT_KEY, rows::encode(&beat(pool, ctx)));
     pool.seat.beat.count += 1;
     pool.seat.sent = (pool.seat.beat.count, ctx.now.ms);
-    ctx.out.push(Effect::Renew(ctx.pool, epoch, tx));
+    pool.seat.beat_due_ms = ctx.now.ms + RENEW_MS;
+    write
 }
 
 /// Settles a renewal; says whether the pool is lost.
@@ -343,13 +383,14 @@
     pool.seat.is_renewing = false;
     match outcome {
         TxOutcome::Committed(_) => {
-            pool.seat.renewed_ms = pool.seat.renewed_ms.max(sent_ms);
-            let passed_ms = ctx.now.ms.saturating_sub(sent_ms);
-            ctx.after(RENEW_MS.saturating_sub(passed_ms), Timer::Renew);
+            pool.seat.note_renewed(sent_ms, ctx.now.ms);
+            let due_ms = pool.seat.beat_due_ms;
+            ctx.after(due_ms.saturating_sub(ctx.now.ms), Timer::Renew);
             false
         }
         TxOutcome::Conflict(_) => true,
         TxOutcome::Refused | TxOutcome::Unknown => {
+            pool.seat.beat_due_ms = ctx.now.ms;
             ctx.after(TX_RETRY_MS, Timer::Renew);
             false
         }
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -36,6 +36,8 @@
     withdrawn: BTreeSet<String>,
     /// What was last told: wanted and needed.
     told: (u64, u64),
+    /// More hosts were needed than served.
+    is_short: bool,
     /// Hosts that its work needs now.
     pub needed: u64,
     /// Hosts that take its work now.
@@ -64,7 +66,7 @@
     pub pressed: bool,
 }
 
-/// Looks at the pool's size; says whether that should be told at once.
+/// Looks at the pool's size; says whether it lacks hosts, or lacked some, and that changed: others wait for it.
 pub fn look(
     book: &mut Book,
     sizing: &mut Sizing,
@@ -103,7 +105,8 @@
             .with("taken", offers.row.taken.len() as u64),
     );
     sizing.told = now_told;
-    true
+    let was_short = std::mem::replace(&mut sizing.is_short, sizing.needed > sizing.serving);
+    was_short || sizing.is_short
 }
 
 /// Hosts needed for what runs and waits, for what is on its way by the rate of late, and for tasks that must
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -76,6 +76,8 @@
     pub ends: Vec<(WorkerKey, u64)>,
     /// Finished jobs whose rows it removes.
     pub removed: Vec<JobKey>,
+    /// When it was sent first, if it carries a heartbeat.
+    pub beat_ms: Option<Millis>,
 }
 
 /// A pool as this entry sees it.
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -141,6 +141,23 @@
     assert_eq!(world.recorded("a"), JobState::Completed);
 }
 
+/// Where jobs change all the time, their records keep the lease running: writes of a part go in turn.
+#[test]
+fn sched_records_renew() {
+    let mut world = World::new(23, 2, 4);
+    world.run(SETTLE_MS);
+    let before = (owner(&world), world.renewals);
+    for n in 0..40 {
+        world.submit(&format!("job-{n}"), job(1, 500, 300));
+        world.run(100);
+    }
+    let own = world.renewals - before.1;
+    assert!(own <= 4, "{own} renewals beside records in 4 s");
+    assert_eq!(owner(&world), before.0, "the lease ran on");
+    world.run(4_000);
+    assert_eq!(owner(&world), before.0);
+}
+
 /// A claim that is answered after the entry was told to stop is given up at once.
 #[test]
 fn sched_stop_while_claiming() {
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -20,6 +20,7 @@
                 self.reply(n, after_ms, Event::Claimed(pool, sent_ms, outcome));
             }
             Effect::Renew(pool, epoch, tx) => {
+                self.renewals += 1;
                 let sent_ms = self.now_ms;
                 let (after_ms, outcome) = self.store_call(n, &tx);
                 self.reply(n, after_ms, Event::Renewed(pool, epoch, sent_ms, outcome));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -166,6 +166,8 @@
     pub(crate) claims_unanswered: u32,
     /// Orders to hosts get no answer, and are not carried out.
     pub(crate) is_host_deaf: bool,
+    /// Transactions that renewed a lease and did nothing else.
+    pub(crate) renewals: u32,
     /// A worker on which all runs fail.
     pub(crate) bad_worker: Option<String>,
     /// Most hosts that were out at a time.
@@ -204,6 +206,7 @@
             starts: 0,
             claims_unanswered: 0,
             is_host_deaf: false,
+            renewals: 0,
             bad_worker: None,
             out_most: 0,
             revision: 1,
