--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -229,6 +229,8 @@
     });
     hosts::list_read(&mut holder.duty, list.collect());
     holder.look();
+    holder.recorded();
+    holder.taken(true);
     holder.now_ms += 10_000;
     holder.look();
     holder.recorded();
