The entry that orders hosts hears of offers and needs sooner

Cause: each move waits for two words by the feed of owners, which paused for 250 ms after each answer. Change: 50 ms at the entry that orders hosts; 250 ms elsewhere.

--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -13,7 +13,7 @@
 use super::operations::{whole, whole_intake};
 use super::shared::Shared;
 use crate::clock::Millis;
-use crate::core::sched::hosts::HostTask;
+use crate::core::sched::hosts::{duty_pool, HostTask};
 use crate::core::sched::limits::{HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_RETRY_MS, TX_TIMEOUT_MS};
 use crate::core::sched::state::{Effect, Event, LoadedRows, Order, State};
 use crate::core::sched::{reduce, rows};
@@ -52,7 +52,7 @@
     executor.spawn(operator).detach();
     let workers = feeds::workers(platform.clone(), Rc::clone(&carrier.owned), events.clone());
     executor.spawn(workers).detach();
-    let owners = feeds::owners(platform.clone(), events.clone());
+    let owners = feeds::owners(platform.clone(), Rc::clone(&carrier.owned), events.clone());
     executor.spawn(owners).detach();
     let waves = feeds::waves(platform.clone(), Rc::clone(&carrier.owned), events.clone());
     executor.spawn(waves).detach();
@@ -129,6 +129,9 @@
         (Some(_), None) => carrier.owned.intake_from.set(None),
         _ => {}
     }
+    let duty_pool = duty_pool(&state.config);
+    let has_duty = pools.clone().any(|p| Some(p.name.as_str()) == duty_pool);
+    carrier.owned.orders_hosts.set(has_duty);
     let mut names = carrier.owned.pools.borrow_mut();
     if names.len() != pools.clone().count() || !pools.clone().all(|p| names.contains(&p.name)) {
         *names = pools.map(|p| p.name.clone()).collect();
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -28,6 +28,9 @@
 /// Pause after an answer on owners: heartbeats are gathered, each answer costs processor time.
 const OWNERS_PAUSE_MS: Millis = 250;
 
+/// The same at the entry that orders hosts: each move waits for it.
+const OWNERS_PAUSE_ORDERS_MS: Millis = 50;
+
 /// The same for the list of workers: each beats every second or two.
 const WORKERS_PAUSE_MS: Millis = 120;
 
@@ -47,6 +50,8 @@
     pub(super) pools: RefCell<Vec<String>>,
     /// Intake behind this revision is followed; nothing while no pool is owned.
     pub(super) intake_from: Cell<Option<Revision>>,
+    /// It orders hosts.
+    pub(super) orders_hosts: Cell<bool>,
 }
 
 async fn pause(ms: Millis) {
@@ -190,7 +195,7 @@
 }
 
 /// Follows who owns which pool.
-pub(super) async fn owners<P: Rows>(platform: P, events: Sender<Event>) {
+pub(super) async fn owners<P: Rows>(platform: P, owned: Rc<Owned>, events: Sender<Event>) {
     let mut since: Option<Revision> = None;
     loop {
         let got = match since {
@@ -203,7 +208,11 @@
                 for row in feed.changes {
                     send(&events, Event::Owner(row)).await;
                 }
-                pause(OWNERS_PAUSE_MS).await;
+                pause(match owned.orders_hosts.get() {
+                    true => OWNERS_PAUSE_ORDERS_MS,
+                    false => OWNERS_PAUSE_MS,
+                })
+                .await;
             }
             Err(ReadError::HistoryGone) => since = None,
             Err(ReadError::Down) => pause_after_failure().await,
