--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod host;
 pub mod job;
 pub mod pool;
+pub mod report;
 pub mod serve;
 pub mod status;
 pub mod template;
--- /dev/null
+++ b/src/cmd/report.rs
@@ -0,0 +1,37 @@
+//! `rockwick report`: buffer cost, roll-out time and moves, from log files.
+
+use std::path::PathBuf;
+
+use bpaf::{construct, positional, Parser};
+
+use crate::error::{Error, Result};
+use crate::report::Report;
+
+/// What the command's help begins with.
+pub const USAGE: &str = "Print buffer cost, roll-out times and moves from the entries' log files.";
+
+/// The command's arguments.
+#[derive(Clone, Debug)]
+pub struct Args {
+    files: Vec<PathBuf>,
+}
+
+/// The parser of the command's arguments.
+pub fn args() -> impl Parser<Args> {
+    let files = positional::<PathBuf>("FILE")
+        .help("A log of one entry or of several")
+        .some("name a log file");
+    construct!(Args { files })
+}
+
+/// Reads all files and prints the measures.
+pub fn run(args: Args) -> Result<()> {
+    let mut texts = Vec::with_capacity(args.files.len());
+    for path in &args.files {
+        let text = std::fs::read_to_string(path);
+        texts.push(text.map_err(|e| Error::Io(path.display().to_string(), e))?);
+    }
+    let report = Report::new(texts.iter().flat_map(|text| text.lines()));
+    print!("{}", report.render());
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 #[path = "../platform/mod.rs"]
 pub mod platform;
 pub mod port;
+pub mod report;
 pub mod runtime;
 pub mod serve;
 pub mod util;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, Args, OptionParser, ParseFailure, Parser};
 use rockwick::cmd::{
-    entry, events, explain, forget, host, job, pool, serve, status, template, wave,
+    entry, events, explain, forget, host, job, pool, report, serve, status, template, wave,
 };
 use rockwick::config::EntryFlags;
 use rockwick::error::Result;
@@ -25,6 +25,7 @@
     Status(status::Args),
     Explain(explain::Args),
     Forget(forget::Args),
+    Report(report::Args),
     Events(events::Args),
 }
 
@@ -50,11 +51,14 @@
     let status = command!(status, Status);
     let explain = command!(explain, Explain);
     let forget = command!(forget, Forget);
+    let report = command!(report, Report);
     let events = command!(events, Events);
-    construct!([entry, serve, template, pool, host, wave, job, status, explain, forget, events])
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("Fleet capacity and maintenance manager")
+    construct!([
+        entry, serve, template, pool, host, wave, job, status, explain, forget, report, events
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Fleet capacity and maintenance manager")
 }
 
 fn run(command: Command) -> Result<()> {
@@ -69,6 +73,7 @@
         Command::Status(args) => status::run(args),
         Command::Explain(args) => explain::run(args),
         Command::Forget(args) => forget::run(args),
+        Command::Report(args) => report::run(args),
         Command::Events(args) => events::run(args),
     }
 }
