--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -486,11 +486,8 @@
     }
 
     /// Drops the runs left behind that `is_over` names, with their room.
-    pub fn drop_left(&mut self, is_over: impl Fn(&TaskKey, &LeftRun) -> bool) {
-        let over = self
-            .left
-            .iter()
-            .filter(|((key, _), left)| is_over(key, left));
+    pub fn drop_left(&mut self, is_over: impl Fn(&LeftRun) -> bool) {
+        let over = self.left.iter().filter(|(_, left)| is_over(left));
         let over: Vec<(TaskKey, u32)> = over.map(|(key, _)| *key).collect();
         for key in over {
             let Some(left) = self.left.remove(&key) else {
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -179,7 +179,7 @@
     if book.left.is_empty() {
         return;
     }
-    book.drop_left(|_, left| {
+    book.drop_left(|left| {
         let is_asked_later = left.settled_ms.is_some_and(|at| at < sent_ms);
         let is_there = running.iter().any(|r| r.task == left.name);
         left.worker == key && is_asked_later && !is_there
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -241,7 +241,7 @@
     for key in tasks {
         requeue(book, key, why, ctx);
     }
-    book.drop_left(|_, left| left.worker == worker);
+    book.drop_left(|left| left.worker == worker);
 }
 
 /// Takes a run's end into the books.
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -473,8 +473,6 @@
         ask: HoldAsk,
         timeout_ms: Millis,
     ) -> impl Future<Output = Result<HoldReport, OrderReply>>;
-    /// Closes connections to an address that nobody uses.
-    fn forget(&self, address: SocketAddr);
 }
 
 /// On whose authority a host is ordered about.
