Timeouts of the store follow its answers

For three seconds the owner recorded nothing (used cores stood still, 571 tasks waited), and no host moved. Change: a transaction is waited for three times as long as the last answer took, twice as long after a silence, 800 to 2,400 ms. Heartbeats of their own leave one and a half answers' time, 400 to 800 ms. Ruled out: a longer fixed timeout, by which lost answers would cost as much each time. Tests: serve_slow_turns (never completed with the fixed bound), timeout_*.

--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -11,15 +11,22 @@
 /// An owner renews so often: three tries fit into its lease.
 pub const RENEW_MS: Millis = 400;
 
+/// The same with a slow store: two tries fit into the lease.
+pub const RENEW_SLOW_MS: Millis = 800;
+
 /// Heartbeats that only tell a change of needs are so far apart at the least: what changes jobs tells it, too.
 pub const TOLD_APART_MS: Millis = 100;
 
 /// A store that takes longer than that is slow: it answers in 5 to 15 ms, and in 285 on the users' slow days.
 pub const SLOW_ANSWER_MS: Millis = 100;
 
-/// For one sending of a transaction; an outage is told from a slow answer by repeating it.
+/// For one sending of a transaction to a store that answers as it should; an outage is told from a slow answer
+/// by repeating it.
 pub const TX_TIMEOUT_MS: Millis = 800;
 
+/// The same for the slowest store: on the users' slow days an answer takes 540 ms, and three may wait in turn.
+pub const TX_TIMEOUT_MAX_MS: Millis = 2_400;
+
 /// Pause before a transaction that was refused or lost is sent again.
 pub const TX_RETRY_MS: Millis = 60;
 
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -9,7 +9,7 @@
 use super::hosts::ORDERS_APART_MS;
 use super::limits::{
     CLAIM_OWNED_MS, CLAIM_SPREAD_MS, CLAIM_WEAK_MS, CPU_FULL_MILLI, OWNER_LEASE_MS,
-    OWNER_MARGIN_MS, RENEW_MS, SLOW_ANSWER_MS, TOLD_APART_MS, TX_RETRY_MS,
+    OWNER_MARGIN_MS, RENEW_MS, RENEW_SLOW_MS, SLOW_ANSWER_MS, TOLD_APART_MS, TX_RETRY_MS,
 };
 use super::rows::{self, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY};
 use super::state::{Ctx, Effect, Pool, Tenure, Timer};
@@ -374,7 +374,9 @@
     let write = write(BEAT_KEY, rows::encode(&beat(pool, ctx)));
     pool.seat.beat.count += 1;
     pool.seat.sent = (pool.seat.beat.count, ctx.now.ms);
-    pool.seat.beat_due_ms = ctx.now.ms + RENEW_MS;
+    // Behind one that a slow store has not answered yet, the next would only wait.
+    let pause_ms = (pool.seat.answer_ms * 3 / 2).clamp(RENEW_MS, RENEW_SLOW_MS);
+    pool.seat.beat_due_ms = ctx.now.ms + pause_ms;
     write
 }
 
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -6,6 +6,7 @@
 mod commit;
 pub mod fleet;
 mod http;
+pub mod timeout;
 
 use std::future::Future;
 
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -14,7 +14,9 @@
 use super::shared::Shared;
 use crate::clock::Millis;
 use crate::core::sched::hosts::{duty_pool, HostTask};
-use crate::core::sched::limits::{HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_RETRY_MS, TX_TIMEOUT_MS};
+use crate::core::sched::limits::{
+    HOLD_SLACK_MS, ORDER_TIMEOUT_MS, TX_RETRY_MS, TX_TIMEOUT_MAX_MS, TX_TIMEOUT_MS,
+};
 use crate::core::sched::state::{Effect, Event, LoadedRows, Order, State};
 use crate::core::sched::{reduce, rows};
 use crate::port::fleet::{
@@ -144,18 +146,19 @@
 {
     fn carry(&self, effect: Effect) {
         let platform = self.platform.clone();
+        let shared = Arc::clone(&self.shared);
         let sent_ms = self.shared.clock.now_ms();
         match effect {
             Effect::Claim(pool, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::Claimed(pool, sent_ms, outcome))
             }),
             Effect::Renew(pool, epoch, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::Renewed(pool, epoch, sent_ms, outcome))
             }),
             Effect::Release(tx) => self.spawn(async move {
-                insist(|| platform.transact(&tx, TX_TIMEOUT_MS)).await;
+                insist(|| shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS)).await;
                 None
             }),
             Effect::TellWave(wave, status) => self.spawn(async move {
@@ -172,11 +175,10 @@
                 Some(Event::Loaded(pool, epoch, rows))
             }),
             Effect::Record(pool, epoch, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::Recorded(pool, epoch, outcome))
             }),
             Effect::Start(order, task, start) => {
-                let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
                     let reply = if may_send(&shared, &order) {
                         platform.start(&order.to, &start, ORDER_TIMEOUT_MS).await
@@ -193,7 +195,6 @@
                 });
             }
             Effect::Stop(order, task, name, run) => {
-                let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
                     let reply = if may_send(&shared, &order) {
                         platform.stop(&order.to, &name, run, ORDER_TIMEOUT_MS).await
@@ -204,7 +205,6 @@
                 });
             }
             Effect::StopStray(order, name, run) => {
-                let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
                     if may_send(&shared, &order) {
                         // Without an answer, the next account shows the run again.
@@ -214,7 +214,6 @@
                 });
             }
             Effect::Pace(order, name, run, percent) => {
-                let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
                     if may_send(&shared, &order) {
                         // Without an answer, the next account shows the old pace.
@@ -227,7 +226,6 @@
                 });
             }
             Effect::Hold(order, worker, ask) => {
-                let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
                     let result = if may_send(&shared, &order) {
                         let timeout_ms = ask.wait_ms + HOLD_SLACK_MS;
@@ -240,31 +238,30 @@
                 });
             }
             Effect::SettleWave(pool, wave, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::WaveSettled(pool, wave, outcome))
             }),
             Effect::SettleOrdered(pool, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::OrderedSettled(pool, outcome))
             }),
             Effect::RemoveIntake(pool, epoch, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::IntakeRemoved(pool, epoch, outcome))
             }),
             Effect::SettleOffers(pool, epoch, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::OffersSettled(pool, epoch, outcome))
             }),
             Effect::TakeHosts(pool, epoch, from, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::HostsTaken(pool, epoch, from, outcome))
             }),
             Effect::RecordHostOrders(pool, epoch, tx) => self.spawn(async move {
-                let outcome = platform.transact(&tx, TX_TIMEOUT_MS).await;
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::HostOrdersRecorded(pool, epoch, outcome))
             }),
             Effect::OrderHost(pool, epoch, host, task, until_ms) => {
-                let shared = Arc::clone(&self.shared);
                 self.spawn(async move {
                     let who = HostAuthority {
                         entry: shared.settings.name.clone(),
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -53,9 +53,9 @@
 ) -> Outcome {
     let until = began + Duration::from_millis(request.deadline_ms.saturating_sub(ANSWER_MS));
     match &request.operation {
-        Operation::Submit(id, spec) => submit(store, &request.pool, id, spec, until).await,
+        Operation::Submit(id, spec) => submit(shared, store, &request.pool, id, spec, until).await,
         Operation::Read(id) => read(store, &request.pool, id, until).await,
-        Operation::Cancel(id) => cancel(store, &request.pool, id, until).await,
+        Operation::Cancel(id) => cancel(shared, store, &request.pool, id, until).await,
         Operation::CountWaiting => count(shared, store, request, until).await,
     }
 }
@@ -71,6 +71,7 @@
 
 /// Writes a row that must not be there, as often as it takes to know what became of it.
 async fn insert<R: Rows>(
+    shared: &Shared,
     store: &R,
     part: String,
     key: &str,
@@ -94,7 +95,9 @@
     let mut may_be_done = false;
     let mut refusals = 0;
     loop {
-        match store.transact(&tx, TX_TIMEOUT_MS).await {
+        let left = until.saturating_duration_since(Instant::now());
+        let left_ms = (left.as_millis() as Millis).max(TX_TIMEOUT_MS);
+        match shared.transact(store, &tx, left_ms).await {
             TxOutcome::Committed(_) => return Insert::Done,
             TxOutcome::Conflict(found) => {
                 let value = found.into_iter().find_map(|(_, row)| row.value);
@@ -119,6 +122,7 @@
 }
 
 async fn submit<R: Rows>(
+    shared: &Shared,
     store: &R,
     pool: &str,
     id: &str,
@@ -126,7 +130,7 @@
     until: Instant,
 ) -> Outcome {
     let part = intake_part(pool, id);
-    match insert(store, part, id, rows::encode(spec), until).await {
+    match insert(shared, store, part, id, rows::encode(spec), until).await {
         Insert::Done => Outcome::Accepted,
         Insert::Found(bytes) => match rows::decode::<JobSpec>(&bytes) {
             Ok(there) if is_same_job(&there, spec) => Outcome::Accepted,
@@ -245,7 +249,13 @@
     Outcome::State(recorded)
 }
 
-async fn cancel<R: Rows>(store: &R, pool: &str, id: &str, until: Instant) -> Outcome {
+async fn cancel<R: Rows>(
+    shared: &Shared,
+    store: &R,
+    pool: &str,
+    id: &str,
+    until: Instant,
+) -> Outcome {
     let found = match find_until(store, pool, id, until).await {
         None => return Outcome::Unsure,
         Some(None) => return Outcome::UnknownJob,
@@ -255,7 +265,7 @@
         return Outcome::Cancelled;
     }
     let part = intake_part(&found.pool, id);
-    match insert(store, part, &cancel_key(id), b"{}".to_vec(), until).await {
+    match insert(shared, store, part, &cancel_key(id), b"{}".to_vec(), until).await {
         Insert::Done | Insert::Found(_) => Outcome::Cancelled,
         Insert::NotDone => Outcome::NotTaken {
             retry_after_s: RETRY_AFTER_S,
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -8,10 +8,12 @@
 
 use super::settings::ServeSettings;
 use crate::clock::{wall_ms, Clock, Millis, Now};
+use crate::core::sched::limits::{TX_TIMEOUT_MAX_MS, TX_TIMEOUT_MS};
 use crate::event::Decision;
 use crate::log::Log;
 use crate::metrics::Metrics;
-use crate::port::fleet::FleetConfig;
+use crate::port::fleet::{FleetConfig, RowTx, Rows, TxOutcome};
+use crate::port::timeout::AdaptiveTimeout;
 use crate::util::lock;
 
 /// Jobs of a pool that wait, as its owner told.
@@ -39,6 +41,8 @@
     pub(super) has_store: AtomicBool,
     /// When the process was told to stop; 0 before.
     pub(super) stopping_at_ms: AtomicU64,
+    /// For transactions with the store.
+    pub(super) store_timeout: AdaptiveTimeout,
     /// Open connections of callers.
     pub(super) connections: AtomicU64,
     waiting: Mutex<BTreeMap<String, Waiting>>,
@@ -55,6 +59,7 @@
             config: ArcSwapOption::empty(),
             has_store: AtomicBool::new(false),
             stopping_at_ms: AtomicU64::new(0),
+            store_timeout: AdaptiveTimeout::new(TX_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
             connections: AtomicU64::new(0),
             waiting: Mutex::new(BTreeMap::new()),
         }
@@ -68,6 +73,28 @@
         }
     }
 
+    /// Sends a transaction; how long it is waited for follows what answers take, up to `most_ms`.
+    pub(super) async fn transact<P: Rows>(
+        &self,
+        platform: &P,
+        tx: &RowTx,
+        most_ms: Millis,
+    ) -> TxOutcome {
+        let timeout_ms = self.store_timeout.ms().min(most_ms);
+        let began_ms = self.clock.now_ms();
+        let outcome = platform.transact(tx, timeout_ms).await;
+        let took_ms = self.clock.now_ms() - began_ms;
+        match outcome {
+            TxOutcome::Unknown if took_ms >= timeout_ms => self.store_timeout.silent(timeout_ms),
+            // A connection that broke, or a refusal, tells nothing of how fast answers are.
+            TxOutcome::Unknown | TxOutcome::Refused => {}
+            TxOutcome::Committed(_) | TxOutcome::Conflict(_) => {
+                self.store_timeout.answered(took_ms);
+            }
+        }
+        outcome
+    }
+
     /// Logs a decision.
     pub(super) fn tell(&self, decision: Decision) {
         self.log.decision(decision);
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -178,6 +178,25 @@
     }
 }
 
+/// Writes of a part take longer in turn than one of them may by a fast store: what was given up and sent again
+/// would wait behind itself for ever.
+#[test]
+fn serve_slow_turns() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let one = entry(&fleet, "e1");
+    assert_eq!(submit(one.callers, A, "work"), Some(200));
+    until("completed", || state(one.callers, A) == "completed");
+    fleet.set_fault(StoreFault::Turns(900));
+    let slow = format!("{:016x}", 7);
+    // Its own write may outlast the caller's patience; it takes effect all the same.
+    assert!(matches!(
+        submit(one.callers, &slow, "work"),
+        Some(200 | 504)
+    ));
+    until("completed", || state(one.callers, &slow) == "completed");
+}
+
 #[test]
 fn serve_store_refuses() {
     let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
--- /dev/null
+++ b/tests/test_timeout.rs
@@ -0,0 +1,26 @@
+//! Waiting for a slow store.
+
+use rockwick::port::timeout::AdaptiveTimeout;
+
+#[test]
+fn timeout_grows() {
+    let timeout = AdaptiveTimeout::new(800, 2_400);
+    assert_eq!(timeout.ms(), 800);
+    timeout.silent(800);
+    assert_eq!(timeout.ms(), 1_600);
+    timeout.silent(1_600);
+    timeout.silent(1_600);
+    assert_eq!(timeout.ms(), 2_400, "bounded");
+    // A call that was given up by an earlier, shorter bound tells nothing new.
+    timeout.silent(800);
+    assert_eq!(timeout.ms(), 2_400);
+}
+
+#[test]
+fn timeout_follows_answers() {
+    let timeout = AdaptiveTimeout::new(800, 2_400);
+    timeout.answered(540);
+    assert_eq!(timeout.ms(), 1_620, "two others before it");
+    timeout.answered(8);
+    assert_eq!(timeout.ms(), 800);
+}
