The last lines of a process reach its log

The asynchronous sink's flush asks its thread to write and comes back at once; the process ended before that. Change: the logger is dropped at the end, which waits for the sink's thread. Ruled out: a pause before the exit; a second, synchronous sink. Test: serve_last_line, failing before.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -45,7 +45,7 @@
     smol::block_on(until_stopped(&shared))?;
     shared.tell_control(control::Message::Leave);
     let _ = control.join();
-    shared.log.flush();
+    shared.log.close();
     Ok(())
 }
 
--- a/src/log.rs
+++ b/src/log.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+use arc_swap::ArcSwapOption;
 use serde_json::{Map, Value};
 use spdlog::formatter::{Formatter, FormatterContext};
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
@@ -44,7 +45,8 @@
 
 /// Where decisions go.
 pub struct Log {
-    logger: Arc<Logger>,
+    /// Nothing once it is closed.
+    logger: ArcSwapOption<Logger>,
     dropped: Arc<AtomicU64>,
     control: Mutex<VecDeque<Decision>>,
     traffic: Mutex<VecDeque<Decision>>,
@@ -78,7 +80,7 @@
             .flush_level_filter(LevelFilter::All)
             .build_arc()?;
         Ok(Self {
-            logger,
+            logger: ArcSwapOption::from(Some(logger)),
             dropped,
             control: Mutex::new(VecDeque::new()),
             traffic: Mutex::new(VecDeque::new()),
@@ -88,7 +90,9 @@
     /// Logs a decision and keeps it for a while.
     pub fn decision(&self, mut d: Decision) {
         d.at_ms = wall_ms();
-        spdlog::log!(logger: self.logger, Level::Info, "{}", line(&d));
+        if let Some(logger) = self.logger.load().as_ref() {
+            spdlog::log!(logger: logger, Level::Info, "{}", line(&d));
+        }
         let is_traffic = matches!(d.subject, Subject::Request | Subject::Backend);
         let (ring, kept) = if is_traffic {
             (&self.traffic, TRAFFIC_KEPT)
@@ -121,9 +125,10 @@
         self.dropped.load(Ordering::Relaxed)
     }
 
-    /// Writes out what waits.
-    pub fn flush(&self) {
-        self.logger.flush();
+    /// Writes out what waits, and takes no more lines. The sink's own flush only asks its thread for that and
+    /// comes back at once: a process that then ended lost its last lines. Dropping the logger waits for the thread.
+    pub fn close(&self) {
+        drop(self.logger.swap(None));
     }
 }
 
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -53,7 +53,7 @@
         .spawn(move || control::run(platform(&control), &control, left))
         .map_err(|e| Error::Io("control thread".to_string(), e))?;
     smol::block_on(until_stopped(&shared, leave))?;
-    shared.log.flush();
+    shared.log.close();
     Ok(())
 }
 
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -1,15 +1,18 @@
 //! `rockwick serve` as processes, against the stand-in of the platform of workers.
 
 use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use http_types::Method;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use rockwick::http::client::within_ms;
 use rockwick::http::{Answer, Client};
 use serde_json::{json, Value};
 use standin::fleet::{Fleet, StoreFault};
 
-use crate::fleet::{Process, PATIENCE};
+use crate::fleet::{binary, Process, PATIENCE};
 
 const POOL: &str = "pool";
 
@@ -197,6 +200,29 @@
     until("completed", || state(one.callers, &slow) == "completed");
 }
 
+/// The last line of a process tells that it stopped, and why.
+#[test]
+fn serve_last_line() {
+    let fleet = Fleet::start(POOL, 1, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let (callers, ready, store) = (port(), port(), fleet.address.to_string());
+    let child = Command::new(binary("rockwick"))
+        .args(["serve", "--name", "e1", "--hall", "hall"])
+        .args(["--listen", &callers.to_string()])
+        .args(["--ready", &ready.to_string()])
+        .args(["--store", &store])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    until("ready", || status(ready, "/readyz") == Some(200));
+    kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM).expect("it runs");
+    let output = child.wait_with_output().expect("it ends");
+    assert!(output.status.success());
+    let text = String::from_utf8_lossy(&output.stdout);
+    let last = text.lines().last().unwrap_or_default();
+    assert!(last.contains("entry-stopped"), "{last}");
+}
+
 #[test]
 fn serve_store_refuses() {
     let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
