A mark on an earlier life of a host moves nothing

Change: an offer or a mark counts only for the life that it names, by the list of hosts; marks on earlier lives go. On the owner's side a host whose name is on offer stays closed under any life until it is off the row, also one whose entry comes or comes back after the rows were read. Ruled out: the former holder taking its marks back in time; it had lost the store. Tests: hosts_stale_mark, hosts_stale_offer, failing before.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -293,9 +293,10 @@
         let is_here = record.is_some_and(|h| h.pool == need.pool);
         let is_ours = taken.epoch == epoch;
         let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, now_ms);
+        let is_same_life = record.is_some_and(|h| h.life == taken.life);
         let was_ordered = duty.sent_ms.contains_key(host);
         // Moved, or never ordered: nothing of ours can still move it.
-        is_busy || (is_here && is_ours && was_ordered)
+        is_busy || (is_here && is_ours && is_same_life && was_ordered)
     });
     row
 }
@@ -648,16 +649,23 @@
     now_ms: Millis,
 ) -> Vec<Spare> {
     let row = &need.offers.row;
-    let spare = |host: &String, is_offered| Spare {
+    let offered = row.offered.iter().map(|(host, life)| (host, life, true));
+    let taken = row.taken.iter().filter(|(_, by)| by.epoch != epoch);
+    let taken = taken.map(|(host, by)| (host, &by.life, false));
+    // A later life of the host may be at work, whatever the row says of an earlier one.
+    let is_on = |host: &str, life: &str| {
+        let mut records = duty.list.iter();
+        records.any(|h| h.host == host && h.life == life)
+    };
+    let all = offered.chain(taken).filter(|(host, life, _)| {
+        is_on(host, life) && is_free(duty, waves, host, &need.pool, now_ms)
+    });
+    all.map(|(host, _, is_offered)| Spare {
         host: host.clone(),
         pool: need.pool.clone(),
         is_offered,
-    };
-    let offered = row.offered.keys().map(|host| spare(host, true));
-    let taken = row.taken.iter().filter(|(_, by)| by.epoch != epoch);
-    let taken = taken.map(|(host, _)| spare(host, false));
-    let is_free = |other: &Spare| is_free(duty, waves, &other.host, &need.pool, now_ms);
-    offered.chain(taken).filter(is_free).collect()
+    })
+    .collect()
 }
 
 /// The pool that has the least of what its work needs, or else of what it wants.
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -8,6 +8,7 @@
 use super::holds;
 use super::keys::WorkerKey;
 use super::load;
+use super::offers::Offers;
 use super::state::{Ctx, Effect, State, Timer};
 use crate::clock::Now;
 use crate::event::{Code, Decision, Subject};
@@ -49,19 +50,26 @@
     for key in owned_pools(state) {
         with_pool(state, key, now, out, |pool, ctx, _| {
             let is_its_pool = pool.name == fact.pool;
+            let offers = &pool.offers;
             let Some(tenure) = &mut pool.tenure else {
                 return;
             };
             let epoch = tenure.epoch;
             let Some(book) = &mut tenure.book else { return };
             if is_its_pool {
-                note_present(book, &fact, epoch, ctx);
+                note_present(book, &fact, offers, epoch, ctx);
             }
         });
     }
 }
 
-pub(super) fn note_present(book: &mut Book, fact: &WorkerFact, epoch: u64, ctx: &mut Ctx<'_>) {
+pub(super) fn note_present(
+    book: &mut Book,
+    fact: &WorkerFact,
+    offers: &Offers,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
     if let Some(key) = book.by_life.get(&fact.id).copied() {
         let w = &mut book.workers[key];
         w.fact = fact.clone();
@@ -71,6 +79,9 @@
         return;
     }
     let key = load::add_worker(book, fact.clone(), ctx.now.ms);
+    let is_given = offers.is_offered(&fact.host) || offers.is_taken(&fact.host, &fact.id);
+    book.workers[key].is_spare = is_given;
+    book.workers[key].is_offered = is_given;
     ctx.tell(Decision::new(
         Code::WorkerFound,
         Subject::Host,
--- a/src/core/sched/offers.rs
+++ b/src/core/sched/offers.rs
@@ -58,9 +58,9 @@
         Ok(())
     }
 
-    /// Whether this life of the host is on offer, or may be.
-    pub fn is_offered(&self, host: &str, life: &str) -> bool {
-        let is_in = |map: &BTreeMap<String, String>| map.get(host).is_some_and(|l| l == life);
+    /// Whether the host is on offer, or may be; by whichever life, since whoever takes it may know of no later one.
+    pub fn is_offered(&self, host: &str) -> bool {
+        let is_in = |map: &BTreeMap<String, String>| map.contains_key(host);
         let pending = self.pending.as_ref().is_some_and(|p| is_in(&p.offered));
         is_in(&self.row.offered) || is_in(&self.unsure) || pending
     }
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -180,7 +180,7 @@
         if offers.is_taken(host, life) {
             return false;
         }
-        let is_off = !offers.is_offered(host, life);
+        let is_off = !offers.is_offered(host);
         if is_off {
             worker.is_spare = false;
             is_any = true;
@@ -198,7 +198,7 @@
         if offers.is_taken(host, life) {
             continue;
         }
-        if offers.is_offered(host, life) {
+        if offers.is_offered(host) {
             offered.push(host);
         } else if left > 0 {
             // It was closed and never offered: it can serve at once.
@@ -251,7 +251,7 @@
 pub fn mark_offered(book: &mut Book, offers: &Offers) {
     for (_, worker) in &mut book.workers {
         let (host, life) = (&worker.fact.host, &worker.fact.id);
-        worker.is_offered = offers.is_offered(host, life) || offers.is_taken(host, life);
+        worker.is_offered = offers.is_offered(host) || offers.is_taken(host, life);
     }
 }
 
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -55,7 +55,7 @@
             over_ms: 49_500,
         };
         let mut offers = Offers::default();
-        offers.row.offered = BTreeMap::from([("h1".to_string(), "life".to_string())]);
+        offers.row.offered = BTreeMap::from([("h1".to_string(), "life of h1".to_string())]);
         offers.revision = 3;
         let mut holder = Self {
             duty: HostDuty::default(),
@@ -195,7 +195,7 @@
     let mut holder = Holder::new(&[], &[]);
     holder.offers.row = OffersRow::default();
     let taken = |epoch| Taken {
-        life: "life".to_string(),
+        life: "life of h1".to_string(),
         epoch,
     };
     let by_former = BTreeMap::from([("h1".to_string(), taken(EPOCH - 1))]);
@@ -214,12 +214,38 @@
     assert!(holder.offers.row.taken.is_empty());
 }
 
+/// A mark that a former holder left on a life that is over says nothing of the one that came back to the pool.
+#[test]
+fn hosts_stale_mark() {
+    let mut holder = Holder::new(&[], &[]);
+    holder.offers.row = OffersRow::default();
+    let earlier = Taken {
+        life: "earlier life".to_string(),
+        epoch: EPOCH - 1,
+    };
+    holder.offers.row.taken = BTreeMap::from([("h1".to_string(), earlier)]);
+    let effects = holder.look();
+    assert_eq!((records(&effects), takes(&effects)), (0, 1));
+    assert_eq!(moves(&holder.taken(true)), []);
+    assert!(holder.offers.row.taken.is_empty(), "the mark goes");
+}
+
+/// The same for an offer: the host crashed, and its next life may be at work.
+#[test]
+fn hosts_stale_offer() {
+    let mut holder = Holder::new(&[], &[]);
+    let offered = BTreeMap::from([("h1".to_string(), "earlier life".to_string())]);
+    holder.offers.row.offered = offered;
+    let effects = holder.look();
+    assert_eq!((records(&effects), takes(&effects)), (0, 0));
+}
+
 /// Hosts that nobody wants are turned off a few at a time: orders that somebody waits for go between them.
 #[test]
 fn hosts_parked_slowly() {
     let mut holder = Holder::new(&[], &[]);
     let names: Vec<String> = (0..100).map(|n| format!("h{n}")).collect();
-    let offered = names.iter().map(|host| (host.clone(), "life".to_string()));
+    let offered = names.iter().map(|host| (host.clone(), String::new()));
     holder.offers.row.offered = offered.collect();
     let list = names.iter().map(|host| HostRecord {
         host: host.clone(),
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -314,7 +314,7 @@
                     false => POOL.to_string(),
                 },
                 state: HostState::Up,
-                life: String::new(),
+                life: host.replace("host", "life"),
                 host,
             })
             .collect()
