--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -1,7 +1,10 @@
 //! What a single decision is called with in tests: a clock that stands still, and effects to look at.
 
 use rockwick::clock::Now;
+use rockwick::core::sched::hosts::PoolNeed;
+use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::state::{Ctx, Effect, PoolKey, Timers};
+use rockwick::port::fleet::{FleetConfig, PoolConfig};
 
 /// Runs `work` at a moment, by an entry that may send orders, and gives the effects.
 pub(crate) fn decide(now_ms: u64, work: impl FnOnce(&mut Ctx<'_>)) -> Vec<Effect> {
@@ -21,3 +24,30 @@
     work(&mut ctx);
     out
 }
+
+/// Pool `busy`, the pool that gives hosts away, and `off`, whose hosts are off.
+pub(crate) fn pools(donor: &str) -> FleetConfig {
+    let pool = |name: &str, is_parked| {
+        let config = PoolConfig {
+            name: name.to_string(),
+            is_parked,
+        };
+        (name.to_string(), config)
+    };
+    let pools = [pool(donor, false), pool("busy", false), pool("off", true)];
+    FleetConfig {
+        pools: pools.into(),
+        ..FleetConfig::default()
+    }
+}
+
+/// What a pool needs, heard just now.
+pub(crate) fn need(pool: &str, needed: u64, offers: &Offers, now_ms: u64) -> PoolNeed {
+    PoolNeed {
+        pool: pool.to_string(),
+        wanted: needed,
+        needed,
+        offers: offers.clone(),
+        heard_ms: now_ms,
+    }
+}
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -2,16 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use rockwick::core::sched::hosts::{self, HostDuty, HostTask, Look, PoolNeed};
+use rockwick::core::sched::hosts::{self, HostDuty, HostTask, Look};
 use rockwick::core::sched::offers::{Offers, OffersRow, Taken};
 use rockwick::core::sched::rows::{encode, HostOrdersRow};
 use rockwick::core::sched::seat::FormerOrders;
 use rockwick::core::sched::state::{Ctx, Effect};
-use rockwick::port::fleet::{
-    FleetConfig, HostRecord, HostReply, HostState, PoolConfig, StoredRow, TxOutcome,
-};
+use rockwick::port::fleet::{FleetConfig, HostRecord, HostReply, HostState, StoredRow, TxOutcome};
 
-use crate::decide::decide;
+use crate::decide::{decide, need, pools};
 
 /// Epoch of the entry that orders hosts.
 const EPOCH: u64 = 7;
@@ -28,18 +26,6 @@
 impl Holder {
     /// After a holder that ordered these hosts, and told of some in its last heartbeat, two seconds ago.
     fn new(former: &[&str], told_ms: &[(&str, u64)]) -> Self {
-        let pool = |name: &str, is_parked| {
-            let config = PoolConfig {
-                name: name.to_string(),
-                is_parked,
-            };
-            (name.to_string(), config)
-        };
-        let pools = [pool("busy", false), pool("idle", false), pool("off", true)];
-        let config = FleetConfig {
-            pools: pools.into(),
-            ..FleetConfig::default()
-        };
         let row = HostOrdersRow {
             hosts: former.iter().map(|host| host.to_string()).collect(),
         };
@@ -59,7 +45,7 @@
         offers.revision = 3;
         let mut holder = Self {
             duty: HostDuty::default(),
-            config,
+            config: pools("idle"),
             now_ms: 50_000,
             offers,
         };
@@ -80,16 +66,9 @@
         &mut self,
         work: impl FnOnce(&mut HostDuty, &Look<'_>, &mut Ctx<'_>),
     ) -> Vec<Effect> {
-        let need = |pool: &str, needed, offers: &Offers| PoolNeed {
-            pool: pool.to_string(),
-            wanted: needed,
-            needed,
-            offers: offers.clone(),
-            heard_ms: self.now_ms,
-        };
         let needs = [
-            need("busy", 1, &Offers::default()),
-            need("idle", 1, &self.offers),
+            need("busy", 1, &Offers::default(), self.now_ms),
+            need("idle", 1, &self.offers, self.now_ms),
         ];
         let look = Look {
             config: &self.config,
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 use rockwick::clock::Millis;
 use rockwick::core::sched::book::Book;
-use rockwick::core::sched::hosts::{self, HostDuty, HostTask, Look, PoolNeed};
+use rockwick::core::sched::hosts::{self, HostDuty, HostTask, Look};
 use rockwick::core::sched::keys::TaskKey;
 use rockwick::core::sched::load;
 use rockwick::core::sched::offers::{Offers, OFFERS_KEY};
@@ -15,11 +15,10 @@
 use rockwick::core::sched::state::{Ctx, Effect};
 use rockwick::core::sched::worker::ClockSample;
 use rockwick::port::fleet::{
-    Capacity, FleetConfig, HostRecord, HostReply, HostState, PoolConfig, RowTx, StoredRow,
-    TxOutcome,
+    Capacity, FleetConfig, HostRecord, HostReply, HostState, RowTx, StoredRow, TxOutcome,
 };
 
-use crate::decide::decide;
+use crate::decide::{decide, need, pools};
 use crate::world::{config, job, worker_fact, POOL};
 
 /// Seeds in CI.
@@ -86,14 +85,6 @@
             duty = HostDuty::new(&[], &FormerOrders::default(), true, ctx);
         });
         let sizing = Sizing::default();
-        let pool = |name: &str, is_parked| {
-            let config = PoolConfig {
-                name: name.to_string(),
-                is_parked,
-            };
-            (name.to_string(), config)
-        };
-        let pools = [pool(POOL, false), pool("busy", false), pool("off", true)];
         Self {
             rng: Rng::with_seed(seed),
             now_ms: 100_000,
@@ -102,10 +93,7 @@
             offers: Offers::default(),
             duty,
             seen: Offers::default(),
-            config: FleetConfig {
-                pools: pools.into(),
-                ..FleetConfig::default()
-            },
+            config: pools(POOL),
             row: None,
             arrivals: Vec::new(),
             leaving: BTreeMap::new(),
@@ -283,16 +271,9 @@
     }
 
     fn holder(&mut self, work: impl FnOnce(&mut HostDuty, &Look<'_>, &mut Ctx<'_>)) {
-        let need = |pool: &str, needed, offers: &Offers| PoolNeed {
-            pool: pool.to_string(),
-            wanted: needed,
-            needed,
-            offers: offers.clone(),
-            heard_ms: self.now_ms,
-        };
         let needs = [
-            need("busy", self.lacks, &Offers::default()),
-            need(POOL, 0, &self.seen),
+            need("busy", self.lacks, &Offers::default(), self.now_ms),
+            need(POOL, 0, &self.seen, self.now_ms),
         ];
         let look = Look {
             config: &self.config,
