A refused start after a silent one is stopped, not taken as proof

A refusal speaks of its own sending only.

Change: a task remembers that a sending of its start is open; a refusal after that sends a stop, which bars the run, and the task waits for the stop's answer and an account, as after any stop.

Tests: starts_refused_after_silence failed before (Ready, not Stopping). starts_late_after_cancel (a task that a worker starts late after the cancel, its starter alive or killed) passed at once over 40 worlds: the stop bars the run already, and a new owner's fence does. Kept as guard.

Also: ROCKWICK_CPU_SHARE counts as a known setting (the new test failed on it), and a take of offers that lost is logged (626).

--- a/src/config.rs
+++ b/src/config.rs
@@ -11,7 +11,7 @@
 const PREFIX: &str = "ROCKWICK_";
 
 /// The variables that are settings.
-const KNOWN: [&str; 21] = [
+const KNOWN: [&str; 22] = [
     "ROCKWICK_NAME",
     "ROCKWICK_HALL",
     "ROCKWICK_LISTEN",
@@ -33,6 +33,7 @@
     "ROCKWICK_METRICS",
     "ROCKWICK_STORE",
     "ROCKWICK_HOSTS",
+    "ROCKWICK_CPU_SHARE",
 ];
 
 /// The flags as given, not checked yet.
@@ -254,6 +255,11 @@
 pub fn unknown_variables() -> Vec<String> {
     std::env::vars_os()
         .filter_map(|(name, _)| name.into_string().ok())
-        .filter(|name| name.starts_with(PREFIX) && !KNOWN.contains(&name.as_str()))
+        .filter(|name| name.starts_with(PREFIX) && !is_known_variable(name))
         .collect()
 }
+
+/// Whether some command reads this variable.
+pub fn is_known_variable(name: &str) -> bool {
+    KNOWN.contains(&name)
+}
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -68,6 +68,8 @@
     pub settled_ms: Option<Millis>,
     /// When its run was started, where that was answered.
     pub started_ms: Option<Millis>,
+    /// A sending of its start got no answer, and may be carried out seconds later.
+    pub is_start_open: bool,
     /// The worker said that it is past its start-up.
     pub is_at_work: bool,
     /// Its place among waiting tasks.
@@ -302,6 +304,7 @@
         task.since_ms = now_ms;
         task.settled_ms = None;
         task.started_ms = None;
+        task.is_start_open = false;
         task.is_at_work = false;
         if before.worker() != phase.worker() {
             if let Some(w) = before.worker().and_then(|w| self.workers.get_mut(w)) {
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -305,12 +305,13 @@
 pub fn taken(
     duty: &mut HostDuty,
     pool: &str,
-    is_done: bool,
+    outcome: &TxOutcome,
     epoch: u64,
     ctx: &mut Ctx<'_>,
 ) -> Option<OffersRow> {
     let row = duty.taking.remove(pool)?;
-    if !is_done {
+    if !matches!(outcome, TxOutcome::Committed(_)) {
+        tell_not_taken(duty, pool, outcome, ctx);
         // Where it took effect without an answer, the feed tells; the next look goes by the row as it is then.
         duty.orders
             .retain(|_, order| order.offered_by.as_deref() != Some(pool));
@@ -325,6 +326,20 @@
     Some(row)
 }
 
+fn tell_not_taken(duty: &HostDuty, pool: &str, outcome: &TxOutcome, ctx: &mut Ctx<'_>) {
+    let why = match outcome {
+        TxOutcome::Committed(_) => return,
+        TxOutcome::Conflict(_) => "the pool's offers changed meanwhile",
+        TxOutcome::Refused => "the store refused",
+        TxOutcome::Unknown => "no answer; the feed tells whether it took effect",
+    };
+    let waiting = duty.orders.values();
+    let waiting = waiting.filter(|order| order.offered_by.as_deref() == Some(pool));
+    let dropped = waiting.count() as u64;
+    let decision = Decision::new(Code::OffersNotTaken, Subject::Pool, pool, why);
+    ctx.tell(decision.with("orders_dropped", dropped));
+}
+
 /// Puts on record which hosts are about to be ordered about.
 fn record_orders(duty: &mut HostDuty, with: &Look<'_>, ctx: &mut Ctx<'_>) {
     let fresh = duty.orders.iter().filter(|(_, order)| !order.is_recorded);
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -56,7 +56,7 @@
         }
         Event::Started(pool, epoch, task, run, reply) => {
             with_book(state, pool, epoch, now, &mut out, |book, ctx| {
-                runs::started(book, task, run, reply, ctx)
+                runs::started(book, task, run, reply, epoch, ctx)
             });
         }
         Event::Stopped(pool, epoch, task, run, reply) => {
@@ -344,11 +344,10 @@
     now: Now,
     out: &mut Vec<Effect>,
 ) {
-    let is_done = matches!(outcome, TxOutcome::Committed(_));
     let mut written = None;
     with_hosts(state, key, now, out, |duty, _, look, ctx| {
         if look.epoch == epoch {
-            written = hosts::taken(duty, from, is_done, epoch, ctx);
+            written = hosts::taken(duty, from, &outcome, epoch, ctx);
         }
     });
     let Some(donor) = state.pool_keys.get(from).copied() else {
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -74,6 +74,7 @@
     key: TaskKey,
     run: u32,
     reply: OrderReply,
+    epoch: u64,
     ctx: &mut Ctx<'_>,
 ) -> bool {
     let Some(task) = book.task(key) else {
@@ -94,16 +95,20 @@
                 task.started_ms = Some(ctx.now.ms);
             }
         }
-        OrderReply::Silent | OrderReply::TooLate => {
+        OrderReply::Silent => {
+            if let Some(task) = book.task_mut(key) {
+                task.is_start_open = true;
+            }
             ctx.after(ORDER_RETRY_MS, Timer::Restart(key, run));
         }
+        OrderReply::TooLate => ctx.after(ORDER_RETRY_MS, Timer::Restart(key, run)),
         OrderReply::NoRoom => {
             pause(book, worker, FULL_PAUSE_MS, ctx);
-            requeue(book, key, "no room", ctx);
+            refused(book, key, "no room", epoch, ctx);
         }
         OrderReply::Unwell => {
             pause(book, worker, UNWELL_PAUSE_MS, ctx);
-            requeue(book, key, "worker unwell", ctx);
+            refused(book, key, "worker unwell", epoch, ctx);
         }
         OrderReply::OtherLife => worker_over(book, worker, "another life answered", ctx),
         OrderReply::Fenced => return true,
@@ -111,6 +116,15 @@
     false
 }
 
+/// A refusal speaks of its own sending only: where an earlier one went unanswered, a stop bars the run first.
+fn refused(book: &mut Book, key: TaskKey, why: &str, epoch: u64, ctx: &mut Ctx<'_>) {
+    if book.task(key).is_some_and(|t| t.is_start_open) {
+        stop(book, key, epoch, ctx);
+    } else {
+        requeue(book, key, why, ctx);
+    }
+}
+
 fn settle(book: &mut Book, key: TaskKey, ctx: &Ctx<'_>) {
     if let Some(task) = book.task_mut(key) {
         task.settled_ms = Some(ctx.now.ms);
--- a/src/event.rs
+++ b/src/event.rs
@@ -107,6 +107,7 @@
     HostReopened, 623, "host-reopened", "A host that was closing serves its pool again; its turn comes later.";
     MoveOrdered, 624, "move-ordered", "A host is sent to another pool.";
     PoolSized, 625, "pool-sized", "What a pool's owner thinks of its size changed.";
+    OffersNotTaken, 626, "offers-not-taken", "Hosts on offer could not be taken; orders that waited for it are dropped.";
 }
 
 impl Code {
--- a/tests/test_commands.rs
+++ b/tests/test_commands.rs
@@ -2,6 +2,7 @@
 
 use std::process::Output;
 
+use rockwick::config::is_known_variable;
 use serde_json::Value;
 
 use crate::fleet::{run, wait_for, Plan, CONFIG};
@@ -30,6 +31,22 @@
     assert!(stdout(&version).contains(env!("CARGO_PKG_VERSION")));
 }
 
+/// A variable that a daemon's help names is not told as an unknown setting at its start.
+#[test]
+fn commands_known_settings() {
+    for command in ["entry", "serve"] {
+        let help = stdout(&run(&[command, "--help"], &[]));
+        let named = help.split("[env:").skip(1);
+        let names: Vec<&str> = named
+            .filter_map(|rest| rest.split([':', ' ', ']']).next())
+            .collect();
+        assert!(names.len() > 5, "{command}: {help}");
+        for name in names {
+            assert!(is_known_variable(name), "{command}: {name}");
+        }
+    }
+}
+
 #[test]
 fn commands_completion() {
     let out = run(&["--bpaf-complete-style-bash"], &[]);
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -89,9 +89,13 @@
 
     /// The host was taken from `idle`, or its offer was withdrawn meanwhile.
     fn taken(&mut self, is_done: bool) -> Vec<Effect> {
+        let outcome = match is_done {
+            true => TxOutcome::Committed(10),
+            false => TxOutcome::Conflict(Vec::new()),
+        };
         let mut row = None;
         let effects = self.with_ctx(|duty, _, ctx| {
-            row = hosts::taken(duty, "idle", is_done, EPOCH, ctx);
+            row = hosts::taken(duty, "idle", &outcome, EPOCH, ctx);
         });
         self.offers.took(row.unwrap_or_default(), 10);
         effects
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -8,12 +8,13 @@
 use rockwick::core::sched::hosts::{self, HostDuty, HostTask, Look};
 use rockwick::core::sched::keys::TaskKey;
 use rockwick::core::sched::load;
-use rockwick::core::sched::offers::{Offers, OFFERS_KEY};
+use rockwick::core::sched::offers::{Offers, OffersRow, OFFERS_KEY};
 use rockwick::core::sched::rows;
 use rockwick::core::sched::seat::FormerOrders;
 use rockwick::core::sched::sizing::{self, Sizing};
 use rockwick::core::sched::state::{Ctx, Effect};
 use rockwick::core::sched::worker::ClockSample;
+use rockwick::event::Code;
 use rockwick::port::fleet::{
     Capacity, FleetConfig, HostRecord, HostReply, HostState, RowTx, StoredRow, TxOutcome,
 };
@@ -313,10 +314,9 @@
                 TxOutcome::Unknown => self.offers.left_open(),
             },
             Arrival::Taken(outcome) => {
-                let is_done = matches!(outcome, TxOutcome::Committed(_));
                 let mut row = None;
                 self.holder(|duty, _, ctx| {
-                    row = hosts::taken(duty, POOL, is_done, EPOCH, ctx);
+                    row = hosts::taken(duty, POOL, &outcome, EPOCH, ctx);
                 });
                 match (outcome, row) {
                     (TxOutcome::Committed(revision), Some(row)) => self.seen.took(row, revision),
@@ -395,3 +395,48 @@
     }
     assert!(moved > 200 && reopened > 200, "{moved} {reopened}");
 }
+
+/// A take that lost is told, with the orders that were dropped for it.
+#[test]
+fn offers_not_taken_told() {
+    let offered = Offers {
+        row: OffersRow {
+            offered: [("host-0".to_string(), "life-0".to_string())].into(),
+            ..OffersRow::default()
+        },
+        revision: 1,
+        ..Offers::default()
+    };
+    let config = pools(POOL);
+    let needs = [
+        need("busy", 1, &Offers::default(), 100_000),
+        need(POOL, 0, &offered, 100_000),
+    ];
+    let look = Look {
+        config: &config,
+        needs: &needs,
+        pool: "off",
+        epoch: EPOCH,
+    };
+    let mut duty = HostDuty::default();
+    let effects = decide(100_000, |ctx| {
+        duty = HostDuty::new(&[], &FormerOrders::default(), true, ctx);
+        hosts::look(&mut duty, &BTreeMap::new(), &look, ctx);
+        hosts::list_read(&mut duty, Pair::new(1).list());
+        hosts::look(&mut duty, &BTreeMap::new(), &look, ctx);
+    });
+    let is_take = |e: &Effect| matches!(e, Effect::TakeHosts(..));
+    assert!(effects.iter().any(is_take), "{effects:?}");
+    let effects = decide(100_010, |ctx| {
+        hosts::taken(
+            &mut duty,
+            POOL,
+            &TxOutcome::Conflict(Vec::new()),
+            EPOCH,
+            ctx,
+        );
+    });
+    let is_told = |e: &Effect| matches!(e, Effect::Log(d) if d.code == Code::OffersNotTaken);
+    assert!(effects.iter().any(is_told), "{effects:?}");
+    assert!(!duty.has_order("host-0"));
+}
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -111,22 +111,20 @@
     assert_eq!(world.starts, 6, "all three started anew, under one run");
 }
 
-/// The entry that owns the pool.
-fn owner(world: &World) -> Option<usize> {
-    let owns = |e: &crate::world::Entry| e.state.as_ref().is_some_and(|s| s.owned() > 0);
-    world.entries.iter().position(owns)
-}
-
 #[test]
 fn sched_restarted_owner_owns() {
     let mut world = World::new(14, 3, 4);
     world.run(SETTLE_MS);
-    let before = owner(&world).expect("somebody owns the pool");
+    let before = world.owner_entry().expect("somebody owns the pool");
     world.kill(before);
     world.run(300);
     world.boot(before);
     world.run(200);
-    assert_eq!(owner(&world), Some(before), "its earlier process has ended");
+    assert_eq!(
+        world.owner_entry(),
+        Some(before),
+        "its earlier process has ended"
+    );
 }
 
 /// The store did what it was told, and its answer was lost: the feed brings the entry its own claim.
@@ -135,7 +133,7 @@
     let mut world = World::new(19, 1, 2);
     world.claims_unanswered = 1;
     world.run(300);
-    assert_eq!(owner(&world), Some(0), "it has seen its own claim");
+    assert_eq!(world.owner_entry(), Some(0), "it has seen its own claim");
     world.submit("a", job(2, 1_000, 200));
     world.run(2_000);
     assert_eq!(world.recorded("a"), JobState::Completed);
@@ -146,16 +144,16 @@
 fn sched_records_renew() {
     let mut world = World::new(23, 2, 4);
     world.run(SETTLE_MS);
-    let before = (owner(&world), world.renewals);
+    let before = (world.owner_entry(), world.renewals);
     for n in 0..40 {
         world.submit(&format!("job-{n}"), job(1, 500, 300));
         world.run(100);
     }
     let own = world.renewals - before.1;
     assert!(own <= 4, "{own} renewals beside records in 4 s");
-    assert_eq!(owner(&world), before.0, "the lease ran on");
+    assert_eq!(world.owner_entry(), before.0, "the lease ran on");
     world.run(4_000);
-    assert_eq!(owner(&world), before.0);
+    assert_eq!(world.owner_entry(), before.0);
 }
 
 /// A claim that is answered after the entry was told to stop is given up at once.
@@ -204,7 +202,7 @@
     world.run(1_000);
     let out_before = world.upkept[&1].len();
     assert!(out_before > 0, "the wave has begun");
-    world.kill(owner(&world).expect("somebody owns the pool"));
+    world.kill(world.owner_entry().expect("somebody owns the pool"));
     // A lease, the claim, and the turn of a host that the former owner gave no order to.
     world.run(4_000);
     assert!(
--- /dev/null
+++ b/tests/test_starts.rs
@@ -0,0 +1,110 @@
+//! A start that went unanswered may be carried out seconds later: a refusal of the next sending says nothing of it.
+
+use rockwick::core::sched::book::{Book, Phase};
+use rockwick::core::sched::keys::{TaskKey, WorkerKey};
+use rockwick::core::sched::load;
+use rockwick::core::sched::place;
+use rockwick::core::sched::runs;
+use rockwick::core::sched::state::Effect;
+use rockwick::core::sched::worker::ClockSample;
+use rockwick::port::fleet::{OrderReply, StoredRow};
+
+use crate::decide::decide;
+use crate::world::{config, job, worker_fact, Faults, World, POOL};
+
+/// Epoch of the owner.
+const EPOCH: u64 = 7;
+
+/// Long enough for an owner to be found.
+const SETTLE_MS: u64 = 8_000;
+
+/// Books with one worker, and one task whose start is out.
+fn starting() -> (Book, TaskKey, WorkerKey) {
+    let mut book = Book::default();
+    let worker = load::add_worker(&mut book, worker_fact("life", "host"), 0);
+    book.workers[worker].answers = true;
+    book.workers[worker].clock = Some(ClockSample {
+        local_ms: 0,
+        worker_ms: 0,
+    });
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: "a".to_string(),
+        value: Some(rockwick::core::sched::rows::encode(&job(1, 1_000, 500))),
+        revision: 1,
+    };
+    decide(1_000, |ctx| {
+        load::apply_intake(&mut book, &row, &config(1), EPOCH, ctx);
+        place::place(&mut book, ctx);
+        let (task, run) = book.unsent[0];
+        runs::send_start(&mut book, task, run, EPOCH, ctx);
+    });
+    let (task, _) = book.unsent[0];
+    (book, task, worker)
+}
+
+fn answered(book: &mut Book, task: TaskKey, replies: &[OrderReply]) -> Vec<Effect> {
+    decide(2_000, |ctx| {
+        for reply in replies {
+            runs::started(book, task, 1, *reply, EPOCH, ctx);
+        }
+    })
+}
+
+#[test]
+fn starts_refused_at_once() {
+    for refusal in [OrderReply::Unwell, OrderReply::NoRoom] {
+        let (mut book, task, _) = starting();
+        answered(&mut book, task, &[refusal]);
+        let phase = book.task(task).map(|t| t.phase);
+        assert_eq!(phase, Some(Phase::Ready), "{refusal:?}: it never ran");
+    }
+}
+
+#[test]
+fn starts_refused_after_silence() {
+    for refusal in [OrderReply::Unwell, OrderReply::NoRoom] {
+        let (mut book, task, worker) = starting();
+        let effects = answered(&mut book, task, &[OrderReply::Silent, refusal]);
+        let phase = book.task(task).map(|t| t.phase);
+        assert_eq!(phase, Some(Phase::Stopping(worker)), "{refusal:?}");
+        let is_stop = |e: &Effect| matches!(e, Effect::Stop(_, _, _, 1));
+        assert!(effects.iter().any(is_stop), "the run is barred first");
+    }
+}
+
+/// A task that a worker starts late, after its job was cancelled, is gone soon, whether or not the entry that
+/// started it is still there.
+#[test]
+fn starts_late_after_cancel() {
+    for is_starter_lost in [false, true] {
+        for seed in 0..20 {
+            let mut world = World::new(seed, 2, 2);
+            world.run(SETTLE_MS);
+            world.faults = Faults {
+                order_lost: 1_000,
+                order_late: 1_000,
+                ..Faults::default()
+            };
+            world.submit("a", job(4, 1_000, 60_000));
+            world.run(100);
+            world.faults = Faults::default();
+            world.cancel("a");
+            world.run(100);
+            if is_starter_lost {
+                let owner = world.owner_entry().expect("it is owned");
+                world.kill(owner);
+            }
+            // Orders are held up by 12 s at the most.
+            for _ in 0..140 {
+                world.run(100);
+                let oldest_ms = world.oldest_run_ms("a").unwrap_or(0);
+                assert!(
+                    oldest_ms < 5_000,
+                    "seed {seed}, starter lost: {is_starter_lost}: runs on for {oldest_ms} ms"
+                );
+            }
+            assert_eq!(world.running("a"), 0);
+        }
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -37,6 +37,7 @@
 mod test_serve;
 mod test_sizing;
 mod test_soak;
+mod test_starts;
 mod test_stop;
 mod test_timeout;
 mod test_times;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -119,6 +119,8 @@
 struct Running {
     run: u32,
     demand: Capacity,
+    /// When it was started.
+    since_ms: u64,
     /// From then on, a task that lasts is at work.
     at_work_ms: u64,
 }
@@ -444,6 +446,14 @@
             .sum()
     }
 
+    /// How long the oldest run of a job has been running.
+    pub(crate) fn oldest_run_ms(&self, id: &str) -> Option<u64> {
+        let lives = self.workers.values().filter(|w| w.is_up);
+        let runs = lives.flat_map(|w| w.running.iter());
+        let of_job = runs.filter(|(task, _)| task.job == id);
+        of_job.map(|(_, run)| self.now_ms - run.since_ms).max()
+    }
+
     fn reduce(&mut self, n: usize, event: Event) {
         let now = self.now();
         let Some(state) = self.entries[n].state.as_mut() else {
@@ -584,6 +594,12 @@
         states.into_iter().find(|s| s.owned() > 0)
     }
 
+    /// The entry that owns the pool.
+    pub(crate) fn owner_entry(&self) -> Option<usize> {
+        let owns = |e: &Entry| e.state.as_ref().is_some_and(|s| s.owned() > 0);
+        self.entries.iter().position(owns)
+    }
+
     /// An entry reads the rows of its pool again, within the same tenure.
     pub(crate) fn reload(&mut self, n: usize) {
         let state = self.entries[n].state.as_ref();
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -82,6 +82,7 @@
         let run = Running {
             run: start.run,
             demand,
+            since_ms: now_ms,
             at_work_ms,
         };
         w.running.insert(start.task.clone(), run);
