--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -63,28 +63,38 @@
     out: &mut Vec<Effect>,
     work: impl FnOnce(&mut HostDuty, &mut BTreeMap<u64, WaveKnown>, &hosts::Look<'_>, &mut Ctx<'_>),
 ) -> bool {
-    let is_duty_pool = state
-        .pools
-        .get(usize::from(key.0))
-        .is_some_and(|p| hosts::duty_pool(&state.config) == Some(p.name.as_str()));
-    if !is_duty_pool {
+    let pool = state.pools.get_mut(usize::from(key.0));
+    let duty_pool = hosts::duty_pool(&state.config);
+    let Some(pool) = pool.filter(|p| duty_pool == Some(p.name.as_str())) else {
         return false;
+    };
+    let until_ms = pool.seat.until_ms();
+    let Some(tenure) = &mut pool.tenure else {
+        return true;
+    };
+    let epoch = tenure.epoch;
+    // Lent out, so that what all pools offer is looked at where it is: there may be hundreds of hosts.
+    let mut duty = std::mem::take(&mut tenure.hosts);
+    let needs: Vec<PoolNeed<'_>> = state.pools.iter().map(PoolNeed::of).collect();
+    let look = hosts::Look {
+        config: &state.config,
+        needs: &needs,
+        pool: &state.pools[usize::from(key.0)].name,
+        epoch,
+    };
+    let mut ctx = Ctx {
+        now,
+        pool: key,
+        me: &state.me,
+        until_ms,
+        timers: &mut state.timers,
+        out,
+    };
+    work(&mut duty, &mut state.waves, &look, &mut ctx);
+    let pool = &mut state.pools[usize::from(key.0)];
+    if let Some(tenure) = &mut pool.tenure {
+        tenure.hosts = duty;
     }
-    let needs: Vec<PoolNeed> = state.pools.iter().map(PoolNeed::of).collect();
-    let mut waves = std::mem::take(&mut state.waves);
-    with_pool(state, key, now, out, |pool, ctx, facts| {
-        let Some(tenure) = &mut pool.tenure else {
-            return;
-        };
-        let look = hosts::Look {
-            config: facts.config,
-            needs: &needs,
-            pool: &pool.name,
-            epoch: tenure.epoch,
-        };
-        work(&mut tenure.hosts, &mut waves, &look, ctx);
-    });
-    state.waves = waves;
     true
 }
 
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::listing::HostList;
+use super::moves;
 use super::offers::{Offers, OffersRow, Taken};
 use super::rows::{self, HostOrdersRow, WaveRow, HOST_ORDERS_KEY};
 use super::seat::{epoch_guard, FormerOrders};
@@ -30,16 +32,8 @@
 /// way and a late timer on top.
 pub const ORDERS_APART_MS: Millis = 3_300;
 
-/// A host that is on offer and wanted by nobody for so long is turned off. On the users' sites two moves cost as
-/// much as a host for 2.3 s; after that long, the next use is at least as far away on the whole.
-const PARK_MS: Millis = 4_000;
-
-/// Hosts on their way to be turned off at a time, which takes 2 s each: the platform takes 64 orders a second on
-/// the users' sites, and those to a pool that lacks hosts must not wait behind these.
-const PARKED_AT_A_TIME: usize = 16;
-
 /// Pause before an order to a host is sent again that got no answer.
-const RETRY_MS: Millis = 400;
+pub(super) const RETRY_MS: Millis = 400;
 
 /// What a pool needs counts for so long after its owner was last heard: a lease and the time that a new owner
 /// takes to read the rows.
@@ -53,34 +47,34 @@
 const MOVE_MAX_MS: Millis = 6_000;
 
 /// What a pool's owner says of its size.
-#[derive(Clone, Debug, Default)]
-pub struct PoolNeed {
+#[derive(Clone, Copy, Debug)]
+pub struct PoolNeed<'a> {
     /// The pool.
-    pub pool: String,
+    pub pool: &'a str,
     /// Hosts that it wants.
     pub wanted: u64,
     /// Hosts that its work needs now.
     pub needed: u64,
     /// Hosts that are to leave it.
-    pub offers: Offers,
+    pub offers: &'a Offers,
     /// When its owner was last heard.
     pub heard_ms: Millis,
 }
 
-impl PoolNeed {
+impl<'a> PoolNeed<'a> {
     /// As this entry has heard of the pool.
-    pub fn of(pool: &Pool) -> Self {
+    pub fn of(pool: &'a Pool) -> Self {
         Self {
-            pool: pool.name.clone(),
+            pool: &pool.name,
             wanted: pool.seat.beat.wanted,
             needed: pool.seat.beat.needed,
-            offers: pool.offers.clone(),
+            offers: &pool.offers,
             heard_ms: pool.seat.beat_seen_ms,
         }
     }
 
     /// Whether the host is to leave this pool.
-    fn gives(&self, host: &str) -> bool {
+    pub(super) fn gives(&self, host: &str) -> bool {
         let row = &self.offers.row;
         row.offered.contains_key(host) || row.taken.contains_key(host)
     }
@@ -113,20 +107,17 @@
 /// What the entry that orders hosts knows.
 #[derive(Clone, Debug, Default)]
 pub struct HostDuty {
-    list: Vec<HostRecord>,
-    list_asking_ms: Millis,
-    list_asked_ms: Millis,
-    list_due_ms: Millis,
+    pub(super) list: HostList,
     orders: BTreeMap<String, HostOrder>,
     pending: Option<(u64, WaveRow)>,
     /// Hosts that are being put on record.
     recording: Option<BTreeSet<String>>,
     /// Hosts on offer, and since when.
-    offered_ms: BTreeMap<String, Millis>,
+    pub(super) offered_ms: BTreeMap<String, Millis>,
     /// Changes of offers that are out, by pool.
     taking: BTreeMap<String, OffersRow>,
     /// When hosts were last ordered about by this entry.
-    sent_ms: BTreeMap<String, Millis>,
+    pub(super) sent_ms: BTreeMap<String, Millis>,
     /// What the former holder left is known.
     is_ready: bool,
     /// Hosts that a former holder ordered about last, until when they are left alone.
@@ -190,7 +181,37 @@
         self.orders.contains_key(host)
     }
 
-    fn is_quiet(&self, host: &str, now_ms: Millis) -> bool {
+    /// What a host is ordered to do, or about to be.
+    pub(super) fn task_of(&self, host: &str) -> Option<&HostTask> {
+        self.orders.get(host).map(|order| &order.task)
+    }
+
+    /// How many hosts are ordered to do the same, or about to be.
+    pub(super) fn count_of(&self, task: &HostTask) -> usize {
+        self.orders.values().filter(|o| o.task == *task).count()
+    }
+
+    /// Wants an order to a host; it goes out once it is on record, and the host taken from the pool that offers
+    /// it.
+    pub(super) fn begin(
+        &mut self,
+        host: &str,
+        task: HostTask,
+        offered_by: Option<String>,
+        ctx: &Ctx<'_>,
+    ) {
+        let order = HostOrder {
+            task,
+            offered_by,
+            is_recorded: false,
+            is_sent: false,
+            again_ms: Some(ctx.now.ms),
+            since_ms: ctx.now.ms,
+        };
+        self.orders.insert(host.to_string(), order);
+    }
+
+    pub(super) fn is_quiet(&self, host: &str, now_ms: Millis) -> bool {
         now_ms < self.all_quiet_ms || self.quiet.get(host).is_some_and(|until| now_ms < *until)
     }
 }
@@ -207,7 +228,7 @@
     /// The configuration.
     pub config: &'a FleetConfig,
     /// What owners said.
-    pub needs: &'a [PoolNeed],
+    pub needs: &'a [PoolNeed<'a>],
     /// The pool that carries the orders.
     pub pool: &'a str,
     /// The epoch: fence of all orders.
@@ -234,19 +255,17 @@
     ctx: &mut Ctx<'_>,
 ) {
     ctx.after(LOOK_MS, Timer::Hosts);
-    if ctx.now.ms >= duty.list_due_ms {
-        duty.list_due_ms = ctx.now.ms + LIST_MS;
-        duty.list_asking_ms = ctx.now.ms;
+    if duty.list.ask(ctx.now.ms, LIST_MS) {
         ctx.out.push(Effect::ReadHosts(ctx.pool, with.epoch));
     }
-    if !duty.is_ready || !ctx.may_send() || duty.list_asked_ms == 0 {
+    if !duty.is_ready || !ctx.may_send() || duty.list.asked_ms() == 0 {
         return;
     }
     settle_orders(duty, waves, with, ctx);
     for wave in waves.values().filter(|w| !w.is_done) {
         order_upkeep(duty, wave, ctx);
     }
-    move_hosts(duty, waves, with, ctx);
+    moves::move_hosts(duty, waves, with, ctx);
     take_hosts(duty, with, ctx);
     record_orders(duty, with, ctx);
 }
@@ -255,50 +274,78 @@
 /// not moved.
 fn take_hosts(duty: &mut HostDuty, with: &Look<'_>, ctx: &mut Ctx<'_>) {
     for need in with.needs {
-        if duty.taking.contains_key(&need.pool) {
+        if duty.taking.contains_key(need.pool) {
             continue;
         }
-        let row = with_taken(duty, need, with.epoch, ctx.now.ms);
-        if row == need.offers.row {
+        drop_withdrawn(duty, need);
+        let Some(row) = with_taken(duty, need, with.epoch, ctx.now.ms) else {
             continue;
-        }
-        let tx = need.offers.write(&need.pool, &row);
-        duty.taking.insert(need.pool.clone(), row);
-        let pool = need.pool.clone();
+        };
+        let tx = need.offers.write(need.pool, &row);
+        duty.taking.insert(need.pool.to_string(), row);
+        let pool = need.pool.to_string();
         ctx.out
             .push(Effect::TakeHosts(ctx.pool, with.epoch, pool, tx));
     }
 }
 
-/// A pool's offers once the hosts that orders wait for are taken. Orders for hosts that are on offer no more are
-/// dropped.
-fn with_taken(duty: &mut HostDuty, need: &PoolNeed, epoch: u64, now_ms: Millis) -> OffersRow {
-    let mut row = need.offers.row.clone();
+/// Drops orders for hosts that are on offer no more.
+fn drop_withdrawn(duty: &mut HostDuty, need: &PoolNeed<'_>) {
     duty.orders.retain(|host, order| {
-        if order.offered_by.as_ref() != Some(&need.pool) {
-            return true;
-        }
-        let life = match row.taken.remove(host) {
-            Some(taken) => Some(taken.life),
-            None => row.offered.remove(host),
-        };
-        let is_there = life.is_some();
-        if let Some(life) = life {
-            row.taken.insert(host.clone(), Taken { life, epoch });
-        }
-        is_there
+        let is_theirs = order.offered_by.as_deref() == Some(need.pool);
+        !is_theirs || need.gives(host)
     });
-    row.taken.retain(|host, taken| {
-        let record = duty.list.iter().find(|h| h.host == *host);
-        let is_here = record.is_some_and(|h| h.pool == need.pool);
-        let is_ours = taken.epoch == epoch;
-        let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, now_ms);
-        let is_same_life = record.is_some_and(|h| h.life == taken.life);
-        let was_ordered = duty.sent_ms.contains_key(host);
-        // Moved, or never ordered: nothing of ours can still move it.
-        is_busy || (is_here && is_ours && is_same_life && was_ordered)
+}
+
+/// A pool's offers once the hosts that orders wait for are taken and those given back that need no mark; nothing
+/// where that changes nothing.
+fn with_taken(
+    duty: &HostDuty,
+    need: &PoolNeed<'_>,
+    epoch: u64,
+    now_ms: Millis,
+) -> Option<OffersRow> {
+    let known = &need.offers.row;
+    let waiting = duty.orders.iter();
+    let waiting = waiting.filter(|(_, order)| order.offered_by.as_deref() == Some(need.pool));
+    let fresh = waiting.filter_map(|(host, _)| {
+        let taken = known.taken.get(host);
+        let life = taken.map(|taken| &taken.life).or(known.offered.get(host))?;
+        let is_ours = taken.is_some_and(|taken| taken.epoch == epoch);
+        (!is_ours).then_some((host, life))
     });
-    row
+    let fresh: Vec<(&String, &String)> = fresh.collect();
+    let is_over =
+        |host: &str, taken: &Taken| !needs_mark(duty, need.pool, host, taken, epoch, now_ms);
+    if fresh.is_empty() && !known.taken.iter().any(|(host, taken)| is_over(host, taken)) {
+        return None;
+    }
+    let mut row = known.clone();
+    for (host, life) in fresh {
+        row.offered.remove(host);
+        let life = life.clone();
+        row.taken.insert(host.clone(), Taken { life, epoch });
+    }
+    row.taken.retain(|host, taken| !is_over(host, taken));
+    Some(row)
+}
+
+/// Whether something of ours can still move a host that was taken: not once it was moved, and not where it was
+/// never ordered.
+fn needs_mark(
+    duty: &HostDuty,
+    pool: &str,
+    host: &str,
+    taken: &Taken,
+    epoch: u64,
+    now_ms: Millis,
+) -> bool {
+    if duty.has_order(host) || duty.is_quiet(host, now_ms) {
+        return true;
+    }
+    let record = duty.list.get(host);
+    let is_there = record.is_some_and(|h| h.pool == pool && h.life == taken.life);
+    is_there && taken.epoch == epoch && duty.sent_ms.contains_key(host)
 }
 
 /// Settles a change of a pool's offers; gives the row as it is now known, if it was written.
@@ -400,8 +447,7 @@
 
 /// Takes in the list of hosts.
 pub fn list_read(duty: &mut HostDuty, list: Vec<HostRecord>) {
-    duty.list = list;
-    duty.list_asked_ms = duty.list_asking_ms;
+    duty.list.take(list);
 }
 
 /// Sends again what got no answer, and drops what is seen to be done.
@@ -412,10 +458,10 @@
     ctx: &mut Ctx<'_>,
 ) {
     let now_ms = ctx.now.ms;
-    let list_asked_ms = duty.list_asked_ms;
+    let list_asked_ms = duty.list.asked_ms();
     let list = &duty.list;
     duty.orders.retain(|host, order| {
-        let record = list.iter().find(|h| h.host == *host);
+        let record = list.get(host);
         let is_listed_since = list_asked_ms > order.since_ms;
         match &order.task {
             HostTask::Move(to) => {
@@ -468,34 +514,15 @@
     ));
 }
 
-/// Wants an order to a host; it goes out once it is on record, and the host taken from the pool that offers it.
-fn begin(
-    duty: &mut HostDuty,
-    host: &str,
-    task: HostTask,
-    offered_by: Option<String>,
-    ctx: &Ctx<'_>,
-) {
-    let order = HostOrder {
-        task,
-        offered_by,
-        is_recorded: false,
-        is_sent: false,
-        again_ms: Some(ctx.now.ms),
-        since_ms: ctx.now.ms,
-    };
-    duty.orders.insert(host.to_string(), order);
-}
-
 fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, ctx: &mut Ctx<'_>) {
     for (host, slot) in &wave.row.out {
         let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, ctx.now.ms);
         if slot.is_ordered || is_busy {
             continue;
         }
-        let record = duty.list.iter().find(|h| h.host == *host);
+        let record = duty.list.get(host);
         if record.is_some_and(|h| h.pool == slot.pool) {
-            begin(duty, host, HostTask::Upkeep(wave.order.wave), None, ctx);
+            duty.begin(host, HostTask::Upkeep(wave.order.wave), None, ctx);
         } else if record.is_some() {
             // It was moved before its slot was taken: its new pool takes it through.
             let mut row = wave.row.clone();
@@ -569,7 +596,7 @@
         HostReply::Accepted => {
             order.again_ms = None;
             order.since_ms = ctx.now.ms;
-            duty.list_due_ms = duty.list_due_ms.min(ctx.now.ms + LOOK_MS);
+            duty.list.hasten(ctx.now.ms + LOOK_MS);
         }
         HostReply::Silent | HostReply::TooMany => {
             order.again_ms = Some(ctx.now.ms + RETRY_MS);
@@ -583,144 +610,3 @@
         }
     }
 }
-
-/// Sends hosts where they are wanted, and parks those that nobody wants.
-fn move_hosts(
-    duty: &mut HostDuty,
-    waves: &BTreeMap<u64, WaveKnown>,
-    with: &Look<'_>,
-    ctx: &mut Ctx<'_>,
-) {
-    let Some(parked) = with.config.pools.values().find(|p| p.is_parked) else {
-        return;
-    };
-    let is_heard = |need: &&PoolNeed| ctx.now.ms < need.heard_ms + NEED_KEPT_MS;
-    let needs: Vec<&PoolNeed> = with.needs.iter().filter(is_heard).collect();
-    let mut spare: Vec<Spare> = Vec::new();
-    for need in with.needs {
-        spare.extend(spare_of(duty, waves, need, with.epoch, ctx.now.ms));
-    }
-    let mut idle: Vec<String> = duty
-        .list
-        .iter()
-        .filter(|h| is_free(duty, waves, &h.host, &parked.name, ctx.now.ms))
-        .map(|h| h.host.clone())
-        .collect();
-    while let Some(need) = shortest(duty, &needs) {
-        let task = HostTask::Move(need.pool.clone());
-        if let Some(host) = idle.pop() {
-            begin(duty, &host, task, None, ctx);
-        } else if let Some(other) = take_other(&mut spare, &need.pool) {
-            begin(duty, &other.host, task, Some(other.pool), ctx);
-        } else {
-            break;
-        }
-    }
-    note_offers(duty, with, ctx.now.ms);
-    let task = HostTask::Move(parked.name.clone());
-    let on_their_way = duty.orders.values().filter(|o| o.task == task).count();
-    let is_idle = |other: &Spare| {
-        let since_ms = duty.offered_ms.get(&other.host);
-        other.is_offered && since_ms.is_some_and(|since| ctx.now.ms >= since + PARK_MS)
-    };
-    let idle = spare.into_iter().filter(is_idle);
-    let idle: Vec<Spare> = idle
-        .take(PARKED_AT_A_TIME.saturating_sub(on_their_way))
-        .collect();
-    for other in idle {
-        begin(duty, &other.host, task.clone(), Some(other.pool), ctx);
-    }
-}
-
-/// Notes since when hosts are on offer.
-fn note_offers(duty: &mut HostDuty, with: &Look<'_>, now_ms: Millis) {
-    let is_offered = |host: &str| {
-        let mut rows = with.needs.iter().map(|need| &need.offers.row);
-        rows.any(|row| row.offered.contains_key(host))
-    };
-    duty.offered_ms.retain(|host, _| is_offered(host));
-    for need in with.needs {
-        for host in need.offers.row.offered.keys() {
-            duty.offered_ms.entry(host.clone()).or_insert(now_ms);
-        }
-    }
-}
-
-/// A host that may leave its pool.
-struct Spare {
-    host: String,
-    pool: String,
-    /// It is on offer; else a former holder took it.
-    is_offered: bool,
-}
-
-/// Hosts of a pool that are on offer, or that a former holder took and did not move. What this one took and
-/// did not move goes back first: its return may be on its way.
-fn spare_of(
-    duty: &HostDuty,
-    waves: &BTreeMap<u64, WaveKnown>,
-    need: &PoolNeed,
-    epoch: u64,
-    now_ms: Millis,
-) -> Vec<Spare> {
-    let row = &need.offers.row;
-    let offered = row.offered.iter().map(|(host, life)| (host, life, true));
-    let taken = row.taken.iter().filter(|(_, by)| by.epoch != epoch);
-    let taken = taken.map(|(host, by)| (host, &by.life, false));
-    // A later life of the host may be at work, whatever the row says of an earlier one.
-    let is_on = |host: &str, life: &str| {
-        let mut records = duty.list.iter();
-        records.any(|h| h.host == host && h.life == life)
-    };
-    let all = offered.chain(taken).filter(|(host, life, _)| {
-        is_on(host, life) && is_free(duty, waves, host, &need.pool, now_ms)
-    });
-    all.map(|(host, _, is_offered)| Spare {
-        host: host.clone(),
-        pool: need.pool.clone(),
-        is_offered,
-    })
-    .collect()
-}
-
-/// The pool that has the least of what its work needs, or else of what it wants.
-fn shortest<'a>(duty: &HostDuty, needs: &[&'a PoolNeed]) -> Option<&'a PoolNeed> {
-    let least = |hosts: fn(&PoolNeed) -> u64| {
-        let share_milli = |need: &PoolNeed| count(duty, need) * 1_000 / hosts(need).max(1);
-        let short = needs.iter().filter(|need| share_milli(need) < 1_000);
-        short.min_by_key(|need| share_milli(need)).copied()
-    };
-    least(|need| need.needed).or_else(|| least(|need| need.wanted))
-}
-
-/// A spare host of another pool.
-fn take_other(spare: &mut Vec<Spare>, pool: &str) -> Option<Spare> {
-    let at = spare.iter().position(|other| other.pool != pool)?;
-    Some(spare.swap_remove(at))
-}
-
-/// Whether a host is up in this pool, with no order out, no slot of a wave and nobody else's orders of late.
-fn is_free(
-    duty: &HostDuty,
-    waves: &BTreeMap<u64, WaveKnown>,
-    host: &str,
-    pool: &str,
-    now_ms: Millis,
-) -> bool {
-    let is_there = |h: &HostRecord| h.host == host && h.pool == pool && h.state == HostState::Up;
-    let has_slot = waves.values().any(|w| w.row.out.contains_key(host));
-    let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, now_ms);
-    // What was refused is not tried again at once.
-    let was_sent = |at: &Millis| now_ms < at + 2 * RETRY_MS;
-    let is_busy = is_busy || duty.sent_ms.get(host).is_some_and(was_sent);
-    duty.list.iter().any(is_there) && !has_slot && !is_busy
-}
-
-/// Hosts that serve a pool: those on their way to it included, those that leave it or are spare not.
-fn count(duty: &HostDuty, need: &PoolNeed) -> u64 {
-    let serves = |h: &&HostRecord| match duty.orders.get(&h.host).map(|o| &o.task) {
-        Some(HostTask::Move(to)) => *to == need.pool,
-        _ => h.pool == need.pool && h.state != HostState::Down && !need.gives(&h.host),
-    };
-    duty.list.iter().filter(serves).count() as u64
-}
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -5,10 +5,11 @@
 //! hosts ([`super::hosts`]) sees the slot and sends the order. A wave spans pools; its row counts the
 //! slots for all of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use super::book::{Book, Phase};
 use super::keys::{TaskKey, WorkerKey};
+use super::listing::HostList;
 use super::place;
 use super::rows::{self, SlotRow, WaveRow};
 use super::runs;
@@ -76,10 +77,7 @@
     pending: Option<Pending>,
     /// Hosts whose turn was broken off, and when it may begin again.
     reopened: BTreeMap<String, Millis>,
-    hosts: Vec<HostRecord>,
-    hosts_due_ms: Millis,
-    hosts_asking_ms: Millis,
-    hosts_asked_ms: Millis,
+    hosts: HostList,
 }
 
 /// Looks at all waves that are not done.
@@ -94,7 +92,7 @@
     let mut is_any = false;
     for wave in known.values_mut().filter(|w| !w.is_done) {
         is_any = true;
-        if is_complete(wave, duty) {
+        if is_complete(wave, &due_hosts(wave), duty) {
             wave.is_done = true;
             let number = wave.order.wave;
             ctx.out.push(Effect::TellWave(number, WaveState::Completed));
@@ -107,34 +105,40 @@
             ));
             continue;
         }
+        let due = due_hosts(wave);
         recover(duty, wave, pool);
-        mark_due(book, wave);
+        mark_due(book, &due);
         advance(book, duty, wave, pool, epoch, ctx);
-        begin_turns(book, duty, wave, pool, ctx);
+        begin_turns(book, duty, wave, &due, pool, ctx);
     }
     if !is_any {
         return;
     }
-    if ctx.now.ms >= duty.hosts_due_ms {
-        let is_away = |(_, turn): &(u64, Turn)| matches!(turn, Turn::Away(_));
-        let pause_ms = match duty.turns.values().any(is_away) {
-            true => HOSTS_AWAY_MS,
-            false => HOSTS_MS,
-        };
-        duty.hosts_due_ms = ctx.now.ms + pause_ms;
-        duty.hosts_asking_ms = ctx.now.ms;
+    let is_away = |(_, turn): &(u64, Turn)| matches!(turn, Turn::Away(_));
+    let pause_ms = match duty.turns.values().any(is_away) {
+        true => HOSTS_AWAY_MS,
+        false => HOSTS_MS,
+    };
+    if duty.hosts.ask(ctx.now.ms, pause_ms) {
         ctx.out.push(Effect::ReadHosts(ctx.pool, epoch));
     }
     ctx.after(LOOK_MS, Timer::Wave);
 }
 
+/// Hosts of a wave that are not back yet.
+fn due_hosts(wave: &WaveKnown) -> BTreeSet<&str> {
+    let back: HashSet<&str> = wave.row.back.iter().map(String::as_str).collect();
+    let hosts = wave.order.hosts.iter().map(String::as_str);
+    hosts.filter(|host| !back.contains(host)).collect()
+}
+
 /// Whether every host that still exists is back.
-fn is_complete(wave: &WaveKnown, duty: &WaveDuty) -> bool {
-    let is_back = |host: &String| {
-        let is_gone = !duty.hosts.is_empty() && !duty.hosts.iter().any(|h| h.host == *host);
-        wave.row.back.contains(host) || (is_gone && !wave.row.out.contains_key(host))
+fn is_complete(wave: &WaveKnown, due: &BTreeSet<&str>, duty: &WaveDuty) -> bool {
+    let is_gone = |host: &&str| {
+        let is_listed = duty.hosts.is_empty() || duty.hosts.get(host).is_some();
+        !is_listed && !wave.row.out.contains_key(*host)
     };
-    wave.order.hosts.iter().all(is_back)
+    due.iter().all(is_gone)
 }
 
 /// Slots that this pool's former owner took.
@@ -147,10 +151,9 @@
     }
 }
 
-fn mark_due(book: &mut Book, wave: &WaveKnown) {
+fn mark_due(book: &mut Book, due: &BTreeSet<&str>) {
     for (_, worker) in &mut book.workers {
-        let host = &worker.fact.host;
-        worker.is_due = wave.order.hosts.contains(host) && !wave.row.back.contains(host);
+        worker.is_due = due.contains(worker.fact.host.as_str());
     }
 }
 
@@ -324,10 +327,10 @@
     since_ms: Millis,
     ctx: &mut Ctx<'_>,
 ) {
-    if duty.pending.is_some() || duty.hosts_asked_ms <= since_ms {
+    if duty.pending.is_some() || duty.hosts.asked_ms() <= since_ms {
         return;
     }
-    let record = duty.hosts.iter().find(|h| h.host == host);
+    let record = duty.hosts.get(host);
     if record.is_none_or(|h| h.state != HostState::Up) {
         return;
     }
@@ -339,7 +342,7 @@
 
 /// Whether a host is still this pool's.
 fn has_host(book: &Book, duty: &WaveDuty, host: &str, pool: &str) -> bool {
-    let record = duty.hosts.iter().find(|h| h.host == host);
+    let record = duty.hosts.get(host);
     book.worker_on(host).is_some() || record.is_none_or(|h| h.pool == pool)
 }
 
@@ -430,8 +433,7 @@
 
 /// Takes in the list of hosts.
 pub fn hosts_read(duty: &mut WaveDuty, hosts: Vec<HostRecord>) {
-    duty.hosts = hosts;
-    duty.hosts_asked_ms = duty.hosts_asking_ms;
+    duty.hosts.take(hosts);
 }
 
 /// Closes as many hosts as the wave's time asks for.
@@ -439,10 +441,11 @@
     book: &mut Book,
     duty: &mut WaveDuty,
     wave: &WaveKnown,
+    due: &BTreeSet<&str>,
     pool: &str,
     ctx: &mut Ctx<'_>,
 ) {
-    let candidates = candidates(book, duty, wave, pool, ctx.now.ms);
+    let candidates = candidates(book, duty, wave, due, pool, ctx.now.ms);
     let in_turn = duty
         .turns
         .values()
@@ -481,29 +484,29 @@
     book: &Book,
     duty: &WaveDuty,
     wave: &WaveKnown,
+    due: &BTreeSet<&str>,
     pool: &str,
     now_ms: Millis,
 ) -> Vec<(String, u64)> {
-    let is_due = |host: &String| {
-        !wave.row.back.contains(host)
-            && !wave.row.out.contains_key(host)
+    let may_begin = |host: &str| {
+        !wave.row.out.contains_key(host)
             && !duty.turns.contains_key(host)
             && duty.reopened.get(host).is_none_or(|again| now_ms >= *again)
     };
     let mut found: Vec<(String, u64)> = Vec::new();
-    for host in wave.order.hosts.iter().filter(|h| is_due(h)) {
+    for host in due.iter().copied().filter(|h| may_begin(h)) {
         if let Some(key) = book.worker_on(host) {
             let w = &book.workers[key];
             if w.answers && !w.fact.draining && !w.is_offered && can_clear(book, key, now_ms) {
-                found.push((host.clone(), w.used.cpu_milli + w.tasks.len() as u64));
+                found.push((host.to_string(), w.used.cpu_milli + w.tasks.len() as u64));
             }
             continue;
         }
-        let record = duty.hosts.iter().find(|h| h.host == *host);
+        let record = duty.hosts.get(host);
         let is_off =
             |h: &HostRecord| h.pool == pool && h.state == HostState::Up && h.life.is_empty();
         if record.is_some_and(is_off) {
-            found.push((host.clone(), 0));
+            found.push((host.to_string(), 0));
         }
     }
     found.sort_by_key(|(_, work)| *work);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -42,12 +42,17 @@
 }
 
 /// What a pool needs, heard just now.
-pub(crate) fn need(pool: &str, needed: u64, offers: &Offers, now_ms: u64) -> PoolNeed {
+pub(crate) fn need<'a>(
+    pool: &'a str,
+    needed: u64,
+    offers: &'a Offers,
+    now_ms: u64,
+) -> PoolNeed<'a> {
     PoolNeed {
-        pool: pool.to_string(),
+        pool,
         wanted: needed,
         needed,
-        offers: offers.clone(),
+        offers,
         heard_ms: now_ms,
     }
 }
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -66,8 +66,9 @@
         &mut self,
         work: impl FnOnce(&mut HostDuty, &Look<'_>, &mut Ctx<'_>),
     ) -> Vec<Effect> {
+        let none = Offers::default();
         let needs = [
-            need("busy", 1, &Offers::default(), self.now_ms),
+            need("busy", 1, &none, self.now_ms),
             need("idle", 1, &self.offers, self.now_ms),
         ];
         let look = Look {
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -272,8 +272,9 @@
     }
 
     fn holder(&mut self, work: impl FnOnce(&mut HostDuty, &Look<'_>, &mut Ctx<'_>)) {
+        let none = Offers::default();
         let needs = [
-            need("busy", self.lacks, &Offers::default(), self.now_ms),
+            need("busy", self.lacks, &none, self.now_ms),
             need(POOL, 0, &self.seen, self.now_ms),
         ];
         let look = Look {
@@ -408,8 +409,9 @@
         ..Offers::default()
     };
     let config = pools(POOL);
+    let none = Offers::default();
     let needs = [
-        need("busy", 1, &Offers::default(), 100_000),
+        need("busy", 1, &none, 100_000),
         need(POOL, 0, &offered, 100_000),
     ];
     let look = Look {
