Hosts by name, workers by free room, and nothing cloned for one host

Second half: room.rs holds workers by free share, in all and by rack; placing looks at the first that fit, bounded by the least cost that a later one can have. Lives of a host and workers whose ends are being recorded are kept by key in place of walks on each account and event.

Tests: room_finds_least_cost (400 random pools: the place found costs what a walk over all finds), room_given_back. The world of the model and offers_random hold.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,209 @@
+//! What single decisions cost as pools grow: a task's place, and a look of the entry that orders hosts.
+//!
+//! `cargo bench --bench decisions`; the table of docs/MEASURES.md comes from it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use divan::Bencher;
+use rockwick::clock::Now;
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::hosts::{self, HostDuty, Look, PoolNeed};
+use rockwick::core::sched::job::{JobSpec, StepSpec};
+use rockwick::core::sched::keys::TaskKey;
+use rockwick::core::sched::load;
+use rockwick::core::sched::offers::Offers;
+use rockwick::core::sched::place;
+use rockwick::core::sched::rows;
+use rockwick::core::sched::seat::FormerOrders;
+use rockwick::core::sched::state::{Ctx, Effect, PoolKey, Timers};
+use rockwick::core::sched::worker::ClockSample;
+use rockwick::port::fleet::{
+    Capacity, FleetConfig, HostRecord, HostState, PoolConfig, QueueConfig, StoredRow, WorkerFact,
+};
+
+const SIZES: [usize; 4] = [50, 150, 500, 1_000];
+
+const NOW_MS: u64 = 100_000;
+
+fn main() {
+    divan::main();
+}
+
+fn decide<T>(work: impl FnOnce(&mut Ctx<'_>) -> T) -> (T, Vec<Effect>) {
+    let mut timers = Timers::new();
+    let mut out = Vec::new();
+    let mut ctx = Ctx {
+        now: Now {
+            ms: NOW_MS,
+            wall_ms: NOW_MS,
+        },
+        pool: PoolKey(0),
+        me: "entry",
+        until_ms: u64::MAX,
+        timers: &mut timers,
+        out: &mut out,
+    };
+    let result = work(&mut ctx);
+    (result, out)
+}
+
+fn config() -> FleetConfig {
+    let queue = QueueConfig {
+        name: "queue".to_string(),
+        host: "host".to_string(),
+        path_prefix: "/q/".to_string(),
+        pool: "pool-0".to_string(),
+        priority: 0,
+        attempts_max: 3,
+        target_ms: 600,
+        stretch_milli: 1_600,
+    };
+    let pool = |n: usize| PoolConfig {
+        name: format!("pool-{n}"),
+        is_parked: n == 4,
+    };
+    let pools: BTreeMap<String, PoolConfig> = (0..5)
+        .map(|n| pool(n))
+        .map(|p| (p.name.clone(), p))
+        .collect();
+    FleetConfig {
+        queues: vec![queue],
+        pools,
+        ..FleetConfig::default()
+    }
+}
+
+fn job(id: &str) -> StoredRow {
+    let spec = JobSpec {
+        queue: "queue".to_string(),
+        payload: "work".to_string(),
+        steps: vec![StepSpec {
+            count: 1,
+            cpu_milli: 2_300,
+            mem_mb: 500,
+            estimate_ms: 1_000,
+            ..StepSpec::default()
+        }],
+        schedule: None,
+        accepted_wall_ms: NOW_MS,
+    };
+    StoredRow {
+        part: "pool-0".to_string(),
+        key: id.to_string(),
+        value: Some(rows::encode(&spec)),
+        revision: 1,
+    }
+}
+
+/// Books of a pool whose workers are two thirds full, and one task that waits.
+fn book(workers: usize) -> Book {
+    let mut book = Book::default();
+    for n in 0..workers {
+        let fact = WorkerFact {
+            id: format!("life-{n}"),
+            host: format!("host-{n}"),
+            pool: "pool-0".to_string(),
+            address: SocketAddr::from(([10, 0, 0, 1], 1_000)),
+            hall: "hall".to_string(),
+            labels: vec!["kind".to_string(), format!("r{}", n / 20)],
+            capacity: Capacity {
+                cpu_milli: 16_000,
+                mem_mb: 64_000,
+                gpu: 0,
+            },
+            draining: false,
+        };
+        let key = load::add_worker(&mut book, fact, 0);
+        let worker = &mut book.workers[key];
+        worker.answers = true;
+        worker.clock = Some(ClockSample {
+            local_ms: 0,
+            worker_ms: 0,
+        });
+        let taken = Capacity {
+            cpu_milli: 8_000 + 100 * (n as u64 % 70),
+            ..Capacity::default()
+        };
+        worker.take(TaskKey::default(), taken);
+        book.note_room(key);
+    }
+    decide(|ctx| load::apply_intake(&mut book, &job("a"), &config(), 1, ctx));
+    book
+}
+
+/// One task gets its place.
+#[divan::bench(args = SIZES)]
+fn place_task(bencher: Bencher<'_, '_>, workers: usize) {
+    bencher
+        .with_inputs(|| book(workers))
+        .bench_local_refs(|book| decide(|ctx| place::place(book, ctx)));
+}
+
+/// One task waits, with no room for it anywhere.
+#[divan::bench(args = SIZES)]
+fn place_task_in_vain(bencher: Bencher<'_, '_>, workers: usize) {
+    let full = || {
+        let mut book = book(workers);
+        let keys: Vec<_> = book.workers.keys().collect();
+        for key in keys {
+            book.workers[key].used.cpu_milli = 16_000;
+            book.note_room(key);
+        }
+        book
+    };
+    bencher
+        .with_inputs(full)
+        .bench_local_refs(|book| decide(|ctx| place::place(book, ctx)));
+}
+
+/// A peak begins: one pool lacks half of the hosts, the others offer a quarter of them all.
+#[divan::bench(args = SIZES)]
+fn look_at_hosts(bencher: Bencher<'_, '_>, workers: usize) {
+    let config = config();
+    let list: Vec<HostRecord> = (0..workers)
+        .map(|n| HostRecord {
+            host: format!("host-{n}"),
+            pool: format!("pool-{}", 1 + n % 4),
+            state: HostState::Up,
+            life: format!("life-{n}"),
+        })
+        .collect();
+    let offers: Vec<Offers> = (0..5)
+        .map(|pool| {
+            let mut offers = Offers::default();
+            let given = list.iter().filter(|h| h.pool == format!("pool-{pool}"));
+            let given = given.map(|h| (h.host.clone(), h.life.clone()));
+            offers.row.offered = given.take(workers / 16).collect();
+            offers
+        })
+        .collect();
+    let names: Vec<String> = (0..5).map(|n| format!("pool-{n}")).collect();
+    let needs: Vec<PoolNeed<'_>> = (0..5)
+        .map(|n| PoolNeed {
+            pool: &names[n],
+            wanted: if n == 0 { workers as u64 / 2 } else { 1 },
+            needed: if n == 0 { workers as u64 / 2 } else { 1 },
+            offers: &offers[n],
+            heard_ms: NOW_MS,
+        })
+        .collect();
+    let look = Look {
+        config: &config,
+        needs: &needs,
+        pool: "pool-4",
+        epoch: 7,
+    };
+    let duty = || {
+        let new = |ctx: &mut Ctx<'_>| {
+            let mut duty = HostDuty::new(&[], &FormerOrders::default(), true, ctx);
+            hosts::look(&mut duty, &BTreeMap::new(), &look, ctx);
+            hosts::list_read(&mut duty, list.clone());
+            duty
+        };
+        decide(new).0
+    };
+    bencher
+        .with_inputs(duty)
+        .bench_local_refs(|duty| decide(|ctx| hosts::look(duty, &BTreeMap::new(), &look, ctx)));
+}
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -7,6 +7,7 @@
 use super::job::{JobSpec, JobState, StepSpec};
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, WEIGHT_MAX_MS, WORK_PER_MS};
+use super::room::Room;
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
 use super::times::Times;
 use super::worker::Worker;
@@ -217,6 +218,12 @@
     pub workers: SlotMap<WorkerKey, Worker>,
     /// Workers by id of their life.
     pub by_life: HashMap<String, WorkerKey>,
+    /// Workers' lives by host.
+    pub by_host: HashMap<String, Vec<WorkerKey>>,
+    /// Workers by what they have free.
+    pub room: Room,
+    /// Workers whose ends are being recorded.
+    pub recording: BTreeSet<WorkerKey>,
     /// Tasks that wait for a place.
     pub ready: BTreeSet<Rank>,
     /// Jobs whose progress is to be recorded.
@@ -307,13 +314,18 @@
         task.is_start_open = false;
         task.is_at_work = false;
         if before.worker() != phase.worker() {
-            if let Some(w) = before.worker().and_then(|w| self.workers.get_mut(w)) {
+            let left = before.worker();
+            if let Some(w) = left.and_then(|w| self.workers.get_mut(w)) {
                 w.release(key, demand);
                 self.wants_placing = true;
             }
-            if let Some(w) = phase.worker().and_then(|w| self.workers.get_mut(w)) {
+            let taken = phase.worker();
+            if let Some(w) = taken.and_then(|w| self.workers.get_mut(w)) {
                 w.take(key, demand);
             }
+            left.into_iter()
+                .chain(taken)
+                .for_each(|w| self.note_room(w));
         }
         self.queue(key, (phase == Phase::Ready).then_some(rank));
     }
@@ -485,6 +497,7 @@
         if let Some(w) = self.workers.get_mut(left.worker) {
             w.used.add(left.demand);
         }
+        self.note_room(left.worker);
         self.left.insert((key, run), left);
     }
 
@@ -500,6 +513,7 @@
                 w.used.sub(left.demand);
                 self.wants_placing = true;
             }
+            self.note_room(left.worker);
         }
     }
 
@@ -531,12 +545,49 @@
         keys
     }
 
+    /// Adds a worker's life.
+    pub fn add_worker(&mut self, worker: Worker) -> WorkerKey {
+        let (id, host) = (worker.fact.id.clone(), worker.fact.host.clone());
+        let key = self.workers.insert(worker);
+        self.by_life.insert(id, key);
+        self.by_host.entry(host).or_default().push(key);
+        self.note_room(key);
+        key
+    }
+
+    /// Drops a worker's life.
+    pub fn remove_worker(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        self.by_life.remove(&worker.fact.id);
+        self.recording.remove(&key);
+        self.room.remove(key);
+        let Some(lives) = self.by_host.get_mut(&worker.fact.host) else {
+            return;
+        };
+        lives.retain(|life| *life != key);
+        if lives.is_empty() {
+            self.by_host.remove(&worker.fact.host);
+        }
+    }
+
+    /// Takes note of what a worker has free now.
+    pub fn note_room(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get(key) {
+            self.room.note(key, worker);
+        }
+    }
+
+    /// Lives on a host, ended ones that are not forgotten included.
+    pub fn lives_on(&self, host: &str) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        let keys = self.by_host.get(host).into_iter().flatten();
+        keys.filter_map(|key| Some((*key, self.workers.get(*key)?)))
+    }
+
     /// The worker on a host: the life that answers, else one that is listed.
     pub fn worker_on(&self, host: &str) -> Option<WorkerKey> {
-        let on_host = || {
-            let listed = self.workers.iter().filter(|(_, w)| w.is_listed);
-            listed.filter(|(_, w)| w.fact.host == host)
-        };
+        let on_host = || self.lives_on(host).filter(|(_, w)| w.is_listed);
         let answering = on_host().find(|(_, w)| w.answers);
         answering.or_else(|| on_host().next()).map(|(key, _)| key)
     }
--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -65,10 +65,9 @@
 }
 
 fn ends(book: &Book) -> Vec<(WorkerKey, u64)> {
-    book.workers
-        .iter()
-        .filter(|(_, w)| w.hold == HoldPhase::Recording)
-        .map(|(key, w)| (key, w.taken))
+    let recording = book.recording.iter();
+    recording
+        .filter_map(|key| Some((*key, book.workers.get(*key)?.taken)))
         .collect()
 }
 
@@ -77,6 +76,7 @@
         return;
     };
     w.recorded = w.recorded.max(taken);
+    book.recording.remove(&key);
     if w.hold == HoldPhase::Recording {
         w.hold = HoldPhase::Idle;
         holds::next(book, key, epoch, ctx);
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -125,9 +125,7 @@
     if w.is_listed || w.answers || ctx.now.ms < w.lease_over_ms || !w.tasks.is_empty() {
         return;
     }
-    let id = w.fact.id.clone();
-    book.workers.remove(key);
-    book.by_life.remove(&id);
+    book.remove_worker(key);
 }
 
 fn account(
@@ -166,6 +164,7 @@
     let w = &mut book.workers[key];
     if w.taken > w.recorded {
         w.hold = HoldPhase::Recording;
+        book.recording.insert(key);
     } else if is_blocked {
         // It would answer at once with the ends that may not count as seen yet.
         ctx.after(HOLD_RETRY_MS, Timer::Hold(key));
@@ -189,10 +188,10 @@
 /// A host carries one life at a time: those that were last heard before this one was asked are over, and so
 /// are those that a former owner gave work to. One that was never heard nor given work may be younger.
 fn end_earlier_lives(book: &mut Book, key: WorkerKey, sent_ms: Millis, ctx: &mut Ctx<'_>) {
-    let host = book.workers[key].fact.host.clone();
-    let others = book.workers.iter().filter(|(other, w)| {
+    let host = &book.workers[key].fact.host;
+    let others = book.lives_on(host).filter(|(other, w)| {
         let was_there = w.heard_ms > 0 || !w.tasks.is_empty();
-        *other != key && w.fact.host == host && was_there && w.heard_ms < sent_ms
+        *other != key && was_there && w.heard_ms < sent_ms
     });
     let earlier: Vec<WorkerKey> = others.map(|(other, _)| other).collect();
     for other in earlier {
--- a/src/core/sched/keys.rs
+++ b/src/core/sched/keys.rs
@@ -10,7 +10,7 @@
 }
 
 /// A task in the books.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TaskKey {
     /// The job.
     pub job: JobKey,
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -74,6 +74,7 @@
         let w = &mut book.workers[key];
         w.fact = fact.clone();
         w.is_listed = true;
+        book.note_room(key);
         book.wants_placing = true;
         holds::next(book, key, epoch, ctx);
         return;
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -83,11 +83,7 @@
 
 /// Adds a worker's life to the books.
 pub fn add_worker(book: &mut Book, fact: WorkerFact, began_ms: Millis) -> WorkerKey {
-    let id = fact.id.clone();
-    let worker = Worker::new(fact, began_ms + FOREIGN_LEASE_MS);
-    let key = book.workers.insert(worker);
-    book.by_life.insert(id, key);
-    key
+    book.add_worker(Worker::new(fact, began_ms + FOREIGN_LEASE_MS))
 }
 
 /// Takes in a row of intake: a job, or a cancel.
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -21,6 +21,7 @@
 pub mod place;
 pub mod reduce;
 mod remove;
+pub mod room;
 pub mod rows;
 pub mod runs;
 pub mod seat;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -7,6 +7,7 @@
 use super::job::{JobState, StepSpec};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::PLACE_LOOKS;
+use super::room::Slot;
 use super::state::Ctx;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::Capacity;
@@ -60,23 +61,65 @@
     a.cpu_milli >= b.cpu_milli && a.mem_mb >= b.mem_mb && a.gpu >= b.gpu
 }
 
+/// The place of least cost: in the rack where the data lies if one there fits, else anywhere.
 fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Option<WorkerKey> {
     let spec = book.step_spec(key)?;
-    let demand = spec.demand();
-    let mut best: Option<(u64, WorkerKey)> = None;
-    for (worker_key, worker) in &book.workers {
-        if !worker.is_open(now_ms) || !worker.fits(demand) {
-            continue;
-        }
-        if !suits(book, key, spec, worker_key) || failed_there(book, key, worker_key, now_ms) {
-            continue;
-        }
-        let cost = cost_milli(book, spec, worker_key, Capacity::default());
-        if best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, worker_key));
+    let cpu_milli = spec.demand().cpu_milli;
+    let search = Search {
+        book,
+        spec,
+        key,
+        now_ms,
+    };
+    let Some(rack) = spec.data_rack.as_deref() else {
+        let best = search.best(book.room.with_free(cpu_milli), 0, None);
+        return best.map(|(_, worker)| worker);
+    };
+    let near = search.best(book.room.with_free_in(rack, cpu_milli), 0, None);
+    let best = search.best(book.room.with_free(cpu_milli), FAR_MILLI, near);
+    best.map(|(_, worker)| worker)
+}
+
+/// A look for a task's place.
+struct Search<'a> {
+    book: &'a Book,
+    spec: &'a StepSpec,
+    key: TaskKey,
+    now_ms: u64,
+}
+
+impl Search<'_> {
+    /// The worker of least cost and that cost, of `slots` in their order and of `best`; each slot costs what it
+    /// has free and `more_milli` at the least, so that the first ones usually settle it.
+    fn best(
+        &self,
+        slots: impl Iterator<Item = Slot>,
+        more_milli: u64,
+        mut best: Option<(u64, WorkerKey)>,
+    ) -> Option<(u64, WorkerKey)> {
+        for slot in slots {
+            let least_milli = slot.free_milli + more_milli;
+            if best.is_some_and(|(cost, _)| cost <= least_milli) {
+                break;
+            }
+            if !self.may_take(slot.worker) {
+                continue;
+            }
+            let cost = cost_milli(self.book, self.spec, slot.worker, Capacity::default());
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, slot.worker));
+            }
         }
+        best
+    }
+
+    fn may_take(&self, key: WorkerKey) -> bool {
+        let worker = &self.book.workers[key];
+        worker.is_open(self.now_ms)
+            && worker.fits(self.spec.demand())
+            && suits(self.book, self.key, self.spec, key)
+            && !failed_there(self.book, self.key, key, self.now_ms)
     }
-    best.map(|(_, worker)| worker)
 }
 
 /// Whether the task's last run failed on this worker and another one may take it, with room or later: three
@@ -94,9 +137,12 @@
     let Some(spec) = book.step_spec(key) else {
         return false;
     };
-    let mut others = book.workers.iter().filter(|(other, _)| *other != worker);
-    others.any(|(other, w)| {
-        w.is_open(now_ms) && w.fits(spec.demand()) && suits(book, key, spec, other)
+    let demand = spec.demand();
+    let slots = book.room.with_free(demand.cpu_milli);
+    let mut others = slots.map(|slot| slot.worker).filter(|w| *w != worker);
+    others.any(|other| {
+        let w = &book.workers[other];
+        w.is_open(now_ms) && w.fits(demand) && suits(book, key, spec, other)
     })
 }
 
--- /dev/null
+++ b/src/core/sched/room.rs
@@ -0,0 +1,93 @@
+//! Workers by the share of their processors that is free, all of them and by rack, so that a task's place is
+//! found without a walk over the pool.
+//!
+//! The index knows nothing of whether a worker may get work: who looks for a place checks that on the few that
+//! it is shown.
+
+use std::collections::{BTreeSet, HashMap};
+use std::ops::Bound;
+
+use slotmap::{Key, SecondaryMap};
+
+use super::keys::WorkerKey;
+use super::worker::Worker;
+
+/// A worker's place in the order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Slot {
+    /// Thousandths of its processors that are free.
+    pub free_milli: u64,
+    /// The worker.
+    pub worker: WorkerKey,
+}
+
+/// The index.
+#[derive(Clone, Debug, Default)]
+pub struct Room {
+    all: BTreeSet<Slot>,
+    by_rack: HashMap<String, BTreeSet<Slot>>,
+    known: SecondaryMap<WorkerKey, (Slot, String)>,
+    /// Processors of the largest worker so far, in thousandths of a core.
+    largest_cpu_milli: u64,
+}
+
+impl Room {
+    /// Takes in what a worker has free now.
+    pub fn note(&mut self, key: WorkerKey, worker: &Worker) {
+        let room = worker.fact.capacity.cpu_milli;
+        let free = room.saturating_sub(worker.used.cpu_milli);
+        let slot = Slot {
+            free_milli: free * 1_000 / room.max(1),
+            worker: key,
+        };
+        let known = self.known.get(key);
+        if known.is_some_and(|(before, rack)| *before == slot && rack == worker.rack()) {
+            return;
+        }
+        self.remove(key);
+        self.largest_cpu_milli = self.largest_cpu_milli.max(room);
+        self.all.insert(slot);
+        let rack = worker.rack().to_string();
+        self.by_rack.entry(rack.clone()).or_default().insert(slot);
+        self.known.insert(key, (slot, rack));
+    }
+
+    /// Drops a worker.
+    pub fn remove(&mut self, key: WorkerKey) {
+        let Some((slot, rack)) = self.known.remove(key) else {
+            return;
+        };
+        self.all.remove(&slot);
+        if let Some(in_rack) = self.by_rack.get_mut(&rack) {
+            in_rack.remove(&slot);
+            if in_rack.is_empty() {
+                self.by_rack.remove(&rack);
+            }
+        }
+    }
+
+    /// Workers that may have so many thousandths of a core free, the fullest first.
+    pub fn with_free(&self, cpu_milli: u64) -> impl Iterator<Item = Slot> + '_ {
+        let range = (self.first(cpu_milli), Bound::Unbounded);
+        self.all.range(range).copied()
+    }
+
+    /// The same in one rack.
+    pub fn with_free_in(&self, rack: &str, cpu_milli: u64) -> impl Iterator<Item = Slot> + '_ {
+        let range = (self.first(cpu_milli), Bound::Unbounded);
+        let in_rack = self.by_rack.get(rack).into_iter();
+        in_rack.flat_map(move |slots| slots.range(range).copied())
+    }
+
+    /// Below the first worker that has so much free, were it as large as the largest.
+    fn first(&self, cpu_milli: u64) -> Bound<Slot> {
+        let free_milli = cpu_milli * 1_000 / self.largest_cpu_milli.max(1);
+        free_milli.checked_sub(1).map_or(Bound::Unbounded, |below| {
+            Bound::Excluded(Slot {
+                free_milli: below,
+                // No key is greater than the null one.
+                worker: WorkerKey::null(),
+            })
+        })
+    }
+}
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -185,7 +185,7 @@
     let by_former = BTreeMap::from([("h1".to_string(), taken(EPOCH - 1))]);
     holder.offers.row.taken = by_former;
     let effects = holder.with_ctx(|duty, look, ctx| {
-        let needs = [look.needs[1].clone()];
+        let needs = [look.needs[1]];
         let calm = Look {
             needs: &needs,
             ..*look
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -31,6 +31,7 @@
 mod test_place;
 mod test_platform;
 mod test_report;
+mod test_room;
 mod test_runs;
 mod test_sched;
 mod test_sched_model;
