A take that met newer offers is tried again at once

In those 2.6 s 22 takes met a newer row: owner and orderer both look every 0.1 s, and in step the owner, from which hosts come free one by one, changes the row just before each take arrives. Then 150 hosts were taken at once and served 1.2 s later. A third of the jobs of that peak missed their objectives.

Ruled out: orders (150 went out within half a second), the wave (67 of 186 out at most, over by 29 s), processor time (owners at 0.02 cores on the mean, 0.11 at most).

Change: after a conflict the orderer goes on at once with the row that the conflict brought, three times between two looks. An owner puts more hosts on offer 0.2 s after the last ones at the least, or three answers of a slow store; what it wants back it withdraws at once, as before.

Tests: offers_in_step (0 takes in ten looks before, 3 now: all six hosts), sizing_offers_apart; both failed before. offers_random holds.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -32,6 +32,11 @@
 /// way and a late timer on top.
 pub const ORDERS_APART_MS: Millis = 3_300;
 
+/// A take that met newer offers is tried again at once, so many times between two looks. Owner and orderer both
+/// look every 0.1 s: in step, the owner changed its offers just before each take, and 150 hosts stayed on offer for
+/// 2.6 s while another pool needed 200.
+const RETAKES_MAX: u32 = 3;
+
 /// Pause before an order to a host is sent again that got no answer.
 pub(super) const RETRY_MS: Millis = 400;
 
@@ -116,6 +121,8 @@
     pub(super) offered_ms: BTreeMap<String, Millis>,
     /// Changes of offers that are out, by pool.
     taking: BTreeMap<String, OffersRow>,
+    /// Takes that were tried again since the last look.
+    retakes: u32,
     /// When hosts were last ordered about by this entry.
     pub(super) sent_ms: BTreeMap<String, Millis>,
     /// What the former holder left is known.
@@ -261,10 +268,35 @@
     if !duty.is_ready || !ctx.may_send() || duty.list.asked_ms() == 0 {
         return;
     }
+    duty.retakes = 0;
     settle_orders(duty, waves, with, ctx);
     for wave in waves.values().filter(|w| !w.is_done) {
         order_upkeep(duty, wave, ctx);
     }
+    send_hosts(duty, waves, with, ctx);
+}
+
+/// Looks again at once for hosts to move: those that were to be taken were not, and the offers are known as they
+/// are now.
+pub fn retake(
+    duty: &mut HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    with: &Look<'_>,
+    ctx: &mut Ctx<'_>,
+) {
+    if duty.retakes >= RETAKES_MAX || !duty.is_ready || !ctx.may_send() {
+        return;
+    }
+    duty.retakes += 1;
+    send_hosts(duty, waves, with, ctx);
+}
+
+fn send_hosts(
+    duty: &mut HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    with: &Look<'_>,
+    ctx: &mut Ctx<'_>,
+) {
     moves::move_hosts(duty, waves, with, ctx);
     take_hosts(duty, with, ctx);
     record_orders(duty, with, ctx);
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -353,6 +353,7 @@
     let Some(donor) = state.pool_keys.get(from).copied() else {
         return;
     };
+    let is_conflict = matches!(outcome, TxOutcome::Conflict(_));
     with_pool(state, donor, now, out, |pool, ctx, _| {
         match (outcome, written) {
             (TxOutcome::Committed(revision), Some(row)) => pool.offers.took(row, revision),
@@ -362,6 +363,11 @@
             _ => {}
         }
     });
+    if is_conflict {
+        with_hosts(state, key, now, out, |duty, waves, look, ctx| {
+            hosts::retake(duty, waves, look, ctx);
+        });
+    }
 }
 
 fn tell_loaded(name: &str, book: &Book, tenure: &Tenure, ctx: &mut Ctx<'_>) {
@@ -611,6 +617,7 @@
             epoch,
             can_park,
             pressed,
+            answer_ms: pool.seat.answer_ms,
         };
         if sizing::look(book, &mut tenure.sizing, &mut pool.offers, &with, ctx) {
             seat::tell(pool, ctx);
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -20,6 +20,13 @@
 /// is on offer comes back within an answer of the store.
 const KEEP_MS: Millis = 300;
 
+/// More hosts are put on offer so long after the last ones at the least: between two changes of the row those on
+/// it can be taken, by a look each 0.1 s and an answer of the store.
+const OFFERS_APART_MS: Millis = 200;
+
+/// The same in answers of the store, where that is more: a feed, a take and its answer.
+const OFFERS_APART_ANSWERS: Millis = 3;
+
 /// Hosts that a pool keeps at the least.
 const HOSTS_MIN: u64 = 3;
 
@@ -37,6 +44,8 @@
     withdrawn: BTreeSet<String>,
     /// What was last told: wanted and needed.
     told: (u64, u64),
+    /// When hosts were last put on offer.
+    offered_ms: Millis,
     /// More hosts were needed than served.
     is_short: bool,
     /// Hosts that its work needs now.
@@ -65,6 +74,8 @@
     pub can_park: bool,
     /// Another pool lacks hosts for the work that it has.
     pub pressed: bool,
+    /// What the store took for its last answer.
+    pub answer_ms: Millis,
 }
 
 /// Looks at the pool's size; says whether it lacks hosts, or lacked some, and that changed: others wait for it.
@@ -246,7 +257,7 @@
 /// Puts hosts that are spare and empty on offer, and takes those off that are wanted again.
 fn settle_offers(
     book: &mut Book,
-    sizing: &Sizing,
+    sizing: &mut Sizing,
     offers: &mut Offers,
     with: &Look<'_>,
     ctx: &mut Ctx<'_>,
@@ -268,7 +279,14 @@
         }
     }
     let is_known = |life: &str| book.by_life.contains_key(life);
+    let pause_ms = (with.answer_ms * OFFERS_APART_ANSWERS).max(OFFERS_APART_MS);
+    let is_withdrawn = offers.row.offered.keys().any(|h| !offered.contains_key(h));
+    if !is_withdrawn && ctx.now.ms < sizing.offered_ms + pause_ms {
+        mark_offered(book, offers);
+        return;
+    }
     if let Some(tx) = offers.change(with.pool, with.epoch, offered, is_known) {
+        sizing.offered_ms = ctx.now.ms;
         ctx.out.push(Effect::SettleOffers(ctx.pool, with.epoch, tx));
     }
     mark_offered(book, offers);
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -210,6 +210,7 @@
             epoch: EPOCH,
             can_park: true,
             pressed: false,
+            answer_ms: 5,
         };
         let effects = decide(self.now_ms, |ctx| {
             sizing::look(
@@ -442,3 +443,86 @@
     assert!(effects.iter().any(is_told), "{effects:?}");
     assert!(!duty.has_order("host-0"));
 }
+
+/// An owner that changes its offers just before each take arrives: what is on offer is taken all the same.
+#[test]
+fn offers_in_step() {
+    let config = pools(POOL);
+    let none = Offers::default();
+    let mut duty = HostDuty::default();
+    let mut offers = Offers::default();
+    let mut took = 0;
+    decide(100_000, |ctx| {
+        duty = HostDuty::new(&[], &FormerOrders::default(), true, ctx);
+    });
+    for look_n in 0..10 {
+        let now_ms = 100_000 + look_n * 100;
+        let mut effects = with_look(
+            &config,
+            &none,
+            &offers,
+            now_ms,
+            |duty, look, ctx| {
+                hosts::look(duty, &BTreeMap::new(), look, ctx);
+                hosts::list_read(duty, Pair::new(1).list());
+            },
+            &mut duty,
+        );
+        // The owner puts one more on offer before the take arrives.
+        let host = format!("host-{}", look_n.min(5));
+        offers
+            .row
+            .offered
+            .insert(host.clone(), host.replace("host", "life"));
+        offers.revision += 1;
+        while let Some(guard) = effects.iter().find_map(taken_revision) {
+            let is_newest = guard == offers.revision;
+            let outcome = match is_newest {
+                true => TxOutcome::Committed(guard + 1),
+                false => TxOutcome::Conflict(Vec::new()),
+            };
+            took += usize::from(is_newest);
+            effects = with_look(
+                &config,
+                &none,
+                &offers,
+                now_ms + 10,
+                |duty, look, ctx| {
+                    hosts::taken(duty, POOL, &outcome, EPOCH, ctx);
+                    if !is_newest {
+                        hosts::retake(duty, &BTreeMap::new(), look, ctx);
+                    }
+                },
+                &mut duty,
+            );
+        }
+    }
+    assert!(took >= 3, "{took} takes in ten looks");
+}
+
+/// The revision of the row that a take goes by.
+fn taken_revision(effect: &Effect) -> Option<u64> {
+    let Effect::TakeHosts(_, _, _, tx) = effect else {
+        return None;
+    };
+    tx.guards.first().map(|guard| guard.revision)
+}
+
+/// Runs `work` for the entry that orders hosts, while pool `busy` lacks six.
+fn with_look(
+    config: &FleetConfig,
+    none: &Offers,
+    offers: &Offers,
+    now_ms: Millis,
+    work: impl FnOnce(&mut HostDuty, &Look<'_>, &mut Ctx<'_>),
+    duty: &mut HostDuty,
+) -> Vec<Effect> {
+    let needs = [need("busy", 6, none, now_ms), need(POOL, 0, offers, now_ms)];
+    let look = Look {
+        config,
+        needs: &needs,
+        pool: "off",
+        epoch: EPOCH,
+    };
+    decide(now_ms, |ctx| work(duty, &look, ctx))
+}
--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -2,11 +2,13 @@
 
 use rockwick::core::sched::book::Book;
 use rockwick::core::sched::job::JobSpec;
+use rockwick::core::sched::keys::TaskKey;
 use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::sizing::{self, Look, Sizing};
-use rockwick::core::sched::state::Ctx;
+use rockwick::core::sched::state::{Ctx, Effect};
+use rockwick::core::sched::worker::ClockSample;
 use rockwick::core::sched::{load, rows};
-use rockwick::port::fleet::StoredRow;
+use rockwick::port::fleet::{Capacity, StoredRow};
 
 use crate::decide::decide;
 use crate::world::{config, job, worker_fact, POOL};
@@ -76,6 +78,7 @@
         epoch: 1,
         can_park: false,
         pressed,
+        answer_ms: 5,
     }
 }
 
@@ -138,3 +141,58 @@
     // What came takes 80 cores; at that rate it will take 400.
     assert_eq!(bench.sizing.needed, 32);
 }
+
+/// Hosts that come free one by one go on offer together: between two changes of the row they can be taken.
+#[test]
+fn sizing_offers_apart() {
+    let mut book = Book::default();
+    let mut sizing = Sizing::default();
+    let mut offers = Offers::default();
+    for n in 0..12 {
+        let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
+        let key = load::add_worker(&mut book, fact, 0);
+        let worker = &mut book.workers[key];
+        worker.answers = true;
+        worker.clock = Some(ClockSample {
+            local_ms: 0,
+            worker_ms: 0,
+        });
+    }
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: "job".to_string(),
+        value: Some(rows::encode(&job(1, 1_000, 60_000))),
+        revision: 1,
+    };
+    let with = Look {
+        can_park: true,
+        ..calm(true)
+    };
+    let mut changes = Vec::new();
+    decide(100_000, |ctx| {
+        load::apply_intake(&mut book, &row, &config(1), 1, ctx);
+    });
+    let keys: Vec<_> = book.workers.keys().collect();
+    // All carry something; one host more is empty at each look.
+    let task = TaskKey::default();
+    for key in &keys {
+        book.workers[*key].take(task, Capacity::default());
+    }
+    for (n, key) in keys.iter().enumerate() {
+        book.workers[*key].release(task, Capacity::default());
+        let now_ms = 100_000 + n as u64 * 100;
+        let effects = decide(now_ms, |ctx| {
+            sizing::look(&mut book, &mut sizing, &mut offers, &with, ctx);
+        });
+        if effects
+            .iter()
+            .any(|e| matches!(e, Effect::SettleOffers(..)))
+        {
+            changes.push(now_ms);
+            offers.changed(n as u64 + 1);
+        }
+    }
+    assert!(changes.len() >= 2, "{changes:?}");
+    let are_apart = changes.windows(2).all(|w| w[1] >= w[0] + 200);
+    assert!(are_apart, "{changes:?}");
+}
