A job that comes while the store is away is refused at once

Callers may not repeat such a job elsewhere.

Change: an entry whose store is away (it is not ready either) waits 0.25 s at the most for it, then refuses: nothing was sent, so "not run" is true. Retry-After follows how long the store has been away, 1 to 3 s: callers give up after four tries, outages last 4 to 9 s.

--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,7 +97,7 @@
 }
 
 fn note_store(shared: &Shared, answers: bool) {
-    if shared.has_store.swap(answers, Ordering::SeqCst) == answers {
+    if !shared.note_store(answers) {
         return;
     }
     let (code, why) = if answers {
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -35,6 +35,17 @@
 /// Advice to a caller that was not taken: the balancer needs two seconds to send it elsewhere.
 const RETRY_AFTER_S: u32 = 1;
 
+/// The same at the most, while the store is away. Callers give up after a few tries; outages on the users' sites
+/// last 4 to 9 s.
+const RETRY_AFTER_MAX_S: u32 = 3;
+
+/// A store that did not answer this entry may be back within so long: a single failed read is followed by another
+/// after 0.1 to 0.2 s.
+const STORE_BACK_MS: Millis = 250;
+
+/// How often that is looked at.
+const STORE_LOOK_MS: Millis = 25;
+
 /// A count told by an owner serves for so long; the pages allow 2 s.
 const COUNT_FRESH_MS: Millis = 1_600;
 
@@ -121,6 +132,18 @@
     }
 }
 
+/// For how long the store has been away, unless it is back within a moment.
+async fn store_away(shared: &Shared) -> Option<Millis> {
+    let until = Instant::now() + Duration::from_millis(STORE_BACK_MS);
+    loop {
+        let away_ms = shared.store_away_for_ms()?;
+        if away_ms >= STORE_BACK_MS || Instant::now() >= until {
+            return Some(away_ms);
+        }
+        Timer::after(Duration::from_millis(STORE_LOOK_MS)).await;
+    }
+}
+
 async fn submit<R: Rows>(
     shared: &Shared,
     store: &R,
@@ -129,6 +152,12 @@
     spec: &JobSpec,
     until: Instant,
 ) -> Outcome {
+    if let Some(away_ms) = store_away(shared).await {
+        // Nothing was sent. What is sent into an outage has no known fate, and callers may not repeat it elsewhere.
+        let away_s = (away_ms / 1_000) as u32;
+        let retry_after_s = away_s.clamp(RETRY_AFTER_S, RETRY_AFTER_MAX_S);
+        return Outcome::NotTaken { retry_after_s };
+    }
     let part = intake_part(pool, id);
     match insert(shared, store, part, id, rows::encode(spec), until).await {
         Insert::Done => Outcome::Accepted,
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -1,7 +1,7 @@
 //! What the control thread and the traffic thread share: a snapshot each way, never a wait.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
 use arc_swap::ArcSwapOption;
@@ -37,8 +37,8 @@
     pub(super) metrics: Metrics,
     /// The configuration in force here.
     pub(super) config: ArcSwapOption<FleetConfig>,
-    /// Whether the store answers this entry.
-    pub(super) has_store: AtomicBool,
+    /// Since when the store does not answer this entry; 0 while it does.
+    store_away_ms: AtomicU64,
     /// When the process was told to stop; 0 before.
     pub(super) stopping_at_ms: AtomicU64,
     /// For transactions with the store.
@@ -57,7 +57,7 @@
             log,
             metrics: Metrics::new(),
             config: ArcSwapOption::empty(),
-            has_store: AtomicBool::new(false),
+            store_away_ms: AtomicU64::new(1),
             stopping_at_ms: AtomicU64::new(0),
             store_timeout: AdaptiveTimeout::new(TX_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
             connections: AtomicU64::new(0),
@@ -106,10 +106,30 @@
         (at_ms > 0).then(|| self.clock.now_ms().saturating_sub(at_ms))
     }
 
+    /// Takes note of whether the store answered; says whether that is a change.
+    pub(super) fn note_store(&self, answers: bool) -> bool {
+        if answers {
+            return self.store_away_ms.swap(0, Ordering::SeqCst) > 0;
+        }
+        let now_ms = self.clock.now_ms().max(1);
+        let before = self.store_away_ms.load(Ordering::SeqCst);
+        // Only the control thread notes it.
+        if before == 0 {
+            self.store_away_ms.store(now_ms, Ordering::SeqCst);
+        }
+        before == 0
+    }
+
+    /// For how long the store has not answered this entry, while it does not.
+    pub(super) fn store_away_for_ms(&self) -> Option<Millis> {
+        let since_ms = self.store_away_ms.load(Ordering::SeqCst);
+        (since_ms > 0).then(|| self.clock.now_ms().saturating_sub(since_ms))
+    }
+
     /// Whether the balancer should send callers here.
     pub(super) fn is_ready(&self) -> bool {
         self.stopping_for_ms().is_none()
-            && self.has_store.load(Ordering::SeqCst)
+            && self.store_away_for_ms().is_none()
             && self.config.load().is_some()
     }
 
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -249,3 +249,25 @@
     assert_eq!(submit(one.callers, A, "work"), Some(200));
     until("completed", || state(one.callers, A) == "completed");
 }
+
+/// A job that comes while the store is silent is refused at once, as not run, and truly is not: what is sent into
+/// an outage has no known fate.
+#[test]
+fn serve_store_silent() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let one = entry(&fleet, "e1");
+    fleet.set_fault(StoreFault::Mute);
+    until("not ready", || status(one.ready, "/readyz") == Some(503));
+    let body = json!({"spec": "work", "steps": [{"count": 1, "cpu": 500, "mem_mb": 100}]});
+    let refused = call(one.callers, Method::Post, &format!("/q/{A}"), &body).expect("an answer");
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    fleet.set_fault(StoreFault::None);
+    until("ready again", || status(one.ready, "/readyz") == Some(200));
+    assert_eq!(
+        status(one.callers, &format!("/q/{A}")),
+        Some(410),
+        "nobody knows of it"
+    );
+}
