A pool that gives hosts away is not turned by two large jobs

Change: while hosts are on offer, what comes counts less the spread of its sum. A pool that gives none reacts to the bare rate, as before: a peak's rise must be seen at once.

Test: sizing_chance_takes_nothing_back (7 hosts for two large jobs, 16 by the bare rate; 12 for sixteen small ones with the same work).

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -584,11 +584,21 @@
 
     /// Processors that jobs keep busy in the long run if they go on coming as they did of late.
     pub fn arriving_cpu_milli(&self, now_ms: Millis) -> u64 {
-        let recent = self
-            .arrivals
-            .iter()
-            .filter(|(at, _)| now_ms <= at + ARRIVALS_MS);
-        recent.map(|(_, work)| work * 1_000).sum::<u64>() / ARRIVALS_MS
+        self.recent(now_ms).sum::<u64>() * 1_000 / ARRIVALS_MS
+    }
+
+    /// The same less what is chance: the spread of a sum of so many jobs. One large job alone tells of no rate.
+    pub fn surely_arriving_cpu_milli(&self, now_ms: Millis) -> u64 {
+        let sum: u64 = self.recent(now_ms).sum();
+        let squares: u64 = self.recent(now_ms).map(|work| work * work).sum();
+        sum.saturating_sub(squares.isqrt()) * 1_000 / ARRIVALS_MS
+    }
+
+    /// The work of each job that came of late.
+    fn recent(&self, now_ms: Millis) -> impl Iterator<Item = u64> + '_ {
+        let recent = self.arrivals.iter();
+        let recent = recent.filter(move |(at, _)| now_ms <= at + ARRIVALS_MS);
+        recent.map(|(_, work)| *work)
     }
 
     /// Drops a finished job.
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -88,7 +88,8 @@
 ) -> bool {
     ctx.after(LOOK_MS, Timer::Size);
     let now_ms = ctx.now.ms;
-    sizing.needs.push_back((now_ms, need(book, now_ms)));
+    let gives = !offers.row.offered.is_empty();
+    sizing.needs.push_back((now_ms, need(book, gives, now_ms)));
     sizing.needs.retain(|(at_ms, _)| now_ms < at_ms + KEEP_MS);
     let most = |hosts: fn(&Need) -> u64| sizing.needs.iter().map(|(_, n)| hosts(n)).max();
     let needed = most(|n| n.in_time).unwrap_or(HOSTS_MIN);
@@ -155,7 +156,10 @@
 
 /// Hosts needed for what runs and waits, for what is on its way by the rate of late, and for tasks that must
 /// stand apart.
-fn need(book: &Book, now_ms: Millis) -> Need {
+///
+/// A pool that gives hosts away counts what comes less what is chance. By the bare rate, one whose peak was over
+/// asked for 257 hosts in place of 133 for 0.6 s after two large jobs, and took 40 back that another pool needed.
+fn need(book: &Book, gives: bool, now_ms: Millis) -> Need {
     let host = mean_host(book);
     let hosts = |sum: Capacity| {
         if host.cpu_milli == 0 {
@@ -176,7 +180,11 @@
         };
         sum.add(job.open_demand());
     }
-    in_time.cpu_milli = in_time.cpu_milli.max(book.arriving_cpu_milli(now_ms));
+    let arriving_cpu_milli = match gives {
+        true => book.surely_arriving_cpu_milli(now_ms),
+        false => book.arriving_cpu_milli(now_ms),
+    };
+    in_time.cpu_milli = in_time.cpu_milli.max(arriving_cpu_milli);
     let least = (apart(book) + 1).max(HOSTS_MIN);
     in_time.add(lasting);
     late.add(in_time);
--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -196,3 +196,27 @@
     let are_apart = changes.windows(2).all(|w| w[1] >= w[0] + 200);
     assert!(are_apart, "{changes:?}");
 }
+
+/// A pool whose peak is over and that gives hosts away: two large jobs are no new peak, many jobs are one.
+#[test]
+fn sizing_chance_takes_nothing_back() {
+    let needed_after = |jobs: u64, cpu_milli: u64| {
+        let mut bench = Bench::new(10);
+        for _ in 0..jobs {
+            bench.submit(&job(20, cpu_milli, 1_000), bench.now_ms);
+            bench.now_ms += 10;
+        }
+        let mut offers = Offers::default();
+        let given = ("host-0".to_string(), "life-0".to_string());
+        offers.row.offered = [given].into();
+        let with = calm(true);
+        bench.with_ctx(|book, sizing, ctx| {
+            sizing::look(book, sizing, &mut offers, &with, ctx);
+        });
+        bench.sizing.needed
+    };
+    // Two jobs of 40 cores for a second: they need 7 hosts; by the bare rate it would be 16.
+    assert_eq!(needed_after(2, 2_000), 7);
+    // Sixteen of 5 cores: the same work and rate; less the spread, 12.
+    assert_eq!(needed_after(16, 250), 12);
+}
