A host that holds a wave's slot gets nothing new from a new owner

Tasks that last could be placed there and were ended by the upkeep a moment later; for 1.5 s the books still counted them as at work, and as many others were moved for the wave.

Change: hosts whose slot is not ordered yet are closed at each look.

Test: waves_slot_found_closes_host, failed before.

--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -106,7 +106,7 @@
             continue;
         }
         let due = due_hosts(wave);
-        recover(duty, wave, pool);
+        recover(book, duty, wave, pool);
         mark_due(book, &due);
         advance(book, duty, wave, pool, epoch, ctx);
         begin_turns(book, duty, wave, &due, pool, ctx);
@@ -141,12 +141,19 @@
     due.iter().all(is_gone)
 }
 
-/// Slots that this pool's former owner took.
-fn recover(duty: &mut WaveDuty, wave: &WaveKnown, pool: &str) {
-    for (host, slot) in &wave.row.out {
-        if slot.pool == pool && !duty.turns.contains_key(host) {
-            duty.turns
-                .insert(host.clone(), (wave.order.wave, Turn::Holding));
+/// Slots that this pool's former owner took. Their hosts are about to be ordered out and get nothing new: what
+/// lasts would be ended there beside what this owner moves elsewhere.
+fn recover(book: &mut Book, duty: &mut WaveDuty, wave: &WaveKnown, pool: &str) {
+    for (host, slot) in wave.row.out.iter().filter(|(_, slot)| slot.pool == pool) {
+        if !duty.turns.contains_key(host) {
+            let turn = (wave.order.wave, Turn::Holding);
+            duty.turns.insert(host.clone(), turn);
+        }
+        if slot.is_ordered {
+            continue;
+        }
+        if let Some(key) = book.worker_on(host) {
+            book.workers[key].is_closing = true;
         }
     }
 }
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -95,3 +95,15 @@
     out.read(HostState::Up);
     assert!(out.look(), "the list says that it is back");
 }
+
+/// A new owner finds a slot that the former one took, with the order still to come: nothing is placed on that host.
+#[test]
+fn waves_slot_found_closes_host() {
+    let mut out = Out::new();
+    let wave = out.waves.get_mut(&1).expect("it is there");
+    let slot = wave.row.out.get_mut(HOST).expect("the host holds it");
+    slot.is_ordered = false;
+    out.look();
+    let key = out.book.worker_on(HOST).expect("the host is listed");
+    assert!(out.book.workers[key].is_closing);
+}
