--- a/src/core/sched/gang.rs
+++ b/src/core/sched/gang.rs
@@ -3,11 +3,12 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::book::{Book, Phase};
+use super::book::Book;
 use super::keys::{TaskKey, WorkerKey};
 use super::place;
 use super::runs;
 use super::state::Ctx;
+use super::tasks::Phase;
 use crate::port::fleet::Capacity;
 
 /// Whether a task's step is a gang.
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -5,11 +5,12 @@
 
 use std::collections::HashMap;
 
-use super::book::{Book, Phase};
+use super::book::Book;
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::{HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, WORKER_LEASE_MS};
 use super::runs;
 use super::state::{Ctx, Effect, Timer};
+use super::tasks::Phase;
 use super::worker::{ClockSample, HoldPhase};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -38,7 +38,10 @@
 const RETAKES_MAX: u32 = 3;
 
 /// Pause before an order to a host is sent again that got no answer.
-pub(super) const RETRY_MS: Millis = 400;
+const RETRY_MS: Millis = 400;
+
+/// The same for one that may still be answered, and for a host whose order was refused.
+pub(super) const RETRY_SENT_MS: Millis = 2 * RETRY_MS;
 
 /// What a pool needs counts for so long after its owner was last heard: a lease and the time that a new owner
 /// takes to read the rows.
@@ -469,7 +472,7 @@
         }
         order.is_sent = true;
         order.since_ms = ctx.now.ms;
-        order.again_ms = Some(ctx.now.ms + 2 * RETRY_MS);
+        order.again_ms = Some(ctx.now.ms + RETRY_SENT_MS);
         ready.push((host.clone(), order.task.clone()));
     }
     for (host, task) in ready {
@@ -522,7 +525,7 @@
         .collect();
     for (host, task) in again {
         if let Some(order) = duty.orders.get_mut(&host) {
-            order.again_ms = Some(now_ms + 2 * RETRY_MS);
+            order.again_ms = Some(now_ms + RETRY_SENT_MS);
         }
         send(duty, &host, &task, with.epoch, ctx);
     }
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -80,7 +80,7 @@
         return;
     }
     let key = load::add_worker(book, fact.clone(), ctx.now.ms);
-    let is_given = offers.is_offered(&fact.host) || offers.is_taken(&fact.host, &fact.id);
+    let is_given = offers.is_given(&fact.host, &fact.id);
     book.workers[key].is_spare = is_given;
     book.workers[key].is_offered = is_given;
     ctx.tell(Decision::new(
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -1,12 +1,13 @@
 //! A new owner's books: built from rows, and from rows that come later.
 
-use super::book::{Book, Job, Phase, Round, StepRun, Task};
+use super::book::Book;
 use super::job::{JobSpec, JobState};
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::{CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, WORKER_LEASE_MS};
 use super::rows::{self, cancelled_job, ProgressRow, RoundRow, Standing, TaskRow};
 use super::runs;
 use super::state::{Ctx, LoadedRows, State};
+use super::tasks::{Job, Phase, Round, StepRun, Task};
 use super::times::Times;
 use super::worker::Worker;
 use crate::clock::Millis;
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -6,6 +6,7 @@
 mod access;
 pub mod book;
 pub mod commit;
+mod exchange;
 pub mod gang;
 pub mod holds;
 pub mod hosts;
@@ -28,6 +29,7 @@
 pub mod seat;
 pub mod sizing;
 pub mod state;
+pub mod tasks;
 pub mod times;
 pub mod wave;
 pub mod worker;
--- a/src/core/sched/moves.rs
+++ b/src/core/sched/moves.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::hosts::{HostDuty, HostTask, Look, PoolNeed, NEED_KEPT_MS, RETRY_MS};
+use super::hosts::{HostDuty, HostTask, Look, PoolNeed, NEED_KEPT_MS, RETRY_SENT_MS};
 use super::state::{Ctx, WaveKnown};
 use crate::clock::Millis;
 use crate::port::fleet::HostState;
@@ -189,7 +189,7 @@
         let has_slot = self.waves.values().any(|w| w.row.out.contains_key(host));
         let is_busy = duty.has_order(host) || duty.is_quiet(host, self.now_ms);
         // What was refused is not tried again at once.
-        let was_sent = |at: &Millis| self.now_ms < at + 2 * RETRY_MS;
+        let was_sent = |at: &Millis| self.now_ms < at + RETRY_SENT_MS;
         let is_busy = is_busy || duty.sent_ms.get(host).is_some_and(was_sent);
         !has_slot && !is_busy
     }
--- a/src/core/sched/offers.rs
+++ b/src/core/sched/offers.rs
@@ -71,6 +71,11 @@
         taken.is_some_and(|taken| taken.life == life)
     }
 
+    /// Whether this life of the host is on offer, or may be, or was taken: nothing may run there.
+    pub fn is_given(&self, host: &str, life: &str) -> bool {
+        self.is_offered(host) || self.is_taken(host, life)
+    }
+
     /// The owner's change to what it wants on offer, if one is needed and none is out. `is_known` says whether
     /// a life is in the owner's books: what was taken and is gone from there needs no mark any more.
     pub fn change(
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -2,13 +2,14 @@
 
 use std::collections::HashSet;
 
-use super::book::{Book, Phase};
+use super::book::Book;
 use super::gang;
 use super::job::{JobState, StepSpec};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::PLACE_LOOKS;
 use super::room::Slot;
 use super::state::Ctx;
+use super::tasks::Phase;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::Capacity;
 
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -1,8 +1,9 @@
 //! The reducer: one event in, effects out.
 
 use super::access::{owned_pools, pool_key, with_book, with_duty, with_hosts, with_pool};
-use super::book::{Book, Class};
+use super::book::Book;
 use super::commit::{self, Settled};
+use super::exchange::{close_given, hosts_taken, observe_offers, offers_settled};
 use super::gang;
 use super::holds;
 use super::hosts;
@@ -10,7 +11,7 @@
 use super::limits::{RENEW_MS, RESORT_MS};
 use super::lives::{greet, worker_word, workers_read};
 use super::load;
-use super::offers::{Offers, OFFERS_KEY};
+use super::offers::OFFERS_KEY;
 use super::place;
 use super::remove;
 use super::rows::{cancelled_job, pool_of_part, BEAT_KEY, OWNER_KEY};
@@ -18,12 +19,11 @@
 use super::seat;
 use super::sizing;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Tenure, Timer, WaveKnown};
+use super::tasks::Class;
 use super::wave;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::{
-    FleetConfig, HoldReport, OperatorWord, OrderReply, StoredRow, Table, TxOutcome,
-};
+use crate::port::fleet::{FleetConfig, HoldReport, OperatorWord, OrderReply, StoredRow, TxOutcome};
 
 /// Pause before a pool's rows are read again after that failed.
 const LOAD_RETRY_MS: Millis = 100;
@@ -286,92 +286,6 @@
     });
 }
 
-/// Hosts that are on offer, or were taken, get no work from a new owner either.
-fn close_given(book: &mut Book, offers: &Offers) {
-    sizing::mark_offered(book, offers);
-    for (_, worker) in &mut book.workers {
-        worker.is_spare = worker.is_offered;
-    }
-}
-
-fn observe_offers<'a>(
-    offers: &mut Offers,
-    pool: &str,
-    rows: impl IntoIterator<Item = &'a StoredRow>,
-    ctx: &mut Ctx<'_>,
-) {
-    for row in rows {
-        if let Err(e) = offers.observe(row) {
-            ctx.tell(Decision::new(Code::BadRow, Subject::Pool, pool, e));
-        }
-    }
-}
-
-fn offers_settled(
-    state: &mut State,
-    key: PoolKey,
-    epoch: u64,
-    outcome: TxOutcome,
-    now: Now,
-    out: &mut Vec<Effect>,
-) {
-    with_pool(state, key, now, out, |pool, ctx, _| {
-        if pool.tenure.as_ref().is_none_or(|t| t.epoch != epoch) {
-            return;
-        }
-        match outcome {
-            TxOutcome::Committed(revision) => pool.offers.changed(revision),
-            TxOutcome::Conflict(found) => {
-                pool.offers.pending = None;
-                observe_offers(&mut pool.offers, &pool.name, offers_in(&found), ctx);
-            }
-            TxOutcome::Refused => pool.offers.pending = None,
-            TxOutcome::Unknown => pool.offers.left_open(),
-        }
-    });
-}
-
-/// The row of offers among what a conflict found.
-fn offers_in(found: &[(Table, StoredRow)]) -> Option<&StoredRow> {
-    let mut rows = found.iter().map(|(_, row)| row);
-    rows.find(|row| row.key == OFFERS_KEY && row.value.is_some())
-}
-
-fn hosts_taken(
-    state: &mut State,
-    key: PoolKey,
-    epoch: u64,
-    from: &str,
-    outcome: TxOutcome,
-    now: Now,
-    out: &mut Vec<Effect>,
-) {
-    let mut written = None;
-    with_hosts(state, key, now, out, |duty, _, look, ctx| {
-        if look.epoch == epoch {
-            written = hosts::taken(duty, from, &outcome, epoch, ctx);
-        }
-    });
-    let Some(donor) = state.pool_keys.get(from).copied() else {
-        return;
-    };
-    let is_conflict = matches!(outcome, TxOutcome::Conflict(_));
-    with_pool(state, donor, now, out, |pool, ctx, _| {
-        match (outcome, written) {
-            (TxOutcome::Committed(revision), Some(row)) => pool.offers.took(row, revision),
-            (TxOutcome::Conflict(found), _) => {
-                observe_offers(&mut pool.offers, &pool.name, offers_in(&found), ctx);
-            }
-            _ => {}
-        }
-    });
-    if is_conflict {
-        with_hosts(state, key, now, out, |duty, waves, look, ctx| {
-            hosts::retake(duty, waves, look, ctx);
-        });
-    }
-}
-
 fn tell_loaded(name: &str, book: &Book, tenure: &Tenure, ctx: &mut Ctx<'_>) {
     let took_ms = ctx.now.ms - tenure.began_ms;
     ctx.tell(
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -3,7 +3,7 @@
 //! A run that was recorded may be at work until its worker says otherwise, until the worker's life is
 //! over, or until everything ordered there has lapsed. Only then does the next run get its place.
 
-use super::book::{Book, LeftRun, Phase};
+use super::book::{Book, LeftRun};
 use super::gang;
 use super::job::JobState;
 use super::keys::{JobKey, TaskKey, WorkerKey};
@@ -12,6 +12,7 @@
 };
 use super::load;
 use super::state::{Ctx, Effect, Order, Timer};
+use super::tasks::Phase;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Addressee, EndKind, OrderReply, RunEnd, RunStart, TaskName};
 
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -3,11 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::book::{Book, Coming, Outlook};
+use super::book::{Book, Coming};
 use super::keys::WorkerKey;
 use super::offers::Offers;
 use super::overload::COMING_MS;
 use super::state::{Ctx, Effect, Timer};
+use super::tasks::Outlook;
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -304,7 +305,7 @@
 pub fn mark_offered(book: &mut Book, offers: &Offers) {
     for (_, worker) in &mut book.workers {
         let (host, life) = (&worker.fact.host, &worker.fact.id);
-        worker.is_offered = offers.is_offered(host) || offers.is_taken(host, life);
+        worker.is_offered = offers.is_given(host, life);
     }
 }
 
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -7,13 +7,14 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-use super::book::{Book, Phase};
+use super::book::Book;
 use super::keys::{TaskKey, WorkerKey};
 use super::listing::HostList;
 use super::place;
 use super::rows::{self, SlotRow, WaveRow};
 use super::runs;
 use super::state::{Ctx, Effect, Timer, WaveKnown};
+use super::tasks::Phase;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
--- a/tests/test_room.rs
+++ b/tests/test_room.rs
@@ -1,11 +1,12 @@
 //! The index of workers by free room finds the place that a walk over all workers finds.
 
 use fastrand::Rng;
-use rockwick::core::sched::book::{Book, Phase};
+use rockwick::core::sched::book::Book;
 use rockwick::core::sched::keys::{TaskKey, WorkerKey};
 use rockwick::core::sched::load;
 use rockwick::core::sched::place;
 use rockwick::core::sched::rows;
+use rockwick::core::sched::tasks::Phase;
 use rockwick::core::sched::worker::ClockSample;
 use rockwick::port::fleet::{Capacity, StoredRow};
 
--- a/tests/test_starts.rs
+++ b/tests/test_starts.rs
@@ -1,11 +1,12 @@
 //! A start that went unanswered may be carried out seconds later: a refusal of the next sending says nothing of it.
 
-use rockwick::core::sched::book::{Book, Phase};
+use rockwick::core::sched::book::Book;
 use rockwick::core::sched::keys::{TaskKey, WorkerKey};
 use rockwick::core::sched::load;
 use rockwick::core::sched::place;
 use rockwick::core::sched::runs;
 use rockwick::core::sched::state::Effect;
+use rockwick::core::sched::tasks::Phase;
 use rockwick::core::sched::worker::ClockSample;
 use rockwick::port::fleet::{OrderReply, StoredRow};
 
