--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -1,10 +1,14 @@
 //! What a single decision is called with in tests: a clock that stands still, and effects to look at.
 
 use rockwick::clock::Now;
+use rockwick::core::sched::book::Book;
 use rockwick::core::sched::hosts::PoolNeed;
+use rockwick::core::sched::keys::WorkerKey;
+use rockwick::core::sched::load;
 use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::state::{Ctx, Effect, PoolKey, Timers};
-use rockwick::port::fleet::{FleetConfig, PoolConfig};
+use rockwick::core::sched::worker::ClockSample;
+use rockwick::port::fleet::{FleetConfig, PoolConfig, WorkerFact};
 
 /// Runs `work` at a moment, by an entry that may send orders, and gives the effects.
 pub(crate) fn decide(now_ms: u64, work: impl FnOnce(&mut Ctx<'_>)) -> Vec<Effect> {
@@ -26,6 +30,18 @@
     out
 }
 
+/// Adds a worker that has answered a hold, and so may get work.
+pub(crate) fn answering(book: &mut Book, fact: WorkerFact) -> WorkerKey {
+    let key = load::add_worker(book, fact, 0);
+    let worker = &mut book.workers[key];
+    worker.answers = true;
+    worker.clock = Some(ClockSample {
+        local_ms: 0,
+        worker_ms: 0,
+    });
+    key
+}
+
 /// Pool `busy`, the pool that gives hosts away, and `off`, whose hosts are off.
 pub(crate) fn pools(donor: &str) -> FleetConfig {
     let pool = |name: &str, is_parked| {
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -13,13 +13,12 @@
 use rockwick::core::sched::seat::FormerOrders;
 use rockwick::core::sched::sizing::{self, Sizing};
 use rockwick::core::sched::state::{Ctx, Effect};
-use rockwick::core::sched::worker::ClockSample;
 use rockwick::event::Code;
 use rockwick::port::fleet::{
     Capacity, FleetConfig, HostRecord, HostReply, HostState, RowTx, StoredRow, TxOutcome,
 };
 
-use crate::decide::{decide, need, pools};
+use crate::decide::{answering, decide, need, pools};
 use crate::world::{config, job, worker_fact, POOL};
 
 /// Seeds in CI.
@@ -73,13 +72,7 @@
         for n in 0..HOSTS {
             let host = format!("host-{n}");
             let fact = worker_fact(&format!("life-{n}"), &host);
-            let key = load::add_worker(&mut book, fact, 0);
-            let worker = &mut book.workers[key];
-            worker.answers = true;
-            worker.clock = Some(ClockSample {
-                local_ms: 0,
-                worker_ms: 0,
-            });
+            answering(&mut book, fact);
         }
         let mut duty = HostDuty::default();
         decide(0, |ctx| {
--- a/tests/test_room.rs
+++ b/tests/test_room.rs
@@ -7,10 +7,9 @@
 use rockwick::core::sched::place;
 use rockwick::core::sched::rows;
 use rockwick::core::sched::tasks::Phase;
-use rockwick::core::sched::worker::ClockSample;
 use rockwick::port::fleet::{Capacity, StoredRow};
 
-use crate::decide::decide;
+use crate::decide::{answering, decide};
 use crate::world::{config, job, worker_fact, POOL};
 
 /// A worker of a made-up size on one of three racks, with some room taken.
@@ -18,13 +17,9 @@
     let mut fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
     fact.labels = vec!["kind".to_string(), format!("r{}", rng.u32(0..3))];
     fact.capacity.cpu_milli = rng.u64(1..5) * 4_000;
-    let key = load::add_worker(book, fact, 0);
+    let key = answering(book, fact);
     let worker = &mut book.workers[key];
     worker.answers = rng.u32(0..5) > 0;
-    worker.clock = Some(ClockSample {
-        local_ms: 0,
-        worker_ms: 0,
-    });
     worker.fails_in_row = rng.u32(0..3);
     let taken = Capacity {
         cpu_milli: rng.u64(0..=worker.fact.capacity.cpu_milli),
--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -6,11 +6,10 @@
 use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::sizing::{self, Look, Sizing};
 use rockwick::core::sched::state::{Ctx, Effect};
-use rockwick::core::sched::worker::ClockSample;
 use rockwick::core::sched::{load, rows};
 use rockwick::port::fleet::{Capacity, StoredRow};
 
-use crate::decide::decide;
+use crate::decide::{answering, decide};
 use crate::world::{config, job, worker_fact, POOL};
 
 /// A pool of hosts with 16 cores each, and nothing to do.
@@ -150,13 +149,7 @@
     let mut offers = Offers::default();
     for n in 0..12 {
         let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
-        let key = load::add_worker(&mut book, fact, 0);
-        let worker = &mut book.workers[key];
-        worker.answers = true;
-        worker.clock = Some(ClockSample {
-            local_ms: 0,
-            worker_ms: 0,
-        });
+        answering(&mut book, fact);
     }
     let row = StoredRow {
         part: POOL.to_string(),
--- a/tests/test_starts.rs
+++ b/tests/test_starts.rs
@@ -7,10 +7,9 @@
 use rockwick::core::sched::runs;
 use rockwick::core::sched::state::Effect;
 use rockwick::core::sched::tasks::Phase;
-use rockwick::core::sched::worker::ClockSample;
 use rockwick::port::fleet::{OrderReply, StoredRow};
 
-use crate::decide::decide;
+use crate::decide::{answering, decide};
 use crate::world::{config, job, worker_fact, Faults, World, POOL};
 
 /// Epoch of the owner.
@@ -22,12 +21,7 @@
 /// Books with one worker, and one task whose start is out.
 fn starting() -> (Book, TaskKey, WorkerKey) {
     let mut book = Book::default();
-    let worker = load::add_worker(&mut book, worker_fact("life", "host"), 0);
-    book.workers[worker].answers = true;
-    book.workers[worker].clock = Some(ClockSample {
-        local_ms: 0,
-        worker_ms: 0,
-    });
+    let worker = answering(&mut book, worker_fact("life", "host"));
     let row = StoredRow {
         part: POOL.to_string(),
         key: "a".to_string(),
