--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -12,7 +12,7 @@
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
 use super::tasks::{Class, Job, Outlook, Phase, Rank, Round, StepRun, Task};
 use super::times::Times;
-use super::worker::Worker;
+use super::worker::{TakenEnd, Worker};
 use crate::clock::Millis;
 use crate::port::fleet::{Capacity, TaskName};
 
@@ -73,8 +73,8 @@
     pub waiting: BTreeMap<String, u64>,
     /// A member of each gang that lost one: the others are to be stopped.
     pub broken_gangs: Vec<TaskKey>,
-    /// Progress on record whose job is gone.
-    pub orphans: Vec<String>,
+    /// Progress on record whose job is gone: shard and id.
+    pub orphans: Vec<(usize, String)>,
     /// What steps took of late.
     pub times: Times,
     /// Jobs that came of late: when, and their work in core-milliseconds.
@@ -253,6 +253,37 @@
             self.dirty_since_ms = now_ms;
         }
         self.dirty.insert(job);
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.changes += 1;
+        }
+    }
+
+    /// Notes that a worker's end was taken into the books; it counts as recorded with what changed by it.
+    pub fn note_taken(&mut self, worker: WorkerKey, number: u64, job: Option<JobKey>) {
+        let change = job.and_then(|key| Some((key, self.jobs.get(key)?.changes)));
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
+        w.taken = number;
+        w.unrecorded.push_back(TakenEnd { number, change });
+    }
+
+    /// Counts a worker's ends as recorded as far as they are; says whether all of them are.
+    pub fn settle_ends(&mut self, worker: WorkerKey) -> bool {
+        let Some(w) = self.workers.get_mut(worker) else {
+            return true;
+        };
+        while let Some(end) = w.unrecorded.front() {
+            let job = end
+                .change
+                .and_then(|(key, n)| Some((self.jobs.get(key)?, n)));
+            if job.is_some_and(|(job, change)| job.recorded_changes < change) {
+                return false;
+            }
+            w.recorded = end.number;
+            w.unrecorded.pop_front();
+        }
+        true
     }
 
     /// Brings a job into a state and keeps the count of those that wait.
--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -3,10 +3,10 @@
 
 use super::book::Book;
 use super::holds;
-use super::keys::{JobKey, WorkerKey};
-use super::limits::{BATCH_JOBS, GATHER_MS, TX_RETRY_MS};
+use super::keys::{JobKey, TaskKey, WorkerKey};
+use super::limits::{BATCH_JOBS, GATHER_MS, SHARD_BUSY_MS, TX_RETRY_MS};
 use super::remove;
-use super::rows;
+use super::rows::{self, shard_part, SHARDS};
 use super::runs;
 use super::seat::{self, epoch_guard, Seat};
 use super::state::{Batch, Ctx, Effect, Pool, Tenure, Timer};
@@ -26,20 +26,17 @@
     Diverged,
 }
 
-/// Sends what was gathered, if it is time and no batch is out.
+/// Sends what was gathered, if it is time, in each shard that has no batch out.
 pub fn flush(pool: &mut Pool, ctx: &mut Ctx<'_>) {
     let Some(tenure) = &mut pool.tenure else {
         return;
     };
-    let epoch = tenure.epoch;
-    let part = &pool.name;
     let Some(book) = &mut tenure.book else { return };
-    if tenure.batch.is_some() || !ctx.may_send() {
+    if !ctx.may_send() {
         return;
     }
     if book.dirty.is_empty() {
-        release_ends(book, epoch, ctx);
-        remove::flush(tenure, part, ctx);
+        remove::flush(pool, ctx);
         return;
     }
     let due_ms = book.dirty_since_ms + GATHER_MS;
@@ -47,54 +44,85 @@
         ctx.after(due_ms - ctx.now.ms, Timer::Flush);
         return;
     }
-    let mut batch = gather(book, part, epoch, ctx.now.ms);
-    // One write less where writes of a part go in turn, 300 ms each on the users' slow days.
-    batch.tx.writes.push(seat::next_beat(pool, ctx));
-    ctx.out
-        .push(Effect::Record(ctx.pool, epoch, batch.tx.clone()));
-    if let Some(tenure) = &mut pool.tenure {
-        tenure.batch = Some(batch);
+    let for_new = shard_for_new(tenure, &pool.seat, ctx);
+    for shard in 0..SHARDS {
+        send(pool, shard, for_new == Some(shard), ctx);
     }
 }
 
-/// Ends that change nothing on record count as seen at once.
-fn release_ends(book: &mut Book, epoch: u64, ctx: &mut Ctx<'_>) {
-    for (worker, taken) in ends(book) {
-        seen(book, worker, taken, epoch, ctx);
+/// The shard that takes jobs of which nothing is on record: the first one, as long as its answers come. Where they do
+/// not, the next one that is free; so a partition that is away holds up those jobs alone that have begun in it.
+fn shard_for_new(tenure: &Tenure, seat: &Seat, ctx: &mut Ctx<'_>) -> Option<usize> {
+    for (shard, batch) in tenure.batches.iter().enumerate() {
+        let Some(batch) = batch else {
+            if seat.is_good(shard, ctx.now.ms) {
+                return Some(shard);
+            }
+            continue;
+        };
+        let busy_ms = batch.sent_ms + SHARD_BUSY_MS;
+        if ctx.now.ms < busy_ms && seat.is_good(shard, ctx.now.ms) {
+            ctx.after(busy_ms - ctx.now.ms, Timer::Flush);
+            return None;
+        }
     }
+    tenure.batches.iter().position(Option::is_none)
 }
 
-fn ends(book: &Book) -> Vec<(WorkerKey, u64)> {
-    let recording = book.recording.iter();
-    recording
-        .filter_map(|key| Some((*key, book.workers.get(*key)?.taken)))
-        .collect()
-}
-
-fn seen(book: &mut Book, key: WorkerKey, taken: u64, epoch: u64, ctx: &mut Ctx<'_>) {
-    let Some(w) = book.workers.get_mut(key) else {
+/// Sends what is to be recorded in one shard, unless a batch of it is out.
+fn send(pool: &mut Pool, shard: usize, takes_new: bool, ctx: &mut Ctx<'_>) {
+    let Some(tenure) = &mut pool.tenure else {
         return;
     };
-    w.recorded = w.recorded.max(taken);
-    book.recording.remove(&key);
-    if w.hold == HoldPhase::Recording {
-        w.hold = HoldPhase::Idle;
-        holds::next(book, key, epoch, ctx);
+    let epoch = tenure.epoch;
+    let Some(book) = &mut tenure.book else { return };
+    if tenure.batches[shard].is_some() {
+        return;
     }
-}
-
-fn gather(book: &mut Book, part: &str, epoch: u64, now_ms: Millis) -> Batch {
-    let jobs: Vec<JobKey> = book.dirty.iter().copied().take(BATCH_JOBS).collect();
-    for job in &jobs {
-        book.dirty.remove(job);
-    }
-    let mut tx = RowTx {
-        part: part.to_string(),
-        guards: vec![epoch_guard(epoch)],
+    let jobs = to_record(book, shard, takes_new);
+    if jobs.is_empty() {
+        return;
+    }
+    let tx = RowTx {
+        part: shard_part(&pool.name, shard),
+        guards: vec![epoch_guard(tenure.fences[shard])],
         writes: Vec::new(),
     };
-    let mut kept = Vec::new();
+    let mut batch = gather(book, jobs, tx, ctx.now.ms);
+    // One write less where writes of a part go in turn, 300 ms each on the users' slow days.
+    batch.tx.writes.push(seat::next_beat(pool, ctx));
+    pool.seat.note_sent(shard, ctx.now.ms);
+    ctx.out
+        .push(Effect::Record(ctx.pool, epoch, shard, batch.tx.clone()));
+    if let Some(tenure) = &mut pool.tenure {
+        tenure.batches[shard] = Some(batch);
+    }
+}
+
+/// Jobs whose changes go into a shard now; those that are new are put there.
+fn to_record(book: &mut Book, shard: usize, takes_new: bool) -> Vec<JobKey> {
+    let mut jobs = Vec::new();
+    for key in &book.dirty {
+        let Some(job) = book.jobs.get_mut(*key) else {
+            continue;
+        };
+        if takes_new {
+            job.shard.get_or_insert(shard);
+        }
+        if job.shard == Some(shard) {
+            jobs.push(*key);
+        }
+        if jobs.len() >= BATCH_JOBS {
+            break;
+        }
+    }
+    jobs
+}
+
+fn gather(book: &mut Book, jobs: Vec<JobKey>, mut tx: RowTx, now_ms: Millis) -> Batch {
+    let mut kept = Vec::with_capacity(jobs.len());
     for key in jobs {
+        book.dirty.remove(&key);
         let Some(progress) = book.progress(key) else {
             continue;
         };
@@ -109,44 +137,58 @@
             key: job.id.clone(),
             value: Some(rows::encode(&progress)),
         });
-        kept.push(key);
+        kept.push((key, job.changes));
     }
+    let is_in = |task: &TaskKey| kept.iter().any(|(job, _)| *job == task.job);
     let unsent = std::mem::take(&mut book.unsent);
-    let (starts, later) = unsent
-        .into_iter()
-        .partition(|(task, _)| kept.contains(&task.job));
+    let (starts, later) = unsent.into_iter().partition(|(task, _)| is_in(task));
     book.unsent = later;
     Batch {
         tx,
         jobs: kept,
         starts,
         removed: Vec::new(),
-        beat_ms: Some(now_ms),
-        // Ends may only count as seen with every change that they brought.
-        ends: if book.dirty.is_empty() {
-            ends(book)
-        } else {
-            Vec::new()
-        },
+        sent_ms: now_ms,
+        has_beat: true,
+    }
+}
+
+/// Workers whose ends are all on record now are held again.
+fn release_ends(book: &mut Book, epoch: u64, ctx: &mut Ctx<'_>) {
+    let waiting: Vec<WorkerKey> = book.recording.iter().copied().collect();
+    for key in waiting {
+        if !book.settle_ends(key) {
+            continue;
+        }
+        book.recording.remove(&key);
+        let Some(w) = book.workers.get_mut(key) else {
+            continue;
+        };
+        if matches!(w.hold, HoldPhase::Recording(_)) {
+            w.hold = HoldPhase::Idle;
+            holds::next(book, key, epoch, ctx);
+        }
     }
 }
 
-/// Settles the batch that is out.
+/// Settles the batch of a shard.
 pub fn recorded(
     tenure: &mut Tenure,
     seat: &mut Seat,
+    shard: usize,
     outcome: TxOutcome,
     ctx: &mut Ctx<'_>,
 ) -> Settled {
     let epoch = tenure.epoch;
-    let Some(batch) = &tenure.batch else {
+    seat.note_answer(shard, &outcome, ctx.now.ms);
+    let Some(batch) = &tenure.batches[shard] else {
         return Settled::Fine;
     };
     let revision = match outcome {
         TxOutcome::Committed(revision) => Ok(revision),
-        TxOutcome::Conflict(found) => own_work(batch, epoch, &found),
+        TxOutcome::Conflict(found) => own_work(batch, tenure.fences[shard], &found),
         TxOutcome::Refused | TxOutcome::Unknown => {
-            ctx.after(TX_RETRY_MS, Timer::Resend);
+            ctx.after(TX_RETRY_MS, Timer::Resend(shard));
             return Settled::Fine;
         }
     };
@@ -165,16 +207,17 @@
             return why;
         }
     };
-    let (Some(batch), Some(book)) = (tenure.batch.take(), &mut tenure.book) else {
+    let (Some(batch), Some(book)) = (tenure.batches[shard].take(), &mut tenure.book) else {
         return Settled::Fine;
     };
     // Sent again, it may have taken effect the first time: the lease counts from then.
-    if let Some(sent_ms) = batch.beat_ms {
-        seat.note_renewed(sent_ms, ctx.now.ms);
+    if batch.has_beat {
+        seat.note_renewed(batch.sent_ms, ctx.now.ms);
     }
-    for key in &batch.jobs {
+    for (key, change) in &batch.jobs {
         if let Some(job) = book.jobs.get_mut(*key) {
             job.revision = revision;
+            job.recorded_changes = *change;
         }
     }
     for key in &batch.removed {
@@ -183,17 +226,19 @@
     for (task, run) in &batch.starts {
         runs::send_start(book, *task, *run, epoch, ctx);
     }
-    for (worker, taken) in &batch.ends {
-        seen(book, *worker, *taken, epoch, ctx);
-    }
+    release_ends(book, epoch, ctx);
     Settled::Fine
 }
 
 /// A conflict with our own batch means that an earlier sending of it took effect.
-fn own_work(batch: &Batch, epoch: u64, found: &[(Table, StoredRow)]) -> Result<Revision, Settled> {
+fn own_work(
+    batch: &Batch,
+    fence: Revision,
+    found: &[(Table, StoredRow)],
+) -> Result<Revision, Settled> {
     let mut revision = None;
     for (table, row) in found {
-        if *table == Table::Owners && row.revision != epoch {
+        if *table == Table::Owners && row.revision != fence {
             return Err(Settled::PoolLost);
         }
         if *table != Table::Progress {
@@ -208,13 +253,20 @@
     revision.ok_or(Settled::Diverged)
 }
 
-/// Sends the batch that is out again.
-pub fn resend(tenure: &Tenure, ctx: &mut Ctx<'_>) {
-    let Some(batch) = &tenure.batch else { return };
+/// Sends the batch of a shard again.
+pub fn resend(tenure: &Tenure, seat: &mut Seat, shard: usize, ctx: &mut Ctx<'_>) {
+    let Some(batch) = &tenure.batches[shard] else {
+        return;
+    };
     if !ctx.may_send() {
-        ctx.after(TX_RETRY_MS, Timer::Resend);
+        ctx.after(TX_RETRY_MS, Timer::Resend(shard));
         return;
     }
-    ctx.out
-        .push(Effect::Record(ctx.pool, tenure.epoch, batch.tx.clone()));
+    seat.note_sent(shard, ctx.now.ms);
+    ctx.out.push(Effect::Record(
+        ctx.pool,
+        tenure.epoch,
+        shard,
+        batch.tx.clone(),
+    ));
 }
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -7,7 +7,9 @@
 
 use super::book::Book;
 use super::keys::{TaskKey, WorkerKey};
-use super::limits::{HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, WORKER_LEASE_MS};
+use super::limits::{
+    HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, RECORDING_WAIT_MS, WORKER_LEASE_MS,
+};
 use super::runs;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::Phase;
@@ -25,7 +27,13 @@
     let Some(w) = book.workers.get_mut(key) else {
         return;
     };
-    if w.hold != HoldPhase::Idle || w.fact.address.port() == 0 {
+    let is_free = match w.hold {
+        HoldPhase::Idle => true,
+        HoldPhase::Out(_) => false,
+        // What can't be recorded must not cost the worker its lease.
+        HoldPhase::Recording(since_ms) => ctx.now.ms >= since_ms + RECORDING_WAIT_MS,
+    };
+    if !is_free || w.fact.address.port() == 0 {
         return;
     }
     if !ctx.may_send() {
@@ -40,6 +48,8 @@
     }
     let wait_ms = match (lease_until_ms, w.tasks.is_empty()) {
         (None, _) => 0,
+        // It would answer at once with the ends that are not on record.
+        _ if !w.unrecorded.is_empty() => 0,
         (Some(_), true) => HOLD_IDLE_WAIT_MS,
         (Some(_), false) => HOLD_WAIT_MS,
     };
@@ -155,17 +165,19 @@
     let is_whole = report.ended.len() < ENDS_LISTED_MAX;
     for end in &report.ended {
         if end.number > book.workers[key].taken {
-            book.workers[key].taken = end.number;
             runs::take_end(book, key, end, epoch, ctx);
+            let job = book.by_id.get(&end.task.job).copied();
+            book.note_taken(key, end.number, job);
         }
     }
     compare(book, key, sent_ms, &report.running, is_whole, epoch, ctx);
     drop_left(book, key, sent_ms, &report.running);
+    let is_recorded = book.settle_ends(key);
     let is_blocked = book.seen_up_to(key) < book.workers[key].recorded;
-    let w = &mut book.workers[key];
-    if w.taken > w.recorded {
-        w.hold = HoldPhase::Recording;
+    if !is_recorded {
+        book.workers[key].hold = HoldPhase::Recording(ctx.now.ms);
         book.recording.insert(key);
+        ctx.after(RECORDING_WAIT_MS, Timer::Hold(key));
     } else if is_blocked {
         // It would answer at once with the ends that may not count as seen yet.
         ctx.after(HOLD_RETRY_MS, Timer::Hold(key));
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -50,6 +50,17 @@
 /// priced; 25 ms gained nothing more.
 pub const GATHER_MS: Millis = 16;
 
+/// A shard whose call was not answered for so long, or twice as long as the store took last, is passed over: answers
+/// come in 5 to 15 ms, and an owner must renew in another one within its lease.
+pub const SHARD_LATE_MS: Millis = 150;
+
+/// A shard that refused or lost a call is passed over for so long, then tried again.
+pub const SHARD_PAUSE_MS: Millis = 500;
+
+/// New jobs go to another shard while one has been busy with a batch for so long: twenty answers of a good store, and
+/// a third of one that takes writes in turn.
+pub const SHARD_BUSY_MS: Millis = 100;
+
 /// Most jobs in one transaction; with the owner's row it stays under the store's 100 entries.
 pub const BATCH_JOBS: usize = 40;
 
@@ -68,6 +79,10 @@
 /// The same for a worker without work; less than half of its lease.
 pub const HOLD_IDLE_WAIT_MS: Millis = 2_000;
 
+/// A worker whose ends can't be recorded is held all the same after so long, and its ends stay unseen: its lease of
+/// 4.5 s allows three tries.
+pub const RECORDING_WAIT_MS: Millis = 1_000;
+
 /// On top of the wait, for the way there and back.
 pub const HOLD_SLACK_MS: Millis = 500;
 
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -4,7 +4,7 @@
 use super::job::{JobSpec, JobState};
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::{CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, WORKER_LEASE_MS};
-use super::rows::{self, cancelled_job, ProgressRow, RoundRow, Standing, TaskRow};
+use super::rows::{self, cancelled_job, shard_of_part, ProgressRow, RoundRow, Standing, TaskRow};
 use super::runs;
 use super::state::{Ctx, LoadedRows, State};
 use super::tasks::{Job, Phase, Round, StepRun, Task};
@@ -145,6 +145,9 @@
         due_ms: begun_ms + objective_ms,
         hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
         revision: ABSENT,
+        shard: None,
+        changes: 0,
+        recorded_changes: 0,
         finished_ms: None,
         behind: Default::default(),
         step_ms,
@@ -176,8 +179,13 @@
 }
 
 fn apply_progress(book: &mut Book, row: &StoredRow, began_ms: Millis, ctx: &mut Ctx<'_>) {
+    let Some((_, shard)) = shard_of_part(&row.part) else {
+        let why = "progress in a part that is no shard's";
+        ctx.tell(Decision::new(Code::BadRow, Subject::Job, &row.key, why));
+        return;
+    };
     let Some(key) = book.by_id.get(&row.key).copied() else {
-        book.orphans.push(row.key.clone());
+        book.orphans.push((shard, row.key.clone()));
         return;
     };
     let progress: ProgressRow = match rows::decode(row.value.as_deref().unwrap_or_default()) {
@@ -190,6 +198,7 @@
     };
     book.set_state(key, progress.state, ctx.now.ms);
     book.jobs[key].revision = row.revision;
+    book.jobs[key].shard = Some(shard);
     book.jobs[key].rounds_begun = progress.rounds_done;
     if progress.state.is_final() {
         return;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -10,13 +10,13 @@
 use super::holds;
 use super::hosts;
 use super::keys::WorkerKey;
-use super::limits::{RENEW_MS, RESORT_MS};
+use super::limits::RESORT_MS;
 use super::lives::{greet, worker_word, workers_read};
 use super::load;
 use super::offers::OFFERS_KEY;
 use super::place;
 use super::remove;
-use super::rows::{cancelled_job, pool_of_part, BEAT_KEY, OWNER_KEY};
+use super::rows::{cancelled_job, pool_of_part, shard_of_part, BEAT_KEY, OWNER_KEY};
 use super::runs;
 use super::seat;
 use super::sizing;
@@ -42,19 +42,21 @@
         Event::Worker(word) => worker_word(state, word, now, &mut out),
         Event::WorkersRead(all) => workers_read(state, all, now, &mut out),
         Event::Owner(row) => owner_row(state, &row, now, &mut out),
-        Event::Claimed(pool, sent_ms, outcome) => {
+        Event::Claimed(pool, shard, sent_ms, outcome) => {
             let me = claimant(state);
             with_pool(state, pool, now, &mut out, |pool, ctx, _| {
-                seat::claimed(pool, sent_ms, outcome, &me, ctx);
+                seat::claimed(pool, shard, sent_ms, outcome, &me, ctx);
             });
         }
-        Event::Renewed(pool, epoch, sent_ms, outcome) => {
-            renewed(state, pool, epoch, sent_ms, outcome, now, &mut out);
+        Event::Renewed(pool, epoch, shard, sent_ms, outcome) => {
+            with_pool(state, pool, now, &mut out, |pool, ctx, _| {
+                seat::renewed(pool, epoch, shard, sent_ms, &outcome, ctx);
+            });
         }
         Event::Loaded(pool, epoch, rows) => loaded(state, pool, epoch, rows, now, &mut out),
         Event::Intake(row) => intake(state, &row, now, &mut out),
-        Event::Recorded(pool, epoch, outcome) => {
-            recorded(state, pool, epoch, outcome, now, &mut out);
+        Event::Recorded(pool, epoch, shard, outcome) => {
+            recorded(state, pool, epoch, shard, outcome, now, &mut out);
         }
         Event::Started(pool, epoch, task, run, reply) => {
             with_book(state, pool, epoch, now, &mut out, |book, ctx| {
@@ -181,7 +183,10 @@
 }
 
 fn owner_row(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
-    let key = pool_key(state, &row.part, now);
+    let Some((name, shard)) = shard_of_part(&row.part) else {
+        return;
+    };
+    let key = pool_key(state, name, now);
     if row.key == OFFERS_KEY {
         with_pool(state, key, now, out, |pool, ctx, _| {
             observe_offers(&mut pool.offers, &pool.name, [row], ctx);
@@ -194,13 +199,8 @@
     let me = state.me.clone();
     let nonce = state.nonce;
     with_pool(state, key, now, out, |pool, ctx, _| {
-        match seat::observe(pool, row, now.ms) {
-            Ok(true) if pool.seat.is_renewing => {
-                pool.seat.is_renewing = false;
-                ctx.after(RENEW_MS, Timer::Renew);
-            }
-            Ok(_) => {}
-            Err(e) => ctx.tell(Decision::new(Code::BadRow, Subject::Pool, &pool.name, e)),
+        if let Err(e) = seat::observe(pool, shard, row, now.ms) {
+            ctx.tell(Decision::new(Code::BadRow, Subject::Pool, &pool.name, e));
         }
         let is_ours = pool.seat.owner.entry == me && pool.seat.owner.nonce == nonce;
         let is_newer = pool
@@ -218,25 +218,6 @@
     });
 }
 
-fn renewed(
-    state: &mut State,
-    key: PoolKey,
-    epoch: u64,
-    sent_ms: Millis,
-    outcome: TxOutcome,
-    now: Now,
-    out: &mut Vec<Effect>,
-) {
-    with_pool(state, key, now, out, |pool, ctx, _| {
-        if pool.tenure.as_ref().is_none_or(|t| t.epoch != epoch) {
-            return;
-        }
-        if seat::renewed(pool, sent_ms, outcome, ctx) {
-            seat::lose(pool, "its row changed", ctx);
-        }
-    });
-}
-
 fn loaded(
     state: &mut State,
     key: PoolKey,
@@ -340,6 +321,7 @@
     state: &mut State,
     key: PoolKey,
     epoch: u64,
+    shard: usize,
     outcome: TxOutcome,
     now: Now,
     out: &mut Vec<Effect>,
@@ -348,11 +330,11 @@
         let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
             return;
         };
-        match commit::recorded(tenure, &mut pool.seat, outcome, ctx) {
+        match commit::recorded(tenure, &mut pool.seat, shard, outcome, ctx) {
             Settled::Fine => {}
             Settled::PoolLost => seat::lose(pool, "its row changed", ctx),
             Settled::Diverged => {
-                tenure.batch = None;
+                tenure.batches = Default::default();
                 tenure.removing.clear();
                 tenure.removable.clear();
                 tenure.book = None;
@@ -462,7 +444,7 @@
                 ctx.out
                     .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
             }
-            Timer::Resend => commit::resend(tenure, ctx),
+            Timer::Resend(shard) => commit::resend(tenure, &mut pool.seat, shard, ctx),
             Timer::Remove => remove::look(tenure, &pool.name, ctx),
             _ => {
                 if let Some(book) = &mut tenure.book {
@@ -573,7 +555,7 @@
                 return;
             };
             if is_stopping {
-                if tenure.batch.is_none() {
+                if tenure.batches.iter().all(Option::is_none) {
                     seat::release(pool, ctx);
                 }
                 return;
--- a/src/core/sched/remove.rs
+++ b/src/core/sched/remove.rs
@@ -5,11 +5,12 @@
 
 use std::collections::BTreeMap;
 
+use super::book::Book;
 use super::keys::JobKey;
 use super::limits::{FINISHED_KEPT_MS, REMOVED_JOBS, REMOVE_MS};
-use super::rows::{cancel_key, intake_part};
+use super::rows::{cancel_key, intake_part, shard_part, SHARDS};
 use super::seat::epoch_guard;
-use super::state::{Batch, Ctx, Effect, Tenure, Timer};
+use super::state::{Batch, Ctx, Effect, Pool, Tenure, Timer};
 use crate::port::fleet::{RowTx, Table, TxOutcome, Write};
 
 /// Removes what was submitted, of the part with the most jobs that are old.
@@ -60,36 +61,65 @@
     }
 }
 
-/// Removes progress whose job is gone.
-pub(super) fn flush(tenure: &mut Tenure, part: &str, ctx: &mut Ctx<'_>) {
+/// Removes progress whose job is gone, in each shard that has no batch out.
+pub(super) fn flush(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    let Some(tenure) = &mut pool.tenure else {
+        return;
+    };
     let Some(book) = &mut tenure.book else { return };
     if tenure.removable.is_empty() && book.orphans.is_empty() {
         return;
     }
-    let removed = std::mem::take(&mut tenure.removable);
-    let left = book.orphans.len().saturating_sub(REMOVED_JOBS);
-    let mut ids = book.orphans.split_off(left);
-    ids.extend(
-        removed
-            .iter()
-            .filter_map(|key| Some(book.jobs.get(*key)?.id.clone())),
-    );
-    let tx = RowTx {
-        part: part.to_string(),
-        guards: vec![epoch_guard(tenure.epoch)],
-        writes: ids
+    for shard in 0..SHARDS {
+        if tenure.batches[shard].is_some() {
+            continue;
+        }
+        let (removed, later) = std::mem::take(&mut tenure.removable)
             .into_iter()
-            .map(|id| gone(Table::Progress, id))
-            .collect(),
-    };
-    ctx.out
-        .push(Effect::Record(ctx.pool, tenure.epoch, tx.clone()));
-    tenure.batch = Some(Batch {
-        tx,
-        jobs: Vec::new(),
-        starts: Vec::new(),
-        ends: Vec::new(),
-        removed,
-        beat_ms: None,
+            .partition(|key| {
+                book.jobs
+                    .get(*key)
+                    .is_none_or(|job| job.shard.unwrap_or(0) == shard)
+            });
+        tenure.removable = later;
+        let removed: Vec<JobKey> = removed;
+        let mut ids = orphans_of(book, shard);
+        let jobs = removed.iter().filter_map(|key| book.jobs.get(*key));
+        ids.extend(jobs.map(|job| job.id.clone()));
+        if ids.is_empty() {
+            continue;
+        }
+        let tx = RowTx {
+            part: shard_part(&pool.name, shard),
+            guards: vec![epoch_guard(tenure.fences[shard])],
+            writes: ids
+                .into_iter()
+                .map(|id| gone(Table::Progress, id))
+                .collect(),
+        };
+        pool.seat.note_sent(shard, ctx.now.ms);
+        ctx.out
+            .push(Effect::Record(ctx.pool, tenure.epoch, shard, tx.clone()));
+        tenure.batches[shard] = Some(Batch {
+            tx,
+            jobs: Vec::new(),
+            starts: Vec::new(),
+            removed,
+            sent_ms: ctx.now.ms,
+            has_beat: false,
+        });
+    }
+}
+
+/// Progress without a job in a shard, as much as one transaction may remove.
+fn orphans_of(book: &mut Book, shard: usize) -> Vec<String> {
+    let mut ids = Vec::new();
+    book.orphans.retain(|(of, id)| {
+        let is_taken = *of == shard && ids.len() < REMOVED_JOBS;
+        if is_taken {
+            ids.push(id.clone());
+        }
+        !is_taken
     });
+    ids
 }
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -8,6 +8,7 @@
 use super::job::JobState;
 use super::times::Times;
 use crate::clock::Millis;
+use crate::port::fleet::Revision;
 use crate::util::fnv1a;
 
 /// Key of the row that names a pool's owner; its revision is the owner's epoch.
@@ -26,6 +27,9 @@
     pub entry: String,
     /// Tells two claims of one entry apart.
     pub nonce: u64,
+    /// The epoch that the claim won; 0 in the first shard, where the row's own revision is the epoch.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub epoch: Revision,
 }
 
 /// The owner is alive, and what others may know of its pool.
@@ -74,7 +78,7 @@
     /// What callers are told.
     pub state: JobState,
     /// Rounds below this one are done.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub rounds_done: u32,
     /// Workers that tasks name by their place here: id of the life, and host.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -84,8 +88,8 @@
     pub rounds: Vec<RoundRow>,
 }
 
-fn is_zero(n: &u32) -> bool {
-    *n == 0
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 /// One round of a job.
@@ -143,9 +147,39 @@
 /// as long on the users' slow days: 100 jobs a second then wait for 29 parts.
 const INTAKE_PARTS: u64 = 64;
 
-/// Between a pool's name and the number of a part of its intake.
+/// Between a pool's name and what tells its parts apart.
 const PART_SIGN: char = '/';
 
+/// Before the number of a shard in the name of its part.
+const SHARD_SIGN: char = 's';
+
+/// Shards of a pool's owner, each a partition with a row of the owner, a heartbeat and progress of jobs. An owner keeps
+/// its lease while one of them answers, and records new jobs where one does: with a quarter of the partitions away, all
+/// four are in one case of 256. With writes that a store takes in turn, 300 ms each, four go at a time.
+pub const SHARDS: usize = 4;
+
+/// The partition of a shard; the first is the pool's own.
+pub fn shard_part(pool: &str, shard: usize) -> String {
+    match shard {
+        0 => pool.to_string(),
+        _ => format!("{pool}{PART_SIGN}{SHARD_SIGN}{shard}"),
+    }
+}
+
+/// All partitions of a pool's shards.
+pub fn shard_parts(pool: &str) -> Vec<String> {
+    (0..SHARDS).map(|shard| shard_part(pool, shard)).collect()
+}
+
+/// The pool and the shard that a partition stands for; nothing for one that is no shard's.
+pub fn shard_of_part(part: &str) -> Option<(&str, usize)> {
+    let Some((pool, shard)) = part.rsplit_once(PART_SIGN) else {
+        return Some((part, 0));
+    };
+    let number = shard.strip_prefix(SHARD_SIGN)?.parse::<usize>().ok()?;
+    (1..SHARDS).contains(&number).then_some((pool, number))
+}
+
 /// The part of a pool's intake that holds a job and its cancel.
 pub fn intake_part(pool: &str, job: &str) -> String {
     let number = fnv1a(job.bytes()) % INTAKE_PARTS;
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -1,17 +1,21 @@
-//! Who owns a pool: one entry at a time, by a row of the store and a lease on it.
+//! Who owns a pool: one entry at a time, by rows of the store and a lease on them.
 //!
-//! The owner's row changes only when a pool changes hands; its revision is the epoch, which fences all
-//! orders and guards all writes. The heartbeat is another row, so that renewals leave the epoch alone.
-//! A taker writes only where the heartbeat has not changed since it saw it, a whole lease ago.
+//! A pool has some shards, each in a partition of its own: a row that names the owner and one with its heartbeat. The
+//! owner's row changes only when a pool changes hands; its revision in the first shard is the epoch, which fences all
+//! orders, and in each shard it guards all writes there. A heartbeat in any one shard renews the lease, so that an
+//! owner goes on while a partition is away. A taker claims the first shard, which settles who takes the pool, then all
+//! others, each where the heartbeat has not changed since it saw it, a whole lease ago: an owner that renewed in any
+//! shard meanwhile makes that claim fail.
 
 use std::collections::BTreeMap;
 
 use super::hosts::ORDERS_APART_MS;
 use super::limits::{
     CLAIM_OWNED_MS, CLAIM_SPREAD_MS, CLAIM_WEAK_MS, CPU_FULL_MILLI, OWNER_LEASE_MS,
-    OWNER_MARGIN_MS, RENEW_MS, RENEW_SLOW_MS, SLOW_ANSWER_MS, TOLD_APART_MS, TX_RETRY_MS,
+    OWNER_MARGIN_MS, RENEW_MS, RENEW_SLOW_MS, SHARD_LATE_MS, SHARD_PAUSE_MS, SLOW_ANSWER_MS,
+    TOLD_APART_MS, TX_RETRY_MS,
 };
-use super::rows::{self, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY};
+use super::rows::{self, shard_part, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY, SHARDS};
 use super::state::{Ctx, Effect, Pool, Tenure, Timer};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -30,7 +34,7 @@
 /// Who owns a pool, as this entry has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Seat {
-    /// The owner's row.
+    /// The owner's row in the first shard.
     pub owner: OwnerRow,
     /// Its revision: the epoch.
     pub epoch: Revision,
@@ -40,8 +44,10 @@
     pub beat_revision: Revision,
     /// When this entry saw the newest heartbeat.
     pub beat_seen_ms: Millis,
-    /// A claim of ours is out.
-    pub is_claiming: bool,
+    /// The shards.
+    pub shards: [ShardSeat; SHARDS],
+    /// Our claim that won the first shard, until all others are won.
+    pub claim: Option<Claim>,
     /// The owner before our claim; empty where it had left.
     pub claim_after: String,
     /// When that owner was last heard.
@@ -54,8 +60,6 @@
     pub former: FormerOrders,
     /// Start of our last renewal that was acknowledged.
     pub renewed_ms: Millis,
-    /// A renewal of ours is out.
-    pub is_renewing: bool,
     /// Count of our last heartbeat, and when it was sent.
     pub sent: (u64, Millis),
     /// When the next one is due; changes of jobs carry heartbeats, too.
@@ -64,6 +68,36 @@
     pub answer_ms: Millis,
 }
 
+/// One shard of a pool, as this entry has seen it.
+#[derive(Clone, Debug, Default)]
+pub struct ShardSeat {
+    /// Revision of the owner's row.
+    pub owner_revision: Revision,
+    /// Revision of the heartbeat.
+    pub beat_revision: Revision,
+    /// When this entry saw that heartbeat.
+    pub beat_seen_ms: Millis,
+    /// A claim of ours is out.
+    pub is_claiming: bool,
+    /// A renewal of ours is out.
+    pub is_renewing: bool,
+    /// When the first of our calls was sent that is not answered yet.
+    pub unanswered_ms: Option<Millis>,
+    /// It refused or lost a call: others go first until then.
+    pub passed_over_until_ms: Millis,
+}
+
+/// A claim that won the first shard.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// Revision of our row there: the epoch to be.
+    pub epoch: Revision,
+    /// When it was sent.
+    pub sent_ms: Millis,
+    /// Revisions of our rows in the shards that are won.
+    pub fences: [Option<Revision>; SHARDS],
+}
+
 impl Seat {
     /// Until when this entry may send orders, if it owns the pool.
     pub fn until_ms(&self) -> Millis {
@@ -88,6 +122,38 @@
         self.answer_ms = now_ms.saturating_sub(sent_ms);
     }
 
+    /// Takes note of a call in a shard.
+    pub fn note_sent(&mut self, shard: usize, now_ms: Millis) {
+        self.shards[shard].unanswered_ms.get_or_insert(now_ms);
+    }
+
+    /// Takes note of what a call in a shard came to.
+    pub fn note_answer(&mut self, shard: usize, outcome: &TxOutcome, now_ms: Millis) {
+        let shard = &mut self.shards[shard];
+        shard.unanswered_ms = None;
+        shard.passed_over_until_ms = match outcome {
+            TxOutcome::Committed(_) | TxOutcome::Conflict(_) => 0,
+            TxOutcome::Refused | TxOutcome::Unknown => now_ms + SHARD_PAUSE_MS,
+        };
+    }
+
+    /// Whether a shard answers, as far as is known.
+    pub fn is_good(&self, shard: usize, now_ms: Millis) -> bool {
+        let late_ms = SHARD_LATE_MS.max(self.answer_ms * 2);
+        let shard = &self.shards[shard];
+        let is_late = shard
+            .unanswered_ms
+            .is_some_and(|sent_ms| now_ms >= sent_ms + late_ms);
+        !is_late && now_ms >= shard.passed_over_until_ms
+    }
+
+    /// The shard for the next heartbeat: the first that answers, else any that none is on its way in.
+    fn shard_to_renew(&self, now_ms: Millis) -> Option<usize> {
+        let mut free = (0..SHARDS).filter(|shard| !self.shards[*shard].is_renewing);
+        let good = free.clone().find(|shard| self.is_good(*shard, now_ms));
+        good.or_else(|| free.next())
+    }
+
     /// Whether an earlier process of this entry owned the pool: it has ended, since this one runs.
     fn was_ours(&self, me: &str, nonce: u64) -> bool {
         self.owner.entry == me && self.owner.nonce != nonce
@@ -103,32 +169,57 @@
     }
 }
 
-/// Takes in a change of the owners' table; says whether it shows that our own renewal was done.
-pub fn observe(pool: &mut Pool, row: &StoredRow, now_ms: Millis) -> Result<bool, String> {
+/// Takes in a change of the owners' table in a shard.
+pub fn observe(
+    pool: &mut Pool,
+    shard: usize,
+    row: &StoredRow,
+    now_ms: Millis,
+) -> Result<(), String> {
     let seat = &mut pool.seat;
     let Some(value) = &row.value else {
-        return Ok(false);
+        return Ok(());
     };
-    let mut is_renewal = false;
-    if row.key == OWNER_KEY && row.revision > seat.epoch {
-        seat.owner = rows::decode(value)?;
-        seat.epoch = row.revision;
-        seat.beat_seen_ms = now_ms;
-    }
-    if row.key == BEAT_KEY && row.revision > seat.beat_revision {
-        seat.beat = rows::decode(value)?;
-        seat.beat_revision = row.revision;
-        seat.beat_seen_ms = now_ms;
-        let (count, sent_ms) = seat.sent;
-        is_renewal = pool.tenure.is_some()
-            && seat.beat.entry == seat.owner.entry
-            && seat.beat.count == count;
-        if is_renewal {
-            // The answer to our renewal may be lost: the feed tells that it was done.
-            seat.renewed_ms = seat.renewed_ms.max(sent_ms);
+    if row.key == OWNER_KEY && row.revision > seat.shards[shard].owner_revision {
+        let owner: OwnerRow = rows::decode(value)?;
+        seat.shards[shard].owner_revision = row.revision;
+        if shard == 0 {
+            seat.owner = owner;
+            seat.epoch = row.revision;
+            seat.beat_seen_ms = now_ms;
+        } else {
+            note_won(seat, shard, &owner, row.revision);
         }
     }
-    Ok(is_renewal)
+    if row.key == BEAT_KEY && row.revision > seat.shards[shard].beat_revision {
+        let beat: BeatRow = rows::decode(value)?;
+        seat.shards[shard].beat_revision = row.revision;
+        seat.shards[shard].beat_seen_ms = now_ms;
+        if row.revision > seat.beat_revision {
+            seat.beat_revision = row.revision;
+            seat.beat = beat;
+            seat.beat_seen_ms = now_ms;
+            note_own_beat(pool);
+        }
+    }
+    Ok(())
+}
+
+/// The answer to our renewal may be lost: the feed tells that it was done.
+fn note_own_beat(pool: &mut Pool) {
+    let seat = &mut pool.seat;
+    let (count, sent_ms) = seat.sent;
+    let is_ours = pool.tenure.is_some() && seat.beat.entry == seat.owner.entry;
+    if is_ours && seat.beat.count == count {
+        seat.renewed_ms = seat.renewed_ms.max(sent_ms);
+    }
+}
+
+/// Takes note of a row of ours in a shard, if it is the claim's that won the first one.
+fn note_won(seat: &mut Seat, shard: usize, owner: &OwnerRow, revision: Revision) {
+    if let Some(claim) = seat.claim.as_mut().filter(|c| c.epoch == owner.epoch) {
+        claim.fences[shard] = Some(revision);
+    }
 }
 
 /// A fixed spread of entries over pools.
@@ -170,13 +261,20 @@
 
 /// Claims the pool if it has had no living owner for long enough; else looks again when it may.
 pub fn consider(pool: &mut Pool, me: &Claimant, ctx: &mut Ctx<'_>) {
-    if pool.tenure.is_some() || pool.seat.is_claiming || me.is_stopping {
+    if pool.tenure.is_some() || me.is_stopping {
         return;
     }
     // Nothing is claimed while the store is away; once it is back, everybody's stagger begins anew.
     let Some(store_since_ms) = me.store_since_ms else {
         return;
     };
+    if pool.seat.claim.is_some() {
+        claim_others(pool, me.nonce, ctx);
+        return;
+    }
+    if pool.seat.shards[0].is_claiming {
+        return;
+    }
     let now_ms = ctx.now.ms;
     if pool.seat.was_ours(ctx.me, me.nonce) {
         claim(pool, ctx, me.nonce);
@@ -194,28 +292,56 @@
     }
 }
 
+/// Claims the first shard, which settles who takes the pool.
 fn claim(pool: &mut Pool, ctx: &mut Ctx<'_>, nonce: u64) {
+    pool.seat.claim_open_ms.get_or_insert(ctx.now.ms);
+    pool.seat.claim_after = pool.seat.owner.entry.clone();
+    pool.seat.claim_after_ms = pool.seat.beat_seen_ms;
+    pool.seat.former = pool.seat.former_orders();
+    send_claim(pool, 0, 0, nonce, ctx);
+}
+
+/// Claims the shards that are not won yet, each once its heartbeat is a lease old: the owner before may have renewed
+/// there while the first shard was claimed.
+fn claim_others(pool: &mut Pool, nonce: u64, ctx: &mut Ctx<'_>) {
+    let Some(claim) = pool.seat.claim.clone() else {
+        return;
+    };
+    for shard in 1..SHARDS {
+        let seat = &pool.seat.shards[shard];
+        if claim.fences[shard].is_some() || seat.is_claiming {
+            continue;
+        }
+        let has_left = pool.seat.claim_after.is_empty() || pool.seat.claim_after == ctx.me;
+        let over_ms = seat.beat_seen_ms + OWNER_LEASE_MS;
+        if !has_left && ctx.now.ms < over_ms {
+            ctx.after(over_ms - ctx.now.ms, Timer::Claim);
+            continue;
+        }
+        send_claim(pool, shard, claim.epoch, nonce, ctx);
+    }
+}
+
+fn send_claim(pool: &mut Pool, shard: usize, epoch: Revision, nonce: u64, ctx: &mut Ctx<'_>) {
     let owner = OwnerRow {
         entry: ctx.me.to_string(),
         nonce,
+        epoch,
     };
+    let seat = &pool.seat.shards[shard];
     let tx = RowTx {
-        part: pool.name.clone(),
+        part: shard_part(&pool.name, shard),
         guards: vec![
-            guard(OWNER_KEY, pool.seat.epoch),
-            guard(BEAT_KEY, pool.seat.beat_revision),
+            guard(OWNER_KEY, seat.owner_revision),
+            guard(BEAT_KEY, seat.beat_revision),
         ],
         writes: vec![
             write(OWNER_KEY, rows::encode(&owner)),
             write(BEAT_KEY, rows::encode(&beat(pool, ctx))),
         ],
     };
-    pool.seat.is_claiming = true;
-    pool.seat.claim_open_ms.get_or_insert(ctx.now.ms);
-    pool.seat.claim_after = pool.seat.owner.entry.clone();
-    pool.seat.claim_after_ms = pool.seat.beat_seen_ms;
-    pool.seat.former = pool.seat.former_orders();
-    ctx.out.push(Effect::Claim(ctx.pool, tx));
+    pool.seat.shards[shard].is_claiming = true;
+    ctx.out.push(Effect::Claim(ctx.pool, shard, tx));
 }
 
 fn guard(key: &str, revision: Revision) -> Guard {
@@ -234,9 +360,10 @@
     }
 }
 
-/// The guard that every write of an owner carries.
-pub fn epoch_guard(epoch: u64) -> Guard {
-    guard(OWNER_KEY, epoch)
+/// The guard that every write of an owner carries: the revision of its row in the shard, which is the epoch in the
+/// first one.
+pub fn epoch_guard(fence: Revision) -> Guard {
+    guard(OWNER_KEY, fence)
 }
 
 fn beat(pool: &Pool, ctx: &Ctx<'_>) -> BeatRow {
@@ -267,56 +394,127 @@
         .collect()
 }
 
-/// Settles a claim.
+/// Settles the claim of a shard.
 pub fn claimed(
     pool: &mut Pool,
+    shard: usize,
     sent_ms: Millis,
     outcome: TxOutcome,
     me: &Claimant,
     ctx: &mut Ctx<'_>,
 ) {
-    pool.seat.is_claiming = false;
+    pool.seat.shards[shard].is_claiming = false;
     let nonce = me.nonce;
     let mut pause_ms = TX_RETRY_MS;
     match outcome {
-        TxOutcome::Committed(revision) => begin(pool, revision, sent_ms, nonce, ctx),
+        TxOutcome::Committed(revision) if shard == 0 => win(pool, revision, sent_ms, nonce, ctx),
+        TxOutcome::Committed(revision) => {
+            // The feed may have been faster than the answer, and a later claim faster than both.
+            let seat = &mut pool.seat;
+            if revision >= seat.shards[shard].owner_revision {
+                seat.shards[shard].owner_revision = revision;
+                seat.shards[shard].beat_revision = revision.max(seat.shards[shard].beat_revision);
+                if let Some(claim) = seat.claim.as_mut().filter(|c| revision > c.epoch) {
+                    claim.fences[shard] = Some(revision);
+                }
+            }
+        }
         TxOutcome::Conflict(found) => {
             for (_, row) in &found {
                 // An undecodable row was logged when the feed brought it.
-                let _ = observe(pool, row, ctx.now.ms);
+                let _ = observe(pool, shard, row, ctx.now.ms);
             }
             begin_if_claimed(pool, nonce, ctx);
-            // Whatever earlier claim was on its way, its condition holds no more.
-            pool.seat.claim_open_ms = None;
+            if shard == 0 {
+                // Whatever earlier claim was on its way, its condition holds no more.
+                pool.seat.claim_open_ms = None;
+            }
         }
         // In an outage the stagger since the pool became free is long over at every entry: the one with the most
         // room must still be the first when the store is back.
-        TxOutcome::Refused | TxOutcome::Unknown => {
+        TxOutcome::Refused | TxOutcome::Unknown if shard == 0 => {
             pause_ms += me.stagger_ms(ctx.me, &pool.name);
         }
+        TxOutcome::Refused | TxOutcome::Unknown => {}
+    }
+    if me.is_stopping {
+        give_up_claim(pool, ctx);
     }
+    begin_if_won(pool, ctx);
     if pool.tenure.is_none() {
         ctx.after(pause_ms, Timer::Claim);
     }
 }
 
-/// Begins the tenure of a claim of ours that is seen in the store, its answer lost or still on its way.
+/// Goes on with a claim of ours that is seen in the store, its answer lost or still on its way.
 pub fn begin_if_claimed(pool: &mut Pool, nonce: u64, ctx: &mut Ctx<'_>) {
-    let seat = &pool.seat;
+    let seat = &mut pool.seat;
     let is_ours = seat.owner.entry == ctx.me && seat.owner.nonce == nonce;
+    // Another entry has claimed the first shard since.
+    seat.claim = seat
+        .claim
+        .take()
+        .filter(|claim| is_ours && claim.epoch == seat.epoch);
     let is_begun = pool.tenure.is_some() || seat.epoch <= seat.held_epoch;
-    let Some(sent_ms) = seat.claim_open_ms.filter(|_| is_ours && !is_begun) else {
+    if let Some(sent_ms) = seat.claim_open_ms.filter(|_| is_ours && !is_begun) {
+        win(pool, pool.seat.epoch, sent_ms, nonce, ctx);
+    }
+    begin_if_won(pool, ctx);
+}
+
+/// The first shard is won: claims the others.
+fn win(pool: &mut Pool, epoch: Revision, sent_ms: Millis, nonce: u64, ctx: &mut Ctx<'_>) {
+    let seat = &mut pool.seat;
+    seat.claim_open_ms = None;
+    let is_known = seat
+        .claim
+        .as_ref()
+        .is_some_and(|claim| claim.epoch >= epoch);
+    if epoch <= seat.held_epoch || epoch < seat.epoch || is_known {
+        // The feed was faster than the answer.
         return;
+    }
+    seat.owner = OwnerRow {
+        entry: ctx.me.to_string(),
+        nonce,
+        epoch: 0,
     };
-    begin(pool, seat.epoch, sent_ms, nonce, ctx);
+    seat.epoch = epoch;
+    seat.shards[0].owner_revision = epoch;
+    seat.shards[0].beat_revision = epoch.max(seat.shards[0].beat_revision);
+    let mut fences = [None; SHARDS];
+    fences[0] = Some(epoch);
+    seat.claim = Some(Claim {
+        epoch,
+        sent_ms,
+        fences,
+    });
+    claim_others(pool, nonce, ctx);
 }
 
-fn begin(pool: &mut Pool, epoch: u64, sent_ms: Millis, nonce: u64, ctx: &mut Ctx<'_>) {
-    pool.seat.claim_open_ms = None;
-    if epoch <= pool.seat.held_epoch {
-        // The feed was faster than the answer.
+/// Begins the tenure once all shards are won.
+fn begin_if_won(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    let Some(claim) = &pool.seat.claim else {
         return;
+    };
+    let won: Vec<Revision> = claim.fences.iter().flatten().copied().collect();
+    let Ok(fences) = <[Revision; SHARDS]>::try_from(won) else {
+        return;
+    };
+    let (epoch, sent_ms) = (claim.epoch, claim.sent_ms);
+    pool.seat.claim = None;
+    if pool.tenure.is_none() {
+        begin(pool, epoch, fences, sent_ms, ctx);
     }
+}
+
+fn begin(
+    pool: &mut Pool,
+    epoch: u64,
+    fences: [Revision; SHARDS],
+    sent_ms: Millis,
+    ctx: &mut Ctx<'_>,
+) {
     pool.seat.held_epoch = epoch;
     pool.offers.pending = None;
     pool.offers.unsure.clear();
@@ -327,17 +525,16 @@
             .with("epoch", epoch)
             .with("silent_ms", silent_ms),
     );
-    pool.seat.owner = OwnerRow {
-        entry: ctx.me.to_string(),
-        nonce,
-    };
-    pool.seat.epoch = epoch;
     pool.seat.renewed_ms = sent_ms;
-    pool.seat.is_renewing = false;
+    for shard in &mut pool.seat.shards {
+        shard.is_renewing = false;
+        shard.unanswered_ms = None;
+    }
     pool.tenure = Some(Tenure {
         epoch,
+        fences,
         book: None,
-        batch: None,
+        batches: Default::default(),
         removing: Vec::new(),
         removable: Vec::new(),
         early: Vec::new(),
@@ -378,17 +575,22 @@
 
 fn send_beat(pool: &mut Pool, ctx: &mut Ctx<'_>) {
     let Some(tenure) = &pool.tenure else { return };
-    if pool.seat.is_renewing {
+    let Some(shard) = pool.seat.shard_to_renew(ctx.now.ms) else {
+        ctx.after(TX_RETRY_MS, Timer::Renew);
         return;
-    }
+    };
     let epoch = tenure.epoch;
     let tx = RowTx {
-        part: pool.name.clone(),
-        guards: vec![epoch_guard(epoch)],
+        part: shard_part(&pool.name, shard),
+        guards: vec![epoch_guard(tenure.fences[shard])],
         writes: vec![next_beat(pool, ctx)],
     };
-    pool.seat.is_renewing = true;
-    ctx.out.push(Effect::Renew(ctx.pool, epoch, tx));
+    pool.seat.shards[shard].is_renewing = true;
+    pool.seat.note_sent(shard, ctx.now.ms);
+    ctx.out.push(Effect::Renew(ctx.pool, epoch, shard, tx));
+    // Where no answer comes, the next goes to another shard.
+    let due_ms = pool.seat.beat_due_ms;
+    ctx.after(due_ms.saturating_sub(ctx.now.ms), Timer::Renew);
 }
 
 /// The write of the next heartbeat, which is sent now.
@@ -402,40 +604,58 @@
     write
 }
 
-/// Settles a renewal; says whether the pool is lost.
-pub fn renewed(pool: &mut Pool, sent_ms: Millis, outcome: TxOutcome, ctx: &mut Ctx<'_>) -> bool {
-    pool.seat.is_renewing = false;
+/// Settles a renewal.
+pub fn renewed(
+    pool: &mut Pool,
+    epoch: u64,
+    shard: usize,
+    sent_ms: Millis,
+    outcome: &TxOutcome,
+    ctx: &mut Ctx<'_>,
+) {
+    if pool.tenure.as_ref().is_none_or(|t| t.epoch != epoch) {
+        return;
+    }
+    pool.seat.shards[shard].is_renewing = false;
+    pool.seat.note_answer(shard, outcome, ctx.now.ms);
     match outcome {
         TxOutcome::Committed(_) => {
             pool.seat.note_renewed(sent_ms, ctx.now.ms);
             let due_ms = pool.seat.beat_due_ms;
             ctx.after(due_ms.saturating_sub(ctx.now.ms), Timer::Renew);
-            false
         }
-        TxOutcome::Conflict(_) => true,
+        TxOutcome::Conflict(_) => lose(pool, "its row changed", ctx),
         TxOutcome::Refused | TxOutcome::Unknown => {
             pool.seat.beat_due_ms = ctx.now.ms;
             ctx.after(TX_RETRY_MS, Timer::Renew);
-            false
         }
     }
 }
 
 /// Gives the pool up in the store, so that another may take it at once.
 pub fn release(pool: &mut Pool, ctx: &mut Ctx<'_>) {
-    let Some(tenure) = pool.tenure.take() else {
-        return;
-    };
+    if let Some(tenure) = pool.tenure.take() {
+        send_release(&pool.name, tenure.epoch, ctx);
+    }
+}
+
+/// Gives up a claim that won the first shard, by an entry that is to stop.
+fn give_up_claim(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    if let Some(claim) = pool.seat.claim.take() {
+        pool.seat.held_epoch = claim.epoch;
+        send_release(&pool.name, claim.epoch, ctx);
+    }
+}
+
+fn send_release(pool: &str, epoch: Revision, ctx: &mut Ctx<'_>) {
     let tx = RowTx {
-        part: pool.name.clone(),
-        guards: vec![epoch_guard(tenure.epoch)],
+        part: pool.to_string(),
+        guards: vec![epoch_guard(epoch)],
         writes: vec![write(OWNER_KEY, rows::encode(&OwnerRow::default()))],
     };
     ctx.out.push(Effect::Release(tx));
-    ctx.tell(
-        Decision::new(Code::PoolReleased, Subject::Pool, &pool.name, "stopping")
-            .with("epoch", tenure.epoch),
-    );
+    let decision = Decision::new(Code::PoolReleased, Subject::Pool, pool, "stopping");
+    ctx.tell(decision.with("epoch", epoch));
 }
 
 /// Drops the books of a pool that another entry owns now.
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -8,7 +8,7 @@
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::CPU_FULL_MILLI;
 use super::offers::Offers;
-use super::rows::WaveRow;
+use super::rows::{WaveRow, SHARDS};
 use super::seat::Seat;
 use super::sizing::Sizing;
 use super::wave::WaveDuty;
@@ -31,8 +31,10 @@
     pub epoch: u64,
     /// The books, once they are read.
     pub book: Option<Book>,
-    /// The transaction that is out, if one is.
-    pub batch: Option<Batch>,
+    /// Revisions of the owner's rows, by shard: each write carries its shard's as a condition.
+    pub fences: [Revision; SHARDS],
+    /// The transactions that are out, by shard.
+    pub batches: [Option<Batch>; SHARDS],
     /// Old jobs whose rows of intake are being removed.
     pub removing: Vec<JobKey>,
     /// Old jobs whose rows of intake are gone: their progress goes next.
@@ -69,16 +71,16 @@
 pub struct Batch {
     /// As sent, and sent again until it is settled.
     pub tx: RowTx,
-    /// The jobs in it, in the order of its writes.
-    pub jobs: Vec<JobKey>,
+    /// The jobs in it, in the order of its writes, and which change of each it records.
+    pub jobs: Vec<(JobKey, u64)>,
     /// Runs that start once it is settled.
     pub starts: Vec<(TaskKey, u32)>,
-    /// Workers, and up to which end it records them.
-    pub ends: Vec<(WorkerKey, u64)>,
     /// Finished jobs whose rows it removes.
     pub removed: Vec<JobKey>,
-    /// When it was sent first, if it carries a heartbeat.
-    pub beat_ms: Option<Millis>,
+    /// When it was sent first.
+    pub sent_ms: Millis,
+    /// It carries a heartbeat.
+    pub has_beat: bool,
 }
 
 /// A pool as this entry sees it.
@@ -105,8 +107,8 @@
     Load,
     /// Record what was gathered.
     Flush,
-    /// Send the batch again.
-    Resend,
+    /// Send the batch of a shard again.
+    Resend(usize),
     /// Remove jobs that finished long ago.
     Remove,
     /// Ask a worker for its account.
@@ -143,16 +145,16 @@
     WorkersRead(Vec<WorkerFact>),
     /// A row of owners changed.
     Owner(StoredRow),
-    /// A claim was answered.
-    Claimed(PoolKey, Millis, TxOutcome),
-    /// A renewal was answered; it was sent at that time.
-    Renewed(PoolKey, u64, Millis, TxOutcome),
+    /// A claim of a shard was answered; it was sent at that time.
+    Claimed(PoolKey, usize, Millis, TxOutcome),
+    /// A renewal in a shard was answered: epoch, shard, when it was sent.
+    Renewed(PoolKey, u64, usize, Millis, TxOutcome),
     /// The pool's rows were read, or could not be.
     Loaded(PoolKey, u64, Option<LoadedRows>),
     /// A row of intake changed.
     Intake(StoredRow),
-    /// The batch was answered.
-    Recorded(PoolKey, u64, TxOutcome),
+    /// The batch of a shard was answered.
+    Recorded(PoolKey, u64, usize, TxOutcome),
     /// A start was answered.
     Started(PoolKey, u64, TaskKey, u32, OrderReply),
     /// A stop was answered.
@@ -220,16 +222,16 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Try to become a pool's owner.
-    Claim(PoolKey, RowTx),
-    /// Renew an owner's lease.
-    Renew(PoolKey, u64, RowTx),
+    /// Try to become a pool's owner: one of its shards.
+    Claim(PoolKey, usize, RowTx),
+    /// Renew an owner's lease, in this shard.
+    Renew(PoolKey, u64, usize, RowTx),
     /// Give a pool up; nobody waits for the answer.
     Release(RowTx),
     /// Read a pool's rows.
     Load(PoolKey, u64, String),
-    /// Record progress.
-    Record(PoolKey, u64, RowTx),
+    /// Record progress in a shard.
+    Record(PoolKey, u64, usize, RowTx),
     /// Start a run.
     Start(Order, TaskKey, RunStart),
     /// Stop a run that the books know.
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -127,6 +127,12 @@
     pub hopeless_ms: Millis,
     /// Revision of its progress on record.
     pub revision: Revision,
+    /// The shard that its progress is in; nothing before its first record.
+    pub shard: Option<usize>,
+    /// Counts what is to be recorded of it.
+    pub changes: u64,
+    /// Up to which of them that was done.
+    pub recorded_changes: u64,
     /// When it came to its final state.
     pub finished_ms: Option<Millis>,
     /// Set where others are in time only without it.
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -1,8 +1,8 @@
 //! A worker in an owner's books: what it carries, its lease, its hold.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
-use super::keys::TaskKey;
+use super::keys::{JobKey, TaskKey};
 use super::limits::{CLOCK_SLOW_PERCENT, LEASE_SLACK_MS};
 use crate::clock::Millis;
 use crate::port::fleet::{Capacity, WorkerFact};
@@ -31,8 +31,17 @@
     Idle,
     /// One is out since then.
     Out(Millis),
-    /// Its ends are being recorded; the next goes after that.
-    Recording,
+    /// Its ends are being recorded since then; the next goes after that.
+    Recording(Millis),
+}
+
+/// An end that was taken into the books and is not on record yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TakenEnd {
+    /// Its number.
+    pub number: u64,
+    /// The job that it changed, and which of the job's changes holds it; nothing where it changed none.
+    pub change: Option<(JobKey, u64)>,
 }
 
 /// A worker's life in the books.
@@ -60,6 +69,8 @@
     pub taken: u64,
     /// Ends up to this number are on record.
     pub recorded: u64,
+    /// Ends behind that, in order.
+    pub unrecorded: VecDeque<TakenEnd>,
     /// Tasks that failed there with none done in between.
     pub fails_in_row: u32,
     /// How many times in a row it was left alone.
@@ -91,6 +102,7 @@
             heard_ms: 0,
             taken: 0,
             recorded: 0,
+            unrecorded: VecDeque::new(),
             fails_in_row: 0,
             suspensions: 0,
             suspended_until_ms: 0,
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -10,7 +10,7 @@
 use smol::{LocalExecutor, Timer};
 
 use super::feeds::{self, Owned};
-use super::operations::{whole, whole_intake};
+use super::operations::{whole, whole_intake, whole_progress};
 use super::shared::Shared;
 use crate::clock::Millis;
 use crate::core::sched::hosts::{duty_pool, HostTask};
@@ -114,9 +114,12 @@
     let Some(value) = row.value.as_deref().filter(|_| row.key == rows::BEAT_KEY) else {
         return;
     };
+    let Some((pool, _)) = rows::shard_of_part(&row.part) else {
+        return;
+    };
     // A row that can't be read is logged by the reducer.
     if let Ok(beat) = rows::decode::<rows::BeatRow>(value) {
-        shared.set_waiting(&row.part, beat.waiting);
+        shared.set_waiting(pool, beat.waiting);
     }
 }
 
@@ -149,13 +152,13 @@
         let shared = Arc::clone(&self.shared);
         let sent_ms = self.shared.clock.now_ms();
         match effect {
-            Effect::Claim(pool, tx) => self.spawn(async move {
+            Effect::Claim(pool, shard, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
-                Some(Event::Claimed(pool, sent_ms, outcome))
+                Some(Event::Claimed(pool, shard, sent_ms, outcome))
             }),
-            Effect::Renew(pool, epoch, tx) => self.spawn(async move {
+            Effect::Renew(pool, epoch, shard, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
-                Some(Event::Renewed(pool, epoch, sent_ms, outcome))
+                Some(Event::Renewed(pool, epoch, shard, sent_ms, outcome))
             }),
             Effect::Release(tx) => self.spawn(async move {
                 insist(|| shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS)).await;
@@ -174,9 +177,9 @@
                 let rows = load(&platform, &name).await.ok();
                 Some(Event::Loaded(pool, epoch, rows))
             }),
-            Effect::Record(pool, epoch, tx) => self.spawn(async move {
+            Effect::Record(pool, epoch, shard, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
-                Some(Event::Recorded(pool, epoch, outcome))
+                Some(Event::Recorded(pool, epoch, shard, outcome))
             }),
             Effect::Start(order, task, start) => {
                 self.spawn(async move {
@@ -323,7 +326,7 @@
 async fn load<P: Rows + Directory>(platform: &P, pool: &str) -> Result<LoadedRows, ReadError> {
     Ok(LoadedRows {
         intake: whole_intake(platform, pool).await?,
-        progress: whole(platform, Table::Progress, pool).await?,
+        progress: whole_progress(platform, pool).await?,
         owner: whole(platform, Table::Owners, pool).await?,
         workers: feeds::present(&platform.workers().await?),
         waves: whole(platform, Table::Waves, "").await?,
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -13,7 +13,8 @@
 use crate::core::sched::limits::TX_TIMEOUT_MS;
 use crate::core::sched::operation::{Operation, Outcome, Request};
 use crate::core::sched::rows::{
-    self, cancel_key, cancelled_job, intake_part, intake_parts, pool_of_part, ProgressRow,
+    self, cancel_key, cancelled_job, intake_part, intake_parts, pool_of_part, shard_part,
+    shard_parts, ProgressRow,
 };
 use crate::port::fleet::{
     Guard, Range, ReadError, RowTx, Rows, Scan, StoredRow, Table, TxOutcome, Write, ABSENT,
@@ -242,7 +243,8 @@
     };
     let part = intake_part(pool, id);
     let intake = store.scan(Table::Intake, &part, range.clone(), timeout_ms);
-    let progress = store.scan(Table::Progress, pool, range, timeout_ms);
+    let first = shard_part(pool, 0);
+    let progress = store.scan(Table::Progress, &first, range.clone(), timeout_ms);
     let (intake, progress) = zip(intake, progress).await;
     let (intake, progress): (Scan, Scan) = (intake?, progress?);
     let Some(job) = intake.rows.iter().find(|row| row.key == id) else {
@@ -251,6 +253,10 @@
     // A row that can't be read tells nobody whose job it is, and so nothing of it; its pool's owner logs it.
     let owner = rows::decode(job.value.as_deref().unwrap_or_default());
     let owner = owner.map_err(|_| ReadError::Down)?;
+    let progress = match progress.rows.into_iter().next() {
+        Some(row) => Some(row),
+        None => progress_elsewhere(store, pool, range, timeout_ms).await?,
+    };
     Ok(Some(JobRows {
         owner,
         pool: pool.to_string(),
@@ -258,10 +264,28 @@
             .rows
             .iter()
             .any(|row| cancelled_job(&row.key).is_some()),
-        progress: progress.rows.into_iter().next(),
+        progress,
     }))
 }
 
+/// A job's progress in another shard than the first one, where few are.
+async fn progress_elsewhere<R: Rows>(
+    store: &R,
+    pool: &str,
+    range: Range,
+    timeout_ms: Millis,
+) -> Result<Option<StoredRow>, ReadError> {
+    let parts = shard_parts(pool);
+    let others = parts.iter().skip(1);
+    let reads = others.map(|part| store.scan(Table::Progress, part, range.clone(), timeout_ms));
+    for read in join_all(reads.collect()).await {
+        if let Some(row) = read?.rows.into_iter().next() {
+            return Ok(Some(row));
+        }
+    }
+    Ok(None)
+}
+
 /// Finds a job that the caller may know of, trying again while the caller waits.
 async fn find_until<R: Rows>(
     store: &R,
@@ -349,7 +373,7 @@
 /// Counts jobs that have not begun, from the rows.
 async fn count_rows<R: Rows>(store: &R, pool: &str, queue: &str) -> Result<u64, ReadError> {
     let intake = whole_intake(store, pool).await?;
-    let progress = whole(store, Table::Progress, pool).await?;
+    let progress = whole_progress(store, pool).await?;
     let begun = |id: &str| progress.iter().any(|row| row.key == id);
     let cancelled = |id: &str| intake.iter().any(|row| cancelled_job(&row.key) == Some(id));
     let waits = |row: &&StoredRow| {
@@ -375,6 +399,20 @@
     Ok(rows)
 }
 
+/// All progress of a pool.
+pub(super) async fn whole_progress<R: Rows>(
+    store: &R,
+    pool: &str,
+) -> Result<Vec<StoredRow>, ReadError> {
+    let parts = shard_parts(pool);
+    let reads = parts.iter().map(|part| whole(store, Table::Progress, part));
+    let mut rows = Vec::new();
+    for read in join_all(reads.collect()).await {
+        rows.extend(read?);
+    }
+    Ok(rows)
+}
+
 /// All rows of one partition of a table.
 pub(super) async fn whole<R: Rows>(
     store: &R,
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -5,6 +5,7 @@
 use rockwick::clock::Now;
 use rockwick::core::sched::job::JobState;
 use rockwick::core::sched::reduce;
+use rockwick::core::sched::rows::SHARDS;
 use rockwick::core::sched::state::{Effect, Event, PoolKey, State};
 use rockwick::port::fleet::{OperatorWord, TxOutcome, WorkerWord};
 
@@ -195,7 +196,7 @@
     let is_claim = |e: &Effect| matches!(e, Effect::Claim(..));
     assert!(effects.iter().any(is_claim), "{effects:?}");
     reduce(&mut state, Event::Stop, now(2_510));
-    let claimed = Event::Claimed(PoolKey(0), 2_500, TxOutcome::Committed(5));
+    let claimed = Event::Claimed(PoolKey(0), 0, 2_500, TxOutcome::Committed(5));
     let effects = reduce(&mut state, claimed, now(2_520));
     let is_release = |e: &Effect| matches!(e, Effect::Release(..));
     assert!(effects.iter().any(is_release), "{effects:?}");
@@ -353,9 +354,14 @@
     world.run(SETTLE_MS);
     world.submit("a", job(2, 1_000, 100));
     world.run(140_000);
-    assert_eq!(world.store.len(), 4, "owner, heartbeat, job, progress");
+    let seats = 2 * SHARDS;
+    assert_eq!(
+        world.store.len(),
+        seats + 2,
+        "owner and heartbeat a shard, job, progress"
+    );
     world.run(20_000);
-    assert_eq!(world.store.len(), 2, "owner, heartbeat");
+    assert_eq!(world.store.len(), seats, "owner and heartbeat a shard");
     assert_eq!(world.recorded("a"), JobState::Completed);
 }
 
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -3,8 +3,9 @@
 
 use fastrand::Rng;
 use rockwick::core::sched::job::JobState;
+use rockwick::core::sched::rows::shard_parts;
 
-use crate::world::{job, lasting, Faults, World};
+use crate::world::{job, lasting, Faults, World, POOL};
 
 /// Seeds in CI; more by ROCKWICK_SEEDS.
 const SEEDS: u64 = 60;
@@ -62,6 +63,7 @@
 
 fn play(seed: u64) {
     let mut rng = Rng::with_seed(seed ^ 0x5eed);
+    let mut partial = Rng::with_seed(seed ^ 0x9a47);
     let mut gangs = Rng::with_seed(seed ^ 0x9a79);
     let mut world = World::new(seed, rng.usize(1..5), rng.usize(2..8));
     world.faults = Faults {
@@ -100,9 +102,17 @@
         if rng.u32(0..3) == 0 {
             trouble(&mut world, &mut rng);
         }
+        // Draws of their own: seeds that failed before play as they did.
+        world.parts_away.clear();
+        for part in shard_parts(POOL) {
+            if partial.u32(0..12) == 0 {
+                world.parts_away.insert(part);
+            }
+        }
         world.run(rng.u64(50..1_500));
     }
     world.faults = Faults::default();
+    world.parts_away.clear();
     // Whoever was told to stop is gone by then.
     world.run(6_000);
     for n in 0..world.entries.len() {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -39,6 +39,7 @@
 mod test_sched;
 mod test_sched_model;
 mod test_serve;
+mod test_shards;
 mod test_sizing;
 mod test_soak;
 mod test_starts;
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -10,24 +10,28 @@
         }
         const ORDER_TIMEOUT_MS: u64 = 400;
         match effect {
-            Effect::Claim(pool, tx) => {
+            Effect::Claim(pool, shard, tx) => {
                 let sent_ms = self.now_ms;
                 let (mut after_ms, mut outcome) = self.store_call(n, &tx);
                 if self.claims_unanswered > 0 {
                     self.claims_unanswered -= 1;
                     (after_ms, outcome) = (STORE_TIMEOUT_MS, TxOutcome::Unknown);
                 }
-                self.reply(n, after_ms, Event::Claimed(pool, sent_ms, outcome));
+                self.reply(n, after_ms, Event::Claimed(pool, shard, sent_ms, outcome));
             }
-            Effect::Renew(pool, epoch, tx) => {
+            Effect::Renew(pool, epoch, shard, tx) => {
                 self.renewals += 1;
                 let sent_ms = self.now_ms;
                 let (after_ms, outcome) = self.store_call(n, &tx);
-                self.reply(n, after_ms, Event::Renewed(pool, epoch, sent_ms, outcome));
+                self.reply(
+                    n,
+                    after_ms,
+                    Event::Renewed(pool, epoch, shard, sent_ms, outcome),
+                );
             }
-            Effect::Record(pool, epoch, tx) => {
+            Effect::Record(pool, epoch, shard, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
-                self.reply(n, after_ms, Event::Recorded(pool, epoch, outcome));
+                self.reply(n, after_ms, Event::Recorded(pool, epoch, shard, outcome));
             }
             Effect::Release(tx) => {
                 self.store_call(n, &tx);
@@ -38,7 +42,10 @@
             }
             Effect::TellWave(wave, state) => self.wave_told(wave, state),
             Effect::Load(pool, epoch, _) => {
-                let rows = (self.entries[n].cut_until_ms <= self.now_ms).then(|| self.rows());
+                // A part that is away can't be read either.
+                let is_cut = self.entries[n].cut_until_ms > self.now_ms;
+                let reads = !is_cut && self.parts_away.is_empty();
+                let rows = reads.then(|| self.rows());
                 self.reply(n, 8, Event::Loaded(pool, epoch, rows));
             }
             Effect::ReadHosts(pool, epoch) => {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -18,7 +18,9 @@
 use rockwick::core::sched::hosts::HostTask;
 use rockwick::core::sched::job::{JobSpec, JobState, StepSpec};
 use rockwick::core::sched::reduce;
-use rockwick::core::sched::rows::{self, cancel_key, intake_part, pool_of_part, ProgressRow};
+use rockwick::core::sched::rows::{
+    self, cancel_key, intake_part, pool_of_part, shard_parts, ProgressRow,
+};
 use rockwick::core::sched::state::{Effect, Event, LoadedRows, PoolKey, State};
 use rockwick::port::fleet::{
     Capacity, EndKind, FleetConfig, HoldAsk, HoldReport, HostRecord, HostReply, HostState,
@@ -171,6 +173,8 @@
     pub(crate) is_host_deaf: bool,
     /// Transactions that renewed a lease and did nothing else.
     pub(crate) renewals: u32,
+    /// Partitions of the store that do not answer.
+    pub(crate) parts_away: HashSet<String>,
     /// A worker on which all runs fail.
     pub(crate) bad_worker: Option<String>,
     /// Most hosts that were out at a time.
@@ -210,6 +214,7 @@
             claims_unanswered: 0,
             is_host_deaf: false,
             renewals: 0,
+            parts_away: HashSet::new(),
             bad_worker: None,
             out_most: 0,
             revision: 1,
@@ -411,10 +416,17 @@
         if let Some(state) = self.removed.get(id) {
             return *state;
         }
-        let key = (Table::Progress, POOL.to_string(), id.to_string());
-        let row = self.store.get(&key);
-        let row = row.and_then(|(value, _)| rows::decode::<ProgressRow>(value).ok());
-        row.map_or(JobState::Queued, |r| r.state)
+        self.progress(id).map_or(JobState::Queued, |row| row.state)
+    }
+
+    /// A job's progress on record, in whichever shard it is.
+    fn progress(&self, id: &str) -> Option<ProgressRow> {
+        let keys = shard_parts(POOL).into_iter();
+        let mut found =
+            keys.filter_map(|part| self.store.get(&(Table::Progress, part, id.to_string())));
+        let (value, _) = found.next()?;
+        assert!(found.next().is_none(), "{id} is in two shards");
+        Some(rows::decode(value).expect("progress decodes"))
     }
 
     /// What a life before this one on the same host would have stated.
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -74,8 +74,7 @@
     }
 
     pub(super) fn check_progress(&mut self, id: &str) {
-        let key = (Table::Progress, POOL.to_string(), id.to_string());
-        let row: ProgressRow = rows::decode(&self.store[&key].0).expect("progress decodes");
+        let row = self.progress(id).expect("it was just written");
         let spec = &self.specs[id];
         if row.state == JobState::Failed {
             let failed = self.failed_runs.iter().filter(|(task, _)| task.job == id);
@@ -107,7 +106,7 @@
 
     /// Sends a transaction with whatever may befall it.
     pub(super) fn store_call(&mut self, n: usize, tx: &RowTx) -> (u64, TxOutcome) {
-        if self.entries[n].cut_until_ms > self.now_ms {
+        if self.entries[n].cut_until_ms > self.now_ms || self.parts_away.contains(&tx.part) {
             return (STORE_TIMEOUT_MS, TxOutcome::Unknown);
         }
         if self.chance(self.faults.store_lost) {
