Only an answer that brings nothing tells that the configuration is the newest

Its last read was fresh, but an answer of the feed holds a megabyte, two versions with 1,400 queues, and more lay behind it; and a row that means nothing to the product counted as an empty answer. Change: a word that brought something is followed by a call that waits for nothing; only the empty answer confirms. Rows of unknown kinds are told as such (platform_directory checks that in place of their silent absence). Test: keys_slow_feed (one change an answer, 0.5 s each) got 200 for a revoked key before.

--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -170,6 +170,7 @@
                 state.timers.insert((now.ms, key, Timer::Wave));
             }
         }
+        OperatorWord::Other(_) => {}
         OperatorWord::Unreadable(key, why) => {
             let decision = Decision::new(Code::BadRow, Subject::Config, &key, why);
             out.push(Effect::Log(decision));
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -242,6 +242,8 @@
     Wave(WaveOrder),
     /// A row that can't be decoded: its key and what is wrong.
     Unreadable(String, String),
+    /// A row of a kind that means nothing to the product: its key. It tells that the feed brought something.
+    Other(String),
 }
 
 /// What a host can carry.
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -78,11 +78,15 @@
 ) {
     let wait_ms = WAIT_MS.min(shared.settings.config_within_ms / OPERATOR_WAITS);
     let mut since = None;
+    // What an answer brings may have more behind it: a row of 1,500 queues is half a megabyte, and an answer holds two.
+    // Only one that brings nothing tells that all is known.
+    let mut may_be_more = true;
     loop {
         let asked_ms = shared.clock.now_ms();
+        let waits_ms = if may_be_more { 0 } else { wait_ms };
         let got = match since {
             None => platform.operator().await,
-            Some(revision) => platform.operator_feed(revision, wait_ms).await,
+            Some(revision) => platform.operator_feed(revision, waits_ms).await,
         };
         let answers = got.is_ok() || got.as_ref().err() == Some(&ReadError::HistoryGone);
         if note_store(&shared, answers) {
@@ -90,12 +94,13 @@
         }
         since = match got {
             Ok(feed) => {
-                let has_waited = since.is_some() && feed.changes.is_empty();
+                may_be_more = since.is_none() || !feed.changes.is_empty();
                 adopt(&shared, &events, &feed).await;
-                let waited_ms = if has_waited { wait_ms } else { 0 };
-                // Where the store waited in vain, all is known that was said until the end of that wait.
-                let known_ms = (asked_ms + waited_ms).min(shared.clock.now_ms());
-                shared.note_operator_known(known_ms);
+                if !may_be_more {
+                    // The store waited in vain: all is known that was said until the end of that wait.
+                    let known_ms = (asked_ms + waits_ms).min(shared.clock.now_ms());
+                    shared.note_operator_known(known_ms);
+                }
                 Some(feed.revision)
             }
             Err(ReadError::HistoryGone) => None,
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -101,6 +101,9 @@
     rows: BTreeMap<(String, String, String), Stored>,
     ver: u64,
     fault: StoreFault,
+    parts_away: BTreeSet<String>,
+    feed_rows_max: usize,
+    feed_page_ms: u64,
     /// When a part has done the writes that came so far.
     busy_until: BTreeMap<String, Instant>,
     order_fault: OrderFault,
@@ -240,6 +243,18 @@
         self.lock().fault = fault;
     }
 
+    /// Makes these partitions refuse all calls, and no others.
+    pub fn set_parts_away(&self, parts: &[String]) {
+        self.lock().parts_away = parts.iter().cloned().collect();
+    }
+
+    /// Lets an answer of the feed bring so many changes at the most, each after so many milliseconds.
+    pub fn set_feed_pages(&self, rows_max: usize, page_ms: u64) {
+        let mut state = self.lock();
+        state.feed_rows_max = rows_max;
+        state.feed_page_ms = page_ms;
+    }
+
     /// Starts that all workers accepted.
     pub fn starts(&self) -> u64 {
         self.lock().workers.values().map(|w| w.starts).sum()
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -11,6 +11,14 @@
 
 use super::{Fleet, State, StoreFault, Stored, LOOK_MS};
 
+/// The partition that a transaction names.
+fn part_of(body: &[u8]) -> String {
+    let tx: Value = serde_json::from_slice(body).unwrap_or_default();
+    let rows = ["put", "remove", "expected_revision"].map(|name| list(&tx[name]));
+    let part = rows.iter().flatten().next().map(|row| place(row).1);
+    part.unwrap_or_default()
+}
+
 impl Fleet {
     pub(super) async fn store(&self, incoming: &Incoming) -> Response {
         let fault = self.lock().fault;
@@ -28,8 +36,16 @@
             }
             _ => {}
         }
+        let part = match path.as_str() {
+            "/rows-tx" => part_of(&incoming.body),
+            "/rows-get" => query(incoming, "part"),
+            _ => String::new(),
+        };
+        if self.lock().parts_away.contains(&part) {
+            return answer(503, "application/json", Vec::new());
+        }
         if let (StoreFault::Turns(ms), "/rows-tx") = (fault, path.as_str()) {
-            if !self.turn(&incoming.body, ms).await {
+            if !self.turn(part, ms).await {
                 return answer(429, "application/json", Vec::new());
             }
         }
@@ -49,14 +65,11 @@
     }
 
     /// Waits until the part that a transaction names has done those before it; says whether it is taken.
-    async fn turn(&self, body: &[u8], ms: u64) -> bool {
-        let tx: Value = serde_json::from_slice(body).unwrap_or_default();
-        let rows = ["put", "remove", "expected_revision"].map(|name| list(&tx[name]));
-        let part = rows.iter().flatten().next().map(|row| place(row).1);
+    async fn turn(&self, part: String, ms: u64) -> bool {
         let now = Instant::now();
         let done = {
             let mut state = self.lock();
-            let busy_until = state.busy_until.entry(part.unwrap_or_default());
+            let busy_until = state.busy_until.entry(part);
             let at = busy_until.or_insert(now);
             if *at > now + Duration::from_secs(1) {
                 return false;
@@ -141,12 +154,31 @@
             };
             if !rows.is_empty() || Instant::now() >= until {
                 rows.sort_by_key(|r| r["ver"].as_u64());
+                let ver = self.page(&mut rows, ver).await;
                 return json(200, &json!({"rows": rows, "ver": ver, "now_ms": 1}));
             }
             Timer::after(Duration::from_millis(LOOK_MS)).await;
         }
     }
 
+    /// Cuts changes to what one answer may bring; gives where to go on.
+    async fn page(&self, rows: &mut Vec<Value>, ver: u64) -> u64 {
+        let (rows_max, page_ms) = {
+            let state = self.lock();
+            (state.feed_rows_max, state.feed_page_ms)
+        };
+        if rows_max == 0 || rows.is_empty() {
+            return ver;
+        }
+        Timer::after(Duration::from_millis(page_ms)).await;
+        if rows.len() <= rows_max {
+            return ver;
+        }
+        rows.truncate(rows_max);
+        let last = rows.last().and_then(|row| row["ver"].as_u64());
+        last.unwrap_or(ver)
+    }
+
     fn parts(&self, incoming: &Incoming) -> Response {
         const PAGE: usize = 1_000;
         let table = query(incoming, "table");
--- a/tests/test_keys.rs
+++ b/tests/test_keys.rs
@@ -124,3 +124,32 @@
     fleet.set_fault(StoreFault::None);
     until("sure", || get("/elsewhere/", "shop-key-1") == 404);
 }
+
+/// Large configurations come one after the other, each answer of the feed brings one of two, and takes a while: an entry
+/// that has not read the newest one denies no queue that is there, and takes no key that is gone.
+#[test]
+fn keys_slow_feed() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure_accounts(1, POOL, &ACCOUNTS);
+    let one = entry_with(&fleet, "e1", &["--config-within-ms", "600"]);
+    let to = one.callers;
+    fleet.set_feed_pages(1, 500);
+    // Other words of the operator come first: the page holds no configuration at all.
+    for n in 0..4 {
+        fleet.put("op", "", &format!("other/{n}"), &json!({}));
+    }
+    let left: [(&str, &[&str]); 1] = [("dock", &["dock-key"])];
+    fleet.configure_accounts(2, POOL, &left);
+    let end = std::time::Instant::now() + std::time::Duration::from_millis(600);
+    while std::time::Instant::now() < end {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    for _ in 0..20 {
+        let answer = status(to, Method::Get, "/q/", Some("shop-key-1"));
+        assert!(answer == 503 || answer == 401, "{answer}");
+        std::thread::sleep(std::time::Duration::from_millis(30));
+    }
+    until("sure", || {
+        status(to, Method::Get, "/q/", Some("shop-key-1")) == 401
+    });
+}
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -165,7 +165,12 @@
         assert!(words
             .iter()
             .any(|w| matches!(w, OperatorWord::Unreadable(k, _) if k == "wave/4")));
-        assert_eq!(words.len(), 3, "a key that nobody knows is passed over");
+        let other = OperatorWord::Other("unheard".to_string());
+        assert!(
+            words.contains(&other),
+            "a key that nobody knows is told as such"
+        );
+        assert_eq!(words.len(), 4);
         let workers = platform.workers().await.expect("read").changes;
         assert!(workers
             .iter()
