Jobs go to a second part of intake where the first does not answer

Change: two parts a job; a write that is refused or not answered within 250 ms goes to the other one. The same job in both is one job, by its id and the row that was there first; it leaves both before its progress goes. Reads look in both. Tests: intake_second_part, intake_in_both.

--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -27,6 +27,9 @@
 /// The same for the slowest store: on the users' slow days an answer takes 540 ms, and three may wait in turn.
 pub const TX_TIMEOUT_MAX_MS: Millis = 2_400;
 
+/// For a write that can go to another partition, too: twenty answers of a store that answers as it should.
+pub const INTAKE_TIMEOUT_MS: Millis = 250;
+
 /// Pause before a transaction that was refused or lost is sent again.
 pub const TX_RETRY_MS: Millis = 60;
 
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -43,7 +43,10 @@
         add_worker(&mut book, fact.clone(), began_ms);
     }
     let mut cancels = Vec::new();
-    for row in loaded.intake {
+    let mut intake = loaded.intake;
+    // A job that stands in two parts goes by the row that was there first, as for an owner that followed the feed.
+    intake.sort_unstable_by_key(|row| row.revision);
+    for row in intake {
         if cancelled_job(&row.key).is_some() {
             cancels.push(row);
         } else {
@@ -104,9 +107,6 @@
         }
         return;
     }
-    if book.by_id.contains_key(&row.key) {
-        return;
-    }
     if let Some(key) = add_job(book, row, config, ctx) {
         begin_if_new(book, key, ctx);
         let account = book.jobs.get(key).and_then(|job| job.account);
@@ -123,6 +123,13 @@
     config: &FleetConfig,
     ctx: &mut Ctx<'_>,
 ) -> Option<JobKey> {
+    if let Some(key) = book.by_id.get(&row.key).copied() {
+        let parts = &mut book.jobs[key].intake;
+        if !parts.contains(&row.part) {
+            parts.push(row.part.clone());
+        }
+        return None;
+    }
     let spec: JobSpec = match rows::decode(row.value.as_deref().unwrap_or_default()) {
         Ok(spec) => spec,
         Err(e) => {
@@ -155,6 +162,7 @@
         hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
         revision: ABSENT,
         account,
+        intake: vec![row.part.clone()],
         shard: None,
         changes: 0,
         recorded_changes: 0,
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -362,7 +362,7 @@
             Settled::PoolLost => seat::lose(pool, "its row changed", ctx),
             Settled::Diverged => {
                 tenure.batches = Default::default();
-                tenure.removing.clear();
+                tenure.removing = None;
                 tenure.removable.clear();
                 tenure.book = None;
                 ctx.out
@@ -480,7 +480,7 @@
                     .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
             }
             Timer::Resend(shard) => commit::resend(tenure, &mut pool.seat, shard, ctx),
-            Timer::Remove => remove::look(tenure, &pool.name, ctx),
+            Timer::Remove => remove::look(tenure, ctx),
             _ => {
                 if let Some(book) = &mut tenure.book {
                     fire_in_book(book, timer, epoch, ctx);
--- a/src/core/sched/remove.rs
+++ b/src/core/sched/remove.rs
@@ -8,24 +8,25 @@
 use super::book::Book;
 use super::keys::JobKey;
 use super::limits::{FINISHED_KEPT_MS, REMOVED_JOBS, REMOVE_MS};
-use super::rows::{cancel_key, intake_part, shard_part, SHARDS};
+use super::rows::{cancel_key, shard_part, SHARDS};
 use super::seat::epoch_guard;
 use super::state::{Batch, Ctx, Effect, Pool, Tenure, Timer};
 use crate::port::fleet::{RowTx, Table, TxOutcome, Write};
 
 /// Removes what was submitted, of the part with the most jobs that are old.
-pub(super) fn look(tenure: &mut Tenure, pool: &str, ctx: &mut Ctx<'_>) {
+pub(super) fn look(tenure: &mut Tenure, ctx: &mut Ctx<'_>) {
     ctx.after(REMOVE_MS, Timer::Remove);
     let Some(book) = &tenure.book else { return };
-    if !tenure.removing.is_empty() || !tenure.removable.is_empty() || !ctx.may_send() {
+    if tenure.removing.is_some() || !tenure.removable.is_empty() || !ctx.may_send() {
         return;
     }
-    let mut old: BTreeMap<String, Vec<JobKey>> = BTreeMap::new();
+    let mut old: BTreeMap<&String, Vec<JobKey>> = BTreeMap::new();
     for (key, job) in &book.jobs {
         let is_old = |at| ctx.now.ms > at + FINISHED_KEPT_MS;
         if job.finished_ms.is_some_and(is_old) {
-            let part = intake_part(pool, &job.id);
-            old.entry(part).or_default().push(key);
+            for part in &job.intake {
+                old.entry(part).or_default().push(key);
+            }
         }
     }
     let Some((part, mut keys)) = old.into_iter().max_by_key(|(_, keys)| keys.len()) else {
@@ -35,12 +36,12 @@
     let ids = keys.iter().map(|key| &book.jobs[*key].id);
     let writes = ids.flat_map(|id| [id.clone(), cancel_key(id)]);
     let tx = RowTx {
-        part,
+        part: part.clone(),
         // Rows of a final job are nobody's any more: no guard is needed.
         guards: Vec::new(),
         writes: writes.map(|key| gone(Table::Intake, key)).collect(),
     };
-    tenure.removing = keys;
+    tenure.removing = Some((part.clone(), keys));
     ctx.out
         .push(Effect::RemoveIntake(ctx.pool, tenure.epoch, tx));
 }
@@ -55,9 +56,21 @@
 
 /// What was submitted is gone, or not: then the next look tries again.
 pub(super) fn intake_removed(tenure: &mut Tenure, outcome: &TxOutcome) {
-    let keys = std::mem::take(&mut tenure.removing);
-    if matches!(outcome, TxOutcome::Committed(_)) {
-        tenure.removable = keys;
+    let (Some((part, keys)), Some(book)) = (tenure.removing.take(), &mut tenure.book) else {
+        return;
+    };
+    if !matches!(outcome, TxOutcome::Committed(_)) {
+        return;
+    }
+    for key in keys {
+        let Some(job) = book.jobs.get_mut(key) else {
+            continue;
+        };
+        job.intake.retain(|other| *other != part);
+        // Progress stays until no part can bring the job back.
+        if job.intake.is_empty() {
+            tenure.removable.push(key);
+        }
     }
 }
 
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -183,10 +183,13 @@
     (1..SHARDS).contains(&number).then_some((pool, number))
 }
 
-/// The part of a pool's intake that holds a job and its cancel.
-pub fn intake_part(pool: &str, job: &str) -> String {
+/// The two parts of a pool's intake that may hold a job and its cancel: the second one is for when the first does not
+/// answer. With a quarter of the partitions away, one job in sixteen can't be taken in place of one in four. A job that
+/// stands in both is one job: its owner goes by the id.
+pub fn intake_parts_of(pool: &str, job: &str) -> [String; 2] {
     let number = fnv1a(job.bytes()) % INTAKE_PARTS;
-    format!("{pool}{PART_SIGN}{number}")
+    let second = (number + INTAKE_PARTS / 2) % INTAKE_PARTS;
+    [number, second].map(|number| format!("{pool}{PART_SIGN}{number}"))
 }
 
 /// All parts of a pool's intake.
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -541,7 +541,7 @@
         fences,
         book: None,
         batches: Default::default(),
-        removing: Vec::new(),
+        removing: None,
         removable: Vec::new(),
         early: Vec::new(),
         began_ms: ctx.now.ms,
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -36,8 +36,8 @@
     pub fences: [Revision; SHARDS],
     /// The transactions that are out, by shard.
     pub batches: [Option<Batch>; SHARDS],
-    /// Old jobs whose rows of intake are being removed.
-    pub removing: Vec<JobKey>,
+    /// Old jobs whose rows of intake are being removed, and the part that they are removed from.
+    pub removing: Option<(String, Vec<JobKey>)>,
     /// Old jobs whose rows of intake are gone: their progress goes next.
     pub removable: Vec<JobKey>,
     /// Changes of jobs that came while the books were being read.
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -129,6 +129,8 @@
     pub hopeless_ms: Millis,
     /// Revision of its progress on record.
     pub revision: Revision,
+    /// Parts of intake that it stands in.
+    pub intake: Vec<String>,
     /// The shard that its progress is in; nothing before its first record.
     pub shard: Option<usize>,
     /// Counts what is to be recorded of it.
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -13,7 +13,7 @@
 use crate::core::sched::limits::TX_TIMEOUT_MS;
 use crate::core::sched::operation::{Operation, Outcome, Request};
 use crate::core::sched::rows::{
-    self, cancel_key, cancelled_job, intake_part, intake_parts, pool_of_part, shard_part,
+    self, cancel_key, cancelled_job, intake_parts, intake_parts_of, pool_of_part, shard_part,
     shard_parts, ProgressRow,
 };
 use crate::port::fleet::{
@@ -24,8 +24,8 @@
 /// Pause before a store that refused or was silent is asked again.
 const RETRY_PAUSE_MS: Millis = 60;
 
-/// A store that refuses is asked so often before the caller is sent elsewhere.
-const REFUSALS_MAX: u32 = 3;
+/// A store that refuses is asked so often before the caller is sent elsewhere: each of two parts twice.
+const REFUSALS_MAX: u32 = 4;
 
 /// What a write may take before the caller is told that its fate is not known; other entries may do
 /// better. Twice the time of one sending.
@@ -82,17 +82,10 @@
     Unsure,
 }
 
-/// Writes a row that must not be there, as often as it takes to know what became of it.
-async fn insert<R: Rows>(
-    shared: &Shared,
-    store: &R,
-    part: String,
-    key: &str,
-    value: Vec<u8>,
-    until: Instant,
-) -> Insert {
-    let tx = RowTx {
-        part,
+/// The write of a row that must not be there.
+fn insertion(part: &str, key: &str, value: &[u8]) -> RowTx {
+    RowTx {
+        part: part.to_string(),
         guards: vec![Guard {
             table: Table::Intake,
             key: key.to_string(),
@@ -101,16 +94,33 @@
         writes: vec![Write {
             table: Table::Intake,
             key: key.to_string(),
-            value: Some(value),
+            value: Some(value.to_vec()),
         }],
-    };
+    }
+}
+
+/// Writes a row that must not be there into one of these parts, in turn, as often as it takes to know what became of
+/// it.
+async fn insert<R: Rows>(
+    shared: &Shared,
+    store: &R,
+    parts: &[String],
+    key: &str,
+    value: Vec<u8>,
+    until: Instant,
+) -> Insert {
     let until = until.min(Instant::now() + Duration::from_millis(WRITE_MS));
     let mut may_be_done = false;
     let mut refusals = 0;
-    loop {
+    for part in parts.iter().cycle() {
         let left = until.saturating_duration_since(Instant::now());
-        let left_ms = (left.as_millis() as Millis).max(TX_TIMEOUT_MS);
-        match shared.transact(store, &tx, left_ms).await {
+        let most_ms = match parts.len() {
+            // Where there is another part to try, this one is not waited for until nobody else waits.
+            2.. => shared.intake_timeout.ms(),
+            _ => (left.as_millis() as Millis).max(TX_TIMEOUT_MS),
+        };
+        let tx = insertion(part, key, &value);
+        match shared.transact(store, &tx, most_ms).await {
             TxOutcome::Committed(_) => return Insert::Done,
             TxOutcome::Conflict(found) => {
                 let value = found.into_iter().find_map(|(_, row)| row.value);
@@ -120,18 +130,18 @@
             TxOutcome::Refused => refusals += 1,
         }
         if !may_be_done && refusals >= REFUSALS_MAX {
-            return Insert::NotDone;
+            break;
         }
         let next = Instant::now() + Duration::from_millis(RETRY_PAUSE_MS);
         if next >= until {
-            return if may_be_done {
-                Insert::Unsure
-            } else {
-                Insert::NotDone
-            };
+            break;
         }
         Timer::at(next).await;
     }
+    match may_be_done {
+        true => Insert::Unsure,
+        false => Insert::NotDone,
+    }
 }
 
 /// For how long the store has been away, unless it is back within a moment.
@@ -160,8 +170,8 @@
         let retry_after_s = away_s.clamp(RETRY_AFTER_S, RETRY_AFTER_MAX_S);
         return Outcome::NotTaken { retry_after_s };
     }
-    let part = intake_part(pool, id);
-    match insert(shared, store, part, id, rows::encode(spec), until).await {
+    let parts = intake_parts_of(pool, id);
+    match insert(shared, store, &parts, id, rows::encode(spec), until).await {
         Insert::Done => Outcome::Accepted,
         Insert::Found(bytes) => match rows::decode::<JobSpec>(&bytes) {
             Ok(there) if there.account != spec.account => Outcome::NotTaken {
@@ -199,7 +209,8 @@
 
 /// The rows of one job.
 struct JobRows {
-    pool: String,
+    /// The part of intake that it was found in.
+    part: String,
     owner: JobOwner,
     is_cancelled: bool,
     progress: Option<StoredRow>,
@@ -234,6 +245,25 @@
     pool: &str,
     id: &str,
     timeout_ms: Millis,
+) -> Result<Option<JobRows>, ReadError> {
+    let [first, second] = intake_parts_of(pool, id);
+    match find_in_part(store, pool, first, id, timeout_ms).await {
+        Ok(Some(found)) => Ok(Some(found)),
+        Ok(None) => find_in_part(store, pool, second, id, timeout_ms).await,
+        // Not there where it can be read does not mean that it is nowhere.
+        Err(e) => match find_in_part(store, pool, second, id, timeout_ms).await? {
+            Some(found) => Ok(Some(found)),
+            None => Err(e),
+        },
+    }
+}
+
+async fn find_in_part<R: Rows>(
+    store: &R,
+    pool: &str,
+    part: String,
+    id: &str,
+    timeout_ms: Millis,
 ) -> Result<Option<JobRows>, ReadError> {
     // Both keys of the job lie in this range: the id, and the id with a suffix.
     let range = Range {
@@ -241,10 +271,9 @@
         until: format!("{id}~"),
         rows_max: 0,
     };
-    let part = intake_part(pool, id);
     let intake = store.scan(Table::Intake, &part, range.clone(), timeout_ms);
-    let first = shard_part(pool, 0);
-    let progress = store.scan(Table::Progress, &first, range.clone(), timeout_ms);
+    let shard = shard_part(pool, 0);
+    let progress = store.scan(Table::Progress, &shard, range.clone(), timeout_ms);
     let (intake, progress) = zip(intake, progress).await;
     let (intake, progress): (Scan, Scan) = (intake?, progress?);
     let Some(job) = intake.rows.iter().find(|row| row.key == id) else {
@@ -257,13 +286,11 @@
         Some(row) => Some(row),
         None => progress_elsewhere(store, pool, range, timeout_ms).await?,
     };
+    let mut keys = intake.rows.iter().map(|row| &row.key);
     Ok(Some(JobRows {
         owner,
-        pool: pool.to_string(),
-        is_cancelled: intake
-            .rows
-            .iter()
-            .any(|row| cancelled_job(&row.key).is_some()),
+        is_cancelled: keys.any(|key| cancelled_job(key).is_some()),
+        part,
         progress,
     }))
 }
@@ -342,8 +369,17 @@
     if found.is_cancelled {
         return Outcome::Cancelled;
     }
-    let part = intake_part(&found.pool, id);
-    match insert(shared, store, part, &cancel_key(id), b"{}".to_vec(), until).await {
+    let parts = [found.part];
+    match insert(
+        shared,
+        store,
+        &parts,
+        &cancel_key(id),
+        b"{}".to_vec(),
+        until,
+    )
+    .await
+    {
         Insert::Done | Insert::Found(_) => Outcome::Cancelled,
         Insert::NotDone => Outcome::NotTaken {
             retry_after_s: RETRY_AFTER_S,
@@ -380,7 +416,9 @@
         let spec = rows::decode::<JobSpec>(row.value.as_deref().unwrap_or_default());
         spec.is_ok_and(|s| s.queue == queue) && !begun(&row.key) && !cancelled(&row.key)
     };
-    Ok(intake.iter().filter(waits).count() as u64)
+    // A job may stand in two parts.
+    let waiting: BTreeSet<&String> = intake.iter().filter(waits).map(|row| &row.key).collect();
+    Ok(waiting.len() as u64)
 }
 
 /// All rows of a pool's intake.
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -8,7 +8,7 @@
 
 use super::settings::ServeSettings;
 use crate::clock::{wall_ms, Clock, Millis, Now};
-use crate::core::sched::limits::{TX_TIMEOUT_MAX_MS, TX_TIMEOUT_MS};
+use crate::core::sched::limits::{INTAKE_TIMEOUT_MS, TX_TIMEOUT_MAX_MS, TX_TIMEOUT_MS};
 use crate::core::sched::routing::Routing;
 use crate::event::Decision;
 use crate::log::Log;
@@ -48,6 +48,8 @@
     pub(super) stopping_at_ms: AtomicU64,
     /// For transactions with the store.
     pub(super) store_timeout: AdaptiveTimeout,
+    /// For those that can be made in another partition, too.
+    pub(super) intake_timeout: AdaptiveTimeout,
     /// Open connections of callers.
     pub(super) connections: AtomicU64,
     waiting: Mutex<BTreeMap<String, Waiting>>,
@@ -66,6 +68,7 @@
             store_away_ms: AtomicU64::new(1),
             stopping_at_ms: AtomicU64::new(0),
             store_timeout: AdaptiveTimeout::new(TX_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
+            intake_timeout: AdaptiveTimeout::new(INTAKE_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
             connections: AtomicU64::new(0),
             waiting: Mutex::new(BTreeMap::new()),
         }
@@ -91,11 +94,15 @@
         let outcome = platform.transact(tx, timeout_ms).await;
         let took_ms = self.clock.now_ms() - began_ms;
         match outcome {
-            TxOutcome::Unknown if took_ms >= timeout_ms => self.store_timeout.silent(timeout_ms),
+            TxOutcome::Unknown if took_ms >= timeout_ms => {
+                self.store_timeout.silent(timeout_ms);
+                self.intake_timeout.silent(timeout_ms);
+            }
             // A connection that broke, or a refusal, tells nothing of how fast answers are.
             TxOutcome::Unknown | TxOutcome::Refused => {}
             TxOutcome::Committed(_) | TxOutcome::Conflict(_) => {
                 self.store_timeout.answered(took_ms);
+                self.intake_timeout.answered(took_ms);
             }
         }
         outcome
--- a/tests/test_intake.rs
+++ b/tests/test_intake.rs
@@ -2,13 +2,19 @@
 
 use std::collections::BTreeMap;
 
-use rockwick::core::sched::rows::{intake_part, intake_parts, pool_of_part};
+use rockwick::core::sched::job::JobState;
+use rockwick::core::sched::rows::{intake_parts, intake_parts_of, pool_of_part, SHARDS};
+use standin::fleet::Fleet;
+
+use crate::test_serve::{entry, state, status, submit, until};
+use crate::world::{job, World};
 
 #[test]
 fn intake_spreads() {
     let mut jobs: BTreeMap<String, u32> = BTreeMap::new();
     for n in 0..6_400u64 {
-        let part = intake_part("pool", &format!("{:016x}", n * 0x9e37_79b9));
+        let [part, second] = intake_parts_of("pool", &format!("{:016x}", n * 0x9e37_79b9));
+        assert_ne!(part, second);
         *jobs.entry(part).or_default() += 1;
     }
     let most = jobs.values().max().copied();
@@ -18,6 +24,63 @@
 #[test]
 fn intake_parts_known() {
     let parts = intake_parts("a/b");
-    assert!(parts.contains(&intake_part("a/b", "00000000000000aa")));
+    for part in intake_parts_of("a/b", "00000000000000aa") {
+        assert!(parts.contains(&part));
+    }
     assert!(parts.iter().all(|part| pool_of_part(part) == "a/b"));
 }
+
+/// A job whose partition is away is taken in its second one, stays one job when it is handed in again after the
+/// return, and can be read and cancelled meanwhile.
+#[test]
+fn intake_second_part() {
+    let fleet = Fleet::start("pool", 2, 50).expect("it starts");
+    fleet.configure(1, "pool");
+    let one = entry(&fleet, "e1");
+    let (id, other) = ("00000000000000aa", "00000000000000bb");
+    let before = "00000000000000cc";
+    assert_eq!(submit(one.callers, before, "work"), Some(200));
+    until("owned", || state(one.callers, before) == "completed");
+    let [first, second] = intake_parts_of("pool", id);
+    let [other_first, _] = intake_parts_of("pool", other);
+    fleet.set_parts_away(&[first.clone(), other_first]);
+    assert_eq!(submit(one.callers, id, "work"), Some(200));
+    until("completed", || state(one.callers, id) == "completed");
+    assert_eq!(submit(one.callers, other, "lasts"), Some(200));
+    until("running", || fleet.running() == 3);
+    let path = format!("/q/{other}");
+    let gone = crate::test_serve::call(
+        one.callers,
+        http_types::Method::Delete,
+        &path,
+        &serde_json::Value::Null,
+    );
+    assert_eq!(gone.map(|answer| answer.status), Some(200));
+    until("stopped", || fleet.running() == 0);
+    fleet.set_parts_away(&[]);
+    assert_eq!(
+        submit(one.callers, id, "work"),
+        Some(200),
+        "it is the same job"
+    );
+    assert_eq!(state(one.callers, id), "completed");
+    assert_eq!(fleet.starts(), 9, "nothing ran twice");
+    fleet.set_parts_away(&[first, second]);
+    assert_eq!(status(one.callers, &format!("/q/{id}")), Some(504));
+}
+
+/// A job that stands in two parts runs once, and leaves both before its progress goes: else it would come back.
+#[test]
+fn intake_in_both() {
+    let mut world = World::new(51, 2, 3);
+    world.run(8_000);
+    world.submit("a", job(2, 1_000, 100));
+    world.submit_again("a");
+    world.run(2_000);
+    assert_eq!(world.recorded("a"), JobState::Completed);
+    world.kill(world.owner_entry().expect("somebody owns the pool"));
+    world.run(170_000);
+    assert_eq!(world.recorded("a"), JobState::Completed);
+    assert_eq!(world.starts, 2);
+    assert_eq!(world.store.len(), 2 * SHARDS, "owner and heartbeat a shard");
+}
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -105,14 +105,14 @@
     call(to, Method::Get, path, &Value::Null).map(|a| a.status)
 }
 
-fn state(to: SocketAddr, id: &str) -> String {
+pub(crate) fn state(to: SocketAddr, id: &str) -> String {
     let answer = call(to, Method::Get, &format!("/q/{id}"), &Value::Null);
     let body: Option<Value> = answer.and_then(|a| a.json());
     body.and_then(|b| b["state"].as_str().map(str::to_string))
         .unwrap_or_default()
 }
 
-fn submit(to: SocketAddr, id: &str, spec: &str) -> Option<u16> {
+pub(crate) fn submit(to: SocketAddr, id: &str, spec: &str) -> Option<u16> {
     let body = json!({"spec": spec, "steps": [{"count": 3, "cpu": 500, "mem_mb": 100, "estimate_ms": 50}],
         "unknown": 1});
     call(to, Method::Post, &format!("/q/{id}"), &body).map(|a| a.status)
--- a/tests/test_shards.rs
+++ b/tests/test_shards.rs
@@ -120,6 +120,7 @@
         let found = rockwick::core::sched::rows::shard_of_part(part);
         assert_eq!(found, Some((POOL, shard)));
     }
-    let intake = rockwick::core::sched::rows::intake_part(POOL, "a");
-    assert_eq!(rockwick::core::sched::rows::shard_of_part(&intake), None);
+    for part in rockwick::core::sched::rows::intake_parts_of(POOL, "a") {
+        assert_eq!(rockwick::core::sched::rows::shard_of_part(&part), None);
+    }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -20,7 +20,7 @@
 use rockwick::core::sched::quota::quota_part;
 use rockwick::core::sched::reduce;
 use rockwick::core::sched::rows::{
-    self, cancel_key, intake_part, pool_of_part, shard_parts, ProgressRow,
+    self, cancel_key, intake_parts_of, pool_of_part, shard_parts, ProgressRow,
 };
 use rockwick::core::sched::state::{Effect, Event, LoadedRows, PoolKey, State};
 use rockwick::port::fleet::{
@@ -418,13 +418,21 @@
         spec.accepted_wall_ms = WALL_MS + self.now_ms;
         let value = rows::encode(&spec);
         self.specs.insert(id.to_string(), spec);
-        self.put(Table::Intake, &intake_part(POOL, id), id, value);
+        let [part, _] = intake_parts_of(POOL, id);
+        self.put(Table::Intake, &part, id, value);
+    }
+
+    /// The same job handed in again while its first part did not answer, so that it stands in both.
+    pub(crate) fn submit_again(&mut self, id: &str) {
+        let value = rows::encode(&self.specs[id]);
+        let [_, part] = intake_parts_of(POOL, id);
+        self.put(Table::Intake, &part, id, value);
     }
 
     /// A caller cancels a job.
     pub(crate) fn cancel(&mut self, id: &str) {
         self.cancelled_at_ms.insert(id.to_string(), self.now_ms);
-        let part = intake_part(POOL, id);
+        let [part, _] = intake_parts_of(POOL, id);
         self.put(Table::Intake, &part, &cancel_key(id), b"{}".to_vec());
     }
 
