What an account sends beyond its weight waits behind what others were promised

Ways: as it stood (none); a meter an account at each pool's owner, what is beyond goes into the class of jobs set behind. Refusing what is beyond was not built: it would turn away work that idle hosts could do. Change: fairness.rs, pure; excess counts as no need for hosts that another pool needs. With it: a new configuration asks for a look at quotas in place of another chain of timers (quota_looks_stay_one failed).

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -4,6 +4,7 @@
 
 use slotmap::SlotMap;
 
+use super::fairness::Meter;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
 use super::limits::ARRIVALS_MS;
@@ -15,7 +16,7 @@
 use super::times::Times;
 use super::worker::{TakenEnd, Worker};
 use crate::clock::Millis;
-use crate::port::fleet::{Capacity, TaskName};
+use crate::port::fleet::{AccountConfig, Capacity, TaskName};
 
 /// A run that is at work, or may yet start, although an earlier run of its task is done.
 #[derive(Clone, Debug)]
@@ -47,6 +48,10 @@
     pub limit: Option<Capacity>,
     /// What could be granted here at most, beside what other pools have.
     pub ceiling: Capacity,
+    /// Jobs a second that it was promised; 0 for no bound.
+    pub weight: u64,
+    /// What it sent of late.
+    pub meter: Meter,
 }
 
 /// Hosts that a pool lacks and is expected to get.
@@ -157,7 +162,8 @@
     }
 
     /// The key of an account, which is new where it had no job before; what has a quota may take nothing yet.
-    pub fn account_key(&mut self, name: &str, has_quota: bool) -> AccountKey {
+    pub fn account_key(&mut self, name: &str, config: Option<&AccountConfig>) -> AccountKey {
+        let has_quota = config.is_some_and(|a| a.quota != Capacity::default());
         if let Some(key) = self.account_keys.get(name) {
             return *key;
         }
@@ -165,6 +171,7 @@
         self.accounts.push(AccountUse {
             name: name.to_string(),
             limit: has_quota.then(Capacity::default),
+            weight: config.map_or(0, |a| a.weight),
             ..AccountUse::default()
         });
         self.account_keys.insert(name.to_string(), key);
@@ -192,6 +199,16 @@
         quota::fits(sum, limit)
     }
 
+    /// Counts a job that came now against its account's weight.
+    pub fn meter(&mut self, key: JobKey, now_ms: Millis) {
+        let Some(account) = self.jobs.get(key).and_then(|job| job.account) else {
+            return;
+        };
+        let account = self.account_mut(account);
+        let is_within = account.weight == 0 || account.meter.takes(account.weight, now_ms);
+        self.jobs[key].is_excess = !is_within;
+    }
+
     /// Whether what an account has and wants here is more than it could be granted.
     pub fn is_beyond_quota(&self, account: AccountKey) -> bool {
         let account = &self.accounts[usize::from(account.0)];
@@ -300,7 +317,7 @@
         let supply = self.supply(now_ms);
         let open = self.jobs.iter().filter(|(_, job)| {
             let is_open = !job.state.is_final() && !job.spec.is_lasting();
-            let is_behind = job.behind.is_set(now_ms);
+            let is_behind = job.is_excess || job.behind.is_set(now_ms);
             is_open && !is_behind && job.outlook(now_ms) == Outlook::InTime
         });
         let contenders = open.map(|(key, job)| job.contender(key)).collect();
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -12,7 +12,7 @@
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::{Capacity, FleetConfig, StoredRow, WorkerFact, ABSENT};
+use crate::port::fleet::{FleetConfig, StoredRow, WorkerFact, ABSENT};
 
 /// Attempts of a job whose queue is not configured any more.
 const ATTEMPTS_DEFAULT: u32 = 3;
@@ -108,10 +108,16 @@
         return;
     }
     if let Some(key) = add_job(book, row, config, ctx) {
+        book.meter(key, ctx.now.ms);
         begin_if_new(book, key, ctx);
-        let account = book.jobs.get(key).and_then(|job| job.account);
-        // What can't run for its account's quota tells of no need for hosts.
-        if account.is_none_or(|account| !book.is_beyond_quota(account)) {
+        let Some(job) = book.jobs.get(key) else {
+            return;
+        };
+        // What is beyond its account's weight or quota tells of no need for hosts.
+        let is_beyond = job
+            .account
+            .is_some_and(|account| book.is_beyond_quota(account));
+        if !job.is_excess && !is_beyond {
             book.note_arrival(key, ctx.now.ms);
         }
     }
@@ -147,11 +153,8 @@
     let age_ms = ctx.now.wall_ms.saturating_sub(spec.accepted_wall_ms);
     let begun_ms = ctx.now.ms.saturating_sub(age_ms);
     *book.waiting.entry(spec.queue.clone()).or_default() += 1;
-    let account = spec.account.as_deref().map(|name| {
-        let config = config.accounts.get(name);
-        let has_quota = config.is_some_and(|a| a.quota != Capacity::default());
-        book.account_key(name, has_quota)
-    });
+    let account = spec.account.as_deref();
+    let account = account.map(|name| book.account_key(name, config.accounts.get(name)));
     let key = book.jobs.insert(Job {
         id: row.key.clone(),
         state: JobState::Queued,
@@ -162,6 +165,7 @@
         hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
         revision: ABSENT,
         account,
+        is_excess: false,
         intake: vec![row.part.clone()],
         shard: None,
         changes: 0,
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -7,6 +7,7 @@
 pub mod book;
 pub mod commit;
 mod exchange;
+pub mod fairness;
 pub mod gang;
 pub mod holds;
 pub mod hosts;
--- a/src/core/sched/quota.rs
+++ b/src/core/sched/quota.rs
@@ -29,6 +29,9 @@
 /// How often grants are looked at: as often as a pool's size.
 const LOOK_MS: Millis = 100;
 
+/// The same where no account is configured.
+const IDLE_LOOK_MS: Millis = 1_000;
+
 /// What a pool does not need is given back after so long, if nobody asks for it sooner: jobs come one by one, and a
 /// grant that follows each would cost a call each.
 const SURPLUS_KEPT_MS: Millis = 1_000;
@@ -155,7 +158,11 @@
 
 /// Looks at the grants of all accounts that have work here, or had some.
 pub fn look(book: &mut Book, duty: &mut QuotaDuty, with: &Look<'_>, ctx: &mut Ctx<'_>) {
-    ctx.after(LOOK_MS, Timer::Quota);
+    let pause_ms = match with.config.accounts.is_empty() {
+        true => IDLE_LOOK_MS,
+        false => LOOK_MS,
+    };
+    ctx.after(pause_ms, Timer::Quota);
     adjust(book, duty, with, ctx);
 }
 
@@ -164,7 +171,9 @@
     book.wants_quota = false;
     let mut short = BTreeSet::new();
     for account in &mut book.accounts {
-        let quota = with.config.accounts.get(&account.name).map(|a| a.quota);
+        let config = with.config.accounts.get(&account.name);
+        account.weight = config.map_or(0, |a| a.weight);
+        let quota = config.map(|a| a.quota);
         let Some(quota) = quota.filter(|q| *q != Capacity::default()) else {
             if account.limit.take().is_some() {
                 book.wants_placing = true;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -195,8 +195,12 @@
     for name in names {
         pool_key(state, &name, now);
     }
-    for key in owned_pools(state) {
-        state.timers.insert((now.ms, key, Timer::Quota));
+    let tenures = state
+        .pools
+        .iter_mut()
+        .filter_map(|pool| pool.tenure.as_mut());
+    for book in tenures.filter_map(|tenure| tenure.book.as_mut()) {
+        book.wants_quota = true;
     }
 }
 
@@ -332,7 +336,8 @@
         Decision::new(Code::JobTaken, Subject::Job, id, taken_for(&job.spec))
             .with("work_core_ms", job.spec.work(&job.step_ms))
             .with("chain_ms", job.spec.longest_ms(&job.step_ms, |_| true))
-            .with("due_in_ms", job.due_ms.saturating_sub(ctx.now.ms)),
+            .with("due_in_ms", job.due_ms.saturating_sub(ctx.now.ms))
+            .with("excess", u64::from(job.is_excess)),
     );
 }
 
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -177,7 +177,7 @@
     for job in book.jobs.values().filter(|job| !job.state.is_final()) {
         let sum = match job.outlook(now_ms) {
             _ if job.spec.is_lasting() => &mut lasting,
-            Outlook::InTime => &mut in_time,
+            Outlook::InTime if !job.is_excess => &mut in_time,
             _ => &mut late,
         };
         sum.add(within_quota(book, job, &mut counted));
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -129,6 +129,8 @@
     pub hopeless_ms: Millis,
     /// Revision of its progress on record.
     pub revision: Revision,
+    /// Its account had sent more than its weight when it came: it waits behind those of accounts that had not.
+    pub is_excess: bool,
     /// Parts of intake that it stands in.
     pub intake: Vec<String>,
     /// The shard that its progress is in; nothing before its first record.
@@ -208,7 +210,7 @@
     /// Its class among waiting tasks.
     pub(super) fn class(&self, now_ms: Millis) -> Class {
         match self.outlook(now_ms) {
-            Outlook::InTime if self.behind.is_set(now_ms) => Class::Behind,
+            Outlook::InTime if self.is_excess || self.behind.is_set(now_ms) => Class::Behind,
             Outlook::InTime => Class::InTime,
             Outlook::Late => Class::Late,
             Outlook::Nothing => Class::Hopeless,
--- a/tests/test_quota.rs
+++ b/tests/test_quota.rs
@@ -6,7 +6,7 @@
 use rockwick::core::sched::book::Book;
 use rockwick::core::sched::job::JobState;
 use rockwick::core::sched::quota::{self, Look, QuotaDuty};
-use rockwick::core::sched::state::Effect;
+use rockwick::core::sched::state::{Effect, Timer};
 use rockwick::port::fleet::{
     AccountConfig, Capacity, FleetConfig, RowTx, StoredRow, Table, TxOutcome,
 };
@@ -57,7 +57,7 @@
             name: pool.to_string(),
             ..Book::default()
         };
-        book.account_key(ACCOUNT, true);
+        book.account_key(ACCOUNT, config(1, quota.1).accounts.get(ACCOUNT));
         book.accounts[0].used = cores(used);
         Self {
             pool: pool.to_string(),
@@ -438,3 +438,20 @@
     let done = (0..60).filter(|n| world.recorded(&format!("flood-{n}")) == JobState::Completed);
     assert_eq!(done.count(), 60);
 }
+
+/// Configurations that follow each other must not add looks: each of them would stay for good.
+#[test]
+fn quota_looks_stay_one() {
+    let mut world = World::new(44, 1, 3);
+    world.run(SETTLE_MS);
+    for n in 0..20 {
+        world.set_quotas(&[("shop", 4_000 + n)]);
+        world.run(130);
+    }
+    let state = world.owner().expect("somebody owns the pool");
+    let looks = state
+        .timers
+        .iter()
+        .filter(|(_, _, timer)| *timer == Timer::Quota);
+    assert_eq!(looks.count(), 1);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -19,6 +19,7 @@
 mod test_config;
 mod test_drain;
 mod test_edge;
+mod test_fairness;
 mod test_fuzz;
 mod test_hosts;
 mod test_intake;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -387,9 +387,17 @@
 
     /// Puts a configuration with these accounts in force: names and thousandths of a core that they may have running.
     pub(crate) fn set_quotas(&mut self, quotas: &[(&str, u64)]) {
-        let account = |(name, cpu_milli): &(&str, u64)| {
+        let accounts: Vec<(&str, u64, u64)> =
+            quotas.iter().map(|(name, cpu)| (*name, *cpu, 0)).collect();
+        self.set_accounts(&accounts);
+    }
+
+    /// The same, and how many jobs a second they were promised; 0 is no bound.
+    pub(crate) fn set_accounts(&mut self, accounts: &[(&str, u64, u64)]) {
+        let account = |(name, cpu_milli, weight): &(&str, u64, u64)| {
             let config = AccountConfig {
                 name: name.to_string(),
+                weight: *weight,
                 quota: Capacity {
                     cpu_milli: *cpu_milli,
                     ..Capacity::default()
@@ -399,7 +407,7 @@
             (name.to_string(), config)
         };
         self.config.version += 1;
-        self.config.accounts = quotas.iter().map(account).collect();
+        self.config.accounts = accounts.iter().map(account).collect();
         let config = Arc::new(self.config.clone());
         self.broadcast(&Event::Operator(OperatorWord::Config(config)));
     }
