A write without an answer has the store looked at, and the first read after an outage waits for nothing

Cause: a silent store was noticed by the operator's feed alone, 0.8 to 1.8 s in, and two probes later; what came until then ended without a known fate. After the return the feed waited up to 1 s for news. Change: a transaction without an answer cuts that wait short; two reads of other partitions decide, with the bound that answers have shown to need. The first call after a failure waits for nothing.

--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use smol::channel::Sender;
 use smol::Timer;
 
@@ -31,7 +32,7 @@
 /// away, both fail in one case of sixteen.
 const PROBES: usize = 2;
 
-/// How long each of them may take: as long as a new connection and ten answers of a good store.
+/// How long each of them may take at the least: a new connection and ten answers of a good store.
 const PROBE_MS: Millis = 300;
 
 /// Pause after a read that failed, and as much again by chance, so that entries do not return together.
@@ -90,17 +91,29 @@
     // What an answer brings may have more behind it: a row of 1,500 queues is half a megabyte, and an answer holds two.
     // Only one that brings nothing tells that all is known.
     let mut may_be_more = true;
+    let mut is_there = false;
     loop {
         let asked_ms = shared.clock.now_ms();
         let waits_ms = if may_be_more { 0 } else { wait_ms };
-        let got = match since {
-            None => platform.operator().await,
-            Some(revision) => platform.operator_feed(revision, waits_ms).await,
+        let call = async {
+            match since {
+                None => platform.operator().await,
+                Some(revision) => platform.operator_feed(revision, waits_ms).await,
+            }
+        };
+        let doubt = async {
+            shared.doubted().await;
+            Err(ReadError::Down)
+        };
+        let got = match is_there {
+            // A transaction that got no answer cuts the wait for news short.
+            true => call.or(doubt).await,
+            false => call.await,
         };
         let answers = got.is_ok() || got.as_ref().err() == Some(&ReadError::HistoryGone);
         shared.note_operator(answers);
         // The operator's partition may be the only one that is away.
-        let is_there = answers || answers_elsewhere(&platform, &shared).await;
+        is_there = answers || answers_elsewhere(&platform, &shared).await;
         if note_store(&shared, is_there) {
             send(&events, Event::Store(is_there)).await;
         }
@@ -117,6 +130,8 @@
             }
             Err(ReadError::HistoryGone) => None,
             Err(ReadError::Down) => {
+                // The first answer after an outage must not wait for news: until it is there, callers are refused.
+                may_be_more = true;
                 pause_after_failure().await;
                 since
             }
@@ -142,10 +157,12 @@
         rows_max: 1,
         ..Range::default()
     };
-    let reads = parts
-        .iter()
-        .map(|part| platform.scan(Table::Owners, part, one(), PROBE_MS));
-    let answers = join_all(reads.collect()).await;
+    let timeout_ms = shared.intake_timeout.ms().max(PROBE_MS);
+    let mut reads = Vec::new();
+    for part in &parts {
+        reads.push(platform.scan(Table::Owners, part, one(), timeout_ms));
+    }
+    let answers = join_all(reads).await;
     answers.iter().any(Result::is_ok)
 }
 
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
+use smol::channel::{Receiver, Sender};
 
 use super::settings::ServeSettings;
 use crate::clock::{wall_ms, Clock, Millis, Now};
@@ -42,6 +43,8 @@
     routing: ArcSwapOption<Routing>,
     /// Up to when everything that the operator said is known here; 0 before the first word.
     routing_known_ms: AtomicU64,
+    /// A transaction got no answer: the store may be away.
+    doubts: (Sender<()>, Receiver<()>),
     /// The last call for the operator's word failed.
     is_operator_silent: AtomicBool,
     /// Since when the store does not answer this entry; 0 while it does.
@@ -67,6 +70,7 @@
             metrics: Metrics::new(),
             routing: ArcSwapOption::empty(),
             routing_known_ms: AtomicU64::new(0),
+            doubts: smol::channel::bounded(1),
             is_operator_silent: AtomicBool::new(false),
             store_away_ms: AtomicU64::new(1),
             stopping_at_ms: AtomicU64::new(0),
@@ -100,6 +104,8 @@
             TxOutcome::Unknown if took_ms >= timeout_ms => {
                 self.store_timeout.silent(timeout_ms);
                 self.intake_timeout.silent(timeout_ms);
+                // A full channel means that it was told.
+                let _ = self.doubts.0.try_send(());
             }
             // A connection that broke, or a refusal, tells nothing of how fast answers are.
             TxOutcome::Unknown | TxOutcome::Refused => {}
@@ -122,6 +128,12 @@
         (at_ms > 0).then(|| self.clock.now_ms().saturating_sub(at_ms))
     }
 
+    /// Comes back once a transaction got no answer.
+    pub(super) async fn doubted(&self) {
+        // The sender lives beside it: the channel is never closed.
+        let _ = self.doubts.1.recv().await;
+    }
+
     /// Takes note of whether the store answered; says whether that is a change.
     pub(super) fn note_store(&self, answers: bool) -> bool {
         if answers {
