--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -4,19 +4,18 @@
 
 use slotmap::SlotMap;
 
-use super::fairness::Meter;
+use super::accounts::AccountUse;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
 use super::limits::ARRIVALS_MS;
 use super::overload::{self, Supply};
-use super::quota;
 use super::room::Room;
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
 use super::tasks::{Class, Job, Outlook, Phase, Rank, Round, StepRun, Task};
 use super::times::Times;
 use super::worker::{TakenEnd, Worker};
 use crate::clock::Millis;
-use crate::port::fleet::{AccountConfig, Capacity, TaskName};
+use crate::port::fleet::{Capacity, TaskName};
 
 /// A run that is at work, or may yet start, although an earlier run of its task is done.
 #[derive(Clone, Debug)]
@@ -35,25 +34,6 @@
     pub settled_ms: Option<Millis>,
 }
 
-/// What a client account has in a pool.
-#[derive(Clone, Debug, Default)]
-pub struct AccountUse {
-    /// Its name.
-    pub name: String,
-    /// What its tasks take that run or may run.
-    pub used: Capacity,
-    /// What those ask for that wait for a place.
-    pub waiting: Capacity,
-    /// What may be taken at most; nothing for no limit.
-    pub limit: Option<Capacity>,
-    /// What could be granted here at most, beside what other pools have.
-    pub ceiling: Capacity,
-    /// Jobs a second that it was promised; 0 for no bound.
-    pub weight: u64,
-    /// What it sent of late.
-    pub meter: Meter,
-}
-
 /// Hosts that a pool lacks and is expected to get.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Coming {
@@ -161,66 +141,6 @@
         })
     }
 
-    /// The key of an account, which is new where it had no job before; what has a quota may take nothing yet.
-    pub fn account_key(&mut self, name: &str, config: Option<&AccountConfig>) -> AccountKey {
-        let has_quota = config.is_some_and(|a| a.quota != Capacity::default());
-        if let Some(key) = self.account_keys.get(name) {
-            return *key;
-        }
-        let key = AccountKey(self.accounts.len() as u16);
-        self.accounts.push(AccountUse {
-            name: name.to_string(),
-            limit: has_quota.then(Capacity::default),
-            weight: config.map_or(0, |a| a.weight),
-            ..AccountUse::default()
-        });
-        self.account_keys.insert(name.to_string(), key);
-        self.wants_quota |= has_quota;
-        key
-    }
-
-    /// The account that a task counts for, and what.
-    pub fn charge(&self, key: TaskKey) -> Option<(AccountKey, Capacity)> {
-        let account = self.jobs.get(key.job)?.account?;
-        Some((account, self.step_spec(key)?.charge()))
-    }
-
-    /// Whether so many tasks like this one may start within their account's limit.
-    pub fn is_within_quota(&self, key: TaskKey, count: u64) -> bool {
-        let Some((account, charge)) = self.charge(key) else {
-            return true;
-        };
-        let account = &self.accounts[usize::from(account.0)];
-        let Some(limit) = account.limit else {
-            return true;
-        };
-        let mut sum = account.used;
-        sum.add(charge.times(count));
-        quota::fits(sum, limit)
-    }
-
-    /// Counts a job that came now against its account's weight.
-    pub fn meter(&mut self, key: JobKey, now_ms: Millis) {
-        let Some(account) = self.jobs.get(key).and_then(|job| job.account) else {
-            return;
-        };
-        let account = self.account_mut(account);
-        let is_within = account.weight == 0 || account.meter.takes(account.weight, now_ms);
-        self.jobs[key].is_excess = !is_within;
-    }
-
-    /// Whether what an account has and wants here is more than it could be granted.
-    pub fn is_beyond_quota(&self, account: AccountKey) -> bool {
-        let account = &self.accounts[usize::from(account.0)];
-        let mut sum = account.used;
-        sum.add(account.waiting);
-        account.limit.is_some() && !quota::fits(sum, account.ceiling)
-    }
-
-    fn account_mut(&mut self, key: AccountKey) -> &mut AccountUse {
-        &mut self.accounts[usize::from(key.0)]
-    }
-
     /// Brings a task into a phase, with the capacity and the queue that go with it.
     pub fn set_phase(&mut self, key: TaskKey, phase: Phase, now_ms: Millis) {
         let Some(demand) = self.step_spec(key).map(StepSpec::demand) else {
@@ -283,20 +203,6 @@
         }
     }
 
-    /// Counts a waiting task into what its account waits for, or out of it.
-    fn note_waiting(&mut self, key: TaskKey, waits: bool) {
-        let Some((account, charge)) = self.charge(key) else {
-            return;
-        };
-        let is_within = self.is_within_quota(key, 1);
-        let account = self.account_mut(account);
-        match waits {
-            true => account.waiting.add(charge),
-            false => account.waiting.sub(charge),
-        }
-        self.wants_quota |= waits && !is_within;
-    }
-
     fn rank(&self, key: TaskKey, now_ms: Millis) -> Option<Rank> {
         let job = self.jobs.get(key.job)?;
         let lasts = job.spec.steps.get(usize::from(key.step))?.lasting;
--- /dev/null
+++ b/src/core/sched/claim.rs
@@ -0,0 +1,308 @@
+//! How an entry becomes a pool's owner: it claims the first shard, which settles who takes the pool, then all others.
+//!
+//! Claims are staggered, so that seldom two entries try at once and those with processor time to spare come first. See
+//! [`seat`](super::seat) for what a claim may rest on.
+
+use super::limits::{
+    CLAIM_OWNED_MS, CLAIM_SPREAD_MS, CLAIM_WEAK_MS, CPU_FULL_MILLI, OWNER_LEASE_MS, RENEW_MS,
+    TX_RETRY_MS,
+};
+use super::rows::{self, shard_part, OwnerRow, BEAT_KEY, OWNER_KEY, SHARDS};
+use super::seat::{beat, guard, observe, send_release, write, Claim, Seat};
+use super::state::{Ctx, Effect, Pool, Tenure, Timer};
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::{Revision, RowTx, TxOutcome};
+use crate::util::fnv1a;
+
+/// A fixed spread of entries over pools.
+fn spread_ms(me: &str, pool: &str) -> Millis {
+    (fnv1a(me.bytes().chain(pool.bytes())) >> 32) % CLAIM_SPREAD_MS
+}
+
+/// The entry that may claim a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Claimant {
+    /// Pools that it owns.
+    pub owned: usize,
+    /// Thousandths of a core that it may use.
+    pub cpu_milli: u64,
+    /// The same of the strongest owner that was heard; nothing before the first.
+    pub strongest_milli: Option<u64>,
+    /// Since when the store answers; nothing while it does not.
+    pub store_since_ms: Option<Millis>,
+    /// It was told to stop.
+    pub is_stopping: bool,
+    /// Tells its claims from those of an earlier process.
+    pub nonce: u64,
+}
+
+impl Claimant {
+    /// How much later it claims than an entry that owns nothing and has processor time enough.
+    fn handicap_ms(&self) -> Millis {
+        let full_milli = self.strongest_milli.unwrap_or(CPU_FULL_MILLI).max(1);
+        let lacking = full_milli.saturating_sub(self.cpu_milli);
+        let weak_ms = lacking * CLAIM_WEAK_MS / full_milli;
+        weak_ms + self.owned as Millis * CLAIM_OWNED_MS
+    }
+
+    /// How long it waits with a claim on a pool that is free.
+    fn stagger_ms(&self, entry: &str, pool: &str) -> Millis {
+        spread_ms(entry, pool) + self.handicap_ms()
+    }
+}
+
+/// Claims the pool if it has had no living owner for long enough; else looks again when it may.
+pub fn consider(pool: &mut Pool, me: &Claimant, ctx: &mut Ctx<'_>) {
+    if pool.tenure.is_some() || me.is_stopping {
+        return;
+    }
+    // Nothing is claimed while the store is away; once it is back, everybody's stagger begins anew.
+    let Some(store_since_ms) = me.store_since_ms else {
+        return;
+    };
+    if pool.seat.claim.is_some() {
+        claim_others(pool, me.nonce, ctx);
+        return;
+    }
+    if pool.seat.shards[0].is_claiming {
+        return;
+    }
+    let now_ms = ctx.now.ms;
+    if pool.seat.was_ours(ctx.me, me.nonce) {
+        claim(pool, ctx, me.nonce);
+        return;
+    }
+    let stagger_ms = me.stagger_ms(ctx.me, &pool.name);
+    let vacant_since_ms = pool.seat.vacant_since_ms(now_ms);
+    match vacant_since_ms.map(|since_ms| since_ms.max(store_since_ms)) {
+        Some(since_ms) if now_ms >= since_ms + stagger_ms => claim(pool, ctx, me.nonce),
+        Some(since_ms) => ctx.after(since_ms + stagger_ms - now_ms, Timer::Claim),
+        None => {
+            let over_ms = pool.seat.beat_seen_ms + OWNER_LEASE_MS;
+            ctx.after(over_ms - now_ms + stagger_ms, Timer::Claim);
+        }
+    }
+}
+
+/// Claims the first shard, which settles who takes the pool.
+fn claim(pool: &mut Pool, ctx: &mut Ctx<'_>, nonce: u64) {
+    pool.seat.claim_open_ms.get_or_insert(ctx.now.ms);
+    pool.seat.claim_after = pool.seat.owner.entry.clone();
+    pool.seat.claim_after_ms = pool.seat.beat_seen_ms;
+    pool.seat.former = pool.seat.former_orders();
+    send_claim(pool, 0, 0, nonce, ctx);
+}
+
+/// Claims the shards that are not won yet, each once its heartbeat is a lease old: the owner before may have renewed
+/// there while the first shard was claimed.
+fn claim_others(pool: &mut Pool, nonce: u64, ctx: &mut Ctx<'_>) {
+    let Some(claim) = pool.seat.claim.clone() else {
+        return;
+    };
+    for shard in 1..SHARDS {
+        let seat = &pool.seat.shards[shard];
+        if claim.fences[shard].is_some() || seat.is_claiming {
+            continue;
+        }
+        let has_left = pool.seat.claim_after.is_empty() || pool.seat.claim_after == ctx.me;
+        let over_ms = seat.beat_seen_ms + OWNER_LEASE_MS;
+        if !has_left && ctx.now.ms < over_ms {
+            ctx.after(over_ms - ctx.now.ms, Timer::Claim);
+            continue;
+        }
+        send_claim(pool, shard, claim.epoch, nonce, ctx);
+    }
+}
+
+fn send_claim(pool: &mut Pool, shard: usize, epoch: Revision, nonce: u64, ctx: &mut Ctx<'_>) {
+    let owner = OwnerRow {
+        entry: ctx.me.to_string(),
+        nonce,
+        epoch,
+    };
+    let seat = &pool.seat.shards[shard];
+    let tx = RowTx {
+        part: shard_part(&pool.name, shard),
+        guards: vec![
+            guard(OWNER_KEY, seat.owner_revision),
+            guard(BEAT_KEY, seat.beat_revision),
+        ],
+        writes: vec![
+            write(OWNER_KEY, rows::encode(&owner)),
+            write(BEAT_KEY, rows::encode(&beat(pool, ctx))),
+        ],
+    };
+    pool.seat.shards[shard].is_claiming = true;
+    ctx.out.push(Effect::Claim(ctx.pool, shard, tx));
+}
+
+/// Settles the claim of a shard.
+pub fn claimed(
+    pool: &mut Pool,
+    shard: usize,
+    sent_ms: Millis,
+    outcome: TxOutcome,
+    me: &Claimant,
+    ctx: &mut Ctx<'_>,
+) {
+    pool.seat.shards[shard].is_claiming = false;
+    let nonce = me.nonce;
+    let mut pause_ms = TX_RETRY_MS;
+    match outcome {
+        TxOutcome::Committed(revision) if shard == 0 => win(pool, revision, sent_ms, nonce, ctx),
+        TxOutcome::Committed(revision) => win_other(&mut pool.seat, shard, revision),
+        TxOutcome::Conflict(found) => {
+            for (_, row) in &found {
+                // An undecodable row was logged when the feed brought it.
+                let _ = observe(pool, shard, row, ctx.now.ms);
+            }
+            begin_if_claimed(pool, nonce, ctx);
+            if shard == 0 {
+                // Whatever earlier claim was on its way, its condition holds no more.
+                pool.seat.claim_open_ms = None;
+            }
+        }
+        // In an outage the stagger since the pool became free is long over at every entry: the one with the most
+        // room must still be the first when the store is back.
+        TxOutcome::Refused | TxOutcome::Unknown if shard == 0 => {
+            pause_ms += me.stagger_ms(ctx.me, &pool.name);
+        }
+        TxOutcome::Refused | TxOutcome::Unknown => {}
+    }
+    if me.is_stopping {
+        give_up_claim(pool, ctx);
+    }
+    begin_if_won(pool, ctx);
+    if pool.tenure.is_none() {
+        ctx.after(pause_ms, Timer::Claim);
+    }
+}
+
+/// Goes on with a claim of ours that is seen in the store, its answer lost or still on its way.
+pub fn begin_if_claimed(pool: &mut Pool, nonce: u64, ctx: &mut Ctx<'_>) {
+    let seat = &mut pool.seat;
+    let is_ours = seat.owner.entry == ctx.me && seat.owner.nonce == nonce;
+    // Another entry has claimed the first shard since.
+    seat.claim = seat
+        .claim
+        .take()
+        .filter(|claim| is_ours && claim.epoch == seat.epoch);
+    let is_begun = pool.tenure.is_some() || seat.epoch <= seat.held_epoch;
+    if let Some(sent_ms) = seat.claim_open_ms.filter(|_| is_ours && !is_begun) {
+        win(pool, pool.seat.epoch, sent_ms, nonce, ctx);
+    }
+    begin_if_won(pool, ctx);
+}
+
+/// The first shard is won: claims the others.
+fn win(pool: &mut Pool, epoch: Revision, sent_ms: Millis, nonce: u64, ctx: &mut Ctx<'_>) {
+    let seat = &mut pool.seat;
+    seat.claim_open_ms = None;
+    let is_known = seat
+        .claim
+        .as_ref()
+        .is_some_and(|claim| claim.epoch >= epoch);
+    if epoch <= seat.held_epoch || epoch < seat.epoch || is_known {
+        // The feed was faster than the answer.
+        return;
+    }
+    seat.owner = OwnerRow {
+        entry: ctx.me.to_string(),
+        nonce,
+        epoch: 0,
+    };
+    seat.epoch = epoch;
+    seat.shards[0].owner_revision = epoch;
+    seat.shards[0].beat_revision = epoch.max(seat.shards[0].beat_revision);
+    let mut fences = [None; SHARDS];
+    fences[0] = Some(epoch);
+    seat.claim = Some(Claim {
+        epoch,
+        sent_ms,
+        fences,
+    });
+    claim_others(pool, nonce, ctx);
+}
+
+/// Another shard than the first is won, unless a later claim is known: the feed may be faster than an answer.
+fn win_other(seat: &mut Seat, shard: usize, revision: Revision) {
+    let won = &mut seat.shards[shard];
+    if revision < won.owner_revision {
+        return;
+    }
+    won.owner_revision = revision;
+    won.beat_revision = won.beat_revision.max(revision);
+    if let Some(claim) = seat.claim.as_mut().filter(|c| revision > c.epoch) {
+        claim.fences[shard] = Some(revision);
+    }
+}
+
+/// Begins the tenure once all shards are won.
+fn begin_if_won(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    let Some(claim) = &pool.seat.claim else {
+        return;
+    };
+    let won: Vec<Revision> = claim.fences.iter().flatten().copied().collect();
+    let Ok(fences) = <[Revision; SHARDS]>::try_from(won) else {
+        return;
+    };
+    let (epoch, sent_ms) = (claim.epoch, claim.sent_ms);
+    pool.seat.claim = None;
+    if pool.tenure.is_none() {
+        begin(pool, epoch, fences, sent_ms, ctx);
+    }
+}
+
+fn begin(
+    pool: &mut Pool,
+    epoch: u64,
+    fences: [Revision; SHARDS],
+    sent_ms: Millis,
+    ctx: &mut Ctx<'_>,
+) {
+    pool.seat.held_epoch = epoch;
+    pool.offers.pending = None;
+    pool.offers.unsure.clear();
+    let silent_ms = sent_ms.saturating_sub(pool.seat.claim_after_ms);
+    let why = format!("before: {:?}", pool.seat.claim_after);
+    ctx.tell(
+        Decision::new(Code::PoolOwned, Subject::Pool, &pool.name, why)
+            .with("epoch", epoch)
+            .with("silent_ms", silent_ms),
+    );
+    pool.seat.renewed_ms = sent_ms;
+    for shard in &mut pool.seat.shards {
+        shard.is_renewing = false;
+        shard.unanswered_ms = None;
+    }
+    pool.tenure = Some(Tenure {
+        epoch,
+        fences,
+        book: None,
+        batches: Default::default(),
+        removing: None,
+        removable: Vec::new(),
+        early: Vec::new(),
+        began_ms: ctx.now.ms,
+        duty: Default::default(),
+        quota: Default::default(),
+        sizing: Default::default(),
+        hosts: Default::default(),
+    });
+    ctx.out
+        .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
+    pool.seat.beat_due_ms = sent_ms + RENEW_MS;
+    ctx.after(
+        pool.seat.beat_due_ms.saturating_sub(ctx.now.ms),
+        Timer::Renew,
+    );
+}
+
+/// Gives up a claim that won the first shard, by an entry that is to stop.
+fn give_up_claim(pool: &mut Pool, ctx: &mut Ctx<'_>) {
+    if let Some(claim) = pool.seat.claim.take() {
+        pool.seat.held_epoch = claim.epoch;
+        send_release(&pool.name, claim.epoch, ctx);
+    }
+}
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -4,7 +4,9 @@
 //! [`reduce`](reduce::reduce) is on top.
 
 mod access;
+pub mod accounts;
 pub mod book;
+pub mod claim;
 pub mod commit;
 mod exchange;
 pub mod fairness;
--- a/src/core/sched/quota.rs
+++ b/src/core/sched/quota.rs
@@ -16,7 +16,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::book::{AccountUse, Book};
+use super::accounts::AccountUse;
+use super::book::Book;
 use super::rows;
 use super::state::{Ctx, Effect, Timer};
 use crate::clock::Millis;
@@ -223,7 +224,6 @@
     if !ctx.may_send() {
         return;
     }
-    let now_ms = ctx.now.ms;
     let need = need(account);
     let held = ledger.held(with.pool);
     let current = held.map(|grant| grant.room()).unwrap_or_default();
@@ -235,24 +235,14 @@
         return;
     }
     let others = ledger.row.others(with.pool);
-    let room = limited(minus(quota, others), quota);
     let is_over = !fits(sum(others, current), limited(quota, quota));
     let target = match (is_over, has_need) {
         (true, _) | (false, false) => account.used,
-        (false, true) => least(with_room(need, quota), room),
+        (false, true) => least(with_room(need, quota), limited(minus(quota, others), quota)),
     };
     let target = most(target, account.used);
     if !fits(need, current) && !is_over {
-        let raised = most(current, target);
-        let may_raise = ledger.row.config <= with.config.version;
-        if raised != current && may_raise {
-            send(ledger, account, raised, with, ctx);
-        } else if now_ms >= ledger.read_ms + READ_AGAIN_MS {
-            // What others give back shows only in the row.
-            ledger.read_ms = now_ms;
-            let read = Effect::ReadQuota(ctx.pool, with.epoch, account.name.clone());
-            ctx.out.push(read);
-        }
+        raise(account, ledger, most(current, target), current, with, ctx);
         return;
     }
     let has_surplus = target != current && fits(target, current);
@@ -260,15 +250,37 @@
         ledger.surplus_ms = None;
         return;
     }
-    let since_ms = *ledger.surplus_ms.get_or_insert(now_ms);
+    let since_ms = *ledger.surplus_ms.get_or_insert(ctx.now.ms);
+    let is_kept = ctx.now.ms < since_ms + SURPLUS_KEPT_MS;
     let is_large = !has_need || !fits(current, sum(target, target));
     let is_asked = is_over || with.short_elsewhere.contains(&account.name);
-    if is_asked || (is_large && now_ms >= since_ms + SURPLUS_KEPT_MS) {
+    if is_asked || (is_large && !is_kept) {
         ledger.surplus_ms = None;
         send(ledger, account, target, with, ctx);
     }
 }
 
+/// Asks for a larger grant, or where there is no room for one, looks whether others gave some back.
+fn raise(
+    account: &AccountUse,
+    ledger: &mut Ledger,
+    raised: Capacity,
+    current: Capacity,
+    with: &Look<'_>,
+    ctx: &mut Ctx<'_>,
+) {
+    // Who has an older configuration than the row may know a quota that was lowered since.
+    let may_raise = ledger.row.config <= with.config.version;
+    if raised != current && may_raise {
+        send(ledger, account, raised, with, ctx);
+    } else if ctx.now.ms >= ledger.read_ms + READ_AGAIN_MS {
+        // What others give back shows only in the row.
+        ledger.read_ms = ctx.now.ms;
+        let read = Effect::ReadQuota(ctx.pool, with.epoch, account.name.clone());
+        ctx.out.push(read);
+    }
+}
+
 /// Sends a grant of this pool in place of the one that is known.
 fn send(
     ledger: &mut Ledger,
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -6,6 +6,7 @@
     owned_pools, pool_key, with_book, with_duty, with_hosts, with_pool, with_quota,
 };
 use super::book::Book;
+use super::claim;
 use super::commit::{self, Settled};
 use super::exchange::{close_given, hosts_taken, observe_offers, offers_settled};
 use super::gang;
@@ -25,7 +26,6 @@
 use super::seat;
 use super::sizing;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Tenure, Timer, WaveKnown};
-use super::tasks::Class;
 use super::wave;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
@@ -34,9 +34,6 @@
 /// Pause before a pool's rows are read again after that failed.
 const LOAD_RETRY_MS: Millis = 100;
 
-/// How often an owner tells how full its pool is.
-const LOAD_TOLD_MS: Millis = 1_000;
-
 /// Takes in one event.
 pub fn reduce(state: &mut State, event: Event, now: Now) -> Vec<Effect> {
     let mut out = Vec::new();
@@ -49,7 +46,7 @@
         Event::Claimed(pool, shard, sent_ms, outcome) => {
             let me = claimant(state);
             with_pool(state, pool, now, &mut out, |pool, ctx, _| {
-                seat::claimed(pool, shard, sent_ms, outcome, &me, ctx);
+                claim::claimed(pool, shard, sent_ms, outcome, &me, ctx);
             });
         }
         Event::Renewed(pool, epoch, shard, sent_ms, outcome) => {
@@ -232,7 +229,7 @@
         if is_newer && !is_ours {
             seat::lose(pool, "another entry owns it", ctx);
         }
-        seat::begin_if_claimed(pool, nonce, ctx);
+        claim::begin_if_claimed(pool, nonce, ctx);
         let is_free = pool.seat.owner.entry.is_empty() || pool.seat.owner.entry == me;
         if pool.tenure.is_none() && is_free {
             ctx.after(0, Timer::Claim);
@@ -416,9 +413,9 @@
 }
 
 /// This entry as one that may claim pools.
-fn claimant(state: &State) -> seat::Claimant {
+fn claimant(state: &State) -> claim::Claimant {
     let heard = state.pools.iter().map(|pool| pool.seat.beat.cpu_milli);
-    seat::Claimant {
+    claim::Claimant {
         owned: state.owned(),
         cpu_milli: state.cpu_milli,
         strongest_milli: heard.max().filter(|milli| *milli > 0),
@@ -432,7 +429,7 @@
     if timer == Timer::Claim {
         let me = claimant(state);
         with_pool(state, key, now, out, |pool, ctx, _| {
-            seat::consider(pool, &me, ctx);
+            claim::consider(pool, &me, ctx);
         });
         return;
     }
@@ -503,7 +500,7 @@
         Timer::Restop(task, run) => runs::restop(book, task, run, epoch, ctx),
         Timer::Upkeep => {
             book.resort(ctx.now.ms);
-            tell_load(book, ctx);
+            sizing::tell_load(book, ctx);
             runs::begin_due_rounds(book, ctx);
             holds::hold_stuck(book, epoch, ctx);
             book.wants_placing = true;
@@ -518,34 +515,6 @@
     }
 }
 
-/// Once in a while, how full the pool is.
-fn tell_load(book: &mut Book, ctx: &mut Ctx<'_>) {
-    if ctx.now.ms < book.load_told_ms + LOAD_TOLD_MS {
-        return;
-    }
-    book.load_told_ms = ctx.now.ms;
-    let open: Vec<_> = book
-        .workers
-        .values()
-        .filter(|w| w.is_open(ctx.now.ms))
-        .collect();
-    let room: u64 = open.iter().map(|w| w.fact.capacity.cpu_milli).sum();
-    let used: u64 = open.iter().map(|w| w.used.cpu_milli).sum();
-    let count = |class: Class| book.ready.iter().filter(|r| r.class == class).count() as u64;
-    let (in_time, behind) = (count(Class::InTime), count(Class::Behind));
-    let name = book.name.clone();
-    ctx.tell(
-        Decision::new(Code::PoolLoad, Subject::Pool, &name, "the last second")
-            .with("open", open.len() as u64)
-            .with("workers", book.workers.len() as u64)
-            .with("room_cpu_milli", room)
-            .with("used_cpu_milli", used)
-            .with("waiting", book.ready.len() as u64)
-            .with("in_time", in_time)
-            .with("behind", behind),
-    );
-}
-
 /// Whether another pool lacks hosts for the work that it has.
 fn is_pressed(state: &State, key: PoolKey, now_ms: Millis) -> bool {
     let others = state
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -8,7 +8,7 @@
 use super::offers::Offers;
 use super::overload::COMING_MS;
 use super::state::{Ctx, Effect, Timer};
-use super::tasks::{Job, Outlook};
+use super::tasks::{Class, Job, Outlook};
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -28,6 +28,9 @@
 /// The same in answers of the store, where that is more: a feed, a take and its answer.
 const OFFERS_APART_ANSWERS: Millis = 3;
 
+/// How often an owner tells how full its pool is.
+const LOAD_TOLD_MS: Millis = 1_000;
+
 /// Hosts that a pool keeps at the least.
 const HOSTS_MIN: u64 = 3;
 
@@ -355,3 +358,31 @@
     let mut tasks = worker.tasks.iter();
     tasks.any(|key| book.step_spec(*key).is_some_and(|s| s.lasting))
 }
+
+/// Once in a while, how full the pool is.
+pub fn tell_load(book: &mut Book, ctx: &mut Ctx<'_>) {
+    if ctx.now.ms < book.load_told_ms + LOAD_TOLD_MS {
+        return;
+    }
+    book.load_told_ms = ctx.now.ms;
+    let open: Vec<_> = book
+        .workers
+        .values()
+        .filter(|w| w.is_open(ctx.now.ms))
+        .collect();
+    let room: u64 = open.iter().map(|w| w.fact.capacity.cpu_milli).sum();
+    let used: u64 = open.iter().map(|w| w.used.cpu_milli).sum();
+    let count = |class: Class| book.ready.iter().filter(|r| r.class == class).count() as u64;
+    let (in_time, behind) = (count(Class::InTime), count(Class::Behind));
+    let name = book.name.clone();
+    ctx.tell(
+        Decision::new(Code::PoolLoad, Subject::Pool, &name, "the last second")
+            .with("open", open.len() as u64)
+            .with("workers", book.workers.len() as u64)
+            .with("room_cpu_milli", room)
+            .with("used_cpu_milli", used)
+            .with("waiting", book.ready.len() as u64)
+            .with("in_time", in_time)
+            .with("behind", behind),
+    );
+}
--- a/tests/test_quota.rs
+++ b/tests/test_quota.rs
@@ -251,6 +251,19 @@
         self.quotas.push((quota, u64::MAX));
     }
 
+    /// An owner looks at its grants, every 0.1 s and where it wants to.
+    fn look(&mut self, n: usize) {
+        if self.now_ms % 100 >= 10 && !self.owners[n].book.wants_quota {
+            return;
+        }
+        let others = self.owners.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != n);
+        let short = others.flat_map(|(_, o)| o.duty.short.iter().cloned());
+        let short = short.collect();
+        let effects = self.owners[n].act(self.now_ms, &short, quota::adjust);
+        self.carry(n, effects);
+    }
+
     /// Ten milliseconds; the number of starts.
     fn step(&mut self) -> u64 {
         let mut starts = 0;
@@ -277,18 +290,7 @@
             if account.used.cpu_milli > 0 && self.rng.u32(0..100) < 25 {
                 account.used.sub(cores(1));
             }
-            if self.now_ms % 100 < 10 || self.owners[n].book.wants_quota {
-                let others = self
-                    .owners
-                    .iter()
-                    .enumerate()
-                    .filter(|(other, _)| *other != n);
-                let short = others
-                    .flat_map(|(_, o)| o.duty.short.iter().cloned())
-                    .collect();
-                let effects = self.owners[n].act(self.now_ms, &short, quota::adjust);
-                self.carry(n, effects);
-            }
+            self.look(n);
             while self.owners[n].start() {
                 let sum: u64 = self.owners.iter().map(Owner::used).sum();
                 let most = self.most();
@@ -333,18 +335,7 @@
                 if race.rng.u32(0..10) == 0 && account.used.cpu_milli > 0 {
                     account.used.sub(cores(1));
                 }
-                if race.now_ms % 100 < 10 || race.owners[n].book.wants_quota {
-                    let others = race
-                        .owners
-                        .iter()
-                        .enumerate()
-                        .filter(|(other, _)| *other != n);
-                    let short = others
-                        .flat_map(|(_, o)| o.duty.short.iter().cloned())
-                        .collect();
-                    let effects = race.owners[n].act(race.now_ms, &short, quota::adjust);
-                    race.carry(n, effects);
-                }
+                race.look(n);
                 while race.owners[n].start() {}
             }
         }
