--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -175,3 +175,27 @@
 fn sched_model_open() {
     play(2_609);
 }
+
+/// Tasks that bring workers down were started a sixth time after three had crashed under them. An owner that had heard
+/// the worker until its connections broke did not count the crash as certain where the run was past half of its
+/// estimate (`task-requeued` "answered 1, since_ms 3813" of 4961, no `task-suspected` at all); one that took over knew
+/// of no run whether it had begun; and a run that ended otherwise (4961 "run failed", 2705 and 5681 a gang's stop) was a
+/// start that nothing counted.
+#[test]
+fn sched_model_sixth() {
+    for seed in [2_705, 4_281, 4_961, 5_681, 8_405] {
+        play(seed);
+    }
+}
+
+/// Tasks that did no harm were given up, and a lasting one then stood still for good under a job shown as running.
+/// Counted as crashes were ends by the pool's own upkeep (3753, 4353, 5625: the host had crashed between its slot and
+/// the order, its next life got work, `upkeep-ordered` 50 ms later ended it, `task-suspected` "blamed 2"), runs that
+/// were stopped before their worker went (3753 run 5, 4353 run 2), and members of a gang that another member's crash
+/// had ended 34 ms before their own worker went (6461).
+#[test]
+fn sched_model_spared() {
+    for seed in [3_753, 4_353, 5_625, 6_461] {
+        play(seed);
+    }
+}
