A host that is to leave for upkeep is closed as a host, whatever lives come there

Cause: the mark stood on the life, not on the host. A host that crashed between its slot and the order came back open, was filled within 5 ms, and the order that was repeated 500 ms later took it down. Ruled out: the look of waves (150 ms) being late: shorter looks leave a window; the order is sent by another entry. Change: Book::closing holds hosts; lives that come there are closed until the host was ordered out or its turn is broken off.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -56,6 +56,8 @@
     pub by_life: HashMap<String, WorkerKey>,
     /// Workers' lives by host.
     pub by_host: HashMap<String, Vec<WorkerKey>>,
+    /// Hosts that are to leave for upkeep, until they were ordered out: what comes there gets nothing.
+    pub closing: BTreeSet<String>,
     /// Workers by what they have free.
     pub room: Room,
     /// Workers whose ends are being recorded.
@@ -454,8 +456,22 @@
         keys
     }
 
+    /// Closes a host that is to leave for upkeep, or opens it again. A life that comes there after a crash is closed, too:
+    /// the upkeep is still to come, and ended what was placed there 50 ms before.
+    pub fn set_closing(&mut self, host: &str, is_closing: bool) {
+        match is_closing {
+            true => self.closing.insert(host.to_string()),
+            false => self.closing.remove(host),
+        };
+        if let Some(key) = self.worker_on(host) {
+            self.workers[key].is_closing = is_closing;
+            self.wants_placing |= !is_closing;
+        }
+    }
+
     /// Adds a worker's life.
-    pub fn add_worker(&mut self, worker: Worker) -> WorkerKey {
+    pub fn add_worker(&mut self, mut worker: Worker) -> WorkerKey {
+        worker.is_closing |= self.closing.contains(&worker.fact.host);
         let (id, host) = (worker.fact.id.clone(), worker.fact.host.clone());
         let key = self.workers.insert(worker);
         self.by_life.insert(id, key);
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -96,6 +96,7 @@
         if is_complete(wave, &due_hosts(wave), duty) {
             wave.is_done = true;
             let number = wave.order.wave;
+            end_turns(book, duty, number);
             ctx.out.push(Effect::TellWave(number, WaveState::Completed));
             let id = number.to_string();
             ctx.tell(Decision::new(
@@ -126,6 +127,16 @@
     ctx.after(LOOK_MS, Timer::Wave);
 }
 
+/// Opens hosts whose turn in a wave is left when that is done: they left the fleet meanwhile, and may come back.
+fn end_turns(book: &mut Book, duty: &mut WaveDuty, wave: u64) {
+    let left = duty.turns.iter().filter(|(_, (number, _))| *number == wave);
+    let left: Vec<String> = left.map(|(host, _)| host.clone()).collect();
+    for host in left {
+        duty.turns.remove(&host);
+        book.set_closing(&host, false);
+    }
+}
+
 /// Hosts of a wave that are not back yet.
 fn due_hosts(wave: &WaveKnown) -> BTreeSet<&str> {
     let back: HashSet<&str> = wave.row.back.iter().map(String::as_str).collect();
@@ -153,9 +164,7 @@
         if slot.is_ordered {
             continue;
         }
-        if let Some(key) = book.worker_on(host) {
-            book.workers[key].is_closing = true;
-        }
+        book.set_closing(host, true);
     }
 }
 
@@ -183,6 +192,7 @@
         match turn {
             Turn::Closing(_) if !has_host(book, duty, &host, pool) => {
                 duty.turns.remove(&host);
+                book.set_closing(&host, false);
             }
             // A former owner, or the next one, took it through.
             Turn::Closing(_) if wave.row.back.contains(&host) => {
@@ -236,10 +246,7 @@
     duty.turns.remove(host);
     let again_ms = ctx.now.ms + REOPENED_MS;
     duty.reopened.insert(host.to_string(), again_ms);
-    if let Some(key) = book.worker_on(host) {
-        book.workers[key].is_closing = false;
-        book.wants_placing = true;
-    }
+    book.set_closing(host, false);
     ctx.tell(Decision::new(Code::HostReopened, Subject::Host, host, why));
 }
 
@@ -364,6 +371,8 @@
     if !slot.is_ordered {
         return;
     }
+    // The life that was there is over; the next one is open once its slot was given back, or at once.
+    book.closing.remove(host);
     let turn = Turn::Away(ctx.now.ms);
     duty.turns.insert(host.to_string(), (wave.order.wave, turn));
 }
@@ -417,10 +426,7 @@
             .with("left", left as u64),
         );
         duty.turns.remove(&pending.host);
-        if let Some(key) = book.worker_on(&pending.host) {
-            book.workers[key].is_closing = false;
-            book.wants_placing = true;
-        }
+        book.set_closing(&pending.host, false);
     }
 }
 
@@ -464,9 +470,7 @@
     let most = (listed / POOL_PART).max(1);
     let allowed = side_by_side(wave, left, ctx.now.ms).min(most);
     for (host, _) in candidates.into_iter().take(allowed.saturating_sub(in_turn)) {
-        if let Some(key) = book.worker_on(&host) {
-            book.workers[key].is_closing = true;
-        }
+        book.set_closing(&host, true);
         let turn = Turn::Closing(ctx.now.ms);
         ctx.tell(
             Decision::new(Code::HostClosing, Subject::Host, &host, "its wave is due")
