--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -169,6 +169,7 @@
         task.started_ms = None;
         task.is_start_open = false;
         task.is_start_broken = false;
+        task.had_begun &= matches!(phase, Phase::Suspect(_));
         task.is_at_work = false;
         task.begun_ms = match phase {
             Phase::Running(_) => Some(now_ms),
@@ -176,6 +177,11 @@
             _ => None,
         };
         let is_suspect = task.is_suspect();
+        // What a new owner could not tell otherwise, should the worker be gone by then.
+        let is_news = task.begun_ms == Some(now_ms) && task.ended.is_noted();
+        if is_news {
+            self.mark(key.job, now_ms);
+        }
         if before.worker() != phase.worker() {
             self.watch(key, phase.worker().filter(|_| is_suspect));
             let left = before.worker();
@@ -212,6 +218,11 @@
         self.wants_placing |= before.is_some();
     }
 
+    /// Whether a task waits out a pause between its starts.
+    pub fn is_held(&self, key: TaskKey, now_ms: Millis) -> bool {
+        self.task(key).is_some_and(|t| now_ms < t.held_until_ms)
+    }
+
     /// Whether a suspect of crashes is watched on a worker.
     pub fn is_watched(&self, worker: WorkerKey) -> bool {
         self.watched.values().any(|on| *on == worker)
@@ -347,7 +358,7 @@
                 step,
                 index,
             };
-            let waits = |t: &Task| t.phase == Phase::Blocked && !t.ended.is_too_many(lasts);
+            let waits = |t: &Task| t.phase == Phase::Blocked && !t.ended.is_too_many(lasts, t.run);
             if self.task(key).is_some_and(waits) {
                 self.set_phase(key, Phase::Ready, now_ms);
             }
@@ -463,10 +474,13 @@
             true => self.closing.insert(host.to_string()),
             false => self.closing.remove(host),
         };
-        if let Some(key) = self.worker_on(host) {
-            self.workers[key].is_closing = is_closing;
-            self.wants_placing |= !is_closing;
+        // Which life of a host is alive, its list does not tell.
+        for key in self.by_host.get(host).into_iter().flatten() {
+            if let Some(worker) = self.workers.get_mut(*key) {
+                worker.is_closing = is_closing;
+            }
         }
+        self.wants_placing |= !is_closing;
     }
 
     /// Adds a worker's life.
--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -11,17 +11,25 @@
 //! workers and 944 runs of others lost, 1 of 2,319 other jobs given up. Not apart: 1,574 runs, 30 jobs given up. On the
 //! third crash: 243 workers, 1,080 runs, no job.
 
+use super::blame::LivesEnded;
 use super::book::Book;
+use super::gang;
 use super::job::StepSpec;
 use super::keys::{TaskKey, WorkerKey};
-use super::limits::{FRESH_MS, SOUND_MS, WORKER_LEASE_MS, YOUNG_MS};
+use super::limits::{FRESH_MS, HEARD_ON_MS, SOUND_MS, WORKER_LEASE_MS, YOUNG_MS};
 use super::runs;
 use super::state::Ctx;
-use super::tasks::{LivesEnded, Phase, Task};
+use super::tasks::{Phase, Task};
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 
+/// A run is long where what may go unheard of it is at most one in so many parts of it.
+const UNHEARD_PARTS: Millis = 4;
+
+/// From so many lives on that may have ended under a task, each is told.
+const NOTED_FROM: u8 = 2;
+
 /// Why all that ran on a worker is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Over {
@@ -47,12 +55,13 @@
 /// A worker's end, as far as it is known.
 #[derive(Clone, Copy, Debug)]
 struct End {
-    /// Another life is there in its place, and nothing tells of a planned end.
+    /// Another life is there in its place, and nothing tells of a planned end: neither its own, nor the host's for a move
+    /// or upkeep.
     is_crash: bool,
-    /// It was to leave for upkeep, which ends short tasks that take too long, and nothing that lasts.
-    is_closing: bool,
     /// When it went with its connections, if it did.
     broke_ms: Option<Millis>,
+    /// No end can have come unheard before that.
+    is_heard_through: bool,
     /// When it was last heard.
     heard_ms: Millis,
 }
@@ -60,38 +69,59 @@
 impl End {
     fn new(worker: &Worker, over: Over) -> Self {
         Self {
-            is_crash: over != Over::Lease && !worker.is_leaving(),
-            is_closing: worker.is_closing,
+            is_crash: over != Over::Lease && !worker.is_leaving() && !worker.is_closing,
             broke_ms: worker.broke_ms,
+            is_heard_through: worker.is_heard_through,
             heard_ms: worker.heard_ms,
         }
     }
 
-    /// What it counts for a task that was there.
-    fn count(self, task: &Task, spec: &StepSpec, now_ms: Millis) -> LivesEnded {
-        let is_begun = task.begun_ms.is_some();
-        let may_have_begun = is_begun || task.is_start_broken;
+    /// What it counts for a task that was there; `is_first` of a gang's members that went one after the other.
+    fn count(self, task: &Task, spec: &StepSpec, is_first: bool, now_ms: Millis) -> LivesEnded {
+        let may_have_begun = task.has_begun() || task.is_start_broken;
         if !may_have_begun && !matches!(task.phase, Phase::Suspect(_)) {
             return LivesEnded::NONE;
         }
         let begun_ms = task.begun_ms.unwrap_or(task.since_ms);
         let is_young = self.heard_ms < begun_ms + YOUNG_MS;
-        let broke_within = |ms| self.broke_ms.is_some_and(|at| at < begun_ms + ms);
-        // What lasts was there as long as it was leased; anything else may have come to its own end, unheard, by half the
-        // time that it is expected to take.
-        let was_there = match spec.lasting {
-            true => is_young && now_ms < self.heard_ms.max(begun_ms) + WORKER_LEASE_MS,
-            false => !self.is_closing && broke_within(spec.estimate_ms / 2),
-        };
-        let is_crash = is_begun && was_there && self.is_crash;
-        let is_fresh = broke_within(FRESH_MS);
-        let is_blamed = is_crash && (spec.lasting || is_fresh);
+        let was_first = self.is_crash && is_first;
+        let is_found = was_first && task.had_begun;
+        let is_certain = was_first && !is_found && self.was_there(task, spec, now_ms);
+        let is_blamed = is_certain && (spec.lasting || self.broke_within(begun_ms, FRESH_MS));
         LivesEnded {
             blamed: u8::from(is_blamed),
-            crashed: u8::from(is_crash),
+            crashed: u8::from(is_certain),
+            found: u8::from(is_found),
             all: u8::from(is_young),
-            is_sound: false,
+            ..LivesEnded::NONE
+        }
+    }
+
+    fn broke_within(self, begun_ms: Millis, ms: Millis) -> bool {
+        self.broke_ms.is_some_and(|at| at < begun_ms + ms)
+    }
+
+    /// Whether the run was there to the end.
+    fn was_there(self, task: &Task, spec: &StepSpec, now_ms: Millis) -> bool {
+        // Stopped before its worker went, it may have ended first.
+        let is_stopped = matches!(task.phase, Phase::Stopping(_))
+            && self.broke_ms.is_none_or(|at| at >= task.since_ms);
+        if is_stopped {
+            return false;
+        }
+        let Some(begun_ms) = task.begun_ms else {
+            return false;
+        };
+        let is_young = self.heard_ms < begun_ms + YOUNG_MS;
+        if spec.lasting {
+            // It was there as long as it was leased.
+            return is_young && now_ms < self.heard_ms.max(begun_ms) + WORKER_LEASE_MS;
         }
+        // It may have ended by half the time that it is expected to take. Later, its end would have been heard, but for a
+        // moment that a short run may well end in.
+        let is_long = spec.estimate_ms >= UNHEARD_PARTS * HEARD_ON_MS;
+        let is_heard = is_young && is_long && self.is_heard_through;
+        is_heard || self.broke_within(begun_ms, spec.estimate_ms / 2)
     }
 }
 
@@ -111,27 +141,51 @@
     }
 }
 
+/// Whether no other member of its gang was lost before: that one's end was the end of all of them, and they may have been
+/// over before their own workers went.
+fn is_first_lost(book: &Book, key: TaskKey, end: End) -> bool {
+    if !gang::is_member(book, key) {
+        return true;
+    }
+    let Some(run) = book.task(key).map(|t| t.run) else {
+        return true;
+    };
+    let lost_ms = |task: &Task| {
+        let worker = task.phase.worker().and_then(|w| book.workers.get(w));
+        task.lost_ms.or(worker.and_then(|w| w.broke_ms))
+    };
+    let members = gang::members(book, key).into_iter();
+    let mut fellows = members
+        .filter_map(|m| book.task(m))
+        .filter(|t| t.run == run);
+    fellows.all(|t| match (lost_ms(t), end.broke_ms) {
+        (Some(theirs_ms), Some(ours_ms)) => ours_ms <= theirs_ms,
+        (Some(_), None) => false,
+        (None, _) => true,
+    })
+}
+
 fn count(book: &mut Book, key: TaskKey, end: End, ctx: &mut Ctx<'_>) {
     let Some(spec) = book.step_spec(key).cloned() else {
         return;
     };
-    // The others of a step that lasts and may miss only some go on: stopped with their job, they would all be away.
-    let (lasts, goes_on) = (spec.lasting, spec.away_max.is_some());
+    let is_first = is_first_lost(book, key, end);
     let Some(task) = book.task_mut(key) else {
         return;
     };
-    let one = end.count(task, &spec, ctx.now.ms);
+    task.lost_ms = Some(end.broke_ms.unwrap_or(end.heard_ms));
+    let one = end.count(task, &spec, is_first, ctx.now.ms);
     if one == LivesEnded::NONE || task.ended.is_sound {
         return;
     }
-    task.ended.add(one);
+    task.ended.add(one, task.run);
     let (ended, run) = (task.ended, task.run);
+    let pause_ms = if spec.lasting { ended.pause_ms() } else { 0 };
+    task.held_until_ms = ctx.now.ms + pause_ms;
     book.mark(key.job, ctx.now.ms);
-    let is_given_up = ended.is_too_many(lasts);
-    if is_given_up && !goes_on {
-        book.given_up.push(key.job);
-    }
-    if one.blamed > 0 || is_given_up {
+    let is_given_up = is_given_up(book, key);
+    leave(book, key);
+    if one.blamed > 0 || ended.all >= NOTED_FROM || is_given_up {
         let id = &book.jobs[key.job].id;
         ctx.tell(
             Decision::new(Code::TaskSuspected, Subject::Job, id, "its worker's end")
@@ -140,12 +194,37 @@
                 .with("run", u64::from(run))
                 .with("blamed", u64::from(ended.blamed))
                 .with("crashed", u64::from(ended.crashed))
+                .with("found", u64::from(ended.found))
                 .with("ended", u64::from(ended.all))
+                .with("third_run", u64::from(ended.third_run))
+                .with("pause_ms", pause_ms)
                 .with("given_up", u64::from(is_given_up)),
         );
     }
 }
 
+/// Whether a task is started no more.
+pub(super) fn is_given_up(book: &Book, key: TaskKey) -> bool {
+    let lasts = book.step_spec(key).is_some_and(|s| s.lasting);
+    book.task(key)
+        .is_some_and(|t| t.ended.is_too_many(lasts, t.run))
+}
+
+/// Ends the job of a task that is given up. The others of a step that lasts and may miss only some go on: stopped with
+/// their job, they would all be away. Once none is left, nothing more comes of it, and its caller is told so.
+pub(super) fn leave(book: &mut Book, key: TaskKey) {
+    let is_over = book.jobs.get(key.job).is_none_or(|j| j.state.is_final());
+    if is_over || !is_given_up(book, key) {
+        return;
+    }
+    let may_miss = |task: &TaskKey| book.step_spec(*task).is_some_and(|s| s.away_max.is_some());
+    let mut all = book.tasks_of(key.job).into_iter();
+    let goes_on = may_miss(&key) && all.any(|task| !is_given_up(book, task));
+    if !goes_on {
+        book.given_up.push(key.job);
+    }
+}
+
 /// Takes in that a worker's account, asked for at `sent_ms`, shows a task's run.
 pub(super) fn note_shown(book: &mut Book, key: TaskKey, sent_ms: Millis, now_ms: Millis) {
     let lasts = book.step_spec(key).is_some_and(|s| s.lasting);
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -9,7 +9,7 @@
 use super::crashes::{self, Over};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::{
-    HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, RECORDING_WAIT_MS, WORKER_LEASE_MS,
+    HEARD_ON_MS, HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, RECORDING_WAIT_MS, WORKER_LEASE_MS,
 };
 use super::runs;
 use super::state::{Ctx, Effect, Timer};
@@ -96,12 +96,12 @@
             runs::worker_over(book, key, Over::OtherLife, ctx);
             forget_if_over(book, key, ctx);
         }
-        Err(reply) => silent(book, key, reply, ctx),
+        Err(reply) => silent(book, key, sent_ms, reply, ctx),
     }
     false
 }
 
-fn silent(book: &mut Book, key: WorkerKey, reply: OrderReply, ctx: &mut Ctx<'_>) {
+fn silent(book: &mut Book, key: WorkerKey, sent_ms: Millis, reply: OrderReply, ctx: &mut Ctx<'_>) {
     let Some(w) = book.workers.get_mut(key) else {
         return;
     };
@@ -110,6 +110,7 @@
         w.answers = false;
         let is_broken = matches!(reply, OrderReply::Broken | OrderReply::Refused);
         w.broke_ms = is_broken.then_some(ctx.now.ms);
+        w.is_heard_through = is_broken && sent_ms <= w.heard_ms + HEARD_ON_MS;
         ctx.tell(
             Decision::new(
                 Code::WorkerSilent,
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -118,22 +118,43 @@
 /// slow workers a start takes 5 s.
 pub const SOUND_MS: Millis = 5_000;
 
+/// A hold that was sent so soon after the account before it leaves no gap in which an end could come unheard: ends wait
+/// for their record in between, which a store that answers as it should has by then.
+pub const HEARD_ON_MS: Millis = 100;
+
 /// Workers that crashed as they had just started a task, on the second of which its job is given up: each costs its
 /// host for 3.4 s, and the platform allows five starts.
 pub const BLAMED_MAX: u8 = 2;
 
-/// Workers that certainly crashed under a task, on the third of which it is given up: the platform allows two starts more,
-/// and an order that was held up may be one of them.
-pub const CRASHED_MAX: u8 = 3;
+/// Weight of crashes, two for each that was seen and one for each that was found, from which a task is given up: the
+/// third crash, or the second and one that was found. The platform allows two starts more, and an order that was held
+/// up may be one of them.
+pub const CRASHER_WEIGHT: u8 = 5;
+
+/// The same for a task that has been started about as often as the platform allows.
+pub const LIKELY_WEIGHT: u8 = 4;
+
+/// Workers that certainly crashed under a task that lasts before it is left alone: where workers go down and up by turns,
+/// three crashes may fall on one start after the other.
+pub const LASTING_CRASHED_MAX: u8 = 4;
 
-/// Lives that ended in any unplanned way under a task, after which it is given up if [`BLAMED_MAX`] certainly crashed: one
-/// start less than the platform allows.
+/// Starts after the third life that may have ended under a task: the platform allows two, however these runs end.
+pub const PAST_THIRD_MAX: u32 = 2;
+
+/// Lives that ended in any unplanned way under a task, after which [`LIKELY_WEIGHT`] is enough:
+/// one start less than the platform allows.
 pub const LIKELY_MAX: u8 = 4;
 
 /// Lives that ended in any unplanned way under a task that is not known to have outlived its start there: the platform
 /// allows five starts of a task that crashes workers, and whether these did is not known.
 pub const ENDED_MAX: u8 = 5;
 
+/// What lasts waits so long for its next start after two certain crashes; twice as long after each further one.
+pub const PAUSE_MS: Millis = 1_250;
+
+/// Its longest wait: the platform looks for it from 6 s after its last run.
+pub const PAUSE_MAX_MS: Millis = 5_000;
+
 /// A suspect that finds no worker without another suspect goes beside one after so long: an account comes within a second.
 pub const APART_MS: Millis = 1_000;
 
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -5,6 +5,7 @@
 
 mod access;
 pub mod accounts;
+pub mod blame;
 pub mod book;
 pub mod claim;
 pub mod commit;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -29,6 +29,7 @@
         .ready
         .iter()
         .map(|r| r.task)
+        .filter(|task| !book.is_held(*task, ctx.now.ms))
         // What waits for its account's quota holds up nobody else.
         .filter(|task| book.is_within_quota(*task, 1))
         .take(PLACE_LOOKS)
@@ -205,6 +206,7 @@
         return;
     };
     task.run += 1;
+    task.lost_ms = None;
     let run = task.run;
     book.unsent.push((key, run));
     if book.jobs[key.job].state == JobState::Queued {
--- a/src/core/sched/progress.rs
+++ b/src/core/sched/progress.rs
@@ -5,7 +5,7 @@
 use super::book::Book;
 use super::keys::{JobKey, WorkerKey};
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
-use super::tasks::{Phase, Task};
+use super::tasks::{LivesEnded, Phase, Task};
 
 impl Book {
     /// A job's progress as its row holds it.
@@ -60,6 +60,10 @@
             },
             _ => Standing::Idle,
         };
-        TaskRow(task.run, task.failed_runs, standing, task.ended)
+        let ended = LivesEnded {
+            has_begun: task.has_begun() && task.ended.is_noted(),
+            ..task.ended
+        };
+        TaskRow(task.run, task.failed_runs, standing, ended)
     }
 }
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -226,13 +226,13 @@
     let Some(job) = book.jobs.get(key.job) else {
         return;
     };
-    let (Some(task), Some(spec)) = (book.task(key), book.step_spec(key)) else {
-        return;
-    };
-    if job.state.is_final() || task.ended.is_too_many(spec.lasting) {
+    let Some(task) = book.task(key) else { return };
+    if job.state.is_final() || crashes::is_given_up(book, key) {
         book.set_phase(key, Phase::Blocked, ctx.now.ms);
+        crashes::leave(book, key);
         return;
     }
+    let is_noted = task.ended.is_noted();
     let id = job.id.clone();
     // On a worker's end these tell the run that may have caused it from those that had long been at work.
     let decision = Decision::new(Code::TaskRequeued, Subject::Job, &id, why)
@@ -242,6 +242,10 @@
         .with("answered", u64::from(task.begun_ms.is_some()))
         .with("since_ms", ctx.now.ms.saturating_sub(task.since_ms));
     book.set_phase(key, Phase::Ready, ctx.now.ms);
+    if is_noted {
+        // On record it would still be there, and its worker's end counted once more by the next owner.
+        book.mark(key.job, ctx.now.ms);
+    }
     if gang::is_member(book, key) {
         book.broken_gangs.push(key);
     }
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -2,13 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-
+pub use super::blame::LivesEnded;
 use super::job::{JobSpec, JobState};
 use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
-use super::limits::{
-    APART_MS, BLAMED_MAX, CRASHED_MAX, ENDED_MAX, LIKELY_MAX, WEIGHT_MAX_MS, WORK_PER_MS,
-};
+use super::limits::{APART_MS, WEIGHT_MAX_MS, WORK_PER_MS};
 use super::overload::{Behind, Contender};
 use crate::clock::Millis;
 use crate::port::fleet::{Capacity, Revision};
@@ -49,58 +46,6 @@
     }
 }
 
-/// Lives of workers that ended under a task, but for those whose end was planned.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LivesEnded {
-    /// Those that crashed as they had just started it: it may be the cause.
-    #[serde(rename = "b", default, skip_serializing_if = "is_zero")]
-    pub blamed: u8,
-    /// Those that certainly crashed under it.
-    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
-    pub crashed: u8,
-    /// All that are not known to have outlived its start, also those that were only cut off, or under which it may not
-    /// have begun.
-    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
-    pub all: u8,
-    /// It has been at work for long: it is not what brings workers down, and nothing more is counted.
-    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_sound: bool,
-}
-
-fn is_zero(count: &u8) -> bool {
-    *count == 0
-}
-
-impl LivesEnded {
-    /// Of a task that met none.
-    pub const NONE: Self = Self {
-        blamed: 0,
-        crashed: 0,
-        all: 0,
-        is_sound: false,
-    };
-
-    /// Of a task that is not what brings workers down.
-    pub const SOUND: Self = Self {
-        is_sound: true,
-        ..Self::NONE
-    };
-
-    /// Whether the task is given up. What lasts meets many ends that it has nothing to do with: crashes alone tell.
-    pub fn is_too_many(self, lasts: bool) -> bool {
-        let is_likely = self.crashed >= BLAMED_MAX && self.all >= LIKELY_MAX;
-        let is_crasher = is_likely || self.crashed >= CRASHED_MAX;
-        is_crasher || (!lasts && (self.blamed >= BLAMED_MAX || self.all >= ENDED_MAX))
-    }
-
-    /// Adds `other` to it.
-    pub fn add(&mut self, other: Self) {
-        self.blamed = self.blamed.saturating_add(other.blamed);
-        self.crashed = self.crashed.saturating_add(other.crashed);
-        self.all = self.all.saturating_add(other.all);
-    }
-}
-
 /// One task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
@@ -126,10 +71,16 @@
     pub is_start_open: bool,
     /// The worker ended the connection on which its start was sent.
     pub is_start_broken: bool,
+    /// A former owner knew that the run had begun, and put that on record.
+    pub had_begun: bool,
     /// The worker said that it is past its start-up.
     pub is_at_work: bool,
     /// Lives that ended under it.
     pub ended: LivesEnded,
+    /// When the worker of its last run went, if it did.
+    pub lost_ms: Option<Millis>,
+    /// It gets no place before: its workers crashed as they started it.
+    pub held_until_ms: Millis,
     /// Its place among waiting tasks.
     pub queued: Option<Rank>,
 }
@@ -150,6 +101,11 @@
         self.is_suspect() && now_ms < self.since_ms + APART_MS
     }
 
+    /// Whether its run is known to have begun, by this owner or a former one.
+    pub fn has_begun(&self) -> bool {
+        self.begun_ms.is_some() || self.had_begun
+    }
+
     /// Number of failed runs.
     pub fn fails(&self) -> u32 {
         self.failed_runs.count_ones()
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -68,6 +68,8 @@
     /// When it went with its connections: it ended one or took none, right after it had answered. One that first falls
     /// silent may have been cut off, and what ran there may have ended before it crashed.
     pub broke_ms: Option<Millis>,
+    /// Its last account was asked for without a gap before that: no end can have come unheard.
+    pub is_heard_through: bool,
     /// Ends up to this number were taken into the books.
     pub taken: u64,
     /// Ends up to this number are on record.
@@ -108,6 +110,7 @@
             answers: false,
             heard_ms: 0,
             broke_ms: None,
+            is_heard_through: false,
             taken: 0,
             recorded: 0,
             unrecorded: VecDeque::new(),
--- a/tests/test_crashes.rs
+++ b/tests/test_crashes.rs
@@ -133,7 +133,7 @@
         blamed: 1,
         crashed: 1,
         all: 2,
-        is_sound: false,
+        ..LivesEnded::NONE
     };
     let row = TaskRow(4, 0, Standing::Started(2), ended);
     let again: TaskRow = rows::decode(&rows::encode(&row)).expect("it decodes");
