Ends of workers count by what was seen of each run, kept on record where the next owner finds it

Symptom: sixth starts of tasks that crash workers, and jobs given up that did no harm. Cause: the counts knew two kinds, certain by half of the estimate or not at all; ends by our own upkeep, runs that were stopped, and gangs that another member's crash had ended counted as certain, while crashes that an owner had heard until the connections broke did not; an owner that was replaced in the 3.4 s before the next life answers left nothing of what it had seen. Change: Seen on record (begun; gone with its worker; that as it had just begun), written as the connections break and for tasks under which a life ended before. Certain: there until the break, not stopped, first of its gang, no planned end. Likely weighs a third. Starts past the third end count, however they end. What lasts waits 1.25 to 5 s between starts after the second certain crash, and is left alone on three certain ones of four ends; a job of which all is left alone is shown as failed.

--- a/src/core/sched/blame.rs
+++ b/src/core/sched/blame.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::limits::{
-    BLAMED_MAX, CRASHER_WEIGHT, ENDED_MAX, LASTING_CRASHED_MAX, LIKELY_MAX, LIKELY_WEIGHT,
-    PAST_THIRD_MAX, PAUSE_MAX_MS, PAUSE_MS,
+    BLAMED_MAX, CRASHED_WEIGHT, CRASHER_WEIGHT, ENDED_MAX, ENDED_WEIGHT, LASTING_CRASHED_MAX,
+    LIKELY_MAX, LIKELY_WEIGHT, PAST_THIRD_MAX, PAUSE_MAX_MS, PAUSE_MS,
 };
 use crate::clock::Millis;
 
@@ -24,9 +24,10 @@
     /// Those that certainly crashed under it.
     #[serde(rename = "c", default, skip_serializing_if = "is_default")]
     pub crashed: u8,
-    /// Those that a new owner found gone, with its run on record as begun.
-    #[serde(rename = "f", default, skip_serializing_if = "is_default")]
-    pub found: u8,
+    /// Those that may have crashed under it: its run had begun, and may have come to its own end unheard, or before that
+    /// was on record.
+    #[serde(rename = "l", default, skip_serializing_if = "is_default")]
+    pub likely: u8,
     /// All that are not known to have outlived its start, also those that were only cut off, or under which it may not
     /// have begun.
     #[serde(rename = "a", default, skip_serializing_if = "is_default")]
@@ -37,9 +38,27 @@
     /// The run under which the third of them all ended; 0 before.
     #[serde(rename = "t", default, skip_serializing_if = "is_default")]
     pub third_run: u32,
-    /// Its present run is known to have begun.
+    /// What was seen of its present run.
     #[serde(rename = "g", default, skip_serializing_if = "is_default")]
-    pub has_begun: bool,
+    pub seen: Seen,
+}
+
+/// What an owner saw of a run, for the next one: should its worker turn out to have ended, nobody else can tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Seen {
+    /// It may not have begun.
+    #[default]
+    #[serde(rename = "n")]
+    Nothing,
+    /// It had begun.
+    #[serde(rename = "b")]
+    Begun,
+    /// It was there when its worker went with its connections.
+    #[serde(rename = "g")]
+    Gone,
+    /// That was as it had just begun.
+    #[serde(rename = "f")]
+    GoneFresh,
 }
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
@@ -51,11 +70,11 @@
     pub const NONE: Self = Self {
         blamed: 0,
         crashed: 0,
-        found: 0,
+        likely: 0,
         all: 0,
         is_sound: false,
         third_run: 0,
-        has_begun: false,
+        seen: Seen::Nothing,
     };
 
     /// Of a task that is not what brings workers down.
@@ -73,21 +92,22 @@
     /// nobody does its work in its place: it is tried again with a growing pause, and left alone on certain crashes only.
     pub fn is_too_many(self, lasts: bool, run: u32) -> bool {
         let is_past_third = self.third_run > 0 && run >= self.third_run + PAST_THIRD_MAX;
+        let is_likely = self.weight() >= LIKELY_WEIGHT;
         if lasts {
-            let is_certain = self.crashed >= LASTING_CRASHED_MAX;
-            return is_certain || (self.weight() >= LIKELY_WEIGHT && is_past_third);
+            let is_near_bound = self.crashed >= BLAMED_MAX && is_past_third;
+            let is_certain = self.crashed >= LASTING_CRASHED_MAX && self.all >= LIKELY_MAX;
+            return is_certain || is_near_bound;
         }
-        let is_counted = is_past_third || self.all >= LIKELY_MAX;
-        let is_likely = self.weight() >= LIKELY_WEIGHT && is_counted;
-        let is_crasher = self.weight() >= CRASHER_WEIGHT || is_likely;
-        is_crasher || self.blamed >= BLAMED_MAX || self.all >= ENDED_MAX
+        let is_crasher = self.blamed >= BLAMED_MAX || self.weight() >= CRASHER_WEIGHT;
+        let is_near_bound = is_past_third || self.all >= LIKELY_MAX;
+        let is_at_bound = self.all >= ENDED_MAX && self.weight() >= ENDED_WEIGHT;
+        is_crasher || (is_likely && is_near_bound) || is_at_bound
     }
 
-    /// What the crashes weigh. One that was found counts half: the run may have come to its own end while nobody owned
-    /// the pool, or before that was put on record.
+    /// What the crashes weigh together.
     fn weight(self) -> u8 {
-        let crashed = self.crashed.saturating_mul(2);
-        crashed.saturating_add(self.found)
+        let crashed = self.crashed.saturating_mul(CRASHED_WEIGHT);
+        crashed.saturating_add(self.likely)
     }
 
     /// How long a task that lasts waits for its next start: the first crash may be anything, so nothing is lost by it.
@@ -102,7 +122,7 @@
     pub fn add(&mut self, end: Self, run: u32) {
         self.blamed = self.blamed.saturating_add(end.blamed);
         self.crashed = self.crashed.saturating_add(end.crashed);
-        self.found = self.found.saturating_add(end.found);
+        self.likely = self.likely.saturating_add(end.likely);
         self.all = self.all.saturating_add(end.all);
         if self.third_run == 0 && self.all >= COUNTED_FROM {
             self.third_run = run;
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -9,7 +9,7 @@
 use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
 use super::limits::ARRIVALS_MS;
 use super::room::Room;
-use super::tasks::{Job, Phase, Rank, Round, StepRun, Task};
+use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::times::Times;
 use super::worker::{TakenEnd, Worker};
 use crate::clock::Millis;
@@ -169,7 +169,11 @@
         task.started_ms = None;
         task.is_start_open = false;
         task.is_start_broken = false;
-        task.had_begun &= matches!(phase, Phase::Suspect(_));
+        task.seen = match phase {
+            Phase::Running(_) => Seen::Begun,
+            Phase::Stopping(_) | Phase::Suspect(_) => task.seen,
+            _ => Seen::Nothing,
+        };
         task.is_at_work = false;
         task.begun_ms = match phase {
             Phase::Running(_) => Some(now_ms),
--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -19,7 +19,7 @@
 use super::limits::{FRESH_MS, HEARD_ON_MS, SOUND_MS, WORKER_LEASE_MS, YOUNG_MS};
 use super::runs;
 use super::state::Ctx;
-use super::tasks::{Phase, Task};
+use super::tasks::{Phase, Seen, Task};
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -76,22 +76,33 @@
         }
     }
 
-    /// What it counts for a task that was there; `is_first` of a gang's members that went one after the other.
-    fn count(self, task: &Task, spec: &StepSpec, is_first: bool, now_ms: Millis) -> LivesEnded {
-        let may_have_begun = task.has_begun() || task.is_start_broken;
+    /// When the worker went, as far as that is known.
+    fn lost_ms(self) -> Millis {
+        self.broke_ms.unwrap_or(self.heard_ms)
+    }
+
+    /// What it counts for a task that was there.
+    fn count(self, task: &Task, spec: &StepSpec, among: Among, now_ms: Millis) -> LivesEnded {
+        let has_begun = task.seen > Seen::Nothing;
+        let may_have_begun = has_begun || task.is_start_broken;
         if !may_have_begun && !matches!(task.phase, Phase::Suspect(_)) {
             return LivesEnded::NONE;
         }
         let begun_ms = task.begun_ms.unwrap_or(task.since_ms);
         let is_young = self.heard_ms < begun_ms + YOUNG_MS;
-        let was_first = self.is_crash && is_first;
-        let is_found = was_first && task.had_begun;
-        let is_certain = was_first && !is_found && self.was_there(task, spec, now_ms);
-        let is_blamed = is_certain && (spec.lasting || self.broke_within(begun_ms, FRESH_MS));
+        let may_be_crash = self.is_crash && among != Among::Later && has_begun;
+        let is_alone = may_be_crash && among == Among::First;
+        let was_seen = matches!(task.phase, Phase::Suspect(_)) && task.seen >= Seen::Gone;
+        let is_certain = is_alone && (was_seen || self.was_there(task, spec, now_ms));
+        // One that fell silent before may have been cut off, and its runs have lapsed.
+        let is_told = self.broke_ms.is_some() || matches!(task.phase, Phase::Suspect(_));
+        let is_likely = may_be_crash && !is_certain && is_young && is_told && !was_stopped(task);
+        let is_fresh = task.seen == Seen::GoneFresh || self.broke_within(begun_ms, FRESH_MS);
+        let is_blamed = is_certain && (spec.lasting || is_fresh);
         LivesEnded {
             blamed: u8::from(is_blamed),
             crashed: u8::from(is_certain),
-            found: u8::from(is_found),
+            likely: u8::from(is_likely),
             all: u8::from(is_young),
             ..LivesEnded::NONE
         }
@@ -101,12 +112,9 @@
         self.broke_ms.is_some_and(|at| at < begun_ms + ms)
     }
 
-    /// Whether the run was there to the end.
+    /// Whether the run was there to the end. Of one that a former owner started that is not known.
     fn was_there(self, task: &Task, spec: &StepSpec, now_ms: Millis) -> bool {
-        // Stopped before its worker went, it may have ended first.
-        let is_stopped = matches!(task.phase, Phase::Stopping(_))
-            && self.broke_ms.is_none_or(|at| at >= task.since_ms);
-        if is_stopped {
+        if was_stopped(task) {
             return false;
         }
         let Some(begun_ms) = task.begun_ms else {
@@ -125,6 +133,12 @@
     }
 }
 
+/// Whether the run was stopped before its worker went, so that it may have ended first. A stop that was not answered has
+/// most likely met a worker that was gone: of a gang, it follows the end of others by the same crash.
+fn was_stopped(task: &Task) -> bool {
+    matches!(task.phase, Phase::Stopping(_)) && task.settled_ms.is_some()
+}
+
 /// Counts a life's end for the tasks that may have been at work there.
 pub(super) fn note_end(book: &mut Book, worker: WorkerKey, over: Over, ctx: &mut Ctx<'_>) {
     let Some(w) = book.workers.get(worker) else {
@@ -141,40 +155,91 @@
     }
 }
 
-/// Whether no other member of its gang was lost before: that one's end was the end of all of them, and they may have been
-/// over before their own workers went.
-fn is_first_lost(book: &Book, key: TaskKey, end: End) -> bool {
-    if !gang::is_member(book, key) {
-        return true;
+/// Takes in that a worker went with its connections: what was there is put on record, for an owner that comes before
+/// the next life answers. An owner that had seen three crashes of five was replaced before each of those answers.
+pub(super) fn note_broken(book: &mut Book, worker: WorkerKey, now_ms: Millis) {
+    let Some(w) = book.workers.get(worker) else {
+        return;
+    };
+    let end = End::new(w, Over::LaterLife);
+    let tasks: Vec<TaskKey> = w.tasks.iter().copied().collect();
+    for key in tasks {
+        let is_first = among_gang(book, key, end) == Among::First;
+        let Some(spec) = book.step_spec(key).cloned() else {
+            continue;
+        };
+        let Some(task) = book.task_mut(key) else {
+            continue;
+        };
+        let may_count = end.is_crash && is_first && !task.ended.is_sound;
+        let one = end.count(task, &spec, Among::First, now_ms);
+        if !may_count || one.crashed == 0 {
+            continue;
+        }
+        task.seen = match one.blamed {
+            0 => Seen::Gone,
+            _ => Seen::GoneFresh,
+        };
+        book.mark(key.job, now_ms);
     }
-    let Some(run) = book.task(key).map(|t| t.run) else {
-        return true;
+}
+
+/// Takes in that a worker is there after all.
+pub(super) fn note_back(book: &mut Book, worker: WorkerKey) {
+    let Some(w) = book.workers.get(worker) else {
+        return;
     };
+    for key in w.tasks.iter().copied().collect::<Vec<_>>() {
+        if let Some(task) = book.task_mut(key) {
+            task.seen = task.seen.min(Seen::Begun);
+        }
+    }
+}
+
+/// How a run's end stands to those of the other members of its gang: one's end is the end of all, so that they may have
+/// been over before their own workers went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Among {
+    /// No other was lost before, nor nearly at the same time.
+    First,
+    /// Another was lost so nearly at the same time that either may have been the first.
+    Level,
+    /// Another was lost before.
+    Later,
+}
+
+fn among_gang(book: &Book, key: TaskKey, end: End) -> Among {
+    let run = book.task(key).map(|t| t.run);
+    if !gang::is_member(book, key) {
+        return Among::First;
+    }
     let lost_ms = |task: &Task| {
         let worker = task.phase.worker().and_then(|w| book.workers.get(w));
         task.lost_ms.or(worker.and_then(|w| w.broke_ms))
     };
+    let ours_ms = end.lost_ms();
     let members = gang::members(book, key).into_iter();
-    let mut fellows = members
-        .filter_map(|m| book.task(m))
-        .filter(|t| t.run == run);
-    fellows.all(|t| match (lost_ms(t), end.broke_ms) {
-        (Some(theirs_ms), Some(ours_ms)) => ours_ms <= theirs_ms,
-        (Some(_), None) => false,
-        (None, _) => true,
-    })
+    let fellows = members.filter_map(|m| book.task(m));
+    let fellows = fellows.filter(|t| Some(t.run) == run);
+    // Those on the same worker went with it.
+    let elsewhere = fellows.filter_map(lost_ms).filter(|at| *at != ours_ms);
+    match elsewhere.min() {
+        Some(theirs_ms) if theirs_ms + HEARD_ON_MS < ours_ms => Among::Later,
+        Some(theirs_ms) if theirs_ms < ours_ms + HEARD_ON_MS => Among::Level,
+        _ => Among::First,
+    }
 }
 
 fn count(book: &mut Book, key: TaskKey, end: End, ctx: &mut Ctx<'_>) {
     let Some(spec) = book.step_spec(key).cloned() else {
         return;
     };
-    let is_first = is_first_lost(book, key, end);
+    let among = among_gang(book, key, end);
     let Some(task) = book.task_mut(key) else {
         return;
     };
-    task.lost_ms = Some(end.broke_ms.unwrap_or(end.heard_ms));
-    let one = end.count(task, &spec, is_first, ctx.now.ms);
+    task.lost_ms = Some(end.lost_ms());
+    let one = end.count(task, &spec, among, ctx.now.ms);
     if one == LivesEnded::NONE || task.ended.is_sound {
         return;
     }
@@ -194,7 +259,7 @@
                 .with("run", u64::from(run))
                 .with("blamed", u64::from(ended.blamed))
                 .with("crashed", u64::from(ended.crashed))
-                .with("found", u64::from(ended.found))
+                .with("likely", u64::from(ended.likely))
                 .with("ended", u64::from(ended.all))
                 .with("third_run", u64::from(ended.third_run))
                 .with("pause_ms", pause_ms)
@@ -219,7 +284,8 @@
     }
     let may_miss = |task: &TaskKey| book.step_spec(*task).is_some_and(|s| s.away_max.is_some());
     let mut all = book.tasks_of(key.job).into_iter();
-    let goes_on = may_miss(&key) && all.any(|task| !is_given_up(book, task));
+    let has_run = |task| book.task(task).is_some_and(|t| t.phase.worker().is_some());
+    let goes_on = may_miss(&key) && all.any(|task| has_run(task) || !is_given_up(book, task));
     if !goes_on {
         book.given_up.push(key.job);
     }
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -121,6 +121,9 @@
             .with("lease_left_ms", left_ms)
             .with("tasks", w.tasks.len() as u64),
         );
+        if is_broken {
+            crashes::note_broken(book, key, ctx.now.ms);
+        }
     }
     ctx.after(left_ms, Timer::LeaseOver(key));
     ctx.after(HOLD_RETRY_MS, Timer::Hold(key));
@@ -166,7 +169,9 @@
         book.wants_placing = true;
     }
     w.heard_ms = ctx.now.ms;
-    w.broke_ms = None;
+    if w.broke_ms.take().is_some() {
+        crashes::note_back(book, key);
+    }
     end_earlier_lives(book, key, sent_ms, ctx);
     let w = &mut book.workers[key];
     let sample = ClockSample {
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -126,17 +126,22 @@
 /// host for 3.4 s, and the platform allows five starts.
 pub const BLAMED_MAX: u8 = 2;
 
-/// Weight of crashes, two for each that was seen and one for each that was found, from which a task is given up: the
-/// third crash, or the second and one that was found. The platform allows two starts more, and an order that was held
-/// up may be one of them.
-pub const CRASHER_WEIGHT: u8 = 5;
+/// Weight of a crash that is certain, where one that is only likely weighs 1.
+pub const CRASHED_WEIGHT: u8 = 3;
 
-/// The same for a task that has been started about as often as the platform allows.
-pub const LIKELY_WEIGHT: u8 = 4;
+/// Weight of crashes from which a task is given up: three, or two and two that are likely. The platform allows two starts
+/// more, and an order that was held up may be one of them.
+pub const CRASHER_WEIGHT: u8 = 8;
 
-/// Workers that certainly crashed under a task that lasts before it is left alone: where workers go down and up by turns,
-/// three crashes may fall on one start after the other.
-pub const LASTING_CRASHED_MAX: u8 = 4;
+/// The same for a task that has been started about as often as the platform allows: two, or one and two that are likely.
+pub const LIKELY_WEIGHT: u8 = 5;
+
+/// The same for one that may not be started again, were all ends crashes.
+pub const ENDED_WEIGHT: u8 = 3;
+
+/// Workers that certainly crashed under a task that lasts before it is left alone, with [`LIKELY_MAX`] that ended in any
+/// way: where workers go down and up by turns, three ends may fall on one start after the other.
+pub const LASTING_CRASHED_MAX: u8 = 3;
 
 /// Starts after the third life that may have ended under a task: the platform allows two, however these runs end.
 pub const PAST_THIRD_MAX: u32 = 2;
@@ -146,7 +151,7 @@
 pub const LIKELY_MAX: u8 = 4;
 
 /// Lives that ended in any unplanned way under a task that is not known to have outlived its start there: the platform
-/// allows five starts of a task that crashes workers, and whether these did is not known.
+/// allows five starts of a task that crashes workers. With [`ENDED_WEIGHT`] of crashes among them.
 pub const ENDED_MAX: u8 = 5;
 
 /// What lasts waits so long for its next start after two certain crashes; twice as long after each further one.
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -316,7 +316,7 @@
         run: row.0,
         failed_runs: row.1,
         ended: row.3,
-        had_begun: row.3.has_begun,
+        seen: row.3.seen,
         ..Task::default()
     }
 }
--- a/src/core/sched/progress.rs
+++ b/src/core/sched/progress.rs
@@ -5,7 +5,7 @@
 use super::book::Book;
 use super::keys::{JobKey, WorkerKey};
 use super::rows::{ProgressRow, RoundRow, Standing, TaskRow};
-use super::tasks::{LivesEnded, Phase, Task};
+use super::tasks::{LivesEnded, Phase, Seen, Task};
 
 impl Book {
     /// A job's progress as its row holds it.
@@ -60,8 +60,9 @@
             },
             _ => Standing::Idle,
         };
+        let is_told = task.ended.is_noted() || task.seen >= Seen::Gone;
         let ended = LivesEnded {
-            has_begun: task.has_begun() && task.ended.is_noted(),
+            seen: if is_told { task.seen } else { Seen::Nothing },
             ..task.ended
         };
         TaskRow(task.run, task.failed_runs, standing, ended)
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-pub use super::blame::LivesEnded;
+pub use super::blame::{LivesEnded, Seen};
 use super::job::{JobSpec, JobState};
 use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
 use super::limits::{APART_MS, WEIGHT_MAX_MS, WORK_PER_MS};
@@ -71,8 +71,8 @@
     pub is_start_open: bool,
     /// The worker ended the connection on which its start was sent.
     pub is_start_broken: bool,
-    /// A former owner knew that the run had begun, and put that on record.
-    pub had_begun: bool,
+    /// What was seen of its run, by this owner or a former one.
+    pub seen: Seen,
     /// The worker said that it is past its start-up.
     pub is_at_work: bool,
     /// Lives that ended under it.
@@ -101,11 +101,6 @@
         self.is_suspect() && now_ms < self.since_ms + APART_MS
     }
 
-    /// Whether its run is known to have begun, by this owner or a former one.
-    pub fn has_begun(&self) -> bool {
-        self.begun_ms.is_some() || self.had_begun
-    }
-
     /// Number of failed runs.
     pub fn fails(&self) -> u32 {
         self.failed_runs.count_ones()
