--- a/tests/test_blame.rs
+++ b/tests/test_blame.rs
@@ -75,3 +75,55 @@
         assert_eq!(world.recorded("bad"), JobState::Failed, "seed {seed}");
     }
 }
+
+/// What workers that go down and up by turns do to services: tasks away and left alone, and workers' starts that were lost.
+fn flapping(seed: u64) -> (usize, u64) {
+    let mut world = World::new(seed, 2, 8);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    world.run(SETTLE_MS);
+    for n in 0..3 {
+        world.submit(&format!("service-{n}"), lasting(4, 1));
+    }
+    world.run(300);
+    for _ in 0..60 {
+        for life in world.lives() {
+            if rng.u32(0..3) == 0 {
+                world.crash(&life, rng.u64(300..900));
+            }
+        }
+        world.run(rng.u64(300..900));
+    }
+    let starts = world.starts;
+    world.run(30_000);
+    let at_work: usize = (0..3).map(|n| world.running(&format!("service-{n}"))).sum();
+    (12 - at_work, starts)
+}
+
+/// Services are at work again once workers stay up, whatever they met before.
+#[test]
+fn blame_flapping() {
+    let mut sum = (0, 0);
+    for seed in 0..20 {
+        let (away, starts) = flapping(seed);
+        sum = (sum.0 + away, sum.1 + starts);
+    }
+    println!("left alone {} of 240, starts {}", sum.0, sum.1);
+    assert_eq!(sum.0, 0);
+}
+
+/// A service that was sound for long and then brings down each worker that starts it is left alone, too.
+#[test]
+fn blame_sound_before() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 2, 6);
+        world.run(SETTLE_MS);
+        world.submit("bad", lasting(3, 1));
+        world.run(20_000);
+        assert_eq!(world.running("bad"), 3, "seed {seed}");
+        world.crashes_workers("bad", 0, 10);
+        let life = world.life_of("bad", 0).expect("it runs");
+        world.crash(&life, 3_400);
+        world.run(60_000);
+        assert_eq!(world.running("bad"), 2, "seed {seed}");
+    }
+}
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -407,6 +407,16 @@
         on_host.map(|(id, _)| id.clone())
     }
 
+    /// The life on which a task of a job's first step runs.
+    pub(crate) fn life_of(&self, job: &str, index: u16) -> Option<String> {
+        let mut up = self.workers.iter().filter(|(_, w)| w.is_up);
+        let runs_it = |w: &Worker| {
+            let mut tasks = w.running.keys();
+            tasks.any(|t| t.job == job && t.step == 0 && t.index == index)
+        };
+        up.find(|(_, w)| runs_it(w)).map(|(id, _)| id.clone())
+    }
+
     /// A host with a slot of a wave for which it was not ordered out yet.
     pub(crate) fn waiting_slot(&self, wave: u64) -> Option<String> {
         let key = (Table::Waves, String::new(), wave.to_string());
