What lasts is tried the last times in calm moments, and is never sound for good; starts used up weigh four

Cause: where workers go down and up by turns, three ends fell on one start after the other; and a task once at work for 5 s was never counted again. Change: after the third end a task that lasts waits until no other worker has crashed for 3 s (60 s at the most); its counts begin anew whenever it is at work.

--- a/src/core/sched/blame.rs
+++ b/src/core/sched/blame.rs
@@ -8,7 +8,7 @@
 
 use super::limits::{
     BLAMED_MAX, CRASHED_WEIGHT, CRASHER_WEIGHT, ENDED_MAX, ENDED_WEIGHT, LASTING_CRASHED_MAX,
-    LIKELY_MAX, LIKELY_WEIGHT, PAST_THIRD_MAX, PAUSE_MAX_MS, PAUSE_MS,
+    LIKELY_MAX, LIKELY_WEIGHT, PAST_THIRD_MAX, PAUSE_MAX_MS, PAUSE_MS, STARTED_OUT_WEIGHT,
 };
 use crate::clock::Millis;
 
@@ -32,9 +32,6 @@
     /// have begun.
     #[serde(rename = "a", default, skip_serializing_if = "is_default")]
     pub all: u8,
-    /// It has been at work for long: it is not what brings workers down, and nothing more is counted.
-    #[serde(rename = "s", default, skip_serializing_if = "is_default")]
-    pub is_sound: bool,
     /// The run under which the third of them all ended; 0 before.
     #[serde(rename = "t", default, skip_serializing_if = "is_default")]
     pub third_run: u32,
@@ -72,36 +69,34 @@
         crashed: 0,
         likely: 0,
         all: 0,
-        is_sound: false,
         third_run: 0,
         seen: Seen::Nothing,
     };
 
-    /// Of a task that is not what brings workers down.
-    pub const SOUND: Self = Self {
-        is_sound: true,
-        ..Self::NONE
-    };
-
-    /// Whether more is to be told of its runs than of others: a life ended under it, and it is not known to be sound.
+    /// Whether more is to be told of its runs than of others: a life ended under it.
     pub fn is_noted(self) -> bool {
-        self.all > 0 && !self.is_sound
+        self.all > 0
+    }
+
+    /// Whether its next start must tell whether it is the cause: the platform allows two more.
+    pub fn is_near_bound(self) -> bool {
+        self.all >= COUNTED_FROM
     }
 
     /// Whether the task is given up after that run. What lasts meets many ends that it has nothing to do with, and
     /// nobody does its work in its place: it is tried again with a growing pause, and left alone on certain crashes only.
     pub fn is_too_many(self, lasts: bool, run: u32) -> bool {
         let is_past_third = self.third_run > 0 && run >= self.third_run + PAST_THIRD_MAX;
-        let is_likely = self.weight() >= LIKELY_WEIGHT;
         if lasts {
             let is_near_bound = self.crashed >= BLAMED_MAX && is_past_third;
             let is_certain = self.crashed >= LASTING_CRASHED_MAX && self.all >= LIKELY_MAX;
             return is_certain || is_near_bound;
         }
         let is_crasher = self.blamed >= BLAMED_MAX || self.weight() >= CRASHER_WEIGHT;
-        let is_near_bound = is_past_third || self.all >= LIKELY_MAX;
+        let is_likely = self.all >= LIKELY_MAX && self.weight() >= LIKELY_WEIGHT;
+        let is_started_out = is_past_third && self.weight() >= STARTED_OUT_WEIGHT;
         let is_at_bound = self.all >= ENDED_MAX && self.weight() >= ENDED_WEIGHT;
-        is_crasher || (is_likely && is_near_bound) || is_at_bound
+        is_crasher || is_likely || is_started_out || is_at_bound
     }
 
     /// What the crashes weigh together.
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -7,7 +7,7 @@
 use super::accounts::AccountUse;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
-use super::limits::ARRIVALS_MS;
+use super::limits::{ARRIVALS_MS, CALM_MS, HELD_MAX_MS};
 use super::room::Room;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::times::Times;
@@ -78,6 +78,8 @@
     pub broken_gangs: Vec<TaskKey>,
     /// Suspects of crashes whose run may yet bring its worker down, and that worker.
     pub watched: BTreeMap<TaskKey, WorkerKey>,
+    /// When a worker last crashed, as far as that is known.
+    pub crashed_ms: Millis,
     /// Jobs of tasks that brought too many workers down: they are to be ended.
     pub given_up: Vec<JobKey>,
     /// Progress on record whose job is gone: shard and id.
@@ -222,9 +224,17 @@
         self.wants_placing |= before.is_some();
     }
 
-    /// Whether a task waits out a pause between its starts.
+    /// Whether a task is to wait between its starts. What lasts is tried the last times while no other worker crashes, so
+    /// that its own end tells: else 195 of 240 such tasks were left alone for good, in 36 s in which a third of the
+    /// workers crashed every 0.6 s.
     pub fn is_held(&self, key: TaskKey, now_ms: Millis) -> bool {
-        self.task(key).is_some_and(|t| now_ms < t.held_until_ms)
+        let Some(task) = self.task(key) else {
+            return false;
+        };
+        let lasts = self.step_spec(key).is_some_and(|s| s.lasting);
+        let is_calm = now_ms >= self.crashed_ms + CALM_MS || now_ms >= task.since_ms + HELD_MAX_MS;
+        let waits_for_calm = lasts && task.ended.is_near_bound() && !is_calm;
+        waits_for_calm || now_ms < task.held_until_ms
     }
 
     /// Whether a suspect of crashes is watched on a worker.
--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -150,6 +150,9 @@
     }
     let end = End::new(w, over);
     let tasks: Vec<TaskKey> = w.tasks.iter().copied().collect();
+    if end.is_crash {
+        book.crashed_ms = book.crashed_ms.max(end.lost_ms());
+    }
     for key in tasks {
         count(book, key, end, ctx);
     }
@@ -162,7 +165,11 @@
         return;
     };
     let end = End::new(w, Over::LaterLife);
+    if !end.is_crash {
+        return;
+    }
     let tasks: Vec<TaskKey> = w.tasks.iter().copied().collect();
+    book.crashed_ms = now_ms;
     for key in tasks {
         let is_first = among_gang(book, key, end) == Among::First;
         let Some(spec) = book.step_spec(key).cloned() else {
@@ -171,9 +178,8 @@
         let Some(task) = book.task_mut(key) else {
             continue;
         };
-        let may_count = end.is_crash && is_first && !task.ended.is_sound;
         let one = end.count(task, &spec, Among::First, now_ms);
-        if !may_count || one.crashed == 0 {
+        if !is_first || one.crashed == 0 {
             continue;
         }
         task.seen = match one.blamed {
@@ -240,7 +246,7 @@
     };
     task.lost_ms = Some(end.lost_ms());
     let one = end.count(task, &spec, among, ctx.now.ms);
-    if one == LivesEnded::NONE || task.ended.is_sound {
+    if one == LivesEnded::NONE {
         return;
     }
     task.ended.add(one, task.run);
@@ -300,8 +306,9 @@
     let begun_ms = task.begun_ms.unwrap_or(task.since_ms);
     let ran_ms = sent_ms.saturating_sub(begun_ms);
     // What lasts meets many ends that it has nothing to do with; others end first.
-    if lasts && ran_ms >= SOUND_MS && !task.ended.is_sound {
-        task.ended = LivesEnded::SOUND;
+    let is_sound = lasts && (ran_ms >= SOUND_MS || task.is_at_work);
+    if is_sound && task.ended != LivesEnded::NONE {
+        task.ended = LivesEnded::NONE;
         book.mark(key.job, now_ms);
     }
     if ran_ms >= FRESH_MS && book.watched.remove(&key).is_some() {
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -114,7 +114,7 @@
 /// A run whose worker was heard so long after its start has outlived that: the start of what lasts takes 0.7 s.
 pub const YOUNG_MS: Millis = 1_000;
 
-/// A task that lasts and is shown after so long is sound, whatever became of its earlier runs: on
+/// A task that lasts and is shown after so long has outlived its start, also where it does not say that it is at work: on
 /// slow workers a start takes 5 s.
 pub const SOUND_MS: Millis = 5_000;
 
@@ -133,10 +133,14 @@
 /// more, and an order that was held up may be one of them.
 pub const CRASHER_WEIGHT: u8 = 8;
 
-/// The same for a task that has been started about as often as the platform allows: two, or one and two that are likely.
+/// The same after [`LIKELY_MAX`] ends: two, or one and two that are likely.
 pub const LIKELY_WEIGHT: u8 = 5;
 
-/// The same for one that may not be started again, were all ends crashes.
+/// The same after the starts that the platform allows past the third end, however those ended.
+pub const STARTED_OUT_WEIGHT: u8 = 4;
+
+/// The same after [`ENDED_MAX`] ends. With 4 in place of 3 there were 5 in place of 1 sixth starts in 1,501 worlds with
+/// such tasks, of 2 jobs that were given up for nothing none less.
 pub const ENDED_WEIGHT: u8 = 3;
 
 /// Workers that certainly crashed under a task that lasts before it is left alone, with [`LIKELY_MAX`] that ended in any
@@ -160,6 +164,12 @@
 /// Its longest wait: the platform looks for it from 6 s after its last run.
 pub const PAUSE_MAX_MS: Millis = 5_000;
 
+/// No worker has crashed for so long: a crashed one's next life comes within 3.4 s.
+pub const CALM_MS: Millis = 3_000;
+
+/// What lasts waits no longer than that for a calm moment.
+pub const HELD_MAX_MS: Millis = 60_000;
+
 /// A suspect that finds no worker without another suspect goes beside one after so long: an account comes within a second.
 pub const APART_MS: Millis = 1_000;
 
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -200,3 +200,19 @@
         play(seed);
     }
 }
+
+/// A task that does no harm is given up after two likely ends and a certain one: in the two likely ones, its runs of a few
+/// hundred milliseconds came to their own end within the moment before the worker went, unheard; two starts more ended
+/// otherwise, and a crashing task would have used up what the platform allows.
+#[test]
+fn sched_model_unheard() {
+    play(229);
+}
+
+/// A job is started 15 s after its cancel: the only entry was frozen twice, the second time before the first was over,
+/// and the world delivers what came in the first freeze behind what came in the second, the job behind its cancel. Feeds
+/// keep the order of changes.
+#[test]
+fn sched_model_order() {
+    play(2_573);
+}
