--- /dev/null
+++ b/tests/world/callers.rs
@@ -0,0 +1,77 @@
+//! What callers and the operator ask of the world: jobs, cancels, accounts with quotas, waves.
+
+use super::*;
+
+impl World {
+    /// Puts a configuration with these accounts in force: names and thousandths of a core that they may have running.
+    pub(crate) fn set_quotas(&mut self, quotas: &[(&str, u64)]) {
+        let accounts: Vec<(&str, u64, u64)> =
+            quotas.iter().map(|(name, cpu)| (*name, *cpu, 0)).collect();
+        self.set_accounts(&accounts);
+    }
+
+    /// The same, and how many jobs a second they were promised; 0 is no bound.
+    pub(crate) fn set_accounts(&mut self, accounts: &[(&str, u64, u64)]) {
+        let account = |(name, cpu_milli, weight): &(&str, u64, u64)| {
+            let config = AccountConfig {
+                name: name.to_string(),
+                weight: *weight,
+                quota: Capacity {
+                    cpu_milli: *cpu_milli,
+                    ..Capacity::default()
+                },
+                ..AccountConfig::default()
+            };
+            (name.to_string(), config)
+        };
+        self.config.version += 1;
+        self.config.accounts = accounts.iter().map(account).collect();
+        let config = Arc::new(self.config.clone());
+        self.broadcast(&Event::Operator(OperatorWord::Config(config)));
+    }
+
+    /// Thousandths of a core that an account's tasks take now.
+    pub(crate) fn account_cpu_milli(&self, account: &str) -> u64 {
+        let lives = self.workers.values().filter(|w| w.is_up);
+        let runs = lives.flat_map(|w| w.running.iter());
+        let of_account =
+            runs.filter(|(task, _)| self.specs[&task.job].account.as_deref() == Some(account));
+        of_account.map(|(_, run)| run.demand.cpu_milli).sum()
+    }
+
+    /// A caller hands in a job.
+    pub(crate) fn submit(&mut self, id: &str, mut spec: JobSpec) {
+        spec.accepted_wall_ms = WALL_MS + self.now_ms;
+        let value = rows::encode(&spec);
+        self.specs.insert(id.to_string(), spec);
+        let [part, _] = intake_parts_of(POOL, id);
+        self.put(Table::Intake, &part, id, value);
+    }
+
+    /// The same job handed in again while its first part did not answer, so that it stands in both.
+    pub(crate) fn submit_again(&mut self, id: &str) {
+        let value = rows::encode(&self.specs[id]);
+        let [_, part] = intake_parts_of(POOL, id);
+        self.put(Table::Intake, &part, id, value);
+    }
+
+    /// A caller cancels a job.
+    pub(crate) fn cancel(&mut self, id: &str) {
+        self.cancelled_at_ms.insert(id.to_string(), self.now_ms);
+        let [part, _] = intake_parts_of(POOL, id);
+        self.put(Table::Intake, &part, &cancel_key(id), b"{}".to_vec());
+    }
+
+    /// The operator asks for a wave over all hosts.
+    pub(crate) fn wave(&mut self, number: u64, duration_ms: u64, out_max: usize) {
+        let hosts: HashSet<String> = self.workers.values().map(|w| w.fact.host.clone()).collect();
+        let order = WaveOrder {
+            wave: number,
+            hosts: hosts.into_iter().collect(),
+            duration_ms,
+            out_max,
+        };
+        self.waves.push(order.clone());
+        self.broadcast(&Event::Operator(OperatorWord::Wave(order)));
+    }
+}
