Failing: tasks start again whose ends were in their owner's books alone as their host went for upkeep

What callers saw: tasks of theirs ran twice, all the first runs on one worker; nobody stopped the second runs, and they ended as done, too.

Brought about without processes: a job's partition is away as its six tasks end, their worker counts as empty by the books, its host takes its slot and goes; the owner is killed before the record.

--- /dev/null
+++ b/tests/test_ends.rs
@@ -0,0 +1,46 @@
+//! Tasks whose runs had all ended as done on one worker were started again on others, and nobody stopped the second runs.
+//! An end is in its owner's books as soon as a worker lists it, and on record later. A worker whose tasks were all done by
+//! the books counted as empty in between: its host was ordered out for upkeep or put on offer, and the worker's list of ends
+//! went with it. When the owner was replaced before the record, nothing told the next one of these ends; it found every one of
+//! the tasks as started on a worker that was gone. In the first test below the job's partition is away for 6 s, the upkeep
+//! comes 2.4 s after the last end, and each of the six tasks is started twice (12 starts).
+
+use rockwick::core::sched::rows::shard_part;
+
+use crate::world::{job, World, POOL};
+
+/// Long enough for an owner to be found.
+const SETTLE_MS: u64 = 8_000;
+
+/// Tasks of the job.
+const TASKS: u16 = 6;
+
+/// The shard that has the job's progress: the first one does not answer as it comes. Orders to hosts are on record there.
+const SHARD: usize = 1;
+
+/// A world whose only job has been started, all of it.
+fn started() -> World {
+    let mut world = World::new(1, 2, 2);
+    world.run(SETTLE_MS);
+    world.parts_away.insert(shard_part(POOL, 0));
+    // Until heartbeats there have failed.
+    world.run(1_000);
+    world.submit("a", job(TASKS, 1_000, 1_500));
+    world.run(300);
+    world.parts_away.clear();
+    assert_eq!(world.starts, u64::from(TASKS));
+    world
+}
+
+#[test]
+fn ends_outlive_upkeep() {
+    let mut world = started();
+    world.parts_away.insert(shard_part(POOL, SHARD));
+    world.wave(1, 4_000, 1);
+    world.run(9_000);
+    let owner = world.owner_entry().expect("it renews in other shards");
+    world.kill(owner);
+    world.parts_away.clear();
+    world.run(20_000);
+    assert_eq!(world.starts, u64::from(TASKS), "no task starts twice");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -22,6 +22,7 @@
 mod test_crashes;
 mod test_drain;
 mod test_edge;
+mod test_ends;
 mod test_fairness;
 mod test_foreign;
 mod test_fuzz;
