Failing: a host goes on offer to other pools while ends that its worker told are not on record

The second way by which a host leaves on its owner's word: an offer that is taken ends the worker's life, and with it the list of ends. Books with four hosts whose ends are taken in and not recorded: all of those that are spare go on offer.

--- a/tests/test_ends.rs
+++ b/tests/test_ends.rs
@@ -5,9 +5,16 @@
 //! the tasks as started on a worker that was gone. In the first test below the job's partition is away for 6 s, the upkeep
 //! comes 2.4 s after the last end, and each of the six tasks is started twice (12 starts).
 
-use rockwick::core::sched::rows::shard_part;
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::load;
+use rockwick::core::sched::offers::Offers;
+use rockwick::core::sched::rows::{self, shard_part};
+use rockwick::core::sched::sizing::{self, Look, Sizing};
+use rockwick::core::sched::state::Effect;
+use rockwick::port::fleet::StoredRow;
 
-use crate::world::{job, World, POOL};
+use crate::decide::{answering, decide};
+use crate::world::{config, job, worker_fact, World, POOL};
 
 /// Long enough for an owner to be found.
 const SETTLE_MS: u64 = 8_000;
@@ -44,3 +51,46 @@
     world.run(20_000);
     assert_eq!(world.starts, u64::from(TASKS), "no task starts twice");
 }
+
+/// Whether a look at the pool's size changes what is on offer.
+fn offers(book: &mut Book) -> bool {
+    let with = Look {
+        pool: POOL,
+        epoch: 1,
+        can_park: true,
+        pressed: true,
+        answer_ms: 5,
+    };
+    let effects = decide(100_000, |ctx| {
+        let mut sizing = Sizing::default();
+        sizing::look(book, &mut sizing, &mut Offers::default(), &with, ctx);
+    });
+    effects
+        .iter()
+        .any(|e| matches!(e, Effect::SettleOffers(..)))
+}
+
+/// Four hosts, of which the pool's only job needs fewer; the first has told an end of that job, which is not on record.
+#[test]
+fn ends_outlive_offer() {
+    let mut book = Book::default();
+    let hosts = (0..4).map(|n| worker_fact(&format!("life-{n}"), &format!("host-{n}")));
+    let workers: Vec<_> = hosts.map(|fact| answering(&mut book, fact)).collect();
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: "job".to_string(),
+        value: Some(rows::encode(&job(1, 1_000, 60_000))),
+        revision: 1,
+    };
+    decide(100_000, |ctx| {
+        load::apply_intake(&mut book, &row, &config(1), 1, ctx)
+    });
+    let key = book.by_id["job"];
+    for worker in &workers {
+        book.mark(key, 100_000);
+        book.note_taken(*worker, 1, Some(key));
+    }
+    assert!(!offers(&mut book), "no host's ends are on record");
+    book.jobs[key].recorded_changes = book.jobs[key].changes;
+    assert!(offers(&mut book), "all are");
+}
