A host leaves only once all ends that its worker told are on record

What callers saw: finished tasks of theirs ran once more, all those of one worker at once; nobody stopped the second runs.

Cause: an end is in its owner's books at once and on record later. `wave::clear` and `sizing::settle_offers` took a worker for empty by the books; its host was sent for upkeep or given away, its life ended with the list of ends, and an owner that was replaced before the record (its partition away, its batch behind another, the process killed) left nothing that told of them. Class: what only an owner's memory holds is acted on as if it were on record.

Why it holds: `Book::is_clear` asks for the record (each end's change of its job) beside the tasks, at both places where an owner lets a host go; a life that left the list and serves on is asked, too. A worker that ends by itself can still take its ends along.

Ruled out: waiting for the acknowledgement by the worker; the record is enough, since the next owner reads it.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -286,10 +286,7 @@
             return true;
         };
         while let Some(end) = w.unrecorded.front() {
-            let job = end
-                .change
-                .and_then(|(key, n)| Some((self.jobs.get(key)?, n)));
-            if job.is_some_and(|(job, change)| job.recorded_changes < change) {
+            if !is_recorded(&self.jobs, end) {
                 return false;
             }
             w.recorded = end.number;
@@ -298,6 +295,19 @@
         true
     }
 
+    /// Whether a worker carries nothing, and nothing that it told would be lost with it.
+    pub fn is_clear(&self, worker: WorkerKey) -> bool {
+        self.workers.get(worker).is_none_or(|w| w.tasks.is_empty()) && self.has_recorded(worker)
+    }
+
+    /// Whether all ends that a worker told are on record. A host that left before took them with it: an owner that was
+    /// replaced then left six finished tasks of six to be started again.
+    pub fn has_recorded(&self, worker: WorkerKey) -> bool {
+        let ends = self.workers.get(worker).map(|w| &w.unrecorded);
+        let mut ends = ends.into_iter().flatten();
+        ends.all(|end| is_recorded(&self.jobs, end))
+    }
+
     /// Brings a job into a state and keeps the count of those that wait.
     pub fn set_state(&mut self, key: JobKey, state: JobState, now_ms: Millis) {
         let Some(job) = self.jobs.get_mut(key) else {
@@ -550,3 +560,12 @@
         worker.tasks.iter().filter(same).count()
     }
 }
+
+/// Whether what an end changed is on record.
+fn is_recorded(jobs: &SlotMap<JobKey, Job>, end: &TakenEnd) -> bool {
+    let Some((job, change)) = end.change else {
+        return true;
+    };
+    jobs.get(job)
+        .is_none_or(|job| job.recorded_changes >= change)
+}
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -344,7 +344,7 @@
     let mut offered = BTreeMap::new();
     for (key, worker) in book.workers.iter().filter(|(_, w)| w.is_spare) {
         let (host, life) = (&worker.fact.host, &worker.fact.id);
-        let is_idle = worker.is_listed && worker.answers && worker.tasks.is_empty();
+        let is_idle = worker.is_listed && worker.answers && book.is_clear(key);
         let is_idle = is_idle && !worker.is_closing;
         let has_left = book.left.values().any(|left| left.worker == key);
         // A host that carries nothing is best taken through its upkeep first.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -202,7 +202,13 @@
                 if clear(book, &host, since_ms, epoch, ctx) {
                     take_slot(duty, wave, &host, pool, ctx);
                 } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS {
-                    reopen(book, duty, &host, "what lasts there could not move", ctx);
+                    reopen(
+                        book,
+                        duty,
+                        &host,
+                        "what lasts there could not move, or its ends are not on record",
+                        ctx,
+                    );
                 }
             }
             Turn::Holding => go_out(book, duty, wave, &host, ctx),
@@ -214,7 +220,8 @@
 /// Moves what lasts and waits for the rest; says whether the host may go.
 fn clear(book: &mut Book, host: &str, since_ms: Millis, epoch: u64, ctx: &mut Ctx<'_>) -> bool {
     let Some(worker) = book.worker_on(host) else {
-        return true;
+        // A life that left the list may serve on for seconds, and what it carries would end with it.
+        return book.lives_on(host).all(|(life, _)| book.is_clear(life));
     };
     let tasks: Vec<TaskKey> = book.workers[worker].tasks.iter().copied().collect();
     let mut lasting_left = 0;
@@ -231,7 +238,7 @@
         }
     }
     let is_patient = ctx.now.ms < since_ms + CLOSE_MS;
-    lasting_left == 0 && (tasks.is_empty() || !is_patient)
+    lasting_left == 0 && book.has_recorded(worker) && (tasks.is_empty() || !is_patient)
 }
 
 /// Whether everything that lasts on a worker could go elsewhere now.
