Failing: an owner that is told to stop drops ends that it has taken in

An owner under a stop waits for the batch that is out and hands its pool over; what is gathered behind that batch is dropped. Where the worker goes in the same moment the next owner starts the finished task again: 7 starts of 6 tasks.

--- a/tests/test_ends.rs
+++ b/tests/test_ends.rs
@@ -95,3 +95,31 @@
     book.jobs[key].recorded_changes = book.jobs[key].changes;
     assert!(offers(&mut book), "all are");
 }
+
+/// Whether the job is done by its owner's books.
+fn is_done_by_books(world: &World) -> bool {
+    let pool = world.owner().and_then(|state| state.pool(POOL));
+    let tenure = pool.and_then(|pool| pool.tenure.as_ref());
+    let book = tenure.and_then(|tenure| tenure.book.as_ref());
+    book.is_some_and(|book| book.jobs[book.by_id["a"]].state.is_final())
+}
+
+/// An owner that is told to stop hands its pool over; what it has just taken in is on record then, or a worker that is gone
+/// as the next owner looks takes it along.
+#[test]
+fn ends_outlive_stop() {
+    let mut world = World::new(1, 2, 2);
+    world.run(SETTLE_MS);
+    world.submit("a", job(TASKS, 1_000, 1_500));
+    world.run(100);
+    let life = world.life_of("a", 0).expect("it runs");
+    while !is_done_by_books(&world) {
+        world.run(1);
+    }
+    let owner = world.owner_entry().expect("it has books");
+    world.stop(owner);
+    world.run(1);
+    world.crash(&life, 1_000);
+    world.run(20_000);
+    assert_eq!(world.starts, u64::from(TASKS), "no task starts twice");
+}
