An entry that is told to stop records what it has taken in before it gives a pool up

Symptom: a finished task starts again after a planned stop of its pool's owner, where its worker goes in the same moment.

Cause: under a stop only the batch that was out was waited for; jobs that had changed since were dropped with the books.

Change: a module of its own (handover): flushes until nothing is left, for 500 ms at the most, then releases. Accounts that come after the stop are not taken in: their worker tells the next owner. A batch that stands still does not hold the pool back any more; before, it was handed over only once that batch was settled, or with the lease.

--- /dev/null
+++ b/src/core/sched/handover.rs
@@ -0,0 +1,43 @@
+//! An entry that is told to stop puts on record what it has taken in, then gives its pools up, so that others go on at once.
+
+use super::access::{owned_pools, with_pool};
+use super::commit;
+use super::limits::STOP_RECORD_MS;
+use super::seat;
+use super::state::{Effect, State, Tenure, Timer};
+use crate::clock::Now;
+
+/// Begins to stop.
+pub(super) fn begin(state: &mut State, now: Now) {
+    state.stopped_ms.get_or_insert(now.ms);
+    for key in owned_pools(state) {
+        state
+            .timers
+            .insert((now.ms + STOP_RECORD_MS, key, Timer::Flush));
+    }
+}
+
+/// Records what is left of each pool, and gives up those that are done or have taken too long.
+pub(super) fn settle(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let stopped_ms = state.stopped_ms.unwrap_or(now.ms);
+    let is_over = now.ms >= stopped_ms + STOP_RECORD_MS;
+    for key in owned_pools(state) {
+        with_pool(state, key, now, out, |pool, ctx, _| {
+            commit::flush(pool, ctx);
+            let is_done = pool.tenure.as_ref().is_some_and(has_recorded);
+            if is_done || is_over {
+                seat::release(pool, ctx);
+            }
+        });
+    }
+    if state.owned() == 0 {
+        out.push(Effect::Left);
+    }
+}
+
+/// Whether nothing of the books is left to be recorded. What a worker told and nobody recorded goes with that worker: the
+/// next owner would start a finished task again.
+fn has_recorded(tenure: &Tenure) -> bool {
+    let has_dirty = tenure.book.as_ref().is_some_and(|b| !b.dirty.is_empty());
+    !has_dirty && tenure.batches.iter().all(Option::is_none)
+}
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -60,6 +60,10 @@
 /// A shard that refused or lost a call is passed over for so long, then tried again.
 pub const SHARD_PAUSE_MS: Millis = 500;
 
+/// An entry that was told to stop gives its pools up after so long, recorded or not: most answers of a store that takes
+/// writes in turn come within 300 ms, and a pool without an owner starts nothing.
+pub const STOP_RECORD_MS: Millis = 500;
+
 /// New jobs go to another shard while one has been busy with a batch for so long: twenty answers of a good store, and
 /// a third of one that takes writes in turn.
 pub const SHARD_BUSY_MS: Millis = 100;
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -13,6 +13,7 @@
 mod exchange;
 pub mod fairness;
 pub mod gang;
+mod handover;
 pub mod holds;
 pub mod hosts;
 pub mod job;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -11,6 +11,7 @@
 use super::crashes;
 use super::exchange::{close_given, hosts_taken, observe_offers, offers_settled};
 use super::gang;
+use super::handover;
 use super::holds;
 use super::hosts;
 use super::job::JobSpec;
@@ -130,7 +131,7 @@
             });
         }
         Event::Store(answers) => store_changed(state, answers, now),
-        Event::Stop => state.is_stopping = true,
+        Event::Stop => handover::begin(state, now),
     }
     fire_timers(state, now, &mut out);
     settle_pools(state, now, &mut out);
@@ -386,6 +387,10 @@
     now: Now,
     out: &mut Vec<Effect>,
 ) {
+    if state.is_stopping() {
+        // The worker tells it to the next owner; taken in here it would put the handover off.
+        return;
+    }
     with_book(state, key, epoch, now, out, |book, ctx| {
         holds::held(book, worker, sent_ms, result, epoch, ctx)
     });
@@ -421,7 +426,7 @@
         cpu_milli: state.cpu_milli,
         strongest_milli: heard.max().filter(|milli| *milli > 0),
         store_since_ms: state.store_since_ms,
-        is_stopping: state.is_stopping,
+        is_stopping: state.is_stopping(),
         nonce: state.nonce,
     }
 }
@@ -570,19 +575,16 @@
 
 /// What follows from any event: places for what waits, the next batch, a pool that is given up.
 fn settle_pools(state: &mut State, now: Now, out: &mut Vec<Effect>) {
-    let is_stopping = state.is_stopping;
+    if state.is_stopping() {
+        handover::settle(state, now, out);
+        return;
+    }
     for key in owned_pools(state) {
         adjust_quota(state, key, now, out);
         with_pool(state, key, now, out, |pool, ctx, _| {
             let Some(tenure) = &mut pool.tenure else {
                 return;
             };
-            if is_stopping {
-                if tenure.batches.iter().all(Option::is_none) {
-                    seat::release(pool, ctx);
-                }
-                return;
-            }
             let epoch = tenure.epoch;
             if let Some(book) = tenure.book.as_mut() {
                 crashes::give_up(book, epoch, ctx);
@@ -594,7 +596,4 @@
             commit::flush(pool, ctx);
         });
     }
-    if state.is_stopping && state.owned() == 0 {
-        out.push(Effect::Left);
-    }
 }
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -306,8 +306,8 @@
     pub timers: Timers,
     /// Since when the store answers; nothing while it does not.
     pub store_since_ms: Option<Millis>,
-    /// The process was told to stop.
-    pub is_stopping: bool,
+    /// When the process was told to stop.
+    pub stopped_ms: Option<Millis>,
 }
 
 impl State {
@@ -332,6 +332,11 @@
         self.timers.first().map(|(at_ms, _, _)| *at_ms)
     }
 
+    /// Whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopped_ms.is_some()
+    }
+
     /// Number of pools that this entry owns.
     pub fn owned(&self) -> usize {
         self.pools.iter().filter(|p| p.tenure.is_some()).count()
