World: a start again counts also where the done end is noted later

Cause: the check on starts knew only ends that were noted before the start. The promise also forbids a start after an end that is noted later, unless the lease of that worker lapsed in between, and two runs on one worker.

Change: ends as done keep the number of starts and of lapses at their time; where one is noted, no later start of the task may be there (of any member, with a gang: one done end stands for all). A start beside another run of its task on the same worker counts, too. What was checked before still is. Nothing new is drawn.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod entries;
 mod jobs;
+mod once;
 mod store;
 mod workers;
 
@@ -154,6 +155,8 @@
     barred: HashMap<TaskName, u32>,
     ended: Vec<RunEnd>,
     next_end: u64,
+    /// How often its lease has lapsed.
+    lapses: u32,
     /// When its room last shrank.
     shrunk_ms: Option<u64>,
     /// Up, or its host is out.
@@ -210,6 +213,8 @@
     config: FleetConfig,
     waves: Vec<WaveOrder>,
     noted_done: HashSet<TaskName>,
+    /// What counts on starts of one task again.
+    once: once::Once,
     failed_runs: HashMap<TaskName, HashSet<u32>>,
     /// Lasting tasks that orders ended, until they are at work again.
     ordered_away: HashSet<TaskName>,
@@ -253,6 +258,7 @@
             config: config(1),
             waves: Vec::new(),
             noted_done: HashSet::new(),
+            once: Default::default(),
             failed_runs: HashMap::new(),
             ordered_away: HashSet::new(),
             cancelled_at_ms: HashMap::new(),
--- /dev/null
+++ b/tests/world/once.rs
@@ -0,0 +1,100 @@
+//! The promise that a task's work is done once: no start after a run of it has ended as done, if that end is taken note
+//! of then or later, and no two runs at once. An end that the worker's lease lapsed behind before it was taken note of
+//! does not count: nobody can tell it from a run that was given up.
+
+use super::*;
+
+/// How things stood as a run ended as done.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DoneAt {
+    pub(super) ms: u64,
+    /// Starts until then, of all tasks.
+    pub(super) starts: u64,
+    /// Lapses of the worker's lease until then.
+    pub(super) lapses: u32,
+}
+
+/// One start of a task.
+struct Started {
+    ms: u64,
+    /// Its place among all starts.
+    number: u64,
+    run: u32,
+    worker: String,
+}
+
+/// Starts and ends, as far as they count on starts of one task again.
+#[derive(Default)]
+pub(super) struct Once {
+    /// Ends as done, by worker and number of the end.
+    pub(super) done: HashMap<(String, u64), DoneAt>,
+    starts: HashMap<TaskName, Vec<Started>>,
+}
+
+impl Worker {
+    /// A lease that is over is so for good, also where the next renewal comes in the same moment.
+    pub(super) fn note_lapse(&mut self, now_ms: u64) {
+        if self.clock(now_ms) >= self.lease_until_ms {
+            self.lapses += 1;
+        }
+    }
+}
+
+impl World {
+    /// No other run of a task is on the worker that starts it.
+    pub(super) fn check_alone(&self, id: &str, start: &RunStart) {
+        let there = self.workers[id].running.get(&start.task);
+        assert!(
+            there.is_none(),
+            "{} ms: {:?} starts on {id} as run {} beside run {:?}",
+            self.now_ms,
+            start.task,
+            start.run,
+            there.map(|r| r.run)
+        );
+    }
+
+    pub(super) fn note_start(&mut self, id: &str, start: &RunStart) {
+        let started = Started {
+            ms: self.now_ms,
+            number: self.starts,
+            run: start.run,
+            worker: id.to_string(),
+        };
+        let starts = self.once.starts.entry(start.task.clone()).or_default();
+        starts.push(started);
+    }
+
+    /// An end as done is taken note of. One of a gang stands for all members.
+    pub(super) fn note_done(&mut self, id: &str, end: RunEnd) {
+        let at = self.once.done[&(id.to_string(), end.number)];
+        let has_lapsed = self.workers[id].lapses != at.lapses;
+        let step = &self.specs[&end.task.job].steps[usize::from(end.task.step)];
+        if step.gang && !has_lapsed {
+            for index in 0..step.count {
+                let member = TaskName {
+                    index,
+                    ..end.task.clone()
+                };
+                self.check_no_later(id, &end, &member, at);
+                self.noted_done.insert(member);
+            }
+        }
+        if !has_lapsed {
+            self.check_no_later(id, &end, &end.task, at);
+        }
+        self.noted_done.insert(end.task);
+    }
+
+    /// No start of a task came between an end that stands for it and now.
+    fn check_no_later(&self, id: &str, end: &RunEnd, task: &TaskName, at: DoneAt) {
+        let starts = self.once.starts.get(task);
+        let later = starts.and_then(|starts| starts.iter().find(|s| s.number > at.starts));
+        if let Some(s) = later {
+            panic!(
+                "{} ms: {:?} run {} done on {id} at {}, noted after {task:?} run {} started on {} at {}",
+                self.now_ms, end.task, end.run, at.ms, s.run, s.worker, s.ms
+            );
+        }
+    }
+}
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -37,6 +37,7 @@
             barred: HashMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            lapses: 0,
             shrunk_ms: None,
             is_up: true,
             cut_until_ms: 0,
@@ -91,6 +92,8 @@
             start.task,
             w.fact.capacity.cpu_milli
         );
+        self.check_alone(id, start);
+        let w = self.workers.get_mut(id).expect("it is up");
         let run = Running {
             run: start.run,
             demand,
@@ -99,6 +102,7 @@
         };
         w.running.insert(start.task.clone(), run);
         self.starts += 1;
+        self.note_start(id, start);
         self.check_start(id, &start.task);
         self.crasher_started(id, &start.task, start.run);
         let lapse_ms = self.workers[id].lease_until_ms - self.workers[id].clock(now_ms);
@@ -238,6 +242,7 @@
             return Err(OrderReply::Fenced);
         }
         w.fence = fence;
+        w.note_lapse(now_ms);
         if let Some(until_ms) = ask.lease_until_ms {
             let cap_ms = w.clock(now_ms) + HOLD_MAX_MS;
             w.lease_until_ms = w.lease_until_ms.max(until_ms.min(cap_ms));
@@ -264,7 +269,7 @@
         let lapse_ms = w.lease_until_ms.saturating_sub(w.clock(now_ms));
         for end in seen {
             if end.kind == EndKind::Done {
-                self.noted_done.insert(end.task);
+                self.note_done(id, end);
             }
         }
         self.at(lapse_ms, Happening::Lapse(id.to_string()));
@@ -310,6 +315,14 @@
         }
         let number = w.next_end;
         w.next_end += 1;
+        if kind == EndKind::Done {
+            let at = once::DoneAt {
+                ms: self.now_ms,
+                starts: self.starts,
+                lapses: w.lapses,
+            };
+            self.once.done.insert((id.to_string(), number), at);
+        }
         w.ended.push(RunEnd {
             number,
             task: task.clone(),
@@ -360,12 +373,13 @@
 
     pub(super) fn lapse(&mut self, id: &str) {
         let now_ms = self.now_ms;
-        let Some(w) = self.workers.get(id).filter(|w| w.is_up) else {
+        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
             return;
         };
         if w.clock(now_ms) < w.lease_until_ms {
             return;
         }
+        w.lapses += 1;
         let running: Vec<(TaskName, u32)> =
             w.running.iter().map(|(t, r)| (t.clone(), r.run)).collect();
         for (task, run) in running {
