Soak: a start after a run was done is wrong also where that end is noted later

Cause: the stand-in's platform looked only at ends that were noted before the start. By the rule an end that is taken note of later counts as well, unless its worker's lease lapsed between the end and the noting.

Change: each start (time, life, run, epoch) and each end as done (time, life, run) is kept by task, and each life knows when its lease last lapsed. When an end is noted with no lapse since, every start of the task after that end is a broken promise, and so is each start that comes later. The earlier checks stay as they were.

--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! sees broken. It knows one pool of workers.
 
 mod promises;
+mod runs;
 mod store;
 mod workers;
 
@@ -78,6 +79,8 @@
 struct Worker {
     fence: u64,
     lease_until_ms: u64,
+    /// When the lease before the last renewal had lapsed, if it had.
+    lapsed_ms: Option<u64>,
     running: BTreeMap<String, Run>,
     /// Runs up to this one were stopped or have ended here.
     barred: HashMap<String, u64>,
--- a/standin/src/fleet/promises.rs
+++ b/standin/src/fleet/promises.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::runs::{Runs, Start};
 use super::{Fleet, State};
 
 /// From a cancel's acknowledgement on, starts may come for so long: a takeover, a read of the rows, and an
@@ -23,6 +24,8 @@
     done: BTreeSet<String>,
     /// Tasks whose end was taken note of.
     noted: BTreeSet<String>,
+    /// Starts and ends of all tasks.
+    runs: Runs,
     /// Most hosts out at once, by wave.
     out_max: BTreeMap<u64, usize>,
     broken: Vec<String>,
@@ -33,15 +36,30 @@
 }
 
 impl Promises {
-    pub(super) fn note_end(&mut self, task: &str, how: &str) {
+    pub(super) fn note_end(&mut self, task: &str, how: &str, (life, run): (&str, u64), at_ms: u64) {
         if how == "done" {
             self.done.insert(task.to_string());
+            self.runs.done(task, life, run, at_ms);
         }
     }
 
-    pub(super) fn note_seen(&mut self, task: &str, how: &str) {
-        if how == "done" {
-            self.noted.insert(task.to_string());
+    /// Takes note that an owner has seen an end. No start may come after that end, whether it came before or after
+    /// this moment, unless the worker's lease lapsed between the two.
+    pub(super) fn note_seen(
+        &mut self,
+        task: &str,
+        how: &str,
+        (life, run): (&str, u64),
+        lapsed_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        if how != "done" {
+            return;
+        }
+        self.noted.insert(task.to_string());
+        let wrong = self.runs.noted(task, life, run, lapsed_ms, now_ms);
+        if !self.specs.is_empty() {
+            wrong.into_iter().for_each(|what| self.fail(what));
         }
     }
 
@@ -54,14 +72,15 @@
 
 impl State {
     /// Checks a start that is about to be carried out on a life.
-    pub(super) fn check_start(&mut self, life: &str, task: &str, spec: &str, now_ms: u64) {
+    pub(super) fn check_start(&mut self, task: &str, spec: &str, start: Start) {
         if self.promises.specs.is_empty() {
             return;
         }
+        let (now_ms, life) = (start.at_ms, start.life.clone());
         let lives: Vec<&String> = self.hosts.iter().filter_map(|h| h.life.as_ref()).collect();
         let runs_on = |other: &&&String| {
             let worker = self.workers.get(**other);
-            ***other != *life && worker.is_some_and(|w| w.running.contains_key(task))
+            ***other != life && worker.is_some_and(|w| w.running.contains_key(task))
         };
         let twice = lives.iter().find(runs_on).map(|other| other.to_string());
         let promises = &mut self.promises;
@@ -72,6 +91,8 @@
                 "{now_ms} ms: {task} starts on {life} while it runs on {other}"
             ));
         }
+        let wrong = promises.runs.started(task, start);
+        wrong.into_iter().for_each(|what| promises.fail(what));
         if promises.noted.contains(task) {
             promises.fail(format!(
                 "{now_ms} ms: {task} starts on {life} after its end was noted"
--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -8,6 +8,7 @@
 use serde_json::{json, Value};
 use smol::Timer;
 
+use super::runs::Start;
 use super::{Fleet, OrderFault, Run, State, Worker, LOOK_MS, UPKEEP_MS};
 
 /// A lease that a worker takes at most.
@@ -16,6 +17,16 @@
 /// Room of a worker, in thousandths of a core.
 const ROOM_MILLI: u64 = 16_000;
 
+impl Worker {
+    /// When its lease last lapsed, as of now.
+    fn lapsed_at(&self, now_ms: u64) -> Option<u64> {
+        match self.lease_until_ms <= now_ms {
+            true => Some(self.lease_until_ms),
+            false => self.lapsed_ms,
+        }
+    }
+}
+
 impl State {
     /// Ends runs of a life that are over by their work or by its lease.
     fn settle(&mut self, life: &str, now_ms: u64) {
@@ -29,11 +40,12 @@
             _ => None,
         };
         let over = worker.running.iter();
-        let over: Vec<(String, u64, &str)> = over
-            .filter_map(|(task, r)| Some((task.clone(), r.run, how(r)?)))
+        let over: Vec<(String, Run, &str)> = over
+            .filter_map(|(task, r)| Some((task.clone(), r.clone(), how(r)?)))
             .collect();
         for (task, run, how) in over {
-            self.end(life, &task, run, how);
+            let work_ms = run.ends_ms.unwrap_or(lease_ms);
+            self.end(life, &task, run.run, how, work_ms.min(lease_ms));
         }
     }
 
@@ -44,7 +56,7 @@
         }
     }
 
-    fn end(&mut self, life: &str, task: &str, run: u64, how: &str) {
+    fn end(&mut self, life: &str, task: &str, run: u64, how: &str, at_ms: u64) {
         let Some(worker) = self.workers.get_mut(life) else {
             return;
         };
@@ -54,7 +66,7 @@
         worker.next_end += 1;
         let row = json!([worker.next_end, task, run, how, ""]);
         worker.ended.push(row);
-        self.promises.note_end(task, how);
+        self.promises.note_end(task, how, (life, run), at_ms);
     }
 
     /// A host's worker ends, with all that runs there.
@@ -232,6 +244,7 @@
                 return self.refusal("fence");
             }
             worker.fence = fence;
+            worker.lapsed_ms = worker.lapsed_at(self.clock_ms());
             let until_ms = body["deadline_ms"].as_u64().unwrap_or(0);
             let until_ms = until_ms.min(self.clock_ms() + LEASE_MAX_MS);
             worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
@@ -277,7 +290,13 @@
             drop(state);
             return self.refusal("room");
         }
-        state.check_start(life, &task, spec, now_ms);
+        let start = Start {
+            at_ms: now_ms,
+            life: life.to_string(),
+            run,
+            fence: body["fencing_token"].as_u64().unwrap_or(0),
+        };
+        state.check_start(&task, spec, start);
         let ends_ms = (!spec.contains("lasts")).then(|| now_ms + self.work_ms);
         if let Some(worker) = state.workers.get_mut(life) {
             worker.running.insert(task, Run { run, ends_ms });
@@ -295,7 +314,7 @@
             let barred = worker.barred.entry(task.clone()).or_default();
             *barred = (*barred).max(run);
             if there {
-                state.end(life, &task, run, "stopped");
+                state.end(life, &task, run, "stopped", self.clock_ms());
             }
         }
         json(200, &json!({"clock_ms": self.clock_ms()}))
@@ -323,13 +342,17 @@
         let (noted, rest): (Vec<Value>, Vec<Value>) = worker.ended.drain(..).partition(is_seen);
         worker.ended = rest;
         let ended = worker.ended.clone();
+        let lapsed_ms = worker.lapsed_at(clock_ms);
         let running = worker.running.iter();
         let running: Vec<Value> = running
             .map(|(task, r)| json!([task, r.run, "", 100, 0]))
             .collect();
         for end in noted {
             let text = |n: usize| end[n].as_str().unwrap_or("").to_string();
-            state.promises.note_seen(&text(1), &text(3));
+            let of = (life, end[2].as_u64().unwrap_or(0));
+            let (task, how) = (text(1), text(3));
+            let promises = &mut state.promises;
+            promises.note_seen(&task, &how, of, lapsed_ms, clock_ms);
         }
         if ended.is_empty() && !at_once {
             return None;
