Log: ends as they are taken in, answers to starts, and what a judgement on a run rests on

Callers saw tasks started a second time after a run of them had ended as done. The lines of the time could not tell the hypotheses apart: no line told that an end was taken in or what the books thought of its task then, starts that were answered left no line, task-requeued named no worker, and worker-over not the life that had answered.

Change: log lines only, no decision. ends-taken (618) lists the ends of an account as number=job.round.step.task#run:kind, with the phase that the books had the task in, and its run and worker where they are others; JobUnknown, RoundOver, JobOver where the task is gone. Ends listed again are counted. recorded and told_seen say how far ends are on record, and how far the worker was told so. starts-answered (619) lists answers gathered for 100 ms, also those that nobody awaits any more; they are told before the next judgement. task-requeued and task-placed name worker and host, the phase, and when the account was asked for and the order settled; worker-over names the life that answered or the order that met another one, what is left of the lease, and the worker's numbers. `explain job` also finds lines that name the job in a list.

The lease of a life that is over is set to nothing after the line instead of before; nothing reads it between.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -11,6 +11,7 @@
 use super::room::Room;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::times::Times;
+use super::told::Answers;
 use super::worker::{TakenEnd, Worker};
 use crate::clock::Millis;
 use crate::port::fleet::{Capacity, TaskName};
@@ -100,6 +101,8 @@
     pub wants_quota: bool,
     /// Room or work came since tasks were last placed.
     pub wants_placing: bool,
+    /// Answers to starts that are not told yet.
+    pub answers: Answers,
 }
 
 impl Book {
--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -52,6 +52,33 @@
     }
 }
 
+/// What the judgement on a worker rests on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// An order of this kind was answered by another life.
+    Answer(&'static str),
+    /// A life of its host answered a hold.
+    Account {
+        /// That life.
+        life: String,
+        /// When the hold was sent.
+        asked_ms: Millis,
+    },
+    /// The time: its lease was not renewed.
+    Lapse,
+}
+
+impl Evidence {
+    /// What follows from it.
+    pub fn over(&self) -> Over {
+        match self {
+            Evidence::Answer(_) => Over::OtherLife,
+            Evidence::Account { .. } => Over::LaterLife,
+            Evidence::Lapse => Over::Lease,
+        }
+    }
+}
+
 /// A worker's end, as far as it is known.
 #[derive(Clone, Copy, Debug)]
 struct End {
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 
 use super::book::Book;
-use super::crashes::{self, Over};
+use super::crashes::{self, Evidence};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::{
     HEARD_ON_MS, HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, RECORDING_WAIT_MS, WORKER_LEASE_MS,
@@ -14,6 +14,7 @@
 use super::runs;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::Phase;
+use super::told;
 use super::worker::{ClockSample, HoldPhase, Worker};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -60,6 +61,7 @@
         wait_ms,
     };
     w.hold = HoldPhase::Out(ctx.now.ms);
+    w.told_seen = w.told_seen.max(seen);
     if let Some(order) = runs::order(book, key, epoch, ctx) {
         ctx.out.push(Effect::Hold(order, key, ask));
     }
@@ -92,8 +94,8 @@
         Err(OrderReply::Fenced) => return true,
         Err(OrderReply::OtherLife) => {
             w.is_listed = false;
-            w.lease_over_ms = 0;
-            runs::worker_over(book, key, Over::OtherLife, ctx);
+            runs::worker_over(book, key, &Evidence::Answer("hold"), ctx);
+            end_lease(book, key);
             forget_if_over(book, key, ctx);
         }
         Err(reply) => silent(book, key, sent_ms, reply, ctx),
@@ -139,7 +141,7 @@
     }
     let has_left = book.left.values().any(|left| left.worker == key);
     if !w.tasks.is_empty() || has_left {
-        runs::worker_over(book, key, Over::Lease, ctx);
+        runs::worker_over(book, key, &Evidence::Lapse, ctx);
     }
     forget_if_over(book, key, ctx);
 }
@@ -183,13 +185,18 @@
     }
     tell_unreadable(&mut book.workers[key], report.unreadable, ctx);
     let is_whole = report.ended.len() < ENDS_LISTED_MAX;
+    let mut told = told::Ends::new(book, key, sent_ms, epoch);
     for end in &report.ended {
-        if end.number > book.workers[key].taken {
+        if end.number <= book.workers[key].taken {
+            told.add_again();
+        } else {
+            told.add(book, end, ctx);
             runs::take_end(book, key, end, epoch, ctx);
             let job = book.by_id.get(&end.task.job).copied();
             book.note_taken(key, end.number, job);
         }
     }
+    told.finish(book, ctx);
     compare(book, key, sent_ms, &report.running, is_whole, epoch, ctx);
     drop_left(book, key, sent_ms, &report.running);
     let is_recorded = book.settle_ends(key);
@@ -237,15 +244,27 @@
         *other != key && was_there && w.heard_ms < sent_ms
     });
     let earlier: Vec<WorkerKey> = others.map(|(other, _)| other).collect();
+    let life = book.workers[key].fact.id.clone();
     for other in earlier {
         let w = &mut book.workers[other];
         w.is_listed = false;
-        w.lease_over_ms = 0;
-        runs::worker_over(book, other, Over::LaterLife, ctx);
+        let evidence = Evidence::Account {
+            life: life.clone(),
+            asked_ms: sent_ms,
+        };
+        runs::worker_over(book, other, &evidence, ctx);
+        end_lease(book, other);
         forget_if_over(book, other, ctx);
     }
 }
 
+/// What ran there is over before its lease.
+fn end_lease(book: &mut Book, key: WorkerKey) {
+    if let Some(w) = book.workers.get_mut(key) {
+        w.lease_over_ms = 0;
+    }
+}
+
 /// Compares what a worker says to run with what the books expect there.
 fn compare(
     book: &mut Book,
@@ -269,7 +288,8 @@
             .name(task)
             .is_some_and(|name| listed.contains_key(&name));
         if !is_there && must_show(book, task, sent_ms) {
-            runs::requeue(book, task, "not among what the worker runs", ctx);
+            let why = "not among what the worker runs";
+            runs::requeue_for(book, task, why, Some(sent_ms), ctx);
         }
     }
 }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -40,6 +40,7 @@
 pub mod state;
 pub mod tasks;
 pub mod times;
+pub mod told;
 pub mod wave;
 pub mod worker;
 
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -221,6 +221,8 @@
             &book.jobs[key.job].id,
             &*w.fact.id,
         )
+        .naming("on", &*w.fact.host)
+        .with("round", u64::from(key.round))
         .with("step", u64::from(key.step))
         .with("task", u64::from(key.index))
         .with("run", u64::from(run))
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -27,6 +27,7 @@
 use super::seat;
 use super::sizing;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Tenure, Timer, WaveKnown};
+use super::told;
 use super::wave;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
@@ -364,6 +365,7 @@
             Settled::Fine => {}
             Settled::PoolLost => seat::lose(pool, "its row changed", ctx),
             Settled::Diverged => {
+                told::tell_last_answers(tenure, ctx);
                 tenure.batches = Default::default();
                 tenure.removing = None;
                 tenure.removable.clear();
@@ -590,6 +592,7 @@
                 if book.wants_placing && ctx.may_send() {
                     place::place(book, ctx);
                 }
+                told::tell_old_answers(book, ctx);
             }
             commit::flush(pool, ctx);
         });
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -4,7 +4,7 @@
 //! over, or until everything ordered there has lapsed. Only then does the next run get its place.
 
 use super::book::{Book, LeftRun};
-use super::crashes::{self, Over};
+use super::crashes::{self, Evidence};
 use super::gang;
 use super::job::JobState;
 use super::keys::{JobKey, TaskKey, WorkerKey};
@@ -14,6 +14,8 @@
 use super::load;
 use super::state::{Ctx, Effect, Order, Timer};
 use super::tasks::Phase;
+use super::told;
+use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Addressee, EndKind, OrderReply, RunEnd, RunStart, TaskName};
 
@@ -79,6 +81,7 @@
     epoch: u64,
     ctx: &mut Ctx<'_>,
 ) -> bool {
+    told::note_answer(book, key, run, reply, ctx);
     let Some(task) = book.task(key) else {
         return false;
     };
@@ -113,7 +116,7 @@
             pause(book, worker, UNWELL_PAUSE_MS, ctx);
             refused(book, key, "worker unwell", epoch, ctx);
         }
-        OrderReply::OtherLife => worker_over(book, worker, Over::OtherLife, ctx),
+        OrderReply::OtherLife => worker_over(book, worker, &Evidence::Answer("start"), ctx),
         OrderReply::Fenced => return true,
     }
     false
@@ -214,7 +217,7 @@
     }
     match reply {
         OrderReply::Accepted | OrderReply::Outdated => settle(book, key, ctx),
-        OrderReply::OtherLife => worker_over(book, worker, Over::OtherLife, ctx),
+        OrderReply::OtherLife => worker_over(book, worker, &Evidence::Answer("stop"), ctx),
         OrderReply::Fenced => return true,
         _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
     }
@@ -223,6 +226,17 @@
 
 /// Brings a task whose run is certainly over back into the queue, or to rest.
 pub fn requeue(book: &mut Book, key: TaskKey, why: &str, ctx: &mut Ctx<'_>) {
+    requeue_for(book, key, why, None, ctx);
+}
+
+/// The same; `asked_ms` is when the account was asked for that the judgement rests on, if on one.
+pub(super) fn requeue_for(
+    book: &mut Book,
+    key: TaskKey,
+    why: &str,
+    asked_ms: Option<Millis>,
+    ctx: &mut Ctx<'_>,
+) {
     let Some(job) = book.jobs.get(key.job) else {
         return;
     };
@@ -233,14 +247,7 @@
         return;
     }
     let is_noted = task.ended.is_noted();
-    let id = job.id.clone();
-    // On a worker's end these tell the run that may have caused it from those that had long been at work.
-    let decision = Decision::new(Code::TaskRequeued, Subject::Job, &id, why)
-        .with("step", u64::from(key.step))
-        .with("task", u64::from(key.index))
-        .with("run", u64::from(task.run))
-        .with("answered", u64::from(task.begun_ms.is_some()))
-        .with("since_ms", ctx.now.ms.saturating_sub(task.since_ms));
+    let decision = told::requeued(book, key, why, asked_ms, ctx.now.ms);
     book.set_phase(key, Phase::Ready, ctx.now.ms);
     if is_noted {
         // On record it would still be there, and its worker's end counted once more by the next owner.
@@ -249,21 +256,22 @@
     if gang::is_member(book, key) {
         book.broken_gangs.push(key);
     }
-    ctx.tell(decision);
+    told::tell_answers(book, ctx);
+    if let Some(decision) = decision {
+        ctx.tell(decision);
+    }
 }
 
 /// A worker's life, or everything on it, is certainly over.
-pub fn worker_over(book: &mut Book, worker: WorkerKey, over: Over, ctx: &mut Ctx<'_>) {
+pub fn worker_over(book: &mut Book, worker: WorkerKey, evidence: &Evidence, ctx: &mut Ctx<'_>) {
+    let over = evidence.over();
+    told::tell_answers(book, ctx);
     let Some(w) = book.workers.get_mut(worker) else {
         return;
     };
     w.answers = false;
     let tasks: Vec<TaskKey> = w.tasks.iter().copied().collect();
-    ctx.tell(
-        Decision::new(Code::WorkerOver, Subject::Host, &w.fact.id, over.why())
-            .with("tasks", tasks.len() as u64)
-            .with("unheard_ms", ctx.now.ms.saturating_sub(w.heard_ms)),
-    );
+    ctx.tell(told::over(w, evidence, ctx.now.ms));
     crashes::note_end(book, worker, over, ctx);
     for key in tasks {
         requeue(book, key, over.why(), ctx);
@@ -414,7 +422,7 @@
         OrderReply::Accepted | OrderReply::Outdated => left.settled_ms = Some(ctx.now.ms),
         OrderReply::OtherLife => {
             let worker = left.worker;
-            worker_over(book, worker, Over::OtherLife, ctx);
+            worker_over(book, worker, &Evidence::Answer("stop"), ctx);
         }
         OrderReply::Fenced => return true,
         _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -16,6 +16,7 @@
 };
 use super::rows::{self, shard_part, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY, SHARDS};
 use super::state::{Ctx, Effect, Pool, Timer};
+use super::told;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, TxOutcome, Write};
@@ -358,7 +359,8 @@
 
 /// Gives the pool up in the store, so that another may take it at once.
 pub fn release(pool: &mut Pool, ctx: &mut Ctx<'_>) {
-    if let Some(tenure) = pool.tenure.take() {
+    if let Some(mut tenure) = pool.tenure.take() {
+        told::tell_last_answers(&mut tenure, ctx);
         send_release(&pool.name, tenure.epoch, ctx);
     }
 }
@@ -376,9 +378,10 @@
 
 /// Drops the books of a pool that another entry owns now.
 pub fn lose(pool: &mut Pool, why: &str, ctx: &mut Ctx<'_>) {
-    let Some(tenure) = pool.tenure.take() else {
+    let Some(mut tenure) = pool.tenure.take() else {
         return;
     };
+    told::tell_last_answers(&mut tenure, ctx);
     ctx.tell(
         Decision::new(Code::PoolLost, Subject::Pool, &pool.name, why).with("epoch", tenure.epoch),
     );
--- /dev/null
+++ b/src/core/sched/told.rs
@@ -0,0 +1,288 @@
+//! What the log tells of runs: enough to see why a task was started again after a run of it had ended.
+//!
+//! A run goes by `job.round.step.task#run`. Ends and answers come by the hundred in a second at a peak, and a line of each
+//! would cost processor time that small entries lack: they are gathered to lists, as long as [`LISTED_MAX`].
+
+use std::fmt::{Display, Write};
+
+use super::book::Book;
+use super::crashes::Evidence;
+use super::keys::{TaskKey, WorkerKey};
+use super::state::{Ctx, Tenure};
+use super::tasks::Phase;
+use super::worker::Worker;
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject, RUNS};
+use crate::port::fleet::{OrderReply, RunEnd, TaskName};
+
+/// Entries of a list; what is beyond goes on another line.
+const LISTED_MAX: usize = 16;
+
+/// Answered starts are told after so long, or with the next judgement on a run.
+const ANSWERS_MS: Millis = 100;
+
+/// A list of bounded length, as text.
+#[derive(Clone, Debug, Default)]
+pub(super) struct List {
+    text: String,
+    count: usize,
+}
+
+impl List {
+    /// Adds an entry.
+    pub(super) fn add(&mut self, entry: impl Display) {
+        let gap = if self.count == 0 { "" } else { " " };
+        let _ = write!(self.text, "{gap}{entry}");
+        self.count += 1;
+    }
+
+    /// The text so far; the list is empty then.
+    pub(super) fn take(&mut self) -> String {
+        self.count = 0;
+        std::mem::take(&mut self.text)
+    }
+
+    fn is_full(&self) -> bool {
+        self.count >= LISTED_MAX
+    }
+}
+
+/// A run by name.
+struct RunName<'a>(&'a TaskName, u32);
+
+impl Display for RunName<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let RunName(task, run) = self;
+        let (job, round) = (&task.job, task.round);
+        write!(f, "{job}.{round}.{}.{}#{run}", task.step, task.index)
+    }
+}
+
+fn phase_name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Blocked => "Blocked",
+        Phase::Ready => "Ready",
+        Phase::Recording(_) => "Recording",
+        Phase::Starting(_) => "Starting",
+        Phase::Running(_) => "Running",
+        Phase::Stopping(_) => "Stopping",
+        Phase::Suspect(_) => "Suspect",
+        Phase::Done => "Done",
+    }
+}
+
+/// The id of a worker's life.
+fn life(book: &Book, worker: WorkerKey) -> &str {
+    book.workers.get(worker).map_or("-", |w| &w.fact.id)
+}
+
+/// What the books think of a task as something is told of one of its runs on a worker: its phase, and its run and
+/// worker where they are others.
+fn standing(book: &Book, task: &TaskName, run: u32, worker: WorkerKey) -> String {
+    let Some(job) = book.by_id.get(&task.job).and_then(|k| book.jobs.get(*k)) else {
+        return "JobUnknown".to_string();
+    };
+    let over = if job.state.is_final() { "JobOver," } else { "" };
+    let Some(known) = book.find(task).and_then(|key| book.task(key)) else {
+        return format!("{over}RoundOver");
+    };
+    let name = phase_name(known.phase);
+    let on = known.phase.worker();
+    if known.run == run && on == Some(worker) {
+        return format!("{over}{name}");
+    }
+    match on {
+        Some(on) => format!("{over}{name}#{}@{}", known.run, life(book, on)),
+        None => format!("{over}{name}#{}", known.run),
+    }
+}
+
+/// The ends of one account, as they are taken into the books.
+pub(super) struct Ends {
+    worker: WorkerKey,
+    epoch: u64,
+    asked_ms: Millis,
+    /// Ends up to this number had been taken in before.
+    taken: u64,
+    /// Ends that were listed again.
+    again: u64,
+    list: List,
+}
+
+impl Ends {
+    /// Of an account asked for at `asked_ms`.
+    pub(super) fn new(book: &Book, worker: WorkerKey, asked_ms: Millis, epoch: u64) -> Self {
+        Self {
+            worker,
+            epoch,
+            asked_ms,
+            taken: book.workers[worker].taken,
+            again: 0,
+            list: List::default(),
+        }
+    }
+
+    /// An end that is about to be taken in.
+    pub(super) fn add(&mut self, book: &Book, end: &RunEnd, ctx: &mut Ctx<'_>) {
+        if self.list.is_full() {
+            self.tell(book, ctx);
+        }
+        let name = RunName(&end.task, end.run);
+        let standing = standing(book, &end.task, end.run, self.worker);
+        self.list.add(format_args!(
+            "{}={name}:{:?}/{standing}",
+            end.number, end.kind
+        ));
+    }
+
+    /// An end that had been taken in before.
+    pub(super) fn add_again(&mut self) {
+        self.again += 1;
+    }
+
+    /// Tells what is not told yet.
+    pub(super) fn finish(mut self, book: &Book, ctx: &mut Ctx<'_>) {
+        if self.list.count > 0 || self.again > 0 {
+            self.tell(book, ctx);
+        }
+    }
+
+    fn tell(&mut self, book: &Book, ctx: &mut Ctx<'_>) {
+        let w = &book.workers[self.worker];
+        let why = "listed in its account";
+        ctx.tell(
+            Decision::new(Code::EndsTaken, Subject::Host, &w.fact.id, why)
+                .naming("on", &*w.fact.host)
+                .naming(RUNS, self.list.take())
+                .with("epoch", self.epoch)
+                .with("asked_ago_ms", ctx.now.ms.saturating_sub(self.asked_ms))
+                .with("taken_before", self.taken)
+                .with("again", self.again)
+                .with("recorded", w.recorded)
+                .with("told_seen", w.told_seen),
+        );
+        self.again = 0;
+    }
+}
+
+/// Answers to starts that are not told yet.
+#[derive(Clone, Debug, Default)]
+pub struct Answers {
+    /// Each with when it came.
+    waiting: Vec<(Millis, String)>,
+}
+
+/// Notes what a start was answered; `since_ms` is when the run was on record. The worker is the one that the books have the
+/// task on.
+pub(super) fn note_answer(
+    book: &mut Book,
+    key: TaskKey,
+    run: u32,
+    reply: OrderReply,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(name) = book.name(key) else {
+        return;
+    };
+    let Some(task) = book.task(key) else {
+        return;
+    };
+    let name = RunName(&name, run);
+    let took_ms = ctx.now.ms.saturating_sub(task.since_ms);
+    let text = match task.phase {
+        Phase::Starting(on) if task.run == run => {
+            format!("{name}@{}:{reply:?},{took_ms}", life(book, on))
+        }
+        // The books have gone on since.
+        phase => format!("{name}:{reply:?}/{}#{}", phase_name(phase), task.run),
+    };
+    book.answers.waiting.push((ctx.now.ms, text));
+    if book.answers.waiting.len() >= LISTED_MAX {
+        tell_answers(book, ctx);
+    }
+}
+
+/// Tells answers that have waited for long enough.
+pub(super) fn tell_old_answers(book: &mut Book, ctx: &mut Ctx<'_>) {
+    let first = book.answers.waiting.first();
+    if first.is_some_and(|(at, _)| ctx.now.ms >= at + ANSWERS_MS) {
+        tell_answers(book, ctx);
+    }
+}
+
+/// Tells all answers: before a judgement that may rest on them, and before the books are dropped.
+pub(super) fn tell_answers(book: &mut Book, ctx: &mut Ctx<'_>) {
+    if book.answers.waiting.is_empty() {
+        return;
+    }
+    let mut list = List::default();
+    for (at_ms, text) in book.answers.waiting.drain(..) {
+        let ago_ms = ctx.now.ms.saturating_sub(at_ms);
+        list.add(format_args!("{text},{ago_ms}"));
+    }
+    let why = "workers answered";
+    let decision = Decision::new(Code::StartsAnswered, Subject::Pool, &book.name, why);
+    ctx.tell(decision.naming(RUNS, list.take()));
+}
+
+/// Tells all answers of books that are about to be dropped.
+pub(super) fn tell_last_answers(tenure: &mut Tenure, ctx: &mut Ctx<'_>) {
+    if let Some(book) = &mut tenure.book {
+        tell_answers(book, ctx);
+    }
+}
+
+/// A worker whose runs are over: what that rests on, and where its ends and its lease stand.
+pub(super) fn over(w: &Worker, evidence: &Evidence, now_ms: Millis) -> Decision {
+    let why = evidence.over().why();
+    let decision = Decision::new(Code::WorkerOver, Subject::Host, &w.fact.id, why);
+    let decision = match evidence {
+        Evidence::Lapse => decision,
+        Evidence::Answer(order) => decision.naming("to", *order),
+        Evidence::Account { life, asked_ms } => decision
+            .naming("by", life)
+            .with("asked_ago_ms", now_ms.saturating_sub(*asked_ms)),
+    };
+    decision
+        .naming("on", &*w.fact.host)
+        .with("tasks", w.tasks.len() as u64)
+        .with("unheard_ms", now_ms.saturating_sub(w.heard_ms))
+        .with("lease_left_ms", w.lease_over_ms.saturating_sub(now_ms))
+        .with("taken", w.taken)
+        .with("recorded", w.recorded)
+        .with("told_seen", w.told_seen)
+}
+
+/// A task that goes back to wait: what the judgement on its run rests on. `asked_ms` is when the account was asked for that
+/// lacks it.
+pub(super) fn requeued(
+    book: &Book,
+    key: TaskKey,
+    why: &str,
+    asked_ms: Option<Millis>,
+    now_ms: Millis,
+) -> Option<Decision> {
+    let task = book.task(key)?;
+    let job = &book.jobs.get(key.job)?.id;
+    // On a worker's end these tell the run that may have caused it from those that had long been at work.
+    let mut decision = Decision::new(Code::TaskRequeued, Subject::Job, job, why)
+        .with("round", u64::from(key.round))
+        .with("step", u64::from(key.step))
+        .with("task", u64::from(key.index))
+        .with("run", u64::from(task.run))
+        .with("answered", u64::from(task.begun_ms.is_some()))
+        .with("since_ms", now_ms.saturating_sub(task.since_ms))
+        .naming("phase", phase_name(task.phase));
+    if let Some(w) = task.phase.worker().and_then(|w| book.workers.get(w)) {
+        decision = decision
+            .naming("worker", &*w.fact.id)
+            .naming("on", &*w.fact.host);
+    }
+    if let Some(at) = asked_ms {
+        decision = decision.with("asked_ago_ms", now_ms.saturating_sub(at));
+    }
+    if let Some(at) = task.settled_ms {
+        decision = decision.with("settled_ago_ms", now_ms.saturating_sub(at));
+    }
+    Some(decision)
+}
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -74,6 +74,8 @@
     pub taken: u64,
     /// Ends up to this number are on record.
     pub recorded: u64,
+    /// It was told that ends up to this number were seen; for the log.
+    pub told_seen: u64,
     /// Ends behind that, in order.
     pub unrecorded: VecDeque<TakenEnd>,
     /// Entries of its last account that could not be read.
@@ -113,6 +115,7 @@
             is_heard_through: false,
             taken: 0,
             recorded: 0,
+            told_seen: 0,
             unrecorded: VecDeque::new(),
             unreadable: 0,
             fails_in_row: 0,
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -331,7 +331,9 @@
 }
 
 fn decision_line(entry: &str, d: Decision) -> Line {
-    let figures: Vec<String> = d.figures.iter().map(|(n, v)| format!("{n}={v}")).collect();
+    let names = d.names.iter().map(|(n, v)| format!("{n}={v}"));
+    let figures = d.figures.iter().map(|(n, v)| format!("{n}={v}"));
+    let figures: Vec<String> = names.chain(figures).collect();
     let code = d.code.entry();
     let what = match figures.is_empty() {
         true => format!("{}: {}", code.name, d.why),
--- a/src/event.rs
+++ b/src/event.rs
@@ -4,6 +4,9 @@
 
 use crate::clock::Millis;
 
+/// What a list of runs is told as.
+pub const RUNS: &str = "runs";
+
 /// One line of the catalogue.
 #[derive(Clone, Copy, Debug)]
 pub struct Entry {
@@ -105,6 +108,8 @@
     QuotaGranted, 615, "quota-granted", "What an account may have running in a pool changed.";
     TaskSuspected, 616, "task-suspected", "A worker's life ended under a task that may be the cause; how many did so far.";
     WorkerResized, 617, "worker-resized", "A worker's room changed while it runs.";
+    EndsTaken, 618, "ends-taken", "Ends that a worker's account lists were taken into the books: what the books thought of each task.";
+    StartsAnswered, 619, "starts-answered", "Starts were answered: by which worker, how, and when.";
     HostClosing, 620, "host-closing", "A host is due for upkeep; it gets no new work.";
     UpkeepOrdered, 621, "upkeep-ordered", "A host holds a slot of its wave and is ordered out.";
     HostAnswered, 622, "host-answered", "What the platform said to an order to a host.";
@@ -175,6 +180,10 @@
     pub why: String,
     /// Name and value of each figure.
     pub figures: Vec<(String, u64)>,
+    /// Other things that it names, such as a worker or a list of runs: what each is, and its name. Not sent to peers, whose
+    /// protocol would change by it: only decisions on a pool of workers name some.
+    #[serde(skip)]
+    pub names: Vec<(String, String)>,
 }
 
 impl Decision {
@@ -187,6 +196,7 @@
             id: id.to_string(),
             why: why.into(),
             figures: Vec::new(),
+            names: Vec::new(),
         }
     }
 
@@ -195,4 +205,28 @@
         self.figures.push((name.to_string(), value));
         self
     }
+
+    /// Names another thing.
+    pub fn naming(mut self, what: &str, name: impl Into<String>) -> Self {
+        self.names.push((what.to_string(), name.into()));
+        self
+    }
+
+    /// Whether it is about a thing, or names a job in one of its lists.
+    pub fn is_about(&self, subject: Subject, id: &str) -> bool {
+        if self.subject == subject && self.id == id {
+            return true;
+        }
+        let mut lists = self.names.iter().filter(|(what, _)| what == RUNS);
+        subject == Subject::Job && lists.any(|(_, list)| lists_job(list, id))
+    }
+}
+
+/// Whether a list names a run of a job, as `job.round.step.task#run` behind a number or nothing, or the job alone.
+fn lists_job(list: &str, id: &str) -> bool {
+    list.split(' ').any(|entry| {
+        let name = entry.split_once('=').map_or(entry, |(_, name)| name);
+        let rest = name.strip_prefix(id);
+        rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+    })
 }
--- a/src/log.rs
+++ b/src/log.rs
@@ -111,7 +111,7 @@
         let matching = |ring: &Mutex<VecDeque<Decision>>| {
             lock(ring)
                 .iter()
-                .filter(|d| d.subject == subject && d.id == id)
+                .filter(|d| d.is_about(subject, id))
                 .cloned()
                 .collect::<Vec<_>>()
         };
@@ -144,5 +144,8 @@
     for (name, value) in &d.figures {
         map.insert(name.clone(), Value::from(*value));
     }
+    for (what, name) in &d.names {
+        map.insert(what.clone(), Value::from(name.as_str()));
+    }
     Value::Object(map).to_string()
 }
--- /dev/null
+++ b/tests/test_told.rs
@@ -0,0 +1,341 @@
+//! The log tells why a task was started again: each end as it is taken in, each answer to a start, and what each
+//! judgement rests on that a run is over.
+
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::crashes::Evidence;
+use rockwick::core::sched::holds;
+use rockwick::core::sched::keys::{TaskKey, WorkerKey};
+use rockwick::core::sched::load;
+use rockwick::core::sched::place;
+use rockwick::core::sched::rows;
+use rockwick::core::sched::runs;
+use rockwick::core::sched::state::{Ctx, Effect};
+use rockwick::event::{Code, Decision, Subject};
+use rockwick::port::fleet::{
+    EndKind, HoldReport, OrderReply, RunEnd, RunningTask, StoredRow, TaskName,
+};
+
+use crate::decide::{answering, decide};
+use crate::world::{config, job, worker_fact, POOL};
+
+/// Epoch of the owner.
+const EPOCH: u64 = 7;
+
+/// When its starts are sent.
+const SENT_MS: u64 = 1_000;
+
+/// Books with one worker, and `tasks` tasks of job `a` whose starts are out.
+fn starting(tasks: u16) -> (Book, WorkerKey) {
+    let mut book = Book::default();
+    let worker = answering(&mut book, worker_fact("life-1", "host"));
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: "a".to_string(),
+        value: Some(rows::encode(&job(tasks, 100, 500))),
+        revision: 1,
+    };
+    decide(SENT_MS, |ctx| {
+        load::apply_intake(&mut book, &row, &config(1), EPOCH, ctx);
+        send_placed(&mut book, ctx);
+    });
+    (book, worker)
+}
+
+/// Places what waits, and sends its starts as if that were on record.
+fn send_placed(book: &mut Book, ctx: &mut Ctx<'_>) {
+    place::place(book, ctx);
+    for (task, run) in std::mem::take(&mut book.unsent) {
+        runs::send_start(book, task, run, EPOCH, ctx);
+    }
+}
+
+fn name(job: &str, index: u16) -> TaskName {
+    TaskName {
+        job: job.to_string(),
+        round: 0,
+        step: 0,
+        index,
+    }
+}
+
+fn key(book: &Book, index: u16) -> TaskKey {
+    book.find(&name("a", index)).expect("the task is there")
+}
+
+fn answer(book: &mut Book, now_ms: u64, reply: OrderReply) -> Vec<Effect> {
+    let task = key(book, 0);
+    decide(now_ms, |ctx| {
+        runs::started(book, task, 1, reply, EPOCH, ctx);
+    })
+}
+
+fn end(number: u64, task: TaskName, run: u32, kind: EndKind) -> RunEnd {
+    RunEnd {
+        number,
+        task,
+        run,
+        kind,
+        checkpoint: String::new(),
+    }
+}
+
+/// An account that was asked for 40 ms before.
+fn account(
+    book: &mut Book,
+    worker: WorkerKey,
+    now_ms: u64,
+    ended: Vec<RunEnd>,
+    running: &[(u16, u32)],
+) -> Vec<Effect> {
+    let running = running.iter().map(|(index, run)| RunningTask {
+        task: name("a", *index),
+        run: *run,
+        checkpoint: String::new(),
+        percent: 0,
+        gauge: 0,
+    });
+    let report = HoldReport {
+        clock_ms: now_ms,
+        running: running.collect(),
+        ended,
+        unreadable: 0,
+    };
+    decide(now_ms, |ctx| {
+        holds::held(book, worker, now_ms - 40, Ok(report), EPOCH, ctx);
+    })
+}
+
+fn lines(effects: &[Effect], code: Code) -> Vec<&Decision> {
+    let logged = effects.iter().filter_map(|effect| match effect {
+        Effect::Log(decision) => Some(decision),
+        _ => None,
+    });
+    logged.filter(|decision| decision.code == code).collect()
+}
+
+fn only(effects: &[Effect], code: Code) -> &Decision {
+    let found = lines(effects, code);
+    assert_eq!(found.len(), 1, "{code:?}: {found:?}");
+    found[0]
+}
+
+fn named<'a>(decision: &'a Decision, what: &str) -> &'a str {
+    let found = decision.names.iter().find(|(name, _)| name == what);
+    found.map_or("-", |(_, name)| name)
+}
+
+fn figure(decision: &Decision, what: &str) -> Option<u64> {
+    let found = decision.figures.iter().find(|(name, _)| name == what);
+    found.map(|(_, value)| *value)
+}
+
+#[test]
+fn told_end_of_current_run() {
+    let (mut book, worker) = starting(1);
+    answer(&mut book, 1_030, OrderReply::Accepted);
+    let done = end(1, name("a", 0), 1, EndKind::Done);
+    let effects = account(&mut book, worker, 1_500, vec![done], &[]);
+    let told = only(&effects, Code::EndsTaken);
+    assert_eq!((told.subject, &*told.id), (Subject::Host, "life-1"));
+    assert_eq!(named(told, "runs"), "1=a.0.0.0#1:Done/Running");
+    assert_eq!(named(told, "on"), "host");
+    assert_eq!(figure(told, "epoch"), Some(EPOCH));
+    assert_eq!(figure(told, "asked_ago_ms"), Some(40));
+    assert_eq!(figure(told, "taken_before"), Some(0));
+    assert_eq!(figure(told, "again"), Some(0));
+    assert_eq!(figure(told, "told_seen"), Some(0));
+}
+
+#[test]
+fn told_end_listed_again() {
+    let (mut book, worker) = starting(1);
+    let done = end(1, name("a", 0), 1, EndKind::Done);
+    account(&mut book, worker, 1_500, vec![done.clone()], &[]);
+    let effects = account(&mut book, worker, 2_600, vec![done], &[]);
+    let told = only(&effects, Code::EndsTaken);
+    assert_eq!(named(told, "runs"), "", "it is not taken in again");
+    assert_eq!(figure(told, "again"), Some(1));
+    assert_eq!(figure(told, "taken_before"), Some(1));
+}
+
+#[test]
+fn told_end_of_done_task() {
+    let (mut book, worker) = starting(2);
+    let first = end(1, name("a", 0), 1, EndKind::Done);
+    account(&mut book, worker, 1_500, vec![first], &[(1, 1)]);
+    let second = end(2, name("a", 0), 1, EndKind::Done);
+    let effects = account(&mut book, worker, 1_600, vec![second], &[(1, 1)]);
+    let told = only(&effects, Code::EndsTaken);
+    assert_eq!(named(told, "runs"), "2=a.0.0.0#1:Done/Done#1");
+}
+
+#[test]
+fn told_end_of_unknown_job() {
+    let (mut book, worker) = starting(1);
+    let ends = vec![
+        end(1, name("b", 3), 2, EndKind::Done),
+        end(2, name("a", 9), 1, EndKind::Failed),
+    ];
+    let effects = account(&mut book, worker, 1_500, ends, &[]);
+    let told = only(&effects, Code::EndsTaken);
+    let runs = "1=b.0.0.3#2:Done/JobUnknown 2=a.0.0.9#1:Failed/RoundOver";
+    assert_eq!(named(told, "runs"), runs);
+}
+
+/// The case itself: a run is taken for over, the next one is out elsewhere, and the first one's end comes.
+#[test]
+fn told_end_of_earlier_run() {
+    let (mut book, worker) = starting(1);
+    answer(&mut book, 1_030, OrderReply::Accepted);
+    let other = answering(&mut book, worker_fact("life-2", "host-2"));
+    book.workers[worker].suspended_until_ms = u64::MAX;
+    let effects = account(&mut book, worker, 1_100, Vec::new(), &[]);
+    let told = only(&effects, Code::TaskRequeued);
+    assert_eq!(told.why, "not among what the worker runs");
+    assert_eq!(named(told, "worker"), "life-1");
+    assert_eq!(named(told, "on"), "host");
+    assert_eq!(named(told, "phase"), "Running");
+    assert_eq!(figure(told, "run"), Some(1));
+    assert_eq!(figure(told, "asked_ago_ms"), Some(40));
+    assert_eq!(figure(told, "settled_ago_ms"), Some(70));
+    let effects = decide(1_200, |ctx| send_placed(&mut book, ctx));
+    let told = only(&effects, Code::TaskPlaced);
+    assert_eq!((&*told.why, named(told, "on")), ("life-2", "host-2"));
+    assert!(book.workers[other].tasks.contains(&key(&book, 0)));
+    let done = end(1, name("a", 0), 1, EndKind::Done);
+    let effects = account(&mut book, worker, 1_300, vec![done], &[]);
+    let told = only(&effects, Code::EndsTaken);
+    let runs = "1=a.0.0.0#1:Done/Starting#2@life-2";
+    assert_eq!(named(told, "runs"), runs);
+}
+
+#[test]
+fn told_end_of_cancelled_job() {
+    let (mut book, worker) = starting(1);
+    let job = key(&book, 0).job;
+    decide(1_100, |ctx| runs::cancel(&mut book, job, EPOCH, ctx));
+    let done = end(1, name("a", 0), 1, EndKind::Done);
+    let effects = account(&mut book, worker, 1_500, vec![done], &[]);
+    let told = only(&effects, Code::EndsTaken);
+    assert_eq!(named(told, "runs"), "1=a.0.0.0#1:Done/JobOver,Stopping");
+}
+
+/// A line stays short, and none of the ends is left out.
+#[test]
+fn told_many_ends() {
+    let (mut book, worker) = starting(40);
+    let ends = (0..40).map(|n| end(u64::from(n) + 1, name("a", n), 1, EndKind::Done));
+    let ends: Vec<RunEnd> = ends.collect();
+    let effects = account(&mut book, worker, 1_500, ends, &[]);
+    let told = lines(&effects, Code::EndsTaken);
+    let lists = told.iter().map(|line| named(line, "runs"));
+    let lists: Vec<Vec<&str>> = lists.map(|runs| runs.split(' ').collect()).collect();
+    let lengths: Vec<usize> = lists.iter().map(Vec::len).collect();
+    assert_eq!(lengths, [16, 16, 8]);
+    for (n, entry) in lists.concat().into_iter().enumerate() {
+        let expected = format!("{}=a.0.0.{n}#1:Done/Starting", n + 1);
+        assert_eq!(entry, expected);
+    }
+}
+
+/// Answers are told before the judgement that rests on them.
+#[test]
+fn told_answers_first() {
+    let (mut book, _) = starting(1);
+    let effects = answer(&mut book, 1_030, OrderReply::Silent);
+    assert!(lines(&effects, Code::StartsAnswered).is_empty(), "gathered");
+    let effects = answer(&mut book, 1_080, OrderReply::OtherLife);
+    let codes = effects.iter().filter_map(|effect| match effect {
+        Effect::Log(decision) => Some(decision.code),
+        _ => None,
+    });
+    let codes: Vec<Code> = codes.collect();
+    let expected = [Code::StartsAnswered, Code::WorkerOver, Code::TaskRequeued];
+    assert_eq!(codes, expected);
+    let told = only(&effects, Code::StartsAnswered);
+    let runs = "a.0.0.0#1@life-1:Silent,30,50 a.0.0.0#1@life-1:OtherLife,80,0";
+    assert_eq!(named(told, "runs"), runs);
+    let told = only(&effects, Code::WorkerOver);
+    assert_eq!(told.why, "another life answered");
+    assert_eq!(named(told, "to"), "start");
+}
+
+/// Also an answer that is not awaited any more.
+#[test]
+fn told_late_answer() {
+    let (mut book, worker) = starting(1);
+    answer(&mut book, 1_030, OrderReply::Accepted);
+    answer(&mut book, 1_050, OrderReply::Accepted);
+    let effects = decide(1_200, |ctx| {
+        runs::worker_over(&mut book, worker, &Evidence::Lapse, ctx);
+    });
+    let told = only(&effects, Code::StartsAnswered);
+    let runs = "a.0.0.0#1@life-1:Accepted,30,170 a.0.0.0#1:Accepted/Running#1,150";
+    assert_eq!(named(told, "runs"), runs);
+}
+
+#[test]
+fn told_lease_over() {
+    let (mut book, worker) = starting(1);
+    book.workers[worker].answers = false;
+    book.workers[worker].heard_ms = 900;
+    let over_ms = book.workers[worker].lease_over_ms;
+    let effects = decide(over_ms, |ctx| holds::lease_over(&mut book, worker, ctx));
+    let told = only(&effects, Code::WorkerOver);
+    assert_eq!(told.why, "its lease is over");
+    assert_eq!(named(told, "on"), "host");
+    assert_eq!(named(told, "by"), "-");
+    assert_eq!(figure(told, "unheard_ms"), Some(over_ms - 900));
+    assert_eq!(figure(told, "lease_left_ms"), Some(0));
+    assert_eq!(figure(told, "taken"), Some(0));
+    let told = only(&effects, Code::TaskRequeued);
+    assert_eq!(named(told, "worker"), "life-1");
+    assert_eq!(named(told, "phase"), "Starting");
+}
+
+#[test]
+fn told_later_life() {
+    let (mut book, worker) = starting(1);
+    book.workers[worker].heard_ms = 900;
+    let left_ms = book.workers[worker].lease_over_ms - 1_500;
+    let later = load::add_worker(&mut book, worker_fact("life-2", "host"), 0);
+    let effects = account(&mut book, later, 1_500, Vec::new(), &[]);
+    let told = only(&effects, Code::WorkerOver);
+    assert_eq!(told.why, "a later life of its host answers");
+    assert_eq!((&*told.id, named(told, "by")), ("life-1", "life-2"));
+    assert_eq!(figure(told, "asked_ago_ms"), Some(40));
+    assert_eq!(figure(told, "unheard_ms"), Some(600));
+    assert_eq!(figure(told, "lease_left_ms"), Some(left_ms));
+}
+
+#[test]
+fn told_other_life() {
+    let (mut book, worker) = starting(1);
+    let effects = decide(1_500, |ctx| {
+        holds::held(
+            &mut book,
+            worker,
+            1_460,
+            Err(OrderReply::OtherLife),
+            EPOCH,
+            ctx,
+        );
+    });
+    let told = only(&effects, Code::WorkerOver);
+    assert_eq!(told.why, "another life answered");
+    assert_eq!(named(told, "to"), "hold");
+}
+
+/// `explain job` finds the lines that name the job in a list, and no other job's.
+#[test]
+fn told_of_a_job() {
+    let (mut book, worker) = starting(1);
+    let done = end(1, name("a", 0), 1, EndKind::Done);
+    let effects = account(&mut book, worker, 1_500, vec![done], &[]);
+    let told = only(&effects, Code::EndsTaken);
+    assert!(told.is_about(Subject::Job, "a"));
+    assert!(told.is_about(Subject::Host, "life-1"));
+    for other in ["", "a.0.0.0", "0", "1=a", "b", "life-1"] {
+        assert!(!told.is_about(Subject::Job, other), "{other}");
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -53,4 +53,5 @@
 mod test_stop;
 mod test_timeout;
 mod test_times;
+mod test_told;
 mod test_waves;
