Timed jobs: progress on record tells rounds that ended from those that never began

Cause: a job's row held the lowest round that is there and the rounds that are there. Rounds that overlap may end in another order: one that had ended above the last open one was in neither, so that the next owner set rounds_begun back and began it again, after its end had been noted.

Change: the row tells up to where rounds have begun, where nothing else in it does; those below that are not listed are done. Rows without the field are read as before. Entries of before drop it: they and later ones must not run side by side.

--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -228,7 +228,7 @@
     book.set_state(key, progress.state, ctx.now.ms);
     book.jobs[key].revision = row.revision;
     book.jobs[key].shard = Some(shard);
-    book.jobs[key].rounds_begun = progress.rounds_done;
+    book.jobs[key].rounds_begun = progress.begun();
     if progress.state.is_final() {
         return;
     }
@@ -283,9 +283,7 @@
             is_open: false,
         });
     }
-    let job_mut = &mut book.jobs[job];
-    job_mut.rounds.insert(row.round, round);
-    job_mut.rounds_begun = job_mut.rounds_begun.max(row.round + 1);
+    book.jobs[job].rounds.insert(row.round, round);
     for (step, tasks) in row.steps.iter().enumerate() {
         for (index, task) in tasks.iter().enumerate() {
             let Standing::Started(place) = task.2 else {
--- a/src/core/sched/progress.rs
+++ b/src/core/sched/progress.rs
@@ -40,6 +40,10 @@
                 steps,
             });
         }
+        // A later round may end first: not told apart from one that never began, the next owner would begin it again.
+        if row.begun() < job.rounds_begun {
+            row.rounds_begun = job.rounds_begun;
+        }
         Some(row)
     }
 
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -84,6 +84,9 @@
     /// Rounds below this one are done.
     #[serde(default, skip_serializing_if = "is_default")]
     pub rounds_done: u32,
+    /// Rounds below this one have begun, also where they are over and the last one listed is below; 0 where the others tell.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub rounds_begun: u32,
     /// Workers that tasks name by their place here: id of the life, and host.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub workers: Vec<(String, String)>,
@@ -92,6 +95,14 @@
     pub rounds: Vec<RoundRow>,
 }
 
+impl ProgressRow {
+    /// Rounds below this one have begun; those of them that are not listed are done.
+    pub fn begun(&self) -> u32 {
+        let last = self.rounds.last().map_or(0, |round| round.round + 1);
+        self.rounds_begun.max(self.rounds_done).max(last)
+    }
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
--- a/tests/test_rounds.rs
+++ b/tests/test_rounds.rs
@@ -5,6 +5,7 @@
 //! began it again. Of 120 seeds of the world below, with the owner killed 4 to 8 s after the job came, 9 broke.
 
 use rockwick::core::sched::job::JobState;
+use rockwick::core::sched::rows::{self, ProgressRow};
 use rockwick::port::fleet::TaskName;
 
 use crate::world::{job, timed, World, WALL_MS};
@@ -62,3 +63,14 @@
         broken.len()
     );
 }
+
+/// Rows of before tell of no round beyond the last that they list.
+#[test]
+fn rounds_rows_of_before() {
+    let row = |text: &str| rows::decode::<ProgressRow>(text.as_bytes()).expect("it decodes");
+    let open =
+        row(r#"{"state":"Running","rounds":[{"round":0,"steps":[]},{"round":3,"steps":[]}]}"#);
+    assert_eq!((open.rounds_begun, open.begun()), (0, 4));
+    let between = row(r#"{"state":"Running","rounds_done":2}"#);
+    assert_eq!((between.rounds_begun, between.begun()), (0, 2));
+}
