Soak: rarer faults of real processes, jobs of several steps, workers' own clocks

Cause: the soak had no trouble that tells one pair of entry and worker from another, no order later than 5 s, no write of the store that is done late, no owner that stands still while its renewal is answered, no host with a new life at once, one length of tasks, one step and one clock for all workers.

Change: ten faults, each with a generator of its own, so that the older draws stay as they were: all entries killed and started at once at a store that turns most calls away; the owner killed and started at once while its orders come up to 12 s late; a worker that hears and is not heard, with holds up to 12 s late; writes done 1 to 6 s later and not answered; the owner frozen while the answer to its renewal is on its way; a new life of a host within 50 ms, the former one listed for up to 5 s more; halls cut from each other, both ways or answers only, known by the epoch of the order; the same with the owner's hall cut from the store; partitions away; the owner told to stop. A third of the jobs works 0.5 to 4 s, a quarter has two or three steps. Each life's clock has its own zero and may run 2% slow. `--timed N` makes one job in N timed, with rounds that overlap; none by default.

What was named "lost" was and is carried out after 5 s; its comment said otherwise and is put right.

--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -4,9 +4,11 @@
 //! It speaks what the adapter in `platform/` expects, takes faults on command and notes each promise that it
 //! sees broken. It knows one pool of workers.
 
+mod clocks;
 mod promises;
 mod runs;
 mod store;
+mod trouble;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -20,7 +22,9 @@
 use serde_json::{json, Value};
 use smol::{Async, Timer};
 
+use clocks::WorkerClock;
 use promises::Promises;
+use trouble::Trap;
 
 /// How often a call that waits looks again.
 const LOOK_MS: u64 = 5;
@@ -49,15 +53,35 @@
     Turns(u64),
     /// One write in three is done and not answered.
     Lossy,
+    /// So many calls of a hundred are refused, and not done.
+    Choosy(u32),
+    /// One write in three is not answered, and done 1 to 6 s later if its condition still holds.
+    Belated,
 }
 
 /// What befalls orders to workers, in percent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OrderFault {
-    /// Orders that are not carried out and get no answer.
+    /// Orders that get no answer and are carried out 5 s later: as good as lost to whoever sent them.
     pub lost: u32,
     /// Orders that get no answer and are carried out 1 to 4 s later.
     pub late: u32,
+    /// The same, up to 12 s later.
+    pub very_late: u32,
+    /// Holds that get no answer and are carried out up to 12 s later.
+    pub late_holds: u32,
+}
+
+/// What befalls orders between the two halls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HallCut {
+    /// Nothing.
+    #[default]
+    None,
+    /// They do not arrive.
+    BothWays,
+    /// They are carried out, and their answers are lost.
+    Answers,
 }
 
 /// A row: base64 text and version; no text where it was removed.
@@ -77,6 +101,7 @@
 /// A worker's life.
 #[derive(Default)]
 struct Worker {
+    clock: WorkerClock,
     fence: u64,
     lease_until_ms: u64,
     /// When the lease before the last renewal had lapsed, if it had.
@@ -112,7 +137,16 @@
     /// When a part has done the writes that came so far.
     busy_until: BTreeMap<String, Instant>,
     order_fault: OrderFault,
+    hall_cut: HallCut,
+    /// Entries by the epochs that they won.
+    owners: BTreeMap<u64, String>,
+    /// The next renewal of the pool's lease is answered late, and told.
+    renewal_trap: Option<Trap>,
     rng: fastrand::Rng,
+    /// Draws of what came later, so that older seeds play as they did.
+    late_rng: fastrand::Rng,
+    /// Lives have clocks of their own, some of them slow.
+    has_clocks: bool,
     /// Lives, ended ones included.
     workers: BTreeMap<String, Worker>,
     hosts: Vec<Host>,
@@ -174,7 +208,9 @@
 
     /// Seeds what goes wrong by chance.
     pub fn set_seed(&self, seed: u64) {
-        self.lock().rng = fastrand::Rng::with_seed(seed);
+        let mut state = self.lock();
+        state.rng = fastrand::Rng::with_seed(seed);
+        state.late_rng = fastrand::Rng::with_seed(seed.rotate_left(17));
     }
 
     /// Writes a row as the operator or a worker would.
--- a/standin/src/fleet/promises.rs
+++ b/standin/src/fleet/promises.rs
@@ -158,16 +158,13 @@
         at_ms.or_insert(now_ms);
     }
 
-    /// A caller was shown a job of so many tasks in its only step as completed.
-    pub fn shown_completed(&self, job: &str, tasks: u64) {
+    /// A caller was shown a job of these tasks as completed.
+    pub fn shown_completed(&self, job: &str, tasks: &[String]) {
         let mut state = self.lock();
-        let missing = (0..tasks)
-            .map(|n| format!("{job}.0.0.{n}"))
-            .find(|task| !state.promises.done.contains(task));
+        let missing = tasks.iter().find(|t| !state.promises.done.contains(*t));
         if let Some(task) = missing {
-            state.promises.fail(format!(
-                "{job} is shown as completed, and {task} is not done"
-            ));
+            let what = format!("{job} is shown as completed, and {task} is not done");
+            state.promises.fail(what);
         }
     }
 
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -27,6 +27,9 @@
             return self.hosts(&path, incoming);
         }
         match fault {
+            StoreFault::Choosy(percent) if self.lock().late_rng.u32(..100) < percent => {
+                return answer(503, "application/json", Vec::new())
+            }
             StoreFault::Busy => return answer(503, "application/json", Vec::new()),
             StoreFault::Forgetful if path == "/rows-feed" => {
                 return answer(410, "application/json", Vec::new())
@@ -53,8 +56,20 @@
                 return answer(429, "application/json", Vec::new());
             }
         }
+        if fault == StoreFault::Belated && path == "/rows-tx" {
+            let after_ms = {
+                let mut state = self.lock();
+                let is_late = state.late_rng.u32(..3) == 0;
+                is_late.then(|| state.late_rng.u64(1_000..6_000))
+            };
+            if let Some(after_ms) = after_ms {
+                Timer::after(Duration::from_millis(after_ms)).await;
+                self.transact(&incoming.body).await;
+                self.unanswered().await;
+            }
+        }
         let res = match path.as_str() {
-            "/rows-tx" => self.transact(&incoming.body),
+            "/rows-tx" => self.transact(&incoming.body).await,
             "/rows-get" => self.read(incoming),
             "/rows-feed" => self.feed(incoming).await,
             "/rows-parts" => self.parts(incoming),
@@ -85,10 +100,19 @@
         true
     }
 
-    fn transact(&self, body: &[u8]) -> Response {
+    async fn transact(&self, body: &[u8]) -> Response {
         let Ok(tx) = serde_json::from_slice::<Value>(body) else {
             return answer(400, "application/json", Vec::new());
         };
+        let (res, is_held_up) = self.commit(&tx);
+        if is_held_up {
+            self.hold_up().await;
+        }
+        res
+    }
+
+    /// Does a transaction if its condition holds; says whether its answer is to be held up.
+    fn commit(&self, tx: &Value) -> (Response, bool) {
         let mut state = self.lock();
         let guards = list(&tx["expected_revision"]);
         let ver_of = |state: &State, g: &Value| {
@@ -103,7 +127,8 @@
                 .iter()
                 .map(|g| row(&place(g), state.rows.get(&place(g))))
                 .collect();
-            return json(412, &json!({"rows": rows, "ver": state.ver, "now_ms": 1}));
+            let body = json!({"rows": rows, "ver": state.ver, "now_ms": 1});
+            return (json(412, &body), false);
         }
         state.ver += 1;
         let ver = state.ver;
@@ -114,7 +139,8 @@
         for gone in list(&tx["remove"]) {
             state.rows.insert(place(&gone), Stored { value: None, ver });
         }
-        json(200, &json!({"ver": ver, "now_ms": 1}))
+        let is_held_up = state.note_owners(&list(&tx["put"]), &self.pool, ver);
+        (json(200, &json!({"ver": ver, "now_ms": 1})), is_held_up)
     }
 
     fn read(&self, incoming: &Incoming) -> Response {
--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -8,8 +8,10 @@
 use serde_json::{json, Value};
 use smol::Timer;
 
+use super::clocks::WorkerClock;
 use super::runs::Start;
-use super::{Fleet, OrderFault, Run, State, Worker, LOOK_MS, UPKEEP_MS};
+use super::trouble::Fate;
+use super::{Fleet, Run, State, Worker, LOOK_MS, UPKEEP_MS};
 
 /// A lease that a worker takes at most.
 const LEASE_MAX_MS: u64 = 10_000;
@@ -87,7 +89,16 @@
             let mut state = self.lock();
             let life = format!("i-{}", state.lives);
             state.lives += 1;
-            state.workers.insert(life.clone(), Worker::default());
+            let now_ms = self.clock_ms();
+            let clock = match state.has_clocks {
+                true => WorkerClock::draw(&mut state.late_rng, now_ms),
+                false => WorkerClock::default(),
+            };
+            let worker = Worker {
+                clock,
+                ..Worker::default()
+            };
+            state.workers.insert(life.clone(), worker);
             let host = &mut state.hosts[n];
             host.life = Some(life.clone());
             host.out_for = None;
@@ -115,24 +126,25 @@
         self.lock().hosts[n].address
     }
 
-    /// What befalls orders to workers from now on.
-    pub fn set_order_fault(&self, fault: OrderFault) {
-        self.lock().order_fault = fault;
-    }
-
     /// A host's worker crashes; another life comes so much later.
     pub fn crash(&self, n: usize, back_ms: u64) {
+        self.crash_listed(n, back_ms, 0);
+    }
+
+    /// The same; the life that is over stays in the list for so long beside the next one.
+    pub fn crash_listed(&self, n: usize, back_ms: u64, listed_ms: u64) {
         let life = self.lock().end_life(n, self.clock_ms());
         if let Some(life) = life {
-            self.come_back(n, life, back_ms);
+            self.come_back(n, life, back_ms, listed_ms);
         }
     }
 
-    fn come_back(&self, n: usize, life: String, after_ms: u64) {
+    fn come_back(&self, n: usize, life: String, after_ms: u64, listed_ms: u64) {
         let fleet = self.clone();
         self.runtime.run(async move {
             Timer::after(Duration::from_millis(after_ms)).await;
             fleet.new_life(n);
+            Timer::after(Duration::from_millis(listed_ms)).await;
             fleet.write("servers", "", &life, None);
         });
     }
@@ -201,27 +213,30 @@
         state.upkept.entry(wave).or_default().insert(name);
         state.check_out(wave);
         drop(state);
-        self.come_back(n, life, UPKEEP_MS);
+        self.come_back(n, life, UPKEEP_MS, 0);
         json(200, &json!({}))
     }
 
     pub(super) async fn order(&self, n: usize, incoming: &Incoming) -> Response {
         let body: Value = serde_json::from_slice(&incoming.body).unwrap_or_default();
-        let (fault, chance) = {
-            let mut state = self.lock();
-            (state.order_fault, state.rng.u32(..100))
-        };
-        if chance < fault.lost {
-            self.unanswered().await;
-        } else if chance < fault.lost + fault.late {
-            let late_ms = self.lock().rng.u64(1_000..4_000);
-            Timer::after(Duration::from_millis(late_ms)).await;
-            // Carried out after the sender gave up; nobody reads the answer.
-            let res = self.carry_out(n, incoming, &body).await;
-            self.unanswered().await;
-            return res;
+        let is_hold = incoming.head.url().path() == "/hold";
+        let fence = body["fencing_token"].as_u64().unwrap_or(0);
+        let fate = self.lock().fate(n, is_hold, fence);
+        match fate {
+            Fate::Usual => return self.carry_out(n, incoming, &body).await,
+            Fate::Lost => {
+                self.unanswered().await;
+                return answer(503, "application/json", Vec::new());
+            }
+            Fate::Late(after) => {
+                Timer::after(after).await;
+            }
+            Fate::Unheard => {}
         }
-        self.carry_out(n, incoming, &body).await
+        // Nobody reads the answer: whoever sent the order gave up.
+        let res = self.carry_out(n, incoming, &body).await;
+        self.unanswered().await;
+        res
     }
 
     async fn carry_out(&self, n: usize, incoming: &Incoming, body: &Value) -> Response {
@@ -241,12 +256,15 @@
                 return answer(421, "application/json", Vec::new());
             };
             if fence < worker.fence {
-                return self.refusal("fence");
+                let shows_ms = worker.clock.shows(self.clock_ms());
+                return refusal("fence", shows_ms);
             }
             worker.fence = fence;
             worker.lapsed_ms = worker.lapsed_at(self.clock_ms());
             let until_ms = body["deadline_ms"].as_u64().unwrap_or(0);
-            let until_ms = until_ms.min(self.clock_ms() + LEASE_MAX_MS);
+            let now_ms = self.clock_ms();
+            let until_ms = worker.clock.reaches(until_ms, now_ms);
+            let until_ms = until_ms.min(now_ms + LEASE_MAX_MS);
             worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
         }
         match (incoming.head.method(), incoming.head.url().path()) {
@@ -257,16 +275,8 @@
         }
     }
 
-    fn refusal(&self, reason: &str) -> Response {
-        let body = json!({"clock_ms": self.clock_ms(), "reason": reason});
-        json(409, &body)
-    }
-
     fn run_start(&self, life: &str, body: &Value) -> Response {
         let now_ms = self.clock_ms();
-        if body["deadline_ms"].as_u64().unwrap_or(0) <= now_ms {
-            return self.refusal("late");
-        }
         let spec = body["spec"].as_str().unwrap_or("");
         let task = body["task"].as_str().unwrap_or("").to_string();
         let run = body["run"].as_u64().unwrap_or(0);
@@ -274,21 +284,23 @@
         let Some(worker) = state.workers.get(life) else {
             return answer(421, "application/json", Vec::new());
         };
+        let clock_ms = worker.clock.shows(now_ms);
+        if body["deadline_ms"].as_u64().unwrap_or(0) <= clock_ms {
+            return refusal("late", clock_ms);
+        }
         if worker.running.get(&task).is_some_and(|r| r.run == run) {
-            return json(200, &json!({"clock_ms": now_ms}));
+            return json(200, &json!({"clock_ms": clock_ms}));
         }
         if worker
             .barred
             .get(&task)
             .is_some_and(|barred| run <= *barred)
         {
-            drop(state);
-            return self.refusal("old");
+            return refusal("old", clock_ms);
         }
         // Tasks of the stand-in's callers take half a core.
         if (worker.running.len() as u64 + 1) * 500 > ROOM_MILLI {
-            drop(state);
-            return self.refusal("room");
+            return refusal("room", clock_ms);
         }
         let start = Start {
             at_ms: now_ms,
@@ -297,12 +309,13 @@
             fence: body["fencing_token"].as_u64().unwrap_or(0),
         };
         state.check_start(&task, spec, start);
-        let ends_ms = (!spec.contains("lasts")).then(|| now_ms + self.work_ms);
+        let work_ms = stated_work_ms(spec).unwrap_or(self.work_ms);
+        let ends_ms = (!spec.contains("lasts")).then_some(now_ms + work_ms);
         if let Some(worker) = state.workers.get_mut(life) {
             worker.running.insert(task, Run { run, ends_ms });
             worker.starts += 1;
         }
-        json(200, &json!({"clock_ms": now_ms}))
+        json(200, &json!({"clock_ms": clock_ms}))
     }
 
     fn run_stop(&self, life: &str, body: &Value) -> Response {
@@ -317,7 +330,9 @@
                 state.end(life, &task, run, "stopped", self.clock_ms());
             }
         }
-        json(200, &json!({"clock_ms": self.clock_ms()}))
+        let clock = state.workers.get(life).map(|w| w.clock);
+        let clock_ms = clock.unwrap_or_default().shows(self.clock_ms());
+        json(200, &json!({"clock_ms": clock_ms}))
     }
 
     async fn hold(&self, life: &str, body: &Value) -> Response {
@@ -334,15 +349,16 @@
 
     /// The worker's account, if there is an end to tell or `at_once` asks for it.
     fn account(&self, life: &str, seen: u64, at_once: bool) -> Option<Response> {
-        let clock_ms = self.clock_ms();
+        let now_ms = self.clock_ms();
         let mut state = self.lock();
-        state.settle(life, clock_ms);
+        state.settle(life, now_ms);
         let worker = state.workers.get_mut(life)?;
         let is_seen = |e: &Value| e[0].as_u64().unwrap_or(0) <= seen;
         let (noted, rest): (Vec<Value>, Vec<Value>) = worker.ended.drain(..).partition(is_seen);
         worker.ended = rest;
         let ended = worker.ended.clone();
-        let lapsed_ms = worker.lapsed_at(clock_ms);
+        let lapsed_ms = worker.lapsed_at(now_ms);
+        let clock_ms = worker.clock.shows(now_ms);
         let running = worker.running.iter();
         let running: Vec<Value> = running
             .map(|(task, r)| json!([task, r.run, "", 100, 0]))
@@ -352,7 +368,7 @@
             let of = (life, end[2].as_u64().unwrap_or(0));
             let (task, how) = (text(1), text(3));
             let promises = &mut state.promises;
-            promises.note_seen(&task, &how, of, lapsed_ms, clock_ms);
+            promises.note_seen(&task, &how, of, lapsed_ms, now_ms);
         }
         if ended.is_empty() && !at_once {
             return None;
@@ -362,6 +378,16 @@
     }
 }
 
+fn refusal(reason: &str, clock_ms: u64) -> Response {
+    json(409, &json!({"clock_ms": clock_ms, "reason": reason}))
+}
+
+/// How long a task takes by its own text: the number behind `ms=`.
+fn stated_work_ms(spec: &str) -> Option<u64> {
+    let stated = spec.split(' ').find_map(|word| word.strip_prefix("ms="))?;
+    stated.parse().ok()
+}
+
 fn entry(pool: &str, host: &str, address: &str) -> Value {
     json!({"service": pool, "address": address, "zone": "hall", "state": "ready", "machine": host,
         "capacity": {"cpu": ROOM_MILLI, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -10,9 +10,10 @@
 use http_types::Method;
 use rockwick::http::client::within_ms;
 use rockwick::http::{Answer, Client, Trouble};
-use serde_json::{json, Value};
+use serde_json::Value;
 
 use super::calm::Calm;
+use super::shapes::Shapes;
 use standin::fleet::Fleet;
 
 /// How long a caller waits for an answer.
@@ -41,8 +42,8 @@
 pub(crate) struct Known {
     /// Its id.
     pub(crate) id: String,
-    /// Its tasks.
-    pub(crate) tasks: u64,
+    /// Its tasks by name.
+    pub(crate) tasks: Vec<String>,
     /// It lasts until it is cancelled.
     pub(crate) lasts: bool,
     /// A cancel of it was sent.
@@ -64,12 +65,15 @@
     pub(crate) counts: Arc<Counts>,
     /// Set when the day is over.
     pub(crate) is_over: Arc<AtomicBool>,
+    /// One job in so many is timed; none at 0.
+    pub(crate) timed: u32,
 }
 
 /// One caller's connections.
 pub(crate) struct Caller {
     all: Callers,
     rng: Rng,
+    shapes: Shapes,
     clients: HashMap<usize, Client>,
     number: u64,
     sent: u64,
@@ -79,6 +83,7 @@
     /// The caller of that number.
     pub(crate) fn new(all: Callers, seed: u64, number: u64) -> Self {
         Self {
+            shapes: Shapes::new(seed ^ (number << 32), all.timed),
             all,
             rng: Rng::with_seed(seed ^ (number << 32)),
             clients: HashMap::new(),
@@ -143,18 +148,15 @@
         let id = format!("{:04x}{:012x}", self.number, self.sent);
         let lasts = self.rng.u32(..25) == 0;
         let tasks = self.rng.u64(1..5);
-        let text = format!("{} {id}", if lasts { "lasts" } else { "work" });
-        let step = json!({"count": tasks, "cpu": 500, "mem_mb": 50, "estimate_ms": 200,
-            "long_running": lasts, "may_miss": lasts.then_some(1)});
-        let body = json!({"spec": text, "steps": [step]});
-        self.all.fleet.expect(&id, &text);
+        let shape = self.shapes.draw(&id, tasks, lasts);
+        self.all.fleet.expect(&id, &shape.text);
         let mut is_unknown = false;
         for _ in 0..TRIES {
             let entry = self.any_entry();
-            let answer = self.call(entry, Method::Post, &format!("/q/{id}"), &body);
+            let answer = self.call(entry, Method::Post, &format!("/q/{id}"), &shape.body);
             match answer.map(|a| a.status) {
                 Some(200..=299) => {
-                    self.accepted(id, tasks, lasts);
+                    self.accepted(id, shape.tasks, lasts);
                     return;
                 }
                 Some(429 | 503) => {}
@@ -175,7 +177,7 @@
         }
     }
 
-    fn accepted(&mut self, id: String, tasks: u64, lasts: bool) {
+    fn accepted(&mut self, id: String, tasks: Vec<String>, lasts: bool) {
         self.all.counts.accepted.fetch_add(1, Ordering::Relaxed);
         let known = Known {
             id,
@@ -211,7 +213,7 @@
         let state = body["state"].as_str()?.to_string();
         match state.as_str() {
             "completed" => {
-                self.all.fleet.shown_completed(&known.id, known.tasks);
+                self.all.fleet.shown_completed(&known.id, &known.tasks);
                 self.all.counts.completed.fetch_add(1, Ordering::Relaxed);
                 lock(&self.all.open).retain(|k| k.id != known.id);
             }
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -6,8 +6,9 @@
 use nix::sys::signal::Signal;
 
 use super::proxy::Trouble;
+use super::rare::{parts_from, Rare, Rares};
 use super::Stage;
-use standin::fleet::{OrderFault, StoreFault};
+use standin::fleet::{HallCut, OrderFault, StoreFault};
 
 /// With one in so many faults, all open connections go silent, too: a few times in a day of 10 s.
 const SILENCE_ONE_IN: u32 = 6;
@@ -21,6 +22,8 @@
     MendWorkerPath(usize),
     MendStore,
     MendOrders,
+    MendParts,
+    JoinHalls,
 }
 
 /// Faults that are under way.
@@ -28,6 +31,9 @@
     rng: Rng,
     /// Draws of their own: seeds that failed before there were such faults play the others as they did.
     silences: Rng,
+    rares: Rares,
+    /// The owner is to stand still for so long once a renewal of it is on its way.
+    freeze_ms: Option<u64>,
     due: Vec<(Instant, Undo)>,
     killed: Vec<bool>,
     /// What happened, a line each.
@@ -42,6 +48,8 @@
         Self {
             rng: Rng::with_seed(seed),
             silences: Rng::with_seed(!seed),
+            rares: Rares::new(seed),
+            freeze_ms: None,
             due: Vec::new(),
             killed: vec![false; entries],
             told: Vec::new(),
@@ -77,6 +85,9 @@
         if self.silences.u32(..SILENCE_ONE_IN) == 0 {
             self.deafen(stage);
         }
+        for (rare, ms) in self.rares.draw() {
+            self.bring(stage, rare, ms);
+        }
         match self.rng.u32(..13) {
             0 => self.kill(stage, n, ms),
             1 => {
@@ -93,6 +104,7 @@
                 let fault = OrderFault {
                     lost: self.rng.u32(..30),
                     late: self.rng.u32(..30),
+                    ..OrderFault::default()
                 };
                 stage.fleet.set_order_fault(fault);
                 self.tell(format!("{fault:?} for {ms} ms"));
@@ -116,6 +128,85 @@
         }
     }
 
+    /// Brings one that came later than the others.
+    fn bring(&mut self, stage: &mut Stage, rare: Rare, ms: u64) {
+        self.tell(format!("{rare:?} for {ms} ms"));
+        match rare {
+            Rare::Dawn(fault) => {
+                for n in 0..stage.entries.len() {
+                    self.kill(stage, n, 0);
+                }
+                self.break_store(stage, fault, ms);
+            }
+            Rare::Bounce(fault) => {
+                if let Some(n) = stage.owner() {
+                    self.kill(stage, n, 0);
+                }
+                self.hold_up(stage, fault, ms);
+            }
+            Rare::HalfCut(fault) => {
+                let host = ms as usize % stage.workers.len();
+                stage.workers[host].set(Trouble::OneWay);
+                self.later(ms, Undo::MendWorkerPath(host));
+                self.hold_up(stage, fault, ms);
+            }
+            Rare::Belated => self.break_store(stage, StoreFault::Belated, ms),
+            Rare::FrozenRenewal => {
+                self.freeze_ms = Some(ms);
+                stage.fleet.trap_renewal();
+            }
+            Rare::Reborn(listed_ms) => {
+                let host = ms as usize % stage.workers.len();
+                stage.fleet.crash_listed(host, ms % 50, listed_ms);
+            }
+            Rare::Halls(cut) => self.cut_halls(stage, cut, ms),
+            Rare::OwnerAlone => {
+                self.cut_halls(stage, HallCut::BothWays, ms);
+                for n in stage.hall_of_owner() {
+                    stage.calm.disturb(n, ms);
+                    stage.store_paths[n].set(Trouble::Silence);
+                    self.later(ms, Undo::MendStorePath(n));
+                }
+            }
+            Rare::Parts(first) => {
+                stage.calm.disturb_all(ms);
+                stage.fleet.set_parts_away(&parts_from(first));
+                self.later(ms, Undo::MendParts);
+            }
+            Rare::Handover => {
+                if let Some(n) = stage.owner() {
+                    self.stop(stage, n);
+                }
+            }
+        }
+    }
+
+    fn break_store(&mut self, stage: &mut Stage, fault: StoreFault, ms: u64) {
+        stage.calm.disturb_all(ms);
+        stage.fleet.set_fault(fault);
+        self.later(ms, Undo::MendStore);
+    }
+
+    fn hold_up(&mut self, stage: &mut Stage, fault: OrderFault, ms: u64) {
+        stage.fleet.set_order_fault(fault);
+        self.later(ms, Undo::MendOrders);
+    }
+
+    fn cut_halls(&mut self, stage: &mut Stage, cut: HallCut, ms: u64) {
+        stage.fleet.set_hall_cut(cut);
+        self.later(ms, Undo::JoinHalls);
+    }
+
+    /// Stops the owner where a renewal that was lain in wait for is on its way.
+    fn spring(&mut self, stage: &mut Stage) {
+        if self.freeze_ms.is_none() || !stage.fleet.has_trapped() {
+            return;
+        }
+        if let (Some(n), Some(ms)) = (stage.owner(), self.freeze_ms.take()) {
+            self.freeze(stage, n, ms);
+        }
+    }
+
     fn kill(&mut self, stage: &mut Stage, n: usize, down_ms: u64) {
         stage.calm.disturb(n, down_ms);
         stage.entries[n].signal(Signal::SIGKILL);
@@ -192,6 +283,7 @@
         let (over, rest) = self.due.drain(..).partition(|(at, _)| *at <= now);
         self.due = rest;
         self.undo(stage, over)?;
+        self.spring(stage);
         for n in 0..stage.entries.len() {
             if let Some(what) = stage.entries[n].ended(self.killed[n]) {
                 stage.fleet.broken(what);
@@ -222,6 +314,8 @@
                 Undo::MendStorePath(n) => stage.store_paths[n].set(Trouble::None),
                 Undo::MendWorkerPath(n) => stage.workers[n].set(Trouble::None),
                 Undo::MendStore => stage.fleet.set_fault(StoreFault::None),
+                Undo::MendParts => stage.fleet.set_parts_away(&[]),
+                Undo::JoinHalls => stage.fleet.set_hall_cut(HallCut::None),
                 Undo::MendOrders => stage.fleet.set_order_fault(OrderFault::default()),
             }
         }
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -6,6 +6,8 @@
 mod entry;
 mod faults;
 mod proxy;
+mod rare;
+mod shapes;
 
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -50,6 +52,7 @@
     entries: usize,
     workers: usize,
     callers: u64,
+    timed: u32,
     logs: PathBuf,
     binary: Option<PathBuf>,
     report: Option<PathBuf>,
@@ -78,6 +81,10 @@
         .help("Callers, a thread each")
         .argument("N")
         .fallback(6);
+    let timed = long("timed")
+        .help("One job in so many is timed, its rounds overlapping; none at 0")
+        .argument("N")
+        .fallback(0);
     let logs = long("logs")
         .help("Folder for the entries' logs; those of seeds that held are removed")
         .argument("DIR")
@@ -97,6 +104,7 @@
         entries,
         workers,
         callers,
+        timed,
         logs,
         binary,
         report
@@ -121,6 +129,7 @@
         let runtime = Runtime::new("relay", RELAY_THREADS)?;
         let fleet = Fleet::start(POOL, args.workers, WORK_MS)?;
         fleet.set_seed(seed);
+        fleet.draw_clocks();
         let logs = args.logs.join(seed.to_string());
         std::fs::create_dir_all(&logs)?;
         // A build while the soak runs must not change the program under it.
@@ -152,6 +161,21 @@
         })
     }
 
+    /// The entry that owns the pool, by number.
+    fn owner(&self) -> Option<usize> {
+        let name = self.fleet.owner()?;
+        self.entries.iter().position(|entry| entry.name == name)
+    }
+
+    /// The entries of its hall: those of even numbers are in one, the others in the other.
+    fn hall_of_owner(&self) -> Vec<usize> {
+        let Some(owner) = self.owner() else {
+            return Vec::new();
+        };
+        let all = 0..self.entries.len();
+        all.filter(|n| n % 2 == owner % 2).collect()
+    }
+
     fn change_config(&mut self) {
         self.version += 1;
         self.changed = Instant::now();
@@ -225,6 +249,7 @@
         open: Arc::default(),
         counts: Arc::default(),
         is_over: Arc::new(AtomicBool::new(false)),
+        timed: args.timed,
     };
     let threads: Vec<_> = (1..=args.callers)
         .map(|n| {
@@ -301,7 +326,7 @@
             return Ok(());
         }
         for known in open {
-            let at_work = stage.fleet.running_of(&known.id) as u64 == known.tasks;
+            let at_work = stage.fleet.running_of(&known.id) == known.tasks.len();
             if known.is_cancelled || (known.lasts && at_work) {
                 if asker.cancel_at(0, &known.id) {
                     cancelled.push(known);
