Failing: an answer that names a newer revision than its transaction's makes the owner read its rows again

Each answer of the store names its newest revision; the product takes it for its transaction's own. Another's write in between is enough for the next condition to fail, and a conflict that is not our own work has the rows read again in the same tenure.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -41,6 +41,7 @@
 mod test_quota;
 mod test_report;
 mod test_reread;
+mod test_revisions;
 mod test_room;
 mod test_rounds;
 mod test_routing;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -194,6 +194,8 @@
     pub(crate) is_host_deaf: bool,
     /// Transactions that renewed a lease and did nothing else.
     pub(crate) renewals: u32,
+    /// So many of a thousand commits are answered with a newer revision than theirs: another's write came in between.
+    pub(crate) answers_ahead: u32,
     /// Partitions of the store that do not answer.
     pub(crate) parts_away: HashSet<String>,
     /// Workers start whatever they are told, whether it fits or not.
@@ -210,6 +212,8 @@
     number: u64,
     queue: BinaryHeap<Reverse<Queued>>,
     rng: Rng,
+    /// Draws for [`World::answers_ahead`]: seeds that failed before play as they did.
+    aheads: Rng,
     config: FleetConfig,
     waves: Vec<WaveOrder>,
     noted_done: HashSet<TaskName>,
@@ -247,6 +251,7 @@
             claims_unanswered: 0,
             is_host_deaf: false,
             renewals: 0,
+            answers_ahead: 0,
             parts_away: HashSet::new(),
             is_unguarded: false,
             bad_worker: None,
@@ -257,6 +262,7 @@
             number: 0,
             queue: BinaryHeap::new(),
             rng: Rng::with_seed(seed),
+            aheads: Rng::with_seed(!seed),
             config: config(1),
             waves: Vec::new(),
             noted_done: HashSet::new(),
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -164,9 +164,21 @@
             return (STORE_TIMEOUT_MS, TxOutcome::Unknown);
         }
         let outcome = self.transact(tx);
+        let outcome = self.answered_with(outcome);
         (self.delay() + 4, outcome)
     }
 
+    /// An answer names the newest revision of the store, whoever's that is.
+    fn answered_with(&mut self, outcome: TxOutcome) -> TxOutcome {
+        if !matches!(outcome, TxOutcome::Committed(_))
+            || self.aheads.u32(0..1_000) >= self.answers_ahead
+        {
+            return outcome;
+        }
+        self.revision += 1;
+        TxOutcome::Committed(self.revision)
+    }
+
     pub(super) fn rows(&self) -> LoadedRows {
         let of = |table: Table, part: &str| -> Vec<StoredRow> {
             let rows = self.store.iter();
