A revision that an answer told is one at most: rows that nobody else touched keep their owner going

Symptom: tasks that run twice, after an owner read all of its rows again within its tenure, with nobody else writing there.

Cause: each answer of the store names its newest revision. The product took it for its transaction's own; where another write came in between, the next condition failed, the conflict was neither our own batch nor another owner, and the rows were read anew, with all that this does to answers and timers on their way.

Change: what a conflict means is a module of its own (conflict). Rows that are as this owner wrote them (a digest a job, the claim's nonce) give their true revisions, and the batch goes again; the same for renewals, for the epoch as the rows are loaded, and for rows of waves and offers, which else no change would meet again. Quotas did so before.

--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -2,6 +2,7 @@
 //! ends count as seen.
 
 use super::book::Book;
+use super::conflict::{self, Verdict};
 use super::holds;
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::{BATCH_JOBS, GATHER_MS, SHARD_BUSY_MS, TX_RETRY_MS};
@@ -13,7 +14,7 @@
 use super::worker::HoldPhase;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, TxOutcome, Write};
+use crate::port::fleet::{Guard, RowTx, StoredRow, Table, TxOutcome, Write};
 
 /// What became of a batch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,32 +185,25 @@
 ) -> Settled {
     let epoch = tenure.epoch;
     seat.note_answer(shard, &outcome, ctx.now.ms);
-    let Some(batch) = &tenure.batches[shard] else {
+    if tenure.batches[shard].is_none() {
         return Settled::Fine;
-    };
+    }
     let revision = match outcome {
-        TxOutcome::Committed(revision) => Ok(revision),
-        TxOutcome::Conflict(found) => own_work(batch, tenure.fences[shard], &found),
+        TxOutcome::Committed(revision) => revision,
+        TxOutcome::Conflict(found) => match judge(tenure, seat, shard, &found, ctx) {
+            Verdict::Done(revision) => revision,
+            Verdict::Again => {
+                resend(tenure, seat, shard, ctx);
+                return Settled::Fine;
+            }
+            Verdict::PoolLost => return Settled::PoolLost,
+            Verdict::Diverged => return Settled::Diverged,
+        },
         TxOutcome::Refused | TxOutcome::Unknown => {
             ctx.after(TX_RETRY_MS, Timer::Resend(shard));
             return Settled::Fine;
         }
     };
-    let revision = match revision {
-        Ok(revision) => revision,
-        Err(why) => {
-            ctx.tell(
-                Decision::new(
-                    Code::LostRace,
-                    Subject::Pool,
-                    &batch.tx.part,
-                    format!("{why:?}"),
-                )
-                .with("epoch", epoch),
-            );
-            return why;
-        }
-    };
     let (Some(batch), Some(book)) = (tenure.batches[shard].take(), &mut tenure.book) else {
         return Settled::Fine;
     };
@@ -217,9 +211,10 @@
     if batch.has_beat {
         seat.note_renewed(batch.sent_ms, ctx.now.ms);
     }
-    for (key, change) in &batch.jobs {
+    for ((key, change), write) in batch.jobs.iter().zip(&batch.tx.writes) {
         if let Some(job) = book.jobs.get_mut(*key) {
             job.revision = revision;
+            job.recorded_digest = conflict::digest(write.value.as_deref());
             job.recorded_changes = *change;
         }
     }
@@ -237,27 +232,30 @@
     Settled::Fine
 }
 
-/// A conflict with our own batch means that an earlier sending of it took effect.
-fn own_work(
-    batch: &Batch,
-    fence: Revision,
+/// What a conflict means for the batch of a shard; told unless it was only our own work.
+fn judge(
+    tenure: &mut Tenure,
+    seat: &Seat,
+    shard: usize,
     found: &[(Table, StoredRow)],
-) -> Result<Revision, Settled> {
-    let mut revision = None;
-    for (table, row) in found {
-        if *table == Table::Owners && row.revision != fence {
-            return Err(Settled::PoolLost);
-        }
-        if *table != Table::Progress {
-            continue;
-        }
-        let written = batch.tx.writes.iter().find(|w| w.key == row.key);
-        if written.is_none_or(|w| w.value != row.value) {
-            return Err(Settled::Diverged);
-        }
-        revision = Some(row.revision);
+    ctx: &mut Ctx<'_>,
+) -> Verdict {
+    let (Some(batch), Some(book)) = (&mut tenure.batches[shard], &mut tenure.book) else {
+        return Verdict::Diverged;
+    };
+    let is_ours = |row: &StoredRow| conflict::is_ours(seat, ctx.me, row);
+    let verdict = conflict::judge(batch, book, found, is_ours);
+    let part = batch.tx.part.clone();
+    let own = found.iter().find(|(table, _)| *table == Table::Owners);
+    if let Some((_, row)) = own.filter(|_| verdict == Verdict::Again) {
+        tenure.fences[shard] = row.revision;
+    }
+    if !matches!(verdict, Verdict::Done(_)) {
+        let why = format!("{verdict:?}");
+        let decision = Decision::new(Code::LostRace, Subject::Pool, &part, why);
+        ctx.tell(decision.with("epoch", tenure.epoch));
     }
-    revision.ok_or(Settled::Diverged)
+    verdict
 }
 
 /// Sends the batch of a shard again.
--- a/src/core/sched/exchange.rs
+++ b/src/core/sched/exchange.rs
@@ -49,7 +49,7 @@
             TxOutcome::Committed(revision) => pool.offers.changed(revision),
             TxOutcome::Conflict(found) => {
                 pool.offers.pending = None;
-                observe_offers(&mut pool.offers, &pool.name, offers_in(&found), ctx);
+                observe_found(&mut pool.offers, &pool.name, &found, ctx);
             }
             TxOutcome::Refused => pool.offers.pending = None,
             TxOutcome::Unknown => pool.offers.left_open(),
@@ -57,6 +57,14 @@
     });
 }
 
+/// Takes in the row of offers as a conflict found it; one that can not be read is logged.
+fn observe_found(offers: &mut Offers, pool: &str, found: &[(Table, StoredRow)], ctx: &mut Ctx<'_>) {
+    let Some(row) = offers_in(found) else { return };
+    if let Err(e) = offers.observe_found(row) {
+        ctx.tell(Decision::new(Code::BadRow, Subject::Pool, pool, e));
+    }
+}
+
 /// The row of offers among what a conflict found.
 fn offers_in(found: &[(Table, StoredRow)]) -> Option<&StoredRow> {
     let mut rows = found.iter().map(|(_, row)| row);
@@ -87,7 +95,7 @@
         match (outcome, written) {
             (TxOutcome::Committed(revision), Some(row)) => pool.offers.took(row, revision),
             (TxOutcome::Conflict(found), _) => {
-                observe_offers(&mut pool.offers, &pool.name, offers_in(&found), ctx);
+                observe_found(&mut pool.offers, &pool.name, &found, ctx);
             }
             _ => {}
         }
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -613,7 +613,7 @@
         }
         TxOutcome::Conflict(found) => {
             for (_, row) in found {
-                wave::observe(known, &row, ctx);
+                wave::observe_found(known, &row, ctx);
             }
         }
         _ => {}
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -1,6 +1,7 @@
 //! A new owner's books: built from rows, and from rows that come later.
 
 use super::book::Book;
+use super::conflict;
 use super::job::{JobSpec, JobState};
 use super::keys::{JobKey, TaskKey, WorkerKey};
 use super::limits::{CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, WORKER_LEASE_MS};
@@ -164,6 +165,7 @@
         due_ms: begun_ms + objective_ms,
         hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
         revision: ABSENT,
+        recorded_digest: 0,
         account,
         is_excess: false,
         is_unreadable: false,
@@ -227,6 +229,7 @@
     };
     book.set_state(key, progress.state, ctx.now.ms);
     book.jobs[key].revision = row.revision;
+    book.jobs[key].recorded_digest = conflict::digest(row.value.as_deref());
     book.jobs[key].shard = Some(shard);
     book.jobs[key].rounds_begun = progress.begun();
     if progress.state.is_final() {
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -9,6 +9,7 @@
 pub mod book;
 pub mod claim;
 pub mod commit;
+pub mod conflict;
 pub mod crashes;
 mod exchange;
 pub mod fairness;
--- a/src/core/sched/offers.rs
+++ b/src/core/sched/offers.rs
@@ -58,6 +58,13 @@
         Ok(())
     }
 
+    /// Takes in the row as a conflict found it. A lower revision than the known one tells that this one, of an answer,
+    /// was newer than the row's.
+    pub fn observe_found(&mut self, row: &StoredRow) -> Result<(), String> {
+        self.revision = self.revision.min(row.revision.saturating_sub(1));
+        self.observe(row)
+    }
+
     /// Whether the host is on offer, or may be; by whichever life, since whoever takes it may know of no later one.
     pub fn is_offered(&self, host: &str) -> bool {
         let is_in = |map: &BTreeMap<String, String>| map.contains_key(host);
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -265,6 +265,11 @@
             ctx.after(LOAD_RETRY_MS, Timer::Load);
             return;
         };
+        if !seat::settle_epoch(tenure, &mut pool.seat, &rows.owner, ctx.me) {
+            seat::lose(pool, "its row changed", ctx);
+            return;
+        }
+        let epoch = tenure.epoch;
         let is_same_holder = pool.seat.claim_after == ctx.me;
         if !tenure.hosts.is_ready() {
             let former = &pool.seat.former;
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -9,13 +9,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::conflict;
 use super::hosts::ORDERS_APART_MS;
 use super::limits::{
     OWNER_LEASE_MS, OWNER_MARGIN_MS, RENEW_MS, RENEW_SLOW_MS, SHARD_LATE_MS, SHARD_PAUSE_MS,
     SLOW_ANSWER_MS, TOLD_APART_MS, TX_RETRY_MS,
 };
 use super::rows::{self, shard_part, BeatRow, OwnerRow, BEAT_KEY, OWNER_KEY, SHARDS};
-use super::state::{Ctx, Effect, Pool, Timer};
+use super::state::{Ctx, Effect, Pool, Tenure, Timer};
 use super::told;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -349,7 +350,15 @@
             let due_ms = pool.seat.beat_due_ms;
             ctx.after(due_ms.saturating_sub(ctx.now.ms), Timer::Renew);
         }
-        TxOutcome::Conflict(_) => lose(pool, "its row changed", ctx),
+        TxOutcome::Conflict(found) => match ours_at(pool, shard, found, ctx) {
+            // An answer told a newer revision than the row's.
+            Some(revision) => {
+                take_fence(pool, shard, revision);
+                pool.seat.beat_due_ms = ctx.now.ms;
+                ctx.after(0, Timer::Renew);
+            }
+            None => lose(pool, "its row changed", ctx),
+        },
         TxOutcome::Refused | TxOutcome::Unknown => {
             pool.seat.beat_due_ms = ctx.now.ms;
             ctx.after(TX_RETRY_MS, Timer::Renew);
@@ -357,6 +366,45 @@
     }
 }
 
+/// The revision of this owner's row in a shard, where a conflict found it at another one than was thought.
+fn ours_at(
+    pool: &Pool,
+    shard: usize,
+    found: &[(Table, StoredRow)],
+    ctx: &Ctx<'_>,
+) -> Option<Revision> {
+    let fence = pool.tenure.as_ref()?.fences[shard];
+    let mut rows = found.iter().map(|(_, row)| row);
+    let row = rows.find(|row| row.key == OWNER_KEY)?;
+    let is_ours = row.revision != fence && conflict::is_ours(&pool.seat, ctx.me, row);
+    is_ours.then_some(row.revision)
+}
+
+/// Takes the epoch from the owner's row as read: the answer to the claim may have told a newer revision than the row's, which
+/// no condition on it would meet. Says whether the row is this owner's.
+pub fn settle_epoch(tenure: &mut Tenure, seat: &mut Seat, rows: &[StoredRow], me: &str) -> bool {
+    let Some(row) = rows.iter().find(|row| row.key == OWNER_KEY) else {
+        return true;
+    };
+    if !conflict::is_ours(seat, me, row) {
+        return false;
+    }
+    if tenure.epoch != row.revision {
+        // Answers to renewals that are out name the epoch of before, and are passed over.
+        let shards = seat.shards.iter_mut();
+        shards.for_each(|shard| shard.is_renewing = false);
+    }
+    tenure.epoch = row.revision;
+    tenure.fences[0] = row.revision;
+    true
+}
+
+fn take_fence(pool: &mut Pool, shard: usize, revision: Revision) {
+    if let Some(tenure) = &mut pool.tenure {
+        tenure.fences[shard] = revision;
+    }
+}
+
 /// Gives the pool up in the store, so that another may take it at once.
 pub fn release(pool: &mut Pool, ctx: &mut Ctx<'_>) {
     if let Some(mut tenure) = pool.tenure.take() {
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -150,8 +150,10 @@
     pub due_ms: Millis,
     /// Past this time it earns nothing.
     pub hopeless_ms: Millis,
-    /// Revision of its progress on record.
+    /// Revision of its progress on record; a conflict may tell a lower one, see [`conflict`](super::conflict).
     pub revision: Revision,
+    /// Digest of the bytes on record.
+    pub recorded_digest: u64,
     /// Its account had sent more than its weight when it came: it waits behind those of accounts that had not.
     pub is_excess: bool,
     /// Its progress on record can't be read: nothing of it is started, and what runs is left alone until it is cancelled.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -406,7 +406,7 @@
         }
         TxOutcome::Conflict(found) => {
             for (_, row) in found {
-                observe(wave, &row, ctx);
+                observe_found(wave, &row, ctx);
             }
             // An earlier sending of ours may have taken effect.
             wave.row == pending.row
@@ -437,6 +437,13 @@
     }
 }
 
+/// Takes in a wave's row as a conflict found it. A lower revision than the known one tells that this one, of an answer, was
+/// newer than the row's: taken for it, no slot could be taken or given back any more.
+pub fn observe_found(wave: &mut WaveKnown, row: &StoredRow, ctx: &mut Ctx<'_>) {
+    wave.revision = wave.revision.min(row.revision.saturating_sub(1));
+    observe(wave, row, ctx);
+}
+
 /// Takes in a wave's row as read.
 pub fn observe(wave: &mut WaveKnown, row: &StoredRow, ctx: &mut Ctx<'_>) {
     if row.revision <= wave.revision {
