Books: what answers and timers carry is told apart by the reading that it is of

Cause: rows that are read again within a tenure give new books with new keys, while answers to holds, starts, stops, batches and removals that were on their way, and timers, were told apart by the epoch alone. An account of one worker was taken for another's. Timers of a lost pool stayed, and acted on the next books of it; one that reads rows again could replace books in use.

Change: each reading has an id of its own, the epoch and a count; orders, batches and removals carry it, and an answer acts only on the books of that id. With the books go their batches and the timers that name their keys; a lost pool keeps only the look at whether it wants an owner. A new reading sets its looks anew, so that they aren't doubled.

--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -4,10 +4,11 @@
 
 use super::book::Book;
 use super::hosts::{self, HostDuty, PoolNeed};
+use super::keys::BookId;
 use super::load::Facts;
 use super::quota::{self, QuotaDuty};
 use super::seat;
-use super::state::{Ctx, Effect, Pool, PoolKey, State, Timer, WaveKnown};
+use super::state::{Ctx, Effect, Pool, PoolKey, State, Tenure, Timer, WaveKnown};
 use super::wave::WaveDuty;
 use crate::clock::Now;
 
@@ -36,18 +37,18 @@
     Some(work(pool, &mut ctx, &facts))
 }
 
-/// Runs `work` on the books of a pool that this entry owns under `epoch`; `work` says whether a worker
-/// knows of a later owner.
+/// Runs `work` on the books of a pool, if they are those that are asked for; `work` says whether a worker knows of a later
+/// owner.
 pub(super) fn with_book(
     state: &mut State,
     key: PoolKey,
-    epoch: u64,
+    id: BookId,
     now: Now,
     out: &mut Vec<Effect>,
     work: impl FnOnce(&mut Book, &mut Ctx<'_>) -> bool,
 ) {
     with_pool(state, key, now, out, |pool, ctx, _| {
-        let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
+        let Some(tenure) = tenure_of(&mut pool.tenure, id) else {
             return;
         };
         let Some(book) = &mut tenure.book else { return };
@@ -57,6 +58,13 @@
     });
 }
 
+/// A pool's tenure, if its books are those that are asked for.
+pub(super) fn tenure_of(tenure: &mut Option<Tenure>, id: BookId) -> Option<&mut Tenure> {
+    let tenure = tenure.as_mut()?;
+    let is_it = tenure.book.as_ref().is_some_and(|book| book.id == id);
+    is_it.then_some(tenure)
+}
+
 /// Runs `work` on what an owner does for hosts, if its pool carries that; says so.
 pub(super) fn with_hosts(
     state: &mut State,
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -6,7 +6,7 @@
 
 use super::accounts::AccountUse;
 use super::job::{JobState, StepSpec};
-use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
+use super::keys::{AccountKey, BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, HELD_MAX_MS};
 use super::room::Room;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
@@ -44,6 +44,8 @@
 /// The books of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
+    /// The reading that they came of.
+    pub id: BookId,
     /// The pool.
     pub name: String,
     /// The jobs.
--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -280,6 +280,7 @@
         epoch,
         fences,
         book: None,
+        readings: 0,
         batches: Default::default(),
         removing: None,
         removable: Vec::new(),
--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -74,8 +74,8 @@
     let Some(tenure) = &mut pool.tenure else {
         return;
     };
-    let epoch = tenure.epoch;
     let Some(book) = &mut tenure.book else { return };
+    let id = book.id;
     if tenure.batches[shard].is_some() {
         return;
     }
@@ -95,7 +95,7 @@
     batch.tx.writes.push(seat::next_beat(pool, ctx));
     pool.seat.note_sent(shard, ctx.now.ms);
     ctx.out
-        .push(Effect::Record(ctx.pool, epoch, shard, batch.tx.clone()));
+        .push(Effect::Record(ctx.pool, id, shard, batch.tx.clone()));
     if let Some(tenure) = &mut pool.tenure {
         tenure.batches[shard] = Some(batch);
     }
@@ -262,7 +262,7 @@
 
 /// Sends the batch of a shard again.
 pub fn resend(tenure: &Tenure, seat: &mut Seat, shard: usize, ctx: &mut Ctx<'_>) {
-    let Some(batch) = &tenure.batches[shard] else {
+    let (Some(batch), Some(book)) = (&tenure.batches[shard], &tenure.book) else {
         return;
     };
     if !ctx.may_send() {
@@ -270,10 +270,6 @@
         return;
     }
     seat.note_sent(shard, ctx.now.ms);
-    ctx.out.push(Effect::Record(
-        ctx.pool,
-        tenure.epoch,
-        shard,
-        batch.tx.clone(),
-    ));
+    ctx.out
+        .push(Effect::Record(ctx.pool, book.id, shard, batch.tx.clone()));
 }
--- a/src/core/sched/keys.rs
+++ b/src/core/sched/keys.rs
@@ -9,6 +9,16 @@
     pub struct WorkerKey;
 }
 
+/// One reading of a pool's rows. Keys mean something in the books that came of it alone: an answer to what they sent that
+/// reaches other books, taken in there, would speak of another worker or task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct BookId {
+    /// Epoch of the owner that read.
+    pub epoch: u64,
+    /// Its readings until then, this one included.
+    pub reading: u32,
+}
+
 /// A client account, by its place in the books; accounts are never removed from them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AccountKey(pub u16);
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -2,7 +2,7 @@
 
 use super::book::Book;
 use super::job::{JobSpec, JobState};
-use super::keys::{JobKey, TaskKey, WorkerKey};
+use super::keys::{BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::{CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, WORKER_LEASE_MS};
 use super::rows::{self, cancelled_job, shard_of_part, ProgressRow, RoundRow, Standing, TaskRow};
 use super::runs;
@@ -27,7 +27,7 @@
 /// Builds the books of a pool.
 pub fn build(
     pool: &str,
-    epoch: u64,
+    id: BookId,
     began_ms: Millis,
     times: Times,
     loaded: LoadedRows,
@@ -35,6 +35,7 @@
     ctx: &mut Ctx<'_>,
 ) -> Book {
     let mut book = Book {
+        id,
         name: pool.to_string(),
         times,
         ..Book::default()
@@ -61,7 +62,7 @@
         begin_if_new(&mut book, key, ctx);
     }
     for row in cancels {
-        apply_intake(&mut book, &row, state.config, epoch, ctx);
+        apply_intake(&mut book, &row, state.config, id.epoch, ctx);
     }
     book.wants_placing = true;
     book
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::access::{
-    owned_pools, pool_key, with_book, with_duty, with_hosts, with_pool, with_quota,
+    owned_pools, pool_key, tenure_of, with_book, with_duty, with_hosts, with_pool, with_quota,
 };
 use super::book::Book;
 use super::claim;
@@ -14,7 +14,7 @@
 use super::holds;
 use super::hosts;
 use super::job::JobSpec;
-use super::keys::WorkerKey;
+use super::keys::{BookId, WorkerKey};
 use super::limits::RESORT_MS;
 use super::lives::{greet, worker_word, workers_read};
 use super::load;
@@ -30,7 +30,7 @@
 use super::wave;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::{FleetConfig, HoldReport, OperatorWord, OrderReply, StoredRow, TxOutcome};
+use crate::port::fleet::{FleetConfig, OperatorWord, StoredRow, TxOutcome};
 
 /// Pause before a pool's rows are read again after that failed.
 const LOAD_RETRY_MS: Millis = 100;
@@ -57,21 +57,23 @@
         }
         Event::Loaded(pool, epoch, rows) => loaded(state, pool, epoch, rows, now, &mut out),
         Event::Intake(row) => intake(state, &row, now, &mut out),
-        Event::Recorded(pool, epoch, shard, outcome) => {
-            recorded(state, pool, epoch, shard, outcome, now, &mut out);
+        Event::Recorded(pool, book, shard, outcome) => {
+            recorded(state, pool, book, shard, outcome, now, &mut out);
         }
-        Event::Started(pool, epoch, task, run, reply) => {
-            with_book(state, pool, epoch, now, &mut out, |book, ctx| {
-                runs::started(book, task, run, reply, epoch, ctx)
+        Event::Started(pool, id, task, run, reply) => {
+            with_book(state, pool, id, now, &mut out, |book, ctx| {
+                runs::started(book, task, run, reply, id.epoch, ctx)
             });
         }
-        Event::Stopped(pool, epoch, task, run, reply) => {
-            with_book(state, pool, epoch, now, &mut out, |book, ctx| {
+        Event::Stopped(pool, id, task, run, reply) => {
+            with_book(state, pool, id, now, &mut out, |book, ctx| {
                 runs::stopped(book, task, run, reply, ctx)
             });
         }
-        Event::Held(pool, epoch, worker, sent_ms, result) => {
-            held(state, pool, epoch, worker, sent_ms, result, now, &mut out);
+        Event::Held(pool, id, worker, sent_ms, result) => {
+            with_book(state, pool, id, now, &mut out, |book, ctx| {
+                holds::held(book, worker, sent_ms, result, id.epoch, ctx)
+            });
         }
         Event::WaveRow(row) => wave_row(state, &row, now, &mut out),
         Event::WaveSettled(pool, _, outcome) => {
@@ -84,9 +86,9 @@
                 hosts::settled(duty, waves, outcome, ctx);
             });
         }
-        Event::IntakeRemoved(pool, epoch, outcome) => {
+        Event::IntakeRemoved(pool, id, outcome) => {
             with_pool(state, pool, now, &mut out, |pool, _, _| {
-                if let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) {
+                if let Some(tenure) = tenure_of(&mut pool.tenure, id) {
                     remove::intake_removed(tenure, &outcome);
                 }
             });
@@ -271,7 +273,8 @@
         let offers = rows.owner.iter().find(|row| row.key == OFFERS_KEY);
         observe_offers(&mut pool.offers, &pool.name, offers, ctx);
         let times = pool.seat.beat.times.clone();
-        let mut book = load::build(&name, epoch, tenure.began_ms, times, rows, facts, ctx);
+        let id = tenure.next_book(ctx);
+        let mut book = load::build(&name, id, tenure.began_ms, times, rows, facts, ctx);
         close_given(&mut book, &pool.offers);
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
@@ -350,47 +353,28 @@
 fn recorded(
     state: &mut State,
     key: PoolKey,
-    epoch: u64,
+    id: BookId,
     shard: usize,
     outcome: TxOutcome,
     now: Now,
     out: &mut Vec<Effect>,
 ) {
     with_pool(state, key, now, out, |pool, ctx, _| {
-        let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
+        let Some(tenure) = tenure_of(&mut pool.tenure, id) else {
             return;
         };
         match commit::recorded(tenure, &mut pool.seat, shard, outcome, ctx) {
             Settled::Fine => {}
             Settled::PoolLost => seat::lose(pool, "its row changed", ctx),
             Settled::Diverged => {
-                tenure.batches = Default::default();
-                tenure.removing = None;
-                tenure.removable.clear();
-                tenure.book = None;
+                tenure.drop_book(ctx);
                 ctx.out
-                    .push(Effect::Load(ctx.pool, epoch, pool.name.clone()));
+                    .push(Effect::Load(ctx.pool, id.epoch, pool.name.clone()));
             }
         }
     });
 }
 
-#[allow(clippy::too_many_arguments)]
-fn held(
-    state: &mut State,
-    key: PoolKey,
-    epoch: u64,
-    worker: WorkerKey,
-    sent_ms: Millis,
-    result: Result<HoldReport, OrderReply>,
-    now: Now,
-    out: &mut Vec<Effect>,
-) {
-    with_book(state, key, epoch, now, out, |book, ctx| {
-        holds::held(book, worker, sent_ms, result, epoch, ctx)
-    });
-}
-
 fn fire_timers(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     while let Some((at_ms, key, timer)) = state.timers.first().copied() {
         if at_ms > now.ms {
--- a/src/core/sched/remove.rs
+++ b/src/core/sched/remove.rs
@@ -42,8 +42,7 @@
         writes: writes.map(|key| gone(Table::Intake, key)).collect(),
     };
     tenure.removing = Some((part.clone(), keys));
-    ctx.out
-        .push(Effect::RemoveIntake(ctx.pool, tenure.epoch, tx));
+    ctx.out.push(Effect::RemoveIntake(ctx.pool, book.id, tx));
 }
 
 fn gone(table: Table, key: String) -> Write {
@@ -112,7 +111,7 @@
         };
         pool.seat.note_sent(shard, ctx.now.ms);
         ctx.out
-            .push(Effect::Record(ctx.pool, tenure.epoch, shard, tx.clone()));
+            .push(Effect::Record(ctx.pool, book.id, shard, tx.clone()));
         tenure.batches[shard] = Some(Batch {
             tx,
             jobs: Vec::new(),
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -25,6 +25,7 @@
     let worker = book.workers.get(worker)?;
     Some(Order {
         pool: ctx.pool,
+        book: book.id,
         to: Addressee {
             worker: worker.fact.id.clone(),
             address: worker.fact.address,
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -382,5 +382,7 @@
     ctx.tell(
         Decision::new(Code::PoolLost, Subject::Pool, &pool.name, why).with("epoch", tenure.epoch),
     );
+    // Those of the books would act on others with the same keys, should the pool come back.
+    ctx.drop_timers(|timer| timer != Timer::Claim);
     ctx.after(OWNER_LEASE_MS, Timer::Claim);
 }
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -5,7 +5,7 @@
 
 use super::book::Book;
 use super::hosts::{HostDuty, HostTask};
-use super::keys::{JobKey, TaskKey, WorkerKey};
+use super::keys::{BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::CPU_FULL_MILLI;
 use super::offers::Offers;
 use super::quota::QuotaDuty;
@@ -32,6 +32,8 @@
     pub epoch: u64,
     /// The books, once they are read.
     pub book: Option<Book>,
+    /// How often they were.
+    pub readings: u32,
     /// Revisions of the owner's rows, by shard: each write carries its shard's as a condition.
     pub fences: [Revision; SHARDS],
     /// The transactions that are out, by shard.
@@ -54,6 +56,29 @@
     pub hosts: HostDuty,
 }
 
+impl Tenure {
+    /// Drops what is left of an earlier reading, and gives the id of the books to be built; what looks at them now and then
+    /// is set anew.
+    pub(super) fn next_book(&mut self, ctx: &mut Ctx<'_>) -> BookId {
+        self.drop_book(ctx);
+        ctx.drop_timers(|timer| !matches!(timer, Timer::Claim | Timer::Renew));
+        self.readings += 1;
+        BookId {
+            epoch: self.epoch,
+            reading: self.readings,
+        }
+    }
+
+    /// Drops the books, and all that holds keys of them.
+    pub(super) fn drop_book(&mut self, ctx: &mut Ctx<'_>) {
+        self.book = None;
+        self.batches = Default::default();
+        self.removing = None;
+        self.removable.clear();
+        ctx.drop_timers(Timer::is_of_book);
+    }
+}
+
 /// A wave as this entry knows it.
 #[derive(Clone, Debug, Default)]
 pub struct WaveKnown {
@@ -136,6 +161,20 @@
     Quota,
 }
 
+impl Timer {
+    /// Whether it names a worker or a task by its key, or a batch with such keys.
+    fn is_of_book(self) -> bool {
+        matches!(
+            self,
+            Timer::Resend(_)
+                | Timer::Hold(_)
+                | Timer::LeaseOver(_)
+                | Timer::Restart(..)
+                | Timer::Restop(..)
+        )
+    }
+}
+
 /// Timers of all pools.
 pub type Timers = BTreeSet<(Millis, PoolKey, Timer)>;
 
@@ -161,15 +200,15 @@
     /// A row of intake changed.
     Intake(StoredRow),
     /// The batch of a shard was answered.
-    Recorded(PoolKey, u64, usize, TxOutcome),
+    Recorded(PoolKey, BookId, usize, TxOutcome),
     /// A start was answered.
-    Started(PoolKey, u64, TaskKey, u32, OrderReply),
+    Started(PoolKey, BookId, TaskKey, u32, OrderReply),
     /// A stop was answered.
-    Stopped(PoolKey, u64, TaskKey, u32, OrderReply),
+    Stopped(PoolKey, BookId, TaskKey, u32, OrderReply),
     /// A hold was answered; it was sent at that time.
     Held(
         PoolKey,
-        u64,
+        BookId,
         WorkerKey,
         Millis,
         Result<HoldReport, OrderReply>,
@@ -181,7 +220,7 @@
     /// The record of hosts that are out was changed, or not.
     OrderedSettled(PoolKey, TxOutcome),
     /// Rows of intake were removed, or not.
-    IntakeRemoved(PoolKey, u64, TxOutcome),
+    IntakeRemoved(PoolKey, BookId, TxOutcome),
     /// A change of the pool's offers was answered: epoch.
     OffersSettled(PoolKey, u64, TxOutcome),
     /// Hosts on offer were taken, or not: epoch, the pool that offered them.
@@ -224,6 +263,8 @@
 pub struct Order {
     /// The pool.
     pub pool: PoolKey,
+    /// The books that it is of.
+    pub book: BookId,
     /// To whom, with which fence.
     pub to: Addressee,
     /// The owner's lease ends then; later it must not be sent.
@@ -246,7 +287,7 @@
     /// Read an account's row: epoch, account.
     ReadQuota(PoolKey, u64, String),
     /// Record progress in a shard.
-    Record(PoolKey, u64, usize, RowTx),
+    Record(PoolKey, BookId, usize, RowTx),
     /// Start a run.
     Start(Order, TaskKey, RunStart),
     /// Stop a run that the books know.
@@ -266,7 +307,7 @@
     /// Change the record of hosts that are out.
     SettleOrdered(PoolKey, RowTx),
     /// Remove rows of intake.
-    RemoveIntake(PoolKey, u64, RowTx),
+    RemoveIntake(PoolKey, BookId, RowTx),
     /// Change the pool's offers.
     SettleOffers(PoolKey, u64, RowTx),
     /// Take hosts that a pool offers, by its name.
@@ -368,6 +409,13 @@
         self.timers.insert((self.now.ms + ms, self.pool, timer));
     }
 
+    /// Drops timers of this pool.
+    pub fn drop_timers(&mut self, is_over: impl Fn(Timer) -> bool) {
+        let pool = self.pool;
+        self.timers
+            .retain(|(_, of, timer)| *of != pool || !is_over(*timer));
+    }
+
     /// Logs a decision.
     pub fn tell(&mut self, decision: Decision) {
         self.out.push(Effect::Log(decision));
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -203,9 +203,9 @@
                 let rows = load(&platform, &name).await.ok();
                 Some(Event::Loaded(pool, epoch, rows))
             }),
-            Effect::Record(pool, epoch, shard, tx) => self.spawn(async move {
+            Effect::Record(pool, book, shard, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
-                Some(Event::Recorded(pool, epoch, shard, outcome))
+                Some(Event::Recorded(pool, book, shard, outcome))
             }),
             Effect::Start(order, task, start) => {
                 self.spawn(async move {
@@ -215,11 +215,7 @@
                         OrderReply::Silent
                     };
                     Some(Event::Started(
-                        order.pool,
-                        order.to.fence,
-                        task,
-                        start.run,
-                        reply,
+                        order.pool, order.book, task, start.run, reply,
                     ))
                 });
             }
@@ -230,7 +226,7 @@
                     } else {
                         OrderReply::Silent
                     };
-                    Some(Event::Stopped(order.pool, order.to.fence, task, run, reply))
+                    Some(Event::Stopped(order.pool, order.book, task, run, reply))
                 });
             }
             Effect::StopStray(order, name, run) => {
@@ -262,8 +258,8 @@
                     } else {
                         Err(OrderReply::Silent)
                     };
-                    let (pool, epoch) = (order.pool, order.to.fence);
-                    Some(Event::Held(pool, epoch, worker, sent_ms, result))
+                    let (pool, book) = (order.pool, order.book);
+                    Some(Event::Held(pool, book, worker, sent_ms, result))
                 });
             }
             Effect::SettleWave(pool, wave, tx) => self.spawn(async move {
@@ -274,9 +270,9 @@
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::OrderedSettled(pool, outcome))
             }),
-            Effect::RemoveIntake(pool, epoch, tx) => self.spawn(async move {
+            Effect::RemoveIntake(pool, book, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
-                Some(Event::IntakeRemoved(pool, epoch, outcome))
+                Some(Event::IntakeRemoved(pool, book, outcome))
             }),
             Effect::SettleOffers(pool, epoch, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -30,9 +30,9 @@
                     Event::Renewed(pool, epoch, shard, sent_ms, outcome),
                 );
             }
-            Effect::Record(pool, epoch, shard, tx) => {
+            Effect::Record(pool, book, shard, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
-                self.reply(n, after_ms, Event::Recorded(pool, epoch, shard, outcome));
+                self.reply(n, after_ms, Event::Recorded(pool, book, shard, outcome));
             }
             Effect::Release(tx) => {
                 self.store_call(n, &tx);
@@ -64,11 +64,11 @@
                 } else {
                     (ORDER_TIMEOUT_MS, OrderReply::Silent)
                 };
-                let fence = order.to.fence;
+                let book = order.book;
                 self.reply(
                     n,
                     after_ms,
-                    Event::Started(order.pool, fence, task, run, reply),
+                    Event::Started(order.pool, book, task, run, reply),
                 );
             }
             Effect::Stop(order, task, name, run) => {
@@ -79,11 +79,11 @@
                 } else {
                     (ORDER_TIMEOUT_MS, OrderReply::Silent)
                 };
-                let fence = order.to.fence;
+                let book = order.book;
                 self.reply(
                     n,
                     after_ms,
-                    Event::Stopped(order.pool, fence, task, run, reply),
+                    Event::Stopped(order.pool, book, task, run, reply),
                 );
             }
             Effect::StopStray(order, name, run) => {
@@ -102,17 +102,17 @@
                 } else {
                     (ask.wait_ms + ORDER_TIMEOUT_MS, Err(OrderReply::Silent))
                 };
-                let fence = order.to.fence;
-                let event = Event::Held(order.pool, fence, worker, sent_ms, result);
+                let book = order.book;
+                let event = Event::Held(order.pool, book, worker, sent_ms, result);
                 self.reply(n, after_ms, event);
             }
             Effect::SettleOrdered(pool, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
                 self.reply(n, after_ms, Event::OrderedSettled(pool, outcome));
             }
-            Effect::RemoveIntake(pool, epoch, tx) => {
+            Effect::RemoveIntake(pool, book, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
-                self.reply(n, after_ms, Event::IntakeRemoved(pool, epoch, outcome));
+                self.reply(n, after_ms, Event::IntakeRemoved(pool, book, outcome));
             }
             Effect::SettleOffers(pool, epoch, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
