Books: what runs goes on as rows are read again within a tenure

Cause: workers in new books were taken to be bound by leases from the claim on, also where this owner had read rows before and renewed them since. Past that time the first look, in the moment of the reading, held them all to be over: everything that ran was requeued at once, and started elsewhere beside its runs or after they had ended.

Change: of a second reading on, what earlier books may have ordered counts up to that reading.

Conclusion: this is what turns one changed row into many tasks of one worker at once that start again elsewhere; that it is what users met is not shown.

--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -274,7 +274,9 @@
         observe_offers(&mut pool.offers, &pool.name, offers, ctx);
         let times = pool.seat.beat.times.clone();
         let id = tenure.next_book(ctx);
-        let mut book = load::build(&name, id, tenure.began_ms, times, rows, facts, ctx);
+        // Counted from the claim, leases that this owner gave since would be over at once, and all that runs be requeued.
+        let earlier_ms = tenure.earlier_until_ms(ctx.now.ms);
+        let mut book = load::build(&name, id, earlier_ms, times, rows, facts, ctx);
         close_given(&mut book, &pool.offers);
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Until when earlier books may have sent orders: those of a former owner till the claim, our own till now.
+    pub(super) fn earlier_until_ms(&self, now_ms: Millis) -> Millis {
+        match self.readings {
+            0 | 1 => self.began_ms,
+            _ => now_ms,
+        }
+    }
+
     /// Drops the books, and all that holds keys of them.
     pub(super) fn drop_book(&mut self, ctx: &mut Ctx<'_>) {
         self.book = None;
