Log: batches on record, and what an owner finds when it reads its rows

Whether an end was on record before a second start, and what a new owner knew of a run, could not be told from the log: no line named a batch, pool-loaded counted jobs and workers only, and a read of the rows within a tenure looked like the first one.

Change: log lines only. batch-recorded (627) names the jobs of each settled batch, its part, revision and age, and the jobs that are forgotten with one. pool-loaded tells how many tasks stand as started, on which workers, how many as done, and how often the rows were read in the tenure; lost-race names the row that was not as expected.

Ruled out: which end is in which batch, by number; the job and the batch's age tell it, and books need keep no more.

Tests: told_until_seen (ends, batches and numbers of five jobs), told_on_record (a new owner, a second read), told_before_each_start (30 worlds with crashes, cuts and killed owners: no run but a first one is placed before a line that the one before it is over); they pass. The world can keep what entries log.

--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -280,6 +280,7 @@
         epoch,
         fences,
         book: None,
+        reads: 0,
         batches: Default::default(),
         removing: None,
         removable: Vec::new(),
--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -10,6 +10,7 @@
 use super::runs;
 use super::seat::{self, epoch_guard, Seat};
 use super::state::{Batch, Ctx, Effect, Pool, Tenure, Timer};
+use super::told;
 use super::worker::HoldPhase;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -197,22 +198,21 @@
     };
     let revision = match revision {
         Ok(revision) => revision,
-        Err(why) => {
-            ctx.tell(
-                Decision::new(
-                    Code::LostRace,
-                    Subject::Pool,
-                    &batch.tx.part,
-                    format!("{why:?}"),
-                )
-                .with("epoch", epoch),
+        Err((why, row)) => {
+            let decision = Decision::new(
+                Code::LostRace,
+                Subject::Pool,
+                &batch.tx.part,
+                format!("{why:?}"),
             );
+            ctx.tell(decision.naming("row", row).with("epoch", epoch));
             return why;
         }
     };
     let (Some(batch), Some(book)) = (tenure.batches[shard].take(), &mut tenure.book) else {
         return Settled::Fine;
     };
+    told::recorded(&batch, book, revision, epoch, ctx);
     // Sent again, it may have taken effect the first time: the lease counts from then.
     if batch.has_beat {
         seat.note_renewed(batch.sent_ms, ctx.now.ms);
@@ -237,27 +237,28 @@
     Settled::Fine
 }
 
-/// A conflict with our own batch means that an earlier sending of it took effect.
+/// A conflict with our own batch means that an earlier sending of it took effect; else it gives what follows, and which
+/// row was not as expected.
 fn own_work(
     batch: &Batch,
     fence: Revision,
     found: &[(Table, StoredRow)],
-) -> Result<Revision, Settled> {
+) -> Result<Revision, (Settled, String)> {
     let mut revision = None;
     for (table, row) in found {
         if *table == Table::Owners && row.revision != fence {
-            return Err(Settled::PoolLost);
+            return Err((Settled::PoolLost, row.key.clone()));
         }
         if *table != Table::Progress {
             continue;
         }
         let written = batch.tx.writes.iter().find(|w| w.key == row.key);
         if written.is_none_or(|w| w.value != row.value) {
-            return Err(Settled::Diverged);
+            return Err((Settled::Diverged, row.key.clone()));
         }
         revision = Some(row.revision);
     }
-    revision.ok_or(Settled::Diverged)
+    revision.ok_or((Settled::Diverged, String::new()))
 }
 
 /// Sends the batch of a shard again.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -26,7 +26,7 @@
 use super::runs;
 use super::seat;
 use super::sizing;
-use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Tenure, Timer, WaveKnown};
+use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Timer, WaveKnown};
 use super::told;
 use super::wave;
 use crate::clock::{Millis, Now};
@@ -277,7 +277,8 @@
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
         }
-        tell_loaded(&name, &book, tenure, ctx);
+        tenure.reads += 1;
+        told::loaded(&name, &book, tenure, ctx);
         let workers: Vec<WorkerKey> = book.workers.keys().collect();
         for worker in workers {
             greet(&mut book, worker, epoch, ctx);
@@ -292,17 +293,6 @@
     });
 }
 
-fn tell_loaded(name: &str, book: &Book, tenure: &Tenure, ctx: &mut Ctx<'_>) {
-    let took_ms = ctx.now.ms - tenure.began_ms;
-    ctx.tell(
-        Decision::new(Code::PoolLoaded, Subject::Pool, name, "rows read")
-            .with("epoch", tenure.epoch)
-            .with("jobs", book.jobs.len() as u64)
-            .with("workers", book.workers.len() as u64)
-            .with("took_ms", took_ms),
-    );
-}
-
 fn intake(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
     let Some(key) = state.pool_keys.get(pool_of_part(&row.part)).copied() else {
         return;
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -32,6 +32,8 @@
     pub epoch: u64,
     /// The books, once they are read.
     pub book: Option<Book>,
+    /// How often the rows were read for them.
+    pub reads: u32,
     /// Revisions of the owner's rows, by shard: each write carries its shard's as a condition.
     pub fences: [Revision; SHARDS],
     /// The transactions that are out, by shard.
--- a/src/core/sched/told.rs
+++ b/src/core/sched/told.rs
@@ -8,16 +8,19 @@
 use super::book::Book;
 use super::crashes::Evidence;
 use super::keys::{TaskKey, WorkerKey};
-use super::state::{Ctx, Tenure};
+use super::state::{Batch, Ctx, Tenure};
 use super::tasks::Phase;
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject, RUNS};
-use crate::port::fleet::{OrderReply, RunEnd, TaskName};
+use crate::port::fleet::{OrderReply, Revision, RunEnd, TaskName};
 
 /// Entries of a list; what is beyond goes on another line.
 const LISTED_MAX: usize = 16;
 
+/// Workers that are named whose runs a new owner found on record; it bounds the line.
+const LOADED_MAX: usize = 48;
+
 /// Answered starts are told after so long, or with the next judgement on a run.
 const ANSWERS_MS: Millis = 100;
 
@@ -232,6 +235,66 @@
     }
 }
 
+/// A batch that is on record. Its jobs are listed in full, since an end counts as recorded with the batch of its job.
+pub(super) fn recorded(
+    batch: &Batch,
+    book: &Book,
+    revision: Revision,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let why = match batch.removed.is_empty() {
+        true => "changes of jobs",
+        false => "jobs forgotten",
+    };
+    let changed = batch.jobs.iter().map(|(key, _)| key);
+    let keys = changed.chain(&batch.removed);
+    let mut list = List::default();
+    for job in keys.filter_map(|key| book.jobs.get(*key)) {
+        list.add(&job.id);
+    }
+    if list.count == 0 {
+        return;
+    }
+    let part = &batch.tx.part;
+    ctx.tell(
+        Decision::new(Code::BatchRecorded, Subject::Pool, part, why)
+            .naming(RUNS, list.text)
+            .with("epoch", epoch)
+            .with("revision", revision)
+            .with("starts", batch.starts.len() as u64)
+            .with("sent_ago_ms", ctx.now.ms.saturating_sub(batch.sent_ms)),
+    );
+}
+
+/// What a new owner found on record: tasks that are done, and those that were started, by worker.
+pub(super) fn loaded(name: &str, book: &Book, tenure: &Tenure, ctx: &mut Ctx<'_>) {
+    let rounds = book.jobs.values().flat_map(|job| job.rounds.values());
+    let tasks = rounds.flat_map(|round| round.steps.iter().flat_map(|step| &step.tasks));
+    let done = tasks.filter(|task| task.phase == Phase::Done).count() as u64;
+    let carrying = book.workers.values().filter(|w| !w.tasks.is_empty());
+    let started: usize = carrying.clone().map(|w| w.tasks.len()).sum();
+    let mut on = List::default();
+    for w in carrying.take(LOADED_MAX) {
+        on.add(format_args!("{}:{}", w.fact.id, w.tasks.len()));
+    }
+    let why = match tenure.reads {
+        1 => "rows read",
+        _ => "rows read again, within the tenure",
+    };
+    ctx.tell(
+        Decision::new(Code::PoolLoaded, Subject::Pool, name, why)
+            .naming("started_on", on.text)
+            .with("epoch", tenure.epoch)
+            .with("reads", u64::from(tenure.reads))
+            .with("jobs", book.jobs.len() as u64)
+            .with("workers", book.workers.len() as u64)
+            .with("started", started as u64)
+            .with("done", done)
+            .with("took_ms", ctx.now.ms - tenure.began_ms),
+    );
+}
+
 /// A worker whose runs are over: what that rests on, and where its ends and its lease stand.
 pub(super) fn over(w: &Worker, evidence: &Evidence, now_ms: Millis) -> Decision {
     let why = evidence.over().why();
--- a/src/event.rs
+++ b/src/event.rs
@@ -117,6 +117,7 @@
     MoveOrdered, 624, "move-ordered", "A host is sent to another pool.";
     PoolSized, 625, "pool-sized", "What a pool's owner thinks of its size changed.";
     OffersNotTaken, 626, "offers-not-taken", "Hosts on offer could not be taken; orders that waited for it are dropped.";
+    BatchRecorded, 627, "batch-recorded", "Changes of jobs are on record: in which shard, at which revision.";
 }
 
 impl Code {
--- a/tests/test_told.rs
+++ b/tests/test_told.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::decide::{answering, decide};
-use crate::world::{config, job, worker_fact, POOL};
+use crate::world::{config, job, worker_fact, Faults, World, POOL};
 
 /// Epoch of the owner.
 const EPOCH: u64 = 7;
@@ -24,6 +24,9 @@
 /// When its starts are sent.
 const SENT_MS: u64 = 1_000;
 
+/// Long enough for an owner to be found.
+const SETTLE_MS: u64 = 8_000;
+
 /// Books with one worker, and `tasks` tasks of job `a` whose starts are out.
 fn starting(tasks: u16) -> (Book, WorkerKey) {
     let mut book = Book::default();
@@ -339,3 +342,125 @@
         assert!(!told.is_about(Subject::Job, other), "{other}");
     }
 }
+
+/// A world whose entries' lines are kept from the moment on that a pool has its owner.
+fn telling(seed: u64, entries: usize, workers: usize) -> World {
+    let mut world = World::new(seed, entries, workers);
+    world.run(SETTLE_MS);
+    world.keeps_log = true;
+    world
+}
+
+/// Each end, the batch that it was recorded with, and from the next account on, that its worker was told so.
+#[test]
+fn told_until_seen() {
+    let mut world = telling(1, 1, 1);
+    for n in 0..5 {
+        world.submit(&format!("j{n}"), job(1, 100, 500));
+        world.run(3_000);
+    }
+    let of = |code: Code| world.log.iter().filter(move |d| d.code == code);
+    let ends: Vec<&Decision> = of(Code::EndsTaken).collect();
+    assert_eq!(ends.len(), 5);
+    for (n, told) in ends.iter().enumerate() {
+        let expected = format!("{}=j{n}.0.0.0#1:Done/Running", n + 1);
+        assert_eq!(named(told, "runs"), expected);
+        let before = Some(n as u64);
+        for name in ["taken_before", "recorded", "told_seen"] {
+            assert_eq!(figure(told, name), before, "{name}");
+        }
+        let id = format!("j{n}");
+        let batches = of(Code::BatchRecorded).filter(|d| d.is_about(Subject::Job, &id));
+        let batches: Vec<&Decision> = batches.collect();
+        let starts = batches.iter().map(|d| figure(d, "starts"));
+        assert_eq!(starts.collect::<Vec<_>>(), [Some(1), Some(0)]);
+        assert!(batches.iter().all(|d| d.id.starts_with(POOL)));
+        let revisions = batches.iter().map(|d| figure(d, "revision"));
+        assert!(revisions.is_sorted());
+    }
+}
+
+/// What a new owner finds, and an owner that reads its rows again.
+#[test]
+fn told_on_record() {
+    let mut world = telling(1, 2, 2);
+    world.submit("long", job(3, 100, 60_000));
+    world.run(2_000);
+    let owner = world.owner_entry().expect("one owns the pool");
+    world.kill(owner);
+    world.run(SETTLE_MS);
+    let loaded = |d: &&Decision| d.code == Code::PoolLoaded;
+    let told = world.log.iter().find(loaded).expect("it is told");
+    assert_eq!(told.why, "rows read");
+    assert_eq!(figure(told, "started"), Some(3));
+    assert_eq!(figure(told, "done"), Some(0));
+    assert_eq!(figure(told, "reads"), Some(1));
+    let on: Vec<&str> = named(told, "started_on").split(' ').collect();
+    let lives = world.lives();
+    let counts = on.iter().map(|entry| {
+        let (life, count) = entry.split_once(':').expect("a life and a count");
+        assert!(lives.iter().any(|known| known == life), "{life}");
+        count.parse::<u64>().expect("a count")
+    });
+    assert_eq!(counts.sum::<u64>(), 3);
+    let owner = world.owner_entry().expect("one owns the pool");
+    let again = world.reload(owner);
+    let told = again.iter().find(loaded).expect("it is told");
+    assert_eq!(told.why, "rows read again, within the tenure");
+    assert_eq!(figure(told, "reads"), Some(2));
+}
+
+/// Which run of which task a line is about.
+fn run_of(told: &Decision, run: u64) -> (String, [Option<u64>; 3], u64) {
+    let place = ["round", "step", "task"].map(|name| figure(told, name));
+    (told.id.clone(), place, run)
+}
+
+/// No run but a first one gets its place before a line told why the one before it is over, whatever goes wrong.
+#[test]
+fn told_before_each_start() {
+    let mut again = 0;
+    for seed in 0..30 {
+        let mut world = telling(seed, 3, 5);
+        world.faults = Faults {
+            store_late: 500,
+            order_lost: 100,
+            order_late: 500,
+            run_fails: 60,
+            ..Faults::default()
+        };
+        for n in 0..12_u64 {
+            world.submit(&format!("j{n}"), job(4, 900, 800));
+            world.run(400 + 37 * seed);
+            let lives = world.lives();
+            let life = &lives[(n + seed) as usize % lives.len()];
+            match n % 3 {
+                0 => world.crash(life, 700),
+                1 => world.cut_worker(life, 6_000),
+                _ => {
+                    let owner = world.owner_entry();
+                    owner.into_iter().for_each(|owner| world.kill(owner));
+                    owner.into_iter().for_each(|owner| world.boot(owner));
+                }
+            }
+        }
+        world.run(20_000);
+        let mut over = std::collections::HashSet::new();
+        for told in &world.log {
+            let run = figure(told, "run").unwrap_or(0);
+            if told.code == Code::TaskRequeued {
+                assert_ne!(named(told, "worker"), "-", "seed {seed}: {told:?}");
+                over.insert(run_of(told, run));
+            }
+            if told.code == Code::TaskPlaced && run > 1 {
+                again += 1;
+                let before = run_of(told, run - 1);
+                assert!(over.contains(&before), "seed {seed}: {told:?}");
+            }
+        }
+    }
+    assert!(
+        again > 100,
+        "only {again} runs were a task's second or later"
+    );
+}
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -151,7 +151,8 @@
                 self.reply(n, 5, Event::HostOrdered(pool, epoch, host, reply));
             }
             Effect::Left => self.kill(n),
-            Effect::Pace(..) | Effect::Log(_) => {}
+            Effect::Log(decision) => self.log.extend(self.keeps_log.then_some(decision)),
+            Effect::Pace(..) => {}
         }
     }
 }
--- a/tests/world/entries.rs
+++ b/tests/world/entries.rs
@@ -64,13 +64,13 @@
         self.entries.iter().position(owns)
     }
 
-    /// An entry reads the rows of its pool again, within the same tenure.
-    pub(crate) fn reload(&mut self, n: usize) {
+    /// An entry reads the rows of its pool again, within the same tenure; gives what is logged by it.
+    pub(crate) fn reload(&mut self, n: usize) -> Vec<Decision> {
         let state = self.entries[n].state.as_ref();
         let tenure = state.and_then(|s| s.pool(POOL)?.tenure.as_ref());
         let epoch = tenure.expect("it owns the pool").epoch;
         let rows = self.rows();
-        self.tell(n, Event::Loaded(PoolKey(0), epoch, Some(rows)));
+        self.told(n, Event::Loaded(PoolKey(0), epoch, Some(rows)))
     }
 
     pub(super) fn deliver(&mut self, n: usize, life: u64, event: Event) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -203,6 +203,10 @@
     pub(crate) upkeep_ended: usize,
     /// Tasks that bring workers down.
     pub(crate) crashes: crash::Crashes,
+    /// What entries log is kept.
+    pub(crate) keeps_log: bool,
+    /// What was logged since, by any entry.
+    pub(crate) log: Vec<Decision>,
     revision: u64,
     number: u64,
     queue: BinaryHeap<Reverse<Queued>>,
@@ -246,6 +250,8 @@
             out_most: 0,
             upkeep_ended: 0,
             crashes: Default::default(),
+            keeps_log: false,
+            log: Vec::new(),
             revision: 1,
             number: 0,
             queue: BinaryHeap::new(),
