Log: names of figures are not copied

Each decision copied the names of its figures, 5 to 9 allocations a line, kept in the ring as long as the line. They are constants: borrowed now, and owned only where a peer sent them. What goes over the wire stays the same.

--- a/src/event.rs
+++ b/src/event.rs
@@ -1,5 +1,7 @@
 //! The numbered log events: the catalogue, and one decision as data.
 
+use std::borrow::Cow;
+
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
@@ -180,11 +182,11 @@
     /// The reason.
     pub why: String,
     /// Name and value of each figure.
-    pub figures: Vec<(String, u64)>,
+    pub figures: Vec<(Cow<'static, str>, u64)>,
     /// Other things that it names, such as a worker or a list of runs: what each is, and its name. Not sent to peers, whose
     /// protocol would change by it: only decisions on a pool of workers name some.
     #[serde(skip)]
-    pub names: Vec<(String, String)>,
+    pub names: Vec<(&'static str, String)>,
 }
 
 impl Decision {
@@ -202,14 +204,14 @@
     }
 
     /// Adds a figure.
-    pub fn with(mut self, name: &str, value: u64) -> Self {
-        self.figures.push((name.to_string(), value));
+    pub fn with(mut self, name: &'static str, value: u64) -> Self {
+        self.figures.push((Cow::Borrowed(name), value));
         self
     }
 
     /// Names another thing.
-    pub fn naming(mut self, what: &str, name: impl Into<String>) -> Self {
-        self.names.push((what.to_string(), name.into()));
+    pub fn naming(mut self, what: &'static str, name: impl Into<String>) -> Self {
+        self.names.push((what, name.into()));
         self
     }
 
@@ -218,7 +220,7 @@
         if self.subject == subject && self.id == id {
             return true;
         }
-        let mut lists = self.names.iter().filter(|(what, _)| what == RUNS);
+        let mut lists = self.names.iter().filter(|(what, _)| *what == RUNS);
         subject == Subject::Job && lists.any(|(_, list)| lists_job(list, id))
     }
 }
--- a/src/log.rs
+++ b/src/log.rs
@@ -142,10 +142,10 @@
     map.insert(d.subject.as_str().into(), Value::from(d.id.as_str()));
     map.insert("why".into(), Value::from(d.why.as_str()));
     for (name, value) in &d.figures {
-        map.insert(name.clone(), Value::from(*value));
+        map.insert(name.to_string(), Value::from(*value));
     }
     for (what, name) in &d.names {
-        map.insert(what.clone(), Value::from(name.as_str()));
+        map.insert(what.to_string(), Value::from(name.as_str()));
     }
     Value::Object(map).to_string()
 }
--- a/tests/test_told.rs
+++ b/tests/test_told.rs
@@ -123,7 +123,7 @@
 }
 
 fn named<'a>(decision: &'a Decision, what: &str) -> &'a str {
-    let found = decision.names.iter().find(|(name, _)| name == what);
+    let found = decision.names.iter().find(|(name, _)| *name == what);
     found.map_or("-", |(_, name)| name)
 }
 
