Explain: decisions of `serve` at its metrics address; why a task was started again

`rockwick explain` reached `rockwick entry` only: what an owner of a pool had kept could be read from its output alone.

Test: told_explained, at real processes; it passes. The parser of subjects and the line of a decision are shared with `entry`.

--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -17,7 +17,7 @@
 use crate::core::state::{decode, Host, HostKey, PoolKey};
 use crate::core::State;
 use crate::error::{Failure, Kind};
-use crate::event::{Decision, Subject};
+use crate::event::Subject;
 use crate::http::{server, Incoming, Limits, Wire};
 use crate::port::Life;
 use crate::view::{EntryView, HostView, JobView, Line, PoolView, Status, TemplateView, WaveView};
@@ -282,33 +282,19 @@
 /// The chain of what happened to one thing: its row's own history, and what entries logged about it.
 async fn explain(control: &Rc<Control>, rest: &str) -> Result<Response, Failure> {
     let (kind, id) = rest.split_once('/').unwrap_or((rest, ""));
-    let subject = subject(kind).ok_or_else(|| Kind::UnknownPath.because(kind))?;
+    let subject = Subject::parse(kind).ok_or_else(|| Kind::UnknownPath.because(kind))?;
     let mut lines = history(&control.state.borrow(), subject, id);
     let me = control.shared.settings.name.clone();
     let own = control.shared.log.about(subject, id);
-    lines.extend(own.into_iter().map(|d| decision_line(&me, d)));
+    lines.extend(own.into_iter().map(|d| Line::of(&me, &d)));
     let shared = Arc::clone(&control.shared);
     let asked = id.to_string();
     let told = smol::unblock(move || peer::explain(&shared, subject, &asked)).await;
-    lines.extend(told.into_iter().map(|(entry, d)| decision_line(&entry, d)));
+    lines.extend(told.into_iter().map(|(entry, d)| Line::of(&entry, &d)));
     lines.sort_by_key(|l| l.at_ms);
     Ok(server::json(200, &lines))
 }
 
-fn subject(kind: &str) -> Option<Subject> {
-    match kind {
-        "host" => Some(Subject::Host),
-        "pool" => Some(Subject::Pool),
-        "job" => Some(Subject::Job),
-        "wave" => Some(Subject::Wave),
-        "request" => Some(Subject::Request),
-        "backend" => Some(Subject::Backend),
-        "entry" => Some(Subject::Entry),
-        "config" => Some(Subject::Config),
-        _ => None,
-    }
-}
-
 fn history(state: &State, subject: Subject, id: &str) -> Vec<Line> {
     let steps: Vec<Step> = match subject {
         Subject::Host => {
@@ -329,20 +315,3 @@
     };
     steps.into_iter().map(to_line).collect()
 }
-
-fn decision_line(entry: &str, d: Decision) -> Line {
-    let names = d.names.iter().map(|(n, v)| format!("{n}={v}"));
-    let figures = d.figures.iter().map(|(n, v)| format!("{n}={v}"));
-    let figures: Vec<String> = names.chain(figures).collect();
-    let code = d.code.entry();
-    let what = match figures.is_empty() {
-        true => format!("{}: {}", code.name, d.why),
-        false => format!("{}: {} ({})", code.name, d.why, figures.join(" ")),
-    };
-    Line {
-        at_ms: d.at_ms,
-        entry: entry.to_string(),
-        event: code.number,
-        what,
-    }
-}
--- a/src/event.rs
+++ b/src/event.rs
@@ -152,6 +152,21 @@
 }
 
 impl Subject {
+    /// The subject of a lower-case name.
+    pub fn parse(name: &str) -> Option<Self> {
+        let all = [
+            Subject::Entry,
+            Subject::Config,
+            Subject::Host,
+            Subject::Pool,
+            Subject::Wave,
+            Subject::Job,
+            Subject::Request,
+            Subject::Backend,
+        ];
+        all.into_iter().find(|subject| subject.as_str() == name)
+    }
+
     /// Lower-case name.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/view.rs
+++ b/src/view.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Millis;
 use crate::core::rows::{HostRow, JobRow, WaveRow};
+use crate::event::Decision;
 
 /// An entry, as another one sees it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -128,3 +129,23 @@
     /// What happened and why.
     pub what: String,
 }
+
+impl Line {
+    /// A decision that an entry logged.
+    pub fn of(entry: &str, d: &Decision) -> Self {
+        let names = d.names.iter().map(|(n, v)| format!("{n}={v}"));
+        let figures = d.figures.iter().map(|(n, v)| format!("{n}={v}"));
+        let figures: Vec<String> = names.chain(figures).collect();
+        let code = d.code.entry();
+        let what = match figures.is_empty() {
+            true => format!("{}: {}", code.name, d.why),
+            false => format!("{}: {} ({})", code.name, d.why, figures.join(" ")),
+        };
+        Line {
+            at_ms: d.at_ms,
+            entry: entry.to_string(),
+            event: code.number,
+            what,
+        }
+    }
+}
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -20,6 +20,7 @@
     process: Process,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
 }
 
 /// A port that the system just gave out; bound again by the process a moment later.
@@ -57,6 +58,7 @@
         process,
         callers,
         ready,
+        metrics,
     };
     until("ready", || status(entry.ready, "/readyz") == Some(200));
     entry
--- a/tests/test_told.rs
+++ b/tests/test_told.rs
@@ -1,6 +1,7 @@
 //! The log tells why a task was started again: each end as it is taken in, each answer to a start, and what each
 //! judgement rests on that a run is over.
 
+use http_types::Method;
 use rockwick::core::sched::book::Book;
 use rockwick::core::sched::crashes::Evidence;
 use rockwick::core::sched::holds;
@@ -14,8 +15,11 @@
 use rockwick::port::fleet::{
     EndKind, HoldReport, OrderReply, RunEnd, RunningTask, StoredRow, TaskName,
 };
+use serde_json::json;
+use standin::fleet::Fleet;
 
 use crate::decide::{answering, decide};
+use crate::test_serve::{call, entry, until};
 use crate::world::{config, job, worker_fact, Faults, World, POOL};
 
 /// Epoch of the owner.
@@ -464,3 +468,41 @@
         "only {again} runs were a task's second or later"
     );
 }
+
+/// An operator asks the entry that owns the pool.
+#[test]
+fn told_explained() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("it starts");
+    fleet.configure(1, POOL);
+    let one = entry(&fleet, "e1");
+    let id = "00000000000000aa";
+    let body = json!({"spec": "work", "steps": [{"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 50}]});
+    let path = format!("/q/{id}");
+    let sent = call(one.callers, Method::Post, &path, &body).expect("an answer");
+    assert_eq!(sent.status, 200);
+    let explain = || {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_rockwick"));
+        let entry = one.metrics.to_string();
+        let run = command.args(["explain", "job", id, "--entry", &entry]);
+        String::from_utf8(run.output().expect("it runs").stdout).expect("text")
+    };
+    // Answers to starts are gathered, so theirs may be the last line.
+    until("its lines are there", || {
+        let text = explain();
+        text.matches("batch-recorded").count() == 2 && text.contains("starts-answered")
+    });
+    let text = explain();
+    let name = format!("{id}.0.0.0#1");
+    let expected = [
+        "task-placed: ".to_string(),
+        "batch-recorded: changes of jobs".to_string(),
+        format!("runs={name}@"),
+        format!("runs=1={name}:Done/Running "),
+        "job-ended: completed".to_string(),
+    ];
+    for line in expected {
+        assert!(text.contains(&line), "{line}: {text}");
+    }
+    let unknown = call(one.metrics, Method::Get, "/v1/explain/what/x", &json!(null));
+    assert_eq!(unknown.map(|a| a.status), Some(404));
+}
