Log: no flush of its own for each line

Each line went to the sink's thread as two messages, the line and a flush; the sink flushes with each line anyway, as its documentation says. So each line cost two wakes, and the bounded queue held half of the lines that it says.

--- a/src/log.rs
+++ b/src/log.rs
@@ -77,7 +77,6 @@
         let logger = Logger::builder()
             .sink(sink)
             .level_filter(LevelFilter::All)
-            .flush_level_filter(LevelFilter::All)
             .build_arc()?;
         Ok(Self {
             logger: ArcSwapOption::from(Some(logger)),
