--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -11,6 +11,7 @@
 use super::runs;
 use super::seat::{self, epoch_guard, Seat};
 use super::state::{Batch, Ctx, Effect, Pool, Tenure, Timer};
+use super::told;
 use super::worker::HoldPhase;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -207,6 +208,7 @@
     let (Some(batch), Some(book)) = (tenure.batches[shard].take(), &mut tenure.book) else {
         return Settled::Fine;
     };
+    told::recorded(&batch, book, revision, epoch, ctx);
     // Sent again, it may have taken effect the first time: the lease counts from then.
     if batch.has_beat {
         seat.note_renewed(batch.sent_ms, ctx.now.ms);
@@ -244,6 +246,7 @@
         return Verdict::Diverged;
     };
     let is_ours = |row: &StoredRow| conflict::is_ours(seat, ctx.me, row);
+    let odd = conflict::unexpected(batch, found);
     let verdict = conflict::judge(batch, book, found, is_ours);
     let part = batch.tx.part.clone();
     let own = found.iter().find(|(table, _)| *table == Table::Owners);
@@ -253,7 +256,7 @@
     if !matches!(verdict, Verdict::Done(_)) {
         let why = format!("{verdict:?}");
         let decision = Decision::new(Code::LostRace, Subject::Pool, &part, why);
-        ctx.tell(decision.with("epoch", tenure.epoch));
+        ctx.tell(decision.naming("row", odd).with("epoch", tenure.epoch));
     }
     verdict
 }
--- a/src/core/sched/conflict.rs
+++ b/src/core/sched/conflict.rs
@@ -63,6 +63,16 @@
     }
 }
 
+/// The key of the first row that is not at the revision that the batch expects; empty where none is.
+pub fn unexpected(batch: &Batch, found: &[(Table, StoredRow)]) -> String {
+    let is_odd =
+        |row: &&StoredRow| guard_of(batch, row).is_some_and(|g| g.revision != row.revision);
+    let mut rows = found.iter().map(|(_, row)| row);
+    rows.find(is_odd)
+        .map(|row| row.key.clone())
+        .unwrap_or_default()
+}
+
 fn guard_of<'a>(batch: &'a Batch, row: &StoredRow) -> Option<&'a Guard> {
     batch.tx.guards.iter().find(|guard| guard.key == row.key)
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,5 +1,7 @@
 //! The numbered log events: the catalogue, and one decision as data.
 
+use std::borrow::Cow;
+
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
@@ -117,6 +119,7 @@
     MoveOrdered, 624, "move-ordered", "A host is sent to another pool.";
     PoolSized, 625, "pool-sized", "What a pool's owner thinks of its size changed.";
     OffersNotTaken, 626, "offers-not-taken", "Hosts on offer could not be taken; orders that waited for it are dropped.";
+    BatchRecorded, 627, "batch-recorded", "Changes of jobs are on record: in which shard, at which revision.";
 }
 
 impl Code {
@@ -149,6 +152,21 @@
 }
 
 impl Subject {
+    /// The subject of a lower-case name.
+    pub fn parse(name: &str) -> Option<Self> {
+        let all = [
+            Subject::Entry,
+            Subject::Config,
+            Subject::Host,
+            Subject::Pool,
+            Subject::Wave,
+            Subject::Job,
+            Subject::Request,
+            Subject::Backend,
+        ];
+        all.into_iter().find(|subject| subject.as_str() == name)
+    }
+
     /// Lower-case name.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -179,11 +197,11 @@
     /// The reason.
     pub why: String,
     /// Name and value of each figure.
-    pub figures: Vec<(String, u64)>,
+    pub figures: Vec<(Cow<'static, str>, u64)>,
     /// Other things that it names, such as a worker or a list of runs: what each is, and its name. Not sent to peers, whose
     /// protocol would change by it: only decisions on a pool of workers name some.
     #[serde(skip)]
-    pub names: Vec<(String, String)>,
+    pub names: Vec<(&'static str, String)>,
 }
 
 impl Decision {
@@ -201,14 +219,14 @@
     }
 
     /// Adds a figure.
-    pub fn with(mut self, name: &str, value: u64) -> Self {
-        self.figures.push((name.to_string(), value));
+    pub fn with(mut self, name: &'static str, value: u64) -> Self {
+        self.figures.push((Cow::Borrowed(name), value));
         self
     }
 
     /// Names another thing.
-    pub fn naming(mut self, what: &str, name: impl Into<String>) -> Self {
-        self.names.push((what.to_string(), name.into()));
+    pub fn naming(mut self, what: &'static str, name: impl Into<String>) -> Self {
+        self.names.push((what, name.into()));
         self
     }
 
@@ -217,7 +235,7 @@
         if self.subject == subject && self.id == id {
             return true;
         }
-        let mut lists = self.names.iter().filter(|(what, _)| what == RUNS);
+        let mut lists = self.names.iter().filter(|(what, _)| *what == RUNS);
         subject == Subject::Job && lists.any(|(_, list)| lists_job(list, id))
     }
 }
