Soak: two entries of a seed never get one port

The second process could not bind and ended by itself at each start, which the seed told as broken. Ruled out: a process of an earlier seed that still held the port (none ran; both log lines name the port).

Change: the ports of a seed stay bound until all of its entries have theirs.

--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -28,22 +28,38 @@
     told_to_stop: Option<Instant>,
 }
 
-/// A port that the system just gave out; bound by the process a moment later, and again at each restart. The
-/// address is this soak's own, so that no connection that goes out takes the port meanwhile.
-fn port() -> std::io::Result<SocketAddr> {
-    let [high, low, ..] = std::process::id().to_be_bytes()[2..] else {
-        return Err(std::io::ErrorKind::InvalidData.into());
-    };
-    TcpListener::bind((Ipv4Addr::new(127, 100, high, low.max(1)), 0))?.local_addr()
+/// Ports for entries. Those given out stay bound until all are: freed at once, one may be given out twice.
+#[derive(Default)]
+pub(crate) struct Ports {
+    bound: Vec<TcpListener>,
+}
+
+impl Ports {
+    /// A port that the system just gave out; bound by the process a moment later, and again at each restart. The
+    /// address is this soak's own, so that no connection that goes out takes the port meanwhile.
+    fn next(&mut self) -> std::io::Result<SocketAddr> {
+        let [high, low, ..] = std::process::id().to_be_bytes()[2..] else {
+            return Err(std::io::ErrorKind::InvalidData.into());
+        };
+        let listener = TcpListener::bind((Ipv4Addr::new(127, 100, high, low.max(1)), 0))?;
+        let address = listener.local_addr()?;
+        self.bound.push(listener);
+        Ok(address)
+    }
 }
 
 impl Entry {
     /// An entry that is not started yet, and reaches the platform at `store`.
-    pub(crate) fn new(name: &str, store: SocketAddr, logs: &Path) -> std::io::Result<Self> {
+    pub(crate) fn new(
+        name: &str,
+        store: SocketAddr,
+        logs: &Path,
+        ports: &mut Ports,
+    ) -> std::io::Result<Self> {
         Ok(Self {
             name: name.to_string(),
-            callers: port()?,
-            ready: port()?,
+            callers: ports.next()?,
+            ready: ports.next()?,
             store,
             log: logs.join(format!("{name}.log")),
             child: None,
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -20,7 +20,7 @@
 
 use callers::{lock, Caller, Callers, Known};
 use calm::Calm;
-use entry::Entry;
+use entry::{Entry, Ports};
 use faults::Faults;
 use proxy::Proxy;
 use standin::fleet::Fleet;
@@ -142,10 +142,12 @@
             workers.push(proxy);
         }
         let mut entries = Vec::new();
+        let mut ports = Ports::default();
         let mut store_paths = Vec::new();
         for n in 0..args.entries {
             let proxy = Proxy::start(runtime, fleet.address)?;
-            entries.push(Entry::new(&format!("e{n}"), proxy.address, &logs)?);
+            let name = format!("e{n}");
+            entries.push(Entry::new(&name, proxy.address, &logs, &mut ports)?);
             store_paths.push(proxy);
         }
         fleet.configure_more(1, POOL, 0);
