Soak: workers that lapse from the list in an outage, or leave it without a word; no freeze in the calm

Cause: the list of workers never lost an entry while its worker lived, which outages of the store bring about, and a new owner then knows of runs only from rows.

Change: two more faults with generators of their own; a freeze that has not begun is dropped with the other faults.

--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -121,6 +121,20 @@
         }
     }
 
+    /// A host's worker leaves the list, and serves on.
+    pub fn unlist(&self, n: usize) {
+        let life = self.lock().hosts[n].life.clone();
+        if let Some(life) = life {
+            self.write("servers", "", &life, None);
+        }
+    }
+
+    /// A host's worker is in the list again.
+    pub fn relist(&self, n: usize) {
+        let address = self.worker_address(n);
+        self.announce(n, address);
+    }
+
     /// Where a host's worker takes orders.
     pub fn worker_address(&self, n: usize) -> std::net::SocketAddr {
         self.lock().hosts[n].address
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -13,6 +13,9 @@
 /// With one in so many faults, all open connections go silent, too: a few times in a day of 10 s.
 const SILENCE_ONE_IN: u32 = 6;
 
+/// A host whose worker left has the next one after so long.
+const BACK_MS: u64 = 1_000;
+
 /// What ends a fault.
 #[derive(Clone, Copy, Debug)]
 enum Undo {
@@ -24,6 +27,8 @@
     MendOrders,
     MendParts,
     JoinHalls,
+    List(usize),
+    End(usize),
 }
 
 /// Faults that are under way.
@@ -178,6 +183,18 @@
                     self.stop(stage, n);
                 }
             }
+            Rare::Lapse(back_ms) => {
+                self.break_store(stage, StoreFault::Busy, ms);
+                for host in 0..stage.workers.len() {
+                    stage.fleet.unlist(host);
+                    self.later(ms + back_ms, Undo::List(host));
+                }
+            }
+            Rare::Withdrawn => {
+                let host = ms as usize % stage.workers.len();
+                stage.fleet.unlist(host);
+                self.later(ms, Undo::End(host));
+            }
         }
     }
 
@@ -300,6 +317,8 @@
     /// Ends all faults.
     pub(crate) fn end(&mut self, stage: &mut Stage) -> std::io::Result<()> {
         let all = std::mem::take(&mut self.due);
+        // Nobody looks for the end of a freeze that begins in the calm.
+        self.freeze_ms = None;
         self.undo(stage, all)?;
         self.tell("calm".to_string());
         Ok(())
@@ -315,6 +334,8 @@
                 Undo::MendWorkerPath(n) => stage.workers[n].set(Trouble::None),
                 Undo::MendStore => stage.fleet.set_fault(StoreFault::None),
                 Undo::MendParts => stage.fleet.set_parts_away(&[]),
+                Undo::List(host) => stage.fleet.relist(host),
+                Undo::End(host) => stage.fleet.crash(host, BACK_MS),
                 Undo::JoinHalls => stage.fleet.set_hall_cut(HallCut::None),
                 Undo::MendOrders => stage.fleet.set_order_fault(OrderFault::default()),
             }
--- a/standin/src/soak/rare.rs
+++ b/standin/src/soak/rare.rs
@@ -34,10 +34,14 @@
     Parts(usize),
     /// The owner is told to stop.
     Handover,
+    /// The store is away, and all workers lapse from its list meanwhile; they are back so long after it is.
+    Lapse(u64),
+    /// A worker leaves the list without a word, serves on for a while and is gone.
+    Withdrawn,
 }
 
 /// How many kinds there are.
-const KINDS: usize = 10;
+const KINDS: usize = 12;
 
 /// The generators.
 pub(crate) struct Rares {
@@ -85,7 +89,9 @@
         6 => Rare::Halls(HallCut::Answers),
         7 => Rare::OwnerAlone,
         8 => Rare::Parts(rng.usize(1..SHARDS)),
-        _ => Rare::Handover,
+        9 => Rare::Handover,
+        10 => Rare::Lapse(rng.u64(..2_000)),
+        _ => Rare::Withdrawn,
     }
 }
 
