Failing: rows read again within a tenure make all silent workers' leases count as over

`reduce::loaded` gives `load::build` the time at which the tenure began, so the lease of each worker counts as over 4,741 ms after that (`FOREIGN_LEASE_MS`). For the first read that is right: nothing was sent before. For a read after `Settled::Diverged` the owner itself has leased since, and all that runs is requeued before the first account comes. Keys of the former book are another fault.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -38,6 +38,7 @@
 mod test_place;
 mod test_platform;
 mod test_quota;
+mod test_reload;
 mod test_removal;
 mod test_report;
 mod test_room;
