Failing: workers of a platform without a list of hosts count as lives of one host

Such workers name no host (`platform/directory.rs`: the empty text), `Book::lives_on` finds all of them under it, and each account ends all others that were last heard before it was asked for (`holds::end_earlier_lives`).

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -30,6 +30,7 @@
 mod test_jobs;
 mod test_keys;
 mod test_links;
+mod test_lives;
 mod test_load;
 mod test_model;
 mod test_offers;
