Failing: an owner takes an older heartbeat in the feed for its newest one

`Seat::beat.count` serves both as the count that the next heartbeat goes by (`seat::next_beat`) and as the newest count seen (`seat::observe`). While the feed is behind, a row that it brings sets the count back, the next heartbeat gets a number that was used before, and the feed's next row, the older one of that number, renews the lease from the time of the newer (`note_own_beat`). The lease is overrated by up to what the feed is behind, while 250 ms are kept back.

--- /dev/null
+++ b/tests/test_leases.rs
@@ -0,0 +1,88 @@
+//! How long an owner may take its lease to last, and how long a claim must wait for another's.
+
+use std::sync::Arc;
+
+use rockwick::clock::Now;
+use rockwick::core::sched::reduce;
+use rockwick::core::sched::rows::{shard_part, BEAT_KEY, SHARDS};
+use rockwick::core::sched::state::{Effect, Event, PoolKey, State};
+use rockwick::port::fleet::{OperatorWord, StoredRow, TxOutcome};
+
+use crate::world::{config, POOL};
+
+const KEY: PoolKey = PoolKey(0);
+
+fn now(ms: u64) -> Now {
+    Now { ms, wall_ms: ms }
+}
+
+/// An entry that knows the configuration and reaches the store.
+fn entry() -> State {
+    let mut state = State::new("entry", 7);
+    let word = OperatorWord::Config(Arc::new(config(1)));
+    reduce(&mut state, Event::Operator(word), now(10));
+    reduce(&mut state, Event::Store(true), now(20));
+    state
+}
+
+fn owner_row(shard: usize, key: &str, value: Vec<u8>, revision: u64) -> Event {
+    Event::Owner(StoredRow {
+        part: shard_part(POOL, shard),
+        key: key.to_string(),
+        value: Some(value),
+        revision,
+    })
+}
+
+/// A renewal that was sent.
+struct Sent {
+    at_ms: u64,
+    shard: usize,
+    beat: Vec<u8>,
+}
+
+/// Goes on until a renewal is sent.
+fn renewal(state: &mut State, now_ms: &mut u64) -> Sent {
+    loop {
+        *now_ms += 10;
+        for effect in reduce(state, Event::Tick, now(*now_ms)) {
+            if let Effect::Renew(_, _, shard, tx) = effect {
+                let write = tx.writes.into_iter().find(|w| w.key == BEAT_KEY);
+                return Sent {
+                    at_ms: *now_ms,
+                    shard,
+                    beat: write.and_then(|w| w.value).expect("a heartbeat"),
+                };
+            }
+        }
+    }
+}
+
+/// Answers are lost, and the feed is behind: a heartbeat that it brings renews the lease from its own sending, not from
+/// that of a later one which may never reach the store.
+#[test]
+fn leases_own_beat() {
+    let mut state = entry();
+    reduce(&mut state, Event::Tick, now(3_000));
+    for shard in 0..SHARDS {
+        let done = TxOutcome::Committed(100 + shard as u64);
+        let event = Event::Claimed(KEY, shard, 3_000, done);
+        reduce(&mut state, event, now(3_010));
+    }
+    assert_eq!(state.owned(), 1);
+    let mut now_ms = 3_010;
+    let first = renewal(&mut state, &mut now_ms);
+    let second = renewal(&mut state, &mut now_ms);
+    let seen = owner_row(first.shard, BEAT_KEY, first.beat, 200);
+    reduce(&mut state, seen, now(now_ms + 1));
+    let third = renewal(&mut state, &mut now_ms);
+    let seen = owner_row(second.shard, BEAT_KEY, second.beat, 201);
+    reduce(&mut state, seen, now(now_ms + 1));
+    let renewed_ms = state.pool(POOL).map(|p| p.seat.renewed_ms);
+    assert_eq!(
+        renewed_ms,
+        Some(second.at_ms),
+        "third sent at {}",
+        third.at_ms
+    );
+}
