Failing: a claim that an earlier process began does not wait for the lease of the owner before it

`claim::claim_others` leaves out the wait where the first shard's row names this entry (`has_left`), as after a restart. If that process had itself only won the first shard, the owner before it may still renew in the others and send orders until its lease there is over; its workers' leases then outlive `FOREIGN_LEASE_MS`, counted from the new tenure, by up to 1.5 s. The same holds for `claim_after` empty where an entry gave up such a claim (`give_up_claim`).

--- a/tests/test_leases.rs
+++ b/tests/test_leases.rs
@@ -4,7 +4,8 @@
 
 use rockwick::clock::Now;
 use rockwick::core::sched::reduce;
-use rockwick::core::sched::rows::{shard_part, BEAT_KEY, SHARDS};
+use rockwick::core::sched::rows::{encode, shard_part, BeatRow, OwnerRow};
+use rockwick::core::sched::rows::{BEAT_KEY, OWNER_KEY, SHARDS};
 use rockwick::core::sched::state::{Effect, Event, PoolKey, State};
 use rockwick::port::fleet::{OperatorWord, StoredRow, TxOutcome};
 
@@ -86,3 +87,44 @@
         third.at_ms
     );
 }
+
+/// An earlier process of this entry won the first shard and ended. The owner before it renews in the other shards, and may
+/// send orders until its lease there is over.
+#[test]
+fn leases_half_claimed() {
+    let mut state = entry();
+    for shard in 0..SHARDS {
+        let (entry, nonce) = if shard == 0 {
+            ("entry", 5)
+        } else {
+            ("other", 9)
+        };
+        let owner = OwnerRow {
+            entry: entry.to_string(),
+            nonce,
+            epoch: 0,
+        };
+        let beat = BeatRow {
+            entry: "other".to_string(),
+            ..BeatRow::default()
+        };
+        let event = owner_row(shard, OWNER_KEY, encode(&owner), 50);
+        reduce(&mut state, event, now(100));
+        let event = owner_row(shard, BEAT_KEY, encode(&beat), 60);
+        reduce(&mut state, event, now(100));
+    }
+    let mut claimed = Vec::new();
+    let won = Event::Claimed(KEY, 0, 110, TxOutcome::Committed(70));
+    for (event, ms) in [(Event::Tick, 110), (won, 120), (Event::Tick, 130)] {
+        for effect in reduce(&mut state, event, now(ms)) {
+            match effect {
+                Effect::Claim(_, shard, _) if shard > 0 => claimed.push(shard),
+                _ => {}
+            }
+        }
+    }
+    assert!(
+        claimed.is_empty(),
+        "{claimed:?}: the other's heartbeats are 30 ms old"
+    );
+}
