How old a run is at its worker's end is counted from its first sending, not from when it was known

Cause: an owner that found a run (started at 19,737 ms by its former tenure, found at 20,71x ms, over before its worker broke at 20,787 ms) took the moment of finding as its start: the end counted as certain and as one right after the start, and a second end gave the job up. The same holds for a start whose answer waits for an owner that stood still. Ruled out: the weights (the end is no evidence at all of a young run), the unheard moment before the break. Change: `sent_ms`, the run is no older; `begun_ms`, it is no younger. What must be young for an end to be certain is counted by the first, and a found run never is; what must be old to have outlived its start goes on by the second.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -177,6 +177,11 @@
             _ => Seen::Nothing,
         };
         task.is_at_work = false;
+        task.sent_ms = match phase {
+            Phase::Starting(_) => Some(now_ms),
+            Phase::Running(_) | Phase::Stopping(_) => task.sent_ms,
+            _ => None,
+        };
         task.begun_ms = match phase {
             Phase::Running(_) => Some(now_ms),
             Phase::Stopping(_) => task.begun_ms,
--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -97,7 +97,7 @@
         // One that fell silent before may have been cut off, and its runs have lapsed.
         let is_told = self.broke_ms.is_some() || matches!(task.phase, Phase::Suspect(_));
         let is_likely = may_be_crash && !is_certain && is_young && is_told && !was_stopped(task);
-        let is_fresh = task.seen == Seen::GoneFresh || self.broke_within(begun_ms, FRESH_MS);
+        let is_fresh = task.seen == Seen::GoneFresh || self.broke_within(task, FRESH_MS);
         let is_blamed = is_certain && (spec.lasting || is_fresh);
         LivesEnded {
             blamed: u8::from(is_blamed),
@@ -108,8 +108,13 @@
         }
     }
 
-    fn broke_within(self, begun_ms: Millis, ms: Millis) -> bool {
-        self.broke_ms.is_some_and(|at| at < begun_ms + ms)
+    /// Whether the worker certainly went so soon after the run's start. When that was known tells nothing of it: a new owner
+    /// finds runs that are seconds old, and an answer may wait as long for an owner that stood still.
+    fn broke_within(self, task: &Task, ms: Millis) -> bool {
+        let (Some(sent_ms), Some(broke_ms)) = (task.sent_ms, self.broke_ms) else {
+            return false;
+        };
+        broke_ms < sent_ms + ms
     }
 
     /// Whether the run was there to the end. Of one that a former owner started that is not known.
@@ -129,7 +134,7 @@
         // moment that a short run may well end in.
         let is_long = spec.estimate_ms >= UNHEARD_PARTS * HEARD_ON_MS;
         let is_heard = is_young && is_long && self.is_heard_through;
-        is_heard || self.broke_within(begun_ms, spec.estimate_ms / 2)
+        is_heard || self.broke_within(task, spec.estimate_ms / 2)
     }
 }
 
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -65,7 +65,9 @@
     pub settled_ms: Option<Millis>,
     /// When its run was started, where that was answered.
     pub started_ms: Option<Millis>,
-    /// When it was known that the worker has the run; kept while that is being stopped.
+    /// When this owner first sent its start: the run is no older. Of one that a former owner sent that is not known.
+    pub sent_ms: Option<Millis>,
+    /// When it was known that the worker has the run: the run is no younger; kept while that is being stopped.
     pub begun_ms: Option<Millis>,
     /// A sending of its start got no answer, and may be carried out seconds later.
     pub is_start_open: bool,
