A run that never began is no start

Cause: of its two starts past the third end, run 4 was never one: its worker refused the connection 3 ms after it was sent (`task-requeued` "worker unwell"). The starts that the platform allows are counted by run numbers, and that of a refused run counted; with run 5, which came to its own end at 44,173 ms, they were used up, and starts used up ask for less evidence (weight 4: a certain end and one that is likely). Ruled out: the likely ends. Both (runs 1 and 2) are as told: begun, young when last heard; that they were over is not to be known. Change: the run from which starts are counted moves on by each run that certainly never began: refused with no earlier sending unanswered, stopped before it was sent, or placed on a worker whose life was over before it was sent. All three take the same way.

--- a/src/core/sched/blame.rs
+++ b/src/core/sched/blame.rs
@@ -32,7 +32,7 @@
     /// have begun.
     #[serde(rename = "a", default, skip_serializing_if = "is_default")]
     pub all: u8,
-    /// The run under which the third of them all ended; 0 before.
+    /// The run under which the third of them all ended, moved on by later ones that never began; 0 before.
     #[serde(rename = "t", default, skip_serializing_if = "is_default")]
     pub third_run: u32,
     /// What was seen of its present run.
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Takes in that its last run certainly never began, so that it is no start.
+    pub fn note_unbegun(&mut self) {
+        if self.third_run > 0 {
+            self.third_run += 1;
+        }
+    }
+
     /// Adds what an end under that run counts.
     pub fn add(&mut self, end: Self, run: u32) {
         self.blamed = self.blamed.saturating_add(end.blamed);
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -13,7 +13,7 @@
 };
 use super::load;
 use super::state::{Ctx, Effect, Order, Timer};
-use super::tasks::Phase;
+use super::tasks::{Phase, Task};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Addressee, EndKind, OrderReply, RunEnd, RunStart, TaskName};
 
@@ -124,6 +124,7 @@
     if book.task(key).is_some_and(|t| t.is_start_open) {
         stop(book, key, epoch, ctx);
     } else {
+        note_unbegun(book, key);
         requeue(book, key, why, ctx);
     }
 }
@@ -149,6 +150,7 @@
         Phase::Starting(w) | Phase::Running(w) | Phase::Suspect(w) | Phase::Stopping(w) => w,
         Phase::Recording(_) => {
             // Never sent: what is on record is overwritten by the next record.
+            note_unbegun(book, key);
             requeue(book, key, "stopped before it was sent", ctx);
             return;
         }
@@ -221,6 +223,14 @@
     false
 }
 
+/// Takes in that a task's run never began: the starts that the platform allows are counted by runs, and one that was refused
+/// once used up the last of a task that did no harm.
+fn note_unbegun(book: &mut Book, key: TaskKey) {
+    if let Some(task) = book.task_mut(key) {
+        task.ended.note_unbegun();
+    }
+}
+
 /// Brings a task whose run is certainly over back into the queue, or to rest.
 pub fn requeue(book: &mut Book, key: TaskKey, why: &str, ctx: &mut Ctx<'_>) {
     let Some(job) = book.jobs.get(key.job) else {
@@ -266,6 +276,10 @@
     );
     crashes::note_end(book, worker, over, ctx);
     for key in tasks {
+        let is_unsent = |task: &Task| matches!(task.phase, Phase::Recording(_));
+        if book.task(key).is_some_and(is_unsent) {
+            note_unbegun(book, key);
+        }
         requeue(book, key, over.why(), ctx);
     }
     book.drop_left(|left| left.worker == worker);
