A host that is only being emptied has no planned end yet

An end on a host that gets nothing new counted as planned, so that a certain crash counted as an end of which nothing is known. Ruled out: the weight at the bound. A certain end (3) reaches it; no weight has to change. Change: a life may end by our plan from the moment on at which its host's slot is asked for (`is_going`), which is recovered from the wave's row by a new owner; a host that is only closed (`is_closing`) gets nothing new, and its crash counts as any other.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -58,6 +58,8 @@
     pub by_host: HashMap<String, Vec<WorkerKey>>,
     /// Hosts that are to leave for upkeep, until they were ordered out: what comes there gets nothing.
     pub closing: BTreeSet<String>,
+    /// Those of them whose slot was asked for: from then on they may be ordered out.
+    pub going: BTreeSet<String>,
     /// Workers by what they have free.
     pub room: Room,
     /// Workers whose ends are being recorded.
@@ -492,18 +494,33 @@
             true => self.closing.insert(host.to_string()),
             false => self.closing.remove(host),
         };
+        if !is_closing {
+            self.going.remove(host);
+        }
         // Which life of a host is alive, its list does not tell.
         for key in self.by_host.get(host).into_iter().flatten() {
             if let Some(worker) = self.workers.get_mut(*key) {
                 worker.is_closing = is_closing;
+                worker.is_going &= is_closing;
             }
         }
         self.wants_placing |= !is_closing;
     }
 
+    /// Takes in that a closed host may be ordered out from now on. Until then an end there is nobody's plan.
+    pub fn set_going(&mut self, host: &str) {
+        self.going.insert(host.to_string());
+        for key in self.by_host.get(host).into_iter().flatten() {
+            if let Some(worker) = self.workers.get_mut(*key) {
+                worker.is_going = true;
+            }
+        }
+    }
+
     /// Adds a worker's life.
     pub fn add_worker(&mut self, mut worker: Worker) -> WorkerKey {
         worker.is_closing |= self.closing.contains(&worker.fact.host);
+        worker.is_going |= self.going.contains(&worker.fact.host);
         let (id, host) = (worker.fact.id.clone(), worker.fact.host.clone());
         let key = self.workers.insert(worker);
         self.by_life.insert(id, key);
--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -69,7 +69,7 @@
 impl End {
     fn new(worker: &Worker, over: Over) -> Self {
         Self {
-            is_crash: over != Over::Lease && !worker.is_leaving() && !worker.is_closing,
+            is_crash: over != Over::Lease && !worker.is_leaving(),
             broke_ms: worker.broke_ms,
             is_heard_through: worker.is_heard_through,
             heard_ms: worker.heard_ms,
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -165,6 +165,7 @@
             continue;
         }
         book.set_closing(host, true);
+        book.set_going(host);
     }
 }
 
@@ -200,7 +201,9 @@
             }
             Turn::Closing(since_ms) => {
                 if clear(book, &host, since_ms, epoch, ctx) {
-                    take_slot(duty, wave, &host, pool, ctx);
+                    if take_slot(duty, wave, &host, pool, ctx) {
+                        book.set_going(&host);
+                    }
                 } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS {
                     reopen(book, duty, &host, "what lasts there could not move", ctx);
                 }
@@ -313,10 +316,17 @@
         .push(Effect::SettleWave(ctx.pool, wave.order.wave, tx));
 }
 
-fn take_slot(duty: &mut WaveDuty, wave: &WaveKnown, host: &str, pool: &str, ctx: &mut Ctx<'_>) {
+/// Asks for a slot of a wave; says whether that went out.
+fn take_slot(
+    duty: &mut WaveDuty,
+    wave: &WaveKnown,
+    host: &str,
+    pool: &str,
+    ctx: &mut Ctx<'_>,
+) -> bool {
     let is_full = wave.row.out.len() >= wave.order.out_max;
     if duty.pending.is_some() || is_full || !ctx.may_send() {
-        return;
+        return false;
     }
     let mut row = wave.row.clone();
     if row.began_wall_ms == 0 {
@@ -331,6 +341,7 @@
     };
     row.out.insert(host.to_string(), slot);
     settle(duty, wave, row, host, true, ctx);
+    true
 }
 
 /// Gives the slot of a host back that is up again by a list that was asked for after its order was accepted. A
@@ -373,6 +384,7 @@
     }
     // The life that was there is over; the next one is open once its slot was given back, or at once.
     book.closing.remove(host);
+    book.going.remove(host);
     let turn = Turn::Away(ctx.now.ms);
     duty.turns.insert(host.to_string(), (wave.order.wave, turn));
 }
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -86,6 +86,8 @@
     pub suspended_until_ms: Millis,
     /// Its host is about to leave for upkeep.
     pub is_closing: bool,
+    /// Its host's slot was asked for, and an order to leave may follow at any time.
+    pub is_going: bool,
     /// A wave has its host still before it.
     pub is_due: bool,
     /// Its host is not wanted in the pool.
@@ -119,6 +121,7 @@
             suspensions: 0,
             suspended_until_ms: 0,
             is_closing: false,
+            is_going: false,
             is_due: false,
             is_spare: false,
             is_offered: false,
@@ -142,9 +145,9 @@
         self.fact.address.port() != 0
     }
 
-    /// Whether its life may be about to end by a plan that it did not tell: its own, or a move of its host.
+    /// Whether its life may be about to end by a plan that it did not tell: its own, or a move or upkeep of its host.
     pub fn is_leaving(&self) -> bool {
-        self.is_offered || self.is_withdrawn
+        self.is_offered || self.is_withdrawn || self.is_going
     }
 
     /// Whether `demand` fits beside what it carries.
