An end by our own upkeep is counted where the host is back before its next life is listed (fails)

blame_listed_late: words of workers come 1.5 s late, as workers state themselves that often; a wave goes over four hosts with jobs of 20 s.

--- a/tests/test_blame.rs
+++ b/tests/test_blame.rs
@@ -127,3 +127,24 @@
         assert_eq!(world.running("bad"), 2, "seed {seed}");
     }
 }
+
+/// An end by upkeep counts under no task, also where the host is known to be back before its next life is listed: workers
+/// state themselves each 1.5 s, and the list of hosts tells at once.
+#[test]
+fn blame_listed_late() {
+    let mut ended = 0;
+    for seed in 0..10 {
+        let mut world = World::new(seed, 2, 4);
+        world.run(SETTLE_MS);
+        for n in 0..6 {
+            world.submit(&format!("job-{n}"), job(4, 900, 20_000));
+        }
+        world.run(100);
+        world.wave(1, 60_000, 1);
+        world.word_late_ms = 1_500;
+        world.run(15_000);
+        ended += world.upkeep_ended;
+        assert_eq!(world.counted(), 0, "seed {seed}: ends by upkeep counted");
+    }
+    assert!(ended > 0, "no upkeep ended a run");
+}
--- a/tests/world/crash.rs
+++ b/tests/world/crash.rs
@@ -48,6 +48,17 @@
         self.crashes.most_under(job) >= 2
     }
 
+    /// Crashes that the owner's books count, over all tasks.
+    pub(crate) fn counted(&self) -> u32 {
+        let pool = self.owner().and_then(|s| s.pool(POOL));
+        let tenure = pool.and_then(|p| p.tenure.as_ref());
+        let book = tenure.and_then(|t| t.book.as_ref());
+        let jobs = book.expect("an owner has books").jobs.values();
+        let steps = jobs.flat_map(|j| j.rounds.values()).flat_map(|r| &r.steps);
+        let ended = steps.flat_map(|s| &s.tasks).map(|t| t.ended);
+        ended.map(|e| u32::from(e.crashed + e.likely)).sum()
+    }
+
     /// The promise on starts of such a task, and what its start leads to.
     pub(super) fn crasher_started(&mut self, id: &str, task: &TaskName, run: u32) {
         let Some(after_ms) = self.crashes.after_ms.get(task).copied() else {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -214,6 +214,8 @@
     pub(crate) is_unguarded: bool,
     /// A worker on which all runs fail.
     pub(crate) bad_worker: Option<String>,
+    /// What is told of workers comes so much later.
+    pub(crate) word_late_ms: u64,
     /// Most hosts that were out at a time.
     pub(crate) out_most: usize,
     /// Runs that upkeep ended.
@@ -261,6 +263,7 @@
             parts_away: HashSet::new(),
             is_unguarded: false,
             bad_worker: None,
+            word_late_ms: 0,
             out_most: 0,
             upkeep_ended: 0,
             crashes: Default::default(),
@@ -383,7 +386,11 @@
     fn broadcast(&mut self, event: &Event) {
         for n in 0..self.entries.len() {
             let life = self.entries[n].life;
-            let delay_ms = self.delay() + 20;
+            let late_ms = match event {
+                Event::Worker(_) => self.word_late_ms,
+                _ => 0,
+            };
+            let delay_ms = self.delay() + 20 + late_ms;
             self.at(delay_ms, Happening::Deliver(n, life, event.clone()));
         }
     }
