A life that went on our order has gone as planned, also once its host is back

Cause: the slot is given back as the list of hosts tells that the host is up; the host is then open, whichever lives of it are known, and the life that the upkeep ended lost its mark before its next life was listed. As that answered, the end counted as a crash under each task that had been there. Change: a life that is not heard as its host is opened keeps its mark; one that answers again with its host open did not go, and loses it.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -501,7 +501,9 @@
         for key in self.by_host.get(host).into_iter().flatten() {
             if let Some(worker) = self.workers.get_mut(*key) {
                 worker.is_closing = is_closing;
-                worker.is_going &= is_closing;
+                // One that was ordered out and is not heard has gone as planned, known by the list of hosts before its next
+                // life is listed.
+                worker.is_going &= is_closing || !worker.answers;
             }
         }
         self.wants_placing |= !is_closing;
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -166,6 +166,8 @@
     let w = &mut book.workers[key];
     if !w.answers {
         w.answers = true;
+        // With its host open again, it was cut off and did not go.
+        w.is_going &= w.is_closing;
         book.wants_placing = true;
     }
     w.heard_ms = ctx.now.ms;
