--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -13,7 +13,7 @@
 };
 use super::load;
 use super::state::{Ctx, Effect, Order, Timer};
-use super::tasks::Phase;
+use super::tasks::{Phase, Task};
 use super::told;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -128,6 +128,7 @@
     if book.task(key).is_some_and(|t| t.is_start_open) {
         stop(book, key, epoch, ctx);
     } else {
+        note_unbegun(book, key);
         requeue(book, key, why, ctx);
     }
 }
@@ -153,6 +154,7 @@
         Phase::Starting(w) | Phase::Running(w) | Phase::Suspect(w) | Phase::Stopping(w) => w,
         Phase::Recording(_) => {
             // Never sent: what is on record is overwritten by the next record.
+            note_unbegun(book, key);
             requeue(book, key, "stopped before it was sent", ctx);
             return;
         }
@@ -225,6 +227,14 @@
     false
 }
 
+/// Takes in that a task's run never began: the starts that the platform allows are counted by runs, and one that was refused
+/// once used up the last of a task that did no harm.
+fn note_unbegun(book: &mut Book, key: TaskKey) {
+    if let Some(task) = book.task_mut(key) {
+        task.ended.note_unbegun();
+    }
+}
+
 /// Brings a task whose run is certainly over back into the queue, or to rest.
 pub fn requeue(book: &mut Book, key: TaskKey, why: &str, ctx: &mut Ctx<'_>) {
     requeue_for(book, key, why, None, ctx);
@@ -275,6 +285,10 @@
     ctx.tell(told::over(w, evidence, ctx.now.ms));
     crashes::note_end(book, worker, over, ctx);
     for key in tasks {
+        let is_unsent = |task: &Task| matches!(task.phase, Phase::Recording(_));
+        if book.task(key).is_some_and(is_unsent) {
+            note_unbegun(book, key);
+        }
         requeue(book, key, over.why(), ctx);
     }
     book.drop_left(|left| left.worker == worker);
