World: two lives of a host up at once, and entries that name another's address

Cause: not mended here. An account of a host's life ends every other life of it that was heard earlier, also one that drains and runs on: all its tasks are requeued in one moment, start elsewhere beside their runs or after they ended, and nothing stops either. An answer of "another life" at the address of the list ends the life that was asked for, also where the list is wrong.

Whether a platform ever has two lives of a host up is not known; nothing that it states rules it out.

--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -81,6 +81,10 @@
     Unlisted,
     /// Orders are carried out up to 12 s late.
     Late,
+    /// A host's new life is up before its old one has ended.
+    TwoLives,
+    /// The list names another life's address for a life.
+    Readdressed,
 }
 
 /// What one in so many moments of a world brings, where it has an extra.
@@ -106,6 +110,11 @@
             }
         }
         Extra::Unlisted => world.unlist(&life, ms),
+        Extra::TwoLives => world.overlap(&life, ms),
+        Extra::Readdressed => {
+            let other = lives[rng.usize(0..lives.len())].clone();
+            world.readdress(&life, &other, ms);
+        }
         Extra::Nothing | Extra::Timed | Extra::Late => {}
     }
 }
@@ -246,6 +255,16 @@
     play_all(Extra::Late);
 }
 
+#[test]
+fn sched_model_two_lives() {
+    play_all(Extra::TwoLives);
+}
+
+#[test]
+fn sched_model_readdressed() {
+    play_all(Extra::Readdressed);
+}
+
 #[test]
 fn sched_model_saved() {
     for seed in SAVED {
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -56,7 +56,9 @@
             Effect::Start(order, task, start) => {
                 let run = start.run;
                 let late = LateOrder::Start(order.to.fence, start.clone());
-                let (after_ms, reply) = if self.order_goes(&order.to.worker, late) {
+                let (after_ms, reply) = if let Some(reply) = self.astray(&order.to) {
+                    (self.delay(), reply)
+                } else if self.order_goes(&order.to.worker, late) {
                     (
                         self.delay(),
                         self.start(&order.to.worker, order.to.fence, &start),
@@ -73,7 +75,9 @@
             }
             Effect::Stop(order, task, name, run) => {
                 let late = LateOrder::Stop(order.to.fence, name.clone(), run);
-                let (after_ms, reply) = if self.order_goes(&order.to.worker, late) {
+                let (after_ms, reply) = if let Some(reply) = self.astray(&order.to) {
+                    (self.delay(), reply)
+                } else if self.order_goes(&order.to.worker, late) {
                     let reply = self.stop_run(&order.to.worker, order.to.fence, &name, run);
                     (self.delay(), reply)
                 } else {
@@ -88,14 +92,17 @@
             }
             Effect::StopStray(order, name, run) => {
                 let late = LateOrder::Stop(order.to.fence, name.clone(), run);
-                if self.order_goes(&order.to.worker, late) {
+                let is_astray = self.astray(&order.to).is_some();
+                if !is_astray && self.order_goes(&order.to.worker, late) {
                     self.stop_run(&order.to.worker, order.to.fence, &name, run);
                 }
             }
             Effect::Hold(order, worker, ask) => {
                 let sent_ms = self.now_ms;
                 let late = LateOrder::Hold(order.to.fence, ask);
-                let (after_ms, result) = if self.order_goes(&order.to.worker, late) {
+                let (after_ms, result) = if let Some(reply) = self.astray(&order.to) {
+                    (self.delay(), Err(reply))
+                } else if self.order_goes(&order.to.worker, late) {
                     let wait_ms = self.rng.u64(0..=ask.wait_ms.min(60));
                     let result = self.hold(&order.to.worker, order.to.fence, ask);
                     (self.delay() + wait_ms, result)
--- a/tests/world/extras.rs
+++ b/tests/world/extras.rs
@@ -1,5 +1,7 @@
 //! What befalls a world only where a test asks for it, drawn by generators of their own.
 
+use rockwick::port::fleet::Addressee;
+
 use super::*;
 
 /// Longest time that an order is late.
@@ -24,4 +26,52 @@
         let is_late = rng.u32(0..1_000) < *milli;
         is_late.then(|| rng.u64(20..LATE_MAX_MS))
     }
+
+    /// A new life comes up on a host while the old one drains for a while: its runs go on, and it takes none.
+    pub(crate) fn overlap(&mut self, id: &str, ms: u64) {
+        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
+            return;
+        };
+        w.fact.draining = true;
+        let fact = w.fact.clone();
+        let host = fact.host.clone();
+        self.broadcast(&Event::Worker(WorkerWord::Present(fact)));
+        self.new_life(&host);
+        self.at(ms, Happening::LifeOver(id.to_string()));
+    }
+
+    pub(super) fn life_over(&mut self, id: &str) {
+        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
+            return;
+        };
+        w.is_up = false;
+        for task in w.running.keys() {
+            *self.crashes.under.entry(task.clone()).or_default() += 1;
+        }
+        self.clear(id);
+    }
+
+    /// The entry of a life names an address for a while at which another life answers.
+    pub(crate) fn readdress(&mut self, id: &str, other: &str, ms: u64) {
+        let fact = WorkerFact {
+            address: self.workers[other].fact.address,
+            ..self.fact(id)
+        };
+        self.broadcast(&Event::Worker(WorkerWord::Present(fact)));
+        self.at(ms, Happening::Beat(id.to_string()));
+    }
+
+    /// What an order comes to that goes to another address than the worker's: who answers there says that it is another life.
+    pub(super) fn astray(&self, to: &Addressee) -> Option<OrderReply> {
+        let w = self.workers.get(&to.worker)?;
+        if w.fact.address == to.address {
+            return None;
+        }
+        let mut up = self.workers.values().filter(|w| w.is_up);
+        let is_other = up.any(|w| w.fact.address == to.address);
+        Some(match is_other {
+            true => OrderReply::OtherLife,
+            false => OrderReply::Refused,
+        })
+    }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -91,6 +91,7 @@
     Beat(String),
     Lapse(String),
     UpkeepOver(String),
+    LifeOver(String),
     Wake(usize),
     Kill(usize, u64),
 }
@@ -512,6 +513,7 @@
                 }
             }
             Happening::Lapse(id) => self.lapse(&id),
+            Happening::LifeOver(id) => self.life_over(&id),
             Happening::UpkeepOver(host) => {
                 self.out.remove(&host);
                 self.new_life(&host);
