A worker that went before its host's slot was asked for did not go on our order

Change: a slot that is asked for marks the lives on the host but those that had gone with their connections by then.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -514,7 +514,8 @@
         self.going.insert(host.to_string());
         for key in self.by_host.get(host).into_iter().flatten() {
             if let Some(worker) = self.workers.get_mut(*key) {
-                worker.is_going = true;
+                // One that went with its connections before was not ordered out.
+                worker.is_going |= worker.broke_ms.is_none();
             }
         }
     }
