Failing: a conflict's answer that is older than the feed takes a slot or an offer off the known row

Hypothesis: observe_found takes the row of any conflict for the newest, also where the known revision came by the feed and is exact. Rows of waves are shared by all pools of an entry, and a take's answer reaches the pool that offers, so two calls may be out at a time and their answers overtake one another. wave::go_out then opens a host whose slot is on record.

conflict_keeps_offer and conflict_keeps_slot: both fail. No change of logic.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -37,6 +37,7 @@
 mod test_load;
 mod test_model;
 mod test_offers;
+mod test_old_conflicts;
 mod test_overload;
 mod test_packing;
 mod test_place;
