Failing: a late answer to a claim that names a newer revision makes an entry claim a living owner's shards

Hypothesis: claim::win takes the told revision for the claim's own. Where the claim took effect at 20, another entry took the pool at 23 and the answer says 25, the answer counts as newer than the owner that the feed told: this entry sets itself as owner and claims the other shards at once (the pool had no owner before its claim, so no lease is waited for). What the living owner sends there then meets a foreign row, and it drops the pool. The row is read before books are built, so no two have books.

Ruled out: the same answer with the claim's own revision (late_claim passes).

late_claim_ahead fails: three claims go out. No change of logic.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -31,6 +31,7 @@
 mod test_intake;
 mod test_jobs;
 mod test_keys;
+mod test_late_claim;
 mod test_leases;
 mod test_links;
 mod test_lives;
