Leases of owners: each heartbeat counts from its own sending, and a claim waits for the owner that really was before it

Symptoms (tests, failing before): leases_own_beat, an owner takes its lease to last from a heartbeat that may never have arrived; leases_half_claimed, a restarted entry claims shards in which another owner renewed 30 ms ago; late_claim_ahead, a late answer to a claim makes an entry claim a living owner's shards.

Causes: one count served as the newest seen and the next to send, so that numbers came twice where the feed was behind; the wait was left out by the first shard's row alone; an answer's revision was compared with rows that others wrote since.

Why it holds: no number is used twice and each unseen heartbeat keeps its time (64 at the most); a shard is claimed at once only where its heartbeat is of the entry that the first shard's was; whoever is seen behind the row that a claim replaced has won.

The three tests red before, green after.

--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -89,6 +89,8 @@
 fn claim(pool: &mut Pool, ctx: &mut Ctx<'_>, nonce: u64) {
     pool.seat.claim_open_ms.get_or_insert(ctx.now.ms);
     pool.seat.claim_after = pool.seat.owner.entry.clone();
+    pool.seat.claim_after_beat = pool.seat.shards[0].beat_entry.clone();
+    pool.seat.claim_from = pool.seat.shards[0].owner_revision;
     pool.seat.claim_after_ms = pool.seat.beat_seen_ms;
     pool.seat.former = pool.seat.former_orders();
     send_claim(pool, 0, 0, nonce, ctx);
@@ -105,7 +107,9 @@
         if claim.fences[shard].is_some() || seat.is_claiming {
             continue;
         }
-        let has_left = pool.seat.claim_after.is_empty() || pool.seat.claim_after == ctx.me;
+        let is_over = pool.seat.claim_after.is_empty() || pool.seat.claim_after == ctx.me;
+        // One that had won the first shard only is not the owner before: that one may renew and send in the others.
+        let has_left = is_over && seat.beat_entry == pool.seat.claim_after_beat;
         let over_ms = seat.beat_seen_ms + OWNER_LEASE_MS;
         if !has_left && ctx.now.ms < over_ms {
             ctx.after(over_ms - ctx.now.ms, Timer::Claim);
@@ -199,6 +203,12 @@
 fn win(pool: &mut Pool, epoch: Revision, sent_ms: Millis, nonce: u64, ctx: &mut Ctx<'_>) {
     let seat = &mut pool.seat;
     seat.claim_open_ms = None;
+    let is_ours = seat.owner.entry == ctx.me && seat.owner.nonce == nonce;
+    if seat.epoch > seat.claim_from && !is_ours {
+        // The claim's condition was the row before: whoever is seen behind that has replaced it since, whatever revision
+        // the answer tells.
+        return;
+    }
     let is_known = seat
         .claim
         .as_ref()
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -7,7 +7,7 @@
 //! others, each where the heartbeat has not changed since it saw it, a whole lease ago: an owner that renewed in any
 //! shard meanwhile makes that claim fail.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::conflict;
 use super::hosts::ORDERS_APART_MS;
@@ -22,6 +22,10 @@
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, TxOutcome, Write};
 
+/// Most heartbeats that are kept until the feed shows them: each batch carries one, 50 a second at a peak, and the feed
+/// is read four times a second.
+const UNSEEN_MAX: usize = 64;
+
 /// When the owner before a claim ordered hosts about, as far as it told.
 #[derive(Clone, Debug, Default)]
 pub struct FormerOrders {
@@ -50,6 +54,10 @@
     pub claim: Option<Claim>,
     /// The owner before our claim; empty where it had left.
     pub claim_after: String,
+    /// The entry whose heartbeat stood in the first shard before our claim.
+    pub claim_after_beat: String,
+    /// Revision of the owner's row that our claim replaces.
+    pub claim_from: Revision,
     /// When that owner was last heard.
     pub claim_after_ms: Millis,
     /// When the first of our claims was sent whose fate is open.
@@ -62,6 +70,8 @@
     pub renewed_ms: Millis,
     /// Count of our last heartbeat, and when it was sent.
     pub sent: (u64, Millis),
+    /// Our heartbeats that the feed has not shown yet: counts, and when they were sent.
+    pub unseen: VecDeque<(u64, Millis)>,
     /// When the next one is due; changes of jobs carry heartbeats, too.
     pub beat_due_ms: Millis,
     /// What the store took for the last one.
@@ -75,6 +85,8 @@
     pub owner_revision: Revision,
     /// Revision of the heartbeat.
     pub beat_revision: Revision,
+    /// The entry whose heartbeat it is.
+    pub beat_entry: String,
     /// When this entry saw that heartbeat.
     pub beat_seen_ms: Millis,
     /// A claim of ours is out.
@@ -104,6 +116,12 @@
         self.renewed_ms + OWNER_LEASE_MS - OWNER_MARGIN_MS
     }
 
+    /// The count of the next heartbeat: no number is used twice, also where the feed is behind. An older one that it brings
+    /// under a later one's number would renew the lease from that one's sending.
+    fn next_count(&self) -> u64 {
+        self.beat.count.max(self.sent.0) + 1
+    }
+
     /// What the owner that was heard last ordered hosts about.
     pub(super) fn former_orders(&self) -> FormerOrders {
         let heard_ms = self.beat_seen_ms;
@@ -194,6 +212,7 @@
     if row.key == BEAT_KEY && row.revision > seat.shards[shard].beat_revision {
         let beat: BeatRow = rows::decode(value)?;
         seat.shards[shard].beat_revision = row.revision;
+        seat.shards[shard].beat_entry.clone_from(&beat.entry);
         seat.shards[shard].beat_seen_ms = now_ms;
         if row.revision > seat.beat_revision {
             seat.beat_revision = row.revision;
@@ -205,13 +224,21 @@
     Ok(())
 }
 
-/// The answer to our renewal may be lost: the feed tells that it was done.
+/// The answer to our renewal may be lost: the feed tells that it was done, and the lease counts from its own sending.
 fn note_own_beat(pool: &mut Pool) {
     let seat = &mut pool.seat;
-    let (count, sent_ms) = seat.sent;
     let is_ours = pool.tenure.is_some() && seat.beat.entry == seat.owner.entry;
-    if is_ours && seat.beat.count == count {
-        seat.renewed_ms = seat.renewed_ms.max(sent_ms);
+    if !is_ours {
+        return;
+    }
+    while let Some((count, sent_ms)) = seat.unseen.front().copied() {
+        if count > seat.beat.count {
+            return;
+        }
+        if count == seat.beat.count {
+            seat.renewed_ms = seat.renewed_ms.max(sent_ms);
+        }
+        seat.unseen.pop_front();
     }
 }
 
@@ -256,7 +283,7 @@
         times: book.map_or_else(|| pool.seat.beat.times.clone(), |b| b.times.clone()),
         entry: ctx.me.to_string(),
         cpu_milli: ctx.cpu_milli,
-        count: pool.seat.beat.count + 1,
+        count: pool.seat.next_count(),
         waiting: book.map_or_else(|| pool.seat.beat.waiting.clone(), |b| b.waiting.clone()),
     }
 }
@@ -322,8 +349,11 @@
 /// The write of the next heartbeat, which is sent now.
 pub fn next_beat(pool: &mut Pool, ctx: &Ctx<'_>) -> Write {
     let write = write(BEAT_KEY, rows::encode(&beat(pool, ctx)));
-    pool.seat.beat.count += 1;
-    pool.seat.sent = (pool.seat.beat.count, ctx.now.ms);
+    pool.seat.sent = (pool.seat.next_count(), ctx.now.ms);
+    pool.seat.unseen.push_back(pool.seat.sent);
+    if pool.seat.unseen.len() > UNSEEN_MAX {
+        pool.seat.unseen.pop_front();
+    }
     // Behind one that a slow store has not answered yet, the next would only wait.
     let pause_ms = (pool.seat.answer_ms * 3 / 2).clamp(RENEW_MS, RENEW_SLOW_MS);
     pool.seat.beat_due_ms = ctx.now.ms + pause_ms;
