Workers that name no host are not lives of one

Symptom: on a platform without a list of hosts each worker's account ended all others. Cause: they were all found under the empty name. lives_no_host red before, green after.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -547,7 +547,10 @@
         let (id, host) = (worker.fact.id.clone(), worker.fact.host.clone());
         let key = self.workers.insert(worker);
         self.by_life.insert(id, key);
-        self.by_host.entry(host).or_default().push(key);
+        // Workers that name no host share none: taken for lives of one, each account ended all others.
+        if !host.is_empty() {
+            self.by_host.entry(host).or_default().push(key);
+        }
         self.note_room(key);
         key
     }
