--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -191,7 +191,7 @@
     }
     let revision = match outcome {
         TxOutcome::Committed(revision) => revision,
-        TxOutcome::Conflict(found) => match judge(tenure, seat, shard, &found, ctx) {
+        TxOutcome::Conflict(found) => match settle_conflict(tenure, seat, shard, &found, ctx) {
             Verdict::Done(revision) => revision,
             Verdict::Again => {
                 resend(tenure, seat, shard, ctx);
@@ -235,7 +235,7 @@
 }
 
 /// What a conflict means for the batch of a shard; told unless it was only our own work.
-fn judge(
+fn settle_conflict(
     tenure: &mut Tenure,
     seat: &Seat,
     shard: usize,
--- a/src/core/sched/conflict.rs
+++ b/src/core/sched/conflict.rs
@@ -1,8 +1,9 @@
 //! What a conflict means for the transaction that met it.
 //!
 //! Answers of the store name its newest revision, which is a transaction's own only where nothing else was written in
-//! between. So a revision that an answer told is one at most: rows that are as this owner wrote them, at a lower revision
-//! than it thought, were touched by nobody. Their true revisions are taken over, and the transaction goes again.
+//! between. So a revision taken from an answer is an upper bound, and the exact one is known from the row alone. Rows that
+//! are as this owner wrote them, at a lower revision than it thought, were touched by nobody: their exact revisions are taken
+//! over, and the transaction goes again.
 
 use super::book::Book;
 use super::rows::{self, OwnerRow};
@@ -29,7 +30,7 @@
     value.map_or(0, |bytes| fnv1a(bytes.iter().copied()))
 }
 
-/// Whether an owner's row is the present claim's of this entry.
+/// Whether an owner's row was written by this process, which is also the owner that was seen last.
 pub fn is_ours(seat: &Seat, me: &str, row: &StoredRow) -> bool {
     let owner = rows::decode::<OwnerRow>(row.value.as_deref().unwrap_or_default());
     // A row that can't be read is nobody's.
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -152,7 +152,7 @@
     pub due_ms: Millis,
     /// Past this time it earns nothing.
     pub hopeless_ms: Millis,
-    /// Revision of its progress on record; a conflict may tell a lower one, see [`conflict`](super::conflict).
+    /// Revision of its progress on record, or an upper bound of it: see [`conflict`](super::conflict).
     pub revision: Revision,
     /// Digest of the bytes on record.
     pub recorded_digest: u64,
