A line of an entry's log is waited for where a test looks for it

Lines are written by a thread of their own, so the look may come first; that is read from the code and not seen again. The line is still asked for, by a bounded wait as elsewhere.

--- a/tests/test_load.rs
+++ b/tests/test_load.rs
@@ -155,7 +155,10 @@
         let drawn = asked(&after) - asked(&before);
         if fault != "refuse" {
             assert!(drawn <= 10, "{fault}: {drawn} of 200");
-            assert!(fleet.entries[0].logged("backend-ejected") > 0, "{fault}");
+            // Lines are written by a thread of its own, a moment later.
+            wait_for("its ejection is told", || {
+                (fleet.entries[0].logged("backend-ejected") > 0).then_some(())
+            });
         }
         fleet.backends[0].set("none", 0);
         let before = asked(&fleet.backends[0].stats());
