--- a/tests/test_soak.rs
+++ b/tests/test_soak.rs
@@ -6,9 +6,13 @@
 
 /// Plays a seed; the soak's waits are bounded, and it says by its exit code whether all promises held.
 fn play(options: &[String]) {
+    // Folders of its own: two suites at a time on one machine removed each other's logs.
+    let logs = std::env::temp_dir().join(format!("rockwick-soak-{}", std::process::id()));
     let output = Command::new(binary("standin"))
         .arg("soak")
         .args(options)
+        .arg("--logs")
+        .arg(logs)
         .output()
         .expect("the soak starts");
     let text = String::from_utf8_lossy(&output.stdout);
