One place tells whether this process is a pool's owner, and one gives the owner's books to tests

Read of the whole change: the owner's entry and nonce were compared in three places, the owner's books looked up in four tests and world modules by the same lines. No behaviour, bound or assertion changed.

--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -186,7 +186,7 @@
 /// Goes on with a claim of ours that is seen in the store, its answer lost or still on its way.
 pub fn begin_if_claimed(pool: &mut Pool, nonce: u64, ctx: &mut Ctx<'_>) {
     let seat = &mut pool.seat;
-    let is_ours = seat.owner.entry == ctx.me && seat.owner.nonce == nonce;
+    let is_ours = seat.is_ours(ctx.me, nonce);
     // Another entry has claimed the first shard since.
     seat.claim = seat
         .claim
@@ -203,7 +203,7 @@
 fn win(pool: &mut Pool, epoch: Revision, sent_ms: Millis, nonce: u64, ctx: &mut Ctx<'_>) {
     let seat = &mut pool.seat;
     seat.claim_open_ms = None;
-    let is_ours = seat.owner.entry == ctx.me && seat.owner.nonce == nonce;
+    let is_ours = seat.is_ours(ctx.me, nonce);
     if seat.epoch > seat.claim_from && !is_ours {
         // The claim's condition was the row before: whoever is seen behind that has replaced it since, whatever revision
         // the answer tells.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -228,7 +228,7 @@
         if let Err(e) = seat::observe(pool, shard, row, now.ms) {
             ctx.tell(Decision::new(Code::BadRow, Subject::Pool, &pool.name, e));
         }
-        let is_ours = pool.seat.owner.entry == me && pool.seat.owner.nonce == nonce;
+        let is_ours = pool.seat.is_ours(&me, nonce);
         let is_newer = pool
             .tenure
             .as_ref()
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -172,6 +172,11 @@
         good.or_else(|| free.next())
     }
 
+    /// Whether this process is the owner that was seen last.
+    pub(super) fn is_ours(&self, me: &str, nonce: u64) -> bool {
+        self.owner.entry == me && self.owner.nonce == nonce
+    }
+
     /// Whether an earlier process of this entry owned the pool: it has ended, since this one runs.
     pub(super) fn was_ours(&self, me: &str, nonce: u64) -> bool {
         self.owner.entry == me && self.owner.nonce != nonce
--- a/tests/test_ends.rs
+++ b/tests/test_ends.rs
@@ -96,14 +96,6 @@
     assert!(offers(&mut book), "all are");
 }
 
-/// Whether the job is done by its owner's books.
-fn is_done_by_books(world: &World) -> bool {
-    let pool = world.owner().and_then(|state| state.pool(POOL));
-    let tenure = pool.and_then(|pool| pool.tenure.as_ref());
-    let book = tenure.and_then(|tenure| tenure.book.as_ref());
-    book.is_some_and(|book| book.jobs[book.by_id["a"]].state.is_final())
-}
-
 /// An owner that is told to stop hands its pool over; what it has just taken in is on record then, or a worker that is gone
 /// as the next owner looks takes it along.
 #[test]
@@ -113,7 +105,7 @@
     world.submit("a", job(TASKS, 1_000, 1_500));
     world.run(100);
     let life = world.life_of("a", 0).expect("it runs");
-    while !is_done_by_books(&world) {
+    while !world.is_over_by_books("a") {
         world.run(1);
     }
     let owner = world.owner_entry().expect("it has books");
--- a/tests/test_ends_holding.rs
+++ b/tests/test_ends_holding.rs
@@ -17,13 +17,6 @@
 /// The shard that has the job's progress.
 const SHARD: usize = 1;
 
-fn is_done_by_books(world: &World) -> bool {
-    let pool = world.owner().and_then(|state| state.pool(POOL));
-    let tenure = pool.and_then(|pool| pool.tenure.as_ref());
-    let book = tenure.and_then(|tenure| tenure.book.as_ref());
-    book.is_some_and(|book| book.jobs[book.by_id["a"]].state.is_final())
-}
-
 /// Starts of tasks after their job was done by its owner's books.
 fn starts_after(estimate_ms: u64) -> u64 {
     let mut world = World::new(1, 2, 2);
@@ -37,10 +30,10 @@
     world.parts_away.insert(shard_part(POOL, SHARD));
     world.wave(1, 4_000, 1);
     let until_ms = world.now_ms + 16_000;
-    while !is_done_by_books(&world) && world.now_ms < until_ms {
+    while !world.is_over_by_books("a") && world.now_ms < until_ms {
         world.run(10);
     }
-    if !is_done_by_books(&world) {
+    if !world.is_over_by_books("a") {
         return 0;
     }
     let before = world.starts;
--- a/tests/world/crash.rs
+++ b/tests/world/crash.rs
@@ -50,10 +50,7 @@
 
     /// Crashes that the owner's books count, over all tasks.
     pub(crate) fn counted(&self) -> u32 {
-        let pool = self.owner().and_then(|s| s.pool(POOL));
-        let tenure = pool.and_then(|p| p.tenure.as_ref());
-        let book = tenure.and_then(|t| t.book.as_ref());
-        let jobs = book.expect("an owner has books").jobs.values();
+        let jobs = self.owner_book().expect("an owner has books").jobs.values();
         let steps = jobs.flat_map(|j| j.rounds.values()).flat_map(|r| &r.steps);
         let ended = steps.flat_map(|s| &s.tasks).map(|t| t.ended);
         ended.map(|e| u32::from(e.crashed + e.likely)).sum()
--- a/tests/world/entries.rs
+++ b/tests/world/entries.rs
@@ -65,6 +65,17 @@
         states.into_iter().find(|s| s.owned() > 0)
     }
 
+    /// The owner's books on the pool, once it has read them.
+    pub(crate) fn owner_book(&self) -> Option<&Book> {
+        self.owner()?.pool(POOL)?.tenure.as_ref()?.book.as_ref()
+    }
+
+    /// Whether a job has ended by its owner's books, whatever is on record.
+    pub(crate) fn is_over_by_books(&self, id: &str) -> bool {
+        let book = self.owner_book();
+        book.is_some_and(|book| book.jobs[book.by_id[id]].state.is_final())
+    }
+
     /// The entry that owns the pool.
     pub(crate) fn owner_entry(&self) -> Option<usize> {
         let owns = |e: &Entry| e.state.as_ref().is_some_and(|s| s.owned() > 0);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -20,6 +20,7 @@
 
 use fastrand::Rng;
 use rockwick::clock::Now;
+use rockwick::core::sched::book::Book;
 use rockwick::core::sched::hosts::HostTask;
 use rockwick::core::sched::job::{JobSpec, JobState, Schedule, StepSpec};
 use rockwick::core::sched::quota::quota_part;
@@ -582,11 +583,7 @@
 
     /// How a job stands in its owner's books, for messages.
     pub(crate) fn describe(&self, id: &str) -> String {
-        let pool = self.owner().and_then(|s| s.pool(POOL));
-        let book = pool
-            .and_then(|p| p.tenure.as_ref())
-            .and_then(|t| t.book.as_ref());
-        let Some(book) = book else {
+        let Some(book) = self.owner_book() else {
             return "no owner has books".to_string();
         };
         let job = book.by_id.get(id).map(|key| &book.jobs[*key]);
