Sight: accounts and entries of a worker name the start of their life, and a restart under its id is told

The hypotheses could not be told apart from the log: no line said which life of a worker an account was of, that it had started again, or which of the ends that it listed were passed over as known.

No decision reads any of it yet.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -108,6 +108,7 @@
     for n in 0..workers {
         let fact = WorkerFact {
             id: format!("life-{n}"),
+            born_wall_ms: None,
             host: format!("host-{n}"),
             pool: "pool-0".to_string(),
             address: SocketAddr::from(([10, 0, 0, 1], 1_000)),
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -166,6 +166,9 @@
     ctx: &mut Ctx<'_>,
 ) {
     let w = &mut book.workers[key];
+    if report.born_wall_ms != w.fact.born_wall_ms {
+        ctx.tell(told::restarted(w, report.born_wall_ms, "its account"));
+    }
     if !w.answers {
         w.answers = true;
         // With its host open again, it was cut off and did not go.
@@ -190,7 +193,7 @@
     let mut told = told::Ends::new(book, key, sent_ms, epoch);
     for end in &report.ended {
         if end.number <= book.workers[key].taken {
-            told.add_again();
+            told.add_again(end);
         } else {
             told.add(book, end, ctx);
             runs::take_end(book, key, end, epoch, ctx);
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -10,6 +10,7 @@
 use super::load;
 use super::offers::Offers;
 use super::state::{Ctx, Effect, State, Timer};
+use super::told;
 use super::worker::Worker;
 use crate::clock::Now;
 use crate::event::{Code, Decision, Subject};
@@ -94,6 +95,9 @@
     if let Some(key) = book.by_life.get(&fact.id).copied() {
         let w = &mut book.workers[key];
         tell_resized(w, fact, ctx);
+        if fact.born_wall_ms != w.fact.born_wall_ms {
+            ctx.tell(told::restarted(w, fact.born_wall_ms, "its entry"));
+        }
         w.fact = fact.clone();
         w.is_listed = true;
         w.is_withdrawn = false;
@@ -106,12 +110,8 @@
     let is_given = offers.is_given(&fact.host, &fact.id);
     book.workers[key].is_spare = is_given;
     book.workers[key].is_offered = is_given;
-    ctx.tell(Decision::new(
-        Code::WorkerFound,
-        Subject::Host,
-        &fact.id,
-        &*fact.host,
-    ));
+    let found = Decision::new(Code::WorkerFound, Subject::Host, &fact.id, &*fact.host);
+    ctx.tell(found.with("born_wall_ms", told::born(fact.born_wall_ms)));
     greet(book, key, epoch, ctx);
 }
 
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -265,6 +265,7 @@
     }
     let fact = WorkerFact {
         id: life.to_string(),
+        born_wall_ms: None,
         host: host.to_string(),
         pool: String::new(),
         address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
--- a/src/core/sched/told.rs
+++ b/src/core/sched/told.rs
@@ -109,6 +109,8 @@
     taken: u64,
     /// Ends that were listed again.
     again: u64,
+    /// The first of those.
+    again_list: List,
     list: List,
 }
 
@@ -121,6 +123,7 @@
             asked_ms,
             taken: book.workers[worker].taken,
             again: 0,
+            again_list: List::default(),
             list: List::default(),
         }
     }
@@ -139,8 +142,12 @@
     }
 
     /// An end that had been taken in before.
-    pub(super) fn add_again(&mut self) {
+    pub(super) fn add_again(&mut self, end: &RunEnd) {
         self.again += 1;
+        if !self.again_list.is_full() {
+            let name = RunName(&end.task, end.run);
+            self.again_list.add(format_args!("{}={name}", end.number));
+        }
     }
 
     /// Tells what is not told yet.
@@ -153,10 +160,15 @@
     fn tell(&mut self, book: &Book, ctx: &mut Ctx<'_>) {
         let w = &book.workers[self.worker];
         let why = "listed in its account";
+        let mut decision = Decision::new(Code::EndsTaken, Subject::Host, &w.fact.id, why)
+            .naming("on", &*w.fact.host)
+            .naming(RUNS, self.list.take());
+        if self.again_list.count > 0 {
+            decision = decision.naming("again_runs", self.again_list.take());
+        }
         ctx.tell(
-            Decision::new(Code::EndsTaken, Subject::Host, &w.fact.id, why)
-                .naming("on", &*w.fact.host)
-                .naming(RUNS, self.list.take())
+            decision
+                .with("born_wall_ms", born(w.fact.born_wall_ms))
                 .with("epoch", self.epoch)
                 .with("asked_ago_ms", ctx.now.ms.saturating_sub(self.asked_ms))
                 .with("taken_before", self.taken)
@@ -295,6 +307,21 @@
     );
 }
 
+/// A life's start for the log; 0 where the platform tells none.
+pub(super) fn born(wall_ms: Option<Millis>) -> Millis {
+    wall_ms.unwrap_or(0)
+}
+
+/// A worker that tells of another start than the one known; `by` is what tells it.
+pub(super) fn restarted(w: &Worker, told: Option<Millis>, by: &'static str) -> Decision {
+    Decision::new(Code::WorkerRestarted, Subject::Host, &w.fact.id, by)
+        .naming("on", &*w.fact.host)
+        .with("born_wall_ms", born(told))
+        .with("known_born_wall_ms", born(w.fact.born_wall_ms))
+        .with("tasks", w.tasks.len() as u64)
+        .with("taken", w.taken)
+}
+
 /// A worker whose runs are over: what that rests on, and where its ends and its lease stand.
 pub(super) fn over(w: &Worker, evidence: &Evidence, now_ms: Millis) -> Decision {
     let why = evidence.over().why();
@@ -308,6 +335,7 @@
     };
     decision
         .naming("on", &*w.fact.host)
+        .with("born_wall_ms", born(w.fact.born_wall_ms))
         .with("tasks", w.tasks.len() as u64)
         .with("unheard_ms", now_ms.saturating_sub(w.heard_ms))
         .with("lease_left_ms", w.lease_over_ms.saturating_sub(now_ms))
--- a/src/event.rs
+++ b/src/event.rs
@@ -121,6 +121,7 @@
     OffersNotTaken, 626, "offers-not-taken", "Hosts on offer could not be taken; orders that waited for it are dropped.";
     BatchRecorded, 627, "batch-recorded", "Changes of jobs are on record: in which shard, at which revision.";
     JobStale, 628, "job-stale", "A job's row was read before the job left the store, and is told after: it is passed over.";
+    WorkerRestarted, 629, "worker-restarted", "A worker started again under its id: which start was known, and which one it tells.";
 }
 
 impl Code {
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -285,8 +285,10 @@
 /// One life of a worker, as it states itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerFact {
-    /// Id of this life.
+    /// Its id; a later life may have the same.
     pub id: String,
+    /// When this life began, by the worker's wall clock: with the id, it names the life. None where the platform tells none.
+    pub born_wall_ms: Option<Millis>,
     /// The host it lives on.
     pub host: String,
     /// Its pool.
@@ -459,7 +461,9 @@
 /// A worker's account.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HoldReport {
-    /// The worker's clock.
+    /// The life that answered, as in [`WorkerFact::born_wall_ms`].
+    pub born_wall_ms: Option<Millis>,
+    /// The worker's clock, which counts from the start of its life.
     pub clock_ms: Millis,
     /// What runs there.
     pub running: Vec<RunningTask>,
--- a/tests/test_lives.rs
+++ b/tests/test_lives.rs
@@ -18,6 +18,7 @@
     let other = answering(&mut book, worker_fact("other", ""));
     book.workers[one].heard_ms = 1_000;
     let report = HoldReport {
+        born_wall_ms: None,
         clock_ms: 2_000,
         unreadable: 0,
         running: Vec::new(),
--- a/tests/test_told.rs
+++ b/tests/test_told.rs
@@ -102,6 +102,7 @@
         gauge: 0,
     });
     let report = HoldReport {
+        born_wall_ms: None,
         clock_ms: now_ms,
         running: running.collect(),
         ended,
@@ -162,9 +163,29 @@
     let told = only(&effects, Code::EndsTaken);
     assert_eq!(named(told, "runs"), "", "it is not taken in again");
     assert_eq!(figure(told, "again"), Some(1));
+    assert_eq!(named(told, "again_runs"), "1=a.0.0.0#1");
     assert_eq!(figure(told, "taken_before"), Some(1));
 }
 
+#[test]
+fn told_restart() {
+    let (mut book, worker) = starting(1);
+    book.workers[worker].fact.born_wall_ms = Some(5_000);
+    let report = HoldReport {
+        born_wall_ms: Some(9_000),
+        clock_ms: 10,
+        ..HoldReport::default()
+    };
+    let effects = decide(1_500, |ctx| {
+        holds::held(&mut book, worker, 1_460, Ok(report), EPOCH, ctx);
+    });
+    let told = only(&effects, Code::WorkerRestarted);
+    assert_eq!((told.subject, &*told.id), (Subject::Host, "life-1"));
+    assert_eq!(figure(told, "born_wall_ms"), Some(9_000));
+    assert_eq!(figure(told, "known_born_wall_ms"), Some(5_000));
+    assert_eq!(figure(told, "tasks"), Some(1));
+}
+
 #[test]
 fn told_end_of_done_task() {
     let (mut book, worker) = starting(2);
--- a/tests/world/jobs.rs
+++ b/tests/world/jobs.rs
@@ -60,6 +60,7 @@
 pub(crate) fn worker_fact(life: &str, host: &str) -> WorkerFact {
     WorkerFact {
         id: life.to_string(),
+        born_wall_ms: None,
         host: host.to_string(),
         pool: POOL.to_string(),
         address: SocketAddr::from(([10, 0, 0, 1], 1_000)),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -16,6 +16,7 @@
         let port = 1_000 + self.next_life as u16;
         let fact = WorkerFact {
             id: id.clone(),
+            born_wall_ms: None,
             host: host.to_string(),
             pool: POOL.to_string(),
             address: SocketAddr::from(([10, 0, 0, 1], port)),
@@ -263,6 +264,7 @@
             w.ended.drain(..).partition(|e| e.number <= ask.seen);
         w.ended = rest;
         let report = HoldReport {
+            born_wall_ms: None,
             clock_ms: w.clock(now_ms),
             unreadable: 0,
             running: w
