Failing test: tasks start again after their noted end on a worker that restarted under its id

Callers saw work that must run once run twice. No fault beside the crash is needed, no change of owner, no late order.

No check of the product changed.

--- /dev/null
+++ b/tests/world/restart.rs
@@ -0,0 +1,62 @@
+//! Workers that start again under the id that they had: the later life knows nothing of the earlier one.
+
+use super::*;
+
+/// Wall clocks are set back or forward by so much at the most between two lives.
+const CLOCK_STEP_MS: u64 = 4_000;
+
+impl World {
+    /// A worker crashes; a later life comes up under its id, at its address.
+    pub(crate) fn restart(&mut self, id: &str, back_after_ms: u64) {
+        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
+            return;
+        };
+        w.is_up = false;
+        self.former_facts.push(w.fact.clone());
+        for task in w.running.keys() {
+            *self.crashes.under.entry(task.clone()).or_default() += 1;
+        }
+        self.clear(id);
+        self.at(back_after_ms, Happening::Restarted(id.to_string()));
+    }
+
+    /// The later life comes up. Its entry is told now, or with its first heartbeat.
+    pub(super) fn restarted(&mut self, id: &str) {
+        let now_ms = self.now_ms;
+        let born_wall_ms = WALL_MS + now_ms + self.restarts.u64(0..CLOCK_STEP_MS * 2);
+        let is_told = self.restarts.bool();
+        let beat_ms = if is_told {
+            0
+        } else {
+            self.restarts.u64(0..BEAT_MS)
+        };
+        self.next_life += 1;
+        let serial = self.next_life;
+        let Some(w) = self.workers.get_mut(id).filter(|w| !w.is_up) else {
+            return;
+        };
+        let fact = WorkerFact {
+            born_wall_ms: Some(born_wall_ms.saturating_sub(CLOCK_STEP_MS)),
+            draining: false,
+            ..w.fact.clone()
+        };
+        *w = Worker {
+            // Its clock counts from its start.
+            clock_ahead_ms: 0_u64.wrapping_sub(now_ms),
+            ..Worker::new(fact, serial)
+        };
+        self.at(beat_ms, Happening::Beat(id.to_string()));
+    }
+
+    /// An entry that an earlier life wrote is seen now, after the later life's.
+    pub(crate) fn relist_former(&mut self) {
+        if self.former_facts.is_empty() {
+            return;
+        }
+        let n = self.restarts.usize(0..self.former_facts.len());
+        let fact = self.former_facts[n].clone();
+        let id = fact.id.clone();
+        self.broadcast(&Event::Worker(WorkerWord::Present(fact)));
+        self.at(BEAT_MS, Happening::Beat(id));
+    }
+}
