A worker that starts again under its id is another worker to its owner

Callers saw tasks that must run once run twice. Each end of the later life up to the number that the earlier one had reached was passed over as known and acknowledged with the next hold; its task, which the account did not list as running, was requeued.

Lives are kept by id and start (roster.rs), on record too (ProgressRow::born_wall_ms); nothing of one is taken for another's. An account of another life than the one asked supersedes that one (restarts.rs): nothing more is sent to it, and its tasks wait for the account of the life that is there, since an order names the id alone and may have reached either. What that account lists of them is there; the rest is over. A life that comes up in another pool under the id is none of this one's.

Why it holds: no state of a worker is looked up by id alone any more but 'which lives has this id'; a new life begins as any new worker.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -55,8 +55,8 @@
     pub by_id: HashMap<String, JobKey>,
     /// The workers.
     pub workers: SlotMap<WorkerKey, Worker>,
-    /// Workers by id of their life.
-    pub by_life: HashMap<String, WorkerKey>,
+    /// Workers' lives by id; an id may come again.
+    pub by_life: HashMap<String, Vec<WorkerKey>>,
     /// Workers' lives by host.
     pub by_host: HashMap<String, Vec<WorkerKey>>,
     /// Hosts that are to leave for upkeep, until they were ordered out: what comes there gets nothing.
@@ -460,6 +460,24 @@
         self.left.insert((key, run), left);
     }
 
+    /// Moves a run left behind, with its room, to the worker that turned out to have it.
+    pub fn move_left(&mut self, run: (TaskKey, u32), to: WorkerKey) {
+        let Some(left) = self.left.get_mut(&run) else {
+            return;
+        };
+        let from = std::mem::replace(&mut left.worker, to);
+        left.settled_ms = None;
+        let demand = left.demand;
+        if let Some(w) = self.workers.get_mut(from) {
+            w.used.sub(demand);
+        }
+        if let Some(w) = self.workers.get_mut(to) {
+            w.used.add(demand);
+        }
+        self.note_room(from);
+        self.note_room(to);
+    }
+
     /// Drops the runs left behind that `is_over` names, with their room.
     pub fn drop_left(&mut self, is_over: impl Fn(&LeftRun) -> bool) {
         let over = self.left.iter().filter(|(_, left)| is_over(left));
@@ -540,58 +558,6 @@
         }
     }
 
-    /// Adds a worker's life.
-    pub fn add_worker(&mut self, mut worker: Worker) -> WorkerKey {
-        worker.is_closing |= self.closing.contains(&worker.fact.host);
-        worker.is_going |= self.going.contains(&worker.fact.host);
-        let (id, host) = (worker.fact.id.clone(), worker.fact.host.clone());
-        let key = self.workers.insert(worker);
-        self.by_life.insert(id, key);
-        // Workers that name no host share none: taken for lives of one, each account ended all others.
-        if !host.is_empty() {
-            self.by_host.entry(host).or_default().push(key);
-        }
-        self.note_room(key);
-        key
-    }
-
-    /// Drops a worker's life.
-    pub fn remove_worker(&mut self, key: WorkerKey) {
-        let Some(worker) = self.workers.remove(key) else {
-            return;
-        };
-        self.by_life.remove(&worker.fact.id);
-        self.recording.remove(&key);
-        self.room.remove(key);
-        let Some(lives) = self.by_host.get_mut(&worker.fact.host) else {
-            return;
-        };
-        lives.retain(|life| *life != key);
-        if lives.is_empty() {
-            self.by_host.remove(&worker.fact.host);
-        }
-    }
-
-    /// Takes note of what a worker has free now.
-    pub fn note_room(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get(key) {
-            self.room.note(key, worker);
-        }
-    }
-
-    /// Lives on a host, ended ones that are not forgotten included.
-    pub fn lives_on(&self, host: &str) -> impl Iterator<Item = (WorkerKey, &Worker)> {
-        let keys = self.by_host.get(host).into_iter().flatten();
-        keys.filter_map(|key| Some((*key, self.workers.get(*key)?)))
-    }
-
-    /// The worker on a host: the life that answers, else one that is listed.
-    pub fn worker_on(&self, host: &str) -> Option<WorkerKey> {
-        let on_host = || self.lives_on(host).filter(|(_, w)| w.is_listed);
-        let answering = on_host().find(|(_, w)| w.answers);
-        answering.or_else(|| on_host().next()).map(|(key, _)| key)
-    }
-
     /// How many tasks of the same step (and round) a worker carries.
     pub fn siblings_on(&self, key: TaskKey, worker: &Worker) -> usize {
         let same = |t: &&TaskKey| t.job == key.job && t.round == key.round && t.step == key.step;
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -11,6 +11,7 @@
 use super::limits::{
     HEARD_ON_MS, HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, RECORDING_WAIT_MS, WORKER_LEASE_MS,
 };
+use super::restarts;
 use super::runs;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::Phase;
@@ -29,6 +30,9 @@
     let Some(w) = book.workers.get_mut(key) else {
         return;
     };
+    if w.is_superseded {
+        return;
+    }
     let is_free = match w.hold {
         HoldPhase::Idle => true,
         HoldPhase::Out(_) => false,
@@ -90,6 +94,12 @@
     };
     w.hold = HoldPhase::Idle;
     match result {
+        Ok(report) if !w.is_born(report.born_wall_ms) => {
+            restarts::supersede(book, key, report.born_wall_ms, ctx);
+        }
+        Ok(report) if w.is_superseded => {
+            take_ends(book, key, sent_ms, &report, epoch, ctx);
+        }
         Ok(report) => account(book, key, sent_ms, report, epoch, ctx),
         Err(OrderReply::Fenced) => return true,
         Err(OrderReply::OtherLife) => {
@@ -166,9 +176,7 @@
     ctx: &mut Ctx<'_>,
 ) {
     let w = &mut book.workers[key];
-    if report.born_wall_ms != w.fact.born_wall_ms {
-        ctx.tell(told::restarted(w, report.born_wall_ms, "its account"));
-    }
+    w.fact.born_wall_ms = w.fact.born_wall_ms.or(report.born_wall_ms);
     if !w.answers {
         w.answers = true;
         // With its host open again, it was cut off and did not go.
@@ -179,6 +187,7 @@
     if w.broke_ms.take().is_some() {
         crashes::note_back(book, key);
     }
+    restarts::adopt(book, key, &report, epoch, ctx);
     end_earlier_lives(book, key, sent_ms, ctx);
     let w = &mut book.workers[key];
     let sample = ClockSample {
@@ -190,18 +199,7 @@
     }
     tell_unreadable(&mut book.workers[key], report.unreadable, ctx);
     let is_whole = report.ended.len() < ENDS_LISTED_MAX;
-    let mut told = told::Ends::new(book, key, sent_ms, epoch);
-    for end in &report.ended {
-        if end.number <= book.workers[key].taken {
-            told.add_again(end);
-        } else {
-            told.add(book, end, ctx);
-            runs::take_end(book, key, end, epoch, ctx);
-            let job = book.by_id.get(&end.task.job).copied();
-            book.note_taken(key, end.number, job);
-        }
-    }
-    told.finish(book, ctx);
+    take_ends(book, key, sent_ms, &report, epoch, ctx);
     compare(book, key, sent_ms, &report.running, is_whole, epoch, ctx);
     drop_left(book, key, sent_ms, &report.running);
     let is_recorded = book.settle_ends(key);
@@ -217,6 +215,29 @@
     }
 }
 
+/// Takes in the ends that an account lists and that are not known yet.
+fn take_ends(
+    book: &mut Book,
+    key: WorkerKey,
+    sent_ms: Millis,
+    report: &HoldReport,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let mut told = told::Ends::new(book, key, sent_ms, epoch);
+    for end in &report.ended {
+        if end.number <= book.workers[key].taken {
+            told.add_again(end);
+        } else {
+            told.add(book, end, ctx);
+            runs::take_end(book, key, end, epoch, ctx);
+            let job = book.by_id.get(&end.task.job).copied();
+            book.note_taken(key, end.number, job);
+        }
+    }
+    told.finish(book, ctx);
+}
+
 /// Tells once how much of a worker's account can't be read.
 fn tell_unreadable(worker: &mut Worker, unreadable: usize, ctx: &mut Ctx<'_>) {
     let before = std::mem::replace(&mut worker.unreadable, unreadable);
@@ -240,15 +261,15 @@
     });
 }
 
-/// A host carries one life at a time: those that were last heard before this one was asked are over, and so
+/// A host carries one life at a time, and so does an id: those that were last heard before this one was asked are over, and so
 /// are those that a former owner gave work to. One that was never heard nor given work may be younger.
 fn end_earlier_lives(book: &mut Book, key: WorkerKey, sent_ms: Millis, ctx: &mut Ctx<'_>) {
-    let host = &book.workers[key].fact.host;
-    let others = book.lives_on(host).filter(|(other, w)| {
-        let was_there = w.heard_ms > 0 || !w.tasks.is_empty();
-        *other != key && was_there && w.heard_ms < sent_ms
+    let mut earlier = book.lives_beside(key);
+    earlier.retain(|other| {
+        let w = &book.workers[*other];
+        let was_there = w.heard_ms > 0 || !w.tasks.is_empty() || w.is_superseded;
+        was_there && w.heard_ms < sent_ms
     });
-    let earlier: Vec<WorkerKey> = others.map(|(other, _)| other).collect();
     let life = book.workers[key].fact.id.clone();
     for other in earlier {
         let w = &mut book.workers[other];
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -74,6 +74,9 @@
 /// Lease that is given to workers: survives an owner's end and a takeover (2.3 s and a hold).
 pub const WORKER_LEASE_MS: Millis = 4_500;
 
+/// Longest lease that a worker takes: the platform's workers cut longer ones to 6 or 10 s.
+pub const WORKER_LEASE_MAX_MS: Millis = 10_000;
+
 /// Workers' clocks may run slow by 2%.
 pub const CLOCK_SLOW_PERCENT: u64 = 2;
 
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -78,8 +78,10 @@
             };
             let epoch = tenure.epoch;
             let Some(book) = &mut tenure.book else { return };
-            if is_its_pool {
-                note_present(book, &fact, offers, epoch, ctx);
+            match is_its_pool {
+                true => note_present(book, &fact, offers, epoch, ctx),
+                // A life of the same id came up in another pool.
+                false => note_gone(book, &fact.id, ctx),
             }
         });
     }
@@ -92,13 +94,16 @@
     epoch: u64,
     ctx: &mut Ctx<'_>,
 ) {
-    if let Some(key) = book.by_life.get(&fact.id).copied() {
+    if let Some(key) = book.life(&fact.id, fact.born_wall_ms) {
         let w = &mut book.workers[key];
-        tell_resized(w, fact, ctx);
-        if fact.born_wall_ms != w.fact.born_wall_ms {
-            ctx.tell(told::restarted(w, fact.born_wall_ms, "its entry"));
+        if w.is_superseded {
+            return;
         }
-        w.fact = fact.clone();
+        tell_resized(w, fact, ctx);
+        w.fact = WorkerFact {
+            born_wall_ms: fact.born_wall_ms.or(w.fact.born_wall_ms),
+            ..fact.clone()
+        };
         w.is_listed = true;
         w.is_withdrawn = false;
         book.note_room(key);
@@ -106,6 +111,9 @@
         holds::next(book, key, epoch, ctx);
         return;
     }
+    if let Some((_, earlier)) = book.lives_of(&fact.id).last() {
+        ctx.tell(told::restarted(earlier, fact.born_wall_ms, "its entry"));
+    }
     let key = load::add_worker(book, fact.clone(), ctx.now.ms);
     let is_given = offers.is_given(&fact.host, &fact.id);
     book.workers[key].is_spare = is_given;
@@ -139,16 +147,21 @@
             let Some(book) = pool.tenure.as_mut().and_then(|t| t.book.as_mut()) else {
                 return;
             };
-            if let Some(worker) = book.by_life.get(id).copied() {
-                let w = &mut book.workers[worker];
-                w.is_listed = false;
-                w.is_withdrawn = w.answers;
-                holds::forget_if_over(book, worker, ctx);
-            }
+            note_gone(book, id, ctx);
         });
     }
 }
 
+fn note_gone(book: &mut Book, id: &str, ctx: &Ctx<'_>) {
+    let lives: Vec<WorkerKey> = book.lives_of(id).map(|(key, _)| key).collect();
+    for key in lives {
+        let w = &mut book.workers[key];
+        w.is_listed = false;
+        w.is_withdrawn = w.answers;
+        holds::forget_if_over(book, key, ctx);
+    }
+}
+
 /// First hold to a worker, and a look at the end of what others may have ordered there.
 pub(super) fn greet(book: &mut Book, worker: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
     let left_ms = book.workers[worker]
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -248,9 +248,8 @@
         return;
     }
     let lives: Vec<WorkerKey> = progress
-        .workers
-        .iter()
-        .map(|(life, host)| known_or_ghost(book, life, host, began_ms))
+        .lives()
+        .map(|(id, host, born_wall_ms)| known_or_ghost(book, (id, born_wall_ms), host, began_ms))
         .collect();
     for round in &progress.rounds {
         apply_round(book, key, round, &lives, ctx.now.ms);
@@ -259,13 +258,18 @@
 
 /// The worker that a row names; one that is not listed may still run what it was told, until a later life
 /// of its host answers or everything told to it has lapsed.
-fn known_or_ghost(book: &mut Book, life: &str, host: &str, began_ms: Millis) -> WorkerKey {
-    if let Some(key) = book.by_life.get(life) {
-        return *key;
+fn known_or_ghost(
+    book: &mut Book,
+    (id, born_wall_ms): (&str, Option<Millis>),
+    host: &str,
+    began_ms: Millis,
+) -> WorkerKey {
+    if let Some(key) = book.life(id, born_wall_ms) {
+        return key;
     }
     let fact = WorkerFact {
-        id: life.to_string(),
-        born_wall_ms: None,
+        id: id.to_string(),
+        born_wall_ms,
         host: host.to_string(),
         pool: String::new(),
         address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
--- a/src/core/sched/progress.rs
+++ b/src/core/sched/progress.rs
@@ -57,8 +57,7 @@
             (Phase::Done, _) => Standing::Done,
             (_, Some(worker)) => match self.workers.get(worker) {
                 Some(w) => Standing::Started(*places.entry(worker).or_insert_with(|| {
-                    row.workers.push((w.fact.id.clone(), w.fact.host.clone()));
-                    (row.workers.len() - 1) as u16
+                    row.add_life(&w.fact.id, &w.fact.host, w.fact.born_wall_ms)
                 })),
                 None => Standing::Idle,
             },
--- /dev/null
+++ b/src/core/sched/restarts.rs
@@ -0,0 +1,105 @@
+//! Workers that start again under their id.
+//!
+//! An order names its worker by the id alone, so that what was sent to an earlier life may be carried out by a later one.
+//! Until the later life's account is here, nothing that may be on its way to it counts as over.
+
+use std::collections::HashSet;
+
+use super::book::Book;
+use super::holds;
+use super::keys::{TaskKey, WorkerKey};
+use super::limits::{CLOCK_SLOW_PERCENT, LEASE_SLACK_MS, WORKER_LEASE_MAX_MS};
+use super::runs;
+use super::state::{Ctx, Timer};
+use super::tasks::Phase;
+use super::told;
+use crate::clock::Millis;
+use crate::port::fleet::{HoldReport, TaskName};
+
+/// Longest time for which a start that was meant for an earlier life keeps a run alive on a later one: it names a moment on
+/// the earlier life's clock, which may be far ahead on the later one's.
+const STRAY_LEASE_MS: Millis =
+    WORKER_LEASE_MAX_MS * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS;
+
+/// Takes in that another life answered what was sent to this one. What may run under its id is told by the account of the
+/// life that is there now.
+pub(super) fn supersede(
+    book: &mut Book,
+    key: WorkerKey,
+    born_wall_ms: Option<Millis>,
+    ctx: &mut Ctx<'_>,
+) {
+    let has_left = book.left.values().any(|left| left.worker == key);
+    let Some(w) = book.workers.get_mut(key) else {
+        return;
+    };
+    ctx.tell(told::restarted(w, born_wall_ms, "its account"));
+    w.is_superseded = true;
+    w.is_listed = false;
+    w.answers = false;
+    let is_empty = w.tasks.is_empty() && !has_left;
+    let left_ms = if is_empty { 0 } else { STRAY_LEASE_MS };
+    w.lease_over_ms = ctx.now.ms + left_ms;
+    ctx.after(left_ms, Timer::LeaseOver(key));
+    holds::forget_if_over(book, key, ctx);
+}
+
+/// Runs that a life tells of although the books have them on an earlier life of its id: their starts reached this one.
+pub(super) fn adopt(
+    book: &mut Book,
+    key: WorkerKey,
+    report: &HoldReport,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(w) = book.workers.get(key) else {
+        return;
+    };
+    let lives = book.lives_of(&w.fact.id).map(|(life, _)| life);
+    let earlier: Vec<WorkerKey> = lives.filter(|life| *life != key).collect();
+    if earlier.is_empty() {
+        return;
+    }
+    let running = report.running.iter().map(|r| (&r.task, r.run));
+    let ended = report.ended.iter().map(|e| (&e.task, e.run));
+    let told: HashSet<(&TaskName, u32)> = running.chain(ended).collect();
+    for (name, run) in &told {
+        if let Some(task) = book.find(name) {
+            adopt_task(book, task, *run, &earlier, key, epoch, ctx);
+        }
+    }
+    let left = book.left.iter().filter(|((_, run), left)| {
+        earlier.contains(&left.worker) && told.contains(&(&left.name, *run))
+    });
+    let left: Vec<(TaskKey, u32)> = left.map(|(run, _)| *run).collect();
+    for (task, run) in left {
+        book.move_left((task, run), key);
+        runs::restop(book, task, run, epoch, ctx);
+    }
+}
+
+fn adopt_task(
+    book: &mut Book,
+    key: TaskKey,
+    run: u32,
+    earlier: &[WorkerKey],
+    worker: WorkerKey,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(task) = book.task(key).filter(|task| task.run == run) else {
+        return;
+    };
+    let is_theirs = task.phase.worker().is_some_and(|on| earlier.contains(&on));
+    if !is_theirs {
+        return;
+    }
+    let is_stopping = matches!(task.phase, Phase::Stopping(_));
+    book.set_phase(key, Phase::Running(worker), ctx.now.ms);
+    if let Some(task) = book.task_mut(key) {
+        task.settled_ms = Some(ctx.now.ms);
+    }
+    if is_stopping {
+        runs::stop(book, key, epoch, ctx);
+    }
+}
--- /dev/null
+++ b/src/core/sched/roster.rs
@@ -0,0 +1,100 @@
+//! The workers in an owner's books: each life by its id and its host.
+//!
+//! A worker may start again under the id that it had. What it holds, counts and has been told ends with its life, so each
+//! life is a worker of its own here: the id together with the time of its start names it.
+
+use std::collections::HashMap;
+
+use super::book::Book;
+use super::keys::WorkerKey;
+use super::worker::Worker;
+use crate::clock::Millis;
+
+impl Book {
+    /// Adds a worker's life.
+    pub fn add_worker(&mut self, mut worker: Worker) -> WorkerKey {
+        worker.is_closing |= self.closing.contains(&worker.fact.host);
+        worker.is_going |= self.going.contains(&worker.fact.host);
+        let (id, host) = (worker.fact.id.clone(), worker.fact.host.clone());
+        let key = self.workers.insert(worker);
+        self.by_life.entry(id).or_default().push(key);
+        // Workers that name no host share none: taken for lives of one, each account ended all others.
+        if !host.is_empty() {
+            self.by_host.entry(host).or_default().push(key);
+        }
+        self.note_room(key);
+        key
+    }
+
+    /// Drops a worker's life.
+    pub fn remove_worker(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        self.recording.remove(&key);
+        self.room.remove(key);
+        drop_life(&mut self.by_life, &worker.fact.id, key);
+        drop_life(&mut self.by_host, &worker.fact.host, key);
+    }
+
+    /// Takes note of what a worker has free now.
+    pub fn note_room(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get(key) {
+            self.room.note(key, worker);
+        }
+    }
+
+    /// Lives of a worker's id, those that are over and not forgotten included.
+    pub fn lives_of(&self, id: &str) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        let keys = self.by_life.get(id).into_iter().flatten();
+        keys.filter_map(|key| Some((*key, self.workers.get(*key)?)))
+    }
+
+    /// The life of an id that began at that time. Where one of the two tells no time, the id alone names it.
+    pub fn life(&self, id: &str, born_wall_ms: Option<Millis>) -> Option<WorkerKey> {
+        let same = |w: &Worker| w.fact.born_wall_ms == born_wall_ms;
+        let lives = || self.lives_of(id);
+        let exact = lives().find(|(_, w)| same(w));
+        let answering = lives().find(|(_, w)| w.answers && w.is_born(born_wall_ms));
+        let found = exact.or(answering);
+        let found = found.or_else(|| lives().find(|(_, w)| w.is_born(born_wall_ms)));
+        found.map(|(key, _)| key)
+    }
+
+    /// Other lives of a life's id or host.
+    pub fn lives_beside(&self, key: WorkerKey) -> Vec<WorkerKey> {
+        let Some(worker) = self.workers.get(key) else {
+            return Vec::new();
+        };
+        let on_host = self.lives_on(&worker.fact.host);
+        let of_id = self.lives_of(&worker.fact.id);
+        let mut others: Vec<WorkerKey> = on_host.chain(of_id).map(|(other, _)| other).collect();
+        others.sort_unstable();
+        others.dedup();
+        others.retain(|other| *other != key);
+        others
+    }
+
+    /// Lives on a host, ended ones that are not forgotten included.
+    pub fn lives_on(&self, host: &str) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        let keys = self.by_host.get(host).into_iter().flatten();
+        keys.filter_map(|key| Some((*key, self.workers.get(*key)?)))
+    }
+
+    /// The worker on a host: the life that answers, else one that is listed.
+    pub fn worker_on(&self, host: &str) -> Option<WorkerKey> {
+        let on_host = || self.lives_on(host).filter(|(_, w)| w.is_listed);
+        let answering = on_host().find(|(_, w)| w.answers);
+        answering.or_else(|| on_host().next()).map(|(key, _)| key)
+    }
+}
+
+fn drop_life(lives: &mut HashMap<String, Vec<WorkerKey>>, name: &str, key: WorkerKey) {
+    let Some(named) = lives.get_mut(name) else {
+        return;
+    };
+    named.retain(|life| *life != key);
+    if named.is_empty() {
+        lives.remove(name);
+    }
+}
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -90,12 +90,30 @@
     /// Workers that tasks name by their place here: id of the life, and host.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub workers: Vec<(String, String)>,
+    /// When these lives began, in the same order; 0 where that is not known.
+    #[serde(default, skip_serializing_if = "are_unknown")]
+    pub born_wall_ms: Vec<Millis>,
     /// Rounds that have begun and are not done.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rounds: Vec<RoundRow>,
 }
 
 impl ProgressRow {
+    /// Names a life; gives its place.
+    pub fn add_life(&mut self, id: &str, host: &str, born_wall_ms: Option<Millis>) -> u16 {
+        self.workers.push((id.to_string(), host.to_string()));
+        self.born_wall_ms.push(born_wall_ms.unwrap_or(0));
+        (self.workers.len() - 1) as u16
+    }
+
+    /// The lives that tasks name: id, host, and when each began, where that is known.
+    pub fn lives(&self) -> impl Iterator<Item = (&str, &str, Option<Millis>)> {
+        let born = self.born_wall_ms.iter().copied().map(Some);
+        let born = born.chain(std::iter::repeat(None));
+        let lives = self.workers.iter().zip(born);
+        lives.map(|((id, host), born)| (&**id, &**host, born.filter(|ms| *ms > 0)))
+    }
+
     /// Rounds below this one have begun; those of them that are not listed are done.
     pub fn begun(&self) -> u32 {
         let last = self.rounds.last().map_or(0, |round| round.round + 1);
@@ -103,6 +121,10 @@
     }
 }
 
+fn are_unknown(born_wall_ms: &[Millis]) -> bool {
+    born_wall_ms.iter().all(|ms| *ms == 0)
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -22,9 +22,9 @@
 /// Pause for a worker that says that it is unwell or can't be connected to.
 const UNWELL_PAUSE_MS: u64 = 500;
 
-/// Where orders to a worker go.
+/// Where orders to a worker go; nowhere once a later life has its id.
 pub fn order(book: &Book, worker: WorkerKey, epoch: u64, ctx: &Ctx<'_>) -> Option<Order> {
-    let worker = book.workers.get(worker)?;
+    let worker = book.workers.get(worker).filter(|w| !w.is_superseded)?;
     Some(Order {
         pool: ctx.pool,
         book: book.id,
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -98,6 +98,8 @@
     pub is_offered: bool,
     /// It left the platform's list while it answered: it is about to end, and did not say so.
     pub is_withdrawn: bool,
+    /// A later life answered under its id: nothing more is sent to it.
+    pub is_superseded: bool,
 }
 
 impl Worker {
@@ -129,6 +131,7 @@
             is_spare: false,
             is_offered: false,
             is_withdrawn: false,
+            is_superseded: false,
         }
     }
 
@@ -143,6 +146,12 @@
             && now_ms >= self.suspended_until_ms
     }
 
+    /// Whether it is the life that began then; without a time on one side, the id alone tells.
+    pub fn is_born(&self, born_wall_ms: Option<Millis>) -> bool {
+        let ours = self.fact.born_wall_ms;
+        ours.is_none() || born_wall_ms.is_none() || ours == born_wall_ms
+    }
+
     /// Whether it ever stood in the platform's list; others are known from what a former owner recorded.
     pub fn is_known(&self) -> bool {
         self.fact.address.port() != 0
--- a/tests/test_room.rs
+++ b/tests/test_room.rs
@@ -91,7 +91,7 @@
     let mut book = Book::default();
     let mut rng = Rng::with_seed(1);
     add_worker(&mut book, 0, &mut rng);
-    let key = book.by_life["life-0"];
+    let key = book.life("life-0", None).expect("it was added");
     let worker = &mut book.workers[key];
     worker.answers = true;
     let taken = worker.used;
