Orders to a later life of an id carry a higher fence than those that were meant for an earlier one

Callers saw tasks started twice where an order was on its way as its worker restarted: the order names the id alone, which the later life has, too, so that the life header guards nothing, and a fence that only the owner's epoch raises does not either. A start whose answer was lost was carried out by the later life after its task had been requeued, or done elsewhere.

A fence holds the owner's epoch, its reading of the rows and the restarts of the worker's id (fence.rs). A life that comes up where an earlier one is known is asked first; its next hold carries the raised fence, and the account that it gives then is the first to count. A refusal for the fence of something that was on its way then does not mean that the pool is lost.

Orders that a process took end with it there; within the 0.4 s for which a sender waits they reach whichever life is up.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -57,6 +57,8 @@
     pub workers: SlotMap<WorkerKey, Worker>,
     /// Workers' lives by id; an id may come again.
     pub by_life: HashMap<String, Vec<WorkerKey>>,
+    /// Restarts of ids whose workers were dropped, and when that was: orders to these may still be on their way.
+    pub dropped: HashMap<String, (u32, Millis)>,
     /// Workers' lives by host.
     pub by_host: HashMap<String, Vec<WorkerKey>>,
     /// Hosts that are to leave for upkeep, until they were ordered out: what comes there gets nothing.
--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -97,11 +97,15 @@
         Ok(report) if !w.is_born(report.born_wall_ms) => {
             restarts::supersede(book, key, report.born_wall_ms, ctx);
         }
+        Ok(_) if w.is_unproven => {
+            restarts::prove(book, key, ctx);
+            next(book, key, epoch, ctx);
+        }
         Ok(report) if w.is_superseded => {
             take_ends(book, key, sent_ms, &report, epoch, ctx);
         }
         Ok(report) => account(book, key, sent_ms, report, epoch, ctx),
-        Err(OrderReply::Fenced) => return true,
+        Err(OrderReply::Fenced) if !w.has_restarted() => return true,
         Err(OrderReply::OtherLife) => {
             w.is_listed = false;
             runs::worker_over(book, key, &Evidence::Answer("hold"), ctx);
@@ -164,7 +168,7 @@
     if w.is_listed || w.answers || ctx.now.ms < w.lease_over_ms || !w.tasks.is_empty() {
         return;
     }
-    book.remove_worker(key);
+    book.remove_worker(key, ctx.now.ms);
 }
 
 fn account(
@@ -267,8 +271,7 @@
     let mut earlier = book.lives_beside(key);
     earlier.retain(|other| {
         let w = &book.workers[*other];
-        let was_there = w.heard_ms > 0 || !w.tasks.is_empty() || w.is_superseded;
-        was_there && w.heard_ms < sent_ms
+        w.was_there() && w.heard_ms < sent_ms
     });
     let life = book.workers[key].fact.id.clone();
     for other in earlier {
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -77,6 +77,9 @@
 /// Longest lease that a worker takes: the platform's workers cut longer ones to 6 or 10 s.
 pub const WORKER_LEASE_MAX_MS: Millis = 10_000;
 
+/// The id of a worker that was dropped is known for so long: orders to it may be carried out seconds later.
+pub const DROPPED_KEPT_MS: Millis = 60_000;
+
 /// Workers' clocks may run slow by 2%.
 pub const CLOCK_SLOW_PERCENT: u64 = 2;
 
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -13,6 +13,7 @@
 pub mod crashes;
 mod exchange;
 pub mod fairness;
+pub mod fence;
 pub mod gang;
 mod handover;
 pub mod holds;
--- a/src/core/sched/restarts.rs
+++ b/src/core/sched/restarts.rs
@@ -21,6 +21,25 @@
 const STRAY_LEASE_MS: Millis =
     WORKER_LEASE_MAX_MS * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS;
 
+/// Takes in that a life answers where earlier ones of its id were known. Its next hold bars all that is on its way to them:
+/// the account that it gives then is the first to count.
+pub(super) fn prove(book: &mut Book, key: WorkerKey, ctx: &mut Ctx<'_>) {
+    let Some(w) = book.workers.get_mut(key) else {
+        return;
+    };
+    w.is_unproven = false;
+    w.restarts += 1;
+    let born_wall_ms = w.fact.born_wall_ms;
+    let id = w.fact.id.clone();
+    let others = book
+        .lives_of(&id)
+        .filter(|(other, w)| *other != key && w.was_there());
+    let earlier: Vec<WorkerKey> = others.map(|(other, _)| other).collect();
+    for other in earlier {
+        supersede(book, other, born_wall_ms, ctx);
+    }
+}
+
 /// Takes in that another life answered what was sent to this one. What may run under its id is told by the account of the
 /// life that is there now.
 pub(super) fn supersede(
@@ -30,7 +49,7 @@
     ctx: &mut Ctx<'_>,
 ) {
     let has_left = book.left.values().any(|left| left.worker == key);
-    let Some(w) = book.workers.get_mut(key) else {
+    let Some(w) = book.workers.get_mut(key).filter(|w| !w.is_superseded) else {
         return;
     };
     ctx.tell(told::restarted(w, born_wall_ms, "its account"));
--- a/src/core/sched/roster.rs
+++ b/src/core/sched/roster.rs
@@ -7,6 +7,7 @@
 
 use super::book::Book;
 use super::keys::WorkerKey;
+use super::limits::DROPPED_KEPT_MS;
 use super::worker::Worker;
 use crate::clock::Millis;
 
@@ -16,6 +17,10 @@
         worker.is_closing |= self.closing.contains(&worker.fact.host);
         worker.is_going |= self.going.contains(&worker.fact.host);
         let (id, host) = (worker.fact.id.clone(), worker.fact.host.clone());
+        if let Some(restarts) = self.restarts(&id) {
+            worker.restarts = restarts;
+            worker.is_unproven = true;
+        }
         let key = self.workers.insert(worker);
         self.by_life.entry(id).or_default().push(key);
         // Workers that name no host share none: taken for lives of one, each account ended all others.
@@ -26,11 +31,25 @@
         key
     }
 
+    /// How often an id has begun anew, if these books have met it.
+    pub fn restarts(&self, id: &str) -> Option<u32> {
+        let met = self.lives_of(id).filter(|(_, w)| w.is_known());
+        let dropped = self.dropped.get(id).map(|(restarts, _)| *restarts);
+        met.map(|(_, w)| w.restarts).chain(dropped).max()
+    }
+
     /// Drops a worker's life.
-    pub fn remove_worker(&mut self, key: WorkerKey) {
+    pub fn remove_worker(&mut self, key: WorkerKey, now_ms: Millis) {
         let Some(worker) = self.workers.remove(key) else {
             return;
         };
+        self.dropped
+            .retain(|_, (restarts, at_ms)| *restarts > 0 || now_ms < *at_ms + DROPPED_KEPT_MS);
+        if worker.is_known() {
+            let id = worker.fact.id.clone();
+            let dropped = self.dropped.entry(id).or_default();
+            *dropped = (dropped.0.max(worker.restarts), now_ms);
+        }
         self.recording.remove(&key);
         self.room.remove(key);
         drop_life(&mut self.by_life, &worker.fact.id, key);
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -5,6 +5,7 @@
 
 use super::book::{Book, LeftRun};
 use super::crashes::{self, Evidence};
+use super::fence;
 use super::gang;
 use super::job::JobState;
 use super::keys::{JobKey, TaskKey, WorkerKey};
@@ -31,7 +32,7 @@
         to: Addressee {
             worker: worker.fact.id.clone(),
             address: worker.fact.address,
-            fence: epoch,
+            fence: fence::of(book.id, epoch, worker.restarts),
         },
         until_ms: ctx.until_ms,
     })
@@ -73,6 +74,11 @@
     ctx.out.push(Effect::Start(order, key, start));
 }
 
+/// Whether a refusal for the fence tells that another entry owns the pool.
+fn is_fenced_out(book: &Book, worker: WorkerKey) -> bool {
+    book.workers.get(worker).is_some_and(|w| !w.has_restarted())
+}
+
 /// Settles a start; says whether the pool is lost.
 pub fn started(
     book: &mut Book,
@@ -118,7 +124,10 @@
             refused(book, key, "worker unwell", epoch, ctx);
         }
         OrderReply::OtherLife => worker_over(book, worker, &Evidence::Answer("start"), ctx),
-        OrderReply::Fenced => return true,
+        OrderReply::Fenced if is_fenced_out(book, worker) => return true,
+        OrderReply::Fenced => {
+            refused(book, key, "a later life of its worker is there", epoch, ctx);
+        }
     }
     false
 }
@@ -221,7 +230,7 @@
     match reply {
         OrderReply::Accepted | OrderReply::Outdated => settle(book, key, ctx),
         OrderReply::OtherLife => worker_over(book, worker, &Evidence::Answer("stop"), ctx),
-        OrderReply::Fenced => return true,
+        OrderReply::Fenced if is_fenced_out(book, worker) => return true,
         _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
     }
     false
@@ -430,6 +439,10 @@
     reply: OrderReply,
     ctx: &mut Ctx<'_>,
 ) -> bool {
+    let Some(left) = book.left.get(&(key, run)) else {
+        return false;
+    };
+    let is_fenced_out = is_fenced_out(book, left.worker);
     let Some(left) = book.left.get_mut(&(key, run)) else {
         return false;
     };
@@ -439,7 +452,7 @@
             let worker = left.worker;
             worker_over(book, worker, &Evidence::Answer("stop"), ctx);
         }
-        OrderReply::Fenced => return true,
+        OrderReply::Fenced if is_fenced_out => return true,
         _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
     }
     false
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -100,6 +100,10 @@
     pub is_withdrawn: bool,
     /// A later life answered under its id: nothing more is sent to it.
     pub is_superseded: bool,
+    /// How often its id had begun anew as it was met; part of the fence of all orders to it.
+    pub restarts: u32,
+    /// It is not known yet whether it is up or an earlier life of its id: the first answer tells.
+    pub is_unproven: bool,
 }
 
 impl Worker {
@@ -132,6 +136,8 @@
             is_offered: false,
             is_withdrawn: false,
             is_superseded: false,
+            restarts: 0,
+            is_unproven: false,
         }
     }
 
@@ -152,6 +158,16 @@
         ours.is_none() || born_wall_ms.is_none() || ours == born_wall_ms
     }
 
+    /// Whether its id has begun anew: an order that was on its way then is refused for its fence, whoever owns the pool.
+    pub fn has_restarted(&self) -> bool {
+        self.is_superseded || self.restarts > 0
+    }
+
+    /// Whether it was heard, or given work by this owner or a former one. Another may be younger than all that is known.
+    pub fn was_there(&self) -> bool {
+        self.heard_ms > 0 || !self.tasks.is_empty() || self.is_superseded
+    }
+
     /// Whether it ever stood in the platform's list; others are known from what a former owner recorded.
     pub fn is_known(&self) -> bool {
         self.fact.address.port() != 0
--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -5,9 +5,23 @@
 //! day, of a worker that had restarted 5 s before: `ends-taken` "again 6, taken_before 9, told_seen 9, runs ''", and in the same
 //! moment `task-requeued` "not among what the worker runs, answered 1, settled_ago_ms 1596" for four tasks.
 
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::holds;
 use rockwick::core::sched::job::JobState;
+use rockwick::core::sched::keys::{TaskKey, WorkerKey};
+use rockwick::core::sched::load;
+use rockwick::core::sched::place;
+use rockwick::core::sched::rows;
+use rockwick::core::sched::runs;
+use rockwick::core::sched::state::Effect;
+use rockwick::core::sched::tasks::Phase;
+use rockwick::core::sched::worker::ClockSample;
+use rockwick::port::fleet::{
+    EndKind, HoldAsk, HoldReport, OrderReply, RunEnd, RunningTask, StoredRow, TaskName, WorkerFact,
+};
 
-use crate::world::{job, World};
+use crate::decide::decide;
+use crate::world::{config, job, worker_fact, World, POOL};
 
 /// Worlds of their own.
 const SEEDS: u64 = 120;
@@ -58,3 +72,315 @@
     let broken = broken(false);
     assert!(broken.is_empty(), "{} broke: {broken:?}", broken.len());
 }
+
+/// Epoch of the owner.
+const EPOCH: u64 = 7;
+
+/// When the earlier life began, and the later one: its wall clock was set back.
+const BORN_MS: [u64; 2] = [50_000, 49_000];
+
+/// What the earlier life's clock shows as that is heard last.
+const EARLIER_CLOCK_MS: u64 = 60_000;
+
+/// When the earlier life is heard last.
+const HEARD_MS: u64 = 2_000;
+
+/// Its id, and the later one's.
+const ID: &str = "i-1";
+
+fn fact(born_wall_ms: u64) -> WorkerFact {
+    WorkerFact {
+        born_wall_ms: Some(born_wall_ms),
+        ..worker_fact(ID, "host")
+    }
+}
+
+fn name(index: u16) -> TaskName {
+    TaskName {
+        job: "a".to_string(),
+        round: 0,
+        step: 0,
+        index,
+    }
+}
+
+/// Books with a worker that has been heard, and two tasks on it: the first one's start was answered, the second one's not.
+struct Scene {
+    book: Book,
+    earlier: WorkerKey,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let mut book = Book::default();
+        let earlier = load::add_worker(&mut book, fact(BORN_MS[0]), 0);
+        let w = &mut book.workers[earlier];
+        w.answers = true;
+        w.heard_ms = HEARD_MS;
+        w.taken = 9;
+        w.recorded = 9;
+        w.clock = Some(ClockSample {
+            local_ms: HEARD_MS,
+            worker_ms: EARLIER_CLOCK_MS,
+        });
+        let row = StoredRow {
+            part: POOL.to_string(),
+            key: "a".to_string(),
+            value: Some(rows::encode(&job(2, 100, 500))),
+            revision: EPOCH + 1,
+        };
+        decide(HEARD_MS, |ctx| {
+            load::apply_intake(&mut book, &row, &config(1), EPOCH, ctx);
+            place::place(&mut book, ctx);
+            for (task, run) in std::mem::take(&mut book.unsent) {
+                runs::send_start(&mut book, task, run, EPOCH, ctx);
+            }
+        });
+        let mut scene = Scene { book, earlier };
+        scene.answered(0, HEARD_MS + 5, OrderReply::Accepted);
+        scene
+    }
+
+    fn task(&self, index: u16) -> TaskKey {
+        self.book.find(&name(index)).expect("the task is there")
+    }
+
+    fn phase(&self, index: u16) -> Phase {
+        let task = self.book.task(self.task(index));
+        task.expect("the task is there").phase
+    }
+
+    fn answered(&mut self, index: u16, now_ms: u64, reply: OrderReply) -> bool {
+        let task = self.task(index);
+        let mut is_lost = false;
+        decide(now_ms, |ctx| {
+            is_lost = runs::started(&mut self.book, task, 1, reply, EPOCH, ctx);
+        });
+        is_lost
+    }
+
+    /// A worker's account, asked for 5 ms before.
+    fn held(&mut self, key: WorkerKey, now_ms: u64, report: HoldReport) -> Vec<Effect> {
+        decide(now_ms, |ctx| {
+            let sent_ms = now_ms - 5;
+            let is_lost = holds::held(&mut self.book, key, sent_ms, Ok(report), EPOCH, ctx);
+            assert!(!is_lost, "the pool is not lost");
+        })
+    }
+
+    /// The later life's entry is read, and it answers; gives its key and the fence of its second hold.
+    fn prove_later(&mut self, now_ms: u64) -> (WorkerKey, u64) {
+        let later = load::add_worker(&mut self.book, fact(BORN_MS[1]), now_ms);
+        let effects = self.held(later, now_ms + 10, report(BORN_MS[1], now_ms));
+        let (fence, ask) = only_hold(&effects);
+        assert_eq!((ask.seen, ask.lease_until_ms), (0, None));
+        (later, fence)
+    }
+}
+
+fn report(born_wall_ms: u64, clock_ms: u64) -> HoldReport {
+    HoldReport {
+        born_wall_ms: Some(born_wall_ms),
+        clock_ms,
+        ..HoldReport::default()
+    }
+}
+
+fn end(number: u64, index: u16) -> RunEnd {
+    RunEnd {
+        number,
+        task: name(index),
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    }
+}
+
+fn running(index: u16) -> RunningTask {
+    RunningTask {
+        task: name(index),
+        run: 1,
+        checkpoint: String::new(),
+        percent: 0,
+        gauge: 0,
+    }
+}
+
+fn only_hold(effects: &[Effect]) -> (u64, HoldAsk) {
+    let holds = effects.iter().filter_map(|effect| match effect {
+        Effect::Hold(order, _, ask) => Some((order.to.fence, *ask)),
+        _ => None,
+    });
+    let holds: Vec<_> = holds.collect();
+    assert_eq!(holds.len(), 1, "{effects:?}");
+    holds[0]
+}
+
+/// The later life counts its ends from 1, below what the earlier one had told.
+#[test]
+fn restarts_first_end() {
+    let mut scene = Scene::new();
+    let (later, _) = scene.prove_later(3_000);
+    let ended = vec![end(1, 0)];
+    let account = HoldReport {
+        ended,
+        ..report(BORN_MS[1], 20)
+    };
+    scene.held(later, 3_020, account);
+    assert_eq!(
+        scene.phase(0),
+        Phase::Done,
+        "its start had reached the later life"
+    );
+}
+
+/// What was sent to the earlier life names the later one, too. Until that has refused whatever comes late, no run counts as
+/// over; what it lists is there.
+#[test]
+fn restarts_adopt_start() {
+    let mut scene = Scene::new();
+    let (later, _) = scene.prove_later(3_000);
+    let earlier = scene.earlier;
+    assert_eq!(
+        scene.phase(0),
+        Phase::Running(earlier),
+        "its account is awaited"
+    );
+    let account = HoldReport {
+        running: vec![running(1)],
+        ..report(BORN_MS[1], 20)
+    };
+    scene.held(later, 3_020, account);
+    assert_eq!(
+        scene.phase(0),
+        Phase::Ready,
+        "it went with the earlier life"
+    );
+    assert_eq!(scene.phase(1), Phase::Running(later));
+    assert!(!scene.answered(1, 3_030, OrderReply::Silent));
+    assert_eq!(
+        scene.phase(1),
+        Phase::Running(later),
+        "a late answer tells nothing"
+    );
+}
+
+/// All orders to the later life carry a higher fence than those to the earlier one, and a refusal of such an order for its
+/// fence does not mean that another entry owns the pool.
+#[test]
+fn restarts_raise_fence() {
+    let mut scene = Scene::new();
+    let first = decide(HEARD_MS + 20, |ctx| {
+        holds::next(&mut scene.book, scene.earlier, EPOCH, ctx);
+    });
+    let (before, _) = only_hold(&first);
+    let (_, after) = scene.prove_later(3_000);
+    assert!(after > before, "{after} is not above {before}");
+    assert!(!scene.answered(1, 3_015, OrderReply::Fenced));
+    assert_eq!(
+        scene.phase(1),
+        Phase::Ready,
+        "that start was not carried out"
+    );
+}
+
+/// The later life's clock counts from its start, and its lease is computed from that.
+#[test]
+fn restarts_own_clock() {
+    let mut scene = Scene::new();
+    let (later, _) = scene.prove_later(3_000);
+    let effects = scene.held(later, 3_020, report(BORN_MS[1], 300));
+    let (_, ask) = only_hold(&effects);
+    let until_ms = ask.lease_until_ms.expect("it is known to be there");
+    assert!((300..EARLIER_CLOCK_MS).contains(&until_ms), "{until_ms}");
+}
+
+/// An account of the earlier life that is read after the later one is known: its ends count, and nothing more is sent to it.
+#[test]
+fn restarts_late_account() {
+    let mut scene = Scene::new();
+    scene.prove_later(3_000);
+    let account = HoldReport {
+        ended: vec![end(10, 0)],
+        ..report(BORN_MS[0], EARLIER_CLOCK_MS + 900)
+    };
+    let earlier = scene.earlier;
+    let effects = scene.held(earlier, 3_030, account);
+    assert_eq!(scene.phase(0), Phase::Done);
+    assert!(!scene.book.workers[earlier].answers);
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Hold(..))));
+}
+
+/// The answer to a hold tells of the later life before its entry is read: the earlier one gets no more orders.
+#[test]
+fn restarts_answer_first() {
+    let mut scene = Scene::new();
+    let earlier = scene.earlier;
+    scene.held(earlier, 3_000, report(BORN_MS[1], 20));
+    assert!(scene.book.workers[earlier].is_superseded);
+    assert_eq!(
+        scene.phase(0),
+        Phase::Running(earlier),
+        "nothing is known of its runs"
+    );
+}
+
+/// An entry that an earlier life wrote is seen after the later one is known: who answers there is the later one still.
+#[test]
+fn restarts_stale_entry() {
+    let mut scene = Scene::new();
+    let (later, _) = scene.prove_later(3_000);
+    scene.held(later, 3_020, report(BORN_MS[1], 20));
+    let stale = load::add_worker(&mut scene.book, fact(BORN_MS[0]), 3_100);
+    scene.held(stale, 3_120, report(BORN_MS[1], 120));
+    assert!(scene.book.workers.get(stale).is_none(), "it is not there");
+    assert!(scene.book.workers[later].answers);
+    assert!(!scene.book.workers[later].is_superseded);
+}
+
+/// Where the platform tells no start, a life is known by its id.
+#[test]
+fn restarts_no_born() {
+    let mut scene = Scene::new();
+    let earlier = scene.earlier;
+    let account = HoldReport {
+        born_wall_ms: None,
+        running: vec![running(0), running(1)],
+        ..report(0, EARLIER_CLOCK_MS + 900)
+    };
+    scene.held(earlier, 2_900, account);
+    assert_eq!(scene.phase(0), Phase::Running(earlier));
+    assert_eq!(scene.phase(1), Phase::Running(earlier));
+    assert_eq!(scene.book.life(ID, None), Some(earlier));
+}
+
+/// What was held against a worker ends with its life.
+#[test]
+fn restarts_clean_slate() {
+    let mut scene = Scene::new();
+    let w = &mut scene.book.workers[scene.earlier];
+    w.fails_in_row = 2;
+    w.suspensions = 3;
+    w.suspended_until_ms = 60_000;
+    let (later, _) = scene.prove_later(3_000);
+    scene.held(later, 3_020, report(BORN_MS[1], 20));
+    let w = &scene.book.workers[later];
+    assert_eq!((w.fails_in_row, w.suspensions, w.taken), (0, 0, 0));
+    assert!(w.is_open(3_020));
+    assert!(scene.book.workers.get(scene.earlier).is_none());
+}
+
+/// The record names lives, so that the next owner, who has met the later one alone, takes no run of the earlier one for its.
+#[test]
+fn restarts_on_record() {
+    let scene = Scene::new();
+    let key = scene.book.by_id["a"];
+    let row = scene.book.progress(key).expect("the job is there");
+    let named: Vec<_> = row.lives().collect();
+    assert_eq!(named, [(ID, "host", Some(BORN_MS[0]))]);
+    let read: rows::ProgressRow = rows::decode(&rows::encode(&row)).expect("it decodes");
+    assert_eq!(read, row);
+    let before = r#"{"state":"Running","workers":[["i-1","host"]]}"#;
+    let before: rows::ProgressRow = rows::decode(before.as_bytes()).expect("it decodes");
+    assert_eq!(before.lives().collect::<Vec<_>>(), [(ID, "host", None)]);
+}
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -9,7 +9,6 @@
             println!("{} entry-{n} {effect:?}", self.now_ms);
         }
         self.orderer = n;
-        const ORDER_TIMEOUT_MS: u64 = 400;
         match effect {
             Effect::Claim(pool, shard, tx) => {
                 let sent_ms = self.now_ms;
--- a/tests/world/restart.rs
+++ b/tests/world/restart.rs
@@ -15,6 +15,9 @@
         for task in w.running.keys() {
             *self.crashes.under.entry(task.clone()).or_default() += 1;
         }
+        if std::env::var_os("ROCKWICK_SEED").is_some() {
+            println!("{} {id} crashes, back in {back_after_ms} ms", self.now_ms);
+        }
         self.clear(id);
         self.at(back_after_ms, Happening::Restarted(id.to_string()));
     }
