Ends are acknowledged only to a life that was heard a moment before

Callers saw a done task started again after a worker had restarted while its owner could record nothing: no hold is out then, so that nothing tells of the crash, and the first hold to the later life acknowledged the numbers that the earlier one had told.

A hold to a worker that was not heard in the last 0.25 s acknowledges nothing; its answer tells which life is there. It costs an owner whose records take longer than that one more hold an account, which workers answer at once.

--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -9,7 +9,8 @@
 use super::crashes::{self, Evidence};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::{
-    HEARD_ON_MS, HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, RECORDING_WAIT_MS, WORKER_LEASE_MS,
+    HEARD_ON_MS, HOLD_IDLE_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, RECORDING_WAIT_MS, SAME_LIFE_MS,
+    WORKER_LEASE_MS,
 };
 use super::restarts;
 use super::runs;
@@ -52,6 +53,9 @@
     if let Some(until_ms) = lease_until_ms {
         w.lease_given(until_ms);
     }
+    // Ends are acknowledged to the life that told them. A later one would forget its own of these numbers, untold.
+    let is_same_life = w.answers && ctx.now.ms < w.heard_ms + SAME_LIFE_MS;
+    let seen = if is_same_life { seen } else { 0 };
     let wait_ms = match (lease_until_ms, w.tasks.is_empty()) {
         (None, _) => 0,
         // It would answer at once with the ends that are not on record.
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -77,6 +77,10 @@
 /// Longest lease that a worker takes: the platform's workers cut longer ones to 6 or 10 s.
 pub const WORKER_LEASE_MAX_MS: Millis = 10_000;
 
+/// A worker that was heard so lately is still in the same life: on the users' sites a crashed one is back after 0.3 s at the
+/// soonest.
+pub const SAME_LIFE_MS: Millis = 250;
+
 /// The id of a worker that was dropped is known for so long: orders to it may be carried out seconds later.
 pub const DROPPED_KEPT_MS: Millis = 60_000;
 
--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -284,6 +284,23 @@
     );
 }
 
+/// A life that has told nothing of itself for a while may be another one by now: it would take the acknowledgement of ends
+/// that the earlier one told for its own.
+#[test]
+fn restarts_keep_seen() {
+    let mut scene = Scene::new();
+    let soon = decide(HEARD_MS + 100, |ctx| {
+        holds::next(&mut scene.book, scene.earlier, EPOCH, ctx);
+    });
+    assert_eq!(only_hold(&soon).1.seen, 9);
+    let mut scene = Scene::new();
+    let late = decide(HEARD_MS + 400, |ctx| {
+        holds::next(&mut scene.book, scene.earlier, EPOCH, ctx);
+    });
+    let (_, ask) = only_hold(&late);
+    assert_eq!(ask.seen, 0);
+}
+
 /// The later life's clock counts from its start, and its lease is computed from that.
 #[test]
 fn restarts_own_clock() {
