What runs on a restarted worker may do so until the longest lease is over

A deadline on the earlier life's clock, which had counted for longer, had reached the later life; a worker never shortens one.

Once a life is known to follow another one, its lease counts from then for the longest time that workers take at all. It delays only what ran on a worker that falls silent within 10 s of its restart.

--- a/src/core/sched/restarts.rs
+++ b/src/core/sched/restarts.rs
@@ -29,6 +29,8 @@
     };
     w.is_unproven = false;
     w.restarts += 1;
+    // A deadline that was meant for an earlier life is never shortened.
+    w.lease_over_ms = w.lease_over_ms.max(ctx.now.ms + STRAY_LEASE_MS);
     let born_wall_ms = w.fact.born_wall_ms;
     let id = w.fact.id.clone();
     let others = book
--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -312,6 +312,15 @@
     assert!((300..EARLIER_CLOCK_MS).contains(&until_ms), "{until_ms}");
 }
 
+/// A deadline for the earlier life's clock may have reached the later one, and is never shortened: what runs there may do so
+/// until the longest lease is over.
+#[test]
+fn restarts_longest_lease() {
+    let mut scene = Scene::new();
+    let (later, _) = scene.prove_later(3_000);
+    assert!(scene.book.workers[later].lease_over_ms >= 13_000);
+}
+
 /// An account of the earlier life that is read after the later one is known: its ends count, and nothing more is sent to it.
 #[test]
 fn restarts_late_account() {
