Stand-in: workers start again under their ids, with all counts begun anew; the soak brings that by chance

Entries and accounts carry the start of the life. A restart begins the worker's numbers, clock, fence and runs anew; orders that its process took end with it, what is on its way meets the later life. What was done and noted is kept by life.

--- a/standin/src/fleet/clocks.rs
+++ b/standin/src/fleet/clocks.rs
@@ -24,6 +24,14 @@
         }
     }
 
+    /// A clock that counts from 0 now.
+    pub(super) fn anew(now_ms: u64) -> Self {
+        Self {
+            born_ms: now_ms,
+            ..Self::default()
+        }
+    }
+
     /// What it shows.
     pub(super) fn shows(self, now_ms: u64) -> u64 {
         let lived_ms = now_ms - self.born_ms;
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod clocks;
 mod promises;
+mod restarts;
 mod runs;
 mod store;
 mod trouble;
@@ -101,6 +102,10 @@
 /// A worker's life.
 #[derive(Default)]
 struct Worker {
+    /// Its number among all lives.
+    serial: u64,
+    /// Unix time of its start.
+    born_ms: u64,
     clock: WorkerClock,
     fence: u64,
     lease_until_ms: u64,
@@ -145,10 +150,14 @@
     rng: fastrand::Rng,
     /// Draws of what came later, so that older seeds play as they did.
     late_rng: fastrand::Rng,
+    /// Draws of when lives say that they were born.
+    births: fastrand::Rng,
     /// Lives have clocks of their own, some of them slow.
     has_clocks: bool,
-    /// Lives, ended ones included.
+    /// The last life of each id, ended ones included.
     workers: BTreeMap<String, Worker>,
+    /// Lives that end come again under their ids.
+    keeps_ids: bool,
     hosts: Vec<Host>,
     lives: u64,
     upkeeps: Vec<String>,
@@ -211,6 +220,7 @@
         let mut state = self.lock();
         state.rng = fastrand::Rng::with_seed(seed);
         state.late_rng = fastrand::Rng::with_seed(seed.rotate_left(17));
+        state.births = fastrand::Rng::with_seed(seed.rotate_left(29));
     }
 
     /// Writes a row as the operator or a worker would.
--- a/standin/src/fleet/runs.rs
+++ b/standin/src/fleet/runs.rs
@@ -7,8 +7,10 @@
 pub(super) struct Start {
     /// When.
     pub(super) at_ms: u64,
-    /// Where.
+    /// Where: the id.
     pub(super) life: String,
+    /// Where: the life.
+    pub(super) label: String,
     /// Its run.
     pub(super) run: u64,
     /// Epoch of the owner that ordered it.
@@ -47,7 +49,7 @@
         }
         Some(format!(
             "{} ms: {task} run {} starts on {} under epoch {}, after run {} was done on {} at {} ms, noted at {noted_ms} ms",
-            start.at_ms, start.run, start.life, start.fence, self.run, self.life, self.at_ms
+            start.at_ms, start.run, start.label, start.fence, self.run, self.life, self.at_ms
         ))
     }
 }
--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -13,6 +13,9 @@
 use super::trouble::Fate;
 use super::{Fleet, Run, State, Worker, LOOK_MS, UPKEEP_MS};
 
+/// An order that got no answer by then is given up by its sender.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A lease that a worker takes at most.
 const LEASE_MAX_MS: u64 = 10_000;
 
@@ -68,11 +71,12 @@
         worker.next_end += 1;
         let row = json!([worker.next_end, task, run, how, ""]);
         worker.ended.push(row);
-        self.promises.note_end(task, how, (life, run), at_ms);
+        let label = self.label(life);
+        self.promises.note_end(task, how, (&label, run), at_ms);
     }
 
     /// A host's worker ends, with all that runs there.
-    fn end_life(&mut self, n: usize, now_ms: u64) -> Option<String> {
+    pub(super) fn end_life(&mut self, n: usize, now_ms: u64) -> Option<String> {
         let life = self.hosts[n].life.take()?;
         self.settle(&life, now_ms);
         if let Some(worker) = self.workers.get_mut(&life) {
@@ -85,25 +89,36 @@
 impl Fleet {
     /// A worker's new life on a host.
     pub(super) fn new_life(&self, n: usize) {
-        let (life, row) = {
+        let life = format!("i-{}", self.lock().lives);
+        self.begin_life(n, life);
+    }
+
+    /// A life of this id begins on a host.
+    pub(super) fn begin_life(&self, n: usize, life: String) {
+        let row = {
             let mut state = self.lock();
-            let life = format!("i-{}", state.lives);
             state.lives += 1;
+            let serial = state.lives;
             let now_ms = self.clock_ms();
-            let clock = match state.has_clocks {
-                true => WorkerClock::draw(&mut state.late_rng, now_ms),
-                false => WorkerClock::default(),
+            let starts = state.workers.get(&life).map(|earlier| earlier.starts);
+            let clock = match (starts, state.has_clocks) {
+                (Some(_), _) => WorkerClock::anew(now_ms),
+                (None, true) => WorkerClock::draw(&mut state.late_rng, now_ms),
+                (None, false) => WorkerClock::default(),
             };
+            let born_ms = state.born_ms();
             let worker = Worker {
+                serial,
+                born_ms,
                 clock,
+                starts: starts.unwrap_or(0),
                 ..Worker::default()
             };
             state.workers.insert(life.clone(), worker);
             let host = &mut state.hosts[n];
             host.life = Some(life.clone());
             host.out_for = None;
-            let row = entry(&self.pool, &host.name, &host.address.to_string());
-            (life, row)
+            entry(&self.pool, &host.name, &host.address.to_string(), born_ms)
         };
         self.put("servers", "", &life, &row);
     }
@@ -113,7 +128,9 @@
         let mut state = self.lock();
         state.hosts[n].address = address;
         let host = &state.hosts[n];
-        let row = entry(&self.pool, &host.name, &address.to_string());
+        let worker = host.life.as_ref().and_then(|life| state.workers.get(life));
+        let born_ms = worker.map_or(0, |w| w.born_ms);
+        let row = entry(&self.pool, &host.name, &address.to_string(), born_ms);
         let life = host.life.clone();
         drop(state);
         if let Some(life) = life {
@@ -154,6 +171,10 @@
     }
 
     fn come_back(&self, n: usize, life: String, after_ms: u64, listed_ms: u64) {
+        if self.lock().keeps_ids {
+            self.start_again(n, life, after_ms);
+            return;
+        }
         let fleet = self.clone();
         self.runtime.run(async move {
             Timer::after(Duration::from_millis(after_ms)).await;
@@ -235,7 +256,10 @@
         let body: Value = serde_json::from_slice(&incoming.body).unwrap_or_default();
         let is_hold = incoming.head.url().path() == "/hold";
         let fence = body["fencing_token"].as_u64().unwrap_or(0);
-        let fate = self.lock().fate(n, is_hold, fence);
+        let (fate, serial) = {
+            let mut state = self.lock();
+            (state.fate(n, is_hold, fence), state.serial_on(n))
+        };
         match fate {
             Fate::Usual => return self.carry_out(n, incoming, &body).await,
             Fate::Lost => {
@@ -244,6 +268,11 @@
             }
             Fate::Late(after) => {
                 Timer::after(after).await;
+                // What a process took ends with it; what is still on its way meets whichever life is there.
+                if after > ORDER_TIMEOUT && self.lock().serial_on(n) != serial {
+                    self.unanswered().await;
+                    return answer(503, "application/json", Vec::new());
+                }
             }
             Fate::Unheard => {}
         }
@@ -319,6 +348,7 @@
         let start = Start {
             at_ms: now_ms,
             life: life.to_string(),
+            label: state.label(life),
             run,
             fence: body["fencing_token"].as_u64().unwrap_or(0),
         };
@@ -353,7 +383,12 @@
         let wait_ms = body["wait_ms"].as_u64().unwrap_or(0);
         let seen = body["last_seen"].as_u64().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait_ms);
+        let label = self.lock().label(life);
         loop {
+            if self.lock().label(life) != label {
+                self.unanswered().await;
+                return answer(503, "application/json", Vec::new());
+            }
             if let Some(res) = self.account(life, seen, Instant::now() >= until) {
                 return res;
             }
@@ -372,14 +407,16 @@
         worker.ended = rest;
         let ended = worker.ended.clone();
         let lapsed_ms = worker.lapsed_at(now_ms);
+        let born_ms = worker.born_ms;
         let clock_ms = worker.clock.shows(now_ms);
         let running = worker.running.iter();
         let running: Vec<Value> = running
             .map(|(task, r)| json!([task, r.run, "", 100, 0]))
             .collect();
+        let label = state.label(life);
         for end in noted {
             let text = |n: usize| end[n].as_str().unwrap_or("").to_string();
-            let of = (life, end[2].as_u64().unwrap_or(0));
+            let of = (&*label, end[2].as_u64().unwrap_or(0));
             let (task, how) = (text(1), text(3));
             let promises = &mut state.promises;
             promises.note_seen(&task, &how, of, lapsed_ms, now_ms);
@@ -387,7 +424,8 @@
         if ended.is_empty() && !at_once {
             return None;
         }
-        let body = json!({"clock_ms": clock_ms, "running": running, "ended": ended});
+        let body =
+            json!({"born": born_ms, "clock_ms": clock_ms, "running": running, "ended": ended});
         Some(json(200, &body))
     }
 }
@@ -402,8 +440,8 @@
     stated.parse().ok()
 }
 
-fn entry(pool: &str, host: &str, address: &str) -> Value {
+fn entry(pool: &str, host: &str, address: &str, born_ms: u64) -> Value {
     json!({"service": pool, "address": address, "zone": "hall", "state": "ready", "machine": host,
         "capacity": {"cpu": ROOM_MILLI, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
-        "sequence": 1})
+        "sequence": 1, "born": born_ms})
 }
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -29,6 +29,7 @@
     JoinHalls,
     List(usize),
     End(usize),
+    NewIds,
 }
 
 /// Faults that are under way.
@@ -195,6 +196,18 @@
                 stage.fleet.unlist(host);
                 self.later(ms, Undo::End(host));
             }
+            Rare::Restarts(count, back_ms) => {
+                let first = ms as usize;
+                for n in 0..count.min(stage.workers.len()) {
+                    stage
+                        .fleet
+                        .restart((first + n) % stage.workers.len(), back_ms);
+                }
+            }
+            Rare::KeptIds => {
+                stage.fleet.set_keeps_ids(true);
+                self.later(ms, Undo::NewIds);
+            }
         }
     }
 
@@ -336,6 +349,7 @@
                 Undo::MendParts => stage.fleet.set_parts_away(&[]),
                 Undo::List(host) => stage.fleet.relist(host),
                 Undo::End(host) => stage.fleet.crash(host, BACK_MS),
+                Undo::NewIds => stage.fleet.set_keeps_ids(false),
                 Undo::JoinHalls => stage.fleet.set_hall_cut(HallCut::None),
                 Undo::MendOrders => stage.fleet.set_order_fault(OrderFault::default()),
             }
--- a/standin/src/soak/rare.rs
+++ b/standin/src/soak/rare.rs
@@ -38,10 +38,14 @@
     Lapse(u64),
     /// A worker leaves the list without a word, serves on for a while and is gone.
     Withdrawn,
+    /// So many workers crash at once, and start again under their ids so much later.
+    Restarts(usize, u64),
+    /// Lives that end, by a crash or an upkeep, come again under their ids.
+    KeptIds,
 }
 
 /// How many kinds there are.
-const KINDS: usize = 12;
+const KINDS: usize = 14;
 
 /// The generators.
 pub(crate) struct Rares {
@@ -91,7 +95,9 @@
         8 => Rare::Parts(rng.usize(1..SHARDS)),
         9 => Rare::Handover,
         10 => Rare::Lapse(rng.u64(..2_000)),
-        _ => Rare::Withdrawn,
+        11 => Rare::Withdrawn,
+        12 => Rare::Restarts(rng.usize(1..5), rng.u64(20..3_000)),
+        _ => Rare::KeptIds,
     }
 }
 
