A life that began of late may hold a deadline that was meant for an earlier one, whoever owns the pool

A life whose start is less than 20 s ago by the wall clock counts as leased for the longest time that workers take, from when it is met.

--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -90,6 +90,14 @@
 /// Added to the end of a worker's lease before its runs count as over.
 pub const LEASE_SLACK_MS: Millis = 150;
 
+/// Longest time for which an order that was meant for an earlier life keeps runs alive on a later one: it names a moment on the
+/// earlier life's clock, which may be far ahead on the later one's.
+pub const STRAY_LEASE_MS: Millis =
+    WORKER_LEASE_MAX_MS * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS;
+
+/// A life that began so long ago is past all such orders: twice [`WORKER_LEASE_MAX_MS`], since wall clocks differ by seconds.
+pub const YOUNG_LIFE_MS: Millis = 2 * WORKER_LEASE_MAX_MS;
+
 /// How long a worker with work may keep a hold open waiting for an end.
 pub const HOLD_WAIT_MS: Millis = 1_000;
 
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -87,7 +87,8 @@
     }
 }
 
-pub(super) fn note_present(
+/// Takes in a worker's entry in the list.
+pub fn note_present(
     book: &mut Book,
     fact: &WorkerFact,
     offers: &Offers,
@@ -114,7 +115,7 @@
     if let Some((_, earlier)) = book.lives_of(&fact.id).last() {
         ctx.tell(told::restarted(earlier, fact.born_wall_ms, "its entry"));
     }
-    let key = load::add_worker(book, fact.clone(), ctx.now.ms);
+    let key = load::add_listed(book, fact.clone(), ctx.now.ms, ctx.now);
     let is_given = offers.is_given(&fact.host, &fact.id);
     book.workers[key].is_spare = is_given;
     book.workers[key].is_offered = is_given;
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -4,14 +4,17 @@
 use super::conflict;
 use super::job::{JobSpec, JobState};
 use super::keys::{BookId, JobKey, TaskKey, WorkerKey};
-use super::limits::{CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, WORKER_LEASE_MS};
+use super::limits::{
+    CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, STRAY_LEASE_MS, WORKER_LEASE_MS,
+    YOUNG_LIFE_MS,
+};
 use super::rows::{self, cancelled_job, shard_of_part, ProgressRow, RoundRow, Standing, TaskRow};
 use super::runs;
 use super::state::{Ctx, LoadedRows, State};
 use super::tasks::{Job, LivesEnded, Phase, Round, Seen, StepRun, Task};
 use super::times::Times;
 use super::worker::Worker;
-use crate::clock::Millis;
+use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{FleetConfig, StoredRow, WorkerFact, ABSENT};
 
@@ -42,7 +45,7 @@
         ..Book::default()
     };
     for fact in state.listed.values().filter(|f| f.pool == pool) {
-        add_worker(&mut book, fact.clone(), began_ms);
+        add_listed(&mut book, fact.clone(), began_ms, ctx.now);
     }
     let mut cancels = Vec::new();
     let mut intake = loaded.intake;
@@ -92,6 +95,24 @@
     book.add_worker(Worker::new(fact, began_ms + FOREIGN_LEASE_MS))
 }
 
+/// The same for a life that this owner did not see begin. A former owner may have sent it a deadline that was meant for an
+/// earlier life of its id, if it began of late.
+pub(super) fn add_listed(
+    book: &mut Book,
+    fact: WorkerFact,
+    began_ms: Millis,
+    now: Now,
+) -> WorkerKey {
+    let born_wall_ms = fact.born_wall_ms;
+    let key = add_worker(book, fact, began_ms);
+    let is_young = born_wall_ms.is_some_and(|ms| now.wall_ms.abs_diff(ms) < YOUNG_LIFE_MS);
+    if is_young {
+        let w = &mut book.workers[key];
+        w.lease_over_ms = w.lease_over_ms.max(now.ms + STRAY_LEASE_MS);
+    }
+    key
+}
+
 /// Takes in a row of intake: a job, or a cancel.
 pub fn apply_intake(
     book: &mut Book,
@@ -249,7 +270,7 @@
     }
     let lives: Vec<WorkerKey> = progress
         .lives()
-        .map(|(id, host, born_wall_ms)| known_or_ghost(book, (id, born_wall_ms), host, began_ms))
+        .map(|(id, host, born)| known_or_ghost(book, (id, born), host, began_ms, ctx.now))
         .collect();
     for round in &progress.rounds {
         apply_round(book, key, round, &lives, ctx.now.ms);
@@ -263,6 +284,7 @@
     (id, born_wall_ms): (&str, Option<Millis>),
     host: &str,
     began_ms: Millis,
+    now: Now,
 ) -> WorkerKey {
     if let Some(key) = book.life(id, born_wall_ms) {
         return key;
@@ -278,7 +300,7 @@
         capacity: Default::default(),
         draining: true,
     };
-    let key = add_worker(book, fact, began_ms);
+    let key = add_listed(book, fact, began_ms, now);
     book.workers[key].is_listed = false;
     key
 }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -22,7 +22,7 @@
 pub mod keys;
 pub mod limits;
 pub mod listing;
-mod lives;
+pub mod lives;
 pub mod load;
 mod moves;
 pub mod offers;
--- a/src/core/sched/restarts.rs
+++ b/src/core/sched/restarts.rs
@@ -8,7 +8,7 @@
 use super::book::Book;
 use super::holds;
 use super::keys::{TaskKey, WorkerKey};
-use super::limits::{CLOCK_SLOW_PERCENT, LEASE_SLACK_MS, WORKER_LEASE_MAX_MS};
+use super::limits::STRAY_LEASE_MS;
 use super::runs;
 use super::state::{Ctx, Timer};
 use super::tasks::Phase;
@@ -16,11 +16,6 @@
 use crate::clock::Millis;
 use crate::port::fleet::{HoldReport, TaskName};
 
-/// Longest time for which a start that was meant for an earlier life keeps a run alive on a later one: it names a moment on
-/// the earlier life's clock, which may be far ahead on the later one's.
-const STRAY_LEASE_MS: Millis =
-    WORKER_LEASE_MAX_MS * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS;
-
 /// Takes in that a life answers where earlier ones of its id were known. Its next hold bars all that is on its way to them:
 /// the account that it gives then is the first to count.
 pub(super) fn prove(book: &mut Book, key: WorkerKey, ctx: &mut Ctx<'_>) {
--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -9,7 +9,9 @@
 use rockwick::core::sched::holds;
 use rockwick::core::sched::job::JobState;
 use rockwick::core::sched::keys::{TaskKey, WorkerKey};
+use rockwick::core::sched::lives;
 use rockwick::core::sched::load;
+use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::place;
 use rockwick::core::sched::rows;
 use rockwick::core::sched::runs;
@@ -321,6 +323,23 @@
     assert!(scene.book.workers[later].lease_over_ms >= 13_000);
 }
 
+/// The same for an owner that comes later: a life that began of late may hold such a deadline, sent by the former owner.
+#[test]
+fn restarts_young_life() {
+    let lease_over_ms = |born_wall_ms: u64| {
+        let mut book = Book::default();
+        decide(100_000, |ctx| {
+            let offers = Offers::default();
+            lives::note_present(&mut book, &fact(born_wall_ms), &offers, EPOCH, ctx);
+        });
+        let key = book.life(ID, Some(born_wall_ms)).expect("it is listed");
+        book.workers[key].lease_over_ms - 100_000
+    };
+    assert!(lease_over_ms(70_000) < 5_000);
+    assert!(lease_over_ms(98_000) >= 10_000);
+    assert!(lease_over_ms(103_000) >= 10_000, "its wall clock is ahead");
+}
+
 /// An account of the earlier life that is read after the later one is known: its ends count, and nothing more is sent to it.
 #[test]
 fn restarts_late_account() {
@@ -410,3 +429,28 @@
     let before: rows::ProgressRow = rows::decode(before.as_bytes()).expect("it decodes");
     assert_eq!(before.lives().collect::<Vec<_>>(), [(ID, "host", None)]);
 }
+
+/// Hosts come back from their upkeep under the ids that their workers had, and so does one that only crashes as it is about to
+/// go: the wave is told done once all have been through, and not before.
+#[test]
+fn restarts_through_wave() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 3, 6);
+        world.keeps_ids = true;
+        world.run(SETTLE_MS);
+        for n in 0..8 {
+            world.submit(&format!("job-{n}"), job(6, 1_000, 400));
+        }
+        world.wave(1, 40_000, 2);
+        for n in 0..12 {
+            world.run(700);
+            let lives = world.lives();
+            if n % 3 == 0 {
+                world.restart(&lives[n % lives.len()].clone(), 400);
+            }
+        }
+        world.run(60_000);
+        assert!(world.waves_done.contains(&1), "seed {seed}");
+        assert_eq!(world.upkept[&1].len(), 6, "seed {seed}");
+    }
+}
--- a/tests/world/restart.rs
+++ b/tests/world/restart.rs
@@ -22,6 +22,16 @@
         self.at(back_after_ms, Happening::Restarted(id.to_string()));
     }
 
+    /// A host's worker comes up after a crash or its upkeep.
+    pub(super) fn come_back(&mut self, host: &str) {
+        let last = self.workers.iter().filter(|(_, w)| w.fact.host == host);
+        let last = last.max_by_key(|(_, w)| w.serial).map(|(id, _)| id.clone());
+        match last {
+            Some(id) if self.keeps_ids && !self.workers[&id].is_up => self.restarted(&id),
+            _ => self.new_life(host),
+        }
+    }
+
     /// The later life comes up. Its entry is told now, or with its first heartbeat.
     pub(super) fn restarted(&mut self, id: &str) {
         let now_ms = self.now_ms;
