--- a/src/core/sched/roster.rs
+++ b/src/core/sched/roster.rs
@@ -87,10 +87,10 @@
         };
         let on_host = self.lives_on(&worker.fact.host);
         let of_id = self.lives_of(&worker.fact.id);
-        let mut others: Vec<WorkerKey> = on_host.chain(of_id).map(|(other, _)| other).collect();
+        let beside = on_host.chain(of_id).map(|(other, _)| other);
+        let mut others: Vec<WorkerKey> = beside.filter(|other| *other != key).collect();
         others.sort_unstable();
         others.dedup();
-        others.retain(|other| *other != key);
         others
     }
 
