A list of workers that was read beside its feed takes nothing back that the feed told since

Operators saw a wave whose last host never had its turn, and callers a host that served nobody. An owner reads the list of workers with its pool's rows, beside the feed.

Each change that the feed tells is noted with its time; a list that was asked for before that says nothing of that worker. What the feed tells later is newer than either, so nothing is missed.

--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -3,6 +3,8 @@
 //! The list tells nothing of which life of a host is alive: entries of lives that are over stay for some
 //! heartbeats, and a write that was held up may bring one back.
 
+use std::collections::BTreeMap;
+
 use super::access::{owned_pools, with_pool};
 use super::book::Book;
 use super::holds;
@@ -12,14 +14,52 @@
 use super::state::{Ctx, Effect, State, Timer};
 use super::told;
 use super::worker::Worker;
-use crate::clock::Now;
+use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{WorkerFact, WorkerWord};
 
+/// What the feed of the list told is compared with readings that were asked for up to so long ago.
+const NEWS_KEPT_MS: Millis = 60_000;
+
+/// When the feed of the list of workers told of each of them. It tells each change once, in order: a reading beside it that was
+/// asked for before is no newer, and must not undo what it told.
+#[derive(Clone, Debug, Default)]
+pub struct ListNews {
+    by_id: BTreeMap<String, Millis>,
+    all_ms: Millis,
+}
+
+impl ListNews {
+    fn note(&mut self, id: &str, now_ms: Millis) {
+        self.by_id.insert(id.to_string(), now_ms);
+    }
+
+    /// All of the list was told.
+    fn note_all(&mut self, now_ms: Millis) {
+        self.by_id.clear();
+        self.all_ms = now_ms;
+    }
+
+    /// Whether the feed told of a worker since a reading was asked for.
+    fn is_since(&self, id: &str, asked_ms: Millis) -> bool {
+        let told_ms = self.by_id.get(id).copied().unwrap_or(0);
+        told_ms.max(self.all_ms) >= asked_ms
+    }
+
+    fn drop_old(&mut self, now_ms: Millis) {
+        self.by_id.retain(|_, at_ms| now_ms < *at_ms + NEWS_KEPT_MS);
+    }
+}
+
 /// Entries that can't be read are told up to this number, until they are gone or good again.
 const UNREADABLE_TOLD: usize = 256;
 
 pub(super) fn worker_word(state: &mut State, word: WorkerWord, now: Now, out: &mut Vec<Effect>) {
+    let id = match &word {
+        WorkerWord::Present(fact) => &fact.id,
+        WorkerWord::Gone(id) | WorkerWord::Unreadable(id, _) => id,
+    };
+    state.list_news.note(id, now.ms);
     match word {
         WorkerWord::Present(fact) => present(state, fact, now, out),
         WorkerWord::Gone(id) => {
@@ -46,12 +86,34 @@
     state.unreadable.insert(id, why);
 }
 
+/// Takes in the whole list as the feed begins with it.
 pub(super) fn workers_read(
     state: &mut State,
     all: Vec<WorkerFact>,
     now: Now,
     out: &mut Vec<Effect>,
 ) {
+    list_read(state, all, now, out);
+    state.list_news.note_all(now.ms);
+}
+
+/// Takes in a list that was read beside the feed, and asked for then.
+pub(super) fn workers_loaded(
+    state: &mut State,
+    mut all: Vec<WorkerFact>,
+    asked_ms: Millis,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
+    state.list_news.drop_old(now.ms);
+    let is_news = |id: &str| state.list_news.is_since(id, asked_ms);
+    all.retain(|fact| !is_news(&fact.id));
+    let kept = state.listed.values().filter(|fact| is_news(&fact.id));
+    all.extend(kept.cloned());
+    list_read(state, all, now, out);
+}
+
+fn list_read(state: &mut State, all: Vec<WorkerFact>, now: Now, out: &mut Vec<Effect>) {
     let missing: Vec<String> = state
         .listed
         .keys()
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -17,7 +17,7 @@
 use super::job::JobSpec;
 use super::keys::{BookId, WorkerKey};
 use super::limits::RESORT_MS;
-use super::lives::{greet, worker_word, workers_read};
+use super::lives::{greet, worker_word, workers_loaded, workers_read};
 use super::load;
 use super::offers::OFFERS_KEY;
 use super::place;
@@ -254,7 +254,8 @@
 ) {
     if let Some(rows) = &rows {
         if state.owned() <= 1 {
-            workers_read(state, rows.workers.clone(), now, out);
+            let (workers, asked_ms) = (rows.workers.clone(), rows.workers_asked_ms);
+            workers_loaded(state, workers, asked_ms, now, out);
         }
         for row in &rows.waves {
             wave_row(state, row, now, out);
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -7,6 +7,7 @@
 use super::hosts::{HostDuty, HostTask};
 use super::keys::{BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::CPU_FULL_MILLI;
+use super::lives::ListNews;
 use super::offers::Offers;
 use super::quota::QuotaDuty;
 use super::rows::{WaveRow, SHARDS};
@@ -260,6 +261,8 @@
     pub owner: Vec<StoredRow>,
     /// The list of workers.
     pub workers: Vec<WorkerFact>,
+    /// When that was asked for.
+    pub workers_asked_ms: Millis,
     /// Rows of waves.
     pub waves: Vec<StoredRow>,
     /// Hosts that the former owner ordered about, if this is the pool that carries such orders.
@@ -347,6 +350,8 @@
     pub pool_keys: BTreeMap<String, PoolKey>,
     /// The list of workers.
     pub listed: BTreeMap<String, WorkerFact>,
+    /// When the feed of that list last told of each worker, and of all at once.
+    pub list_news: ListNews,
     /// Entries of that list that can't be read, and why; as many as are told.
     pub unreadable: BTreeMap<String, String>,
     /// Waves that the operator asked for.
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -200,7 +200,7 @@
                 Some(Event::HostsRead(pool, epoch, hosts))
             }),
             Effect::Load(pool, epoch, name) => self.spawn(async move {
-                let rows = load(&platform, &name).await.ok();
+                let rows = load(&shared, &platform, &name).await.ok();
                 Some(Event::Loaded(pool, epoch, rows))
             }),
             Effect::Record(pool, book, shard, tx) => self.spawn(async move {
@@ -365,11 +365,16 @@
     Ok(scan.await?.rows.into_iter().next())
 }
 
-async fn load<P: Rows + Directory>(platform: &P, pool: &str) -> Result<LoadedRows, ReadError> {
+async fn load<P: Rows + Directory>(
+    shared: &Shared,
+    platform: &P,
+    pool: &str,
+) -> Result<LoadedRows, ReadError> {
     Ok(LoadedRows {
         intake: whole_intake(platform, pool).await?,
         progress: whole_progress(platform, pool).await?,
         owner: whole(platform, Table::Owners, pool).await?,
+        workers_asked_ms: shared.clock.now_ms(),
         workers: feeds::present(&platform.workers().await?),
         waves: whole(platform, Table::Waves, "").await?,
         host_orders: whole(platform, Table::HostOrders, pool).await?,
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -199,6 +199,7 @@
             progress: of(Table::Progress, POOL),
             owner: of(Table::Owners, POOL),
             workers: self.listed(),
+            workers_asked_ms: self.now_ms,
             waves: of(Table::Waves, ""),
             host_orders: of(Table::HostOrders, POOL),
         }
