--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -21,6 +21,9 @@
 /// What the feed of the list told is compared with readings that were asked for up to so long ago.
 const NEWS_KEPT_MS: Millis = 60_000;
 
+/// From so many noted workers on, old ones are dropped with each further one.
+const NEWS_MAX: usize = 4_096;
+
 /// When the feed of the list of workers told of each of them. It tells each change once, in order: a reading beside it that was
 /// asked for before is no newer, and must not undo what it told.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +34,9 @@
 
 impl ListNews {
     fn note(&mut self, id: &str, now_ms: Millis) {
+        if self.by_id.len() >= NEWS_MAX {
+            self.drop_old(now_ms);
+        }
         self.by_id.insert(id.to_string(), now_ms);
     }
 
