A slot of a wave that was taken without an answer is its owner's

Operators saw a wave whose last host stayed closed after its upkeep, and callers a job that waited for that host for good. Where the answer to the taking of a slot was lost, the feed told of the slot, the host had its upkeep and came back; its owner, whose turn for that host still stood at closing, looked for a free slot, and the only one was its own. Nothing ended that turn: a host with nothing on it counts as cleared, so that it was not given back either.

A slot of the pool in the wave's row takes the turn on, whoever's answer was lost, as it did for a new owner. It is the row that tells, so no answer is needed.

--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -153,11 +153,12 @@
     due.iter().all(is_gone)
 }
 
-/// Slots that this pool's former owner took. Their hosts are about to be ordered out and get nothing new: what
-/// lasts would be ended there beside what this owner moves elsewhere.
+/// Slots that this pool's former owner took, or this one without an answer. Their hosts are about to be ordered out and get
+/// nothing new: what lasts would be ended there beside what this owner moves elsewhere.
 fn recover(book: &mut Book, duty: &mut WaveDuty, wave: &WaveKnown, pool: &str) {
     for (host, slot) in wave.row.out.iter().filter(|(_, slot)| slot.pool == pool) {
-        if !duty.turns.contains_key(host) {
+        let turn = duty.turns.get(host).map(|(_, turn)| turn);
+        if matches!(turn, None | Some(Turn::Closing(_))) {
             let turn = (wave.order.wave, Turn::Holding);
             duty.turns.insert(host.clone(), turn);
         }
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -374,6 +374,14 @@
     }
 }
 
+/// A gang's job waited for good for its pool's second host. The answer to the taking of that host's slot was lost and the slot was
+/// taken; the host had its upkeep and came back, and its owner still held it closed, since it wanted a slot that was its own
+/// ("row: out host-1, is_ordered true" beside "turn: Closing" to the end).
+#[test]
+fn sched_model_slot() {
+    play(42_449);
+}
+
 /// A worker went with its connections 50 ms before its host's slot was asked for. Whether that was planned was looked at
 /// seconds later, as its next life answered: a crash counted as none, and a sixth start followed (13081). 13281 broke on the
 /// same code, and on none before or after: a job given up for likely ends, one of a run that was done and not on record.
