--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -291,7 +291,7 @@
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
         }
-        told::loaded(&name, &book, tenure, ctx);
+        told::loaded(&name, &book, tenure, facts.config.version, ctx);
         let workers: Vec<WorkerKey> = book.workers.keys().collect();
         for worker in workers {
             greet(&mut book, worker, epoch, ctx);
@@ -322,7 +322,7 @@
                     cancelled_job(&row.key).is_none() && !book.by_id.contains_key(&row.key);
                 load::apply_intake(book, row, facts.config, epoch, ctx);
                 if is_new {
-                    tell_taken(book, &row.key, ctx);
+                    tell_taken(book, &row.key, facts.config.version, ctx);
                 }
             }
         }
@@ -330,7 +330,7 @@
 }
 
 /// A new job, and what its order among others will rest on.
-fn tell_taken(book: &Book, id: &str, ctx: &mut Ctx<'_>) {
+fn tell_taken(book: &Book, id: &str, config_version: u64, ctx: &mut Ctx<'_>) {
     let Some(job) = book.by_id.get(id).and_then(|key| book.jobs.get(*key)) else {
         return;
     };
@@ -339,7 +339,9 @@
             .with("work_core_ms", job.spec.work(&job.step_ms))
             .with("chain_ms", job.spec.longest_ms(&job.step_ms, |_| true))
             .with("due_in_ms", job.due_ms.saturating_sub(ctx.now.ms))
-            .with("excess", u64::from(job.is_excess)),
+            .with("excess", u64::from(job.is_excess))
+            .with("attempts_max", u64::from(job.attempts_max))
+            .with("config", config_version),
     );
 }
 
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -494,10 +494,32 @@
         requeue(book, key, "run failed", ctx);
     }
     if !lasts && fails >= attempts_max {
-        fail_job(book, key.job, "a task failed too often", epoch, ctx);
+        fail_exhausted(book, key, epoch, ctx);
     }
 }
 
+/// Ends the job of a task that used up its attempts.
+fn fail_exhausted(book: &mut Book, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    if !end_job(book, key.job, JobState::Failed, epoch, ctx) {
+        return;
+    }
+    let job = &book.jobs[key.job];
+    let (fails, run) = book.task(key).map_or((0, 0), |t| (t.fails(), t.run));
+    ctx.tell(
+        Decision::new(
+            Code::JobEnded,
+            Subject::Job,
+            &job.id,
+            "a task failed too often",
+        )
+        .with("step", u64::from(key.step))
+        .with("task", u64::from(key.index))
+        .with("run", u64::from(run))
+        .with("failed", u64::from(fails))
+        .with("attempts_max", u64::from(job.attempts_max)),
+    );
+}
+
 /// Leaves a worker alone for a while on which tasks keep failing.
 fn count_failure(book: &mut Book, worker: WorkerKey, ctx: &mut Ctx<'_>) {
     let Some(w) = book.workers.get_mut(worker) else {
--- a/src/core/sched/told.rs
+++ b/src/core/sched/told.rs
@@ -280,7 +280,13 @@
 }
 
 /// What a new owner found on record: tasks that are done, and those that were started, by worker.
-pub(super) fn loaded(name: &str, book: &Book, tenure: &Tenure, ctx: &mut Ctx<'_>) {
+pub(super) fn loaded(
+    name: &str,
+    book: &Book,
+    tenure: &Tenure,
+    config_version: u64,
+    ctx: &mut Ctx<'_>,
+) {
     let rounds = book.jobs.values().flat_map(|job| job.rounds.values());
     let tasks = rounds.flat_map(|round| round.steps.iter().flat_map(|step| &step.tasks));
     let done = tasks.filter(|task| task.phase == Phase::Done).count() as u64;
@@ -303,6 +309,7 @@
             .with("workers", book.workers.len() as u64)
             .with("started", started as u64)
             .with("done", done)
+            .with("config", config_version)
             .with("took_ms", ctx.now.ms - tenure.began_ms),
     );
 }
