A job carries its queue's policy from the entry that accepted it

What callers saw: a task that had failed three times and was owed a fourth start never ran again, with most of its pool's room free. Cause: a job took its queue's attempts, target and stretch from its owner's configuration as it entered the owner's books. Where that did not name the queue, or there was none yet, it took three attempts; the third failure ended the job on record, for good. Ruled out: a bar on the last worker that fits (not on record, so each new owner forgets it; here it would have had to hold for 69 s), and an end lost between two owners (requeued within a lease). Change: the entry that accepts a job knows its queue, since it routed the call by it; it writes the policy into the job's row. An owner goes by its configuration where that names the queue, else by the row. Rows of earlier versions have no policy and read as before. Why it holds: the two places that name the policy are the newest word of the operator and the word that the job was accepted by; no owner has to guess for a job accepted by this version.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -92,6 +92,7 @@
             ..StepSpec::default()
         }],
         schedule: None,
+        policy: None,
         accepted_wall_ms: NOW_MS,
     };
     StoredRow {
--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::port::fleet::Capacity;
+use crate::port::fleet::{Capacity, QueueConfig};
 
 /// A job as submitted. This is also what its row holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,10 +20,34 @@
     /// Set for a job that runs at set times.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub schedule: Option<Schedule>,
+    /// What its queue promised as it was accepted; missing where an earlier version wrote the row.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<QueuePolicy>,
     /// Wall clock of the entry that took it in.
     pub accepted_wall_ms: Millis,
 }
 
+/// What a queue promises of its jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueuePolicy {
+    /// Failed runs of a task after which its job has failed.
+    pub attempts_max: u32,
+    /// How long a job may take on top of its stretched chain.
+    pub target_ms: Millis,
+    /// Factor on the longest chain of work, in thousandths.
+    pub stretch_milli: u64,
+}
+
+impl From<&QueueConfig> for QueuePolicy {
+    fn from(queue: &QueueConfig) -> Self {
+        Self {
+            attempts_max: queue.attempts_max,
+            target_ms: queue.target_ms,
+            stretch_milli: queue.stretch_milli,
+        }
+    }
+}
+
 /// When the rounds of a timed job fall due.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -8,6 +8,7 @@
     CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, STRAY_LEASE_MS, WORKER_LEASE_MS,
     YOUNG_LIFE_MS,
 };
+use super::policy;
 use super::rows::{self, cancelled_job, shard_of_part, ProgressRow, RoundRow, Standing, TaskRow};
 use super::runs;
 use super::state::{Ctx, LoadedRows, State};
@@ -18,12 +19,6 @@
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{FleetConfig, StoredRow, WorkerFact, ABSENT};
 
-/// Attempts of a job whose queue is not configured any more.
-const ATTEMPTS_DEFAULT: u32 = 3;
-
-/// Target of such a job.
-const TARGET_DEFAULT_MS: Millis = 1_000;
-
 /// Longest time that anything a former owner sent can keep runs alive, from the claim on.
 pub const FOREIGN_LEASE_MS: Millis =
     WORKER_LEASE_MS * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS;
@@ -178,12 +173,10 @@
             return None;
         }
     };
-    let policy = config.queues.get(&spec.queue);
-    let target_ms = policy.map_or(TARGET_DEFAULT_MS, |q| q.target_ms);
-    let stretch_milli = policy.map_or(1_000, |q| q.stretch_milli);
+    let policy = policy::of(&spec, config);
     let step_ms = book.times.expect(&spec);
     let chain_ms = spec.longest_ms(&step_ms, |_| true);
-    let objective_ms = target_ms + chain_ms * stretch_milli / 1_000;
+    let objective_ms = policy.target_ms + chain_ms * policy.stretch_milli / 1_000;
     let age_ms = ctx.now.wall_ms.saturating_sub(spec.accepted_wall_ms);
     let begun_ms = ctx.now.ms.saturating_sub(age_ms);
     *book.waiting.entry(spec.queue.clone()).or_default() += 1;
@@ -194,7 +187,7 @@
         state: JobState::Queued,
         rounds: Default::default(),
         rounds_begun: 0,
-        attempts_max: policy.map_or(ATTEMPTS_DEFAULT, |q| q.attempts_max),
+        policy,
         due_ms: begun_ms + objective_ms,
         hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
         revision: ABSENT,
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -30,6 +30,7 @@
 mod order;
 pub mod overload;
 pub mod place;
+mod policy;
 mod progress;
 pub mod quota;
 pub mod reduce;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -340,7 +340,7 @@
             .with("chain_ms", job.spec.longest_ms(&job.step_ms, |_| true))
             .with("due_in_ms", job.due_ms.saturating_sub(ctx.now.ms))
             .with("excess", u64::from(job.is_excess))
-            .with("attempts_max", u64::from(job.attempts_max))
+            .with("attempts_max", u64::from(job.policy.attempts_max))
             .with("config", config_version),
     );
 }
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -467,7 +467,7 @@
     ctx: &mut Ctx<'_>,
 ) {
     let lasts = book.step_spec(key).is_some_and(|s| s.lasting);
-    let attempts_max = book.jobs[key.job].attempts_max;
+    let attempts_max = book.jobs[key.job].policy.attempts_max;
     let Some(task) = book.task_mut(key) else {
         return;
     };
@@ -516,7 +516,7 @@
         .with("task", u64::from(key.index))
         .with("run", u64::from(run))
         .with("failed", u64::from(fails))
-        .with("attempts_max", u64::from(job.attempts_max)),
+        .with("attempts_max", u64::from(job.policy.attempts_max)),
     );
 }
 
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 pub use super::blame::{LivesEnded, Seen};
-use super::job::{JobSpec, JobState};
+use super::job::{JobSpec, JobState, QueuePolicy};
 use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
 use super::limits::{APART_MS, WEIGHT_MAX_MS, WORK_PER_MS};
 use super::overload::{Behind, Contender};
@@ -146,8 +146,8 @@
     pub rounds: BTreeMap<u32, Round>,
     /// Rounds below this one have begun.
     pub rounds_begun: u32,
-    /// Failed runs of a task that end the job.
-    pub attempts_max: u32,
+    /// What its queue promises.
+    pub policy: QueuePolicy,
     /// Time at which it should be completed.
     pub due_ms: Millis,
     /// Past this time it earns nothing.
--- a/src/event.rs
+++ b/src/event.rs
@@ -89,15 +89,15 @@
     JobAccepted, 500, "job-accepted", "A job was committed.";
     JobRefused, 501, "job-refused", "A job was refused.";
     JobPlaced, 502, "job-placed", "An attempt was placed on a host.";
-    JobEnded, 503, "job-ended", "A job reached its final state.";
+    JobEnded, 503, "job-ended", "A job reached its final state; a task that failed too often is told with its failed runs and `attempts_max`.";
     JobRequeued, 504, "job-requeued", "An attempt certainly ended or never began; the job waits again.";
     JobCancelled, 505, "job-cancelled", "A caller asked to stop a job.";
     HostFailsJobs, 506, "host-fails-jobs", "A host failed several different jobs and gets no more for a while.";
     PoolOwned, 600, "pool-owned", "This entry became a pool's owner; its epoch fences all orders.";
-    PoolLoaded, 601, "pool-loaded", "The pool's rows were read; its owner decides from now on.";
+    PoolLoaded, 601, "pool-loaded", "The pool's rows were read; its owner decides from now on, by the configuration `config` (0: by none).";
     PoolLost, 602, "pool-lost", "Another entry owns the pool now; nothing more is sent for it.";
     PoolReleased, 603, "pool-released", "The owner gave the pool up, so that another may take it at once.";
-    JobTaken, 604, "job-taken", "The owner read a new job.";
+    JobTaken, 604, "job-taken", "The owner read a new job: what its order and its end rest on, and the configuration (`config`; 0: none).";
     TaskPlaced, 605, "task-placed", "A task got its place; it starts once that is on record.";
     TaskRequeued, 606, "task-requeued", "A run is certainly over without being done; the task waits for its next.";
     StrayRun, 607, "stray-run", "A worker runs what the books do not expect there; it is stopped.";
--- a/tests/world/callers.rs
+++ b/tests/world/callers.rs
@@ -64,8 +64,9 @@
     /// A caller hands in a job.
     pub(crate) fn submit(&mut self, id: &str, mut spec: JobSpec) {
         spec.accepted_wall_ms = WALL_MS + self.now_ms;
-        let value = rows::encode(&spec);
         let queue = self.config.queues.get(&spec.queue);
+        spec.policy = queue.map(QueuePolicy::from);
+        let value = rows::encode(&spec);
         let attempts = queue.map_or(0, |queue| queue.attempts_max);
         self.attempts.insert(id.to_string(), (attempts, attempts));
         self.specs.insert(id.to_string(), spec);
--- a/tests/world/jobs.rs
+++ b/tests/world/jobs.rs
@@ -43,6 +43,7 @@
             ..StepSpec::default()
         }],
         schedule: None,
+        policy: None,
         accepted_wall_ms: WALL_MS,
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -24,7 +24,7 @@
 use rockwick::clock::Now;
 use rockwick::core::sched::book::Book;
 use rockwick::core::sched::hosts::HostTask;
-use rockwick::core::sched::job::{JobSpec, JobState, Schedule, StepSpec};
+use rockwick::core::sched::job::{JobSpec, JobState, QueuePolicy, Schedule, StepSpec};
 use rockwick::core::sched::quota::quota_part;
 use rockwick::core::sched::reduce;
 use rockwick::core::sched::rows::{
