Attempts and targets that the operator changes hold for jobs that are there

Cause: a job kept the policy that it entered its owner's books with, for as long as that owner lasted; the next owner took another one. Change: a configuration that comes into force is taken over by all jobs whose queue it names, with their times. A waiting task with no attempt left ends its job: as the configuration changes, as the rows are read, and as a run comes back that was at work meanwhile. One that is at work may still be done. Why it holds: every way back to waiting goes through requeue, which asks for attempts left; a policy has one place that changes it.

--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -5,10 +5,9 @@
 use super::job::{JobSpec, JobState};
 use super::keys::{BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::{
-    CLOCK_SLOW_PERCENT, HOPELESS_FACTOR, LEASE_SLACK_MS, STRAY_LEASE_MS, WORKER_LEASE_MS,
-    YOUNG_LIFE_MS,
+    CLOCK_SLOW_PERCENT, LEASE_SLACK_MS, STRAY_LEASE_MS, WORKER_LEASE_MS, YOUNG_LIFE_MS,
 };
-use super::policy;
+use super::policy::{self, Deadlines};
 use super::rows::{self, cancelled_job, shard_of_part, ProgressRow, RoundRow, Standing, TaskRow};
 use super::runs;
 use super::state::{Ctx, LoadedRows, State};
@@ -63,6 +62,10 @@
     for row in cancels {
         apply_intake(&mut book, &row, state.config, id.epoch, ctx);
     }
+    let keys: Vec<JobKey> = book.jobs.keys().collect();
+    for key in keys {
+        runs::end_exhausted(&mut book, key, id.epoch, ctx);
+    }
     book.wants_placing = true;
     book
 }
@@ -175,10 +178,7 @@
     };
     let policy = policy::of(&spec, config);
     let step_ms = book.times.expect(&spec);
-    let chain_ms = spec.longest_ms(&step_ms, |_| true);
-    let objective_ms = policy.target_ms + chain_ms * policy.stretch_milli / 1_000;
-    let age_ms = ctx.now.wall_ms.saturating_sub(spec.accepted_wall_ms);
-    let begun_ms = ctx.now.ms.saturating_sub(age_ms);
+    let deadlines = Deadlines::new(&spec, &step_ms, policy, ctx.now);
     *book.waiting.entry(spec.queue.clone()).or_default() += 1;
     let account = spec.account.as_deref();
     let account = account.map(|name| book.account_key(name, config.accounts.get(name)));
@@ -188,8 +188,8 @@
         rounds: Default::default(),
         rounds_begun: 0,
         policy,
-        due_ms: begun_ms + objective_ms,
-        hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
+        due_ms: deadlines.due_ms,
+        hopeless_ms: deadlines.hopeless_ms,
         revision: ABSENT,
         recorded_digest: 0,
         account,
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -21,6 +21,7 @@
 use super::load;
 use super::offers::OFFERS_KEY;
 use super::place;
+use super::policy;
 use super::quota;
 use super::remove;
 use super::rows::{cancelled_job, pool_of_part, shard_of_part, BEAT_KEY, OWNER_KEY};
@@ -199,12 +200,17 @@
     for name in names {
         pool_key(state, &name, now);
     }
-    let tenures = state
-        .pools
-        .iter_mut()
-        .filter_map(|pool| pool.tenure.as_mut());
-    for book in tenures.filter_map(|tenure| tenure.book.as_mut()) {
-        book.wants_quota = true;
+    for key in owned_pools(state) {
+        with_pool(state, key, now, out, |pool, ctx, facts| {
+            let Some(tenure) = &mut pool.tenure else {
+                return;
+            };
+            let epoch = tenure.epoch;
+            if let Some(book) = &mut tenure.book {
+                book.wants_quota = true;
+                policy::refresh(book, facts.config, epoch, ctx);
+            }
+        });
     }
 }
 
@@ -571,6 +577,7 @@
             let epoch = tenure.epoch;
             if let Some(book) = tenure.book.as_mut() {
                 crashes::give_up(book, epoch, ctx);
+                runs::end_all_exhausted(book, epoch, ctx);
                 gang::stop_broken(book, epoch, ctx);
                 if book.wants_placing && ctx.may_send() {
                     place::place(book, ctx);
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -269,6 +269,9 @@
     let is_noted = task.ended.is_noted();
     let decision = told::requeued(book, key, why, asked_ms, ctx.now.ms);
     book.set_phase(key, Phase::Ready, ctx.now.ms);
+    if is_exhausted(book, key) {
+        book.exhausted.push(key);
+    }
     if is_noted {
         // On record it would still be there, and its worker's end counted once more by the next owner.
         book.mark(key.job, ctx.now.ms);
@@ -498,6 +501,31 @@
     }
 }
 
+/// Whether a task may not be started again. One that is at work may still be done.
+fn is_exhausted(book: &Book, key: TaskKey) -> bool {
+    let lasts = book.step_spec(key).is_none_or(|s| s.lasting);
+    let (Some(job), Some(task)) = (book.jobs.get(key.job), book.task(key)) else {
+        return false;
+    };
+    let is_waiting = matches!(task.phase, Phase::Blocked | Phase::Ready);
+    !lasts && is_waiting && task.fails() >= job.policy.attempts_max
+}
+
+/// Ends a job of which a task used up its attempts, as its policy has them now.
+pub(super) fn end_exhausted(book: &mut Book, key: JobKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let mut tasks = book.tasks_of(key).into_iter();
+    if let Some(task) = tasks.find(|task| is_exhausted(book, *task)) {
+        fail_exhausted(book, task, epoch, ctx);
+    }
+}
+
+/// Ends the jobs of tasks that came back to wait with no attempt left.
+pub(super) fn end_all_exhausted(book: &mut Book, epoch: u64, ctx: &mut Ctx<'_>) {
+    for task in std::mem::take(&mut book.exhausted) {
+        fail_exhausted(book, task, epoch, ctx);
+    }
+}
+
 /// Ends the job of a task that used up its attempts.
 fn fail_exhausted(book: &mut Book, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
     if !end_job(book, key.job, JobState::Failed, epoch, ctx) {
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -129,6 +129,35 @@
     }
 }
 
+/// Attempts are lowered to what a task has used up while its next run is at work: that one counts if it succeeds, and is the last
+/// one if its worker crashes.
+#[test]
+fn attempts_lowered_late() {
+    for seed in 0..SEEDS {
+        let crashes = seed % 2 == 1;
+        let mut world = World::new(seed, 3, 2);
+        world.run(SETTLE_MS);
+        world.submit("job", job(1, 1_000, 2_000));
+        fail_runs(&mut world, "job", 2);
+        while world.starts < 3 {
+            world.run(5);
+        }
+        world.set_attempts(2);
+        world.run(500);
+        if crashes {
+            let worker = world.life_of("job", 0).expect("it runs");
+            world.crash(&worker, 1_000);
+        }
+        world.run(RUNS_MS);
+        let state = match crashes {
+            true => JobState::Failed,
+            false => JobState::Completed,
+        };
+        assert_eq!(world.recorded("job"), state, "seed {seed}");
+        assert_eq!(world.starts, 3, "seed {seed}");
+    }
+}
+
 /// An owner without a configuration knows of no quota.
 #[test]
 fn quota_before_config() {
