An entry without a configuration claims no pool

Cause: an entry that had just started claimed a pool as soon as it had heard of the owners, whatever it knew of the configuration; an account that the configuration does not name has no limit. Ways weighed: reading the configuration with the pool's rows (an entry that can't read the operator's partition would hold the pool and do nothing, while others have a configuration); claiming none before one is known (taken). Change: a claim needs a configuration; the first one that is adopted has the entry look at all pools. Why it holds: an owner's books begin with a claim of the same process, and a configuration once known is never forgotten.

--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -31,6 +31,8 @@
     pub strongest_milli: Option<u64>,
     /// Since when the store answers; nothing while it does not.
     pub store_since_ms: Option<Millis>,
+    /// It knows a configuration.
+    pub is_configured: bool,
     /// It was told to stop.
     pub is_stopping: bool,
     /// Tells its claims from those of an earlier process.
@@ -57,6 +59,10 @@
     if pool.tenure.is_some() || me.is_stopping {
         return;
     }
+    // Without a configuration, an owner knows neither quotas nor attempts nor which hosts are off.
+    if !me.is_configured {
+        return;
+    }
     // Nothing is claimed while the store is away; once it is back, everybody's stagger begins anew.
     let Some(store_since_ms) = me.store_since_ms else {
         return;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -194,6 +194,9 @@
         .with("pools", config.pools.len() as u64)
         .with("accounts", config.accounts.len() as u64);
     out.push(Effect::Log(decision));
+    if state.config.version == 0 {
+        consider_all(state, now);
+    }
     // Only pools that queues are sent to need an owner; parked ones are needed for their hosts.
     let names: Vec<String> = config.pools.keys().cloned().collect();
     state.config = config;
@@ -398,9 +401,13 @@
 /// Takes note of whether the store answers; once it does again, pools without an owner are looked at.
 fn store_changed(state: &mut State, answers: bool, now: Now) {
     state.store_since_ms = answers.then_some(now.ms);
-    if !answers {
-        return;
+    if answers {
+        consider_all(state, now);
     }
+}
+
+/// Has this entry look at all pools that it may claim.
+fn consider_all(state: &mut State, now: Now) {
     for n in 0..state.pools.len() {
         let key = PoolKey(n as u16);
         state.timers.insert((now.ms, key, Timer::Claim));
@@ -415,6 +422,7 @@
         cpu_milli: state.cpu_milli,
         strongest_milli: heard.max().filter(|milli| *milli > 0),
         store_since_ms: state.store_since_ms,
+        is_configured: state.config.version > 0,
         is_stopping: state.is_stopping(),
         nonce: state.nonce,
     }
