Failing tests: an owner's older or passing configuration ends a job for good

The world's config_late_ms holds for what is told to running entries, too; no test before these changed a configuration under it.

--- /dev/null
+++ b/tests/test_unknown.rs
@@ -0,0 +1,167 @@
+//! What is decided before a fact is known, or by an older one, and can't be taken back.
+
+use std::sync::Arc;
+
+use rockwick::core::sched::job::{JobSpec, JobState};
+use rockwick::core::sched::rows;
+use rockwick::core::sched::state::Event;
+use rockwick::port::fleet::{OperatorWord, Table};
+
+use crate::world::{config, job, World};
+
+/// Worlds of their own.
+const SEEDS: u64 = 40;
+
+/// Long enough for an owner to be found.
+const SETTLE_MS: u64 = 8_000;
+
+/// Longest time that a few short runs take, a takeover among them.
+const RUNS_MS: u64 = 20_000;
+
+/// The configuration comes later than all that a test does.
+const NEVER_MS: u64 = 600_000;
+
+/// All runs of a job's only task fail until so many have; then none does.
+fn fail_runs(world: &mut World, id: &str, fails: usize) {
+    let until_ms = world.now_ms + RUNS_MS;
+    world.faults.run_fails = 1_000;
+    while world.most_failed_runs(id) < fails && world.now_ms < until_ms {
+        world.run(5);
+    }
+    world.faults.run_fails = 0;
+}
+
+fn restart_all(world: &mut World) {
+    for n in 0..world.entries.len() {
+        world.kill(n);
+        world.boot(n);
+    }
+}
+
+/// Seeds in which what is played does not hold.
+fn broken(play: impl Fn(u64) -> bool + std::panic::RefUnwindSafe) -> Vec<u64> {
+    let holds = |seed: u64| std::panic::catch_unwind(|| play(seed)).ok() == Some(true);
+    (0..SEEDS).filter(|seed| !holds(*seed)).collect()
+}
+
+fn assert_none(broken: &[u64]) {
+    assert!(broken.is_empty(), "{} broke: {broken:?}", broken.len());
+}
+
+/// Part of a job's row in a table.
+fn part_of(world: &World, table: Table, id: &str) -> Option<String> {
+    let mut rows = world.store.keys();
+    let found = rows.find(|(of, _, key)| *of == table && key == id);
+    found.map(|(_, part, _)| part.clone())
+}
+
+/// Puts other bytes into a job's row of intake, unheard.
+fn rewrite_intake(world: &mut World, id: &str, to: impl Fn(&[u8]) -> Vec<u8>) {
+    let part = part_of(world, Table::Intake, id).expect("it was submitted");
+    let place = (Table::Intake, part, id.to_string());
+    let (value, _) = world.store.get_mut(&place).expect("it is there");
+    *value = to(value);
+}
+
+/// The owner's configuration is older than the one that the job was accepted by, and allows fewer attempts.
+#[test]
+fn attempts_older_config() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 4);
+        world.run(SETTLE_MS);
+        world.config_late_ms = NEVER_MS;
+        world.set_attempts(5);
+        world.submit("job", job(1, 1_000, 200));
+        fail_runs(&mut world, "job", 4);
+        world.run(RUNS_MS);
+        world.recorded("job") == JobState::Completed
+    }));
+}
+
+/// An owner whose configuration is older takes over from one that allows more attempts, and the run at work goes with its worker:
+/// the job is ended although no further run failed.
+#[test]
+fn attempts_older_taker() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 4);
+        world.run(SETTLE_MS);
+        world.config_late_ms = NEVER_MS;
+        world.set_attempts(5);
+        let mut newer = config(2);
+        for queue in newer.queues.values_mut() {
+            queue.attempts_max = 5;
+        }
+        let owner = world.owner_entry().expect("it settled");
+        let newer = OperatorWord::Config(Arc::new(newer));
+        world.tell(owner, Event::Operator(newer));
+        world.submit("job", job(1, 1_000, 2_000));
+        fail_runs(&mut world, "job", 3);
+        world.run(300);
+        world.kill(owner);
+        let lives = world.lives();
+        let at_work = lives.iter().find(|id| world.running_on(id) > 0);
+        world.crash(at_work.expect("its fourth run began"), 1_000);
+        world.run(RUNS_MS);
+        world.recorded("job") == JobState::Completed
+    }));
+}
+
+/// After an outage an owner hears of two configurations at once; the first allows fewer attempts than a waiting task has used up,
+/// the newest more.
+#[test]
+fn attempts_passing_config() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 1);
+        world.set_attempts(5);
+        world.run(SETTLE_MS);
+        world.submit("job", job(1, 10_000, 2_500));
+        fail_runs(&mut world, "job", 1);
+        let worker = world.lives().remove(0);
+        while world.starts < 2 && world.now_ms < RUNS_MS {
+            world.run(5);
+        }
+        world.resize(&worker, 1_000);
+        fail_runs(&mut world, "job", 2);
+        world.run(2_000);
+        assert_eq!(
+            (world.most_failed_runs("job"), world.running("job")),
+            (2, 0)
+        );
+        let owner = world.owner_entry().expect("it settled");
+        for (version, attempts_max) in [(10, 2), (11, 5)] {
+            let mut passing = config(version);
+            for queue in passing.queues.values_mut() {
+                queue.attempts_max = attempts_max;
+            }
+            let word = OperatorWord::Config(Arc::new(passing));
+            world.tell(owner, Event::Operator(word));
+        }
+        world.resize(&worker, 16_000);
+        world.run(RUNS_MS);
+        world.recorded("job") == JobState::Completed
+    }));
+}
+
+/// A job that an earlier version accepted, and an owner without a configuration.
+#[test]
+fn attempts_unrecorded() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 4);
+        world.set_attempts(5);
+        world.run(SETTLE_MS);
+        for n in 0..3 {
+            world.kill(n);
+        }
+        world.submit("job", job(1, 1_000, 200));
+        rewrite_intake(&mut world, "job", |value| {
+            let mut spec: JobSpec = rows::decode(value).expect("it decodes");
+            spec.policy = None;
+            rows::encode(&spec)
+        });
+        world.config_late_ms = 5_000;
+        restart_all(&mut world);
+        fail_runs(&mut world, "job", 4);
+        world.run(RUNS_MS);
+        world.recorded("job") == JobState::Completed
+    }));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -69,4 +69,5 @@
 mod test_timeout;
 mod test_times;
 mod test_told;
+mod test_unknown;
 mod test_waves;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -211,7 +211,7 @@
     pub(crate) upkeep_ended: usize,
     /// Tasks that bring workers down.
     pub(crate) crashes: crash::Crashes,
-    /// What an entry that starts or comes back to the store hears of the configuration comes so much later than the rest.
+    /// What entries hear of the configuration comes so much later than the rest.
     pub(crate) config_late_ms: u64,
     /// What entries log is kept.
     pub(crate) keeps_log: bool,
@@ -395,6 +395,7 @@
             let life = self.entries[n].life;
             let late_ms = match event {
                 Event::Worker(_) => self.word_late_ms,
+                Event::Operator(OperatorWord::Config(_)) => self.config_late_ms,
                 _ => 0,
             };
             let delay_ms = self.delay() + 20 + late_ms;
