--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -165,3 +165,23 @@
         world.recorded("job") == JobState::Completed
     }));
 }
+
+/// The owner's configuration is older than the account of a job: no quota is known, and all is started.
+#[test]
+fn quota_newer_account() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 4);
+        world.run(SETTLE_MS);
+        world.config_late_ms = NEVER_MS;
+        world.set_quotas(&[("account", 2_000)]);
+        let mut spec = job(10, 1_000, 3_000);
+        spec.account = Some("account".to_string());
+        world.submit("job", spec);
+        let mut most = 0;
+        for _ in 0..400 {
+            world.run(25);
+            most = most.max(world.account_cpu_milli("account"));
+        }
+        most <= 2_000
+    }));
+}
