--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -185,3 +185,19 @@
         most <= 2_000
     }));
 }
+
+/// What was submitted can't be read, and its progress is removed as that of a job that left the store.
+#[test]
+fn progress_unread_job() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 4);
+        world.run(SETTLE_MS);
+        world.submit("job", job(2, 1_000, 3_000));
+        world.run(2_000);
+        assert!(part_of(&world, Table::Progress, "job").is_some());
+        rewrite_intake(&mut world, "job", |_| b"\xff{".to_vec());
+        restart_all(&mut world);
+        world.run(RUNS_MS);
+        part_of(&world, Table::Progress, "job").is_some()
+    }));
+}
