--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -201,3 +201,19 @@
         part_of(&world, Table::Progress, "job").is_some()
     }));
 }
+
+/// A job is done by its owner's books, and that can't be recorded: what was submitted leaves the store all the same.
+#[test]
+fn removed_before_record() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 4);
+        world.run(SETTLE_MS);
+        world.submit("job", job(1, 1_000, 3_000));
+        world.run(1_000);
+        let part = part_of(&world, Table::Progress, "job").expect("it is on record");
+        world.parts_away.insert(part);
+        world.run(200_000);
+        assert!(!world.recorded("job").is_final());
+        part_of(&world, Table::Intake, "job").is_some()
+    }));
+}
