Failing test: a wave is told completed by a list of hosts that is older than the wave

On the first look at a wave of hosts that came up since the list was last read tells it completed: wave::is_complete takes a host that the list lacks for one that left, whenever the list was asked for.

--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -1,13 +1,18 @@
 //! What is decided before a fact is known, or by an older one, and can't be taken back.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use rockwick::core::sched::book::Book;
 use rockwick::core::sched::job::{JobSpec, JobState};
+use rockwick::core::sched::load;
 use rockwick::core::sched::rows;
-use rockwick::core::sched::state::Event;
-use rockwick::port::fleet::{OperatorWord, Table};
+use rockwick::core::sched::state::{Effect, Event, WaveKnown};
+use rockwick::core::sched::wave::{self, WaveDuty};
+use rockwick::port::fleet::{HostRecord, HostState, OperatorWord, Table, WaveOrder, WaveState};
 
-use crate::world::{config, job, World};
+use crate::decide::decide;
+use crate::world::{config, job, worker_fact, World, POOL};
 
 /// Worlds of their own.
 const SEEDS: u64 = 40;
@@ -217,3 +222,35 @@
         part_of(&world, Table::Intake, "job").is_some()
     }));
 }
+
+/// A wave of hosts that came up since the list was last read is told completed before any of them was out.
+#[test]
+fn wave_older_list() {
+    let mut book = Book::default();
+    load::add_worker(&mut book, worker_fact("life-2", "new"), 0);
+    let mut duty = WaveDuty::default();
+    let old = HostRecord {
+        host: "old".to_string(),
+        pool: POOL.to_string(),
+        state: HostState::Up,
+        life: "life-1".to_string(),
+    };
+    wave::hosts_read(&mut duty, vec![old]);
+    let order = WaveOrder {
+        wave: 1,
+        hosts: vec!["new".to_string()],
+        duration_ms: 60_000,
+        out_max: 1,
+    };
+    let known = WaveKnown {
+        order,
+        seen_ms: 10_000,
+        ..WaveKnown::default()
+    };
+    let mut waves = BTreeMap::from([(1, known)]);
+    let effects = decide(10_000, |ctx| {
+        wave::look(&mut book, &mut duty, &mut waves, POOL, 7, ctx);
+    });
+    let is_told = |e: &Effect| matches!(e, Effect::TellWave(1, WaveState::Completed));
+    assert!(!effects.iter().any(is_told));
+}
