--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -6,13 +6,13 @@
 use rockwick::core::sched::book::Book;
 use rockwick::core::sched::job::{JobSpec, JobState};
 use rockwick::core::sched::load;
-use rockwick::core::sched::rows;
+use rockwick::core::sched::rows::{self, shard_of_part, BEAT_KEY};
 use rockwick::core::sched::state::{Effect, Event, WaveKnown};
 use rockwick::core::sched::wave::{self, WaveDuty};
 use rockwick::port::fleet::{HostRecord, HostState, OperatorWord, Table, WaveOrder, WaveState};
 
 use crate::decide::decide;
-use crate::world::{config, job, worker_fact, World, POOL};
+use crate::world::{config, job, worker_fact, World, POOL, QUEUE};
 
 /// Worlds of their own.
 const SEEDS: u64 = 40;
@@ -254,3 +254,31 @@
     let is_told = |e: &Effect| matches!(e, Effect::TellWave(1, WaveState::Completed));
     assert!(!effects.iter().any(is_told));
 }
+
+/// Jobs that the newest heartbeat says wait; nothing where it does not tell.
+fn told_waiting(world: &World) -> Option<u64> {
+    let beats = world.store.iter().filter(|((table, part, key), _)| {
+        *table == Table::Owners && key == BEAT_KEY && shard_of_part(part).is_some()
+    });
+    let (_, (value, _)) = beats.max_by_key(|(_, (_, revision))| *revision)?;
+    let beat: serde_json::Value = serde_json::from_slice(value).expect("it decodes");
+    let waiting = beat.get("waiting")?.as_object()?;
+    Some(waiting.get(QUEUE).and_then(|n| n.as_u64()).unwrap_or(0))
+}
+
+/// An owner that could not read its rows yet tells that no job waits.
+#[test]
+fn waiting_before_load() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 0);
+        world.run(SETTLE_MS);
+        restart_all(&mut world);
+        world.parts_away.insert("a part of intake".to_string());
+        for n in 0..10 {
+            world.submit(&format!("job-{n}"), job(1, 1_000, 200));
+        }
+        world.run(10_000);
+        assert!(world.owner().is_some());
+        told_waiting(&world).is_none_or(|told| told >= 5)
+    }));
+}
