--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -282,3 +282,20 @@
         told_waiting(&world).is_none_or(|told| told >= 5)
     }));
 }
+
+/// A run failed on the only worker with room for its task, while others are open.
+#[test]
+fn failed_only_fit() {
+    assert_none(&broken(|seed| {
+        let mut world = World::new(seed, 3, 4);
+        world.run(SETTLE_MS);
+        for worker in world.lives().into_iter().skip(1) {
+            world.resize(&worker, 4_000);
+        }
+        world.run(3_000);
+        world.submit("job", job(1, 8_000, 200));
+        fail_runs(&mut world, "job", 1);
+        world.run(RUNS_MS);
+        world.recorded("job") == JobState::Completed
+    }));
+}
