A job goes by the newest policy that is known of its queue, and is ended for it a moment after it changed

Cause: 'as configured, else as accepted' let an older configuration beat the job's own row; what changed since was known to its owner alone; and a configuration that was already replaced ended jobs at once. Change: a policy carries the version of the configuration that it is of, in the job's row and, where it changed since, in the record of its progress; the newest of these and of the owner's configuration holds. A waiting task without an attempt left gets no place, and its job is ended with the next look at all that waits, 0.25 s later at the most. Why it holds: versions order all that is known of a policy, and nothing that can't be taken back follows from one that was replaced in the same moment.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -89,8 +89,6 @@
     pub crashed_ms: Millis,
     /// Jobs of tasks that brought too many workers down: they are to be ended.
     pub given_up: Vec<JobKey>,
-    /// Tasks that wait with no attempt left: their jobs are to be ended.
-    pub exhausted: Vec<TaskKey>,
     /// Jobs that left of late, and when: a row of theirs may still come.
     pub forgotten: BTreeMap<String, Millis>,
     /// Progress on record whose job is gone: shard and id.
--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::port::fleet::{Capacity, QueueConfig};
+use crate::port::fleet::{Capacity, FleetConfig};
 
 /// A job as submitted. This is also what its row holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,9 +27,11 @@
     pub accepted_wall_ms: Millis,
 }
 
-/// What a queue promises of its jobs.
+/// What a queue promises of its jobs, by a configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueuePolicy {
+    /// The configuration's version.
+    pub config: u64,
     /// Failed runs of a task after which its job has failed.
     pub attempts_max: u32,
     /// How long a job may take on top of its stretched chain.
@@ -38,13 +40,21 @@
     pub stretch_milli: u64,
 }
 
-impl From<&QueueConfig> for QueuePolicy {
-    fn from(queue: &QueueConfig) -> Self {
-        Self {
+impl QueuePolicy {
+    /// Of a queue, if the configuration names it.
+    pub fn of(queue: &str, config: &FleetConfig) -> Option<Self> {
+        let queue = config.queues.get(queue)?;
+        Some(Self {
+            config: config.version,
             attempts_max: queue.attempts_max,
             target_ms: queue.target_ms,
             stretch_milli: queue.stretch_milli,
-        }
+        })
+    }
+
+    /// The same, as a later configuration has it.
+    pub fn at(self, config: u64) -> Self {
+        Self { config, ..self }
     }
 }
 
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -62,10 +62,6 @@
     for row in cancels {
         apply_intake(&mut book, &row, state.config, id.epoch, ctx);
     }
-    let keys: Vec<JobKey> = book.jobs.keys().collect();
-    for key in keys {
-        runs::end_exhausted(&mut book, key, id.epoch, ctx);
-    }
     book.wants_placing = true;
     book
 }
@@ -261,6 +257,7 @@
     if progress.state.is_final() {
         return;
     }
+    book.jobs[key].renew_policy(progress.policy, ctx.now);
     let lives: Vec<WorkerKey> = progress
         .lives()
         .map(|(id, host, born)| known_or_ghost(book, (id, born), host, began_ms, ctx.now))
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -8,6 +8,7 @@
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::PLACE_LOOKS;
 use super::room::Slot;
+use super::runs;
 use super::state::Ctx;
 use super::tasks::{Class, Phase, Task};
 use crate::event::{Code, Decision, Subject};
@@ -30,6 +31,7 @@
         .iter()
         .filter(|r| r.class > Class::Lasting || !book.is_held(r.task, ctx.now.ms))
         .map(|r| r.task)
+        .filter(|task| !runs::is_exhausted(book, *task))
         // What waits for its account's quota holds up nobody else.
         .filter(|task| book.is_within_quota(*task, 1))
         .take(PLACE_LOOKS)
--- a/src/core/sched/policy.rs
+++ b/src/core/sched/policy.rs
@@ -1,28 +1,36 @@
 //! What a job's queue promises: attempts, and the time by which a job should be completed.
 //!
-//! The configuration may not name the queue: it is older than the job, or the queue was removed. So the entry that accepts a
-//! job writes the queue's policy beside it.
+//! An owner's configuration may be older than a job, or may have lost its queue. So the entry that accepts a job writes the
+//! queue's policy beside it, an owner records the policies that changed since, and of all that is known the newest one holds.
 
 use super::book::Book;
 use super::job::{JobSpec, QueuePolicy};
 use super::keys::JobKey;
 use super::limits::HOPELESS_FACTOR;
-use super::runs;
 use super::state::Ctx;
+use super::tasks::Job;
 use crate::clock::{Millis, Now};
 use crate::port::fleet::FleetConfig;
 
 /// Of a job whose queue is not configured, accepted by an entry of a version that wrote no policy.
 const UNRECORDED: QueuePolicy = QueuePolicy {
+    config: 0,
     attempts_max: 3,
     target_ms: 1_000,
     stretch_milli: 1_000,
 };
 
-/// The policy that a job goes by: as configured, else as it was accepted.
+/// The policy of a job that is taken in.
 pub(super) fn of(spec: &JobSpec, config: &FleetConfig) -> QueuePolicy {
-    let configured = config.queues.get(&spec.queue).map(QueuePolicy::from);
-    configured.or(spec.policy).unwrap_or(UNRECORDED)
+    let accepted = spec.policy.unwrap_or(UNRECORDED);
+    newer(accepted, QueuePolicy::of(&spec.queue, config))
+}
+
+/// The newer one of two; where only the version differs, it stays as it is.
+fn newer(known: QueuePolicy, other: Option<QueuePolicy>) -> QueuePolicy {
+    let other = other.filter(|other| other.config > known.config);
+    let is_same = |other: &QueuePolicy| other.at(known.config) == known;
+    other.filter(|other| !is_same(other)).unwrap_or(known)
 }
 
 /// When a job is late, and when it earns nothing any more.
@@ -48,18 +56,38 @@
     }
 }
 
+impl Job {
+    /// Has the job go by a policy, if that is newer than the one it goes by; says whether it was.
+    pub(super) fn renew_policy(&mut self, policy: Option<QueuePolicy>, now: Now) -> bool {
+        let newest = newer(self.policy, policy);
+        if newest == self.policy {
+            return false;
+        }
+        let deadlines = Deadlines::new(&self.spec, &self.step_ms, newest, now);
+        self.policy = newest;
+        self.due_ms = deadlines.due_ms;
+        self.hopeless_ms = deadlines.hopeless_ms;
+        true
+    }
+
+    /// The policy that a record of the job must hold: none where its own row tells it.
+    pub(super) fn changed_policy(&self) -> Option<QueuePolicy> {
+        (self.spec.policy != Some(self.policy)).then_some(self.policy)
+    }
+}
+
 /// Brings all jobs under a configuration that has come into force.
-pub(super) fn refresh(book: &mut Book, config: &FleetConfig, epoch: u64, ctx: &mut Ctx<'_>) {
-    let is_changed = |(key, policy): &(JobKey, QueuePolicy)| book.jobs[*key].policy != *policy;
-    let open = book.jobs.iter().filter(|(_, job)| !job.state.is_final());
-    let policies = open.map(|(key, job)| (key, of(&job.spec, config)));
-    let changed: Vec<(JobKey, QueuePolicy)> = policies.filter(is_changed).collect();
-    for (key, policy) in changed {
-        let job = &mut book.jobs[key];
-        let deadlines = Deadlines::new(&job.spec, &job.step_ms, policy, ctx.now);
-        job.policy = policy;
-        job.due_ms = deadlines.due_ms;
-        job.hopeless_ms = deadlines.hopeless_ms;
-        runs::end_exhausted(book, key, epoch, ctx);
+pub(super) fn refresh(book: &mut Book, config: &FleetConfig, ctx: &Ctx<'_>) {
+    let open = book
+        .jobs
+        .iter_mut()
+        .filter(|(_, job)| !job.state.is_final());
+    let renewed = open.filter_map(|(key, job)| {
+        let policy = QueuePolicy::of(&job.spec.queue, config);
+        job.renew_policy(policy, ctx.now).then_some(key)
+    });
+    let renewed: Vec<JobKey> = renewed.collect();
+    for key in renewed {
+        book.mark(key, ctx.now.ms);
     }
 }
--- a/src/core/sched/progress.rs
+++ b/src/core/sched/progress.rs
@@ -24,6 +24,7 @@
         if job.state.is_final() {
             return Some(row);
         }
+        row.policy = job.changed_policy();
         let mut places: HashMap<WorkerKey, u16> = HashMap::new();
         for (number, round) in &job.rounds {
             let mut steps = Vec::with_capacity(round.steps.len());
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -208,10 +208,9 @@
             let Some(tenure) = &mut pool.tenure else {
                 return;
             };
-            let epoch = tenure.epoch;
             if let Some(book) = &mut tenure.book {
                 book.wants_quota = true;
-                policy::refresh(book, facts.config, epoch, ctx);
+                policy::refresh(book, facts.config, ctx);
             }
         });
     }
@@ -505,6 +504,7 @@
             book.resort(ctx.now.ms);
             sizing::tell_load(book, ctx);
             runs::begin_due_rounds(book, ctx);
+            runs::end_exhausted(book, epoch, ctx);
             holds::hold_stuck(book, epoch, ctx);
             book.wants_placing = true;
             // Timers at the same moment are one: this one alone keeps the round going.
@@ -585,7 +585,6 @@
             let epoch = tenure.epoch;
             if let Some(book) = tenure.book.as_mut() {
                 crashes::give_up(book, epoch, ctx);
-                runs::end_all_exhausted(book, epoch, ctx);
                 gang::stop_broken(book, epoch, ctx);
                 if book.wants_placing && ctx.may_send() {
                     place::place(book, ctx);
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::job::JobState;
+use super::job::{JobState, QueuePolicy};
 use super::tasks::LivesEnded;
 use super::times::Times;
 use crate::clock::Millis;
@@ -87,6 +87,9 @@
     /// Rounds below this one have begun, also where they are over and the last one listed is below; 0 where the others tell.
     #[serde(default, skip_serializing_if = "is_default")]
     pub rounds_begun: u32,
+    /// The policy that the job goes by, where that changed since it was accepted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<QueuePolicy>,
     /// Workers that tasks name by their place here: id of the life, and host.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub workers: Vec<(String, String)>,
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -269,9 +269,6 @@
     let is_noted = task.ended.is_noted();
     let decision = told::requeued(book, key, why, asked_ms, ctx.now.ms);
     book.set_phase(key, Phase::Ready, ctx.now.ms);
-    if is_exhausted(book, key) {
-        book.exhausted.push(key);
-    }
     if is_noted {
         // On record it would still be there, and its worker's end counted once more by the next owner.
         book.mark(key.job, ctx.now.ms);
@@ -502,26 +499,19 @@
 }
 
 /// Whether a task may not be started again. One that is at work may still be done.
-fn is_exhausted(book: &Book, key: TaskKey) -> bool {
+pub(super) fn is_exhausted(book: &Book, key: TaskKey) -> bool {
     let lasts = book.step_spec(key).is_none_or(|s| s.lasting);
     let (Some(job), Some(task)) = (book.jobs.get(key.job), book.task(key)) else {
         return false;
     };
-    let is_waiting = matches!(task.phase, Phase::Blocked | Phase::Ready);
-    !lasts && is_waiting && task.fails() >= job.policy.attempts_max
-}
-
-/// Ends a job of which a task used up its attempts, as its policy has them now.
-pub(super) fn end_exhausted(book: &mut Book, key: JobKey, epoch: u64, ctx: &mut Ctx<'_>) {
-    let mut tasks = book.tasks_of(key).into_iter();
-    if let Some(task) = tasks.find(|task| is_exhausted(book, *task)) {
-        fail_exhausted(book, task, epoch, ctx);
-    }
+    !lasts && task.fails() >= job.policy.attempts_max
 }
 
-/// Ends the jobs of tasks that came back to wait with no attempt left.
-pub(super) fn end_all_exhausted(book: &mut Book, epoch: u64, ctx: &mut Ctx<'_>) {
-    for task in std::mem::take(&mut book.exhausted) {
+/// Ends the jobs of tasks that wait with no attempt left. Not as a configuration changes: the next one may be there already.
+pub(super) fn end_exhausted(book: &mut Book, epoch: u64, ctx: &mut Ctx<'_>) {
+    let waiting = book.ready.iter().map(|rank| rank.task);
+    let exhausted: Vec<TaskKey> = waiting.filter(|task| is_exhausted(book, *task)).collect();
+    for task in exhausted {
         fail_exhausted(book, task, epoch, ctx);
     }
 }
--- a/tests/world/callers.rs
+++ b/tests/world/callers.rs
@@ -64,10 +64,9 @@
     /// A caller hands in a job.
     pub(crate) fn submit(&mut self, id: &str, mut spec: JobSpec) {
         spec.accepted_wall_ms = WALL_MS + self.now_ms;
-        let queue = self.config.queues.get(&spec.queue);
-        spec.policy = queue.map(QueuePolicy::from);
+        spec.policy = QueuePolicy::of(&spec.queue, &self.config);
         let value = rows::encode(&spec);
-        let attempts = queue.map_or(0, |queue| queue.attempts_max);
+        let attempts = spec.policy.map_or(0, |policy| policy.attempts_max);
         self.attempts.insert(id.to_string(), (attempts, attempts));
         self.specs.insert(id.to_string(), spec);
         let [part, _] = intake_parts_of(POOL, id);
