An account that only a newer configuration names may take nothing before that is known

Cause: an account that the configuration does not name counted as one without a quota. Change: the books keep the newest version of the configuration that a job of an account was accepted by; where the owner's is older and lacks the account, its limit is nothing until the owner's has come, and quota-held says so. Why it holds: whoever accepted the job knew the account by its key, so an owner that does not know it knows that it is behind.

--- a/src/core/sched/accounts.rs
+++ b/src/core/sched/accounts.rs
@@ -24,20 +24,32 @@
     pub weight: u64,
     /// What it sent of late.
     pub meter: Meter,
+    /// The newest version of the configuration that one of its jobs was accepted by.
+    pub named_by: u64,
 }
 
 impl Book {
-    /// The key of an account, which is new where it had no job before; what has a quota may take nothing yet.
-    pub fn account_key(&mut self, name: &str, config: Option<&AccountConfig>) -> AccountKey {
-        let has_quota = config.is_some_and(|a| a.quota != Capacity::default());
-        if let Some(key) = self.account_keys.get(name) {
-            return *key;
+    /// The key of an account, which is new where it had no job before; what has a quota, or is not configured, may take nothing
+    /// yet. `named_by` is the version of the configuration that a job of it was accepted by.
+    pub fn account_key(
+        &mut self,
+        name: &str,
+        config: Option<&AccountConfig>,
+        named_by: u64,
+    ) -> AccountKey {
+        let has_quota = config.is_none_or(|a| a.quota != Capacity::default());
+        if let Some(key) = self.account_keys.get(name).copied() {
+            let account = self.account_mut(key);
+            account.named_by = account.named_by.max(named_by);
+            self.wants_quota |= config.is_none();
+            return key;
         }
         let key = AccountKey(self.accounts.len() as u16);
         self.accounts.push(AccountUse {
             name: name.to_string(),
             limit: has_quota.then(Capacity::default),
             weight: config.map_or(0, |a| a.weight),
+            named_by,
             ..AccountUse::default()
         });
         self.account_keys.insert(name.to_string(), key);
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -177,7 +177,8 @@
     let deadlines = Deadlines::new(&spec, &step_ms, policy, ctx.now);
     *book.waiting.entry(spec.queue.clone()).or_default() += 1;
     let account = spec.account.as_deref();
-    let account = account.map(|name| book.account_key(name, config.accounts.get(name)));
+    let named_by = spec.policy.map_or(0, |policy| policy.config);
+    let account = account.map(|name| book.account_key(name, config.accounts.get(name), named_by));
     let key = book.jobs.insert(Job {
         id: row.key.clone(),
         state: JobState::Queued,
--- a/src/core/sched/quota.rs
+++ b/src/core/sched/quota.rs
@@ -176,9 +176,17 @@
         account.weight = config.map_or(0, |a| a.weight);
         let quota = config.map(|a| a.quota);
         let Some(quota) = quota.filter(|q| *q != Capacity::default()) else {
-            if account.limit.take().is_some() {
+            // Its jobs were accepted by a newer configuration, which may have given it a quota.
+            let is_news = config.is_none() && account.named_by > with.config.version;
+            let limit = is_news.then(Capacity::default);
+            if account.limit != limit {
+                account.limit = limit;
                 book.wants_placing = true;
             }
+            if is_news && need(account) != Capacity::default() {
+                let ledger = duty.ledgers.entry(account.name.clone()).or_default();
+                tell_held(account, ledger, Capacity::default(), with, ctx);
+            }
             continue;
         };
         let ledger = duty.ledgers.entry(account.name.clone()).or_default();
--- a/tests/test_quota.rs
+++ b/tests/test_quota.rs
@@ -57,7 +57,7 @@
             name: pool.to_string(),
             ..Book::default()
         };
-        book.account_key(ACCOUNT, config(1, quota.1).accounts.get(ACCOUNT));
+        book.account_key(ACCOUNT, config(1, quota.1).accounts.get(ACCOUNT), 1);
         book.accounts[0].used = cores(used);
         Self {
             pool: pool.to_string(),
