Progress of a job whose row can't be read stays on record

Cause: an intake row that does not decode names no job, and progress without a job is removed as left behind. Change: the ids of such rows are kept beside the books; their progress is no orphan. Why it holds: progress is removed only where its job's row is not there at all, as the reading shows.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -91,6 +91,8 @@
     pub given_up: Vec<JobKey>,
     /// Jobs that left of late, and when: a row of theirs may still come.
     pub forgotten: BTreeMap<String, Millis>,
+    /// Jobs whose rows as submitted can't be read: their progress is kept.
+    pub unread: BTreeSet<String>,
     /// Progress on record whose job is gone: shard and id.
     pub orphans: Vec<(usize, String)>,
     /// What steps took of late.
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -169,6 +169,7 @@
         Err(e) => {
             let why = format!("intake row: {e}");
             ctx.tell(Decision::new(Code::BadRow, Subject::Job, &row.key, why));
+            book.unread.insert(row.key.clone());
             return None;
         }
     };
@@ -233,7 +234,9 @@
         return;
     };
     let Some(key) = book.by_id.get(&row.key).copied() else {
-        book.orphans.push((shard, row.key.clone()));
+        if !book.unread.contains(&row.key) {
+            book.orphans.push((shard, row.key.clone()));
+        }
         return;
     };
     let progress: ProgressRow = match rows::decode(row.value.as_deref().unwrap_or_default()) {
