A job leaves the store only once its end is on record

What callers saw (in the world only, found by the review): while one shard of the store was away for over 150 s, the row of a job that was done by its owner's books and running on record was removed; the next owner would have removed its progress, and callers had got 410. Cause: the removal went by the books alone. Change: it waits until the books' last change of the job is recorded. Why it holds: what is removed is final by the record that the next owner reads.

--- a/src/core/sched/remove.rs
+++ b/src/core/sched/remove.rs
@@ -23,7 +23,9 @@
     let mut old: BTreeMap<&String, Vec<JobKey>> = BTreeMap::new();
     for (key, job) in &book.jobs {
         let is_old = |at| ctx.now.ms > at + FINISHED_KEPT_MS;
-        if job.finished_ms.is_some_and(is_old) {
+        // An end that is not on record yet is not known to the next owner.
+        let is_recorded = job.recorded_changes >= job.changes;
+        if is_recorded && job.finished_ms.is_some_and(is_old) {
             for part in &job.intake {
                 old.entry(part).or_default().push(key);
             }
