An owner that has not read its rows tells no count of waiting jobs; the random world changes configurations

What callers saw (in the world only, found by the review): 0 waiting jobs told where 10 waited, for as long as an owner could not read its rows. Cause: its heartbeat repeated the count of the owner before, so that the count stayed fresh.

The random world gets configurations: attempts drawn from 2 to 6 that change, up to 600 of 1,000 runs failing, entries that hear of the configuration up to 6 s after the rest (sched_model_configs, draws of its own).

--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -43,9 +43,9 @@
     /// Thousandths of a core that the entry may use.
     #[serde(default)]
     pub cpu_milli: u64,
-    /// Jobs that have not begun, by queue.
-    #[serde(default)]
-    pub waiting: BTreeMap<String, u64>,
+    /// Jobs that have not begun, by queue; nothing from an owner that has not read its rows yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waiting: Option<BTreeMap<String, u64>>,
     /// Hosts that the pool wants; 0 where its owner does not know yet.
     #[serde(default)]
     pub wanted: u64,
--- a/src/core/sched/seat.rs
+++ b/src/core/sched/seat.rs
@@ -289,7 +289,7 @@
         entry: ctx.me.to_string(),
         cpu_milli: ctx.cpu_milli,
         count: pool.seat.next_count(),
-        waiting: book.map_or_else(|| pool.seat.beat.waiting.clone(), |b| b.waiting.clone()),
+        waiting: book.map(|b| b.waiting.clone()),
     }
 }
 
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -145,7 +145,9 @@
     };
     // A row that can't be read is logged by the reducer.
     if let Ok(beat) = rows::decode::<rows::BeatRow>(value) {
-        shared.set_waiting(pool, beat.waiting);
+        if let Some(waiting) = beat.waiting {
+            shared.set_waiting(pool, waiting);
+        }
     }
 }
 
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -89,6 +89,8 @@
     Restarts,
     /// The same, with orders that are carried out up to 12 s late.
     LateRestarts,
+    /// Attempts change, runs fail often, and entries hear of the configuration late.
+    Configs,
 }
 
 /// What one in so many moments of a world brings, where it has an extra.
@@ -123,6 +125,10 @@
             0 => world.relist_former(),
             _ => world.restart(&life, ms / 2),
         },
+        Extra::Configs => {
+            world.config_late_ms = ms;
+            world.set_attempts(rng.u32(2..7));
+        }
         Extra::Nothing | Extra::Timed | Extra::Late => {}
     }
 }
@@ -151,6 +157,9 @@
         order_late: rng.u32(0..1_000),
         run_fails: rng.u32(0..60),
     };
+    if extra == Extra::Configs {
+        world.faults.run_fails = extras.u32(0..600);
+    }
     // Worlds of their own, in which orders to workers are not lost: an entry with such links is not in touch.
     let has_crashers = seed % 4 == 1;
     if has_crashers {
@@ -280,6 +289,11 @@
     play_all(Extra::LateRestarts);
 }
 
+#[test]
+fn sched_model_configs() {
+    play_all(Extra::Configs);
+}
+
 #[test]
 fn sched_model_two_lives() {
     play_all(Extra::TwoLives);
