--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -1,7 +1,7 @@
 //! A job was ended as failed after three failed runs of a task, where its queue allows four, and the fourth start that was owed
-//! never came. Its owner had just started again and had no configuration yet: the job entered its books with a default. The
-//! log of that day, of another pool: `pool-owned` at 14.257 s, eleven `task-placed` at 14.38, and the process's first
-//! `config-adopted`, "from 0", at 15.636.
+//! never came. Supposed: its owner had just started again and had no configuration yet, so that the job entered its books with a
+//! default. The log of a day of that kind, at another moment: `pool-owned` at 14.257 s, ten `task-placed` at 14.38, and the process's
+//! first `config-adopted`, "from 0", at 15.636.
 
 use rockwick::core::sched::job::JobState;
 
