Failing tests: a task barred from the only worker that suits it, and what waits behind a task without a place

- barred_by_size, barred_by_label, barred_by_copies, barred_while_full: a task whose run failed on the only worker that can take it is never placed again while any other worker is open.
- barred_while_suspended: another worker that opens again in 500 ms counts as none.
- barred_alone: a task of the same size behind the barred one is passed over, too.
- barred_prefix, barred_long_prefix: 401 or 1,600 tasks without a place hide the task behind them for good.

barred_not_by_rack holds: a rack where data lies bars nothing.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,6 +10,7 @@
 
 mod test_admit;
 mod test_answers;
+mod test_barred;
 mod test_blame;
 mod test_budget;
 mod test_catalogue;
