--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -80,13 +80,17 @@
 }
 
 fn job(id: &str) -> StoredRow {
+    job_of(id, 1, 2_300)
+}
+
+fn job_of(id: &str, count: u16, cpu_milli: u64) -> StoredRow {
     let spec = JobSpec {
         queue: "queue".to_string(),
         account: None,
         payload: "work".to_string(),
         steps: vec![StepSpec {
-            count: 1,
-            cpu_milli: 2_300,
+            count,
+            cpu_milli,
             mem_mb: 500,
             estimate_ms: 1_000,
             ..StepSpec::default()
@@ -164,6 +168,20 @@
         .bench_local_refs(|book| decide(|ctx| place::place(book, ctx)));
 }
 
+/// A queue of 2,000 tasks waits, with no room for one of them anywhere.
+#[divan::bench(args = SIZES)]
+fn place_queue_in_vain(bencher: Bencher<'_, '_>, workers: usize) {
+    let queued = || {
+        let mut book = book(workers);
+        let row = job_of("queue", 2_000, 16_100);
+        decide(|ctx| load::apply_intake(&mut book, &row, &config(), 1, ctx));
+        book
+    };
+    bencher
+        .with_inputs(queued)
+        .bench_local_refs(|book| decide(|ctx| place::place(book, ctx)));
+}
+
 /// A peak begins: one pool lacks half of the hosts, the others offer a quarter of them all.
 #[divan::bench(args = SIZES)]
 fn look_at_hosts(bencher: Bencher<'_, '_>, workers: usize) {
