A task is kept off the worker where it failed only while another can take it, and for 6 s at the most

Seen by callers: a job stays running for good with one task waiting, while the only worker that suits that task is empty.

Cause: failed_there asked whether any other worker is open, not whether it is large enough, has the label or a copy to spare, and had no bound in time.

Ruled out: a rack of data (barred_not_by_rack held before, too); the failures themselves (the task was Ready, with one failed run).

Change: another worker counts if it is large enough as a whole, has the label and a copy to spare, and is open by the end of the bound; so one that is left alone for a moment counts, too. The bound runs from the failure, so being placed and refused elsewhere does not begin it anew: 3 s after the first failed run, 6 s after each further one, as a failing worker is left alone.

The bar is looked at only for the worker where the task failed, as before.

--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -6,10 +6,11 @@
 use super::gang;
 use super::job::{JobState, StepSpec};
 use super::keys::{TaskKey, WorkerKey};
-use super::limits::PLACE_LOOKS;
+use super::limits::{PLACE_LOOKS, SUSPEND_MAX_MS, SUSPEND_MS};
 use super::room::Slot;
 use super::state::Ctx;
 use super::tasks::{Class, Phase, Task};
+use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::Capacity;
 
@@ -140,19 +141,35 @@
         worker.is_open(self.now_ms)
             && worker.fits(self.spec.demand())
             && suits(self.book, self.key, self.spec, key)
-            && !failed_there(self.book, self.key, key, self.now_ms)
+            && !failed_there(self.book, self.key, self.spec, key, self.now_ms)
             && !(self.is_apart && self.book.is_watched(key))
     }
 }
 
-/// Whether the task's last run failed on this worker and another one may take it, with room or later: three
+/// Whether the task's last run failed on this worker and another one may take it, with room now or soon: three
 /// failures on one bad worker would end the job.
-fn failed_there(book: &Book, key: TaskKey, worker: WorkerKey, now_ms: u64) -> bool {
-    if book.task(key).is_none_or(|t| t.failed_on != Some(worker)) {
+fn failed_there(
+    book: &Book,
+    key: TaskKey,
+    spec: &StepSpec,
+    worker: WorkerKey,
+    now_ms: u64,
+) -> bool {
+    let Some(task) = book.task(key).filter(|t| t.failed_on == Some(worker)) else {
         return false;
-    }
+    };
+    let until_ms = task.failed_ms + avoid_ms(task.fails());
     let mut others = book.workers.iter().filter(|(other, _)| *other != worker);
-    others.any(|(_, w)| w.is_open(now_ms))
+    now_ms < until_ms
+        && others.any(|(other, w)| {
+            w.is_open(until_ms) && w.is_large_enough(spec.demand()) && suits(book, key, spec, other)
+        })
+}
+
+/// How long a task waits for another worker than the one where it failed: what is left of its attempts is worth more with
+/// each failure.
+fn avoid_ms(fails: u32) -> Millis {
+    (SUSPEND_MS << fails.min(4)).min(SUSPEND_MAX_MS)
 }
 
 /// Whether a task could go to another worker than the one it is on.
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -479,6 +479,7 @@
         return;
     }
     task.failed_on = Some(worker);
+    task.failed_ms = ctx.now.ms;
     let fails = task.fails();
     if gang::is_member(book, key) {
         // The gang has failed: every member counts that run.
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -59,6 +59,8 @@
     pub checkpoint: String,
     /// Where the last run that failed was.
     pub failed_on: Option<WorkerKey>,
+    /// When that was heard.
+    pub failed_ms: Millis,
     /// When it came into its phase.
     pub since_ms: Millis,
     /// When the worker answered the order that led here; an account asked for later must show it.
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -186,6 +186,12 @@
             && self.used.gpu + demand.gpu <= room.gpu
     }
 
+    /// Whether it could carry `demand` if it carried nothing else.
+    pub fn is_large_enough(&self, demand: Capacity) -> bool {
+        let room = self.fact.capacity;
+        demand.cpu_milli <= room.cpu_milli && demand.mem_mb <= room.mem_mb && demand.gpu <= room.gpu
+    }
+
     /// Its rack; by the platform's custom the label behind its kind.
     pub fn rack(&self) -> &str {
         self.fact.labels.get(1).map_or("", String::as_str)
