A task that is barred from the workers with room holds up no other of its size

Seen by callers: with room for them, jobs wait behind a task that is kept off the one worker where its last run failed.

Cause: place took 'no worker was chosen' of a task without label and bound on copies for 'no open worker has that much room', and passed over all later tasks that ask for no less. barred_alone: the second task stays without a place on an empty worker.

Change: the look notes whether it met an open worker with room, whoever that takes; only without one is the demand too large for the rest of the round. So the label, copies, a failed run and suspects are no part of it any more, and a labelled task without room spares the others their look, too.

--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -1,5 +1,6 @@
 //! Where waiting tasks get their place.
 
+use std::cell::Cell;
 use std::collections::HashSet;
 
 use super::book::Book;
@@ -49,15 +50,13 @@
             continue;
         }
         let demand = spec.demand();
-        let is_suspect = book.task(key).is_some_and(Task::is_suspect);
-        let is_plain = spec.label.is_none() && spec.per_worker_max == 0 && !is_suspect;
         if too_large.iter().any(|d| exceeds(demand, *d)) || !book.is_within_quota(key, 1) {
             continue;
         }
         match choose(book, key, ctx.now.ms) {
-            Some(worker) => assign(book, key, worker, ctx),
-            None if is_plain => too_large.push(demand),
-            None => {}
+            Choice::Worker(worker) => assign(book, key, worker, ctx),
+            Choice::NoRoom => too_large.push(demand),
+            Choice::Barred => {}
         }
     }
 }
@@ -67,6 +66,16 @@
     a.cpu_milli >= b.cpu_milli && a.mem_mb >= b.mem_mb && a.gpu >= b.gpu
 }
 
+/// What a look for a task's place came to.
+enum Choice {
+    /// A worker takes it.
+    Worker(WorkerKey),
+    /// No open worker has that much room.
+    NoRoom,
+    /// Some have, and none of them takes this task.
+    Barred,
+}
+
 /// The place of a suspect of crashes: where least runs that would end with the worker.
 fn choose_apart(search: &Search<'_>) -> Option<WorkerKey> {
     let cpu_milli = search.spec.demand().cpu_milli;
@@ -78,26 +87,39 @@
     })
 }
 
-/// The place of least cost: in the rack where the data lies if one there fits, else anywhere.
-fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Option<WorkerKey> {
-    let spec = book.step_spec(key)?;
-    let cpu_milli = spec.demand().cpu_milli;
+fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Choice {
+    let Some(spec) = book.step_spec(key) else {
+        return Choice::Barred;
+    };
     let search = Search {
         book,
         spec,
         key,
         now_ms,
         is_apart: book.task(key).is_some_and(|t| t.is_apart(now_ms)),
+        has_room: Cell::new(false),
+    };
+    let worker = match book.task(key).is_some_and(Task::is_suspect) {
+        true => choose_apart(&search),
+        false => choose_cheapest(&search),
     };
-    if book.task(key).is_some_and(Task::is_suspect) {
-        return choose_apart(&search);
+    match worker {
+        Some(worker) => Choice::Worker(worker),
+        None if search.has_room.get() => Choice::Barred,
+        None => Choice::NoRoom,
     }
-    let Some(rack) = spec.data_rack.as_deref() else {
-        let best = search.best(book.room.with_free(cpu_milli), 0, None);
+}
+
+/// The place of least cost: in the rack where the data lies if one there fits, else anywhere.
+fn choose_cheapest(search: &Search<'_>) -> Option<WorkerKey> {
+    let room = &search.book.room;
+    let cpu_milli = search.spec.demand().cpu_milli;
+    let Some(rack) = search.spec.data_rack.as_deref() else {
+        let best = search.best(room.with_free(cpu_milli), 0, None);
         return best.map(|(_, worker)| worker);
     };
-    let near = search.best(book.room.with_free_in(rack, cpu_milli), 0, None);
-    let best = search.best(book.room.with_free(cpu_milli), FAR_MILLI, near);
+    let near = search.best(room.with_free_in(rack, cpu_milli), 0, None);
+    let best = search.best(room.with_free(cpu_milli), FAR_MILLI, near);
     best.map(|(_, worker)| worker)
 }
 
@@ -109,6 +131,8 @@
     now_ms: u64,
     /// The task goes on no worker that has a suspect of crashes.
     is_apart: bool,
+    /// An open worker with room for the task was met, whether or not it may take it.
+    has_room: Cell<bool>,
 }
 
 impl Search<'_> {
@@ -138,9 +162,11 @@
 
     fn may_take(&self, key: WorkerKey) -> bool {
         let worker = &self.book.workers[key];
-        worker.is_open(self.now_ms)
-            && worker.fits(self.spec.demand())
-            && suits(self.book, self.key, self.spec, key)
+        if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) {
+            return false;
+        }
+        self.has_room.set(true);
+        suits(self.book, self.key, self.spec, key)
             && !failed_there(self.book, self.key, self.spec, key, self.now_ms)
             && !(self.is_apart && self.book.is_watched(key))
     }
