Tasks far back in the queue are looked at by turns

Seen by callers: while 400 tasks without a place wait in front (tasks that last come first, whatever they need), nothing behind them starts, though it has room.

Change: where the first look was cut, as many tasks behind it are looked at once each 250 ms, from where the last such look ended; of n tasks each is looked at within n / 400 times 250 ms. Which tasks are looked at has moved to order.rs.

Rounds between were not timed alone.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -8,6 +8,7 @@
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, FORGOTTEN_KEPT_MS, HELD_MAX_MS};
+use super::order::Turn;
 use super::room::Room;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::times::Times;
@@ -71,6 +72,8 @@
     pub recording: BTreeSet<WorkerKey>,
     /// Tasks that wait for a place.
     pub ready: BTreeSet<Rank>,
+    /// Where looks at tasks far back in that order have come to.
+    pub turn: Turn,
     /// Jobs whose progress is to be recorded.
     pub dirty: BTreeSet<JobKey>,
     /// When the first of them became so.
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -198,7 +198,8 @@
 /// A worker that refused for want of room gets nothing for so long: its account comes with a hold.
 pub const FULL_PAUSE_MS: Millis = 200;
 
-/// Most waiting tasks that one round of placement looks at.
+/// Most waiting tasks that one round of placement looks at from the first one on. Once each [`RESORT_MS`] it looks at as many of
+/// those behind them, by turns: of n tasks each is looked at within n / 400 times that.
 pub const PLACE_LOOKS: usize = 400;
 
 /// Past so many times its objective a job earns nothing and waits behind others.
--- a/src/core/sched/order.rs
+++ b/src/core/sched/order.rs
@@ -1,14 +1,55 @@
 //! The order of waiting tasks: by what each job can still earn, and by what the pool's room allows together.
 
 use std::collections::HashMap;
+use std::ops::Bound;
 
 use super::book::Book;
 use super::keys::{JobKey, TaskKey};
+use super::limits::{PLACE_LOOKS, RESORT_MS};
 use super::overload::{self, Supply};
 use super::tasks::{Class, Outlook, Rank};
 use crate::clock::Millis;
 
+/// Where the looks at tasks behind the first ones have come to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Turn {
+    /// The last task looked at; nothing where the next look begins right behind the first ones.
+    after: Option<Rank>,
+    /// When that was.
+    at_ms: Millis,
+}
+
 impl Book {
+    /// Waiting tasks that a round of placement looks at: the first ones, and now and then some of those behind, by turns.
+    pub(super) fn next_to_place(&mut self, now_ms: Millis) -> Vec<Rank> {
+        let mut ranks = self.placeable(None, now_ms);
+        let is_cut = ranks.len() == PLACE_LOOKS;
+        if !is_cut || now_ms < self.turn.at_ms + RESORT_MS {
+            return ranks;
+        }
+        let after = self.turn.after.max(ranks.last().copied());
+        let behind = self.placeable(after, now_ms);
+        let is_cut = behind.len() == PLACE_LOOKS;
+        self.turn = Turn {
+            after: behind.last().copied().filter(|_| is_cut),
+            at_ms: now_ms,
+        };
+        ranks.extend(behind);
+        ranks
+    }
+
+    /// The first waiting tasks after a rank, but for those that are held or have no quota left: these hold up nobody.
+    fn placeable(&self, after: Option<Rank>, now_ms: Millis) -> Vec<Rank> {
+        let first = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let waiting = self.ready.range((first, Bound::Unbounded));
+        waiting
+            .filter(|r| r.class > Class::Lasting || !self.is_held(r.task, now_ms))
+            .filter(|r| self.is_within_quota(r.task, 1))
+            .take(PLACE_LOOKS)
+            .copied()
+            .collect()
+    }
+
     pub(super) fn rank(&self, key: TaskKey, now_ms: Millis) -> Option<Rank> {
         let job = self.jobs.get(key.job)?;
         let lasts = job.spec.steps.get(usize::from(key.step))?.lasting;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -7,10 +7,10 @@
 use super::gang;
 use super::job::{JobState, StepSpec};
 use super::keys::{TaskKey, WorkerKey};
-use super::limits::{PLACE_LOOKS, SUSPEND_MAX_MS, SUSPEND_MS};
+use super::limits::{SUSPEND_MAX_MS, SUSPEND_MS};
 use super::room::Slot;
 use super::state::Ctx;
-use super::tasks::{Class, Phase, Task};
+use super::tasks::{Phase, Rank, Task};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::Capacity;
@@ -27,18 +27,9 @@
 /// Gives places to waiting tasks, in their order, as far as there is room.
 pub fn place(book: &mut Book, ctx: &mut Ctx<'_>) {
     book.wants_placing = false;
-    let ranks: Vec<TaskKey> = book
-        .ready
-        .iter()
-        .filter(|r| r.class > Class::Lasting || !book.is_held(r.task, ctx.now.ms))
-        .map(|r| r.task)
-        // What waits for its account's quota holds up nobody else.
-        .filter(|task| book.is_within_quota(*task, 1))
-        .take(PLACE_LOOKS)
-        .collect();
     let mut too_large: Vec<Capacity> = Vec::new();
     let mut tried_gangs: HashSet<TaskKey> = HashSet::new();
-    for key in ranks {
+    for Rank { task: key, .. } in book.next_to_place(ctx.now.ms) {
         let Some(spec) = book.step_spec(key) else {
             continue;
         };
