--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -1,16 +1,17 @@
 //! Where waiting tasks get their place.
 
+use std::cell::Cell;
 use std::collections::HashSet;
 
 use super::book::Book;
 use super::gang;
 use super::job::{JobState, StepSpec};
 use super::keys::{TaskKey, WorkerKey};
-use super::limits::PLACE_LOOKS;
+use super::limits::{SUSPEND_MAX_MS, SUSPEND_MS};
 use super::room::Slot;
-use super::runs;
 use super::state::Ctx;
-use super::tasks::{Class, Phase, Task};
+use super::tasks::{Phase, Rank, Task};
+use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::Capacity;
 
@@ -26,19 +27,9 @@
 /// Gives places to waiting tasks, in their order, as far as there is room.
 pub fn place(book: &mut Book, ctx: &mut Ctx<'_>) {
     book.wants_placing = false;
-    let ranks: Vec<TaskKey> = book
-        .ready
-        .iter()
-        .filter(|r| r.class > Class::Lasting || !book.is_held(r.task, ctx.now.ms))
-        .map(|r| r.task)
-        .filter(|task| !runs::is_exhausted(book, *task))
-        // What waits for its account's quota holds up nobody else.
-        .filter(|task| book.is_within_quota(*task, 1))
-        .take(PLACE_LOOKS)
-        .collect();
     let mut too_large: Vec<Capacity> = Vec::new();
     let mut tried_gangs: HashSet<TaskKey> = HashSet::new();
-    for key in ranks {
+    for Rank { task: key, .. } in book.next_to_place(ctx.now.ms) {
         let Some(spec) = book.step_spec(key) else {
             continue;
         };
@@ -50,15 +41,13 @@
             continue;
         }
         let demand = spec.demand();
-        let is_suspect = book.task(key).is_some_and(Task::is_suspect);
-        let is_plain = spec.label.is_none() && spec.per_worker_max == 0 && !is_suspect;
         if too_large.iter().any(|d| exceeds(demand, *d)) || !book.is_within_quota(key, 1) {
             continue;
         }
         match choose(book, key, ctx.now.ms) {
-            Some(worker) => assign(book, key, worker, ctx),
-            None if is_plain => too_large.push(demand),
-            None => {}
+            Choice::Worker(worker) => assign(book, key, worker, ctx),
+            Choice::NoRoom => too_large.push(demand),
+            Choice::Barred => {}
         }
     }
 }
@@ -68,6 +57,16 @@
     a.cpu_milli >= b.cpu_milli && a.mem_mb >= b.mem_mb && a.gpu >= b.gpu
 }
 
+/// What a look for a task's place came to.
+enum Choice {
+    /// A worker takes it.
+    Worker(WorkerKey),
+    /// No open worker has that much room.
+    NoRoom,
+    /// Some have, and none of them takes this task.
+    Barred,
+}
+
 /// The place of a suspect of crashes: where least runs that would end with the worker.
 fn choose_apart(search: &Search<'_>) -> Option<WorkerKey> {
     let cpu_milli = search.spec.demand().cpu_milli;
@@ -79,26 +78,39 @@
     })
 }
 
-/// The place of least cost: in the rack where the data lies if one there fits, else anywhere.
-fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Option<WorkerKey> {
-    let spec = book.step_spec(key)?;
-    let cpu_milli = spec.demand().cpu_milli;
+fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Choice {
+    let Some(spec) = book.step_spec(key) else {
+        return Choice::Barred;
+    };
     let search = Search {
         book,
         spec,
         key,
         now_ms,
         is_apart: book.task(key).is_some_and(|t| t.is_apart(now_ms)),
+        has_room: Cell::new(false),
     };
-    if book.task(key).is_some_and(Task::is_suspect) {
-        return choose_apart(&search);
+    let worker = match book.task(key).is_some_and(Task::is_suspect) {
+        true => choose_apart(&search),
+        false => choose_cheapest(&search),
+    };
+    match worker {
+        Some(worker) => Choice::Worker(worker),
+        None if search.has_room.get() => Choice::Barred,
+        None => Choice::NoRoom,
     }
-    let Some(rack) = spec.data_rack.as_deref() else {
-        let best = search.best(book.room.with_free(cpu_milli), 0, None);
+}
+
+/// The place of least cost: in the rack where the data lies if one there fits, else anywhere.
+fn choose_cheapest(search: &Search<'_>) -> Option<WorkerKey> {
+    let room = &search.book.room;
+    let cpu_milli = search.spec.demand().cpu_milli;
+    let Some(rack) = search.spec.data_rack.as_deref() else {
+        let best = search.best(room.with_free(cpu_milli), 0, None);
         return best.map(|(_, worker)| worker);
     };
-    let near = search.best(book.room.with_free_in(rack, cpu_milli), 0, None);
-    let best = search.best(book.room.with_free(cpu_milli), FAR_MILLI, near);
+    let near = search.best(room.with_free_in(rack, cpu_milli), 0, None);
+    let best = search.best(room.with_free(cpu_milli), FAR_MILLI, near);
     best.map(|(_, worker)| worker)
 }
 
@@ -110,6 +122,8 @@
     now_ms: u64,
     /// The task goes on no worker that has a suspect of crashes.
     is_apart: bool,
+    /// An open worker with room for the task was met, whether or not it may take it.
+    has_room: Cell<bool>,
 }
 
 impl Search<'_> {
@@ -139,22 +153,40 @@
 
     fn may_take(&self, key: WorkerKey) -> bool {
         let worker = &self.book.workers[key];
-        worker.is_open(self.now_ms)
-            && worker.fits(self.spec.demand())
-            && suits(self.book, self.key, self.spec, key)
-            && !failed_there(self.book, self.key, key, self.now_ms)
+        if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) {
+            return false;
+        }
+        self.has_room.set(true);
+        suits(self.book, self.key, self.spec, key)
+            && !failed_there(self.book, self.key, self.spec, key, self.now_ms)
             && !(self.is_apart && self.book.is_watched(key))
     }
 }
 
-/// Whether the task's last run failed on this worker and another one may take it, with room or later: three
+/// Whether the task's last run failed on this worker and another one may take it, with room now or soon: three
 /// failures on one bad worker would end the job.
-fn failed_there(book: &Book, key: TaskKey, worker: WorkerKey, now_ms: u64) -> bool {
-    if book.task(key).is_none_or(|t| t.failed_on != Some(worker)) {
+fn failed_there(
+    book: &Book,
+    key: TaskKey,
+    spec: &StepSpec,
+    worker: WorkerKey,
+    now_ms: u64,
+) -> bool {
+    let Some(task) = book.task(key).filter(|t| t.failed_on == Some(worker)) else {
         return false;
-    }
+    };
+    let until_ms = task.failed_ms + avoid_ms(task.fails());
     let mut others = book.workers.iter().filter(|(other, _)| *other != worker);
-    others.any(|(_, w)| w.is_open(now_ms))
+    now_ms < until_ms
+        && others.any(|(other, w)| {
+            w.is_open(until_ms) && w.is_large_enough(spec.demand()) && suits(book, key, spec, other)
+        })
+}
+
+/// How long a task waits for another worker than the one where it failed: what is left of its attempts is worth more with
+/// each failure.
+fn avoid_ms(fails: u32) -> Millis {
+    (SUSPEND_MS << fails.min(4)).min(SUSPEND_MAX_MS)
 }
 
 /// Whether a task could go to another worker than the one it is on.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,6 +10,7 @@
 
 mod test_admit;
 mod test_answers;
+mod test_barred;
 mod test_blame;
 mod test_budget;
 mod test_catalogue;
@@ -45,6 +46,7 @@
 mod test_place;
 mod test_platform;
 mod test_policy;
+mod test_progress;
 mod test_quota;
 mod test_reload;
 mod test_removal;
