The answer to a change of a wave's row is taken in while the owner's books are read

What callers saw: a host stays closed, its wave never ends, and no other host of the pool has its turn, for as long as the owner lives.

Cause: an owner has one change of a wave's row out at a time (WaveDuty::pending). The reducer ran wave::settled only where the pool has books. A record that meets a row which something else wrote drops the books until the rows are read again; an answer that came in between was dropped, the change stayed pending, and take_slot and give_back return at once while one is.

Change: what an owner does for waves is reached without books, too; settled and the list of hosts need none. Books that are read later close hosts by the row (recover).

--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -109,14 +109,15 @@
     true
 }
 
-/// Runs `work` on what an owner does for waves; it is given the epoch and the pool's name, too.
+/// Runs `work` on what an owner does for waves; it is given the epoch and the pool's name, too. There are no books while they are
+/// being read: an answer that comes then still settles what was sent before.
 pub(super) fn with_duty(
     state: &mut State,
     key: PoolKey,
     now: Now,
     out: &mut Vec<Effect>,
     work: impl FnOnce(
-        &mut Book,
+        Option<&mut Book>,
         &mut WaveDuty,
         &mut BTreeMap<u64, WaveKnown>,
         (u64, &str),
@@ -129,9 +130,13 @@
             return;
         };
         let facts = (tenure.epoch, pool.name.as_str());
-        if let Some(book) = &mut tenure.book {
-            work(book, &mut tenure.duty, &mut waves, facts, ctx);
-        }
+        work(
+            tenure.book.as_mut(),
+            &mut tenure.duty,
+            &mut waves,
+            facts,
+            ctx,
+        );
     });
     state.waves = waves;
 }
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -449,7 +449,9 @@
             now,
             out,
             |book, duty, waves, (epoch, name), ctx| {
-                wave::look(book, duty, waves, name, epoch, ctx);
+                if let Some(book) = book {
+                    wave::look(book, duty, waves, name, epoch, ctx);
+                }
             },
         );
         return;
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -409,9 +409,9 @@
     duty.turns.insert(host.to_string(), (wave.order.wave, turn));
 }
 
-/// Takes in what became of a change of a wave's row.
+/// Takes in what became of a change of a wave's row; books that are being read close and open hosts by its row later.
 pub fn settled(
-    book: &mut Book,
+    book: Option<&mut Book>,
     duty: &mut WaveDuty,
     known: &mut BTreeMap<u64, WaveKnown>,
     outcome: TxOutcome,
@@ -458,7 +458,9 @@
             .with("left", left as u64),
         );
         duty.turns.remove(&pending.host);
-        book.set_closing(&pending.host, false);
+        if let Some(book) = book {
+            book.set_closing(&pending.host, false);
+        }
     }
 }
 
