--- a/tests/test_left.rs
+++ b/tests/test_left.rs
@@ -179,3 +179,31 @@
         assert!(world.waves_done.contains(&WAVES[0]), "seed {seed}");
     }
 }
+
+/// The books were dropped while a change of an account's grant was out: its answer met none, and the grant stayed as it was.
+#[test]
+fn left_quota_reread() {
+    let of_account = |count, estimate_ms| {
+        let mut spec = job(count, 1_000, estimate_ms);
+        spec.account = Some("shop".to_string());
+        spec
+    };
+    for seed in 0..REREADS {
+        let mut world = World::new(seed, 1, 3);
+        world.set_quotas(&[("shop", 30_000)]);
+        world.run(8_000 + seed);
+        for round in 0..400 {
+            let id = format!("job-{round}");
+            world.submit(&id, job(2, 200, 50));
+            if round % 10 == 0 {
+                world.submit(&format!("shop-{round}"), of_account(1 + round / 20, 50));
+            }
+            world.run(37);
+            world.touch_progress(&id);
+        }
+        world.run(settled_ms(3));
+        world.submit("wide", of_account(30, 4 * settled_ms(3)));
+        world.run(settled_ms(3));
+        assert_eq!(world.running("wide"), 30, "seed {seed}");
+    }
+}
