The answer to a change of a grant is taken in while the owner's books are read

What callers saw: an account's tasks wait under a quota that has room for them; its pool's grant neither grows nor shrinks for as long as the owner lives.

Change: the reducer reaches grants without books (with_grants); settled tells the books to look at grants where there are some, others look once they are built. tests/test_quota.rs calls settled with one argument more; what it checks is the same.

--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -141,7 +141,7 @@
     state.waves = waves;
 }
 
-/// Runs `work` on the quotas of a pool that this entry owns under `epoch`.
+/// Runs `work` on the quotas of a pool that this entry owns under `epoch`, once its books are read.
 pub(super) fn with_quota(
     state: &mut State,
     key: PoolKey,
@@ -149,13 +149,28 @@
     now: Now,
     out: &mut Vec<Effect>,
     work: impl FnOnce(&mut Book, &mut QuotaDuty, &quota::Look<'_>, &mut Ctx<'_>),
+) {
+    with_grants(state, key, epoch, now, out, |book, duty, with, ctx| {
+        if let Some(book) = book {
+            work(book, duty, with, ctx);
+        }
+    });
+}
+
+/// The same, also while the books are being read: an answer that comes meanwhile settles what was sent before.
+pub(super) fn with_grants(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    now: Now,
+    out: &mut Vec<Effect>,
+    work: impl FnOnce(Option<&mut Book>, &mut QuotaDuty, &quota::Look<'_>, &mut Ctx<'_>),
 ) {
     let short_elsewhere = short_elsewhere(state, key, now);
     with_pool(state, key, now, out, |pool, ctx, facts| {
         let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
             return;
         };
-        let Some(book) = &mut tenure.book else { return };
         let with = quota::Look {
             pool: &pool.name,
             epoch,
@@ -163,7 +178,7 @@
             short_elsewhere: &short_elsewhere,
         };
         let before = tenure.quota.short.clone();
-        work(book, &mut tenure.quota, &with, ctx);
+        work(tenure.book.as_mut(), &mut tenure.quota, &with, ctx);
         // Others give back what they do not need once they hear of it.
         if tenure.quota.short != before {
             seat::tell(pool, ctx);
--- a/src/core/sched/quota.rs
+++ b/src/core/sched/quota.rs
@@ -328,10 +328,11 @@
     ctx.out.push(settle);
 }
 
-/// Settles a change of a grant.
+/// Settles a change of a grant; books that are being read look at grants once they are there.
 pub fn settled(
-    book: &mut Book,
+    book: Option<&mut Book>,
     duty: &mut QuotaDuty,
+    pool: &str,
     account: &str,
     outcome: TxOutcome,
     ctx: &mut Ctx<'_>,
@@ -346,7 +347,7 @@
         TxOutcome::Committed(revision) => {
             ledger.row = pending.row;
             ledger.revision = revision;
-            tell_granted(ledger, &book.name, account, ctx);
+            tell_granted(ledger, pool, account, ctx);
         }
         // One of ours that took effect without an answer is told by the row, too.
         TxOutcome::Conflict(found) => {
@@ -371,7 +372,9 @@
             return;
         }
     }
-    book.wants_quota = true;
+    if let Some(book) = book {
+        book.wants_quota = true;
+    }
 }
 
 /// Takes in an account's row as read.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use super::access::{
-    owned_pools, pool_key, tenure_of, with_book, with_duty, with_hosts, with_pool, with_quota,
+    owned_pools, pool_key, tenure_of, with_book, with_duty, with_grants, with_hosts, with_pool,
+    with_quota,
 };
 use super::book::Book;
 use super::claim;
@@ -104,9 +105,16 @@
             hosts_taken(state, pool, epoch, &from, outcome, now, &mut out);
         }
         Event::QuotaSettled(pool, epoch, account, outcome) => {
-            with_quota(state, pool, epoch, now, &mut out, |book, duty, _, ctx| {
-                quota::settled(book, duty, &account, outcome, ctx);
-            });
+            with_grants(
+                state,
+                pool,
+                epoch,
+                now,
+                &mut out,
+                |book, duty, with, ctx| {
+                    quota::settled(book, duty, with.pool, &account, outcome, ctx);
+                },
+            );
         }
         Event::QuotaRead(pool, epoch, account, row) => {
             with_quota(state, pool, epoch, now, &mut out, |book, duty, _, ctx| {
--- a/tests/test_quota.rs
+++ b/tests/test_quota.rs
@@ -225,8 +225,10 @@
             let effects = owner.act(
                 now_ms,
                 &BTreeSet::new(),
-                |book, duty, _, ctx| match answer.what {
-                    Some(outcome) => quota::settled(book, duty, ACCOUNT, outcome, ctx),
+                |book, duty, with, ctx| match answer.what {
+                    Some(outcome) => {
+                        quota::settled(Some(book), duty, with.pool, ACCOUNT, outcome, ctx)
+                    }
                     None => quota::read(book, duty, ACCOUNT, row, ctx),
                 },
             );
