--- a/tests/test_left.rs
+++ b/tests/test_left.rs
@@ -207,3 +207,23 @@
         assert_eq!(world.running("wide"), 30, "seed {seed}");
     }
 }
+
+/// A host that is closing gets nothing new, also from books that were read again meanwhile.
+#[test]
+fn left_closing_reread() {
+    let mut world = World::new(5, 1, 3);
+    world.run(8_000);
+    world.submit("long", job(3, 500, 2_500));
+    world.run(500);
+    world.wave(WAVES[0], 20_000, 1);
+    world.run(500);
+    let closing = |world: &World| {
+        let book = world.owner_book().expect("it has books");
+        let mut workers = book.workers.values();
+        workers.find(|w| w.is_closing).map(|w| w.fact.host.clone())
+    };
+    let host = closing(&world).expect("a host is closing");
+    world.reload(0);
+    world.run(200);
+    assert_eq!(closing(&world), Some(host));
+}
