Hosts that are closing stay closed when their pool's rows are read again

What callers saw: a host that is on its way out gets new work, which its upkeep then ends, or its turn is broken off and begins anew.

Cause: which hosts are closing stands in the books (Book::closing). Books that are read again within a tenure begin without; only slots on record closed their hosts again, at the next look (recover), hosts in a turn without a slot not at all.

Change: books just read are told what the owner's turns say.

left_closing_reread failed before and passes now.

--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -296,6 +296,7 @@
         let earlier_ms = tenure.earlier_until_ms(ctx.now.ms);
         let mut book = load::build(&name, id, earlier_ms, times, rows, facts, ctx);
         close_given(&mut book, &pool.offers);
+        wave::close_leaving(&mut book, &tenure.duty);
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
         }
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -170,6 +170,20 @@
     }
 }
 
+/// Closes the hosts that are on their way out in books that were just read.
+pub(super) fn close_leaving(book: &mut Book, duty: &WaveDuty) {
+    let asked = duty.pending.as_ref().filter(|pending| pending.is_take);
+    for (host, (_, turn)) in &duty.turns {
+        if matches!(turn, Turn::Away(_)) {
+            continue;
+        }
+        book.set_closing(host, true);
+        if *turn == Turn::Holding || asked.is_some_and(|pending| pending.host == *host) {
+            book.set_going(host);
+        }
+    }
+}
+
 fn mark_due(book: &mut Book, due: &BTreeSet<&str>) {
     for (_, worker) in &mut book.workers {
         worker.is_due = due.contains(worker.fact.host.as_str());
--- a/tests/test_left.rs
+++ b/tests/test_left.rs
@@ -213,7 +213,7 @@
 fn left_closing_reread() {
     let mut world = World::new(5, 1, 3);
     world.run(8_000);
-    world.submit("long", job(3, 500, 2_500));
+    world.submit("long", job(3, 10_000, 2_500));
     world.run(500);
     world.wave(WAVES[0], 20_000, 1);
     world.run(500);
