Failing tests: a late or newer answer hides what another wrote to a wave's row

conflict_answer_late: the feed told of our write and of another's behind it, then the answer to ours comes: the other's slot is forgotten. conflict_answer_ahead: the answer names the store's newest revision, behind the other's write, which is then taken for an old one for good.

--- a/tests/test_old_conflicts.rs
+++ b/tests/test_old_conflicts.rs
@@ -5,11 +5,12 @@
 
 use std::collections::BTreeMap;
 
+use rockwick::core::sched::book::Book;
 use rockwick::core::sched::offers::{Offers, OffersRow, OFFERS_KEY};
 use rockwick::core::sched::rows::{self, SlotRow, WaveRow};
-use rockwick::core::sched::state::WaveKnown;
-use rockwick::core::sched::wave;
-use rockwick::port::fleet::StoredRow;
+use rockwick::core::sched::state::{Effect, WaveKnown};
+use rockwick::core::sched::wave::{self, WaveDuty};
+use rockwick::port::fleet::{HostRecord, HostState, StoredRow, TxOutcome, WaveOrder};
 
 use crate::decide::decide;
 use crate::world::POOL;
@@ -61,3 +62,110 @@
         "the feed told it at revision 11"
     );
 }
+
+/// An owner that gives a host back, and another entry that takes a slot in the wave's row right after.
+struct Turn {
+    book: Book,
+    duty: WaveDuty,
+    waves: BTreeMap<u64, WaveKnown>,
+    /// As this owner writes it, on condition of revision 10.
+    ours: WaveRow,
+    /// As the other entry writes it then, at 12.
+    theirs: WaveRow,
+}
+
+impl Turn {
+    fn new() -> Self {
+        let slot = SlotRow {
+            pool: POOL.to_string(),
+            is_ordered: true,
+            ..SlotRow::default()
+        };
+        let out = |host: &str| BTreeMap::from([(host.to_string(), slot.clone())]);
+        let ours = WaveRow {
+            back: vec![HOST.to_string()],
+            ..WaveRow::default()
+        };
+        let theirs = WaveRow {
+            out: out("host-2"),
+            ..ours.clone()
+        };
+        let known = WaveKnown {
+            order: WaveOrder {
+                wave: 1,
+                hosts: vec![HOST.to_string(), "host-2".to_string()],
+                duration_ms: 60_000,
+                out_max: 2,
+            },
+            ..WaveKnown::default()
+        };
+        let mut turn = Self {
+            book: Book::default(),
+            duty: WaveDuty::default(),
+            waves: BTreeMap::from([(1, known)]),
+            ours,
+            theirs,
+        };
+        let first = WaveRow {
+            out: out(HOST),
+            ..WaveRow::default()
+        };
+        turn.row(&first, 10);
+        turn.look(1_000);
+        let hosts = [HOST, "host-2"].map(|host| HostRecord {
+            host: host.to_string(),
+            pool: "other".to_string(),
+            state: HostState::Up,
+            life: "life".to_string(),
+        });
+        wave::hosts_read(&mut turn.duty, hosts.to_vec());
+        assert!(!turn.look(1_500), "the list is read anew");
+        wave::hosts_read(&mut turn.duty, hosts.to_vec());
+        assert!(turn.look(2_000), "the host is given back");
+        turn
+    }
+
+    /// Looks at the wave; whether a change of its row goes out.
+    fn look(&mut self, now_ms: u64) -> bool {
+        let (book, duty, waves) = (&mut self.book, &mut self.duty, &mut self.waves);
+        let effects = decide(now_ms, |ctx| wave::look(book, duty, waves, POOL, 7, ctx));
+        let is_change = |effect: &Effect| matches!(effect, Effect::SettleWave(..));
+        effects.iter().any(is_change)
+    }
+
+    fn row(&mut self, row: &WaveRow, revision: u64) {
+        let known = self.waves.get_mut(&1).expect("it is there");
+        let row = stored("1", rows::encode(row), revision);
+        decide(2_000, |ctx| wave::observe(known, &row, ctx));
+    }
+
+    fn answer(&mut self, outcome: TxOutcome) {
+        let (book, duty, waves) = (&mut self.book, &mut self.duty, &mut self.waves);
+        decide(2_000, |ctx| {
+            wave::settled(Some(book), duty, waves, outcome, ctx);
+        });
+    }
+}
+
+/// The feed told of both writes before the answer to the first came.
+#[test]
+fn conflict_answer_late() {
+    let mut turn = Turn::new();
+    let (ours, theirs) = (turn.ours.clone(), turn.theirs.clone());
+    turn.row(&ours, 11);
+    turn.row(&theirs, 12);
+    turn.answer(TxOutcome::Committed(13));
+    assert_eq!(turn.waves[&1].row, theirs);
+    assert_eq!(turn.waves[&1].revision, 12);
+}
+
+/// The answer to the first write names a revision behind the second one, and the feed tells of that later.
+#[test]
+fn conflict_answer_ahead() {
+    let mut turn = Turn::new();
+    let theirs = turn.theirs.clone();
+    turn.answer(TxOutcome::Committed(13));
+    turn.row(&theirs, 12);
+    assert_eq!(turn.waves[&1].row, theirs);
+    assert_eq!(turn.waves[&1].revision, 12);
+}
