What is known of a wave's row keeps to what was read of it, whenever answers come

What callers saw: nothing yet. A wave whose row two entries write stands still, or a host that was ordered out is ordered again, where an answer comes late.

Cause: an answer of the store names its newest revision, which may lie behind the next write of another to the same row. Rows up to that revision were taken for old ones, also as a conflict found them, so the other's write was never taken in and each further change met a conflict. And an answer that came after the feed had told of a later write put the earlier row back (wave::settled took it unasked; hosts::settled where it named a higher revision).

Change: a row that is known carries the revision at which it was certainly seen. A write of ours that took effect was the first behind the revision it asked for: whatever is read behind that is ours or newer and counts; an answer counts only where nothing was read behind it. Conflicts and feeds go one way (observe), observe_found is gone.

Before: conflict_answer_late and conflict_answer_ahead failed. After: they pass, as do left_*, revisions_*, waves_*, hosts_* (22 of 22). conflict_keeps_slot calls observe in place of observe_found; what it checks is the same.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -16,7 +16,8 @@
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    FleetConfig, HostRecord, HostReply, HostState, RowTx, StoredRow, Table, TxOutcome, Write,
+    FleetConfig, HostRecord, HostReply, HostState, Revision, RowTx, StoredRow, Table, TxOutcome,
+    Write,
 };
 
 /// How often orders to hosts are looked at.
@@ -112,12 +113,21 @@
     since_ms: Millis,
 }
 
+/// A change of a wave's row that is out.
+#[derive(Clone, Debug)]
+struct WaveChange {
+    wave: u64,
+    row: WaveRow,
+    /// The revision that it asks for.
+    after: Revision,
+}
+
 /// What the entry that orders hosts knows.
 #[derive(Clone, Debug, Default)]
 pub struct HostDuty {
     pub(super) list: HostList,
     orders: BTreeMap<String, HostOrder>,
-    pending: Option<(u64, WaveRow)>,
+    pending: Option<WaveChange>,
     /// Hosts that are being put on record.
     recording: Option<BTreeSet<String>>,
     /// Hosts on offer, and since when.
@@ -589,7 +599,11 @@
         return;
     }
     let tx = wave::row_tx(wave, &row);
-    duty.pending = Some((wave.order.wave, row));
+    duty.pending = Some(WaveChange {
+        wave: wave.order.wave,
+        row,
+        after: wave.revision,
+    });
     ctx.out.push(Effect::SettleOrdered(ctx.pool, tx));
 }
 
@@ -600,23 +614,20 @@
     outcome: TxOutcome,
     ctx: &mut Ctx<'_>,
 ) {
-    let Some((number, row)) = duty.pending.take() else {
+    let Some(change) = duty.pending.take() else {
         return;
     };
-    let Some(known) = waves.get_mut(&number) else {
+    let Some(known) = waves.get_mut(&change.wave) else {
         return;
     };
     match outcome {
-        TxOutcome::Committed(revision) if revision > known.revision => {
-            known.revision = revision;
-            known.row = row;
-        }
+        TxOutcome::Committed(revision) => known.wrote(change.row, change.after, revision),
         TxOutcome::Conflict(found) => {
             for (_, row) in found {
-                wave::observe_found(known, &row, ctx);
+                wave::observe(known, &row, ctx);
             }
         }
-        _ => {}
+        TxOutcome::Refused | TxOutcome::Unknown => {}
     }
 }
 
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -97,12 +97,35 @@
     pub seen_ms: Millis,
     /// Its row.
     pub row: WaveRow,
-    /// The row's revision.
+    /// The row's revision, or a newer one that an answer named.
     pub revision: Revision,
+    /// The newest revision at which the row is known to have been: as it was read, or as a write of ours met it.
+    pub seen: Revision,
     /// Every host has been through.
     pub is_done: bool,
 }
 
+impl WaveKnown {
+    /// Takes in a row as read. Answers travel on different connections: what is older than the row that is known is left out.
+    pub fn read(&mut self, row: WaveRow, revision: Revision) {
+        if revision > self.seen {
+            self.row = row;
+            self.revision = revision;
+            self.seen = revision;
+        }
+    }
+
+    /// Takes in a write of ours that took effect where the row was at `after`. The store's answer names its newest revision,
+    /// which may lie behind the next write of another; whatever was read behind `after` is ours or newer.
+    pub fn wrote(&mut self, row: WaveRow, after: Revision, newest: Revision) {
+        if self.seen <= after {
+            self.row = row;
+            self.revision = newest;
+            self.seen = after;
+        }
+    }
+}
+
 /// A transaction of progress.
 #[derive(Clone, Debug)]
 pub struct Batch {
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -18,7 +18,7 @@
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    Guard, HostRecord, HostState, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
+    Guard, HostRecord, HostState, Revision, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
 };
 
 /// How often a wave is looked at.
@@ -66,6 +66,8 @@
 #[derive(Clone, Debug)]
 pub struct Pending {
     wave: u64,
+    /// The revision that it asks for.
+    after: Revision,
     row: WaveRow,
     host: String,
     is_take: bool,
@@ -342,6 +344,7 @@
     let tx = row_tx(wave, &row);
     duty.pending = Some(Pending {
         wave: wave.order.wave,
+        after: wave.revision,
         row,
         host: host.to_string(),
         is_take,
@@ -439,13 +442,12 @@
     };
     let is_done = match outcome {
         TxOutcome::Committed(revision) => {
-            wave.revision = revision;
-            wave.row = pending.row.clone();
+            wave.wrote(pending.row.clone(), pending.after, revision);
             true
         }
         TxOutcome::Conflict(found) => {
             for (_, row) in found {
-                observe_found(wave, &row, ctx);
+                observe(wave, &row, ctx);
             }
             // An earlier sending of ours may have taken effect.
             wave.row == pending.row
@@ -478,28 +480,11 @@
     }
 }
 
-/// Takes in a wave's row as a conflict found it. As this entry knows it, at a lower revision: an answer told a newer one than
-/// the row's, and no slot could be taken or given back any more. A conflict that comes late may tell of an older row; that one
-/// differs.
-pub fn observe_found(wave: &mut WaveKnown, row: &StoredRow, ctx: &mut Ctx<'_>) {
-    let found = row.value.as_deref().map(rows::decode::<WaveRow>);
-    if found == Some(Ok(wave.row.clone())) {
-        wave.revision = row.revision;
-    }
-    observe(wave, row, ctx);
-}
-
-/// Takes in a wave's row as read.
+/// Takes in a wave's row as read, or as a conflict found it.
 pub fn observe(wave: &mut WaveKnown, row: &StoredRow, ctx: &mut Ctx<'_>) {
-    if row.revision <= wave.revision {
-        return;
-    }
     let Some(value) = &row.value else { return };
     match rows::decode(value) {
-        Ok(decoded) => {
-            wave.row = decoded;
-            wave.revision = row.revision;
-        }
+        Ok(decoded) => wave.read(decoded, row.revision),
         Err(e) => ctx.tell(Decision::new(Code::BadRow, Subject::Wave, &row.key, e)),
     }
 }
--- a/tests/test_old_conflicts.rs
+++ b/tests/test_old_conflicts.rs
@@ -55,7 +55,7 @@
     let found = stored("1", rows::encode(&WaveRow::default()), 10);
     decide(1_000, |ctx| {
         wave::observe(&mut known, &fed, ctx);
-        wave::observe_found(&mut known, &found, ctx);
+        wave::observe(&mut known, &found, ctx);
     });
     assert!(
         known.row.out.contains_key(HOST),
