Failing test: an entry that stood still while it stopped cuts its calls as it wakes

stop_woken_late: SIGTERM, SIGSTOP for 6 s, SIGCONT. Red in three runs of three: once 37 of 64 calls that came meanwhile got no answer, twice the one begun before got none. test_serve's Entry gives its process to other tests.

--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -17,7 +17,7 @@
 const POOL: &str = "pool";
 
 pub(crate) struct Entry {
-    process: Process,
+    pub(crate) process: Process,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
--- a/tests/test_stop.rs
+++ b/tests/test_stop.rs
@@ -1,8 +1,24 @@
 //! A planned stop of an entry cuts nothing.
 
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
+use standin::fleet::{Fleet, StoreFault};
 
 use crate::fleet::{failures, get, post, wait_for, Load, Plan};
+use crate::test_serve::{self, submit};
+
+/// What the store takes for a write.
+const TURN_MS: u64 = 300;
+
+/// Calls that come while the entry stands still.
+const FRESH: u64 = 64;
+
+/// Long enough for a call to be begun, and shorter than it is waited for.
+const BEGUN: Duration = Duration::from_millis(150);
+
+/// Longer than a stop may take.
+const STANDSTILL: Duration = Duration::from_secs(6);
 
 #[test]
 fn stop_under_load() {
@@ -67,3 +83,30 @@
     fleet.entries[0].process.signal(Signal::SIGTERM);
     assert_eq!(fleet.entries[0].process.wait(), Some(0));
 }
+
+/// An entry of `serve` stands still while it stops, and wakes with its time over. What it had begun is answered, what came
+/// meanwhile is refused as not taken; neither is cut.
+#[test]
+fn stop_woken_late() {
+    let fleet = Fleet::start("pool", 1, 50).expect("it starts");
+    fleet.configure(1, "pool");
+    let mut one = test_serve::entry(&fleet, "e1");
+    let to = one.callers;
+    let send = |n: u64| std::thread::spawn(move || submit(to, &format!("{n:016x}"), "work"));
+    fleet.set_fault(StoreFault::Turns(TURN_MS));
+    one.process.signal(Signal::SIGTERM);
+    let begun = send(0);
+    std::thread::sleep(BEGUN);
+    one.process.signal(Signal::SIGSTOP);
+    let fresh: Vec<_> = (1..=FRESH).map(send).collect();
+    std::thread::sleep(STANDSTILL);
+    one.process.signal(Signal::SIGCONT);
+    let answers = fresh
+        .into_iter()
+        .map(|thread| thread.join().expect("no panic"));
+    let answers: Vec<Option<u16>> = answers.collect();
+    assert!(matches!(begun.join().expect("no panic"), Some(200 | 504)));
+    let refused = answers.iter().filter(|status| **status == Some(503));
+    assert_eq!(refused.count() as u64, FRESH, "{answers:?}");
+    assert_eq!(one.process.wait(), Some(0));
+}
