An entry that stood still while it stopped answers what it has before it ends

Cause: the end of a stop was a moment, STOP_MS after SIGTERM, whatever the process had been doing. One that stood still meanwhile woke behind it and ended within a look, with calls half answered, and others connected and not yet accepted.

Change (src/serve/stop.rs): two looks that are half a second apart mean that the process stood still. It then has the time for answers that a stop without a standstill has behind the lame span (2.1 s), twice at the most, and doesn't take itself for quiet for 0.5 s, in which those who connected meanwhile are accepted. A call that begins when the ordinary end has passed is refused as not taken (503, Retry-After); what was begun goes on. entry-stopped tells how many standstills there were.

--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -26,6 +26,9 @@
     body_bytes: 256 << 10,
 };
 
+/// When callers of an entry that is about to end may come back: others answer at once.
+const RETRY_ELSEWHERE_S: u32 = 1;
+
 /// Pause after a connection could not be taken: out of descriptors, most likely.
 const ACCEPT_PAUSE_MS: u64 = 10;
 
@@ -102,7 +105,13 @@
     let began_ms = shared.clock.now_ms();
     shared.metrics.requests.fetch_add(1, Ordering::Relaxed);
     let routing = shared.current_routing();
-    let outcome = match edge::decode(&incoming, routing.as_deref(), wall_ms()) {
+    let decoded = match shared.is_past_stop() {
+        true => Err(Outcome::NotTaken {
+            retry_after_s: RETRY_ELSEWHERE_S,
+        }),
+        false => edge::decode(&incoming, routing.as_deref(), wall_ms()),
+    };
+    let outcome = match decoded {
         Ok(request) => {
             let outcome = operations::carry_out(shared, platform, &request, began_ms).await;
             tell(shared, &request, &outcome, began);
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -9,6 +9,7 @@
 pub mod settings;
 mod shared;
 mod side;
+mod stop;
 
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -23,6 +24,7 @@
 use crate::platform::Platform;
 use settings::ServeSettings;
 use shared::Shared;
+use stop::Stop;
 
 /// How often signals are looked at.
 const SIGNAL_LOOK_MS: u64 = 50;
@@ -31,9 +33,6 @@
 /// looks, a second apart, to send new ones elsewhere, and callers may send for 3 s.
 pub(crate) const LAME_MS: u64 = 3_200;
 
-/// After SIGTERM, when the process ends whatever is left; the platform kills it after 6 s.
-const STOP_MS: u64 = 5_300;
-
 /// Serves until SIGTERM.
 pub fn run(settings: ServeSettings) -> Result<()> {
     let callers = bind("listen", settings.listen)?;
@@ -120,19 +119,15 @@
     ));
     // The control thread ends only with the process; a full channel means that it was told.
     let _ = leave.try_send(());
+    let mut stop = Stop::new();
     loop {
         Timer::after(Duration::from_millis(SIGNAL_LOOK_MS)).await;
         let since_ms = shared.stopping_for_ms().unwrap_or_default();
         let open = shared.connections.load(Ordering::SeqCst);
-        let is_quiet = since_ms >= LAME_MS && open == 0;
-        if is_quiet || since_ms >= STOP_MS {
-            let why = if is_quiet {
-                "no connection is left"
-            } else {
-                "time is up"
-            };
+        if let Some(why) = stop.look(since_ms, open) {
             let decision = Decision::new(Code::EntryStopped, Subject::Entry, name, why);
-            shared.tell(decision.with("connections", open));
+            let decision = decision.with("connections", open);
+            shared.tell(decision.with("standstills", stop.standstills()));
             return Ok(());
         }
     }
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -8,6 +8,7 @@
 use smol::channel::{Receiver, Sender};
 
 use super::settings::ServeSettings;
+use super::stop::STOP_MS;
 use crate::clock::{wall_ms, Clock, Millis, Now};
 use crate::core::sched::limits::{INTAKE_TIMEOUT_MS, TX_TIMEOUT_MAX_MS, TX_TIMEOUT_MS};
 use crate::core::sched::routing::Routing;
@@ -128,6 +129,12 @@
         (at_ms > 0).then(|| self.clock.now_ms().saturating_sub(at_ms))
     }
 
+    /// Whether the process stood still while it stopped, and has its time behind it: what was begun is answered, and nothing new
+    /// is taken.
+    pub(super) fn is_past_stop(&self) -> bool {
+        self.stopping_for_ms().is_some_and(|ms| ms >= STOP_MS)
+    }
+
     /// Comes back once a transaction got no answer.
     pub(super) async fn doubted(&self) {
         // The sender lives beside it: the channel is never closed.
