A wave that waits tells on which host and for what

wave-waits (630) and host-waits (631): where no slot was taken, no host ordered out and none came back for two turns (13 s), the owner tells what its hosts wait for, four at the most, and again each minute. rockwick explain wave N and explain host NAME show them, as all decisions on their subjects.

waves_wait_told: nothing for 12 s, one of each by 15 s, none in the 50 s after, again in the 15 s after that. test_waves' harness gives the effects of a look to more tests than one; its checks are the same.

--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -46,6 +46,7 @@
 pub mod tasks;
 pub mod times;
 pub mod told;
+pub mod waits;
 pub mod wave;
 pub mod worker;
 
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -15,6 +15,7 @@
 use super::runs;
 use super::state::{Ctx, Effect, Timer, WaveKnown};
 use super::tasks::Phase;
+use super::waits::{self, Waits};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
@@ -31,7 +32,7 @@
 const HOSTS_AWAY_MS: Millis = 300;
 
 /// What a host's turn takes: closing, upkeep, the list's lag. From runs on the users' sites.
-const TURN_MS: Millis = 6_500;
+pub(super) const TURN_MS: Millis = 6_500;
 
 /// Share of a wave's time that is planned with, so that a late host is still in time.
 const TIME_PERCENT: u64 = 75;
@@ -76,11 +77,20 @@
 /// What an owner does for waves.
 #[derive(Clone, Debug, Default)]
 pub struct WaveDuty {
-    turns: BTreeMap<String, (u64, Turn)>,
+    pub(super) turns: BTreeMap<String, (u64, Turn)>,
     pending: Option<Pending>,
     /// Hosts whose turn was broken off, and when it may begin again.
     reopened: BTreeMap<String, Millis>,
-    hosts: HostList,
+    pub(super) hosts: HostList,
+    /// Since when nothing changed in waves.
+    pub(super) waits: Waits,
+}
+
+impl WaveDuty {
+    /// Whether a change of a wave's row is out.
+    pub(super) fn is_settling(&self) -> bool {
+        self.pending.is_some()
+    }
 }
 
 /// Looks at all waves that are not done.
@@ -114,6 +124,7 @@
         mark_due(book, &due);
         advance(book, duty, wave, pool, epoch, ctx);
         begin_turns(book, duty, wave, &due, pool, ctx);
+        waits::tell(book, duty, wave, &due, pool, ctx);
     }
     if !is_any {
         return;
@@ -274,7 +285,7 @@
 }
 
 /// Whether everything that lasts on a worker could go elsewhere now.
-fn can_clear(book: &Book, worker: WorkerKey, now_ms: Millis) -> bool {
+pub(super) fn can_clear(book: &Book, worker: WorkerKey, now_ms: Millis) -> bool {
     let tasks = book.workers[worker].tasks.iter();
     let mut lasting = tasks.filter(|key| book.step_spec(**key).is_some_and(|s| s.lasting));
     lasting.all(|key| may_miss(book, *key, now_ms) && place::has_other(book, *key, worker, now_ms))
--- a/src/event.rs
+++ b/src/event.rs
@@ -122,6 +122,8 @@
     BatchRecorded, 627, "batch-recorded", "Changes of jobs are on record: in which shard, at which revision.";
     JobStale, 628, "job-stale", "A job's row was read before the job left the store, and is told after: it is passed over.";
     WorkerRestarted, 629, "worker-restarted", "A worker started again under its id: which start was known, and which one it tells.";
+    WaveWaits, 630, "wave-waits", "Nothing has changed in a wave for long: the first host that it waits for, and what for.";
+    HostWaits, 631, "host-waits", "What a host that its wave still has before it waits for.";
 }
 
 impl Code {
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -7,6 +7,7 @@
 use rockwick::core::sched::rows::{SlotRow, WaveRow};
 use rockwick::core::sched::state::{Effect, WaveKnown};
 use rockwick::core::sched::wave::{self, WaveDuty};
+use rockwick::event::{Code, Decision, Subject};
 use rockwick::port::fleet::{HostRecord, HostState, WaveOrder};
 
 use crate::decide::decide;
@@ -56,23 +57,38 @@
     fn look(&mut self) -> bool {
         let mut is_given_back = false;
         for _ in 0..10 {
-            self.now_ms += 100;
-            let effects = decide(self.now_ms, |ctx| {
-                wave::look(
-                    &mut self.book,
-                    &mut self.duty,
-                    &mut self.waves,
-                    POOL,
-                    7,
-                    ctx,
-                );
-            });
+            let effects = self.effects();
             let is_settled = |e: &Effect| matches!(e, Effect::SettleWave(..));
             is_given_back |= effects.iter().any(is_settled);
         }
         is_given_back
     }
 
+    fn effects(&mut self) -> Vec<Effect> {
+        self.now_ms += 100;
+        decide(self.now_ms, |ctx| {
+            wave::look(
+                &mut self.book,
+                &mut self.duty,
+                &mut self.waves,
+                POOL,
+                7,
+                ctx,
+            );
+        })
+    }
+
+    /// What is told of waiting in so long.
+    fn waits(&mut self, ms: u64) -> Vec<Decision> {
+        let looks = (0..ms / 100).flat_map(|_| self.effects());
+        let told = looks.filter_map(|effect| match effect {
+            Effect::Log(decision) => Some(decision),
+            _ => None,
+        });
+        told.filter(|d| matches!(d.code, Code::WaveWaits | Code::HostWaits))
+            .collect()
+    }
+
     fn read(&mut self, state: HostState) {
         let record = HostRecord {
             host: HOST.to_string(),
@@ -107,3 +123,19 @@
     let key = out.book.worker_on(HOST).expect("the host is listed");
     assert!(out.book.workers[key].is_closing);
 }
+
+/// A host that stays away is told of once its wave has waited for long, and seldom again; by its name and its wave's.
+#[test]
+fn waves_wait_told() {
+    let mut out = Out::new();
+    out.read(HostState::Upkeep);
+    assert!(out.waits(12_000).is_empty(), "a turn takes its time");
+    let told = out.waits(3_000);
+    let about = |subject, id| told.iter().filter(|d| d.is_about(subject, id)).count();
+    assert_eq!(about(Subject::Wave, "1"), 1, "{told:?}");
+    assert_eq!(about(Subject::Host, HOST), 1, "{told:?}");
+    let is_away = |d: &Decision| d.why.contains("does not name it as up");
+    assert!(told.iter().all(is_away), "{told:?}");
+    assert!(out.waits(50_000).is_empty(), "once is enough for a while");
+    assert_eq!(out.waits(15_000).len(), 2, "and then it is told again");
+}
