An answer about a wave's row, or a list of hosts, counts for the tenure that asked

What callers saw: nothing yet. Where an entry lost its pool and claimed it again while a change of a wave's row was out, the wave stands still for as long as it owns the pool.

Cause: WaveSettled carried its wave's number, which nobody looked at, OrderedSettled nothing. An answer that came after the next claim settled whatever change that tenure had out. Taken for done while the real one was refused, the row that is known is none that ever stood in the store, at a revision that no condition on it meets. The list of hosts had its epoch looked at by nobody either: an old list counted as asked for after an order.

Change: all three carry the epoch that they were asked under, and count for no other. The epoch changes within a tenure only with the first reading of the rows, before anything is asked.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -284,7 +284,7 @@
     duty.retakes = 0;
     settle_orders(duty, waves, with, ctx);
     for wave in waves.values().filter(|w| !w.is_done) {
-        order_upkeep(duty, wave, ctx);
+        order_upkeep(duty, wave, with.epoch, ctx);
     }
     send_hosts(duty, waves, with, ctx);
 }
@@ -539,7 +539,7 @@
         }
         send(duty, &host, &task, with.epoch, ctx);
     }
-    record_accepted(duty, waves, ctx);
+    record_accepted(duty, waves, with.epoch, ctx);
 }
 
 fn send(duty: &mut HostDuty, host: &str, task: &HostTask, epoch: u64, ctx: &mut Ctx<'_>) {
@@ -559,7 +559,7 @@
     ));
 }
 
-fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, ctx: &mut Ctx<'_>) {
+fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, epoch: u64, ctx: &mut Ctx<'_>) {
     for (host, slot) in &wave.row.out {
         let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, ctx.now.ms);
         if slot.is_ordered || is_busy {
@@ -572,13 +572,18 @@
             // It was moved before its slot was taken: its new pool takes it through.
             let mut row = wave.row.clone();
             row.out.remove(host);
-            settle(duty, wave, row, ctx);
+            settle(duty, wave, row, epoch, ctx);
         }
     }
 }
 
 /// Puts on record which slots' hosts are out.
-fn record_accepted(duty: &mut HostDuty, waves: &BTreeMap<u64, WaveKnown>, ctx: &mut Ctx<'_>) {
+fn record_accepted(
+    duty: &mut HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
     for wave in waves.values() {
         let mut row = wave.row.clone();
         for (host, order) in &duty.orders {
@@ -589,12 +594,12 @@
             }
         }
         if row != wave.row {
-            settle(duty, wave, row, ctx);
+            settle(duty, wave, row, epoch, ctx);
         }
     }
 }
 
-fn settle(duty: &mut HostDuty, wave: &WaveKnown, row: WaveRow, ctx: &mut Ctx<'_>) {
+fn settle(duty: &mut HostDuty, wave: &WaveKnown, row: WaveRow, epoch: u64, ctx: &mut Ctx<'_>) {
     if duty.pending.is_some() {
         return;
     }
@@ -604,7 +609,7 @@
         row,
         after: wave.revision,
     });
-    ctx.out.push(Effect::SettleOrdered(ctx.pool, tx));
+    ctx.out.push(Effect::SettleOrdered(ctx.pool, epoch, tx));
 }
 
 /// Takes in what became of a change of a wave's row.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -81,14 +81,24 @@
             });
         }
         Event::WaveRow(row) => wave_row(state, &row, now, &mut out),
-        Event::WaveSettled(pool, _, outcome) => {
-            with_duty(state, pool, now, &mut out, |book, duty, waves, _, ctx| {
-                wave::settled(book, duty, waves, outcome, ctx);
-            });
+        Event::WaveSettled(pool, epoch, outcome) => {
+            with_duty(
+                state,
+                pool,
+                now,
+                &mut out,
+                |book, duty, waves, with, ctx| {
+                    if with.0 == epoch {
+                        wave::settled(book, duty, waves, outcome, ctx);
+                    }
+                },
+            );
         }
-        Event::OrderedSettled(pool, outcome) => {
-            with_hosts(state, pool, now, &mut out, |duty, waves, _, ctx| {
-                hosts::settled(duty, waves, outcome, ctx);
+        Event::OrderedSettled(pool, epoch, outcome) => {
+            with_hosts(state, pool, now, &mut out, |duty, waves, look, ctx| {
+                if look.epoch == epoch {
+                    hosts::settled(duty, waves, outcome, ctx);
+                }
             });
         }
         Event::IntakeRemoved(pool, id, outcome) => {
@@ -135,12 +145,16 @@
                 }
             });
         }
-        Event::HostsRead(pool, _, list) => {
-            with_duty(state, pool, now, &mut out, |_, duty, _, _, _| {
-                wave::hosts_read(duty, list.clone());
+        Event::HostsRead(pool, epoch, list) => {
+            with_duty(state, pool, now, &mut out, |_, duty, _, with, _| {
+                if with.0 == epoch {
+                    wave::hosts_read(duty, list.clone());
+                }
             });
-            with_hosts(state, pool, now, &mut out, |duty, _, _, _| {
-                hosts::list_read(duty, list);
+            with_hosts(state, pool, now, &mut out, |duty, _, look, _| {
+                if look.epoch == epoch {
+                    hosts::list_read(duty, list);
+                }
             });
         }
         Event::Store(answers) => store_changed(state, answers, now),
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -247,10 +247,10 @@
     ),
     /// A wave's row changed or was read.
     WaveRow(StoredRow),
-    /// A slot of a wave was taken or given back, or not.
+    /// A slot of a wave was taken or given back, or not: epoch.
     WaveSettled(PoolKey, u64, TxOutcome),
-    /// The record of hosts that are out was changed, or not.
-    OrderedSettled(PoolKey, TxOutcome),
+    /// The record of hosts that are out was changed, or not: epoch.
+    OrderedSettled(PoolKey, u64, TxOutcome),
     /// Rows of intake were removed, or not.
     IntakeRemoved(PoolKey, BookId, TxOutcome),
     /// A change of the pool's offers was answered: epoch.
@@ -332,14 +332,14 @@
     Pace(Order, TaskName, u32, u32),
     /// Renew a worker's lease.
     Hold(Order, WorkerKey, HoldAsk),
-    /// Change a wave's row.
+    /// Change a wave's row: epoch.
     SettleWave(PoolKey, u64, RowTx),
     /// Tell the operator how a wave is.
     TellWave(u64, WaveState),
     /// Read the list of hosts.
     ReadHosts(PoolKey, u64),
-    /// Change the record of hosts that are out.
-    SettleOrdered(PoolKey, RowTx),
+    /// Change the record of hosts that are out: epoch.
+    SettleOrdered(PoolKey, u64, RowTx),
     /// Remove rows of intake.
     RemoveIntake(PoolKey, BookId, RowTx),
     /// Change the pool's offers.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -229,7 +229,7 @@
             }
             Turn::Closing(since_ms) => {
                 if clear(book, &host, since_ms, epoch, ctx) {
-                    if take_slot(duty, wave, &host, pool, ctx) {
+                    if take_slot(duty, wave, &host, (pool, epoch), ctx) {
                         book.set_going(&host);
                     }
                 } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS {
@@ -243,7 +243,7 @@
                 }
             }
             Turn::Holding => go_out(book, duty, wave, &host, ctx),
-            Turn::Away(since_ms) => give_back(duty, wave, &host, since_ms, ctx),
+            Turn::Away(since_ms) => give_back(duty, wave, &host, since_ms, epoch, ctx),
         }
     }
 }
@@ -350,6 +350,7 @@
     row: WaveRow,
     host: &str,
     is_take: bool,
+    epoch: u64,
     ctx: &mut Ctx<'_>,
 ) {
     let tx = row_tx(wave, &row);
@@ -360,8 +361,7 @@
         host: host.to_string(),
         is_take,
     });
-    ctx.out
-        .push(Effect::SettleWave(ctx.pool, wave.order.wave, tx));
+    ctx.out.push(Effect::SettleWave(ctx.pool, epoch, tx));
 }
 
 /// Asks for a slot of a wave; says whether that went out.
@@ -369,7 +369,7 @@
     duty: &mut WaveDuty,
     wave: &WaveKnown,
     host: &str,
-    pool: &str,
+    (pool, epoch): (&str, u64),
     ctx: &mut Ctx<'_>,
 ) -> bool {
     let is_full = wave.row.out.len() >= wave.order.out_max;
@@ -388,7 +388,7 @@
         is_ordered: false,
     };
     row.out.insert(host.to_string(), slot);
-    settle(duty, wave, row, host, true, ctx);
+    settle(duty, wave, row, host, true, epoch, ctx);
     true
 }
 
@@ -399,6 +399,7 @@
     wave: &WaveKnown,
     host: &str,
     since_ms: Millis,
+    epoch: u64,
     ctx: &mut Ctx<'_>,
 ) {
     if duty.pending.is_some() || duty.hosts.asked_ms() <= since_ms {
@@ -411,7 +412,7 @@
     let mut row = wave.row.clone();
     row.out.remove(host);
     row.back.push(host.to_string());
-    settle(duty, wave, row, host, false, ctx);
+    settle(duty, wave, row, host, false, epoch, ctx);
 }
 
 /// Whether a host is still this pool's.
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -262,13 +262,13 @@
                     Some(Event::Held(pool, book, worker, sent_ms, result))
                 });
             }
-            Effect::SettleWave(pool, wave, tx) => self.spawn(async move {
+            Effect::SettleWave(pool, epoch, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
-                Some(Event::WaveSettled(pool, wave, outcome))
+                Some(Event::WaveSettled(pool, epoch, outcome))
             }),
-            Effect::SettleOrdered(pool, tx) => self.spawn(async move {
+            Effect::SettleOrdered(pool, epoch, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
-                Some(Event::OrderedSettled(pool, outcome))
+                Some(Event::OrderedSettled(pool, epoch, outcome))
             }),
             Effect::RemoveIntake(pool, book, tx) => self.spawn(async move {
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
--- a/tests/world/carry.rs
+++ b/tests/world/carry.rs
@@ -36,9 +36,9 @@
             Effect::Release(tx) => {
                 self.store_call(n, &tx);
             }
-            Effect::SettleWave(pool, wave, tx) => {
+            Effect::SettleWave(pool, epoch, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
-                self.reply(n, after_ms, Event::WaveSettled(pool, wave, outcome));
+                self.reply(n, after_ms, Event::WaveSettled(pool, epoch, outcome));
             }
             Effect::TellWave(wave, state) => self.wave_told(wave, state),
             Effect::Load(pool, epoch, _) => {
@@ -112,9 +112,9 @@
                 let event = Event::Held(order.pool, book, worker, sent_ms, result);
                 self.reply(n, after_ms, event);
             }
-            Effect::SettleOrdered(pool, tx) => {
+            Effect::SettleOrdered(pool, epoch, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
-                self.reply(n, after_ms, Event::OrderedSettled(pool, outcome));
+                self.reply(n, after_ms, Event::OrderedSettled(pool, epoch, outcome));
             }
             Effect::RemoveIntake(pool, book, tx) => {
                 let (after_ms, outcome) = self.store_call(n, &tx);
