--- a/tests/test_left.rs
+++ b/tests/test_left.rs
@@ -165,7 +165,14 @@
     play(113);
 }
 
-/// The same without other faults: rows that something else touched are read again all the time.
+/// A job's first record was out in one shard as the rows were read again, and took effect after the job went on record in
+/// another.
+#[test]
+fn left_late_record() {
+    play(731);
+}
+
+/// Of left_wave_answer, without other faults: rows that something else touched are read again all the time.
 #[test]
 fn left_wave_reread() {
     for seed in 0..REREADS {
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -391,3 +391,11 @@
         play(seed);
     }
 }
+
+/// A job stands in two shards: its first record was out in one as the rows were read again, which found none.
+#[test]
+fn sched_model_two_shards() {
+    for seed in [84, 149] {
+        play_with(seed, Extra::Reread);
+    }
+}
