A job keeps the shard of its first record when the rows are read again

What callers saw: a job's progress stands in two shards. Which of the two an owner reads last counts: runs that were recorded in the other are unknown to it.

Cause: a batch that is out as the books are dropped is forgotten. It may take effect seconds later, since the owner's rows are unchanged within a tenure. A job of which the reading found nothing was put into whichever shard took new jobs then; where that is another one, neither record meets the other.

Change: as books are dropped, the tenure keeps the shards of jobs that are not on record; books read next put them there. In one shard the two records exclude each other: both ask for no row. Between tenures nothing changes: a claim changes the owner's row in all shards, which fences such writes off.

--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -292,6 +292,7 @@
         book: None,
         readings: 0,
         batches: Default::default(),
+        first_shards: Default::default(),
         removing: None,
         removable: Vec::new(),
         early: Vec::new(),
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -309,6 +309,7 @@
         // Counted from the claim, leases that this owner gave since would be over at once, and all that runs be requeued.
         let earlier_ms = tenure.earlier_until_ms(ctx.now.ms);
         let mut book = load::build(&name, id, earlier_ms, times, rows, facts, ctx);
+        tenure.keep_shards(&mut book);
         close_given(&mut book, &pool.offers);
         wave::close_leaving(&mut book, &tenure.duty);
         for row in std::mem::take(&mut tenure.early) {
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -19,7 +19,7 @@
 use crate::port::fleet::{
     Addressee, FleetConfig, HoldAsk, HoldReport, HostRecord, HostReply, OperatorWord, OrderReply,
     Revision, RowTx, RunStart, StoredRow, TaskName, TxOutcome, WaveOrder, WaveState, WorkerFact,
-    WorkerWord,
+    WorkerWord, ABSENT,
 };
 
 /// A pool, by its place in [`State::pools`]; pools are never removed.
@@ -39,6 +39,9 @@
     pub fences: [Revision; SHARDS],
     /// The transactions that are out, by shard.
     pub batches: [Option<Batch>; SHARDS],
+    /// Jobs whose first record was out as the books were dropped, and its shard: it may take effect yet, and only there does
+    /// another record of the job meet it.
+    pub first_shards: BTreeMap<String, usize>,
     /// Old jobs whose rows of intake are being removed, and the part that they are removed from.
     pub removing: Option<(String, Vec<JobKey>)>,
     /// Old jobs whose rows of intake are gone: their progress goes next.
@@ -70,6 +73,16 @@
         }
     }
 
+    /// Puts jobs of books that were just read, and that are not on record, into the shards of their first records.
+    pub(super) fn keep_shards(&mut self, book: &mut Book) {
+        for (id, shard) in std::mem::take(&mut self.first_shards) {
+            let job = book.by_id.get(&id).and_then(|key| book.jobs.get_mut(*key));
+            if let Some(job) = job {
+                job.shard.get_or_insert(shard);
+            }
+        }
+    }
+
     /// Until when earlier books may have sent orders: those of a former owner till the claim, our own till now.
     pub(super) fn earlier_until_ms(&self, now_ms: Millis) -> Millis {
         match self.readings {
@@ -80,7 +93,11 @@
 
     /// Drops the books, and all that holds keys of them.
     pub(super) fn drop_book(&mut self, ctx: &mut Ctx<'_>) {
-        self.book = None;
+        if let Some(book) = self.book.take() {
+            let open = book.jobs.values().filter(|job| job.revision == ABSENT);
+            let shards = open.filter_map(|job| Some((job.id.clone(), job.shard?)));
+            self.first_shards.extend(shards);
+        }
         self.batches = Default::default();
         self.removing = None;
         self.removable.clear();
