--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -109,14 +109,15 @@
     true
 }
 
-/// Runs `work` on what an owner does for waves; it is given the epoch and the pool's name, too.
+/// Runs `work` on what an owner does for waves; it is given the epoch and the pool's name, too. There are no books while they are
+/// being read: an answer that comes then still settles what was sent before.
 pub(super) fn with_duty(
     state: &mut State,
     key: PoolKey,
     now: Now,
     out: &mut Vec<Effect>,
     work: impl FnOnce(
-        &mut Book,
+        Option<&mut Book>,
         &mut WaveDuty,
         &mut BTreeMap<u64, WaveKnown>,
         (u64, &str),
@@ -129,14 +130,18 @@
             return;
         };
         let facts = (tenure.epoch, pool.name.as_str());
-        if let Some(book) = &mut tenure.book {
-            work(book, &mut tenure.duty, &mut waves, facts, ctx);
-        }
+        work(
+            tenure.book.as_mut(),
+            &mut tenure.duty,
+            &mut waves,
+            facts,
+            ctx,
+        );
     });
     state.waves = waves;
 }
 
-/// Runs `work` on the quotas of a pool that this entry owns under `epoch`.
+/// Runs `work` on the quotas of a pool that this entry owns under `epoch`, once its books are read.
 pub(super) fn with_quota(
     state: &mut State,
     key: PoolKey,
@@ -144,13 +149,28 @@
     now: Now,
     out: &mut Vec<Effect>,
     work: impl FnOnce(&mut Book, &mut QuotaDuty, &quota::Look<'_>, &mut Ctx<'_>),
+) {
+    with_grants(state, key, epoch, now, out, |book, duty, with, ctx| {
+        if let Some(book) = book {
+            work(book, duty, with, ctx);
+        }
+    });
+}
+
+/// The same, also while the books are being read: an answer that comes meanwhile settles what was sent before.
+pub(super) fn with_grants(
+    state: &mut State,
+    key: PoolKey,
+    epoch: u64,
+    now: Now,
+    out: &mut Vec<Effect>,
+    work: impl FnOnce(Option<&mut Book>, &mut QuotaDuty, &quota::Look<'_>, &mut Ctx<'_>),
 ) {
     let short_elsewhere = short_elsewhere(state, key, now);
     with_pool(state, key, now, out, |pool, ctx, facts| {
         let Some(tenure) = pool.tenure.as_mut().filter(|t| t.epoch == epoch) else {
             return;
         };
-        let Some(book) = &mut tenure.book else { return };
         let with = quota::Look {
             pool: &pool.name,
             epoch,
@@ -158,7 +178,7 @@
             short_elsewhere: &short_elsewhere,
         };
         let before = tenure.quota.short.clone();
-        work(book, &mut tenure.quota, &with, ctx);
+        work(tenure.book.as_mut(), &mut tenure.quota, &with, ctx);
         // Others give back what they do not need once they hear of it.
         if tenure.quota.short != before {
             seat::tell(pool, ctx);
--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -298,6 +298,7 @@
         book: None,
         readings: 0,
         batches: Default::default(),
+        first_shards: Default::default(),
         removing: None,
         removable: Vec::new(),
         early: Vec::new(),
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -16,7 +16,8 @@
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    FleetConfig, HostRecord, HostReply, HostState, RowTx, StoredRow, Table, TxOutcome, Write,
+    FleetConfig, HostRecord, HostReply, HostState, Revision, RowTx, StoredRow, Table, TxOutcome,
+    Write,
 };
 
 /// How often orders to hosts are looked at.
@@ -112,12 +113,21 @@
     since_ms: Millis,
 }
 
+/// A change of a wave's row that is out.
+#[derive(Clone, Debug)]
+struct WaveChange {
+    wave: u64,
+    row: WaveRow,
+    /// The revision that it asks for.
+    after: Revision,
+}
+
 /// What the entry that orders hosts knows.
 #[derive(Clone, Debug, Default)]
 pub struct HostDuty {
     pub(super) list: HostList,
     orders: BTreeMap<String, HostOrder>,
-    pending: Option<(u64, WaveRow)>,
+    pending: Option<WaveChange>,
     /// Hosts that are being put on record.
     recording: Option<BTreeSet<String>>,
     /// Hosts on offer, and since when.
@@ -274,7 +284,7 @@
     duty.retakes = 0;
     settle_orders(duty, waves, with, ctx);
     for wave in waves.values().filter(|w| !w.is_done) {
-        order_upkeep(duty, wave, ctx);
+        order_upkeep(duty, wave, with.epoch, ctx);
     }
     send_hosts(duty, waves, with, ctx);
 }
@@ -529,7 +539,7 @@
         }
         send(duty, &host, &task, with.epoch, ctx);
     }
-    record_accepted(duty, waves, ctx);
+    record_accepted(duty, waves, with.epoch, ctx);
 }
 
 fn send(duty: &mut HostDuty, host: &str, task: &HostTask, epoch: u64, ctx: &mut Ctx<'_>) {
@@ -549,7 +559,7 @@
     ));
 }
 
-fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, ctx: &mut Ctx<'_>) {
+fn order_upkeep(duty: &mut HostDuty, wave: &WaveKnown, epoch: u64, ctx: &mut Ctx<'_>) {
     for (host, slot) in &wave.row.out {
         let is_busy = duty.orders.contains_key(host) || duty.is_quiet(host, ctx.now.ms);
         if slot.is_ordered || is_busy {
@@ -562,13 +572,18 @@
             // It was moved before its slot was taken: its new pool takes it through.
             let mut row = wave.row.clone();
             row.out.remove(host);
-            settle(duty, wave, row, ctx);
+            settle(duty, wave, row, epoch, ctx);
         }
     }
 }
 
 /// Puts on record which slots' hosts are out.
-fn record_accepted(duty: &mut HostDuty, waves: &BTreeMap<u64, WaveKnown>, ctx: &mut Ctx<'_>) {
+fn record_accepted(
+    duty: &mut HostDuty,
+    waves: &BTreeMap<u64, WaveKnown>,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
     for wave in waves.values() {
         let mut row = wave.row.clone();
         for (host, order) in &duty.orders {
@@ -579,18 +594,22 @@
             }
         }
         if row != wave.row {
-            settle(duty, wave, row, ctx);
+            settle(duty, wave, row, epoch, ctx);
         }
     }
 }
 
-fn settle(duty: &mut HostDuty, wave: &WaveKnown, row: WaveRow, ctx: &mut Ctx<'_>) {
+fn settle(duty: &mut HostDuty, wave: &WaveKnown, row: WaveRow, epoch: u64, ctx: &mut Ctx<'_>) {
     if duty.pending.is_some() {
         return;
     }
     let tx = wave::row_tx(wave, &row);
-    duty.pending = Some((wave.order.wave, row));
-    ctx.out.push(Effect::SettleOrdered(ctx.pool, tx));
+    duty.pending = Some(WaveChange {
+        wave: wave.order.wave,
+        row,
+        after: wave.revision,
+    });
+    ctx.out.push(Effect::SettleOrdered(ctx.pool, epoch, tx));
 }
 
 /// Takes in what became of a change of a wave's row.
@@ -600,23 +619,20 @@
     outcome: TxOutcome,
     ctx: &mut Ctx<'_>,
 ) {
-    let Some((number, row)) = duty.pending.take() else {
+    let Some(change) = duty.pending.take() else {
         return;
     };
-    let Some(known) = waves.get_mut(&number) else {
+    let Some(known) = waves.get_mut(&change.wave) else {
         return;
     };
     match outcome {
-        TxOutcome::Committed(revision) if revision > known.revision => {
-            known.revision = revision;
-            known.row = row;
-        }
+        TxOutcome::Committed(revision) => known.wrote(change.row, change.after, revision),
         TxOutcome::Conflict(found) => {
             for (_, row) in found {
-                wave::observe_found(known, &row, ctx);
+                wave::observe(known, &row, ctx);
             }
         }
-        _ => {}
+        TxOutcome::Refused | TxOutcome::Unknown => {}
     }
 }
 
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use super::access::{
-    owned_pools, pool_key, tenure_of, with_book, with_duty, with_hosts, with_pool, with_quota,
+    owned_pools, pool_key, tenure_of, with_book, with_duty, with_grants, with_hosts, with_pool,
+    with_quota,
 };
 use super::book::Book;
 use super::claim;
@@ -81,14 +82,24 @@
             });
         }
         Event::WaveRow(row) => wave_row(state, &row, now, &mut out),
-        Event::WaveSettled(pool, _, outcome) => {
-            with_duty(state, pool, now, &mut out, |book, duty, waves, _, ctx| {
-                wave::settled(book, duty, waves, outcome, ctx);
-            });
-        }
-        Event::OrderedSettled(pool, outcome) => {
-            with_hosts(state, pool, now, &mut out, |duty, waves, _, ctx| {
-                hosts::settled(duty, waves, outcome, ctx);
+        Event::WaveSettled(pool, epoch, outcome) => {
+            with_duty(
+                state,
+                pool,
+                now,
+                &mut out,
+                |book, duty, waves, with, ctx| {
+                    if with.0 == epoch {
+                        wave::settled(book, duty, waves, outcome, ctx);
+                    }
+                },
+            );
+        }
+        Event::OrderedSettled(pool, epoch, outcome) => {
+            with_hosts(state, pool, now, &mut out, |duty, waves, look, ctx| {
+                if look.epoch == epoch {
+                    hosts::settled(duty, waves, outcome, ctx);
+                }
             });
         }
         Event::IntakeRemoved(pool, id, outcome) => {
@@ -105,9 +116,16 @@
             hosts_taken(state, pool, epoch, &from, outcome, now, &mut out);
         }
         Event::QuotaSettled(pool, epoch, account, outcome) => {
-            with_quota(state, pool, epoch, now, &mut out, |book, duty, _, ctx| {
-                quota::settled(book, duty, &account, outcome, ctx);
-            });
+            with_grants(
+                state,
+                pool,
+                epoch,
+                now,
+                &mut out,
+                |book, duty, with, ctx| {
+                    quota::settled(book, duty, with.pool, &account, outcome, ctx);
+                },
+            );
         }
         Event::QuotaRead(pool, epoch, account, row) => {
             with_quota(state, pool, epoch, now, &mut out, |book, duty, _, ctx| {
@@ -128,12 +146,16 @@
                 }
             });
         }
-        Event::HostsRead(pool, _, list) => {
-            with_duty(state, pool, now, &mut out, |_, duty, _, _, _| {
-                wave::hosts_read(duty, list.clone());
+        Event::HostsRead(pool, epoch, list) => {
+            with_duty(state, pool, now, &mut out, |_, duty, _, with, _| {
+                if with.0 == epoch {
+                    wave::hosts_read(duty, list.clone());
+                }
             });
-            with_hosts(state, pool, now, &mut out, |duty, _, _, _| {
-                hosts::list_read(duty, list);
+            with_hosts(state, pool, now, &mut out, |duty, _, look, _| {
+                if look.epoch == epoch {
+                    hosts::list_read(duty, list);
+                }
             });
         }
         Event::Store(answers) => store_changed(state, answers, now),
@@ -295,7 +317,9 @@
         // Counted from the claim, leases that this owner gave since would be over at once, and all that runs be requeued.
         let earlier_ms = tenure.earlier_until_ms(ctx.now.ms);
         let mut book = load::build(&name, id, earlier_ms, times, rows, facts, ctx);
+        tenure.keep_shards(&mut book);
         close_given(&mut book, &pool.offers);
+        wave::close_leaving(&mut book, &tenure.duty);
         for row in std::mem::take(&mut tenure.early) {
             load::apply_intake(&mut book, &row, facts.config, epoch, ctx);
         }
@@ -464,7 +488,9 @@
             now,
             out,
             |book, duty, waves, (epoch, name), ctx| {
-                wave::look(book, duty, waves, name, epoch, ctx);
+                if let Some(book) = book {
+                    wave::look(book, duty, waves, name, epoch, ctx);
+                }
             },
         );
         return;
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -19,7 +19,7 @@
 use crate::port::fleet::{
     Addressee, FleetConfig, HoldAsk, HoldReport, HostRecord, HostReply, OperatorWord, OrderReply,
     Revision, RowTx, RunStart, StoredRow, TaskName, TxOutcome, WaveOrder, WaveState, WorkerFact,
-    WorkerWord,
+    WorkerWord, ABSENT,
 };
 
 /// A pool, by its place in [`State::pools`]; pools are never removed.
@@ -39,6 +39,9 @@
     pub fences: [Revision; SHARDS],
     /// The transactions that are out, by shard.
     pub batches: [Option<Batch>; SHARDS],
+    /// Jobs whose first record was out as the books were dropped, and its shard: it may take effect yet, and only there does
+    /// another record of the job meet it.
+    pub first_shards: BTreeMap<String, usize>,
     /// Old jobs whose rows of intake are being removed, and the part that they are removed from.
     pub removing: Option<(String, Vec<JobKey>)>,
     /// Old jobs whose rows of intake are gone: their progress goes next.
@@ -70,6 +73,16 @@
         }
     }
 
+    /// Puts jobs of books that were just read, and that are not on record, into the shards of their first records.
+    pub(super) fn keep_shards(&mut self, book: &mut Book) {
+        for (id, shard) in std::mem::take(&mut self.first_shards) {
+            let job = book.by_id.get(&id).and_then(|key| book.jobs.get_mut(*key));
+            if let Some(job) = job {
+                job.shard.get_or_insert(shard);
+            }
+        }
+    }
+
     /// Until when earlier books may have sent orders: those of a former owner till the claim, our own till now.
     pub(super) fn earlier_until_ms(&self, now_ms: Millis) -> Millis {
         match self.readings {
@@ -80,7 +93,11 @@
 
     /// Drops the books, and all that holds keys of them.
     pub(super) fn drop_book(&mut self, ctx: &mut Ctx<'_>) {
-        self.book = None;
+        if let Some(book) = self.book.take() {
+            let open = book.jobs.values().filter(|job| job.revision == ABSENT);
+            let shards = open.filter_map(|job| Some((job.id.clone(), job.shard?)));
+            self.first_shards.extend(shards);
+        }
         self.batches = Default::default();
         self.removing = None;
         self.removable.clear();
@@ -97,12 +114,35 @@
     pub seen_ms: Millis,
     /// Its row.
     pub row: WaveRow,
-    /// The row's revision.
+    /// The row's revision, or a newer one that an answer named.
     pub revision: Revision,
+    /// The newest revision at which the row is known to have been: as it was read, or as a write of ours met it.
+    pub seen: Revision,
     /// Every host has been through.
     pub is_done: bool,
 }
 
+impl WaveKnown {
+    /// Takes in a row as read. Answers travel on different connections: what is older than the row that is known is left out.
+    pub fn read(&mut self, row: WaveRow, revision: Revision) {
+        if revision > self.seen {
+            self.row = row;
+            self.revision = revision;
+            self.seen = revision;
+        }
+    }
+
+    /// Takes in a write of ours that took effect where the row was at `after`. The store's answer names its newest revision,
+    /// which may lie behind the next write of another; whatever was read behind `after` is ours or newer.
+    pub fn wrote(&mut self, row: WaveRow, after: Revision, newest: Revision) {
+        if self.seen <= after {
+            self.row = row;
+            self.revision = newest;
+            self.seen = after;
+        }
+    }
+}
+
 /// A transaction of progress.
 #[derive(Clone, Debug)]
 pub struct Batch {
@@ -224,10 +264,10 @@
     ),
     /// A wave's row changed or was read.
     WaveRow(StoredRow),
-    /// A slot of a wave was taken or given back, or not.
+    /// A slot of a wave was taken or given back, or not: epoch.
     WaveSettled(PoolKey, u64, TxOutcome),
-    /// The record of hosts that are out was changed, or not.
-    OrderedSettled(PoolKey, TxOutcome),
+    /// The record of hosts that are out was changed, or not: epoch.
+    OrderedSettled(PoolKey, u64, TxOutcome),
     /// Rows of intake were removed, or not.
     IntakeRemoved(PoolKey, BookId, TxOutcome),
     /// A change of the pool's offers was answered: epoch.
@@ -309,14 +349,14 @@
     Pace(Order, TaskName, u32, u32),
     /// Renew a worker's lease.
     Hold(Order, WorkerKey, HoldAsk),
-    /// Change a wave's row.
+    /// Change a wave's row: epoch.
     SettleWave(PoolKey, u64, RowTx),
     /// Tell the operator how a wave is.
     TellWave(u64, WaveState),
     /// Read the list of hosts.
     ReadHosts(PoolKey, u64),
-    /// Change the record of hosts that are out.
-    SettleOrdered(PoolKey, RowTx),
+    /// Change the record of hosts that are out: epoch.
+    SettleOrdered(PoolKey, u64, RowTx),
     /// Remove rows of intake.
     RemoveIntake(PoolKey, BookId, RowTx),
     /// Change the pool's offers.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -15,10 +15,11 @@
 use super::runs;
 use super::state::{Ctx, Effect, Timer, WaveKnown};
 use super::tasks::Phase;
+use super::waits::{self, Waits};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    Guard, HostRecord, HostState, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
+    Guard, HostRecord, HostState, Revision, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
 };
 
 /// How often a wave is looked at.
@@ -31,7 +32,7 @@
 const HOSTS_AWAY_MS: Millis = 300;
 
 /// What a host's turn takes: closing, upkeep, the list's lag. From runs on the users' sites.
-const TURN_MS: Millis = 6_500;
+pub(super) const TURN_MS: Millis = 6_500;
 
 /// Share of a wave's time that is planned with, so that a late host is still in time.
 const TIME_PERCENT: u64 = 75;
@@ -66,6 +67,8 @@
 #[derive(Clone, Debug)]
 pub struct Pending {
     wave: u64,
+    /// The revision that it asks for.
+    after: Revision,
     row: WaveRow,
     host: String,
     is_take: bool,
@@ -74,11 +77,20 @@
 /// What an owner does for waves.
 #[derive(Clone, Debug, Default)]
 pub struct WaveDuty {
-    turns: BTreeMap<String, (u64, Turn)>,
+    pub(super) turns: BTreeMap<String, (u64, Turn)>,
     pending: Option<Pending>,
     /// Hosts whose turn was broken off, and when it may begin again.
     reopened: BTreeMap<String, Millis>,
-    hosts: HostList,
+    pub(super) hosts: HostList,
+    /// Since when nothing changed in waves.
+    pub(super) waits: Waits,
+}
+
+impl WaveDuty {
+    /// Whether a change of a wave's row is out.
+    pub(super) fn is_settling(&self) -> bool {
+        self.pending.is_some()
+    }
 }
 
 /// Looks at all waves that are not done.
@@ -112,6 +124,7 @@
         mark_due(book, &due);
         advance(book, duty, wave, pool, epoch, ctx);
         begin_turns(book, duty, wave, &due, pool, ctx);
+        waits::tell(book, duty, wave, &due, pool, ctx);
     }
     if !is_any {
         return;
@@ -170,6 +183,20 @@
     }
 }
 
+/// Closes the hosts that are on their way out in books that were just read.
+pub(super) fn close_leaving(book: &mut Book, duty: &WaveDuty) {
+    let asked = duty.pending.as_ref().filter(|pending| pending.is_take);
+    for (host, (_, turn)) in &duty.turns {
+        if matches!(turn, Turn::Away(_)) {
+            continue;
+        }
+        book.set_closing(host, true);
+        if *turn == Turn::Holding || asked.is_some_and(|pending| pending.host == *host) {
+            book.set_going(host);
+        }
+    }
+}
+
 fn mark_due(book: &mut Book, due: &BTreeSet<&str>) {
     for (_, worker) in &mut book.workers {
         worker.is_due = due.contains(worker.fact.host.as_str());
@@ -202,7 +229,7 @@
             }
             Turn::Closing(since_ms) => {
                 if clear(book, &host, since_ms, epoch, ctx) {
-                    if take_slot(duty, wave, &host, pool, ctx) {
+                    if take_slot(duty, wave, &host, (pool, epoch), ctx) {
                         book.set_going(&host);
                     }
                 } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS {
@@ -216,7 +243,7 @@
                 }
             }
             Turn::Holding => go_out(book, duty, wave, &host, ctx),
-            Turn::Away(since_ms) => give_back(duty, wave, &host, since_ms, ctx),
+            Turn::Away(since_ms) => give_back(duty, wave, &host, since_ms, epoch, ctx),
         }
     }
 }
@@ -258,7 +285,7 @@
 }
 
 /// Whether everything that lasts on a worker could go elsewhere now.
-fn can_clear(book: &Book, worker: WorkerKey, now_ms: Millis) -> bool {
+pub(super) fn can_clear(book: &Book, worker: WorkerKey, now_ms: Millis) -> bool {
     let tasks = book.workers[worker].tasks.iter();
     let mut lasting = tasks.filter(|key| book.step_spec(**key).is_some_and(|s| s.lasting));
     lasting.all(|key| may_miss(book, *key, now_ms) && place::has_other(book, *key, worker, now_ms))
@@ -323,17 +350,18 @@
     row: WaveRow,
     host: &str,
     is_take: bool,
+    epoch: u64,
     ctx: &mut Ctx<'_>,
 ) {
     let tx = row_tx(wave, &row);
     duty.pending = Some(Pending {
         wave: wave.order.wave,
+        after: wave.revision,
         row,
         host: host.to_string(),
         is_take,
     });
-    ctx.out
-        .push(Effect::SettleWave(ctx.pool, wave.order.wave, tx));
+    ctx.out.push(Effect::SettleWave(ctx.pool, epoch, tx));
 }
 
 /// Asks for a slot of a wave; says whether that went out.
@@ -341,7 +369,7 @@
     duty: &mut WaveDuty,
     wave: &WaveKnown,
     host: &str,
-    pool: &str,
+    (pool, epoch): (&str, u64),
     ctx: &mut Ctx<'_>,
 ) -> bool {
     let is_full = wave.row.out.len() >= wave.order.out_max;
@@ -360,7 +388,7 @@
         is_ordered: false,
     };
     row.out.insert(host.to_string(), slot);
-    settle(duty, wave, row, host, true, ctx);
+    settle(duty, wave, row, host, true, epoch, ctx);
     true
 }
 
@@ -371,6 +399,7 @@
     wave: &WaveKnown,
     host: &str,
     since_ms: Millis,
+    epoch: u64,
     ctx: &mut Ctx<'_>,
 ) {
     if duty.pending.is_some() || duty.hosts.asked_ms() <= since_ms {
@@ -383,7 +412,7 @@
     let mut row = wave.row.clone();
     row.out.remove(host);
     row.back.push(host.to_string());
-    settle(duty, wave, row, host, false, ctx);
+    settle(duty, wave, row, host, false, epoch, ctx);
 }
 
 /// Whether a host is still this pool's.
@@ -409,9 +438,9 @@
     duty.turns.insert(host.to_string(), (wave.order.wave, turn));
 }
 
-/// Takes in what became of a change of a wave's row.
+/// Takes in what became of a change of a wave's row; books that are being read close and open hosts by its row later.
 pub fn settled(
-    book: &mut Book,
+    book: Option<&mut Book>,
     duty: &mut WaveDuty,
     known: &mut BTreeMap<u64, WaveKnown>,
     outcome: TxOutcome,
@@ -425,13 +454,12 @@
     };
     let is_done = match outcome {
         TxOutcome::Committed(revision) => {
-            wave.revision = revision;
-            wave.row = pending.row.clone();
+            wave.wrote(pending.row.clone(), pending.after, revision);
             true
         }
         TxOutcome::Conflict(found) => {
             for (_, row) in found {
-                observe_found(wave, &row, ctx);
+                observe(wave, &row, ctx);
             }
             // An earlier sending of ours may have taken effect.
             wave.row == pending.row
@@ -458,32 +486,17 @@
             .with("left", left as u64),
         );
         duty.turns.remove(&pending.host);
-        book.set_closing(&pending.host, false);
-    }
-}
-
-/// Takes in a wave's row as a conflict found it. As this entry knows it, at a lower revision: an answer told a newer one than
-/// the row's, and no slot could be taken or given back any more. A conflict that comes late may tell of an older row; that one
-/// differs.
-pub fn observe_found(wave: &mut WaveKnown, row: &StoredRow, ctx: &mut Ctx<'_>) {
-    let found = row.value.as_deref().map(rows::decode::<WaveRow>);
-    if found == Some(Ok(wave.row.clone())) {
-        wave.revision = row.revision;
+        if let Some(book) = book {
+            book.set_closing(&pending.host, false);
+        }
     }
-    observe(wave, row, ctx);
 }
 
-/// Takes in a wave's row as read.
+/// Takes in a wave's row as read, or as a conflict found it.
 pub fn observe(wave: &mut WaveKnown, row: &StoredRow, ctx: &mut Ctx<'_>) {
-    if row.revision <= wave.revision {
-        return;
-    }
     let Some(value) = &row.value else { return };
     match rows::decode(value) {
-        Ok(decoded) => {
-            wave.row = decoded;
-            wave.revision = row.revision;
-        }
+        Ok(decoded) => wave.read(decoded, row.revision),
         Err(e) => ctx.tell(Decision::new(Code::BadRow, Subject::Wave, &row.key, e)),
     }
 }
