A host is taken for gone from a wave only by a list that was asked for since

What callers saw (in the pure scheduler, found by the review): a wave of hosts that had just come up was told completed at the first look, before any of them was out. Cause: the list of hosts that was known was older than the wave, and lacked its hosts. Change: only a list that was asked for after the wave was heard of tells that a host is gone. Before: wave_older_list failed; after: it holds, with the other tests of waves and the random worlds. Why it holds: a host of the order that a later list lacks has left since the operator named it.

--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -159,8 +159,10 @@
 
 /// Whether every host that still exists is back.
 fn is_complete(wave: &WaveKnown, due: &BTreeSet<&str>, duty: &WaveDuty) -> bool {
+    // A list that is older than the wave lacks hosts that came since.
+    let is_newer = duty.hosts.asked_ms() > wave.seen_ms;
     let is_gone = |host: &&str| {
-        let is_listed = duty.hosts.is_empty() || duty.hosts.get(host).is_some();
+        let is_listed = !is_newer || duty.hosts.is_empty() || duty.hosts.get(host).is_some();
         !is_listed && !wave.row.out.contains_key(*host)
     };
     due.iter().all(is_gone)
