--- a/tests/test_told.rs
+++ b/tests/test_told.rs
@@ -327,6 +327,11 @@
     book.workers[worker].heard_ms = 900;
     let left_ms = book.workers[worker].lease_over_ms - 1_500;
     let later = load::add_worker(&mut book, worker_fact("life-2", "host"), 0);
+    let effects = decide(1_400, |ctx| {
+        let refused = Err(OrderReply::Refused);
+        holds::held(&mut book, worker, 1_300, refused, EPOCH, ctx);
+    });
+    assert!(lines(&effects, Code::WorkerOver).is_empty());
     let effects = account(&mut book, later, 1_500, Vec::new(), &[]);
     let told = only(&effects, Code::WorkerOver);
     assert_eq!(told.why, "a later life of its host answers");
