A host's next life ends the one before only where that has crashed

What callers saw: a life that drains while its host's next one is up loses all its tasks at once: each is started elsewhere beside its run (TWICE).

Cause: an account of a life ended every other life of its host that was heard before that account was asked for. Ids tell nothing of the order of lives, so the account of the one that drains ended the next one, too, while that was cut off.

Ruled out: that the world is not allowed. A minion that states that it drains serves on, at times for many seconds; nothing says that its machine has no other by then. The world is unchanged.

Change: a life of another id is over only where its last hold met no listener or ended with its connection, it did not say that it drains, and the other one was first asked after it was last heard, answers and does not drain. That is looked at with each account and with each hold that gets no answer. All else waits for the lease. Lives of one id are told apart as before.

Why it holds: a listener that is gone and a next life that was not there before are two signs, of two lives, and a host carries two only while one drains. Where one of these fails, the run ends with its lease, by the worker's own clock.

--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -126,9 +126,10 @@
         return;
     };
     let left_ms = w.lease_over_ms.saturating_sub(ctx.now.ms);
+    let is_broken = matches!(reply, OrderReply::Broken | OrderReply::Refused);
+    w.is_refusing = is_broken;
     if w.answers {
         w.answers = false;
-        let is_broken = matches!(reply, OrderReply::Broken | OrderReply::Refused);
         w.broke_ms = is_broken.then_some(ctx.now.ms);
         w.is_heard_through = is_broken && sent_ms <= w.heard_ms + HEARD_ON_MS;
         ctx.tell(
@@ -147,6 +148,7 @@
     }
     ctx.after(left_ms, Timer::LeaseOver(key));
     ctx.after(HOLD_RETRY_MS, Timer::Hold(key));
+    end_if_succeeded(book, key, ctx);
 }
 
 /// Everything ordered to a worker that is not heard has lapsed.
@@ -192,6 +194,8 @@
         book.wants_placing = true;
     }
     w.heard_ms = ctx.now.ms;
+    w.first_asked_ms.get_or_insert(sent_ms);
+    w.is_refusing = false;
     if w.broke_ms.take().is_some() {
         crashes::note_back(book, key);
     }
@@ -269,28 +273,47 @@
     });
 }
 
-/// A host carries one life at a time, and so does an id: those that were last heard before this one was asked are over, and so
-/// are those that a former owner gave work to. One that was never heard nor given work may be younger.
+/// An id carries one life at a time: those that were last heard before this one was asked are over, and so are those that a
+/// former owner gave work to. Those of its host are over where this one came after their crash.
 fn end_earlier_lives(book: &mut Book, key: WorkerKey, sent_ms: Millis, ctx: &mut Ctx<'_>) {
     let mut earlier = book.lives_beside(key);
+    let later = &book.workers[key];
     earlier.retain(|other| {
         let w = &book.workers[*other];
-        w.was_there() && w.heard_ms < sent_ms
+        match w.fact.id == later.fact.id {
+            true => w.was_there() && w.heard_ms < sent_ms,
+            false => w.is_succeeded_by(later),
+        }
     });
-    let life = book.workers[key].fact.id.clone();
     for other in earlier {
-        let w = &mut book.workers[other];
-        w.is_listed = false;
-        let evidence = Evidence::Account {
-            life: life.clone(),
-            asked_ms: sent_ms,
-        };
-        runs::worker_over(book, other, &evidence, ctx);
-        end_lease(book, other);
-        forget_if_over(book, other, ctx);
+        end_by(book, other, key, sent_ms, ctx);
+    }
+}
+
+/// Ends a life whose connections are gone if a later one of its host was heard already.
+fn end_if_succeeded(book: &mut Book, key: WorkerKey, ctx: &mut Ctx<'_>) {
+    let Some(w) = book.workers.get(key) else {
+        return;
+    };
+    let found = book
+        .lives_on(&w.fact.host)
+        .find(|(_, other)| w.is_succeeded_by(other))
+        .map(|(other, life)| (other, life.first_asked_ms.unwrap_or(life.heard_ms)));
+    if let Some((other, asked_ms)) = found {
+        end_by(book, key, other, asked_ms, ctx);
     }
 }
 
+/// Ends a life by an account of `later` that was asked for at `asked_ms`.
+fn end_by(book: &mut Book, key: WorkerKey, later: WorkerKey, asked_ms: Millis, ctx: &mut Ctx<'_>) {
+    let life = book.workers[later].fact.id.clone();
+    book.workers[key].is_listed = false;
+    let evidence = Evidence::Account { life, asked_ms };
+    runs::worker_over(book, key, &evidence, ctx);
+    end_lease(book, key);
+    forget_if_over(book, key, ctx);
+}
+
 /// What ran there is over before its lease.
 fn end_lease(book: &mut Book, key: WorkerKey) {
     if let Some(w) = book.workers.get_mut(key) {
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -65,6 +65,10 @@
     pub answers: bool,
     /// When it last answered one.
     pub heard_ms: Millis,
+    /// When the first hold that it answered was sent.
+    pub first_asked_ms: Option<Millis>,
+    /// Its last hold met no listener, or ended with its connection.
+    pub is_refusing: bool,
     /// When it went with its connections: it ended one or took none, right after it had answered. One that first falls
     /// silent may have been cut off, and what ran there may have ended before it crashed.
     pub broke_ms: Option<Millis>,
@@ -119,6 +123,8 @@
             hold: HoldPhase::Idle,
             answers: false,
             heard_ms: 0,
+            first_asked_ms: None,
+            is_refusing: false,
             broke_ms: None,
             is_heard_through: false,
             taken: 0,
@@ -168,6 +174,14 @@
         self.heard_ms > 0 || !self.tasks.is_empty() || self.is_superseded
     }
 
+    /// Whether `later`, of the same host, shows that this one has crashed. A host carries two lives only while one of them
+    /// drains, and one that was met before this one was last heard may have been beside it.
+    pub fn is_succeeded_by(&self, later: &Worker) -> bool {
+        let is_gone = self.is_refusing && !self.fact.draining;
+        let is_met_later = later.first_asked_ms.is_some_and(|at| self.heard_ms < at);
+        is_gone && self.was_there() && later.answers && !later.fact.draining && is_met_later
+    }
+
     /// Whether it ever stood in the platform's list; others are known from what a former owner recorded.
     pub fn is_known(&self) -> bool {
         self.fact.address.port() != 0
