Another life's answer ends a worker only at its own address

What callers saw: where the list gives a worker another life's address, all its tasks start elsewhere beside their runs (TWICE).

Cause: the answer "another life" (421) counted as the end of the worker that was asked, whichever address it came from. The entry in the list is all that a new address rests on.

Change: the answer ends a life where that one has answered these books itself and its entry has not named another address since, or it was heard again for longer after that than any order is waited for. Else a hold so answered is one that got no answer, a start is refused (a stop first where an earlier sending is open), a stop goes again, and what runs there ends with its lease.

Why it holds: one address has one listener, and only a life that has answered there is known to have been it. The quick way is kept for it; an owner that has not heard the worker yet waits for its host's next life, or for the lease.

--- a/src/core/sched/holds.rs
+++ b/src/core/sched/holds.rs
@@ -110,7 +110,7 @@
         }
         Ok(report) => account(book, key, sent_ms, report, epoch, ctx),
         Err(OrderReply::Fenced) if !w.has_restarted() => return true,
-        Err(OrderReply::OtherLife) => {
+        Err(OrderReply::OtherLife) if w.is_at_its_address() => {
             w.is_listed = false;
             runs::worker_over(book, key, &Evidence::Answer("hold"), ctx);
             end_lease(book, key);
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -111,6 +111,9 @@
 /// On top of the wait, for the way there and back.
 pub const HOLD_SLACK_MS: Millis = 500;
 
+/// What was sent to a worker's former address has been answered or given up by then: the longest hold.
+pub const ADDRESS_SETTLED_MS: Millis = HOLD_IDLE_WAIT_MS + HOLD_SLACK_MS;
+
 /// Pause before a worker that did not answer is asked again.
 pub const HOLD_RETRY_MS: Millis = 250;
 
--- a/src/core/sched/lives.rs
+++ b/src/core/sched/lives.rs
@@ -169,6 +169,9 @@
             return;
         }
         tell_resized(w, fact, ctx);
+        if w.fact.address != fact.address {
+            w.moved_ms = Some(ctx.now.ms);
+        }
         w.fact = WorkerFact {
             born_wall_ms: fact.born_wall_ms.or(w.fact.born_wall_ms),
             ..fact.clone()
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -16,6 +16,7 @@
 use super::state::{Ctx, Effect, Order, Timer};
 use super::tasks::{Phase, Task};
 use super::told;
+use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Addressee, EndKind, OrderReply, RunEnd, RunStart, TaskName};
@@ -79,6 +80,13 @@
     book.workers.get(worker).is_some_and(|w| !w.has_restarted())
 }
 
+/// Whether another life that answers in a worker's place tells that the worker's is over.
+fn is_at_its_address(book: &Book, worker: WorkerKey) -> bool {
+    book.workers
+        .get(worker)
+        .is_some_and(Worker::is_at_its_address)
+}
+
 /// Settles a start; says whether the pool is lost.
 pub fn started(
     book: &mut Book,
@@ -123,7 +131,13 @@
             pause(book, worker, UNWELL_PAUSE_MS, ctx);
             refused(book, key, "worker unwell", epoch, ctx);
         }
-        OrderReply::OtherLife => worker_over(book, worker, &Evidence::Answer("start"), ctx),
+        OrderReply::OtherLife if is_at_its_address(book, worker) => {
+            worker_over(book, worker, &Evidence::Answer("start"), ctx);
+        }
+        OrderReply::OtherLife => {
+            pause(book, worker, UNWELL_PAUSE_MS, ctx);
+            refused(book, key, "another life at its address", epoch, ctx);
+        }
         OrderReply::Fenced if is_fenced_out(book, worker) => return true,
         OrderReply::Fenced => {
             refused(book, key, "a later life of its worker is there", epoch, ctx);
@@ -229,7 +243,9 @@
     }
     match reply {
         OrderReply::Accepted | OrderReply::Outdated => settle(book, key, ctx),
-        OrderReply::OtherLife => worker_over(book, worker, &Evidence::Answer("stop"), ctx),
+        OrderReply::OtherLife if is_at_its_address(book, worker) => {
+            worker_over(book, worker, &Evidence::Answer("stop"), ctx);
+        }
         OrderReply::Fenced if is_fenced_out(book, worker) => return true,
         _ => ctx.after(ORDER_RETRY_MS, Timer::Restop(key, run)),
     }
@@ -443,12 +459,13 @@
         return false;
     };
     let is_fenced_out = is_fenced_out(book, left.worker);
+    let is_at_its_address = is_at_its_address(book, left.worker);
     let Some(left) = book.left.get_mut(&(key, run)) else {
         return false;
     };
     match reply {
         OrderReply::Accepted | OrderReply::Outdated => left.settled_ms = Some(ctx.now.ms),
-        OrderReply::OtherLife => {
+        OrderReply::OtherLife if is_at_its_address => {
             let worker = left.worker;
             worker_over(book, worker, &Evidence::Answer("stop"), ctx);
         }
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use super::keys::{JobKey, TaskKey};
-use super::limits::{CLOCK_SLOW_PERCENT, LEASE_SLACK_MS};
+use super::limits::{ADDRESS_SETTLED_MS, CLOCK_SLOW_PERCENT, LEASE_SLACK_MS};
 use crate::clock::Millis;
 use crate::port::fleet::{Capacity, WorkerFact};
 
@@ -67,6 +67,8 @@
     pub heard_ms: Millis,
     /// When the first hold that it answered was sent.
     pub first_asked_ms: Option<Millis>,
+    /// When its entry last named another address than before.
+    pub moved_ms: Option<Millis>,
     /// Its last hold met no listener, or ended with its connection.
     pub is_refusing: bool,
     /// When it went with its connections: it ended one or took none, right after it had answered. One that first falls
@@ -124,6 +126,7 @@
             answers: false,
             heard_ms: 0,
             first_asked_ms: None,
+            moved_ms: None,
             is_refusing: false,
             broke_ms: None,
             is_heard_through: false,
@@ -174,6 +177,12 @@
         self.heard_ms > 0 || !self.tasks.is_empty() || self.is_superseded
     }
 
+    /// Whether it has answered itself at the address that its entry names: another life that answers there is in its place.
+    pub fn is_at_its_address(&self) -> bool {
+        let is_settled = |moved_ms| self.heard_ms >= moved_ms + ADDRESS_SETTLED_MS;
+        self.clock.is_some() && self.moved_ms.is_none_or(is_settled)
+    }
+
     /// Whether `later`, of the same host, shows that this one has crashed. A host carries two lives only while one of them
     /// drains, and one that was met before this one was last heard may have been beside it.
     pub fn is_succeeded_by(&self, later: &Worker) -> bool {
