Test: a life that left the list while it answered

Some workers never state that they drain: their entry goes, and they serve on as long. A broken connection and an account of the host's next life end such a one on this code: lives_withdrawn fails (its lease_over_ms is gone with it).

--- a/tests/test_lives.rs
+++ b/tests/test_lives.rs
@@ -2,7 +2,7 @@
 
 use rockwick::core::sched::book::Book;
 use rockwick::core::sched::holds;
-use rockwick::port::fleet::HoldReport;
+use rockwick::port::fleet::{HoldReport, OrderReply};
 
 use crate::decide::{answering, decide};
 use crate::world::{job, worker_fact, World};
@@ -98,3 +98,30 @@
         assert_eq!(world.starts, u64::from(TASKS), "seed {seed}");
     }
 }
+
+/// One that left the list while it answered serves on like one that states that it drains.
+#[test]
+fn lives_withdrawn() {
+    let mut book = Book::default();
+    let one = answering(&mut book, worker_fact("one", "host"));
+    let other = answering(&mut book, worker_fact("other", "host"));
+    book.workers[one].heard_ms = 1_000;
+    book.workers[one].is_withdrawn = true;
+    book.workers[one].lease_over_ms = 9_000;
+    decide(1_400, |ctx| {
+        let broken = Err(OrderReply::Broken);
+        holds::held(&mut book, one, 1_200, broken, EPOCH, ctx);
+    });
+    let report = HoldReport {
+        born_wall_ms: None,
+        clock_ms: 2_000,
+        unreadable: 0,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
+    decide(2_000, |ctx| {
+        holds::held(&mut book, other, 1_500, Ok(report), EPOCH, ctx);
+    });
+    let over_ms = book.workers.get(one).map(|w| w.lease_over_ms);
+    assert_eq!(over_ms, Some(9_000), "its lease counts");
+}
