A life that left the list while it answered is not ended by its host's next

Cause: the account of a host's next life ended such a one once a connection to it broke, as if it had crashed.

Change: it counts like one that states that it drains: its runs end with its lease.

Why it holds: its lease is by its own clock. One that crashes in that state costs the rest of its lease.

--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -186,7 +186,8 @@
     /// Whether `later`, of the same host, shows that this one has crashed. A host carries two lives only while one of them
     /// drains, and one that was met before this one was last heard may have been beside it.
     pub fn is_succeeded_by(&self, later: &Worker) -> bool {
-        let is_gone = self.is_refusing && !self.fact.draining;
+        let may_serve_on = self.fact.draining || self.is_withdrawn;
+        let is_gone = self.is_refusing && !may_serve_on;
         let is_met_later = later.first_asked_ms.is_some_and(|at| self.heard_ms < at);
         is_gone && self.was_there() && later.answers && !later.fact.draining && is_met_later
     }
