--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -386,6 +386,16 @@
     for seed in [536, 989, 1_307, 1_761, 1_816, 2_701, 2_809, 2_909] {
         play_with(seed, Extra::LateRestarts);
     }
+    play_with(1_169, Extra::Readdressed);
+}
+
+/// A task that crashes workers is started a sixth or seventh time: one of its workers crashed while it drained, which counts as no
+/// crash.
+#[test]
+fn sched_model_drained_crash() {
+    for seed in [253, 261, 641, 761, 969, 1_261, 1_473, 1_785, 1_905] {
+        play_with(seed, Extra::TwoLives);
+    }
 }
 
 /// A gang's job waited for good for its pool's second host. The answer to the taking of that host's slot was lost and the slot was
