A host is reserved for a task that fits on none beside what runs there

Cause: nobody empties a host. Small tasks are placed as soon as they fit somewhere, and where each host always gets some of them, none is ever empty enough.

Change: gather.rs. A task that has waited for a second, that no open host has room for while what is free holds it twice, gets the host on which it is expected to fit soonest, hosts without tasks that last first. Nothing else is placed there until the task is; what lasts goes there all the same if it finds no other place. One open host of 32 is reserved at a time, one at the least; tasks that are late anyway get one only while 60% of the processors or less are taken. A reservation ends after twice the expected time and a lease, or once its host takes no work, is too small, or its task waits no more; the next look chooses anew. Events 635 to 637 tell the choice, the placing and the giving up, with what the host left idle.

--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -5,6 +5,7 @@
 use slotmap::SlotMap;
 
 use super::accounts::AccountUse;
+use super::gather::Reservations;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, FORGOTTEN_KEPT_MS, HELD_MAX_MS};
@@ -67,6 +68,8 @@
     pub going: BTreeSet<String>,
     /// Workers by what they have free.
     pub room: Room,
+    /// Workers that are kept for tasks which need most of one.
+    pub reserved: Reservations,
     /// Workers whose ends are being recorded.
     pub recording: BTreeSet<WorkerKey>,
     /// Tasks that wait for a place.
--- a/src/core/sched/gang.rs
+++ b/src/core/sched/gang.rs
@@ -72,7 +72,8 @@
     let mut taken: HashMap<WorkerKey, (Capacity, usize)> = HashMap::new();
     let mut places = Vec::with_capacity(members.len());
     for member in members {
-        let candidates = book.workers.iter().filter(|(_, w)| w.is_open(now_ms));
+        let open = book.workers.iter().filter(|(_, w)| w.is_open(now_ms));
+        let candidates = open.filter(|(key, _)| !book.reserved.has(*key));
         let fitting = candidates.filter(|(key, w)| {
             let (mut used, count) = taken.get(key).copied().unwrap_or_default();
             used.add(demand);
--- /dev/null
+++ b/src/core/sched/gather.rs
@@ -0,0 +1,327 @@
+//! Room for tasks that fit on no host beside what runs there, although there is enough of it in all: one host is
+//! reserved, and nothing else is placed there until the task fits.
+//!
+//! Small tasks that come all the time are placed as soon as they fit somewhere, so that none of a pool's hosts need ever
+//! become empty by itself. Tasks that last are not moved: hosts on which they leave too little room are passed over.
+
+use super::book::Book;
+use super::job::StepSpec;
+use super::keys::{TaskKey, WorkerKey};
+use super::limits::{PLACE_LOOKS, RESORT_MS, WORKER_LEASE_MS};
+use super::place;
+use super::slack::{holds, Slack};
+use super::state::Ctx;
+use super::tasks::{Phase, Rank, Task};
+use super::worker::Worker;
+use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
+use crate::port::fleet::Capacity;
+
+/// A task that has waited so long gets a host reserved: by then one that was on offer is back.
+const WAIT_MS: Millis = 1_000;
+
+/// One open host of so many is reserved at a time, and one in a smaller pool.
+const HOSTS_PER_RESERVATION: usize = 32;
+
+/// A host whose tasks take longer than that to make room is not reserved.
+const DRAIN_MAX_MS: Millis = 60_000;
+
+/// Most steps for which one look searches a host: a search walks over all hosts and their tasks.
+const SEARCHES_MAX: usize = 8;
+
+/// The hosts of a pool that are reserved.
+#[derive(Clone, Debug, Default)]
+pub struct Reservations {
+    held: Vec<Reservation>,
+    /// The host that was given up last for taking too long.
+    avoided: Option<WorkerKey>,
+    next_look_ms: Millis,
+}
+
+/// A host that is kept for a task.
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    worker: WorkerKey,
+    task: TaskKey,
+    since_ms: Millis,
+    until_ms: Millis,
+    /// Up to when what it left idle is summed up.
+    seen_ms: Millis,
+    /// Processors that it had free, times how long: thousandths of a core times milliseconds.
+    idle: u64,
+}
+
+/// What becomes of a reservation.
+enum Outcome {
+    Waits,
+    Fits,
+    Over(&'static str),
+    TooLong,
+}
+
+impl Reservations {
+    /// Whether a worker is kept for another task than this one.
+    pub fn bars(&self, worker: WorkerKey, task: TaskKey) -> bool {
+        let mut held = self.held.iter();
+        held.any(|r| r.worker == worker && r.task != task)
+    }
+
+    /// Whether a worker is kept for some task.
+    pub fn has(&self, worker: WorkerKey) -> bool {
+        self.held.iter().any(|r| r.worker == worker)
+    }
+
+    /// Whether no worker is kept.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    fn is_for(&self, task: TaskKey) -> bool {
+        self.held.iter().any(|r| r.task == task)
+    }
+}
+
+/// Places tasks on the hosts that are kept for them as soon as they fit, and gives up hosts that are of no use.
+pub(super) fn settle(book: &mut Book, ctx: &mut Ctx<'_>) {
+    if book.reserved.is_empty() {
+        return;
+    }
+    let now_ms = ctx.now.ms;
+    for mut held in std::mem::take(&mut book.reserved.held) {
+        held.note_idle(book, now_ms);
+        match held.outcome(book, now_ms) {
+            Outcome::Waits => book.reserved.held.push(held),
+            Outcome::Fits => {
+                held.tell(book, Code::ReservationUsed, "the task fits", ctx);
+                place::assign(book, held.task, held.worker, ctx);
+            }
+            Outcome::Over(why) => held.tell(book, Code::ReservationDropped, why, ctx),
+            Outcome::TooLong => {
+                held.tell(book, Code::ReservationDropped, "it takes too long", ctx);
+                book.reserved.avoided = Some(held.worker);
+            }
+        }
+    }
+}
+
+/// Reserves hosts for tasks that have waited long enough, in the order of waiting tasks.
+pub(super) fn reserve(book: &mut Book, ctx: &mut Ctx<'_>) {
+    let now_ms = ctx.now.ms;
+    if now_ms < book.reserved.next_look_ms {
+        return;
+    }
+    book.reserved.next_look_ms = now_ms + RESORT_MS;
+    let open = book.workers.values().filter(|w| w.is_open(now_ms)).count();
+    let most = (open / HOSTS_PER_RESERVATION).max(1);
+    let mut in_vain: Vec<Capacity> = Vec::new();
+    for rank in stuck(book, now_ms) {
+        if book.reserved.held.len() >= most || in_vain.len() >= SEARCHES_MAX {
+            return;
+        }
+        let Some(spec) = book.step_spec(rank.task) else {
+            continue;
+        };
+        let demand = spec.demand();
+        if in_vain.iter().any(|d| holds(demand, *d)) {
+            continue;
+        }
+        match Search::new(book, rank.task, spec, now_ms).best() {
+            Some(host) => hold(book, rank, host, ctx),
+            None => in_vain.push(demand),
+        }
+    }
+}
+
+/// Tasks that wait only since what is free is split up.
+fn stuck(book: &Book, now_ms: Millis) -> Vec<Rank> {
+    let slack = Slack::of(book, now_ms);
+    let is_stuck = |rank: &&Rank| {
+        let (Some(task), Some(spec)) = (book.task(rank.task), book.step_spec(rank.task)) else {
+            return false;
+        };
+        let waits_long = now_ms >= task.since_ms + WAIT_MS;
+        let may_start = !spec.gang && !task.is_suspect() && !book.is_held(rank.task, now_ms);
+        waits_long
+            && may_start
+            && !book.reserved.is_for(rank.task)
+            && slack.is_split(book, rank.class, spec.demand())
+    };
+    let ready = book.ready.iter();
+    let ready = ready.filter(|rank| book.is_within_quota(rank.task, 1));
+    let stuck = ready.take(PLACE_LOOKS).filter(is_stuck);
+    stuck.copied().collect()
+}
+
+fn hold(book: &mut Book, rank: Rank, host: Candidate, ctx: &mut Ctx<'_>) {
+    let now_ms = ctx.now.ms;
+    let drain_ms = host.free_ms.saturating_sub(now_ms);
+    let held = Reservation {
+        worker: host.worker,
+        task: rank.task,
+        since_ms: now_ms,
+        until_ms: now_ms + 2 * drain_ms + WORKER_LEASE_MS,
+        seen_ms: now_ms,
+        idle: 0,
+    };
+    book.reserved.held.push(held);
+    book.reserved.avoided = None;
+    held.tell(book, Code::HostReserved, "no host has room for it", ctx);
+}
+
+impl Reservation {
+    fn note_idle(&mut self, book: &Book, now_ms: Millis) {
+        let free = book.workers.get(self.worker).map(Worker::free);
+        let free_milli = free.map_or(0, |free| free.cpu_milli);
+        self.idle += free_milli * now_ms.saturating_sub(self.seen_ms);
+        self.seen_ms = now_ms;
+    }
+
+    fn outcome(&self, book: &Book, now_ms: Millis) -> Outcome {
+        let waits = |t: &Task| t.phase == Phase::Ready;
+        let Some(spec) = book.step_spec(self.task) else {
+            return Outcome::Over("its job is gone");
+        };
+        if !book.task(self.task).is_some_and(waits) {
+            return Outcome::Over("the task waits no more");
+        }
+        let worker = book.workers.get(self.worker);
+        let Some(worker) = worker.filter(|w| w.is_open(now_ms)) else {
+            return Outcome::Over("its host takes no work");
+        };
+        if !book.is_within_quota(self.task, 1) || book.is_held(self.task, now_ms) {
+            return Outcome::Over("the task may not start");
+        }
+        let demand = spec.demand();
+        if worker.fits(demand) {
+            return Outcome::Fits;
+        }
+        if free_ms(book, worker, demand, now_ms).is_none() {
+            return Outcome::Over("its host will not have the room");
+        }
+        match now_ms < self.until_ms {
+            true => Outcome::Waits,
+            false => Outcome::TooLong,
+        }
+    }
+
+    fn tell(&self, book: &Book, code: Code, why: &'static str, ctx: &mut Ctx<'_>) {
+        let id = book.jobs.get(self.task.job).map_or("", |job| &job.id);
+        let demand = book.step_spec(self.task).map(StepSpec::demand);
+        let mut told = Decision::new(code, Subject::Job, id, why)
+            .with("round", u64::from(self.task.round))
+            .with("step", u64::from(self.task.step))
+            .with("task", u64::from(self.task.index))
+            .with("cpu_milli", demand.map_or(0, |d| d.cpu_milli))
+            .with("held_ms", ctx.now.ms.saturating_sub(self.since_ms))
+            .with("most_ms", self.until_ms.saturating_sub(self.since_ms))
+            .with("idle_core_ms", self.idle / 1_000);
+        if let Some(worker) = book.workers.get(self.worker) {
+            told = told
+                .naming("worker", &*worker.fact.id)
+                .naming("on", &*worker.fact.host)
+                .with("used_cpu_milli", worker.used.cpu_milli);
+        }
+        ctx.tell(told);
+    }
+}
+
+/// A host that could be kept for a task.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    worker: WorkerKey,
+    /// When the task is expected to fit.
+    free_ms: Millis,
+}
+
+/// A look for the host to be kept for a task.
+struct Search<'a> {
+    book: &'a Book,
+    key: TaskKey,
+    spec: &'a StepSpec,
+    now_ms: Millis,
+}
+
+impl<'a> Search<'a> {
+    fn new(book: &'a Book, key: TaskKey, spec: &'a StepSpec, now_ms: Millis) -> Self {
+        Self {
+            book,
+            key,
+            spec,
+            now_ms,
+        }
+    }
+
+    /// The host on which the task fits soonest; hosts without a task that lasts go first.
+    fn best(&self) -> Option<Candidate> {
+        let workers = self.book.workers.iter();
+        let hosts = workers.filter_map(|(key, worker)| {
+            let free_ms = self.free_ms(key, worker)?;
+            let is_avoided = self.book.reserved.avoided == Some(key);
+            let cost = (is_avoided, carries_lasting(self.book, worker), free_ms, key);
+            Some((cost, free_ms))
+        });
+        let best = hosts.min_by_key(|(cost, _)| *cost);
+        best.map(|((.., worker), free_ms)| Candidate { worker, free_ms })
+    }
+
+    fn free_ms(&self, key: WorkerKey, worker: &Worker) -> Option<Millis> {
+        let failed_there = |t: &Task| t.failed_on == Some(key);
+        let may_take = worker.is_open(self.now_ms)
+            && !self.book.reserved.has(key)
+            && place::suits(self.book, self.key, self.spec, key)
+            && !self.book.task(self.key).is_some_and(failed_there);
+        if !may_take {
+            return None;
+        }
+        let free_ms = free_ms(self.book, worker, self.spec.demand(), self.now_ms)?;
+        (free_ms <= self.now_ms + DRAIN_MAX_MS).then_some(free_ms)
+    }
+}
+
+fn carries_lasting(book: &Book, worker: &Worker) -> bool {
+    let mut tasks = worker.tasks.iter();
+    tasks.any(|key| book.step_spec(*key).is_some_and(|s| s.lasting))
+}
+
+/// When `demand` is expected to fit on a worker that gets nothing new; never, where what stays is too much.
+fn free_ms(book: &Book, worker: &Worker, demand: Capacity, now_ms: Millis) -> Option<Millis> {
+    if !holds(worker.fact.capacity, demand) {
+        return None;
+    }
+    let mut ends: Vec<(Millis, Capacity)> = worker
+        .tasks
+        .iter()
+        .filter_map(|key| Some((end_ms(book, *key, now_ms)?, book.step_spec(*key)?.demand())))
+        .collect();
+    ends.sort_unstable_by_key(|(end_ms, _)| *end_ms);
+    let mut used = worker.used;
+    let mut free_ms = now_ms;
+    let mut ends = ends.into_iter();
+    loop {
+        let mut sum = used;
+        sum.add(demand);
+        if holds(worker.fact.capacity, sum) {
+            return Some(free_ms);
+        }
+        let (end_ms, taken) = ends.next()?;
+        used.sub(taken);
+        free_ms = end_ms;
+    }
+}
+
+/// When a task's run is expected to end; never, where it lasts. One that is past its time takes half as long again, for
+/// all that is known.
+fn end_ms(book: &Book, key: TaskKey, now_ms: Millis) -> Option<Millis> {
+    let job = book.jobs.get(key.job)?;
+    let step = usize::from(key.step);
+    if job.spec.steps.get(step)?.lasting {
+        return None;
+    }
+    let task = book.task(key)?;
+    let begun_ms = task.begun_ms.unwrap_or(task.since_ms);
+    let end_ms = begun_ms + job.step_ms.get(step)?;
+    if now_ms < end_ms {
+        return Some(end_ms);
+    }
+    Some(now_ms + now_ms.saturating_sub(begun_ms) / 2)
+}
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -15,6 +15,7 @@
 pub mod fairness;
 pub mod fence;
 pub mod gang;
+pub mod gather;
 mod handover;
 pub mod holds;
 pub mod hosts;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -4,6 +4,7 @@
 
 use super::book::Book;
 use super::gang;
+use super::gather;
 use super::job::{JobState, StepSpec};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::PLACE_LOOKS;
@@ -25,6 +26,7 @@
 /// Gives places to waiting tasks, in their order, as far as there is room.
 pub fn place(book: &mut Book, ctx: &mut Ctx<'_>) {
     book.wants_placing = false;
+    gather::settle(book, ctx);
     let ranks: Vec<TaskKey> = book
         .ready
         .iter()
@@ -59,6 +61,7 @@
             None => {}
         }
     }
+    gather::reserve(book, ctx);
 }
 
 /// Whether `a` asks for no less than `b` of anything.
@@ -77,9 +80,24 @@
     })
 }
 
-/// The place of least cost: in the rack where the data lies if one there fits, else anywhere.
+/// The place of a task: on a worker that is kept for another one only if it lasts and there is no other.
 fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Option<WorkerKey> {
     let spec = book.step_spec(key)?;
+    let place = choose_among(book, key, spec, false, now_ms);
+    if place.is_some() || !spec.lasting || book.reserved.is_empty() {
+        return place;
+    }
+    choose_among(book, key, spec, true, now_ms)
+}
+
+/// The place of least cost: in the rack where the data lies if one there fits, else anywhere.
+fn choose_among(
+    book: &Book,
+    key: TaskKey,
+    spec: &StepSpec,
+    takes_kept: bool,
+    now_ms: u64,
+) -> Option<WorkerKey> {
     let cpu_milli = spec.demand().cpu_milli;
     let search = Search {
         book,
@@ -87,6 +105,7 @@
         key,
         now_ms,
         is_apart: book.task(key).is_some_and(|t| t.is_apart(now_ms)),
+        takes_kept,
     };
     if book.task(key).is_some_and(Task::is_suspect) {
         return choose_apart(&search);
@@ -108,6 +127,8 @@
     now_ms: u64,
     /// The task goes on no worker that has a suspect of crashes.
     is_apart: bool,
+    /// It goes on workers that are kept for others, too.
+    takes_kept: bool,
 }
 
 impl Search<'_> {
@@ -135,12 +156,18 @@
         best
     }
 
+    /// Whether a worker is kept for another task. What lasts goes there all the same where it finds no other place.
+    fn is_kept(&self, key: WorkerKey) -> bool {
+        !self.takes_kept && self.book.reserved.bars(key, self.key)
+    }
+
     fn may_take(&self, key: WorkerKey) -> bool {
         let worker = &self.book.workers[key];
         worker.is_open(self.now_ms)
             && worker.fits(self.spec.demand())
             && suits(self.book, self.key, self.spec, key)
             && !failed_there(self.book, self.key, key, self.now_ms)
+            && !self.is_kept(key)
             && !(self.is_apart && self.book.is_watched(key))
     }
 }
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -384,7 +384,9 @@
     let mut idle: Vec<(u64, WorkerKey)> = book
         .workers
         .iter()
-        .filter(|(_, w)| w.is_open(now_ms) && !carries_lasting(book, w))
+        .filter(|(key, w)| {
+            w.is_open(now_ms) && !book.reserved.has(*key) && !carries_lasting(book, w)
+        })
         .map(|(key, w)| (w.used.cpu_milli, key))
         .collect();
     idle.sort_unstable();
--- a/src/core/sched/slack.rs
+++ b/src/core/sched/slack.rs
@@ -37,14 +37,13 @@
 
     /// Whether a task of this class waits only since no host alone has what is free in all.
     pub(super) fn is_split(&self, book: &Book, class: Class, demand: Capacity) -> bool {
-        self.holds(demand.times(ROOM_FACTOR))
+        self.has_free(demand.times(ROOM_FACTOR))
             && (class <= Class::InTime || self.is_idle())
             && !has_host(book, demand, self.now_ms)
     }
 
-    fn holds(&self, sum: Capacity) -> bool {
-        let free = self.free;
-        sum.cpu_milli <= free.cpu_milli && sum.mem_mb <= free.mem_mb && sum.gpu <= free.gpu
+    fn has_free(&self, sum: Capacity) -> bool {
+        holds(self.free, sum)
     }
 
     fn is_idle(&self) -> bool {
@@ -53,9 +52,15 @@
     }
 }
 
-/// Whether some open host has that much free.
+/// Whether `room` has as much of everything as `sum`.
+pub(super) fn holds(room: Capacity, sum: Capacity) -> bool {
+    sum.cpu_milli <= room.cpu_milli && sum.mem_mb <= room.mem_mb && sum.gpu <= room.gpu
+}
+
+/// Whether some open host that is kept for no other task has that much free.
 fn has_host(book: &Book, demand: Capacity, now_ms: Millis) -> bool {
     let slots = book.room.with_free(demand.cpu_milli);
+    let slots = slots.filter(|slot| !book.reserved.has(slot.worker));
     let mut open = slots.map(|slot| &book.workers[slot.worker]);
     open.any(|w| w.is_open(now_ms) && w.fits(demand))
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -122,6 +122,9 @@
     BatchRecorded, 627, "batch-recorded", "Changes of jobs are on record: in which shard, at which revision.";
     JobStale, 628, "job-stale", "A job's row was read before the job left the store, and is told after: it is passed over.";
     WorkerRestarted, 629, "worker-restarted", "A worker started again under its id: which start was known, and which one it tells.";
+    HostReserved, 635, "host-reserved", "A task waits though there is room for it in all: a host gets nothing else until it fits there.";
+    ReservationUsed, 636, "reservation-used", "A task got the host that was reserved for it; what that left idle.";
+    ReservationDropped, 637, "reservation-dropped", "A reserved host was given up, and why; what that left idle.";
 }
 
 impl Code {
