--- a/tests/test_wide.rs
+++ b/tests/test_wide.rs
@@ -5,6 +5,7 @@
 use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::sizing::{self, Look, Sizing};
 use rockwick::core::sched::{load, place, rows};
+use rockwick::event::{Code, Decision};
 use rockwick::port::fleet::StoredRow;
 
 use crate::decide::{answering, decide};
@@ -71,6 +72,120 @@
     }
 }
 
+/// Events of reservations so far.
+fn reservations(world: &World) -> Vec<&Decision> {
+    let codes = [
+        Code::HostReserved,
+        Code::ReservationUsed,
+        Code::ReservationDropped,
+    ];
+    let log = world.log.iter();
+    log.filter(|d| codes.contains(&d.code)).collect()
+}
+
+/// The worker that is reserved now.
+fn reserved(world: &World) -> Option<String> {
+    let last = reservations(world).pop()?;
+    let mut names = last.names.iter();
+    let (_, id) = names.find(|(what, _)| *what == "worker")?;
+    (last.code == Code::HostReserved).then(|| id.clone())
+}
+
+/// A pool in which a host has just been reserved, and that worker.
+fn with_reserved(seed: u64, tasks: u16) -> (World, String) {
+    let mut world = busy(seed);
+    world.keeps_log = true;
+    world.submit("wide", job(tasks, 11_000, 500));
+    for _ in 0..BOUND_MS / STREAM_MS {
+        stream(&mut world, STREAM_MS);
+        if let Some(id) = reserved(&world) {
+            return (world, id);
+        }
+    }
+    panic!("seed {seed}: no host was reserved");
+}
+
+/// After `fault` struck the reserved worker, the task is started elsewhere.
+fn starts_after(fault: impl Fn(&mut World, &str)) {
+    for seed in 0..5 {
+        let (mut world, id) = with_reserved(seed, 1);
+        fault(&mut world, &id);
+        let starts = stream_until(&mut world, 2 * BOUND_MS);
+        assert!(starts, "seed {seed}: {}", world.describe("wide"));
+    }
+}
+
+#[test]
+fn wide_host_crashes() {
+    starts_after(|world, id| world.crash(id, 2_000));
+}
+
+#[test]
+fn wide_host_shrinks() {
+    starts_after(|world, id| world.resize(id, 6_000));
+}
+
+#[test]
+fn wide_host_silent() {
+    starts_after(|world, id| world.cut_worker(id, 20_000));
+}
+
+#[test]
+fn wide_host_closed() {
+    starts_after(|world, _| world.wave(1, 60_000, 2));
+}
+
+#[test]
+fn wide_owner_changes() {
+    for seed in 0..5 {
+        let (mut world, _) = with_reserved(seed, 1);
+        world.kill(0);
+        world.boot(0);
+        let starts = stream_until(&mut world, SETTLE_MS + BOUND_MS);
+        assert!(starts, "seed {seed}: {}", world.describe("wide"));
+    }
+}
+
+#[test]
+fn wide_cancelled() {
+    let (mut world, _) = with_reserved(1, 1);
+    world.cancel("wide");
+    stream(&mut world, 1_500);
+    assert_eq!(reserved(&world), None);
+    assert_eq!(world.running("wide"), 0);
+}
+
+/// One host at a time in a small pool, and all of it is used by small tasks in between.
+#[test]
+fn wide_one_host() {
+    let (mut world, _) = with_reserved(2, 4);
+    for _ in 0..4 {
+        stream(&mut world, BOUND_MS);
+    }
+    assert_eq!(world.recorded("wide"), JobState::Completed);
+    let mut held = 0;
+    for event in reservations(&world) {
+        held = match event.code {
+            Code::HostReserved => held + 1,
+            _ => held - 1,
+        };
+        assert!(held <= 1, "{event:?}");
+    }
+    world.run(5_000);
+    let jobs = world.owner_book().expect("it is owned").jobs.values();
+    let left = jobs.filter(|job| !job.state.is_final() && job.id != "lasts");
+    assert_eq!(left.count(), 0, "the stream went on");
+}
+
+/// What lasts takes a reserved host if there is no other.
+#[test]
+fn wide_yields_to_lasting() {
+    let (mut world, id) = with_reserved(3, 1);
+    world.submit("all", lasting(HOSTS, 1));
+    world.run(500);
+    assert_eq!(world.running("all"), usize::from(HOSTS), "{id} is reserved");
+}
+
 /// Hosts that a pool of six needs, whose hosts carry a task that lasts each, once a task of nearly a host has waited. What
 /// lasts is as much as room for three hosts.
 fn needed_beside_lasting(wide: &JobSpec) -> u64 {
