Tests of why a reserved host is given up

Closed, silent and shrunk hosts by books alone, with the reason that the event tells and the host that is reserved next, since in the random world a task may get its place before the news of its host comes; a host whose task does not end in time; late work in a pool that is over 60% full.

--- a/tests/test_wide.rs
+++ b/tests/test_wide.rs
@@ -4,6 +4,8 @@
 use rockwick::core::sched::job::{JobSpec, JobState};
 use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::sizing::{self, Look, Sizing};
+use rockwick::core::sched::state::Effect;
+use rockwick::core::sched::worker::Worker;
 use rockwick::core::sched::{load, place, rows};
 use rockwick::event::{Code, Decision};
 use rockwick::port::fleet::StoredRow;
@@ -121,7 +123,7 @@
 }
 
 #[test]
-fn wide_host_shrinks() {
+fn wide_host_resized() {
     starts_after(|world, id| world.resize(id, 6_000));
 }
 
@@ -131,7 +133,7 @@
 }
 
 #[test]
-fn wide_host_closed() {
+fn wide_wave_begins() {
     starts_after(|world, _| world.wave(1, 60_000, 2));
 }
 
@@ -186,6 +188,117 @@
     assert_eq!(world.running("all"), usize::from(HOSTS), "{id} is reserved");
 }
 
+fn submit(book: &mut Book, id: &str, spec: &JobSpec) {
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: id.to_string(),
+        value: Some(rows::encode(spec)),
+        revision: 1,
+    };
+    decide(NOW_MS, |ctx| {
+        load::apply_intake(book, &row, &config(1), 1, ctx);
+        place::place(book, ctx);
+    });
+}
+
+/// What a round of placing tells of reservations: event, host, reason.
+fn place_at(book: &mut Book, now_ms: u64) -> Vec<(Code, String, String)> {
+    let effects = decide(now_ms, |ctx| place::place(book, ctx));
+    let told = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Log(d) if d.code != Code::TaskPlaced => Some(d),
+        _ => None,
+    });
+    let host = |d: &Decision| d.names.iter().find(|(what, _)| *what == "on").cloned();
+    told.map(|d| (d.code, host(&d).unwrap_or_default().1, d.why))
+        .collect()
+}
+
+/// Books of so many hosts with a task each that takes 2 s, and a task that fits beside none of them.
+fn split_up(hosts: u16, cpu_milli: u64, accepted_wall_ms: u64) -> Book {
+    let mut book = Book::default();
+    for n in 0..hosts {
+        let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
+        answering(&mut book, fact);
+    }
+    let mut apart = job(hosts, cpu_milli, 2_000);
+    apart.steps[0].per_worker_max = 1;
+    submit(&mut book, "apart", &apart);
+    let wide = JobSpec {
+        accepted_wall_ms,
+        ..job(1, 14_550, 1_000)
+    };
+    submit(&mut book, "wide", &wide);
+    book
+}
+
+/// Why the reserved host is given up after `fault` struck it, and whether another one is reserved then.
+fn given_up_after(fault: impl Fn(&mut Worker)) -> (String, bool) {
+    let mut book = split_up(4, 4_000, NOW_MS);
+    let told = place_at(&mut book, NOW_MS + 999);
+    assert_eq!(told, [], "it waits for a second");
+    let told = place_at(&mut book, NOW_MS + 1_250);
+    let [(Code::HostReserved, host, _)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    let key = book.worker_on(host).expect("it is there");
+    fault(&mut book.workers[key]);
+    let told = place_at(&mut book, NOW_MS + 1_500);
+    let [(Code::ReservationDropped, dropped, why), (Code::HostReserved, next, _)] = &told[..]
+    else {
+        panic!("{told:?}");
+    };
+    assert_eq!(dropped, host);
+    (why.clone(), next != host)
+}
+
+#[test]
+fn wide_host_closed() {
+    let told = given_up_after(|worker| worker.is_closing = true);
+    assert_eq!(told, ("its host takes no work".to_string(), true));
+    let told = given_up_after(|worker| worker.answers = false);
+    assert_eq!(told, ("its host takes no work".to_string(), true));
+}
+
+#[test]
+fn wide_host_shrinks() {
+    let told = given_up_after(|worker| worker.fact.capacity.cpu_milli = 14_000);
+    let why = "its host will not have the room".to_string();
+    assert_eq!(told, (why, true));
+}
+
+#[test]
+fn wide_host_slow() {
+    let mut book = split_up(4, 4_000, NOW_MS);
+    let told = place_at(&mut book, NOW_MS + 1_250);
+    let [(Code::HostReserved, host, _)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    // Twice the 750 ms that its task has left, and a lease.
+    let until_ms = NOW_MS + 1_250 + 1_500 + 4_500;
+    assert_eq!(place_at(&mut book, until_ms - 1), []);
+    let told = place_at(&mut book, until_ms);
+    let [(Code::ReservationDropped, dropped, why)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    assert_eq!((dropped, &**why), (host, "it takes too long"));
+    let told = place_at(&mut book, until_ms + 250);
+    let [(Code::HostReserved, next, _)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    assert_ne!(next, host);
+}
+
+/// In a pool that is 62% full, work that is late gets no host reserved.
+#[test]
+fn wide_late_waits() {
+    let reserved = |accepted_wall_ms| {
+        let mut book = split_up(8, 10_000, accepted_wall_ms);
+        place_at(&mut book, NOW_MS + 1_250).len()
+    };
+    assert_eq!(reserved(NOW_MS), 1, "in time");
+    assert_eq!(reserved(NOW_MS - 60_000), 0, "late");
+}
+
 /// Hosts that a pool of six needs, whose hosts carry a task that lasts each, once a task of nearly a host has waited. What
 /// lasts is as much as room for three hosts.
 fn needed_beside_lasting(wide: &JobSpec) -> u64 {
@@ -196,17 +309,8 @@
     }
     let mut lasts = lasting(3, 1);
     lasts.steps[0].cpu_milli = 8_100;
-    for (n, spec) in [&lasts, &lasts, wide].into_iter().enumerate() {
-        let row = StoredRow {
-            part: POOL.to_string(),
-            key: format!("job-{n}"),
-            value: Some(rows::encode(spec)),
-            revision: n as u64 + 1,
-        };
-        decide(NOW_MS, |ctx| {
-            load::apply_intake(&mut book, &row, &config(1), 1, ctx);
-            place::place(&mut book, ctx);
-        });
+    for (id, spec) in [("a", &lasts), ("b", &lasts), ("wide", wide)] {
+        submit(&mut book, id, spec);
     }
     assert_eq!(book.ready.len(), 1, "one fits nowhere");
     let mut sizing = Sizing::default();
