--- a/src/core/sched/gather.rs
+++ b/src/core/sched/gather.rs
@@ -140,7 +140,7 @@
             return false;
         };
         let waits_long = now_ms >= task.since_ms + WAIT_MS;
-        let may_start = !spec.gang && !task.is_suspect() && !book.is_held(rank.task, now_ms);
+        let may_start = !spec.gang && !task.is_suspect() && !is_held(book, rank.task, now_ms);
         waits_long
             && may_start
             && !book.reserved.is_for(rank.task)
@@ -188,7 +188,7 @@
         let Some(worker) = worker.filter(|w| w.is_open(now_ms)) else {
             return Outcome::Over("its host takes no work");
         };
-        if !book.is_within_quota(self.task, 1) || book.is_held(self.task, now_ms) {
+        if !book.is_within_quota(self.task, 1) || is_held(book, self.task, now_ms) {
             return Outcome::Over("the task may not start");
         }
         let demand = spec.demand();
@@ -278,6 +278,12 @@
     }
 }
 
+/// Whether a task that lasts is to wait before its next start.
+fn is_held(book: &Book, key: TaskKey, now_ms: Millis) -> bool {
+    let lasts = book.step_spec(key).is_some_and(|s| s.lasting);
+    lasts && book.is_held(key, now_ms)
+}
+
 fn carries_lasting(book: &Book, worker: &Worker) -> bool {
     let mut tasks = worker.tasks.iter();
     tasks.any(|key| book.step_spec(*key).is_some_and(|s| s.lasting))
