Hosts are gathered and asked for only in pools with room

Now up to 60% of a pool's processors may be taken for any task, and up to 80% for one of more than half a host that can be in time. A pool under half used has a place for any smaller task, unless another resource is short. wide_full_pool holds the bounds; test_wide and test_sizing hold.

--- a/src/core/sched/slack.rs
+++ b/src/core/sched/slack.rs
@@ -8,47 +8,57 @@
 /// What is free holds a task so many times over, so that others lose no room for it.
 const ROOM_FACTOR: u64 = 2;
 
-/// Work that is late gets room gathered only while no more than that share of the pool is taken, in percent.
-const LATE_USED_PERCENT: u64 = 60;
+/// No more than that share of a pool's processors is taken, in percent: what is free is to be put together for any task.
+/// Where it is under half, a task of half a host or less finds a place unless another resource is short.
+const IDLE_PERCENT: u64 = 60;
 
-/// What the open hosts of a pool have free.
+/// The same for tasks of more than half a host that can be in time. In fuller pools hosts are worth more to small tasks.
+const WIDE_PERCENT: u64 = 80;
+
+/// What the open hosts of a pool have, and have free.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Slack {
     now_ms: Millis,
+    hosts: u64,
+    room: Capacity,
     free: Capacity,
-    room_cpu_milli: u64,
 }
 
 impl Slack {
     /// Of this pool.
     pub(super) fn of(book: &Book, now_ms: Millis) -> Self {
-        let mut free = Capacity::default();
-        let mut room_cpu_milli = 0;
-        for worker in book.workers.values().filter(|w| w.is_open(now_ms)) {
-            free.add(worker.free());
-            room_cpu_milli += worker.fact.capacity.cpu_milli;
-        }
-        Self {
+        let mut slack = Self {
             now_ms,
-            free,
-            room_cpu_milli,
+            hosts: 0,
+            room: Capacity::default(),
+            free: Capacity::default(),
+        };
+        for worker in book.workers.values().filter(|w| w.is_open(now_ms)) {
+            slack.hosts += 1;
+            slack.room.add(worker.fact.capacity);
+            slack.free.add(worker.free());
         }
+        slack
     }
 
     /// Whether a task of this class waits only since no host alone has what is free in all.
     pub(super) fn is_split(&self, book: &Book, class: Class, demand: Capacity) -> bool {
-        self.has_free(demand.times(ROOM_FACTOR))
-            && (class <= Class::InTime || self.is_idle())
+        let used_percent = self.used_percent();
+        let is_wide = || class <= Class::InTime && self.is_wide(demand);
+        let is_due = used_percent <= IDLE_PERCENT || used_percent <= WIDE_PERCENT && is_wide();
+        is_due
+            && holds(self.free, demand.times(ROOM_FACTOR))
             && !has_host(book, demand, self.now_ms)
     }
 
-    fn has_free(&self, sum: Capacity) -> bool {
-        holds(self.free, sum)
+    fn used_percent(&self) -> u64 {
+        let used_cpu_milli = self.room.cpu_milli.saturating_sub(self.free.cpu_milli);
+        (used_cpu_milli * 100).div_ceil(self.room.cpu_milli.max(1))
     }
 
-    fn is_idle(&self) -> bool {
-        let used_cpu_milli = self.room_cpu_milli.saturating_sub(self.free.cpu_milli);
-        used_cpu_milli * 100 <= self.room_cpu_milli * LATE_USED_PERCENT
+    /// Whether a task takes more than half of a mean host.
+    fn is_wide(&self, demand: Capacity) -> bool {
+        !holds(self.room, demand.times(2 * self.hosts))
     }
 }
 
--- a/tests/test_wide.rs
+++ b/tests/test_wide.rs
@@ -213,8 +213,8 @@
         .collect()
 }
 
-/// Books of so many hosts with a task each that takes 2 s, and a task that fits beside none of them.
-fn split_up(hosts: u16, cpu_milli: u64, accepted_wall_ms: u64) -> Book {
+/// Books of so many hosts with a task each that takes 2 s, and `task`, which fits beside none of them.
+fn split_up(hosts: u16, cpu_milli: u64, task: &JobSpec) -> Book {
     let mut book = Book::default();
     for n in 0..hosts {
         let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
@@ -223,17 +223,22 @@
     let mut apart = job(hosts, cpu_milli, 2_000);
     apart.steps[0].per_worker_max = 1;
     submit(&mut book, "apart", &apart);
-    let wide = JobSpec {
+    submit(&mut book, "wide", task);
+    assert_eq!(book.ready.len(), 1, "one fits nowhere");
+    book
+}
+
+/// A task of nearly a host.
+fn wide(accepted_wall_ms: u64) -> JobSpec {
+    JobSpec {
         accepted_wall_ms,
         ..job(1, 14_550, 1_000)
-    };
-    submit(&mut book, "wide", &wide);
-    book
+    }
 }
 
 /// Why the reserved host is given up after `fault` struck it, and whether another one is reserved then.
 fn given_up_after(fault: impl Fn(&mut Worker)) -> (String, bool) {
-    let mut book = split_up(4, 4_000, NOW_MS);
+    let mut book = split_up(4, 4_000, &wide(NOW_MS));
     let told = place_at(&mut book, NOW_MS + 999);
     assert_eq!(told, [], "it waits for a second");
     let told = place_at(&mut book, NOW_MS + 1_250);
@@ -268,7 +273,7 @@
 
 #[test]
 fn wide_host_slow() {
-    let mut book = split_up(4, 4_000, NOW_MS);
+    let mut book = split_up(4, 4_000, &wide(NOW_MS));
     let told = place_at(&mut book, NOW_MS + 1_250);
     let [(Code::HostReserved, host, _)] = &told[..] else {
         panic!("{told:?}");
@@ -288,15 +293,25 @@
     assert_ne!(next, host);
 }
 
-/// In a pool that is 62% full, work that is late gets no host reserved.
+/// Work that is late gets a host reserved in pools that are up to 60% full, tasks of half a host or less, too; wide tasks
+/// that can be in time up to 80%.
 #[test]
-fn wide_late_waits() {
-    let reserved = |accepted_wall_ms| {
-        let mut book = split_up(8, 10_000, accepted_wall_ms);
+fn wide_full_pool() {
+    let reserved = |hosts, cpu_milli, task: &JobSpec| {
+        let mut book = split_up(hosts, cpu_milli, task);
         place_at(&mut book, NOW_MS + 1_250).len()
     };
-    assert_eq!(reserved(NOW_MS), 1, "in time");
-    assert_eq!(reserved(NOW_MS - 60_000), 0, "late");
+    let late_ms = NOW_MS - 60_000;
+    assert_eq!(reserved(8, 9_600, &wide(late_ms)), 1, "late, 60%");
+    assert_eq!(reserved(8, 10_000, &wide(late_ms)), 0, "late, 63%");
+    let half = JobSpec {
+        accepted_wall_ms: NOW_MS,
+        ..job(1, 8_000, 1_000)
+    };
+    assert_eq!(reserved(8, 9_600, &half), 1, "half a host, 60%");
+    assert_eq!(reserved(8, 10_000, &half), 0, "half a host, 63%");
+    assert_eq!(reserved(16, 12_800, &wide(NOW_MS)), 1, "wide, 80%");
+    assert_eq!(reserved(16, 13_000, &wide(NOW_MS)), 0, "wide, 82%");
 }
 
 /// Hosts that a pool of six needs, whose hosts carry a task that lasts each, once a task of nearly a host has waited. What
@@ -333,10 +348,6 @@
 /// cores used and three tasks of 14,550 thousandths waiting for 15 s, `pool-sized` that 46 hosts were wanted, and 38 on offer.
 #[test]
 fn wide_asks_host() {
-    let wide = |accepted_wall_ms| JobSpec {
-        accepted_wall_ms,
-        ..job(1, 14_550, 1_000)
-    };
     assert!(needed_beside_lasting(&wide(NOW_MS)) > 6, "in time");
     let late_ms = NOW_MS - 60_000;
     assert!(needed_beside_lasting(&wide(late_ms)) > 6, "past its time");
