--- a/src/core/sched/gather.rs
+++ b/src/core/sched/gather.rs
@@ -107,14 +107,19 @@
 /// Reserves hosts for tasks that have waited long enough, in the order of waiting tasks.
 pub(super) fn reserve(book: &mut Book, ctx: &mut Ctx<'_>) {
     let now_ms = ctx.now.ms;
-    if now_ms < book.reserved.next_look_ms {
+    if book.ready.is_empty() || now_ms < book.reserved.next_look_ms {
         return;
     }
     book.reserved.next_look_ms = now_ms + RESORT_MS;
+    let waiting = waiting_long(book, now_ms);
+    if waiting.is_empty() {
+        return;
+    }
     let open = book.workers.values().filter(|w| w.is_open(now_ms)).count();
     let most = (open / HOSTS_PER_RESERVATION).max(1);
+    let slack = Slack::of(book, now_ms);
     let mut in_vain: Vec<Capacity> = Vec::new();
-    for rank in stuck(book, now_ms) {
+    for rank in waiting {
         if book.reserved.held.len() >= most || in_vain.len() >= SEARCHES_MAX {
             return;
         }
@@ -122,7 +127,8 @@
             continue;
         };
         let demand = spec.demand();
-        if in_vain.iter().any(|d| holds(demand, *d)) {
+        let is_known = in_vain.iter().any(|d| holds(demand, *d));
+        if is_known || !slack.is_split(book, rank.class, demand) {
             continue;
         }
         match Search::new(book, rank.task, spec, now_ms).best() {
@@ -132,24 +138,20 @@
     }
 }
 
-/// Tasks that wait only since what is free is split up.
-fn stuck(book: &Book, now_ms: Millis) -> Vec<Rank> {
-    let slack = Slack::of(book, now_ms);
-    let is_stuck = |rank: &&Rank| {
+/// Tasks that may start, have waited for long and have no host reserved.
+fn waiting_long(book: &Book, now_ms: Millis) -> Vec<Rank> {
+    let waits_long = |rank: &&Rank| {
         let (Some(task), Some(spec)) = (book.task(rank.task), book.step_spec(rank.task)) else {
             return false;
         };
-        let waits_long = now_ms >= task.since_ms + WAIT_MS;
+        let is_long = now_ms >= task.since_ms + WAIT_MS;
         let may_start = !spec.gang && !task.is_suspect() && !is_held(book, rank.task, now_ms);
-        waits_long
-            && may_start
-            && !book.reserved.is_for(rank.task)
-            && slack.is_split(book, rank.class, spec.demand())
+        is_long && may_start && !book.reserved.is_for(rank.task)
     };
     let ready = book.ready.iter();
     let ready = ready.filter(|rank| book.is_within_quota(rank.task, 1));
-    let stuck = ready.take(PLACE_LOOKS).filter(is_stuck);
-    stuck.copied().collect()
+    let waiting = ready.take(PLACE_LOOKS).filter(waits_long);
+    waiting.copied().collect()
 }
 
 fn hold(book: &mut Book, rank: Rank, host: Candidate, ctx: &mut Ctx<'_>) {
