--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -5,6 +5,7 @@
 
 use super::book::Book;
 use super::gang;
+use super::gather;
 use super::job::{JobState, StepSpec};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::{SUSPEND_MAX_MS, SUSPEND_MS};
@@ -27,6 +28,7 @@
 /// Gives places to waiting tasks, in their order, as far as there is room.
 pub fn place(book: &mut Book, ctx: &mut Ctx<'_>) {
     book.wants_placing = false;
+    gather::settle(book, ctx);
     let mut too_large: Vec<Capacity> = Vec::new();
     let mut tried_gangs: HashSet<TaskKey> = HashSet::new();
     for Rank { task: key, .. } in book.next_to_place(ctx.now.ms) {
@@ -50,6 +52,7 @@
             Choice::Barred => {}
         }
     }
+    gather::reserve(book, ctx);
 }
 
 /// Whether `a` asks for no less than `b` of anything.
@@ -78,22 +81,25 @@
     })
 }
 
+/// The place of a task: on a worker that is kept for another one only if it lasts and there is no other.
 fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Choice {
     let Some(spec) = book.step_spec(key) else {
         return Choice::Barred;
     };
-    let search = Search {
+    let mut search = Search {
         book,
         spec,
         key,
         now_ms,
         is_apart: book.task(key).is_some_and(|t| t.is_apart(now_ms)),
         has_room: Cell::new(false),
+        takes_kept: false,
     };
-    let worker = match book.task(key).is_some_and(Task::is_suspect) {
-        true => choose_apart(&search),
-        false => choose_cheapest(&search),
-    };
+    let mut worker = search.choose();
+    if worker.is_none() && spec.lasting && !book.reserved.is_empty() {
+        search.takes_kept = true;
+        worker = search.choose();
+    }
     match worker {
         Some(worker) => Choice::Worker(worker),
         None if search.has_room.get() => Choice::Barred,
@@ -124,9 +130,18 @@
     is_apart: bool,
     /// An open worker with room for the task was met, whether or not it may take it.
     has_room: Cell<bool>,
+    /// It goes on workers that are kept for others, too.
+    takes_kept: bool,
 }
 
 impl Search<'_> {
+    fn choose(&self) -> Option<WorkerKey> {
+        match self.book.task(self.key).is_some_and(Task::is_suspect) {
+            true => choose_apart(self),
+            false => choose_cheapest(self),
+        }
+    }
+
     /// The worker of least cost and that cost, of `slots` in their order and of `best`; each slot costs what it
     /// has free and `more_milli` at the least, so that the first ones usually settle it.
     fn best(
@@ -151,9 +166,14 @@
         best
     }
 
+    /// Whether a worker is kept for another task. What lasts goes there all the same where it finds no other place.
+    fn is_kept(&self, key: WorkerKey) -> bool {
+        !self.takes_kept && self.book.reserved.bars(key, self.key)
+    }
+
     fn may_take(&self, key: WorkerKey) -> bool {
         let worker = &self.book.workers[key];
-        if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) {
+        if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) || self.is_kept(key) {
             return false;
         }
         self.has_room.set(true);
--- a/src/event.rs
+++ b/src/event.rs
@@ -124,6 +124,9 @@
     WorkerRestarted, 629, "worker-restarted", "A worker started again under its id: which start was known, and which one it tells.";
     WaveWaits, 630, "wave-waits", "Nothing has changed in a wave for long: the first host that it waits for, and what for.";
     HostWaits, 631, "host-waits", "What a host that its wave still has before it waits for.";
+    HostReserved, 635, "host-reserved", "A task waits though there is room for it in all: a host gets nothing else until it fits there.";
+    ReservationUsed, 636, "reservation-used", "A task got the host that was reserved for it; what that left idle.";
+    ReservationDropped, 637, "reservation-dropped", "A reserved host was given up, and why; what that left idle.";
 }
 
 impl Code {
--- /dev/null
+++ b/tests/test_wide.rs
@@ -0,0 +1,354 @@
+//! Tasks that need most of a host, in pools where every host carries something.
+
+use rockwick::core::sched::book::Book;
+use rockwick::core::sched::job::{JobSpec, JobState};
+use rockwick::core::sched::offers::Offers;
+use rockwick::core::sched::sizing::{self, Look, Sizing};
+use rockwick::core::sched::state::Effect;
+use rockwick::core::sched::worker::Worker;
+use rockwick::core::sched::{load, place, rows};
+use rockwick::event::{Code, Decision};
+use rockwick::port::fleet::StoredRow;
+
+use crate::decide::{answering, decide};
+use crate::world::{config, job, lasting, worker_fact, World, POOL};
+
+/// Long enough for an owner to be found.
+const SETTLE_MS: u64 = 8_000;
+
+/// Between two jobs of the stream: shorter than the shortest of its tasks.
+const STREAM_MS: u64 = 300;
+
+/// The longest of those tasks, a second of waiting, and a lease.
+const BOUND_MS: u64 = 1_600 + 1_000 + 4_500;
+
+const HOSTS: u16 = 8;
+
+const NOW_MS: u64 = 100_000;
+
+/// One task on each host, 400 to 1,600 ms long.
+fn small() -> JobSpec {
+    let mut spec = job(HOSTS, 1_300, 800);
+    spec.steps[0].per_worker_max = 1;
+    spec
+}
+
+/// Five of eight hosts carry a task that lasts, all of them a part of the stream.
+fn busy(seed: u64) -> World {
+    let mut world = World::new(seed, 1, usize::from(HOSTS));
+    world.run(SETTLE_MS);
+    let mut spec = lasting(5, 1);
+    spec.steps[0].cpu_milli = 1_500;
+    world.submit("lasts", spec);
+    stream(&mut world, 4_000);
+    world
+}
+
+/// The stream goes on for so long.
+fn stream(world: &mut World, ms: u64) {
+    for _ in 0..ms / STREAM_MS {
+        world.submit(&format!("small-{}", world.now_ms), small());
+        world.run(STREAM_MS);
+    }
+}
+
+/// The stream goes on until the wide task runs, or for so long.
+fn stream_until(world: &mut World, ms: u64) -> bool {
+    for _ in 0..ms / STREAM_MS {
+        if world.running("wide") > 0 || world.recorded("wide") == JobState::Completed {
+            return true;
+        }
+        stream(world, STREAM_MS);
+    }
+    false
+}
+
+/// Over half of the pool is free, and no host ever has eleven of its twelve cores free by itself.
+#[test]
+fn wide_never_starts() {
+    for seed in 0..5 {
+        let mut world = busy(seed);
+        world.submit("wide", job(1, 11_000, 500));
+        let starts = stream_until(&mut world, BOUND_MS);
+        assert!(starts, "seed {seed}: {}", world.describe("wide"));
+    }
+}
+
+/// Events of reservations so far.
+fn reservations(world: &World) -> Vec<&Decision> {
+    let codes = [
+        Code::HostReserved,
+        Code::ReservationUsed,
+        Code::ReservationDropped,
+    ];
+    let log = world.log.iter();
+    log.filter(|d| codes.contains(&d.code)).collect()
+}
+
+/// The worker that is reserved now.
+fn reserved(world: &World) -> Option<String> {
+    let last = reservations(world).pop()?;
+    let mut names = last.names.iter();
+    let (_, id) = names.find(|(what, _)| *what == "worker")?;
+    (last.code == Code::HostReserved).then(|| id.clone())
+}
+
+/// A pool in which a host has just been reserved, and that worker.
+fn with_reserved(seed: u64, tasks: u16) -> (World, String) {
+    let mut world = busy(seed);
+    world.keeps_log = true;
+    world.submit("wide", job(tasks, 11_000, 500));
+    for _ in 0..BOUND_MS / STREAM_MS {
+        stream(&mut world, STREAM_MS);
+        if let Some(id) = reserved(&world) {
+            return (world, id);
+        }
+    }
+    panic!("seed {seed}: no host was reserved");
+}
+
+/// After `fault` struck the reserved worker, the task is started elsewhere.
+fn starts_after(fault: impl Fn(&mut World, &str)) {
+    for seed in 0..5 {
+        let (mut world, id) = with_reserved(seed, 1);
+        fault(&mut world, &id);
+        let starts = stream_until(&mut world, 2 * BOUND_MS);
+        assert!(starts, "seed {seed}: {}", world.describe("wide"));
+    }
+}
+
+#[test]
+fn wide_host_crashes() {
+    starts_after(|world, id| world.crash(id, 2_000));
+}
+
+#[test]
+fn wide_host_resized() {
+    starts_after(|world, id| world.resize(id, 6_000));
+}
+
+#[test]
+fn wide_host_silent() {
+    starts_after(|world, id| world.cut_worker(id, 20_000));
+}
+
+#[test]
+fn wide_wave_begins() {
+    starts_after(|world, _| world.wave(1, 60_000, 2));
+}
+
+#[test]
+fn wide_owner_changes() {
+    for seed in 0..5 {
+        let (mut world, _) = with_reserved(seed, 1);
+        world.kill(0);
+        world.boot(0);
+        let starts = stream_until(&mut world, SETTLE_MS + BOUND_MS);
+        assert!(starts, "seed {seed}: {}", world.describe("wide"));
+    }
+}
+
+#[test]
+fn wide_cancelled() {
+    let (mut world, _) = with_reserved(1, 1);
+    world.cancel("wide");
+    stream(&mut world, 1_500);
+    assert_eq!(reserved(&world), None);
+    assert_eq!(world.running("wide"), 0);
+}
+
+/// One host at a time in a small pool, and all of it is used by small tasks in between.
+#[test]
+fn wide_one_host() {
+    let (mut world, _) = with_reserved(2, 4);
+    for _ in 0..4 {
+        stream(&mut world, BOUND_MS);
+    }
+    assert_eq!(world.recorded("wide"), JobState::Completed);
+    let mut held = 0;
+    for event in reservations(&world) {
+        held = match event.code {
+            Code::HostReserved => held + 1,
+            _ => held - 1,
+        };
+        assert!(held <= 1, "{event:?}");
+    }
+    world.run(5_000);
+    let jobs = world.owner_book().expect("it is owned").jobs.values();
+    let left = jobs.filter(|job| !job.state.is_final() && job.id != "lasts");
+    assert_eq!(left.count(), 0, "the stream went on");
+}
+
+/// What lasts takes a reserved host if there is no other.
+#[test]
+fn wide_yields_to_lasting() {
+    let (mut world, id) = with_reserved(3, 1);
+    world.submit("all", lasting(HOSTS, 1));
+    world.run(500);
+    assert_eq!(world.running("all"), usize::from(HOSTS), "{id} is reserved");
+}
+
+fn submit(book: &mut Book, id: &str, spec: &JobSpec) {
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: id.to_string(),
+        value: Some(rows::encode(spec)),
+        revision: 1,
+    };
+    decide(NOW_MS, |ctx| {
+        load::apply_intake(book, &row, &config(1), 1, ctx);
+        place::place(book, ctx);
+    });
+}
+
+/// What a round of placing tells of reservations: event, host, reason.
+fn place_at(book: &mut Book, now_ms: u64) -> Vec<(Code, String, String)> {
+    let effects = decide(now_ms, |ctx| place::place(book, ctx));
+    let told = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Log(d) if d.code != Code::TaskPlaced => Some(d),
+        _ => None,
+    });
+    let host = |d: &Decision| d.names.iter().find(|(what, _)| *what == "on").cloned();
+    told.map(|d| (d.code, host(&d).unwrap_or_default().1, d.why))
+        .collect()
+}
+
+/// Books of so many hosts with a task each that takes 2 s, and `task`, which fits beside none of them.
+fn split_up(hosts: u16, cpu_milli: u64, task: &JobSpec) -> Book {
+    let mut book = Book::default();
+    for n in 0..hosts {
+        let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
+        answering(&mut book, fact);
+    }
+    let mut apart = job(hosts, cpu_milli, 2_000);
+    apart.steps[0].per_worker_max = 1;
+    submit(&mut book, "apart", &apart);
+    submit(&mut book, "wide", task);
+    assert_eq!(book.ready.len(), 1, "one fits nowhere");
+    book
+}
+
+/// A task of nearly a host.
+fn wide(accepted_wall_ms: u64) -> JobSpec {
+    JobSpec {
+        accepted_wall_ms,
+        ..job(1, 14_550, 1_000)
+    }
+}
+
+/// Why the reserved host is given up after `fault` struck it, and whether another one is reserved then.
+fn given_up_after(fault: impl Fn(&mut Worker)) -> (String, bool) {
+    let mut book = split_up(4, 4_000, &wide(NOW_MS));
+    let told = place_at(&mut book, NOW_MS + 999);
+    assert_eq!(told, [], "it waits for a second");
+    let told = place_at(&mut book, NOW_MS + 1_250);
+    let [(Code::HostReserved, host, _)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    let key = book.worker_on(host).expect("it is there");
+    fault(&mut book.workers[key]);
+    let told = place_at(&mut book, NOW_MS + 1_500);
+    let [(Code::ReservationDropped, dropped, why), (Code::HostReserved, next, _)] = &told[..]
+    else {
+        panic!("{told:?}");
+    };
+    assert_eq!(dropped, host);
+    (why.clone(), next != host)
+}
+
+#[test]
+fn wide_host_closed() {
+    let told = given_up_after(|worker| worker.is_closing = true);
+    assert_eq!(told, ("its host takes no work".to_string(), true));
+    let told = given_up_after(|worker| worker.answers = false);
+    assert_eq!(told, ("its host takes no work".to_string(), true));
+}
+
+#[test]
+fn wide_host_shrinks() {
+    let told = given_up_after(|worker| worker.fact.capacity.cpu_milli = 14_000);
+    let why = "its host will not have the room".to_string();
+    assert_eq!(told, (why, true));
+}
+
+#[test]
+fn wide_host_slow() {
+    let mut book = split_up(4, 4_000, &wide(NOW_MS));
+    let told = place_at(&mut book, NOW_MS + 1_250);
+    let [(Code::HostReserved, host, _)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    // Twice the 750 ms that its task has left, and a lease.
+    let until_ms = NOW_MS + 1_250 + 1_500 + 4_500;
+    assert_eq!(place_at(&mut book, until_ms - 1), []);
+    let told = place_at(&mut book, until_ms);
+    let [(Code::ReservationDropped, dropped, why)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    assert_eq!((dropped, &**why), (host, "it takes too long"));
+    let told = place_at(&mut book, until_ms + 250);
+    let [(Code::HostReserved, next, _)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    assert_ne!(next, host);
+}
+
+/// Work that is late gets a host reserved in pools that are up to 60% full, tasks of half a host or less, too; wide tasks
+/// that can be in time up to 80%.
+#[test]
+fn wide_full_pool() {
+    let reserved = |hosts, cpu_milli, task: &JobSpec| {
+        let mut book = split_up(hosts, cpu_milli, task);
+        place_at(&mut book, NOW_MS + 1_250).len()
+    };
+    let late_ms = NOW_MS - 60_000;
+    assert_eq!(reserved(8, 9_600, &wide(late_ms)), 1, "late, 60%");
+    assert_eq!(reserved(8, 10_000, &wide(late_ms)), 0, "late, 63%");
+    let half = JobSpec {
+        accepted_wall_ms: NOW_MS,
+        ..job(1, 8_000, 1_000)
+    };
+    assert_eq!(reserved(8, 9_600, &half), 1, "half a host, 60%");
+    assert_eq!(reserved(8, 10_000, &half), 0, "half a host, 63%");
+    assert_eq!(reserved(16, 12_800, &wide(NOW_MS)), 1, "wide, 80%");
+    assert_eq!(reserved(16, 13_000, &wide(NOW_MS)), 0, "wide, 82%");
+}
+
+/// Hosts that a pool of six needs, whose hosts carry a task that lasts each, once a task of nearly a host has waited. What
+/// lasts is as much as room for three hosts.
+fn needed_beside_lasting(wide: &JobSpec) -> u64 {
+    let mut book = Book::default();
+    for n in 0..6 {
+        let fact = worker_fact(&format!("life-{n}"), &format!("host-{n}"));
+        answering(&mut book, fact);
+    }
+    let mut lasts = lasting(3, 1);
+    lasts.steps[0].cpu_milli = 8_100;
+    for (id, spec) in [("a", &lasts), ("b", &lasts), ("wide", wide)] {
+        submit(&mut book, id, spec);
+    }
+    assert_eq!(book.ready.len(), 1, "one fits nowhere");
+    let mut sizing = Sizing::default();
+    let with = Look {
+        pool: POOL,
+        epoch: 1,
+        can_park: false,
+        pressed: true,
+        answer_ms: 5,
+    };
+    for n in 0..10 {
+        decide(NOW_MS + n * 100, |ctx| {
+            sizing::look(&mut book, &mut sizing, &mut Offers::default(), &with, ctx);
+        });
+    }
+    sizing.needed
+}
+
+/// A pool whose hosts carried a task that lasts each gave its empty ones away: `pool-load` told 53 open hosts, 315 of 848
+/// cores used and three tasks of 14,550 thousandths waiting for 15 s, `pool-sized` that 46 hosts were wanted, and 38 on offer.
+#[test]
+fn wide_asks_host() {
+    assert!(needed_beside_lasting(&wide(NOW_MS)) > 6, "in time");
+    let late_ms = NOW_MS - 60_000;
+    assert!(needed_beside_lasting(&wide(late_ms)) > 6, "past its time");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -74,3 +74,4 @@
 mod test_told;
 mod test_unknown;
 mod test_waves;
+mod test_wide;
