--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -168,17 +168,32 @@
         .bench_local_refs(|book| decide(|ctx| place::place(book, ctx)));
 }
 
-/// A queue of 2,000 tasks waits, with no room for one of them anywhere.
+/// Books with a queue of 2,000 tasks, with no room for one of them anywhere.
+fn queued(workers: usize) -> Book {
+    let mut book = book(workers);
+    let row = job_of("queue", 2_000, 16_100);
+    decide(|ctx| load::apply_intake(&mut book, &row, &config(), 1, ctx));
+    book
+}
+
+/// A long queue waits in vain, and is looked at for the first time.
 #[divan::bench(args = SIZES)]
 fn place_queue_in_vain(bencher: Bencher<'_, '_>, workers: usize) {
-    let queued = || {
-        let mut book = book(workers);
-        let row = job_of("queue", 2_000, 16_100);
-        decide(|ctx| load::apply_intake(&mut book, &row, &config(), 1, ctx));
+    bencher
+        .with_inputs(|| queued(workers))
+        .bench_local_refs(|book| decide(|ctx| place::place(book, ctx)));
+}
+
+/// The same, looked at again at once.
+#[divan::bench(args = SIZES)]
+fn place_queue_again(bencher: Bencher<'_, '_>, workers: usize) {
+    let looked_at = || {
+        let mut book = queued(workers);
+        decide(|ctx| place::place(&mut book, ctx));
         book
     };
     bencher
-        .with_inputs(queued)
+        .with_inputs(looked_at)
         .bench_local_refs(|book| decide(|ctx| place::place(book, ctx)));
 }
 
--- a/tests/test_progress.rs
+++ b/tests/test_progress.rs
@@ -1,15 +1,17 @@
 //! In calm, each task that fits on some worker is started within a bound, or its job has ended for a cause.
 //!
 //! Worlds of workers of several sizes and labels that shrink and grow, with tasks of all kinds, failing runs, entries and
-//! workers that go; then all faults end.
+//! workers that go; in every second one an account with a quota, a wave of upkeep, partitions that are away and a list of workers
+//! with gaps, too. Then all faults end.
 
 use fastrand::Rng;
 use rockwick::core::sched::job::JobSpec;
 use rockwick::core::sched::limits::{
     OWNER_LEASE_MS, PLACE_LOOKS, RESORT_MS, STRAY_LEASE_MS, SUSPEND_MAX_MS, WORKER_LEASE_MAX_MS,
 };
+use rockwick::core::sched::rows::shard_parts;
 
-use crate::world::{job, Faults, World};
+use crate::world::{job, Faults, World, POOL};
 
 /// Seeds in CI; more by ROCKWICK_SEEDS, as for the random worlds.
 const SEEDS: u64 = 40;
@@ -17,6 +19,15 @@
 /// Long enough for an owner to be found.
 const SETTLE_MS: u64 = 8_000;
 
+/// An account whose quota each of its tasks fits into.
+const ACCOUNT: &str = "shop";
+
+/// Its quota, in thousandths of a core.
+const QUOTA_CPU_MILLI: u64 = 12_000;
+
+/// When a wave of upkeep begins, where one does.
+const WAVE_ROUND: u32 = 10;
+
 /// Sizes of workers, in thousandths of a core.
 const SIZES: [u64; 4] = [2_000, 4_000, 8_000, 12_000];
 
@@ -83,6 +94,31 @@
     boot_all(world);
 }
 
+/// What befalls every second world beside that, with draws of its own.
+fn befall(world: &mut World, round: u32, jobs: &[String], rng: &mut Rng) {
+    world.parts_away.clear();
+    for part in shard_parts(POOL) {
+        if rng.u32(0..12) == 0 {
+            world.parts_away.insert(part);
+        }
+    }
+    if round == WAVE_ROUND && rng.bool() {
+        world.wave(1, 10_000, rng.usize(1..3));
+    }
+    let lives = world.lives();
+    match rng.u32(0..6) {
+        0 if !lives.is_empty() => {
+            let life = &lives[rng.usize(0..lives.len())];
+            world.unlist(life, rng.u64(100..6_000));
+        }
+        1 => {
+            world.touch_progress(&jobs[rng.usize(0..jobs.len())]);
+        }
+        2 => world.relist(),
+        _ => {}
+    }
+}
+
 fn boot_all(world: &mut World) {
     for n in 0..world.entries.len() {
         if world.entries[n].state.is_none() {
@@ -108,11 +144,23 @@
         run_fails: rng.u32(0..600),
         ..Faults::default()
     };
+    let mut more = (seed % 2 == 1).then(|| Rng::with_seed(seed ^ 0x30e5));
+    if more.is_some() {
+        world.set_quotas(&[(ACCOUNT, QUOTA_CPU_MILLI)]);
+    }
     let mut jobs = Vec::new();
     for round in 0..30 {
         let id = format!("job-{round}");
-        world.submit(&id, draw(&mut rng));
+        let mut spec = draw(&mut rng);
+        if let Some(more) = &mut more {
+            let is_theirs = more.u32(0..3) == 0 && !spec.steps[0].gang;
+            spec.account = is_theirs.then(|| ACCOUNT.to_string());
+        }
+        world.submit(&id, spec);
         jobs.push(id);
+        if let Some(more) = &mut more {
+            befall(&mut world, round, &jobs, more);
+        }
         if rng.u32(0..3) == 0 {
             trouble(&mut world, &mut rng);
         }
@@ -122,6 +170,7 @@
         run_fails: world.faults.run_fails.min(600),
         ..Faults::default()
     };
+    world.parts_away.clear();
     boot_all(&mut world);
     calm_down(&mut world);
     for id in &jobs {
