--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -19,23 +19,6 @@
 /// Attempts that the queue allows; not what is taken where it is not known.
 const ATTEMPTS: u32 = 4;
 
-/// All runs of a job's only task fail until so many have; then none does.
-fn fail_runs(world: &mut World, id: &str, fails: usize) {
-    let until_ms = world.now_ms + RUNS_MS;
-    world.faults.run_fails = 1_000;
-    while world.most_failed_runs(id) < fails && world.now_ms < until_ms {
-        world.run(5);
-    }
-    world.faults.run_fails = 0;
-}
-
-fn restart_all(world: &mut World) {
-    for n in 0..world.entries.len() {
-        world.kill(n);
-        world.boot(n);
-    }
-}
-
 /// Seeds in which the job of one task is not completed although the last of its attempts succeeds.
 fn broken(play: impl Fn(u64) -> JobState + std::panic::RefUnwindSafe) -> Vec<u64> {
     let is_broken = |seed: &u64| {
@@ -51,9 +34,9 @@
     world.set_attempts(ATTEMPTS);
     world.run(SETTLE_MS);
     world.config_late_ms = 5_000;
-    restart_all(&mut world);
+    world.restart_all();
     world.submit("job", job(1, 1_000, 200));
-    fail_runs(&mut world, "job", ATTEMPTS as usize - 1);
+    world.fail_runs("job", ATTEMPTS as usize - 1);
     world.run(RUNS_MS);
     world.recorded("job")
 }
@@ -72,8 +55,8 @@
     world.submit("job", job(1, 1_000, 200));
     world.remove_queue(QUEUE);
     world.run(100);
-    restart_all(&mut world);
-    fail_runs(&mut world, "job", ATTEMPTS as usize - 1);
+    world.restart_all();
+    world.fail_runs("job", ATTEMPTS as usize - 1);
     world.run(RUNS_MS);
     world.recorded("job")
 }
@@ -89,10 +72,10 @@
     let mut world = World::new(seed, 3, 4);
     world.run(SETTLE_MS);
     world.submit("job", job(1, 1_000, 200));
-    fail_runs(&mut world, "job", 1);
+    world.fail_runs("job", 1);
     world.set_attempts(5);
     world.run(100);
-    fail_runs(&mut world, "job", 4);
+    world.fail_runs("job", 4);
     world.run(RUNS_MS);
     world.recorded("job")
 }
@@ -110,7 +93,7 @@
         let mut world = World::new(seed, 3, 1);
         world.run(SETTLE_MS);
         world.submit("job", job(1, 10_000, 200));
-        fail_runs(&mut world, "job", 1);
+        world.fail_runs("job", 1);
         world.faults.run_fails = 1_000;
         let worker = world.lives().remove(0);
         while world.starts < 2 {
@@ -138,7 +121,7 @@
         let mut world = World::new(seed, 3, 2);
         world.run(SETTLE_MS);
         world.submit("job", job(1, 1_000, 2_000));
-        fail_runs(&mut world, "job", 2);
+        world.fail_runs("job", 2);
         while world.starts < 3 {
             world.run(5);
         }
@@ -166,7 +149,7 @@
         world.set_quotas(&[("account", 2_000)]);
         world.run(SETTLE_MS);
         world.config_late_ms = 5_000;
-        restart_all(&mut world);
+        world.restart_all();
         let mut spec = job(10, 1_000, 3_000);
         spec.account = Some("account".to_string());
         world.submit("job", spec);
--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -26,23 +26,6 @@
 /// The configuration comes later than all that a test does.
 const NEVER_MS: u64 = 600_000;
 
-/// All runs of a job's only task fail until so many have; then none does.
-fn fail_runs(world: &mut World, id: &str, fails: usize) {
-    let until_ms = world.now_ms + RUNS_MS;
-    world.faults.run_fails = 1_000;
-    while world.most_failed_runs(id) < fails && world.now_ms < until_ms {
-        world.run(5);
-    }
-    world.faults.run_fails = 0;
-}
-
-fn restart_all(world: &mut World) {
-    for n in 0..world.entries.len() {
-        world.kill(n);
-        world.boot(n);
-    }
-}
-
 /// Seeds in which what is played does not hold.
 fn broken(play: impl Fn(u64) -> bool + std::panic::RefUnwindSafe) -> Vec<u64> {
     let holds = |seed: u64| std::panic::catch_unwind(|| play(seed)).ok() == Some(true);
@@ -77,7 +60,7 @@
         world.config_late_ms = NEVER_MS;
         world.set_attempts(5);
         world.submit("job", job(1, 1_000, 200));
-        fail_runs(&mut world, "job", 4);
+        world.fail_runs("job", 4);
         world.run(RUNS_MS);
         world.recorded("job") == JobState::Completed
     }));
@@ -100,7 +83,7 @@
         let newer = OperatorWord::Config(Arc::new(newer));
         world.tell(owner, Event::Operator(newer));
         world.submit("job", job(1, 1_000, 2_000));
-        fail_runs(&mut world, "job", 3);
+        world.fail_runs("job", 3);
         world.run(300);
         world.kill(owner);
         let lives = world.lives();
@@ -120,13 +103,13 @@
         world.set_attempts(5);
         world.run(SETTLE_MS);
         world.submit("job", job(1, 10_000, 2_500));
-        fail_runs(&mut world, "job", 1);
+        world.fail_runs("job", 1);
         let worker = world.lives().remove(0);
         while world.starts < 2 && world.now_ms < RUNS_MS {
             world.run(5);
         }
         world.resize(&worker, 1_000);
-        fail_runs(&mut world, "job", 2);
+        world.fail_runs("job", 2);
         world.run(2_000);
         assert_eq!(
             (world.most_failed_runs("job"), world.running("job")),
@@ -164,8 +147,8 @@
             rows::encode(&spec)
         });
         world.config_late_ms = 5_000;
-        restart_all(&mut world);
-        fail_runs(&mut world, "job", 4);
+        world.restart_all();
+        world.fail_runs("job", 4);
         world.run(RUNS_MS);
         world.recorded("job") == JobState::Completed
     }));
@@ -201,7 +184,7 @@
         world.run(2_000);
         assert!(part_of(&world, Table::Progress, "job").is_some());
         rewrite_intake(&mut world, "job", |_| b"\xff{".to_vec());
-        restart_all(&mut world);
+        world.restart_all();
         world.run(RUNS_MS);
         part_of(&world, Table::Progress, "job").is_some()
     }));
@@ -272,7 +255,7 @@
     assert_none(&broken(|seed| {
         let mut world = World::new(seed, 3, 0);
         world.run(SETTLE_MS);
-        restart_all(&mut world);
+        world.restart_all();
         world.parts_away.insert("a part of intake".to_string());
         for n in 0..10 {
             world.submit(&format!("job-{n}"), job(1, 1_000, 200));
@@ -294,7 +277,7 @@
         }
         world.run(3_000);
         world.submit("job", job(1, 8_000, 200));
-        fail_runs(&mut world, "job", 1);
+        world.fail_runs("job", 1);
         world.run(RUNS_MS);
         world.recorded("job") == JobState::Completed
     }));
--- a/tests/world/extras.rs
+++ b/tests/world/extras.rs
@@ -7,6 +7,9 @@
 /// Longest time that an order is late.
 const LATE_MAX_MS: u64 = 12_000;
 
+/// Longest time that is waited for runs to fail.
+const FAIL_RUNS_MAX_MS: u64 = 20_000;
+
 impl World {
     /// The list of workers lacks an entry for a while; the life runs on.
     pub(crate) fn unlist(&mut self, id: &str, ms: u64) {
@@ -15,6 +18,24 @@
         self.at(ms, Happening::Beat(id.to_string()));
     }
 
+    /// All runs fail until so many of a task of a job have; then none does.
+    pub(crate) fn fail_runs(&mut self, id: &str, fails: usize) {
+        let until_ms = self.now_ms + FAIL_RUNS_MAX_MS;
+        self.faults.run_fails = 1_000;
+        while self.most_failed_runs(id) < fails && self.now_ms < until_ms {
+            self.run(5);
+        }
+        self.faults.run_fails = 0;
+    }
+
+    /// All entries' processes are killed and start again at once.
+    pub(crate) fn restart_all(&mut self) {
+        for n in 0..self.entries.len() {
+            self.kill(n);
+            self.boot(n);
+        }
+    }
+
     /// Orders to workers get no answer this often, in thousandths, and are carried out up to 12 s later.
     pub(crate) fn delay_orders(&mut self, milli: u32, rng: Rng) {
         self.late_orders = Some((milli, rng));
