--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -9,7 +9,7 @@
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, BookId, JobKey, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, FORGOTTEN_KEPT_MS, HELD_MAX_MS};
-use super::order::Turn;
+use super::order::LookCursor;
 use super::room::Room;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::times::Times;
@@ -69,14 +69,14 @@
     pub going: BTreeSet<String>,
     /// Workers by what they have free.
     pub room: Room,
-    /// Workers that are kept for tasks which need most of one.
+    /// Workers that are reserved for tasks which need most of one.
     pub reserved: Reservations,
     /// Workers whose ends are being recorded.
     pub recording: BTreeSet<WorkerKey>,
     /// Tasks that wait for a place.
     pub ready: BTreeSet<Rank>,
     /// Where looks at tasks far back in that order have come to.
-    pub turn: Turn,
+    pub look_cursor: LookCursor,
     /// Jobs whose progress is to be recorded.
     pub dirty: BTreeSet<JobKey>,
     /// When the first of them became so.
--- a/src/core/sched/gather.rs
+++ b/src/core/sched/gather.rs
@@ -39,7 +39,7 @@
     next_look_ms: Millis,
 }
 
-/// A host that is kept for a task.
+/// A host that is reserved for a task.
 #[derive(Clone, Copy, Debug)]
 struct Reservation {
     worker: WorkerKey,
@@ -61,18 +61,18 @@
 }
 
 impl Reservations {
-    /// Whether a worker is kept for another task than this one.
+    /// Whether a worker is reserved for another task than this one.
     pub fn bars(&self, worker: WorkerKey, task: TaskKey) -> bool {
         let mut held = self.held.iter();
         held.any(|r| r.worker == worker && r.task != task)
     }
 
-    /// Whether a worker is kept for some task.
+    /// Whether a worker is reserved for some task.
     pub fn has(&self, worker: WorkerKey) -> bool {
         self.held.iter().any(|r| r.worker == worker)
     }
 
-    /// Whether no worker is kept.
+    /// Whether no worker is reserved.
     pub fn is_empty(&self) -> bool {
         self.held.is_empty()
     }
@@ -82,7 +82,7 @@
     }
 }
 
-/// Places tasks on the hosts that are kept for them as soon as they fit, and gives up hosts that are of no use.
+/// Places tasks on the hosts that are reserved for them as soon as they fit, and gives up hosts that are of no use.
 pub(super) fn settle(book: &mut Book, ctx: &mut Ctx<'_>) {
     if book.reserved.is_empty() {
         return;
@@ -230,7 +230,7 @@
     }
 }
 
-/// A host that could be kept for a task.
+/// A host that could be reserved for a task.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     worker: WorkerKey,
@@ -238,7 +238,7 @@
     free_ms: Millis,
 }
 
-/// A look for the host to be kept for a task.
+/// A look for the host to be reserved for a task.
 struct Search<'a> {
     book: &'a Book,
     key: TaskKey,
--- a/src/core/sched/order.rs
+++ b/src/core/sched/order.rs
@@ -13,7 +13,7 @@
 
 /// Where the looks at tasks behind the first ones have come to.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Turn {
+pub struct LookCursor {
     /// The last task looked at; nothing where the next look begins right behind the first ones.
     after: Option<Rank>,
     /// When that was.
@@ -25,13 +25,13 @@
     pub(super) fn next_to_place(&mut self, now_ms: Millis) -> Vec<Rank> {
         let mut ranks = self.placeable(None, now_ms);
         let is_cut = ranks.len() == PLACE_LOOKS;
-        if !is_cut || now_ms < self.turn.at_ms + RESORT_MS {
+        if !is_cut || now_ms < self.look_cursor.at_ms + RESORT_MS {
             return ranks;
         }
-        let after = self.turn.after.max(ranks.last().copied());
+        let after = self.look_cursor.after.max(ranks.last().copied());
         let behind = self.placeable(after, now_ms);
         let is_cut = behind.len() == PLACE_LOOKS;
-        self.turn = Turn {
+        self.look_cursor = LookCursor {
             after: behind.last().copied().filter(|_| is_cut),
             at_ms: now_ms,
         };
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -81,7 +81,7 @@
     })
 }
 
-/// The place of a task: on a worker that is kept for another one only if it lasts and there is no other.
+/// The place of a task: on a worker that is reserved for another one only if it lasts and there is no other.
 fn choose(book: &Book, key: TaskKey, now_ms: u64) -> Choice {
     let Some(spec) = book.step_spec(key) else {
         return Choice::Barred;
@@ -93,11 +93,11 @@
         now_ms,
         is_apart: book.task(key).is_some_and(|t| t.is_apart(now_ms)),
         has_room: Cell::new(false),
-        takes_kept: false,
+        takes_reserved: false,
     };
     let mut worker = search.choose();
     if worker.is_none() && spec.lasting && !book.reserved.is_empty() {
-        search.takes_kept = true;
+        search.takes_reserved = true;
         worker = search.choose();
     }
     match worker {
@@ -130,8 +130,8 @@
     is_apart: bool,
     /// An open worker with room for the task was met, whether or not it may take it.
     has_room: Cell<bool>,
-    /// It goes on workers that are kept for others, too.
-    takes_kept: bool,
+    /// It goes on workers that are reserved for others, too.
+    takes_reserved: bool,
 }
 
 impl Search<'_> {
@@ -166,14 +166,15 @@
         best
     }
 
-    /// Whether a worker is kept for another task. What lasts goes there all the same where it finds no other place.
-    fn is_kept(&self, key: WorkerKey) -> bool {
-        !self.takes_kept && self.book.reserved.bars(key, self.key)
+    /// Whether a worker is reserved for another task. What lasts goes there all the same where it finds no other place.
+    fn is_reserved(&self, key: WorkerKey) -> bool {
+        !self.takes_reserved && self.book.reserved.bars(key, self.key)
     }
 
     fn may_take(&self, key: WorkerKey) -> bool {
         let worker = &self.book.workers[key];
-        if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) || self.is_kept(key) {
+        if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) || self.is_reserved(key)
+        {
             return false;
         }
         self.has_room.set(true);
--- a/src/core/sched/slack.rs
+++ b/src/core/sched/slack.rs
@@ -67,7 +67,7 @@
     sum.cpu_milli <= room.cpu_milli && sum.mem_mb <= room.mem_mb && sum.gpu <= room.gpu
 }
 
-/// Whether some open host that is kept for no other task has that much free.
+/// Whether some open host that is reserved for no other task has that much free.
 fn has_host(book: &Book, demand: Capacity, now_ms: Millis) -> bool {
     let slots = book.room.with_free(demand.cpu_milli);
     let slots = slots.filter(|slot| !book.reserved.has(slot.worker));
