One comparison of capacities, one look for tasks that last, and no look at the pool where nothing waits

Found on reading the change again; nothing of it changes what is decided. Twins: four functions compared capacities part by part (place::exceeds, slack::holds, quota::fits, Worker::is_large_enough): they are Capacity::holds now, and Worker::fits goes through it. gather and sizing each had carries_lasting: it is the books'. Work done twice or in vain: reserving counted the open hosts that the pool's slack had just counted; sizing summed up the whole pool at each look (10 a second) although no task had waited long, and now does so only where one has; whether a task used up its attempts is asked of each waiting task at each round, and costs one look-up where no run of it failed (a limit of 0 attempts, which the adapter never gives, would no longer bar a task that did not fail).

--- a/src/core/sched/accounts.rs
+++ b/src/core/sched/accounts.rs
@@ -3,7 +3,6 @@
 use super::book::Book;
 use super::fairness::Meter;
 use super::keys::{AccountKey, JobKey, TaskKey};
-use super::quota;
 use crate::clock::Millis;
 use crate::port::fleet::{AccountConfig, Capacity};
 
@@ -74,7 +73,7 @@
         };
         let mut sum = account.used;
         sum.add(charge.times(count));
-        quota::fits(sum, limit)
+        limit.holds(sum)
     }
 
     /// Counts a job that came now against its account's weight.
@@ -92,7 +91,7 @@
         let account = &self.accounts[usize::from(account.0)];
         let mut sum = account.used;
         sum.add(account.waiting);
-        account.limit.is_some() && !quota::fits(sum, account.ceiling)
+        account.limit.is_some() && !account.ceiling.holds(sum)
     }
 
     pub(super) fn account_mut(&mut self, key: AccountKey) -> &mut AccountUse {
--- a/src/core/sched/book.rs
+++ b/src/core/sched/book.rs
@@ -568,6 +568,12 @@
         }
     }
 
+    /// Whether a worker carries a task that lasts.
+    pub fn carries_lasting(&self, worker: &Worker) -> bool {
+        let mut tasks = worker.tasks.iter();
+        tasks.any(|key| self.step_spec(*key).is_some_and(|s| s.lasting))
+    }
+
     /// How many tasks of the same step (and round) a worker carries.
     pub fn siblings_on(&self, key: TaskKey, worker: &Worker) -> usize {
         let same = |t: &&TaskKey| t.job == key.job && t.round == key.round && t.step == key.step;
--- a/src/core/sched/gather.rs
+++ b/src/core/sched/gather.rs
@@ -10,7 +10,7 @@
 use super::limits::{PLACE_LOOKS, RESORT_MS, WORKER_LEASE_MS};
 use super::place;
 use super::runs;
-use super::slack::{holds, Slack};
+use super::slack::Slack;
 use super::state::Ctx;
 use super::tasks::{Phase, Rank, Task};
 use super::worker::Worker;
@@ -22,7 +22,7 @@
 const WAIT_MS: Millis = 1_000;
 
 /// One open host of so many is reserved at a time, and one in a smaller pool.
-const HOSTS_PER_RESERVATION: usize = 32;
+const HOSTS_PER_RESERVATION: u64 = 32;
 
 /// A host whose tasks take longer than that to make room is not reserved.
 const DRAIN_MAX_MS: Millis = 60_000;
@@ -116,19 +116,18 @@
     if waiting.is_empty() {
         return;
     }
-    let open = book.workers.values().filter(|w| w.is_open(now_ms)).count();
-    let most = (open / HOSTS_PER_RESERVATION).max(1);
     let slack = Slack::of(book, now_ms);
+    let most = (slack.hosts / HOSTS_PER_RESERVATION).max(1);
     let mut in_vain: Vec<Capacity> = Vec::new();
     for rank in waiting {
-        if book.reserved.held.len() >= most || in_vain.len() >= SEARCHES_MAX {
+        if book.reserved.held.len() as u64 >= most || in_vain.len() >= SEARCHES_MAX {
             return;
         }
         let Some(spec) = book.step_spec(rank.task) else {
             continue;
         };
         let demand = spec.demand();
-        let is_known = in_vain.iter().any(|d| holds(demand, *d));
+        let is_known = in_vain.iter().any(|d| demand.holds(*d));
         if is_known || !slack.is_split(book, rank.class, demand) {
             continue;
         }
@@ -262,7 +261,7 @@
         let hosts = workers.filter_map(|(key, worker)| {
             let free_ms = self.free_ms(key, worker)?;
             let is_avoided = self.book.reserved.avoided == Some(key);
-            let cost = (is_avoided, carries_lasting(self.book, worker), free_ms, key);
+            let cost = (is_avoided, self.book.carries_lasting(worker), free_ms, key);
             Some((cost, free_ms))
         });
         let best = hosts.min_by_key(|(cost, _)| *cost);
@@ -289,14 +288,9 @@
     lasts && book.is_held(key, now_ms)
 }
 
-fn carries_lasting(book: &Book, worker: &Worker) -> bool {
-    let mut tasks = worker.tasks.iter();
-    tasks.any(|key| book.step_spec(*key).is_some_and(|s| s.lasting))
-}
-
 /// When `demand` is expected to fit on a worker that gets nothing new; never, where what stays is too much.
 fn free_ms(book: &Book, worker: &Worker, demand: Capacity, now_ms: Millis) -> Option<Millis> {
-    if !holds(worker.fact.capacity, demand) {
+    if !worker.is_large_enough(demand) {
         return None;
     }
     let mut ends: Vec<(Millis, Capacity)> = worker
@@ -311,7 +305,7 @@
     loop {
         let mut sum = used;
         sum.add(demand);
-        if holds(worker.fact.capacity, sum) {
+        if worker.is_large_enough(sum) {
             return Some(free_ms);
         }
         let (end_ms, taken) = ends.next()?;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -43,7 +43,7 @@
             continue;
         }
         let demand = spec.demand();
-        if too_large.iter().any(|d| exceeds(demand, *d)) || !book.is_within_quota(key, 1) {
+        if too_large.iter().any(|d| demand.holds(*d)) || !book.is_within_quota(key, 1) {
             continue;
         }
         match choose(book, key, ctx.now.ms) {
@@ -55,11 +55,6 @@
     gather::reserve(book, ctx);
 }
 
-/// Whether `a` asks for no less than `b` of anything.
-fn exceeds(a: Capacity, b: Capacity) -> bool {
-    a.cpu_milli >= b.cpu_milli && a.mem_mb >= b.mem_mb && a.gpu >= b.gpu
-}
-
 /// What a look for a task's place came to.
 enum Choice {
     /// A worker takes it.
--- a/src/core/sched/quota.rs
+++ b/src/core/sched/quota.rs
@@ -205,7 +205,7 @@
         }
         account.limit = Some(limit);
         account.ceiling = limited(minus(quota, ledger.row.others(with.pool)), quota);
-        if !fits(need(account), limit) {
+        if !limit.holds(need(account)) {
             tell_held(account, ledger, limit, with, ctx);
             short.insert(account.name.clone());
         }
@@ -216,7 +216,7 @@
 /// Takes note of an account's quota, and of the version that lowered it.
 fn note_quota(ledger: &mut Ledger, quota: Capacity, version: u64) {
     let before = std::mem::replace(&mut ledger.quota, quota);
-    if before != Capacity::default() && !fits(limited(before, before), limited(quota, quota)) {
+    if before != Capacity::default() && !limited(quota, quota).holds(limited(before, before)) {
         ledger.lowered_by = version;
     }
 }
@@ -243,24 +243,24 @@
         return;
     }
     let others = ledger.row.others(with.pool);
-    let is_over = !fits(sum(others, current), limited(quota, quota));
+    let is_over = !limited(quota, quota).holds(sum(others, current));
     let target = match (is_over, has_need) {
         (true, _) | (false, false) => account.used,
         (false, true) => least(with_room(need, quota), limited(minus(quota, others), quota)),
     };
     let target = most(target, account.used);
-    if !fits(need, current) && !is_over {
+    if !current.holds(need) && !is_over {
         raise(account, ledger, most(current, target), current, with, ctx);
         return;
     }
-    let has_surplus = target != current && fits(target, current);
+    let has_surplus = target != current && current.holds(target);
     if !has_surplus {
         ledger.surplus_ms = None;
         return;
     }
     let since_ms = *ledger.surplus_ms.get_or_insert(ctx.now.ms);
     let is_kept = ctx.now.ms < since_ms + SURPLUS_KEPT_MS;
-    let is_large = !has_need || !fits(current, sum(target, target));
+    let is_large = !has_need || !sum(target, target).holds(current);
     let is_asked = is_over || with.short_elsewhere.contains(&account.name);
     if is_asked || (is_large && !is_kept) {
         ledger.surplus_ms = None;
@@ -425,7 +425,7 @@
             return limited(Capacity::default(), quota);
         };
         let all = sum(self.row.others(with.pool), held.room());
-        if !fits(all, limited(quota, quota)) {
+        if !limited(quota, quota).holds(all) {
             return limited(Capacity::default(), quota);
         }
         let pending = self.pending.as_ref();
@@ -524,11 +524,6 @@
     by_kind(a, b, u64::min)
 }
 
-/// Whether `a` is no more than `b` of any kind.
-pub(super) fn fits(a: Capacity, b: Capacity) -> bool {
-    a.cpu_milli <= b.cpu_milli && a.mem_mb <= b.mem_mb && a.gpu <= b.gpu
-}
-
 /// No limit on the kinds of which the quota names none.
 fn limited(room: Capacity, quota: Capacity) -> Capacity {
     by_kind(room, quota, |room, quota| match quota {
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -227,10 +227,8 @@
     }
     for key in owned_pools(state) {
         with_pool(state, key, now, out, |pool, ctx, facts| {
-            let Some(tenure) = &mut pool.tenure else {
-                return;
-            };
-            if let Some(book) = &mut tenure.book {
+            let tenure = pool.tenure.as_mut();
+            if let Some(book) = tenure.and_then(|t| t.book.as_mut()) {
                 book.wants_quota = true;
                 policy::refresh(book, facts.config, ctx);
             }
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -518,11 +518,11 @@
 
 /// Whether a task may not be started again. One that is at work may still be done.
 pub(super) fn is_exhausted(book: &Book, key: TaskKey) -> bool {
-    let lasts = book.step_spec(key).is_none_or(|s| s.lasting);
-    let (Some(job), Some(task)) = (book.jobs.get(key.job), book.task(key)) else {
+    let Some(task) = book.task(key).filter(|t| t.failed_runs > 0) else {
         return false;
     };
-    !lasts && task.fails() >= job.policy.attempts_max
+    let lasts = book.step_spec(key).is_none_or(|s| s.lasting);
+    !lasts && task.fails() >= book.jobs[key.job].policy.attempts_max
 }
 
 /// Ends the jobs of tasks that wait with no attempt left. Not as a configuration changes: the next one may be there already.
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -11,7 +11,6 @@
 use super::slack::Slack;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::{Class, Job, Outlook, Rank, Task};
-use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::Capacity;
@@ -244,6 +243,11 @@
         let is_late = |t: &Task| now_ms >= t.since_ms + SHAPE_WAIT_MS;
         book.task(rank.task).is_some_and(is_late) && book.is_within_quota(rank.task, 1)
     };
+    let first = book.ready.iter().take(PLACE_LOOKS);
+    let waiting: Vec<&Rank> = first.filter(waits_long).collect();
+    if waiting.is_empty() {
+        return 0;
+    }
     let slack = Slack::of(book, now_ms);
     let is_stuck = |rank: &&Rank| {
         book.step_spec(rank.task).is_some_and(|spec| {
@@ -253,10 +257,8 @@
             spec.label.is_none() && !spec.gang && has_room && is_split
         })
     };
-    let stuck = book.ready.iter().take(PLACE_LOOKS);
-    let stuck: Vec<&Rank> = stuck.filter(waits_long).filter(is_stuck).collect();
-    let (prompt, late): (Vec<&Rank>, Vec<&Rank>) =
-        stuck.into_iter().partition(|r| r.class <= Class::InTime);
+    let stuck = waiting.into_iter().filter(is_stuck);
+    let (prompt, late): (Vec<&Rank>, Vec<&Rank>) = stuck.partition(|r| r.class <= Class::InTime);
     // What is late anyway gets its turn, one at a time.
     let more = prompt.len().min(SHAPES_MAX).max(late.len().min(1)) as u64;
     if more == 0 {
@@ -385,7 +387,7 @@
         .workers
         .iter()
         .filter(|(key, w)| {
-            w.is_open(now_ms) && !book.reserved.has(*key) && !carries_lasting(book, w)
+            w.is_open(now_ms) && !book.reserved.has(*key) && !book.carries_lasting(w)
         })
         .map(|(key, w)| (w.used.cpu_milli, key))
         .collect();
@@ -395,11 +397,6 @@
     }
 }
 
-fn carries_lasting(book: &Book, worker: &Worker) -> bool {
-    let mut tasks = worker.tasks.iter();
-    tasks.any(|key| book.step_spec(*key).is_some_and(|s| s.lasting))
-}
-
 /// Once in a while, how full the pool is.
 pub fn tell_load(book: &mut Book, ctx: &mut Ctx<'_>) {
     if ctx.now.ms < book.load_told_ms + LOAD_TOLD_MS {
--- a/src/core/sched/slack.rs
+++ b/src/core/sched/slack.rs
@@ -19,7 +19,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Slack {
     now_ms: Millis,
-    hosts: u64,
+    /// The open hosts.
+    pub(super) hosts: u64,
     room: Capacity,
     free: Capacity,
 }
@@ -46,9 +47,7 @@
         let used_percent = self.used_percent();
         let is_wide = || class <= Class::InTime && self.is_wide(demand);
         let is_due = used_percent <= IDLE_PERCENT || used_percent <= WIDE_PERCENT && is_wide();
-        is_due
-            && holds(self.free, demand.times(ROOM_FACTOR))
-            && !has_host(book, demand, self.now_ms)
+        is_due && self.free.holds(demand.times(ROOM_FACTOR)) && !has_host(book, demand, self.now_ms)
     }
 
     fn used_percent(&self) -> u64 {
@@ -58,15 +57,10 @@
 
     /// Whether a task takes more than half of a mean host.
     fn is_wide(&self, demand: Capacity) -> bool {
-        !holds(self.room, demand.times(2 * self.hosts))
+        !self.room.holds(demand.times(2 * self.hosts))
     }
 }
 
-/// Whether `room` has as much of everything as `sum`.
-pub(super) fn holds(room: Capacity, sum: Capacity) -> bool {
-    sum.cpu_milli <= room.cpu_milli && sum.mem_mb <= room.mem_mb && sum.gpu <= room.gpu
-}
-
 /// Whether some open host that is reserved for no other task has that much free.
 fn has_host(book: &Book, demand: Capacity, now_ms: Millis) -> bool {
     let slots = book.room.with_free(demand.cpu_milli);
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -214,16 +214,14 @@
 
     /// Whether `demand` fits beside what it carries.
     pub fn fits(&self, demand: Capacity) -> bool {
-        let room = self.fact.capacity;
-        self.used.cpu_milli + demand.cpu_milli <= room.cpu_milli
-            && self.used.mem_mb + demand.mem_mb <= room.mem_mb
-            && self.used.gpu + demand.gpu <= room.gpu
+        let mut sum = self.used;
+        sum.add(demand);
+        self.is_large_enough(sum)
     }
 
     /// Whether it could carry `demand` if it carried nothing else.
     pub fn is_large_enough(&self, demand: Capacity) -> bool {
-        let room = self.fact.capacity;
-        demand.cpu_milli <= room.cpu_milli && demand.mem_mb <= room.mem_mb && demand.gpu <= room.gpu
+        self.fact.capacity.holds(demand)
     }
 
     /// Its rack; by the platform's custom the label behind its kind.
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -274,6 +274,11 @@
         }
     }
 
+    /// Whether it is no less than `other` of anything.
+    pub fn holds(self, other: Capacity) -> bool {
+        other.cpu_milli <= self.cpu_milli && other.mem_mb <= self.mem_mb && other.gpu <= self.gpu
+    }
+
     /// Counts `other`, which was counted in before, out.
     pub fn sub(&mut self, other: Capacity) {
         self.cpu_milli -= other.cpu_milli;
