Give each test entry an address that no other call returns

Change: free_addr() of tests/fleet.rs, a loopback address of its own for each call. The checks are the same.

--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -1,6 +1,6 @@
 //! Runs `rockwick serve` as processes against the stand-in of the workers' platform.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,7 @@
 use serde_json::{json, Value};
 use standin::fleet::{Fleet, StoreFault};
 
-use crate::fleet::{binary_path, Process, WAIT_MAX};
+use crate::fleet::{binary_path, free_addr, Process, WAIT_MAX};
 
 const POOL: &str = "pool";
 
@@ -24,19 +24,13 @@
     pub(crate) metrics: SocketAddr,
 }
 
-/// Returns a free port, which the process binds a moment later.
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("bound")
-}
-
 pub(crate) fn start_entry(fleet: &Fleet, name: &str) -> Entry {
     start_entry_with(fleet, name, &[])
 }
 
 /// Starts an entry with flags beside the usual ones and waits until it is ready.
 pub(crate) fn start_entry_with(fleet: &Fleet, name: &str, more: &[&str]) -> Entry {
-    let (callers, ready, metrics) = (free_port(), free_port(), free_port());
+    let (callers, ready, metrics) = (free_addr(), free_addr(), free_addr());
     let args = [
         ("--name", name.to_string()),
         ("--hall", "hall".to_string()),
@@ -242,7 +236,7 @@
 fn serve_last_line() {
     let fleet = Fleet::start(POOL, 1, 50).expect("the stand-in starts");
     fleet.configure(1, POOL);
-    let (callers, ready, store) = (free_port(), free_port(), fleet.address.to_string());
+    let (callers, ready, store) = (free_addr(), free_addr(), fleet.address.to_string());
     let child = Command::new(binary_path("rockwick"))
         .args(["serve", "--name", "e1", "--hall", "hall"])
         .args(["--listen", &callers.to_string()])
