Tell an operator what changed when the entry knows the new version already

Change: the state keeps the configuration that the one in force replaced, and both paths tell the differences to it. config_loser_told failed before (the text had no 'service route: changed') and passes. config_from_peers read a log line and the status at once; both are waited for now, bounded as the other waits.

--- a/src/core/operate.rs
+++ b/src/core/operate.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::config::{self, Window};
+use super::config::{self, Config, Window};
 use super::drain::Grant;
 use super::members::expect;
 use super::reduce::{Effect, Purpose as CommitPurpose, Ticket};
@@ -211,11 +211,7 @@
             return Err(Kind::InvalidTemplate.with_detail(error.to_string()));
         }
         if expected_version != self.config_version || !self.is_unlocked(HEAD_KEY) {
-            let detail = format!(
-                "the version is {}, not {expected_version}; read it and base the change on it",
-                self.config_version
-            );
-            return Err(Kind::Conflict.with_detail(detail));
+            return Err(Kind::Conflict.with_detail(self.describe_other_version(expected_version)));
         }
         let head = HeadRow {
             version: expected_version + 1,
@@ -236,6 +232,28 @@
         Ok(())
     }
 
+    /// Tells an operator who based a change on another version than the one in force what has changed since, if that
+    /// version is still known here.
+    fn describe_other_version(&self, expected_version: u64) -> String {
+        let version = self.config_version;
+        let advice = match &self.replaced_config {
+            Some((replaced, base)) if *replaced == expected_version => {
+                self.describe_lost_race(base, replaced + 1)
+            }
+            _ => "read it and base the change on it".to_string(),
+        };
+        format!("the version is {version}, not {expected_version}; {advice}")
+    }
+
+    /// Tells an operator that another change took `version` first, and what has changed since `base`.
+    pub(super) fn describe_lost_race(&self, base: &Config, version: u64) -> String {
+        let changed = config::differences(base, &self.config).join("; ");
+        format!(
+            "another change took version {version} first, the version is now {}: {changed}",
+            self.config_version
+        )
+    }
+
     fn find_changeable_host(&self, id: &str) -> Result<HostKey, Refusal> {
         let key = self.host_ids.get(id).copied();
         let key = key.ok_or_else(|| Kind::UnknownHost.with_detail(id))?;
--- a/src/core/reduce.rs
+++ b/src/core/reduce.rs
@@ -246,11 +246,7 @@
 
 fn answer_lost_applies(state: &mut State, out: &mut Vec<Effect>) {
     for (ticket, base, version) in std::mem::take(&mut state.lost_applies) {
-        let changed = super::config::differences(&base, &state.config).join("; ");
-        let detail = format!(
-            "another change took version {version} first, the version is now {}: {changed}",
-            state.config_version
-        );
+        let detail = state.describe_lost_race(&base, version);
         let result = Err(Kind::Conflict.with_detail(detail));
         out.push(Effect::Answer { ticket, result });
     }
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -184,6 +184,8 @@
     pub config: Arc<Config>,
     /// Version of the configuration in force, 0 if there is none.
     pub config_version: u64,
+    /// The configuration that the one in force replaced here, with its version.
+    pub replaced_config: Option<(u64, Arc<Config>)>,
     /// Row version of the configuration's head row.
     pub head_version: u64,
     /// State of the reads of the table.
@@ -256,6 +258,7 @@
             ended_entries: Vec::new(),
             config: Arc::new(Config::default()),
             config_version: 0,
+            replaced_config: None,
             head_version: 0,
             reads: Reads::default(),
             lists_next_ms: 0,
@@ -442,7 +445,8 @@
             return Ok(());
         }
         let config = config::parse(&head.text).map_err(|e| e.to_string())?;
-        self.config = Arc::new(config);
+        let replaced = std::mem::replace(&mut self.config, Arc::new(config));
+        self.replaced_config = Some((self.config_version, replaced));
         self.config_version = head.version;
         for name in self.config.pools.keys().cloned().collect::<Vec<_>>() {
             self.find_or_add_pool(&name);
--- a/tests/test_config.rs
+++ b/tests/test_config.rs
@@ -167,6 +167,26 @@
     }
 }
 
+/// An operator whose change is based on the version before learns what the other change was, also from an entry that
+/// knows the new version already.
+#[test]
+fn config_loser_told() {
+    let fleet = Plan::new(4, 1).start();
+    let entry = &fleet.entries[0];
+    assert_eq!(
+        apply_config(entry, 1, &config_with_timeout(9_000)).status,
+        200
+    );
+    wait_for("the version is in force", || {
+        (config_version(entry) == 2).then_some(())
+    });
+    let late = apply_config(entry, 1, &config_with_timeout(8_000));
+    assert_eq!(late.status, 409);
+    let text = body_text(&late);
+    assert!(text.contains("service route: changed"), "{text}");
+    assert!(text.contains("the version is now 2"), "{text}");
+}
+
 #[test]
 fn config_answer_lost() {
     // The commit takes effect and its answer is lost: the configuration is still accepted, and once.
@@ -204,8 +224,13 @@
     let second = fleet.start_entry("e3", peers[1], &peers);
     second.wait_ready();
     assert_eq!(config_version(&second), 1);
-    assert_eq!(second.get_admin("/v1/status")["store"], "down");
+    wait_for("the outage is seen", || {
+        (second.get_admin("/v1/status")["store"] == "down").then_some(())
+    });
     assert_eq!(get("/s/route/x").to(second.listen).status, 200);
+    wait_for("the sponsor's line", || {
+        (first.count_logged("peer-sponsored") > 0).then_some(())
+    });
     assert_eq!(first.count_logged("peer-sponsored"), 1);
     fleet.clear_faults();
     wait_for("e3 registers", || {
