Evacuate data halls

Change: orders are decoded into events of the operator's table; owners place, reserve, offer, move and upkeep nothing in an evacuated hall, withdraw starts that are recorded and not sent, stop those without an answer, and move lasting tasks within their step's bound. A whole reading of the table replaces what was known. rockwick hall, events 632 and 633, explain hall.

Ruled out: taking running work away (the order asks to send nothing more), and dropping the hall's hosts from their pools (they come back).

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -3,7 +3,7 @@
 //!
 //! Run with `cargo bench --bench decisions`. The table in docs/MEASURES.md is its output.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -208,6 +208,7 @@
     let list: Vec<HostRecord> = (0..workers)
         .map(|n| HostRecord {
             host: format!("host-{n}"),
+            hall: "hall".to_string(),
             pool: format!("pool-{}", 1 + n % 4),
             state: HostState::Up,
             worker: format!("life-{n}"),
@@ -235,6 +236,7 @@
     let inputs = Inputs {
         config: &config,
         needs: &needs,
+        evacuated_halls: &BTreeSet::new(),
         pool: "pool-4",
         epoch: 7,
     };
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -10,7 +10,7 @@
 
 /// First paragraph of the command's help.
 pub const USAGE: &str =
-    "Show what happened to a host, pool, job, wave, request, backend, entry or \
+    "Show what happened to a host, pool, job, wave, request, backend, entry, hall or \
 config, in order and with reasons.";
 
 /// The command's flags.
@@ -24,7 +24,8 @@
 /// Returns the parser of the command's flags.
 pub fn args() -> impl Parser<Args> {
     let target = target();
-    let kind = positional("KIND").help("host, pool, job, wave, request, backend, entry or config");
+    let kind =
+        positional("KIND").help("host, pool, job, wave, request, backend, entry, hall or config");
     let id = positional("ID").help("Name or id of the subject");
     construct!(Args { target, kind, id })
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod events;
 pub mod explain;
 pub mod forget;
+pub mod hall;
 pub mod host;
 pub mod job;
 pub mod pool;
--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -34,6 +34,7 @@
     let facts = Facts {
         config: &state.config,
         listed: &state.listed,
+        evacuated_halls: &state.evacuated_halls,
     };
     Some(work(pool, &mut ctx, &facts))
 }
@@ -105,6 +106,7 @@
     let inputs = hosts::Inputs {
         config: &state.config,
         needs: &needs,
+        evacuated_halls: &state.evacuated_halls,
         pool: &state.pools[usize::from(key.0)].name,
         epoch,
     };
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -262,6 +262,8 @@
     pub config: &'a FleetConfig,
     /// The needs that the pools' owners published.
     pub needs: &'a [PoolNeed<'a>],
+    /// Data halls that the operator evacuates. Their hosts stay where they are and serve no pool.
+    pub evacuated_halls: &'a BTreeSet<String>,
     /// The pool whose owner orders hosts.
     pub pool: &'a str,
     /// The owner's epoch, which fences all orders.
--- a/src/core/sched/instances.rs
+++ b/src/core/sched/instances.rs
@@ -15,6 +15,7 @@
     /// Adds a worker instance.
     pub fn add_worker(&mut self, mut worker: Worker) -> WorkerKey {
         worker.is_closing |= self.closing_hosts.contains(&worker.info.host);
+        worker.is_evacuated = self.evacuated_halls.contains(&worker.info.hall);
         worker.may_leave |= self.hosts_that_may_leave.contains(&worker.info.host);
         let (id, host) = (worker.info.id.clone(), worker.info.host.clone());
         if let Some(restarts) = self.restarts(&id) {
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -3,6 +3,8 @@
 //!
 //! The [reducer](super::reduce) calls it; [`pool_state`](super::pool_state) holds the result.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use super::conflict;
 use super::job::{JobSpec, JobState};
 use super::keys::{JobKey, PoolStateId, TaskKey, WorkerKey};
@@ -41,6 +43,7 @@
         id,
         name: pool.to_string(),
         times,
+        evacuated_halls: state.evacuated_halls.clone(),
         ..PoolState::default()
     };
     for info in state.listed.values().filter(|f| f.pool == pool) {
@@ -77,7 +80,9 @@
     /// Configuration that this entry has adopted.
     pub config: &'a FleetConfig,
     /// Workers that the platform lists, by id.
-    pub listed: &'a std::collections::BTreeMap<String, WorkerInfo>,
+    pub listed: &'a BTreeMap<String, WorkerInfo>,
+    /// Data halls that the operator evacuates.
+    pub evacuated_halls: &'a BTreeSet<String>,
 }
 
 impl<'a> Facts<'a> {
@@ -86,6 +91,7 @@
         Self {
             config: &state.config,
             listed: &state.listed,
+            evacuated_halls: &state.evacuated_halls,
         }
     }
 }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -15,6 +15,7 @@
 mod fragmentation;
 pub mod free_index;
 pub mod gang;
+mod halls;
 mod handover;
 pub mod hosts;
 mod instances;
--- a/src/core/sched/moves.rs
+++ b/src/core/sched/moves.rs
@@ -5,12 +5,12 @@
 //! are counted once, and the counts are updated as moves begin. When they were counted again for each move, the entry
 //! that orders 542 hosts used up an eighth of a core and made a pass every 2 s instead of every 0.1 s.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::hosts::{HostController, HostTask, Inputs, PoolNeed, NEED_KEPT_MS, RETRY_SENT_MS};
 use super::state::{Ctx, WaveKnown};
 use crate::clock::Millis;
-use crate::port::fleet::HostState;
+use crate::port::fleet::{HostRecord, HostState};
 
 /// How long a host is on offer, wanted by no pool, before it is turned off. On the users' sites two moves cost as
 /// much as a host for 2.3 s; after this time the next use is on average at least as far away.
@@ -31,6 +31,7 @@
 /// State that decides which hosts are free to move.
 struct Fleet<'a> {
     waves: &'a BTreeMap<u64, WaveKnown>,
+    evacuated_halls: &'a BTreeSet<String>,
     now_ms: Millis,
 }
 
@@ -46,6 +47,7 @@
     };
     let fleet = Fleet {
         waves,
+        evacuated_halls: inputs.evacuated_halls,
         now_ms: ctx.now.ms,
     };
     let mut spare: Vec<Spare> = Vec::new();
@@ -66,7 +68,7 @@
     spare: &mut Vec<Spare>,
     ctx: &Ctx<'_>,
 ) {
-    let mut serving = count_serving(controller, inputs.needs);
+    let mut serving = count_serving(controller, inputs);
     let is_recent = |need: &PoolNeed<'_>| ctx.now.ms < need.heartbeat_seen_ms + NEED_KEPT_MS;
     let recent: Vec<usize> = (0..inputs.needs.len())
         .filter(|n| is_recent(&inputs.needs[*n]))
@@ -94,13 +96,16 @@
     }
 }
 
-/// Counts the hosts that serve each pool, including those on their way to it and without those that leave it or are
-/// spare.
-fn count_serving(controller: &HostController, needs: &[PoolNeed<'_>]) -> Vec<u64> {
+/// Counts the hosts that serve each pool, including those on their way to it and without those that leave it, are
+/// spare or are in an evacuated hall.
+fn count_serving(controller: &HostController, inputs: &Inputs<'_>) -> Vec<u64> {
+    let needs = inputs.needs;
     let places = needs.iter().enumerate();
     let places: HashMap<&str, usize> = places.map(|(n, need)| (need.pool, n)).collect();
     let mut serving = vec![0; needs.len()];
-    for record in controller.list.iter() {
+    let evacuated_halls = inputs.evacuated_halls;
+    let records = controller.list.iter();
+    for record in records.filter(|h| !evacuated_halls.contains(&h.hall)) {
         let place = match controller.task_of(&record.host) {
             Some(HostTask::Move(to)) => places.get(to.as_str()),
             _ => places.get(record.pool.as_str()).filter(|n| {
@@ -190,11 +195,12 @@
         .collect()
     }
 
-    /// Whether a host is up in this pool and has no slot of a wave, no pending order and no recent order of this entry
+    /// Whether a host is up in this pool, outside evacuated halls, and has no slot of a wave, no pending order and no recent order of this entry
     /// or a former one.
     fn is_free(&self, controller: &HostController, host: &str, pool: &str) -> bool {
         let record = controller.list.get(host);
-        if !record.is_some_and(|h| h.pool == pool && h.state == HostState::Up) {
+        let is_up = |h: &HostRecord| h.pool == pool && h.state == HostState::Up;
+        if !record.is_some_and(|h| is_up(h) && !self.evacuated_halls.contains(&h.hall)) {
             return false;
         }
         let has_slot = self.waves.values().any(|w| w.row.out.contains_key(host));
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -72,6 +72,8 @@
     pub closing_hosts: BTreeSet<String>,
     /// Closing hosts whose maintenance slot was requested. They may be ordered out at any time.
     pub hosts_that_may_leave: BTreeSet<String>,
+    /// Data halls that the operator evacuates. No work is placed there.
+    pub evacuated_halls: BTreeSet<String>,
     /// Workers by free capacity.
     pub free_index: FreeIndex,
     /// Workers that are reserved for tasks that need most of one.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -14,6 +14,7 @@
 use super::crashes;
 use super::exchange::{close_offered_hosts, observe_offers, settle_offers, settle_taken_hosts};
 use super::gang;
+use super::halls;
 use super::handover;
 use super::hosts;
 use super::job::JobSpec;
@@ -230,6 +231,9 @@
                 state.timers.insert((now.ms, key, Timer::Wave));
             }
         }
+        OperatorEvent::EvacuatedHalls(all) => halls::apply_all(state, all, now, out),
+        OperatorEvent::HallEvacuated(hall) => halls::apply_change(state, hall, true, now, out),
+        OperatorEvent::HallReturned(hall) => halls::apply_change(state, hall, false, now, out),
         OperatorEvent::Other(_) => {}
         OperatorEvent::Unreadable(key, why) => {
             let decision = Decision::new(Code::BadRow, Subject::Config, &key, why);
@@ -592,6 +596,7 @@
             sizing::log_load(pool_state, ctx);
             runs::begin_due_rounds(pool_state, ctx);
             runs::end_exhausted_jobs(pool_state, epoch, ctx);
+            halls::move_lasting(pool_state, epoch, ctx);
             renewal::renew_stuck(pool_state, epoch, ctx);
             pool_state.wants_placing = true;
             // The set of timers merges only equal timers that are due at the same time. The check keeps further cycles
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -65,6 +65,14 @@
     if task.run != run {
         return;
     }
+    if pool_state
+        .workers
+        .get(worker)
+        .is_some_and(|w| w.is_evacuated)
+    {
+        withdraw_start(pool_state, key, epoch, ctx);
+        return;
+    }
     let checkpoint = task.checkpoint.clone();
     if task.phase == Phase::Recording(worker) {
         pool_state.set_phase(key, Phase::Starting(worker), ctx.now.ms);
@@ -95,6 +103,18 @@
     ctx.out.push(Effect::Start(order, key, start));
 }
 
+/// Withdraws the start of a run on a worker whose hall is evacuated. If the start was sent and got no answer, the run is
+/// stopped instead of being started again.
+fn withdraw_start(pool_state: &mut PoolState, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let is_sent = |task: &Task| matches!(task.phase, Phase::Starting(_));
+    if pool_state.task(key).is_some_and(is_sent) {
+        stop_run(pool_state, key, epoch, ctx);
+        return;
+    }
+    note_never_started(pool_state, key);
+    requeue_task(pool_state, key, "its worker's hall is evacuated", ctx);
+}
+
 /// Returns whether a refusal for a stale fencing token means that another entry owns the pool. A worker that has
 /// restarted under the same id may refuse because of the restart instead.
 fn is_fenced_out(pool_state: &PoolState, worker: WorkerKey) -> bool {
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -359,7 +359,8 @@
 fn open_hosts(pool_state: &mut PoolState, sizing: &mut Sizing, offers: &Offers, count: usize) {
     let mut left = count;
     let mut offered: Vec<&str> = Vec::new();
-    for worker in pool_state.workers.values_mut().filter(|w| w.is_spare) {
+    let spare = pool_state.workers.values_mut().filter(|w| w.is_spare);
+    for worker in spare.filter(|w| !w.is_evacuated) {
         let (host, worker_id) = (&worker.info.host, &worker.info.id);
         if offers.is_taken(host, worker_id) {
             continue;
@@ -397,7 +398,7 @@
     for (key, worker) in pool_state.workers.iter().filter(|(_, w)| w.is_spare) {
         let (host, worker_id) = (&worker.info.host, &worker.info.id);
         let is_idle = worker.is_listed && worker.is_answering && pool_state.is_drained(key);
-        let is_idle = is_idle && !worker.is_closing;
+        let is_idle = is_idle && !worker.is_closing && !worker.is_evacuated;
         let has_left = pool_state
             .leftover_runs
             .values()
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -412,6 +412,8 @@
     pub list_changes: ListChanges,
     /// Undecodable entries of the list by worker id, with the reason; limited to those that were logged.
     pub unreadable: BTreeMap<String, String>,
+    /// Data halls that the operator evacuates.
+    pub evacuated_halls: BTreeSet<String>,
     /// Waves that the operator ordered, by number.
     pub waves: BTreeMap<u64, WaveKnown>,
     /// Timers of all pools.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -253,6 +253,10 @@
                     ctx,
                 );
             }
+            Turn::Closing(_) if is_evacuated(pool_state, controller, &host) => {
+                let why = "the host's hall is evacuated";
+                reopen_host(pool_state, controller, &host, why, ctx);
+            }
             Turn::Closing(since_ms) => {
                 if clear_host(pool_state, &host, since_ms, epoch, ctx) {
                     if take_slot(controller, wave, &host, (pool, epoch), ctx) {
@@ -458,6 +462,18 @@
     write_wave_row(controller, wave, row, host, false, epoch, ctx);
 }
 
+/// Whether a host is in a hall that the operator evacuates.
+pub(super) fn is_evacuated(
+    pool_state: &PoolState,
+    controller: &WaveController,
+    host: &str,
+) -> bool {
+    let listed = pool_state.worker_on(host);
+    let listed = listed.map(|key| pool_state.workers[key].info.hall.as_str());
+    let hall = listed.or_else(|| Some(controller.hosts.get(host)?.hall.as_str()));
+    hall.is_some_and(|hall| pool_state.evacuated_halls.contains(hall))
+}
+
 /// Whether a host still belongs to this pool.
 fn has_host(pool_state: &PoolState, controller: &WaveController, host: &str, pool: &str) -> bool {
     let record = controller.hosts.get(host);
@@ -620,6 +636,9 @@
     };
     let mut found: Vec<(String, u64)> = Vec::new();
     for host in due.iter().copied().filter(|h| may_begin(h)) {
+        if is_evacuated(pool_state, controller, host) {
+            continue;
+        }
         if let Some(key) = pool_state.worker_on(host) {
             let w = &pool_state.workers[key];
             if w.is_answering
--- a/src/core/sched/wave_waits.rs
+++ b/src/core/sched/wave_waits.rs
@@ -18,6 +18,9 @@
 /// Pause before the same wait is logged again.
 const REPEAT_LOG_MS: Millis = 60_000;
 
+/// The reason of a host that waits because of its hall.
+const EVACUATED: &str = "the host's hall is evacuated";
+
 /// Most hosts that are logged at a time.
 const HOSTS_LOGGED_MAX: usize = 4;
 
@@ -147,9 +150,11 @@
             }
         });
     }
+    let is_evacuated = wave::is_evacuated(pool_state, controller, host);
     let Some(key) = pool_state.worker_on(host) else {
         let record = controller.hosts.get(host).filter(|h| h.pool == pool)?;
         return Some(match record.state {
+            _ if is_evacuated => EVACUATED,
             HostState::Up if record.worker.is_empty() => "other hosts have their turns first",
             HostState::Up => {
                 "the worker instance named in the list of hosts is missing in the list of workers"
@@ -158,7 +163,9 @@
         });
     };
     let worker = &pool_state.workers[key];
-    Some(if !worker.is_answering {
+    Some(if is_evacuated {
+        EVACUATED
+    } else if !worker.is_answering {
         "the host's worker does not answer"
     } else if worker.info.is_draining {
         "the host's worker is draining"
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -99,6 +99,8 @@
     pub may_leave: bool,
     /// Whether its host's turn in a maintenance wave is still to come.
     pub awaits_wave: bool,
+    /// Whether the operator evacuates its data hall.
+    pub is_evacuated: bool,
     /// Whether its host is surplus to the pool.
     pub is_spare: bool,
     /// Whether its host is offered to other pools or was taken by one.
@@ -143,6 +145,7 @@
             is_closing: false,
             may_leave: false,
             awaits_wave: false,
+            is_evacuated: false,
             is_spare: false,
             is_offered: false,
             is_withdrawn: false,
@@ -160,6 +163,7 @@
             && !self.info.is_draining
             && !self.is_closing
             && !self.is_spare
+            && !self.is_evacuated
             && now_ms >= self.suspended_until_ms
     }
 
--- a/src/core/sched/worker_list.rs
+++ b/src/core/sched/worker_list.rs
@@ -204,6 +204,7 @@
         };
         w.is_listed = true;
         w.is_withdrawn = false;
+        w.is_evacuated = pool_state.evacuated_halls.contains(&info.hall);
         pool_state.update_free_index(key);
         pool_state.wants_placing = true;
         renewal::send_next(pool_state, key, epoch, ctx);
--- a/src/event.rs
+++ b/src/event.rs
@@ -127,6 +127,8 @@
     WorkerRestarted, 629, "worker-restarted", "A worker restarted under its id; the event shows the known start time and the reported one.";
     WaveWaits, 630, "wave-waits", "A wave has made no progress for a long time; the event names the first host that it waits for and the reason.";
     HostWaits, 631, "host-waits", "A host that a stalled wave has not handled yet waits; the event shows the reason.";
+    HallEvacuated, 632, "hall-evacuated", "The operator evacuates a data hall; nothing more is started there, and lasting tasks move to other halls as far as there is room.";
+    HallReturned, 633, "hall-returned", "The operator gave an evacuated data hall back; its workers take work again.";
     HostReserved, 635, "host-reserved", "A task fits on no host although the pool has enough free capacity in all; a host gets no other work until the task fits there.";
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
@@ -159,6 +161,8 @@
     Request,
     /// A backend server on a host.
     Backend,
+    /// A data hall.
+    Hall,
 }
 
 impl Subject {
@@ -173,6 +177,7 @@
             Subject::Job,
             Subject::Request,
             Subject::Backend,
+            Subject::Hall,
         ];
         all.into_iter().find(|subject| subject.as_str() == name)
     }
@@ -188,6 +193,7 @@
             Subject::Job => "job",
             Subject::Request => "request",
             Subject::Backend => "backend",
+            Subject::Hall => "hall",
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{construct, Args, OptionParser, ParseFailure, Parser};
 use rockwick::cmd::{
-    entry, events, explain, forget, host, job, pool, report, serve, status, template, wave,
+    entry, events, explain, forget, hall, host, job, pool, report, serve, status, template, wave,
 };
 use rockwick::config::EntryFlags;
 use rockwick::error::Result;
@@ -21,6 +21,7 @@
     Pool(pool::Args),
     Host(host::Args),
     Wave(wave::Args),
+    Hall(hall::Args),
     Job(job::Args),
     Status(status::Args),
     Explain(explain::Args),
@@ -47,6 +48,7 @@
     let pool = command!(pool, Pool);
     let host = command!(host, Host);
     let wave = command!(wave, Wave);
+    let hall = command!(hall, Hall);
     let job = command!(job, Job);
     let status = command!(status, Status);
     let explain = command!(explain, Explain);
@@ -54,7 +56,8 @@
     let report = command!(report, Report);
     let events = command!(events, Events);
     construct!([
-        entry, serve, template, pool, host, wave, job, status, explain, forget, report, events
+        entry, serve, template, pool, host, wave, hall, job, status, explain, forget, report,
+        events
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
@@ -69,6 +72,7 @@
         Command::Pool(args) => pool::run(args),
         Command::Host(args) => host::run(args),
         Command::Wave(args) => wave::run(args),
+        Command::Hall(args) => hall::run(args),
         Command::Job(args) => job::run(args),
         Command::Status(args) => status::run(args),
         Command::Explain(args) => explain::run(args),
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -3,7 +3,7 @@
 //! The adapter in `platform/` implements these traits by translation alone: it makes no decisions, keeps no state but
 //! connections, and never retries. `serve` calls the traits; the scheduler uses their types.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -240,6 +240,12 @@
     Config(Arc<FleetConfig>),
     /// An order for a maintenance wave.
     Wave(WaveOrder),
+    /// All halls that are evacuated, as the whole table shows them. It comes before the other rows of the table.
+    EvacuatedHalls(BTreeSet<String>),
+    /// An order to start nothing more in a hall.
+    HallEvacuated(String),
+    /// The order to evacuate a hall was taken back.
+    HallReturned(String),
     /// A row that can't be decoded: its key and the error.
     Unreadable(String, String),
     /// A row of a kind that rockwick does not use: its key. Such a row still shows that the feed brought a change.
@@ -560,6 +566,8 @@
     pub host: String,
     /// The pool of the host.
     pub pool: String,
+    /// The data hall of the host.
+    pub hall: String,
     /// The state of the host.
     pub state: HostState,
     /// The id of the worker on the host; empty if there is none.
@@ -581,6 +589,27 @@
     fn write_wave_state(&self, wave: u64, state: WaveState) -> impl Future<Output = TxOutcome>;
 }
 
+/// An operator's order to evacuate a data hall.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HallOrder {
+    /// The name of the hall.
+    pub hall: String,
+    /// The operator's reason; empty if none was given.
+    pub why: String,
+    /// The revision of the order's row.
+    pub revision: Revision,
+}
+
+/// Writes and reads the operator's orders to evacuate data halls.
+pub trait HallOrders {
+    /// Orders the evacuation of a hall, unless it is evacuated already.
+    fn evacuate_hall(&self, hall: &str, why: &str) -> impl Future<Output = TxOutcome>;
+    /// Takes back the order of this revision.
+    fn return_hall(&self, hall: &str, revision: Revision) -> impl Future<Output = TxOutcome>;
+    /// Lists the orders that are in force.
+    fn list_evacuated_halls(&self) -> impl Future<Output = Result<Vec<HallOrder>, ReadError>>;
+}
+
 /// Sends orders to hosts and lists them.
 pub trait HostMoves {
     /// Reads the list of all hosts.
--- a/tests/test_commands.rs
+++ b/tests/test_commands.rs
@@ -20,7 +20,8 @@
     let all = run_rockwick(&["--help"], &[]);
     assert_eq!(all.status.code(), Some(0));
     for name in [
-        "entry", "template", "pool", "host", "wave", "job", "status", "explain", "forget", "events",
+        "entry", "template", "pool", "host", "wave", "hall", "job", "status", "explain", "forget",
+        "events",
     ] {
         assert!(stdout(&all).contains(name), "{name}");
         let help = run_rockwick(&[name, "--help"], &[]);
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -1,7 +1,7 @@
 //! Orders to hosts are sent only once they are recorded and the hosts are taken from their pool, and two successive
 //! owners do not order the same host shortly after one another.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs};
 use rockwick::core::sched::offers::{Offers, OffersRow, Taken};
@@ -56,6 +56,7 @@
         });
         let list = ["h1", "h2"].map(|host| HostRecord {
             host: host.to_string(),
+            hall: "hall".to_string(),
             pool: "idle".to_string(),
             state: HostState::Up,
             worker: format!("worker of {host}"),
@@ -78,6 +79,7 @@
         let inputs = Inputs {
             config: &self.config,
             needs: &needs,
+            evacuated_halls: &BTreeSet::new(),
             pool: "off",
             epoch: EPOCH,
         };
@@ -273,6 +275,7 @@
     owner.offers.row.offered = offered.collect();
     let list = names.iter().map(|host| HostRecord {
         host: host.clone(),
+        hall: "hall".to_string(),
         pool: "idle".to_string(),
         state: HostState::Up,
         worker: String::new(),
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -277,6 +277,7 @@
         let inputs = Inputs {
             config: &self.config,
             needs: &needs,
+            evacuated_halls: &BTreeSet::new(),
             pool: "off",
             epoch: EPOCH,
         };
@@ -289,6 +290,7 @@
         let hosts = (0..HOSTS).map(|n| format!("host-{n}"));
         hosts
             .map(|host| HostRecord {
+                hall: "hall".to_string(),
                 pool: match self.gone.contains(&host) {
                     true => "busy".to_string(),
                     false => POOL.to_string(),
@@ -421,6 +423,7 @@
     let inputs = Inputs {
         config: &config,
         needs: &needs,
+        evacuated_halls: &BTreeSet::new(),
         pool: "off",
         epoch: EPOCH,
     };
@@ -527,6 +530,7 @@
     let inputs = Inputs {
         config,
         needs: &needs,
+        evacuated_halls: &BTreeSet::new(),
         pool: "off",
         epoch: EPOCH,
     };
--- a/tests/test_old_conflicts.rs
+++ b/tests/test_old_conflicts.rs
@@ -116,6 +116,7 @@
         scenario.sends_change(1_000);
         let hosts = [HOST, "host-2"].map(|host| HostRecord {
             host: host.to_string(),
+            hall: "hall".to_string(),
             pool: "other".to_string(),
             state: HostState::Up,
             worker: "worker".to_string(),
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -95,6 +95,8 @@
     Restarts,
     /// Workers restart as in `Restarts`, and orders are carried out up to 12 s late.
     LateRestarts,
+    /// The operator evacuates halls and gives them back.
+    Halls,
     /// The allowed attempts change, runs fail often, and entries receive the configuration late.
     Configs,
 }
@@ -135,6 +137,10 @@
             world.config_late_ms = ms;
             world.set_attempts(rng.u32(2..7));
         }
+        Extra::Halls => match rng.u32(0..3) {
+            0 => world.return_all_halls(),
+            _ => world.evacuate(&format!("hall-{}", rng.u32(0..2))),
+        },
         Extra::Nothing | Extra::Timed | Extra::Late => {}
     }
 }
@@ -227,6 +233,7 @@
     world.faults = Faults::default();
     world.delay_orders(0, Rng::with_seed(0));
     world.unavailable_parts.clear();
+    world.return_all_halls();
     // Entries that were asked to stop have ended by then.
     world.run(6_000);
     for n in 0..world.entries.len() {
@@ -301,6 +308,11 @@
     play_all(Extra::Configs);
 }
 
+#[test]
+fn sched_model_halls() {
+    play_all(Extra::Halls);
+}
+
 #[test]
 fn sched_model_two_lives() {
     play_all(Extra::TwoInstances);
--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -221,6 +221,7 @@
     let mut controller = WaveController::default();
     let old = HostRecord {
         host: "old".to_string(),
+        hall: "hall".to_string(),
         pool: POOL.to_string(),
         state: HostState::Up,
         worker: "life-1".to_string(),
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -93,6 +93,7 @@
     fn read_list(&mut self, state: HostState) {
         let record = HostRecord {
             host: HOST.to_string(),
+            hall: "hall".to_string(),
             pool: POOL.to_string(),
             state,
             worker: "life-2".to_string(),
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -28,6 +28,7 @@
 mod test_fairness;
 mod test_foreign;
 mod test_fuzz;
+mod test_halls;
 mod test_hosts;
 mod test_instances;
 mod test_intake;
--- a/tests/world/entries.rs
+++ b/tests/world/entries.rs
@@ -206,7 +206,7 @@
         let config = Event::Operator(OperatorEvent::Config(Arc::new(self.config.clone())));
         let config_ms = 3 + self.config_late_ms;
         self.schedule(config_ms, TimedEvent::Deliver(n, incarnation, config));
-        let mut events = Vec::new();
+        let mut events: Vec<Event> = self.halls_event().into_iter().collect();
         for wave in &self.waves {
             events.push(Event::Operator(OperatorEvent::Wave(wave.clone())));
         }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -10,6 +10,7 @@
 mod effects;
 mod entries;
 mod extras;
+mod halls;
 mod jobs;
 mod restart;
 mod start_history;
@@ -219,6 +220,13 @@
     pub(crate) runs_ended_by_upkeep: usize,
     /// Tasks that crash workers, and their effects.
     pub(crate) crashes: crash::Crashes,
+    /// Halls that the operator evacuates, and since when.
+    evacuated_since_ms: BTreeMap<String, u64>,
+    /// Whether a hall was ever evacuated. Without that, entries are told of no halls, so that older seeds play the same
+    /// worlds.
+    has_evacuations: bool,
+    /// Number of runs started in each hall.
+    pub(crate) starts_by_hall: BTreeMap<String, u64>,
     /// Extra delay of configuration events.
     pub(crate) config_late_ms: u64,
     /// Whether the decisions that entries log are kept in `log`.
@@ -291,6 +299,9 @@
             max_hosts_out: 0,
             runs_ended_by_upkeep: 0,
             crashes: Default::default(),
+            evacuated_since_ms: BTreeMap::new(),
+            has_evacuations: false,
+            starts_by_hall: BTreeMap::new(),
             config_late_ms: 0,
             keeps_log: false,
             log: Vec::new(),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -1,5 +1,6 @@
 //! Simulated workers and hosts, and the checks on the orders that they receive.
 
+use super::halls::hall_of;
 use super::*;
 
 /// Returns whether two tasks belong to the same step and round.
@@ -20,7 +21,7 @@
             host: host.to_string(),
             pool: POOL.to_string(),
             address: SocketAddr::from(([10, 0, 0, 1], port)),
-            hall: "hall".to_string(),
+            hall: hall_of(host),
             labels: vec!["a".to_string(), "r1".to_string()],
             capacity: Capacity {
                 cpu_milli: 12_000,
@@ -110,6 +111,7 @@
         self.starts += 1;
         self.record_start(id, start);
         self.check_start(id, &start.task);
+        self.check_hall(id);
         self.check_crasher_start(id, &start.task, start.run);
         let at_work = TimedEvent::AtWork(id.to_string(), start.task.clone(), start.run);
         self.schedule(at_work_ms - now_ms, at_work);
@@ -497,6 +499,7 @@
         for w in self.workers.values() {
             let record = HostRecord {
                 host: w.info.host.clone(),
+                hall: w.info.hall.clone(),
                 pool: POOL.to_string(),
                 state: if w.is_up {
                     HostState::Up
