Let a bounded number of entries follow the owners of pools

Ruled out: a slower poll by all entries (an entry must see two heartbeats to know that an owner is gone, so takeovers would be late in small fleets), and one digest row (it changes as often). Change: eight slots in a table of their own. Owners and holders of slots follow the owners as before; the others read the slots every 5 s and take one that lapsed. While fewer than four slots are held by others, or a pool was not seen with a live owner, an entry follows. Claims depend on the owner rows alone, as before. Heartbeats carry the store's clock, so an entry that doesn't follow can tell by one read how old an owner's counts of waiting jobs are. Idle feeds wait for a gate instead of looking 16 times a second. Calls and bytes are counted by call and table (metrics, event 316). Tests: test_standby (bound at 20 and 60 entries, owner rows flat from 15 to 90 entries, takeover, all followers lost, all restarted, frozen holders, outage).

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -44,6 +44,7 @@
         now: Now {
             ms: NOW_MS,
             wall_ms: NOW_MS,
+            store_ms: 0,
         },
         pool: PoolKey(0),
         me: "entry",
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -88,4 +88,6 @@
     pub ms: Millis,
     /// Wall-clock milliseconds since the Unix epoch.
     pub wall_ms: Millis,
+    /// The store's clock, at most as late as it is there by the store's last answer; 0 if unknown.
+    pub store_ms: Millis,
 }
--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -35,6 +35,8 @@
     pub strongest_cpu_milli: Option<u64>,
     /// Since when the store has been answering; `None` while it does not answer.
     pub store_since_ms: Option<Millis>,
+    /// Whether the entry follows the owners. Without that, it can't tell which pools are vacant.
+    pub follows_owners: bool,
     /// Whether the entry has adopted a configuration.
     pub is_configured: bool,
     /// Whether the process was told to stop.
@@ -46,10 +48,14 @@
 impl Claimant {
     /// Returns how much later the entry claims than one that owns nothing and has enough processor time.
     fn extra_delay_ms(&self) -> Millis {
+        self.weak_delay_ms() + self.owned_pools as Millis * CLAIM_OWNED_MS
+    }
+
+    /// Returns how much later the entry claims than one that has enough processor time.
+    pub(super) fn weak_delay_ms(&self) -> Millis {
         let full_milli = self.strongest_cpu_milli.unwrap_or(CPU_FULL_MILLI).max(1);
         let lacking = full_milli.saturating_sub(self.cpu_milli);
-        let weak_ms = lacking * CLAIM_WEAK_MS / full_milli;
-        weak_ms + self.owned_pools as Millis * CLAIM_OWNED_MS
+        lacking * CLAIM_WEAK_MS / full_milli
     }
 
     /// Returns how long the entry waits before it claims a vacant pool.
@@ -60,7 +66,7 @@
 
 /// Claims the pool if it has been without a live owner for long enough, else schedules the next check.
 pub fn claim_if_vacant(pool: &mut Pool, me: &Claimant, ctx: &mut Ctx<'_>) {
-    if pool.ownership.is_some() || me.is_stopping {
+    if pool.ownership.is_some() || me.is_stopping || !me.follows_owners {
         return;
     }
     // Without a configuration, an owner does not know quotas, attempt limits or which hosts are disabled.
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -45,6 +45,7 @@
 pub mod run_log;
 pub mod runs;
 pub mod sizing;
+pub mod standby;
 pub mod state;
 pub mod tasks;
 pub mod times;
--- a/src/core/sched/owner_lease.rs
+++ b/src/core/sched/owner_lease.rs
@@ -48,6 +48,8 @@
     pub heartbeat: HeartbeatRow,
     /// Revision of the newest heartbeat.
     pub heartbeat_revision: Revision,
+    /// Whether this entry has seen one heartbeat follow another: the pool has, or has had, a live owner.
+    pub has_beaten: bool,
     /// When this entry saw the newest heartbeat or the last change of the owner row in the first shard, whichever came
     /// later.
     pub heartbeat_seen_ms: Millis,
@@ -143,6 +145,14 @@
         self.answer_ms = now_ms.saturating_sub(sent_ms);
     }
 
+    /// Counts the owner as seen now, in all shards, after a time in which this entry did not follow it.
+    pub(super) fn note_all_seen(&mut self, now_ms: Millis) {
+        self.heartbeat_seen_ms = now_ms;
+        for shard in &mut self.shards {
+            shard.heartbeat_seen_ms = now_ms;
+        }
+    }
+
     /// Records that a call to a shard was sent.
     pub fn note_sent(&mut self, shard: usize, now_ms: Millis) {
         self.shards[shard].unanswered_ms.get_or_insert(now_ms);
@@ -227,6 +237,7 @@
             .clone_from(&heartbeat.entry);
         lease.shards[shard].heartbeat_seen_ms = now_ms;
         if row.revision > lease.heartbeat_revision {
+            lease.has_beaten |= lease.heartbeat_revision > 0;
             lease.heartbeat_revision = row.revision;
             lease.heartbeat = heartbeat;
             lease.heartbeat_seen_ms = now_ms;
@@ -296,6 +307,7 @@
         times: pool_state.map_or_else(|| pool.lease.heartbeat.times.clone(), |b| b.times.clone()),
         entry: ctx.me.to_string(),
         cpu_milli: ctx.cpu_milli,
+        store_ms: ctx.now.store_ms,
         count: pool.lease.next_count(),
         waiting: pool_state.map(|b| b.waiting_jobs.clone()),
     }
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -33,6 +33,7 @@
 use super::run_log;
 use super::runs;
 use super::sizing;
+use super::standby;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Timer, WaveKnown};
 use super::wave;
 use super::worker_list::{
@@ -192,9 +193,18 @@
                 }
             });
         }
+        Event::Standbys {
+            rows,
+            is_continuous,
+        } => standby::apply_rows(state, &rows, is_continuous, now),
+        Event::StandbyWritten(outcome) => standby::apply_settled(state, outcome, now, &mut out),
         Event::Store(answers) => apply_store_change(state, answers, now),
         Event::Stop => handover::begin(state, now),
     }
+    if state.standbys.is_enabled() {
+        let me = claimant(state);
+        standby::settle(state, &me, now, &mut out);
+    }
     fire_timers(state, now, &mut out);
     settle_pools(state, now, &mut out);
     out
@@ -509,6 +519,7 @@
         cpu_milli: state.cpu_milli,
         strongest_cpu_milli: heartbeat_cpus.max().filter(|milli| *milli > 0),
         store_since_ms: state.store_since_ms,
+        follows_owners: state.follows_owners(),
         is_configured: state.config.version > 0,
         is_stopping: state.is_stopping(),
         nonce: state.nonce,
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -46,6 +46,9 @@
     /// Processor time that the entry may use, in thousandths of a core.
     #[serde(default)]
     pub cpu_milli: u64,
+    /// The store's clock when the heartbeat was sent, or somewhat earlier; 0 if unknown.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub store_ms: Millis,
     /// Number of jobs that have not begun, by queue; `None` from an owner that has not read the pool's rows yet.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub waiting: Option<BTreeMap<String, u64>>,
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -15,6 +15,7 @@
 use super::quota::QuotaController;
 use super::rows::{WaveRow, SHARDS};
 use super::sizing::Sizing;
+use super::standby::{self, Standbys};
 use super::wave::WaveController;
 use super::worker_list::ListChanges;
 use crate::clock::{Millis, Now};
@@ -302,6 +303,15 @@
     HostOrdered(PoolKey, u64, String, HostReply),
     /// The list of hosts was read: pool, epoch, records.
     HostsRead(PoolKey, u64, Vec<HostRecord>),
+    /// The slots of standbys were read: their changed rows, and whether no reading has failed since the last one.
+    Standbys {
+        /// The rows that have changed since the last reading.
+        rows: Vec<StoredRow>,
+        /// Whether no reading has failed, and no change was missed, since the last one.
+        is_continuous: bool,
+    },
+    /// A write of a slot was answered.
+    StandbyWritten(TxOutcome),
     /// The store answers again (`true`) or has stopped answering (`false`).
     Store(bool),
     /// The process was told to stop.
@@ -383,6 +393,8 @@
     TakeHosts(PoolKey, u64, String, RowTx),
     /// Record the hosts that are about to receive orders.
     RecordHostOrders(PoolKey, u64, RowTx),
+    /// Write the row of a standby's slot.
+    WriteStandby(RowTx),
     /// Order a host: pool, epoch, host, task, time until which the order may be sent.
     OrderHost(PoolKey, u64, String, HostTask, Millis),
     /// Log a decision.
@@ -418,6 +430,8 @@
     pub waves: BTreeMap<u64, WaveKnown>,
     /// Timers of all pools.
     pub timers: Timers,
+    /// Slots of the entries that stand by for owners.
+    pub standbys: Standbys,
     /// Since when the store has been answering; `None` while it does not answer.
     pub store_since_ms: Option<Millis>,
     /// When the process was told to stop.
@@ -441,9 +455,23 @@
         Self { cpu_milli, ..self }
     }
 
+    /// Makes the entry take part in the standbys' slots. Without this, it always follows the owners of pools.
+    pub fn with_standbys(self) -> Self {
+        Self {
+            standbys: Standbys::enabled(),
+            ..self
+        }
+    }
+
     /// Returns when the reducer must be called next.
     pub fn wake_ms(&self) -> Option<Millis> {
-        self.timers.first().map(|(at_ms, _, _)| *at_ms)
+        let timer_ms = self.timers.first().map(|(at_ms, _, _)| *at_ms);
+        timer_ms.into_iter().chain(self.standbys.wake_ms()).min()
+    }
+
+    /// Returns whether the entry follows the owners of all pools.
+    pub fn follows_owners(&self) -> bool {
+        standby::follows_owners(self)
     }
 
     /// Returns whether the process was told to stop.
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -222,6 +222,7 @@
         let now = Now {
             ms: self.shared.clock.now_ms(),
             wall_ms: wall_ms(),
+            store_ms: 0,
         };
         let effects = reduce(&mut self.state.borrow_mut(), event, now);
         for effect in effects {
--- a/src/event.rs
+++ b/src/event.rs
@@ -69,6 +69,9 @@
     StoreFound, 311, "store-found", "The platform's table answers again.";
     BadRow, 312, "bad-row", "A row of the table could not be read and is skipped.";
     LostRace, 313, "lost-race", "A decision was dropped because a row that it depends on had changed.";
+    StandbyTaken, 314, "standby-taken", "The entry holds a standby's slot and follows the owners of all pools.";
+    StandbyLost, 315, "standby-lost", "The entry gave up a standby's slot, or another entry has it.";
+    PlatformUsed, 316, "platform-used", "The entry stops; the event shows its calls to the platform and their bytes by kind of call and table.";
     PeerHeard, 320, "peer-heard", "A peer answers.";
     PeerLost, 321, "peer-lost", "A peer does not answer.";
     Isolated, 322, "isolated", "Neither the table nor any peer answers; the entry sends nothing new.";
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use hdrhistogram::Histogram;
 
@@ -14,6 +14,62 @@
 /// Highest value that the histograms can record: an hour in microseconds.
 const HISTOGRAM_MAX_US: u64 = 3_600_000_000;
 
+/// Calls to the platform of one kind, and their bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallUse {
+    /// Calls sent.
+    pub calls: u64,
+    /// Bytes of paths and bodies sent.
+    pub sent_bytes: u64,
+    /// Bytes of bodies received.
+    pub received_bytes: u64,
+}
+
+/// Calls to the platform and their bytes, by kind of call and by table. All threads of a process share it.
+#[derive(Debug, Default)]
+pub struct PlatformUse(Mutex<BTreeMap<(String, String), CallUse>>);
+
+impl PlatformUse {
+    /// Counts a call; `table` is empty for a call that concerns no table.
+    pub fn record(&self, call: &str, table: &str, sent_bytes: usize, received_bytes: usize) {
+        let mut all = lock(&self.0);
+        let used = all
+            .entry((call.to_string(), table.to_string()))
+            .or_default();
+        used.calls += 1;
+        used.sent_bytes += sent_bytes as u64;
+        used.received_bytes += received_bytes as u64;
+    }
+
+    /// Returns the counts by call and table, those with the most bytes first.
+    pub fn by_call(&self) -> Vec<((String, String), CallUse)> {
+        let all = lock(&self.0);
+        let mut all: Vec<_> = all.iter().map(|(key, used)| (key.clone(), *used)).collect();
+        all.sort_by_key(|(_, used)| std::cmp::Reverse(used.sent_bytes + used.received_bytes));
+        all
+    }
+
+    fn render(&self, text: &mut String) {
+        type Part = (&'static str, fn(&CallUse) -> u64);
+        let parts: [Part; 3] = [
+            ("store_calls_total", |used| used.calls),
+            ("store_sent_bytes_total", |used| used.sent_bytes),
+            ("store_received_bytes_total", |used| used.received_bytes),
+        ];
+        let by_call = self.by_call();
+        for (name, value) in parts {
+            let _ = writeln!(text, "# TYPE rockwick_{name} counter");
+            for ((call, table), used) in &by_call {
+                let _ = writeln!(
+                    text,
+                    "rockwick_{name}{{call=\"{call}\",table=\"{table}\"}} {}",
+                    value(used)
+                );
+            }
+        }
+    }
+}
+
 /// All counters and histograms of an entry.
 pub struct Metrics {
     /// Requests received.
@@ -26,6 +82,8 @@
     pub refused_by_backend: AtomicU64,
     /// Calls to the platform.
     pub platform_calls: AtomicU64,
+    /// Calls to the platform by kind; only `rockwick serve` counts them.
+    pub platform_use: Arc<PlatformUse>,
     /// Bytes of peer messages sent and received.
     pub peer_bytes: AtomicU64,
     /// Ticks of the control thread.
@@ -50,6 +108,7 @@
             retries: AtomicU64::new(0),
             refused_by_backend: AtomicU64::new(0),
             platform_calls: AtomicU64::new(0),
+            platform_use: Arc::default(),
             peer_bytes: AtomicU64::new(0),
             ticks: AtomicU64::new(0),
             failures: Mutex::new(BTreeMap::new()),
@@ -108,6 +167,7 @@
         for (name, count) in lock(&self.failures).iter() {
             let _ = writeln!(text, "rockwick_failures_total{{kind=\"{name}\"}} {count}");
         }
+        self.platform_use.render(&mut text);
         render_summary(&mut text, "request_us", &lock(&self.request_us));
         render_summary(&mut text, "control_us", &lock(&self.control_us));
         text
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -32,6 +32,8 @@
     HostOrders,
     /// Grants of quota to pools, by client account.
     Quotas,
+    /// Slots of the entries that stand by for the owners of pools.
+    Standbys,
 }
 
 /// A row as read from the store.
@@ -111,6 +113,8 @@
     pub has_more: bool,
     /// The newest revision of the store when the rows were read.
     pub revision: Revision,
+    /// The store's clock when the rows were read; 0 if it is not given.
+    pub store_ms: Millis,
 }
 
 /// Changes of a table after a revision.
@@ -120,6 +124,19 @@
     pub changes: Vec<T>,
     /// The revision to read on from.
     pub revision: Revision,
+    /// The store's clock at the answer; 0 if it is not given.
+    pub store_ms: Millis,
+}
+
+impl From<Scan> for Feed<StoredRow> {
+    /// Takes the rows of a whole table as changes, to be followed from the scan's revision.
+    fn from(scan: Scan) -> Self {
+        Self {
+            changes: scan.rows,
+            revision: scan.revision,
+            store_ms: scan.store_ms,
+        }
+    }
 }
 
 /// A range of keys to read.
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -12,8 +12,9 @@
 use smol::channel::{Receiver, Sender};
 use smol::{LocalExecutor, Timer};
 
-use super::feeds::{self, OwnedPools};
+use super::feeds;
 use super::operations::{scan_all, scan_intake, scan_progress};
+use super::owned::OwnedPools;
 use super::shared::Shared;
 use crate::clock::Millis;
 use crate::core::sched::hosts::{controller_pool, HostTask};
@@ -65,6 +66,9 @@
     executor.spawn(workers).detach();
     let owners = feeds::follow_owners(platform.clone(), Rc::clone(&runner.owned), events.clone());
     executor.spawn(owners).detach();
+    let standbys =
+        feeds::follow_standbys(platform.clone(), Rc::clone(&runner.owned), events.clone());
+    executor.spawn(standbys).detach();
     let waves = feeds::follow_waves(platform.clone(), Rc::clone(&runner.owned), events.clone());
     executor.spawn(waves).detach();
     let intake = feeds::follow_intake(platform, Rc::clone(&runner.owned), events.clone());
@@ -84,7 +88,8 @@
 {
     let shared = &runner.shared;
     let mut state = State::new(shared.settings.name.clone(), fastrand::u64(1..))
-        .with_cpu_milli(shared.settings.cpu_milli);
+        .with_cpu_milli(shared.settings.cpu_milli)
+        .with_standbys();
     let mut suspended_ms = shared.clock.suspended_ms();
     loop {
         let event = next_event(shared, &state, &inbox).await;
@@ -158,12 +163,12 @@
     // The reducer logs a row that can't be decoded.
     if let Ok(heartbeat) = rows::decode::<rows::HeartbeatRow>(value) {
         if let Some(waiting) = heartbeat.waiting {
-            shared.set_waiting_counts(pool, waiting);
+            shared.set_waiting_counts(pool, waiting, 0);
         }
     }
 }
 
-/// Tells the feeds which pools this entry owns now, and whether it orders hosts.
+/// Tells the feeds which pools this entry owns now, whether it orders hosts and whether it follows the owners.
 fn update_owned_pools<P>(runner: &EffectRunner<P>, state: &State) {
     let pools = state.pools.iter().filter(|p| p.ownership.is_some());
     let oldest = pools
@@ -171,10 +176,13 @@
         .filter_map(|p| p.ownership.as_ref().map(|t| t.epoch))
         .min();
     match (runner.owned.intake_from.get(), oldest) {
-        (None, Some(epoch)) => runner.owned.intake_from.set(Some(epoch)),
-        (Some(_), None) => runner.owned.intake_from.set(None),
+        (None, Some(epoch)) => runner.owned.follow_intake_from(Some(epoch)),
+        (Some(_), None) => runner.owned.follow_intake_from(None),
         _ => {}
     }
+    runner.owned.owners.set_open(state.follows_owners());
+    let are_standbys_full = state.standbys.is_full();
+    runner.owned.are_standbys_full.set(are_standbys_full);
     let controller_pool = controller_pool(&state.config);
     let has_controller = pools
         .clone()
@@ -324,6 +332,10 @@
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::HostOrdersRecorded(pool, epoch, outcome))
             }),
+            Effect::WriteStandby(tx) => self.spawn(async move {
+                let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
+                Some(Event::StandbyWritten(outcome))
+            }),
             Effect::OrderHost(pool, epoch, host, task, until_ms) => {
                 self.spawn(async move {
                     let authority = HostAuthority {
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -3,7 +3,6 @@
 //! The control thread starts one task per feed: the operator's table, workers, owners, waves and intake. The operator's
 //! feed also decides whether the store counts as reachable.
 
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,13 +12,15 @@
 use smol::Timer;
 
 use super::operations::scan_intake;
+use super::owned::OwnedPools;
 use super::shared::Shared;
 use crate::clock::Millis;
 use crate::core::sched::rows::{shard_part, SHARDS};
+use crate::core::sched::standby::STANDBY_PART;
 use crate::core::sched::state::Event;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    Directory, Feed, OperatorEvent, Range, ReadError, Revision, Rows, Table, WorkerEvent,
+    Directory, Feed, OperatorEvent, Range, ReadError, Revision, Rows, Scan, Table, WorkerEvent,
 };
 use crate::util::join_all;
 
@@ -56,19 +57,12 @@
 /// The pause of the intake feed, where each job is a change. It is short against objectives of 600 ms and more.
 const INTAKE_PAUSE_MS: Millis = 30;
 
-/// How often an idle feed checks whether this entry owns a pool.
-const IDLE_POLL_MS: Millis = 60;
+/// The pause of the standbys feed: each holder of a slot renews it every 4 s. Up to a fifth is added at random, so that
+/// entries do not read together.
+const STANDBYS_PAUSE_MS: Millis = 5_000;
 
-/// What the feeds need to know about the pools that this entry owns; the control thread keeps it up to date.
-#[derive(Default)]
-pub(super) struct OwnedPools {
-    /// The names of the owned pools.
-    pub(super) pools: RefCell<Vec<String>>,
-    /// The revision after which intake is followed; nothing while this entry owns no pool.
-    pub(super) intake_from: Cell<Option<Revision>>,
-    /// Whether this entry orders hosts.
-    pub(super) orders_hosts: Cell<bool>,
-}
+/// The pause of the standbys feed while a slot is vacant, as far as is known.
+const STANDBYS_VACANT_PAUSE_MS: Millis = 1_000;
 
 async fn pause(ms: Millis) {
     Timer::after(Duration::from_millis(ms)).await;
@@ -127,6 +121,7 @@
         }
         since = match result {
             Ok(feed) => {
+                shared.set_store_clock(feed.store_ms);
                 may_have_more = since.is_none() || !feed.changes.is_empty();
                 forward_operator_events(&shared, &events, &feed).await;
                 if !may_have_more {
@@ -215,10 +210,9 @@
 ) {
     let mut since = None;
     loop {
-        if owned.intake_from.get().is_none() {
+        if !owned.workers.is_open() {
             since = None;
-            pause(IDLE_POLL_MS).await;
-            continue;
+            owned.workers.wait_open().await;
         }
         let result = match since {
             None => platform.read_workers().await,
@@ -256,10 +250,9 @@
 ) {
     let mut since = None;
     loop {
-        if owned.intake_from.get().is_none() {
+        if !owned.waves.is_open() {
             since = None;
-            pause(IDLE_POLL_MS).await;
-            continue;
+            owned.waves.wait_open().await;
         }
         let result = match since {
             Some(revision) => {
@@ -270,10 +263,7 @@
             None => platform
                 .scan(Table::Waves, "", Default::default(), FEED_WAIT_MS)
                 .await
-                .map(|scan| Feed {
-                    changes: scan.rows,
-                    revision: scan.revision,
-                }),
+                .map(Feed::from),
         };
         match result {
             Ok(feed) => {
@@ -298,7 +288,7 @@
     workers.collect()
 }
 
-/// Follows the owner rows of all pools, whether or not this entry owns one.
+/// Follows the owner rows of all pools while this entry owns a pool or stands by for an owner.
 pub(super) async fn follow_owners<P: Rows>(
     platform: P,
     owned: Rc<OwnedPools>,
@@ -306,6 +296,7 @@
 ) {
     let mut since: Option<Revision> = None;
     loop {
+        owned.owners.wait_open().await;
         let result = match since {
             Some(revision) => {
                 platform
@@ -332,6 +323,59 @@
     }
 }
 
+/// Follows the slots of standbys.
+pub(super) async fn follow_standbys<P: Rows>(
+    platform: P,
+    owned: Rc<OwnedPools>,
+    events: Sender<Event>,
+) {
+    let mut since: Option<Revision> = None;
+    let mut is_continuous = false;
+    loop {
+        let result = match since {
+            Some(revision) => {
+                platform
+                    .wait_for_changes(Table::Standbys, revision, 0)
+                    .await
+            }
+            None => platform
+                .scan(
+                    Table::Standbys,
+                    STANDBY_PART,
+                    Default::default(),
+                    FEED_WAIT_MS,
+                )
+                .await
+                .map(Feed::from),
+        };
+        match result {
+            Ok(feed) => {
+                since = Some(feed.revision);
+                let rows = feed.changes;
+                send(
+                    &events,
+                    Event::Standbys {
+                        rows,
+                        is_continuous,
+                    },
+                )
+                .await;
+                is_continuous = true;
+                let pause_ms = match owned.are_standbys_full.get() {
+                    true => STANDBYS_PAUSE_MS,
+                    false => STANDBYS_VACANT_PAUSE_MS,
+                };
+                pause(pause_ms + fastrand::u64(0..=pause_ms / 5)).await;
+            }
+            Err(ReadError::HistoryGone) => since = None,
+            Err(ReadError::Down) => {
+                is_continuous = false;
+                pause_after_failure().await;
+            }
+        }
+    }
+}
+
 /// Reads the owner rows of all pools. The result carries the revision of the first read, so a feed from there repeats
 /// what has changed during the later reads.
 async fn read_owners<P: Rows>(
@@ -340,6 +384,7 @@
     let mut all = Feed {
         changes: Vec::new(),
         revision: 0,
+        store_ms: 0,
     };
     for part in platform.list_parts(Table::Owners).await? {
         let range = Default::default();
@@ -365,8 +410,8 @@
     events: Sender<Event>,
 ) {
     loop {
+        owned.intake.wait_open().await;
         let Some(since) = owned.intake_from.get() else {
-            pause(IDLE_POLL_MS).await;
             continue;
         };
         let result = match platform
@@ -398,11 +443,17 @@
 ) -> Result<Feed<crate::port::fleet::StoredRow>, ReadError> {
     // The feed goes on from this revision, so it brings what changes while the rows are read.
     let newest = platform.scan(Table::Owners, "", Default::default(), FEED_WAIT_MS);
-    let revision = newest.await?.revision;
+    let Scan {
+        revision, store_ms, ..
+    } = newest.await?;
     let pools = owned.pools.borrow().clone();
     let mut changes = Vec::new();
     for pool in pools {
         changes.extend(scan_intake(platform, &pool).await?);
     }
-    Ok(Feed { changes, revision })
+    Ok(Feed {
+        changes,
+        revision,
+        store_ms,
+    })
 }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod feeds;
 mod operations;
+mod owned;
 pub mod settings;
 mod shared;
 mod status;
@@ -22,6 +23,7 @@
 use crate::error::{Error, Result};
 use crate::event::{Code, Decision, Subject};
 use crate::log::Log;
+use crate::metrics::CallUse;
 use crate::platform::Platform;
 use settings::ServeSettings;
 use shared::Shared;
@@ -65,7 +67,8 @@
 }
 
 fn new_platform(shared: &Shared) -> Platform {
-    Platform::new(shared.settings.store, shared.settings.hosts)
+    let usage = Arc::clone(&shared.metrics.platform_use);
+    Platform::new(shared.settings.store, shared.settings.hosts).with_usage(usage)
 }
 
 fn bind(flag: &str, addr: std::net::SocketAddr) -> Result<Async<TcpListener>> {
@@ -99,6 +102,27 @@
     }
 }
 
+/// Most kinds of calls that the line about the use of the platform names.
+const USES_LOGGED_MAX: usize = 12;
+
+/// Logs the calls to the platform and their bytes, those with the most bytes first.
+fn log_platform_use(shared: &Shared) {
+    let by_call = shared.metrics.platform_use.by_call();
+    let total = |part: fn(&CallUse) -> u64| by_call.iter().map(|(_, used)| part(used)).sum();
+    let uses = by_call.iter().take(USES_LOGGED_MAX);
+    let uses = uses.map(|((call, table), used)| {
+        let bytes = used.sent_bytes + used.received_bytes;
+        format!("{call} {table}: {} calls, {bytes} bytes", used.calls)
+    });
+    let why = uses.collect::<Vec<_>>().join("; ");
+    let name = &shared.settings.name;
+    let decision = Decision::new(Code::PlatformUsed, Subject::Entry, name, why);
+    let decision = decision
+        .with("calls", total(|used| used.calls))
+        .with("sent_bytes", total(|used| used.sent_bytes));
+    shared.log_decision(decision.with("received_bytes", total(|used| used.received_bytes)));
+}
+
 /// Returns a flag that is set when the process receives `signal`.
 fn signal_flag(signal: i32) -> Result<Arc<AtomicBool>> {
     let signal_flag = Arc::new(AtomicBool::new(false));
@@ -140,6 +164,7 @@
         if let Some(why) = stop.poll(since_ms, open) {
             let decision = Decision::new(Code::EntryStopped, Subject::Entry, name, why);
             let decision = decision.with("connections", open);
+            log_platform_use(shared);
             shared.log_decision(decision.with("standstills", stop.standstills()));
             return Ok(());
         }
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -17,7 +17,7 @@
 use crate::core::sched::operation::{Operation, Outcome, Request};
 use crate::core::sched::rows::{
     self, cancel_key, cancelled_job, intake_parts, intake_parts_of, pool_of_part, shard_part,
-    shard_parts, ProgressRow,
+    shard_parts, HeartbeatRow, ProgressRow, HEARTBEAT_KEY, SHARDS,
 };
 use crate::port::fleet::{
     Guard, Range, ReadError, RowTx, Rows, Scan, StoredRow, Table, TxOutcome, Write, ABSENT,
@@ -410,15 +410,53 @@
     }
 }
 
+/// Returns the number of waiting jobs of a queue by the last report of the pool's owner that is known here, if that is
+/// recent enough.
+fn reported_waiting(shared: &Shared, request: &Request) -> Option<u64> {
+    let reported = shared.waiting_counts(&request.pool)?;
+    let age_ms = shared.clock.now_ms().saturating_sub(reported.received_ms);
+    let waiting = reported.by_queue.get(&request.queue).copied();
+    (age_ms <= COUNT_AGE_MAX_MS).then_some(waiting.unwrap_or(0))
+}
+
+/// Reads an owner's heartbeat in one shard and stores the numbers of waiting jobs in it, if it is recent by the store's
+/// clock. An entry that does not follow the owners has no other report.
+async fn read_reported_counts<R: Rows>(shared: &Shared, store: &R, pool: &str, shard: usize) {
+    let range = Range {
+        from: HEARTBEAT_KEY.to_string(),
+        until: format!("{HEARTBEAT_KEY}~"),
+        rows_max: 1,
+    };
+    let part = shard_part(pool, shard);
+    let scan = store.scan(Table::Owners, &part, range, TX_TIMEOUT_MS).await;
+    let Ok(Scan { rows, store_ms, .. }) = scan else {
+        return;
+    };
+    let value = rows.into_iter().next().and_then(|row| row.value);
+    // A heartbeat that can't be decoded is logged by the entries that follow the owners.
+    let Ok(heartbeat) = rows::decode::<HeartbeatRow>(&value.unwrap_or_default()) else {
+        return;
+    };
+    let age_ms = store_ms.saturating_sub(heartbeat.store_ms);
+    let is_recent = heartbeat.store_ms > 0 && age_ms <= COUNT_AGE_MAX_MS;
+    if let Some(by_queue) = heartbeat.waiting.filter(|_| is_recent) {
+        shared.set_waiting_counts(pool, by_queue, age_ms);
+    }
+}
+
 async fn count_waiting_jobs<R: Rows>(
     shared: &Shared,
     store: &R,
     request: &Request,
     until_ms: Millis,
 ) -> Outcome {
-    if let Some(reported) = shared.waiting_counts(&request.pool) {
-        if shared.clock.now_ms().saturating_sub(reported.received_ms) <= COUNT_AGE_MAX_MS {
-            let waiting = reported.by_queue.get(&request.queue).copied().unwrap_or(0);
+    if let Some(waiting) = reported_waiting(shared, request) {
+        return Outcome::Waiting(waiting);
+    }
+    // Most heartbeats go to the first shard.
+    for shard in 0..SHARDS {
+        read_reported_counts(shared, store, &request.pool, shard).await;
+        if let Some(waiting) = reported_waiting(shared, request) {
             return Outcome::Waiting(waiting);
         }
     }
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -4,7 +4,7 @@
 //! jobs, next to the settings, the log and the metrics. Each side publishes a snapshot and neither waits for the other.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
@@ -26,6 +26,9 @@
 /// that is decided now takes effect later.
 const CONFIG_MARGIN_DIVISOR: Millis = 5;
 
+/// The offset of the store's clock while it is unknown.
+const UNKNOWN_OFFSET_MS: i64 = i64::MIN;
+
 /// The numbers of waiting jobs of a pool, as its owner reported them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WaitingCounts {
@@ -54,6 +57,8 @@
     is_operator_table_down: AtomicBool,
     /// Since when the store has not answered this entry; 0 while it answers.
     store_down_since_ms: AtomicU64,
+    /// The store's clock less this process's clock, as of the store's last answer; [`UNKNOWN_OFFSET_MS`] before that.
+    store_offset_ms: AtomicI64,
     /// When the process received the signal to stop; 0 before.
     pub(super) stopping_at_ms: AtomicU64,
     /// The timeout of transactions with the store.
@@ -78,6 +83,7 @@
             unanswered: smol::channel::bounded(1),
             is_operator_table_down: AtomicBool::new(false),
             store_down_since_ms: AtomicU64::new(1),
+            store_offset_ms: AtomicI64::new(UNKNOWN_OFFSET_MS),
             stopping_at_ms: AtomicU64::new(0),
             store_timeout: AdaptiveTimeout::new(TX_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
             intake_timeout: AdaptiveTimeout::new(INTAKE_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
@@ -88,9 +94,24 @@
 
     /// Returns the time on the monotonic clock and on the wall clock.
     pub(super) fn now(&self) -> Now {
+        let ms = self.clock.now_ms();
+        let offset_ms = self.store_offset_ms.load(Ordering::SeqCst);
+        let store_ms = match offset_ms {
+            UNKNOWN_OFFSET_MS => 0,
+            _ => ms.saturating_add_signed(offset_ms),
+        };
         Now {
-            ms: self.clock.now_ms(),
+            ms,
             wall_ms: wall_ms(),
+            store_ms,
+        }
+    }
+
+    /// Records what the store's clock showed in an answer that has just arrived; 0 if the answer did not say.
+    pub(super) fn set_store_clock(&self, store_ms: Millis) {
+        if store_ms > 0 {
+            let offset_ms = store_ms as i64 - self.clock.now_ms() as i64;
+            self.store_offset_ms.store(offset_ms, Ordering::SeqCst);
         }
     }
 
@@ -225,11 +246,16 @@
             && self.current_routing().is_some()
     }
 
-    /// Stores the numbers of waiting jobs that a pool's owner reported.
-    pub(super) fn set_waiting_counts(&self, pool: &str, by_queue: BTreeMap<String, u64>) {
+    /// Stores the numbers of waiting jobs that a pool's owner reported `age_ms` ago.
+    pub(super) fn set_waiting_counts(
+        &self,
+        pool: &str,
+        by_queue: BTreeMap<String, u64>,
+        age_ms: Millis,
+    ) {
         let waiting = WaitingCounts {
             by_queue,
-            received_ms: self.clock.now_ms(),
+            received_ms: self.clock.now_ms().saturating_sub(age_ms),
         };
         lock(&self.waiting_by_pool).insert(pool.to_string(), waiting);
     }
--- a/standin/src/slopes.rs
+++ b/standin/src/slopes.rs
@@ -169,6 +169,7 @@
     let mut now = Now {
         ms: 1_000,
         wall_ms: 1_000_000,
+        store_ms: 0,
     };
     let rows = build_table(size);
     let listing = Listing {
--- a/standin/src/waves.rs
+++ b/standin/src/waves.rs
@@ -232,6 +232,7 @@
             now: Now {
                 ms: 1_000_000,
                 wall_ms: 1_000_000_000,
+                store_ms: 0,
             },
             state: State::new(me, tuning, seed),
             rows: Rows::default(),
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -19,6 +19,7 @@
         now: Now {
             ms: now_ms,
             wall_ms: now_ms,
+            store_ms: 0,
         },
         pool: PoolKey(0),
         me: "entry",
--- a/tests/test_late_claim.rs
+++ b/tests/test_late_claim.rs
@@ -13,7 +13,11 @@
 use crate::world::{config, POOL};
 
 fn at(ms: u64) -> Now {
-    Now { ms, wall_ms: ms }
+    Now {
+        ms,
+        wall_ms: ms,
+        ..Now::default()
+    }
 }
 
 fn claimed_shards(effects: &[Effect]) -> Vec<usize> {
--- a/tests/test_leases.rs
+++ b/tests/test_leases.rs
@@ -14,7 +14,11 @@
 const KEY: PoolKey = PoolKey(0);
 
 fn now(ms: u64) -> Now {
-    Now { ms, wall_ms: ms }
+    Now {
+        ms,
+        wall_ms: ms,
+        ..Now::default()
+    }
 }
 
 /// Returns an entry that has the configuration and can reach the store.
--- a/tests/test_model.rs
+++ b/tests/test_model.rs
@@ -169,6 +169,7 @@
             now: Now {
                 ms: 1_000,
                 wall_ms: 1_000_000,
+                store_ms: 0,
             },
             rows: Rows::default(),
             entries: entries.collect(),
--- a/tests/test_place.rs
+++ b/tests/test_place.rs
@@ -12,6 +12,7 @@
 const NOW: Now = Now {
     ms: 10_000,
     wall_ms: 10_000_000,
+    store_ms: 0,
 };
 
 struct View {
--- a/tests/test_sched.rs
+++ b/tests/test_sched.rs
@@ -199,7 +199,11 @@
 #[test]
 fn sched_stop_while_claiming() {
     let mut state = State::new("entry", 7);
-    let now = |ms| Now { ms, wall_ms: ms };
+    let now = |ms| Now {
+        ms,
+        wall_ms: ms,
+        ..Now::default()
+    };
     let event = OperatorEvent::Config(Arc::new(config(1)));
     reduce(&mut state, Event::Operator(event), now(10));
     let effects = reduce(&mut state, Event::Tick, now(2_500));
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -69,6 +69,7 @@
 mod test_shrinks;
 mod test_sizing;
 mod test_soak;
+mod test_standby;
 mod test_starts;
 mod test_stop;
 mod test_timeout;
--- a/tests/world/effects.rs
+++ b/tests/world/effects.rs
@@ -152,6 +152,7 @@
                 let (after_ms, outcome) = self.call_store(n, &tx);
                 self.schedule_reply(n, after_ms, Event::HostOrdersRecorded(pool, epoch, outcome));
             }
+            Effect::WriteStandby(tx) => self.write_standby(n, &tx),
             Effect::OrderHost(pool, epoch, host, task, _) => {
                 let reply = match task {
                     _ if self.drops_host_orders => HostReply::Silent,
--- a/tests/world/entries.rs
+++ b/tests/world/entries.rs
@@ -12,7 +12,11 @@
         entry.undisturbed_since_ms = self.now_ms;
         entry.wake_ms = self.now_ms + 5;
         let nonce = entry.incarnation * 100 + n as u64;
-        entry.state = Some(State::new(format!("entry-{n}"), nonce));
+        let state = State::new(format!("entry-{n}"), nonce);
+        entry.state = Some(match self.has_standbys {
+            true => state.with_standbys(),
+            false => state,
+        });
         self.deliver_initial_state(n);
         self.schedule(5, TimedEvent::Wake(n));
     }
@@ -182,10 +186,15 @@
         let Some(state) = self.entries[n].state.as_mut() else {
             return;
         };
+        let was_following = state.follows_owners();
         let effects = reduce(state, event, now);
+        let begins_to_follow = !was_following && state.follows_owners();
         for effect in effects {
             self.apply_effect(n, effect);
         }
+        if begins_to_follow {
+            self.deliver_owner_rows(n);
+        }
         let wake_ms = self.entries[n].state.as_ref().and_then(State::wake_ms);
         let Some(at_ms) = wake_ms else { return };
         let at_ms = at_ms.max(self.now_ms + 1);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -13,6 +13,7 @@
 mod halls;
 mod jobs;
 mod restart;
+mod standbys;
 mod start_history;
 mod store;
 mod timed_events;
@@ -227,6 +228,10 @@
     has_evacuations: bool,
     /// Number of runs started in each hall.
     pub(crate) starts_by_hall: BTreeMap<String, u64>,
+    /// Whether entries take part in the slots of standbys.
+    has_standbys: bool,
+    /// Number of owner rows delivered to entries by feeds.
+    pub(crate) owner_rows_delivered: u64,
     /// Extra delay of configuration events.
     pub(crate) config_late_ms: u64,
     /// Whether the decisions that entries log are kept in `log`.
@@ -302,6 +307,8 @@
             evacuated_since_ms: BTreeMap::new(),
             has_evacuations: false,
             starts_by_hall: BTreeMap::new(),
+            has_standbys: false,
+            owner_rows_delivered: 0,
             config_late_ms: 0,
             keeps_log: false,
             log: Vec::new(),
@@ -334,8 +341,13 @@
         for host in 0..workers {
             world.start_instance(&format!("host-{host}"));
         }
+        world.add_entries(entries);
+        world
+    }
+
+    fn add_entries(&mut self, entries: usize) {
         for n in 0..entries {
-            world.entries.push(Entry {
+            self.entries.push(Entry {
                 state: None,
                 incarnation: 0,
                 frozen_until_ms: 0,
@@ -344,15 +356,15 @@
                 undisturbed_since_ms: 0,
                 wake_ms: 0,
             });
-            world.boot(n);
+            self.boot(n);
         }
-        world
     }
 
     fn now(&self) -> Now {
         Now {
             ms: self.now_ms,
             wall_ms: WALL_MS + self.now_ms,
+            store_ms: 0,
         }
     }
 
@@ -559,6 +571,6 @@
         Table::Owners => Some(Event::Owner(row)),
         Table::Intake => Some(Event::Intake(row)),
         Table::Waves => Some(Event::WaveRow(row)),
-        Table::Progress | Table::HostOrders | Table::Quotas => None,
+        Table::Progress | Table::HostOrders | Table::Quotas | Table::Standbys => None,
     }
 }
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -20,6 +20,13 @@
             if self.entries[n].disconnected_until_ms > self.now_ms {
                 continue;
             }
+            if table == Table::Owners {
+                let state = self.entries[n].state.as_ref();
+                if !state.is_some_and(State::follows_owners) {
+                    continue;
+                }
+                self.owner_rows_delivered += 1;
+            }
             let incarnation = self.entries[n].incarnation;
             if let Some(event) = row_event(table, row.clone()) {
                 // Each change reaches an entry after the same delay, so feeds keep the order of changes.
--- a/tests/world/timed_events.rs
+++ b/tests/world/timed_events.rs
@@ -21,6 +21,7 @@
     UpkeepOver(String),
     LaterInstanceStarts(String),
     DrainEnds(String),
+    ReadStandbys(usize),
     Wake(usize),
     Kill(usize, u64),
 }
@@ -151,6 +152,7 @@
                     self.kill(n);
                 }
             }
+            TimedEvent::ReadStandbys(n) => self.read_standbys(n),
             TimedEvent::Wake(n) if self.entries[n].wake_ms == self.now_ms => {
                 self.deliver_now(n, Event::Tick);
             }
