Do not call a request not run after a lost attempt

Cause: a repeatable request whose first attempt was lost and whose retry was refused, or found no free backend server, was answered as refused with Rockwick-Run: no, though the lost attempt may have run. Change: the kind of the lost attempt is kept, and a failure that would say 'not run' is answered with it. Ruled out: requests that may not be repeated (they end at the lost attempt).

--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -26,6 +26,9 @@
 /// Time after the first failed attempt in which retries may start, even if the deadline is later.
 const RETRY_MAX_MS: Millis = 2_000;
 
+/// The detail of a failure after an attempt that got no complete answer.
+const MAY_HAVE_RUN: &str = "the request may have been run";
+
 /// Pause between two checks of a spent retry budget, before jitter.
 const BUDGET_POLL_MS: Millis = 20;
 
@@ -77,6 +80,7 @@
     pub(super) async fn send_with_retries(&self) -> Result<Answer, Failure> {
         let mut excluded: Vec<SocketAddr> = Vec::new();
         let mut give_up_ms = self.deadline_ms;
+        let mut lost: Option<Kind> = None;
         self.retry_budget().earn();
         for attempt in 1..=ATTEMPTS_MAX {
             let permit = match (self.permit_search().acquire(&excluded).await, attempt) {
@@ -84,7 +88,8 @@
                 (Err(kind), 1) => return Err(kind.into()),
                 // After a first attempt, the answer is a refusal, whatever the reason that no permit was granted.
                 (Err(_), _) => {
-                    return Err(Kind::Refused.with_detail("no other backend server is free"))
+                    let refusal = Kind::Refused.with_detail("no other backend server is free");
+                    return Err(failure_after(lost, refusal));
                 }
             };
             let addr = permit.backend.address();
@@ -94,15 +99,16 @@
             };
             if let AttemptError::Lost(kind) = err {
                 if !self.repeatable {
-                    return Err(kind.with_detail("the request may have been run"));
+                    return Err(kind.with_detail(MAY_HAVE_RUN));
                 }
+                lost = Some(kind);
             }
             if attempt == 1 {
                 give_up_ms = give_up_ms.min(self.shared.clock.now_ms() + RETRY_MAX_MS);
             }
             let may_retry = attempt < ATTEMPTS_MAX;
             if !may_retry || !self.wait_for_budget(err.cost(), give_up_ms).await {
-                return Err(self.attempt_failure(&err));
+                return Err(failure_after(lost, self.attempt_failure(&err)));
             }
             excluded.push(addr);
             if excluded.len() >= self.route.backends.len() {
@@ -111,7 +117,7 @@
             Metrics::increment(&self.shared.metrics.retries);
             self.log_retry(&err, attempt);
         }
-        Err(Kind::Refused.into())
+        Err(failure_after(lost, Kind::Refused.into()))
     }
 
     fn retry_budget(&self) -> &RetryBudget {
@@ -271,6 +277,15 @@
     }
 }
 
+/// Returns the failure of a request whose last attempt failed with `last`, after `lost` for an earlier attempt. A refusal
+/// of the last attempt says nothing about a lost one, which may have run.
+fn failure_after(lost: Option<Kind>, last: Failure) -> Failure {
+    match lost {
+        Some(kind) if last.kind.info().run == Run::No => kind.with_detail(MAY_HAVE_RUN),
+        _ => last,
+    }
+}
+
 /// Returns what an exchange says about the backend server's health, and the outcome of the attempt.
 fn classify_exchange(
     result: Result<Answer, ExchangeError>,
--- a/tests/test_runs.rs
+++ b/tests/test_runs.rs
@@ -277,6 +277,28 @@
     assert_eq!(fleet.count_runs("key", "k"), 1);
 }
 
+/// One backend server takes a request and closes the connection, and the other refuses it. The answer must not say that
+/// the request was not run.
+#[test]
+fn runs_lost_then_refused() {
+    let fleet = Plan::new(2, 1).without_config().start();
+    fleet.backends[0].set_fault("close", 0);
+    fleet.backends[1].set_fault("refuse", 0);
+    let mut lost = 0;
+    for n in 0..8 {
+        let mark = format!("m{n}");
+        let answer = get("/s/route/x")
+            .with("x-mark", &mark)
+            .with("rockwick-deadline-ms", 1_500)
+            .to(fleet.entries[0].listen);
+        if fleet.count_runs("mark", &mark) > 0 {
+            lost += 1;
+            assert_eq!(run_header(&answer), "unknown", "{}", body_text(&answer));
+        }
+    }
+    assert!(lost > 0, "no request reached the first backend server");
+}
+
 #[test]
 fn runs_broken_not_repeated() {
     // A request that may have run is not sent a second time, even without a key.
