Find missing workers in linear time

Cause: each whole reading of the list compared every known worker with every listed one: 36 million comparisons of texts for 6,000 workers, at each start of an owner. Change: a set of the listed ids. Same result; the tests of the list (listing_*) hold unchanged. Not measured alone.

--- a/src/core/sched/worker_list.rs
+++ b/src/core/sched/worker_list.rs
@@ -3,7 +3,7 @@
 //! The list does not tell which worker instance of a host is alive. The entry of an instance that has ended remains
 //! listed for some heartbeat intervals, and a delayed write may restore it after that.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use super::access::{owned_pools, with_pool};
 use super::keys::WorkerKey;
@@ -138,12 +138,10 @@
 }
 
 fn apply_list(state: &mut State, all: Vec<WorkerInfo>, now: Now, out: &mut Vec<Effect>) {
-    let missing: Vec<String> = state
-        .listed
-        .keys()
-        .filter(|id| !all.iter().any(|info| info.id == **id))
-        .cloned()
-        .collect();
+    let present: HashSet<&str> = all.iter().map(|info| info.id.as_str()).collect();
+    let known = state.listed.keys();
+    let missing = known.filter(|id| !present.contains(id.as_str()));
+    let missing: Vec<String> = missing.cloned().collect();
     for id in missing {
         apply_unlisted_worker(state, &id, now, out);
     }
