--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -277,6 +277,7 @@
         let inputs = Inputs {
             config: &self.config,
             needs: &needs,
+            orders_per_s: 64,
             evacuated_halls: &BTreeSet::new(),
             pool: "off",
             epoch: EPOCH,
@@ -423,6 +424,7 @@
     let inputs = Inputs {
         config: &config,
         needs: &needs,
+        orders_per_s: 64,
         evacuated_halls: &BTreeSet::new(),
         pool: "off",
         epoch: EPOCH,
@@ -530,6 +532,7 @@
     let inputs = Inputs {
         config,
         needs: &needs,
+        orders_per_s: 64,
         evacuated_halls: &BTreeSet::new(),
         pool: "off",
         epoch: EPOCH,
