Revert "Turn idle hosts off at a rate that goes by the platform's limit"

A pool whose turn has not come yet in this owner's time needs few hosts, so at 39 (large) or 74 (fleet) a second its hosts would be off when its first turn begins, and each comes back after 1.5 s and the list's lag, later than a step of the turn may start. At 8 a second this hardly happens.

--- a/src/config.rs
+++ b/src/config.rs
@@ -15,7 +15,7 @@
 const PREFIX: &str = "ROCKWICK_";
 
 /// All environment variables that some command reads.
-const KNOWN_VARIABLES: [&str; 25] = [
+const KNOWN_VARIABLES: [&str; 24] = [
     "ROCKWICK_CONFIG_OUTAGE_MS",
     "ROCKWICK_CONFIG_WITHIN_MS",
     "ROCKWICK_NAME",
@@ -39,7 +39,6 @@
     "ROCKWICK_METRICS",
     "ROCKWICK_STORE",
     "ROCKWICK_HOSTS",
-    "ROCKWICK_HOST_ORDERS_PER_S",
     "ROCKWICK_CPU_SHARE",
 ];
 
--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -106,7 +106,6 @@
     let inputs = hosts::Inputs {
         config: &state.config,
         needs: &needs,
-        orders_per_s: state.host_orders_per_s,
         evacuated_halls: &state.evacuated_halls,
         pool: &state.pools[usize::from(key.0)].name,
         epoch,
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -262,8 +262,6 @@
     pub config: &'a FleetConfig,
     /// The needs that the pools' owners published.
     pub needs: &'a [PoolNeed<'a>],
-    /// Number of orders to hosts that the platform accepts in a second.
-    pub orders_per_s: u64,
     /// Data halls that the operator evacuates. Their hosts stay where they are and serve no pool.
     pub evacuated_halls: &'a BTreeSet<String>,
     /// The pool whose owner orders hosts.
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -55,10 +55,6 @@
 /// did.
 pub const CLAIM_WEAK_MS: Millis = 2_500;
 
-/// Number of orders to hosts that the platform accepts in a second if the settings don't say: the least on the users'
-/// deployments.
-pub const HOST_ORDERS_PER_S: u64 = 64;
-
 /// Changes of jobs are gathered for this long before they are committed: the time of four answers of the store. Each
 /// call is charged for, and gathering for 25 ms brought no further gain.
 pub const GATHER_MS: Millis = 16;
--- a/src/core/sched/moves.rs
+++ b/src/core/sched/moves.rs
@@ -16,10 +16,9 @@
 /// much as a host for 2.3 s; after this time the next use is on average at least as far away.
 const PARK_MS: Millis = 4_000;
 
-/// At most one in this many of the hosts that the platform lets be ordered in a second is being turned off at a time,
-/// which takes 2 s: moves to pools that lack hosts must not wait behind hosts that are turned off. A fixed number took
-/// eleven minutes to turn off the 5,000 idle hosts of a large fleet.
-const PARKING_DIVISOR: usize = 4;
+/// Most hosts that are being turned off at a time, which takes 2 s each. The platform accepts 64 orders per second
+/// on the users' sites, and moves to pools that lack hosts must not wait behind hosts that are turned off.
+const PARKING_MAX: usize = 16;
 
 /// A host that may leave its pool.
 struct Spare {
@@ -57,7 +56,7 @@
     }
     fill_short_pools(controller, &fleet, inputs, &parked.name, &mut spare, ctx);
     track_offers(controller, inputs, ctx.now.ms);
-    park_hosts(controller, inputs, &parked.name, spare, ctx);
+    park_hosts(controller, &parked.name, spare, ctx);
 }
 
 /// Assigns hosts to the pools that lack some, one by one to the pool with the smallest share of its need.
@@ -153,20 +152,13 @@
 }
 
 /// Turns off hosts that have been on offer for [`PARK_MS`].
-fn park_hosts(
-    controller: &mut HostController,
-    inputs: &Inputs<'_>,
-    parked: &str,
-    spare: Vec<Spare>,
-    ctx: &Ctx<'_>,
-) {
+fn park_hosts(controller: &mut HostController, parked: &str, spare: Vec<Spare>, ctx: &Ctx<'_>) {
     let task = HostTask::Move(parked.to_string());
     let is_long = |other: &Spare| {
         let since_ms = controller.offered_ms.get(&other.host);
         other.is_offered && since_ms.is_some_and(|since| ctx.now.ms >= since + PARK_MS)
     };
-    let parking_max = (inputs.orders_per_s as usize / PARKING_DIVISOR).max(1);
-    let room = parking_max.saturating_sub(controller.count_orders(&task));
+    let room = PARKING_MAX.saturating_sub(controller.count_orders(&task));
     let long: Vec<Spare> = spare.into_iter().filter(is_long).take(room).collect();
     for other in long {
         controller.create_order(&other.host, task.clone(), Some(other.pool), ctx);
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -8,7 +8,7 @@
 
 use super::hosts::{HostController, HostTask};
 use super::keys::{JobKey, PoolStateId, TaskKey, WorkerKey};
-use super::limits::{CPU_FULL_MILLI, HOST_ORDERS_PER_S};
+use super::limits::CPU_FULL_MILLI;
 use super::offers::Offers;
 use super::owner_lease::OwnerLease;
 use super::pool_state::PoolState;
@@ -412,8 +412,6 @@
     pub nonce: u64,
     /// Processor time that this entry may use, in thousandths of a core.
     pub cpu_milli: u64,
-    /// Number of orders to hosts that the platform accepts in a second, from all entries together.
-    pub host_orders_per_s: u64,
     /// Configuration that this entry has adopted.
     pub config: Arc<FleetConfig>,
     /// Pools by key.
@@ -447,7 +445,6 @@
             me: me.into(),
             nonce,
             cpu_milli: CPU_FULL_MILLI,
-            host_orders_per_s: HOST_ORDERS_PER_S,
             store_since_ms: Some(0),
             ..Self::default()
         }
@@ -458,14 +455,6 @@
         Self { cpu_milli, ..self }
     }
 
-    /// Sets the number of orders to hosts that the platform accepts in a second.
-    pub fn with_host_orders_per_s(self, host_orders_per_s: u64) -> Self {
-        Self {
-            host_orders_per_s,
-            ..self
-        }
-    }
-
     /// Makes the entry take part in the standbys' slots. Without this, it always follows the owners of pools.
     pub fn with_standbys(self) -> Self {
         Self {
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -89,7 +89,6 @@
     let shared = &runner.shared;
     let mut state = State::new(shared.settings.name.clone(), fastrand::u64(1..))
         .with_cpu_milli(shared.settings.cpu_milli)
-        .with_host_orders_per_s(shared.settings.host_orders_per_s)
         .with_standbys();
     let mut suspended_ms = shared.clock.suspended_ms();
     loop {
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -9,7 +9,6 @@
 
 use crate::clock::Millis;
 use crate::config::{check_name, parse_address, usage_error};
-use crate::core::sched::limits::HOST_ORDERS_PER_S;
 use crate::error::Result;
 
 /// The default of `config-within-ms`: the shortest that the users' deployments state.
@@ -29,7 +28,6 @@
     cpu_share: f64,
     store: String,
     hosts: String,
-    host_orders_per_s: String,
     config_within_ms: String,
     config_outage_ms: String,
 }
@@ -71,11 +69,6 @@
         .help("Address where the platform accepts orders to hosts; empty for none")
         .argument("IP:PORT")
         .fallback(String::new());
-    let host_orders_per_s = long("host-orders-per-s")
-        .env("ROCKWICK_HOST_ORDERS_PER_S")
-        .help("Orders to hosts that the platform accepts in a second, from all entries together")
-        .argument("ORDERS")
-        .fallback(String::new());
     let config_within_ms = long("config-within-ms")
         .env("ROCKWICK_CONFIG_WITHIN_MS")
         .help("Time within which an accepted configuration must be in force at every entry; an entry that can't tell whether its configuration is current accepts no calls")
@@ -95,7 +88,6 @@
         cpu_share,
         store,
         hosts,
-        host_orders_per_s,
         config_within_ms,
         config_outage_ms
     })
@@ -120,8 +112,6 @@
     pub store: SocketAddr,
     /// The address that takes orders to hosts, if there is one.
     pub hosts: Option<SocketAddr>,
-    /// The number of orders to hosts that the platform accepts in a second, from all entries together.
-    pub host_orders_per_s: u64,
     /// The time within which an accepted configuration must be in force at every entry.
     pub config_within_ms: Millis,
     /// How long the last known configuration stays in force while reads of the operator's table fail.
@@ -140,7 +130,6 @@
             cpu_milli: check_cpu_share(self.cpu_share)?,
             store: parse_address("store", &self.store)?,
             hosts: parse_optional_address("hosts", &self.hosts)?,
-            host_orders_per_s: parse_orders_per_s(&self.host_orders_per_s)?,
             config_within_ms: parse_time_limit_ms(
                 "config-within-ms",
                 &self.config_within_ms,
@@ -163,17 +152,6 @@
     usage_error("cpu-share", &share.to_string(), "0.001 to 1000 cores")
 }
 
-/// Parses a number of orders per second, which may have a fraction. Returns the default for an empty value.
-fn parse_orders_per_s(value: &str) -> Result<u64> {
-    if value.is_empty() {
-        return Ok(HOST_ORDERS_PER_S);
-    }
-    match value.parse::<f64>() {
-        Ok(orders) if (1.0..=100_000.0).contains(&orders) => Ok(orders as u64),
-        _ => usage_error("host-orders-per-s", value, "1 to 100000"),
-    }
-}
-
 /// Parses a time limit in milliseconds, which must be long enough for a few answers of the store. Returns `fallback_ms`
 /// for an empty value.
 fn parse_time_limit_ms(flag: &str, value: &str, fallback_ms: Millis) -> Result<Millis> {
