Bound the row of a pool's offers

Cause: a pool writes all its idle hosts into one row. With 3,000 of them the row is over the store's limit of 64 KB, so it is refused, and no host of the pool moves any more; at 1,460 it is most of what followers of the owners read. Change: 512 at a time, those on offer already first; hosts that are taken make room. Test: offers_row_bounded, which fails without the bound (run with it raised to 512,000).

--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -32,6 +32,10 @@
 /// take and its answer.
 const OFFERS_GAP_ANSWERS: Millis = 3;
 
+/// Most hosts in the row of offers. The row holds the worker of each, and those that were taken: with 512 of both it is
+/// some 50 KB, and the store's limit is 64 KB. Hosts that are taken make room for others.
+const OFFERS_MAX: usize = 512;
+
 /// How often an owner logs how full its pool is.
 const LOAD_LOG_MS: Millis = 1_000;
 
@@ -394,7 +398,7 @@
     if !ctx.may_send() {
         return;
     }
-    let mut offered = BTreeMap::new();
+    let mut idle = Vec::new();
     for (key, worker) in pool_state.workers.iter().filter(|(_, w)| w.is_spare) {
         let (host, worker_id) = (&worker.info.host, &worker.info.id);
         let is_idle = worker.is_listed && worker.is_answering && pool_state.is_drained(key);
@@ -407,9 +411,10 @@
         let is_kept = worker.awaits_wave && !inputs.another_pool_lacks_hosts;
         let is_wanted = is_kept || sizing.withdrawn.contains(host);
         if is_idle && !has_left && !is_wanted && !offers.is_taken(host, worker_id) {
-            offered.insert(host.clone(), worker_id.clone());
+            idle.push((host.clone(), worker_id.clone()));
         }
     }
+    let offered = choose_offered(idle, offers);
     let is_known = |worker_id: &str| pool_state.workers_by_id.contains_key(worker_id);
     let pause_ms = (inputs.answer_ms * OFFERS_GAP_ANSWERS).max(OFFERS_GAP_MS);
     let is_withdrawn = offers.row.offered.keys().any(|h| !offered.contains_key(h));
@@ -425,6 +430,15 @@
     mark_offered(pool_state, offers);
 }
 
+/// Returns the idle hosts to offer, those that are on offer already first.
+fn choose_offered(mut idle: Vec<(String, String)>, offers: &Offers) -> BTreeMap<String, String> {
+    if idle.len() > OFFERS_MAX {
+        idle.sort_by_key(|(host, _)| !offers.row.offered.contains_key(host));
+        idle.truncate(OFFERS_MAX);
+    }
+    idle.into_iter().collect()
+}
+
 /// Marks the workers whose hosts are on offer or were taken.
 pub fn mark_offered(pool_state: &mut PoolState, offers: &Offers) {
     for (_, worker) in &mut pool_state.workers {
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -8,7 +8,7 @@
 use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs};
 use rockwick::core::sched::keys::TaskKey;
 use rockwick::core::sched::load;
-use rockwick::core::sched::offers::{Offers, OffersRow, OFFERS_KEY};
+use rockwick::core::sched::offers::{Offers, OffersRow, Taken, OFFERS_KEY};
 use rockwick::core::sched::owner_lease::FormerHostOrders;
 use rockwick::core::sched::pool_state::PoolState;
 use rockwick::core::sched::rows;
@@ -536,3 +536,70 @@
     };
     decide(now_ms, |ctx| work(controller, &inputs, ctx))
 }
+
+/// The store's limit on the value of a row, in bytes.
+const ROW_BYTES: usize = 65_536;
+
+/// A pool with 3,000 idle hosts offers as many at a time as fit in the row beside as many that were taken, and the
+/// others after them.
+#[test]
+fn offers_row_bounded() {
+    let mut pool_state = PoolState::default();
+    for n in 0..3_000 {
+        let info = listed_worker(&format!("i-{n:08x}"), &format!("m-{n:05x}"));
+        add_answering_worker(&mut pool_state, info);
+    }
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: "job".to_string(),
+        value: Some(rows::encode(&job(1, 100, 1_000))),
+        revision: EPOCH + 1,
+    };
+    decide(100_000, |ctx| {
+        load::apply_intake(&mut pool_state, &row, &config(1), EPOCH, ctx);
+    });
+    let inputs = sizing::Inputs {
+        pool: POOL,
+        epoch: EPOCH,
+        can_park: true,
+        another_pool_lacks_hosts: false,
+        answer_ms: 5,
+    };
+    let mut offers = Offers::default();
+    let mut sizing = Sizing::default();
+    let mut offered_hosts: BTreeSet<String> = BTreeSet::new();
+    for pass in 0..10 {
+        let effects = decide(101_000 + pass * 1_000, |ctx| {
+            sizing::reconcile(&mut pool_state, &mut sizing, &mut offers, &inputs, ctx);
+        });
+        for effect in effects {
+            if let Effect::SettleOffers(_, _, tx) = effect {
+                let bytes = tx.writes[0].value.as_ref().map_or(0, Vec::len);
+                assert!(bytes < ROW_BYTES, "{bytes} bytes in pass {pass}");
+                offers.apply_change(200 + pass * 2);
+            }
+        }
+        offered_hosts.extend(offers.row.offered.keys().cloned());
+        // The entry that orders hosts takes all of them, and they leave.
+        let mut taken = offers.row.clone();
+        taken.taken = std::mem::take(&mut taken.offered)
+            .into_iter()
+            .map(|(host, worker_id)| {
+                (
+                    host,
+                    Taken {
+                        worker_id,
+                        epoch: 9,
+                    },
+                )
+            })
+            .collect();
+        assert!(rows::encode(&taken).len() < ROW_BYTES);
+        for host in taken.taken.keys() {
+            let key = pool_state.worker_on(host).expect("it is listed");
+            pool_state.remove_worker(key, 101_000 + pass * 1_000);
+        }
+        offers.replace_row(taken, 201 + pass * 2);
+    }
+    assert!(offered_hosts.len() > 2_000, "{}", offered_hosts.len());
+}
