Answer at once what a caller's call can't have

A job whose intake row can't be decoded was read again until the caller's deadline, 504 in the end: it is answered at once, with a log line and a counter; another read would not help. Left as it is: 404 for a path under a queue that is no job id, since it is the path of a longer prefix whose queue was removed.

--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -19,6 +19,8 @@
     self, cancel_key, cancelled_job, intake_parts, intake_parts_of, pool_of_part, shard_part,
     shard_parts, HeartbeatRow, ProgressRow, HEARTBEAT_KEY, SHARDS,
 };
+use crate::error::Kind;
+use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
     Guard, Range, ReadError, RowTx, Rows, Scan, StoredRow, Table, TxOutcome, Write, ABSENT,
 };
@@ -223,7 +225,8 @@
 struct JobRows {
     /// The intake partition that the job was found in.
     part: String,
-    owner: JobOwner,
+    /// `None` if the job's row can't be decoded.
+    owner: Option<JobOwner>,
     is_cancelled: bool,
     progress: Option<StoredRow>,
 }
@@ -291,9 +294,7 @@
     let Some(job) = intake.rows.iter().find(|row| row.key == id) else {
         return Ok(None);
     };
-    // The account in an undecodable row is unknown, so nobody may see the job; the pool's owner logs the row.
-    let owner = rows::decode(job.value.as_deref().unwrap_or_default());
-    let owner = owner.map_err(|_| ReadError::Down)?;
+    let owner = rows::decode(job.value.as_deref().unwrap_or_default()).ok();
     let progress = match progress.rows.into_iter().next() {
         Some(row) => Some(row),
         None => find_progress_in_other_shards(store, pool, range, timeout_ms).await?,
@@ -325,8 +326,8 @@
     Ok(None)
 }
 
-/// Finds a job that the caller may see, and retries until `until_ms`. Returns `None` if no read succeeds, and
-/// `Some(None)` if there is no job that the caller may see.
+/// Finds a job that the caller may see, and retries until `until_ms`. Returns `None` if no read succeeds or the job's row
+/// can't be decoded, and `Some(None)` if there is no job that the caller may see.
 async fn find_visible_job<R: Rows>(
     shared: &Shared,
     store: &R,
@@ -343,13 +344,28 @@
             return None;
         }
         if let Ok(found) = find_job(store, &request.pool, id, timeout_ms).await {
-            return Some(found.filter(|job| job.owner.is_visible_to(account)));
+            let Some(job) = found else {
+                return Some(None);
+            };
+            // The account in an undecodable row is unknown, so nobody may see the job, and another read would not help.
+            let Some(owner) = &job.owner else {
+                log_unreadable_job(shared, id);
+                return None;
+            };
+            let is_visible = owner.is_visible_to(account);
+            return Some(is_visible.then_some(job));
         }
         Timer::after(Duration::from_millis(pause_ms)).await;
         pause_ms = (pause_ms * 2).min(READ_PAUSE_MAX_MS);
     }
 }
 
+fn log_unreadable_job(shared: &Shared, id: &str) {
+    let why = "the job's intake row cannot be decoded; its state is not told";
+    shared.log_decision(Decision::new(Code::BadRow, Subject::Job, id, why));
+    shared.metrics.count_failure(Kind::Internal);
+}
+
 async fn read_job_state<R: Rows>(
     shared: &Shared,
     store: &R,
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -7,6 +7,7 @@
 use http_types::Method;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use rockwick::core::sched::rows::intake_parts_of;
 use rockwick::http::client::deadline_after_ms;
 use rockwick::http::{Answer, Client};
 use serde_json::{json, Value};
@@ -308,3 +309,36 @@
         "the refused job does not exist"
     );
 }
+
+/// A deadline that is no number of milliseconds is refused with a reason, and not taken for none.
+#[test]
+fn serve_bad_deadline() {
+    let fleet = Fleet::start(POOL, 1, 50).expect("the stand-in starts");
+    fleet.configure(1, POOL);
+    let one = start_entry(&fleet, "e1");
+    for deadline in ["NaN", "-1", "soon", ""] {
+        let headers = [("Rockwick-Deadline", deadline)];
+        let path = format!("/q/{A}");
+        let answer = call_with(one.callers, Method::Get, &path, &Value::Null, &headers);
+        assert_eq!(answer.map(|a| a.status), Some(400), "{deadline:?}");
+    }
+    assert_eq!(get_status(one.callers, &format!("/q/{A}")), Some(410));
+}
+
+/// A job whose row can't be decoded is answered at once: the caller's deadline is longer than this test waits.
+#[test]
+fn serve_unreadable_job() {
+    let fleet = Fleet::start(POOL, 1, 50).expect("the stand-in starts");
+    fleet.configure(1, POOL);
+    let one = start_entry(&fleet, "e1");
+    let [part, _] = intake_parts_of(POOL, A);
+    fleet.put_bytes("intake", &part, A, b"not JSON");
+    for method in [Method::Get, Method::Delete] {
+        let headers = [("Rockwick-Deadline", "60000")];
+        let path = format!("/q/{A}");
+        let answer = call_with(one.callers, method, &path, &Value::Null, &headers);
+        assert_eq!(answer.map(|a| a.status), Some(504), "{method}");
+    }
+    let lines = one.lines();
+    assert!(lines.iter().any(|l| l.contains("bad-row") && l.contains(A)));
+}
