Refuse at once a question for a count that the store can't answer

Cause: an entry that follows no owner knows a count of waiting jobs only from the store. Change: while the store does not answer the entry, the question is answered 503 with Retry-After 1 at once, so that the caller asks another entry; a failed read of the slots is repeated after 1 s instead of 0.1 to 0.2 s. Test: serve_store_refuses, with a caller's deadline longer than the test waits.

--- a/src/core/sched/operation.rs
+++ b/src/core/sched/operation.rs
@@ -60,6 +60,11 @@
         /// When the caller should retry, in seconds.
         retry_after_s: u32,
     },
+    /// The store does not answer this entry, so a question could not be answered; it has no effect.
+    Unavailable {
+        /// When the caller should retry, in seconds.
+        retry_after_s: u32,
+    },
     /// The store's answer was lost, so it is unknown whether the request took effect.
     Unsure,
 }
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -61,7 +61,7 @@
 /// entries do not read together.
 const STANDBYS_PAUSE_MS: Millis = 5_000;
 
-/// The pause of the standbys feed while a slot is vacant, as far as is known.
+/// The pause of the standbys feed while a slot is vacant, as far as is known, and after a failed read.
 const STANDBYS_VACANT_PAUSE_MS: Millis = 1_000;
 
 async fn pause(ms: Millis) {
@@ -370,7 +370,7 @@
             Err(ReadError::HistoryGone) => since = None,
             Err(ReadError::Down) => {
                 is_continuous = false;
-                pause_after_failure().await;
+                pause(STANDBYS_VACANT_PAUSE_MS).await;
             }
         }
     }
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -426,6 +426,11 @@
     }
 }
 
+/// The outcome of a question for a count that the store does not answer: another entry may know it.
+const UNAVAILABLE: Outcome = Outcome::Unavailable {
+    retry_after_s: RETRY_AFTER_S,
+};
+
 /// Returns the number of waiting jobs of a queue by the last report of the pool's owner that is known here, if that is
 /// recent enough.
 fn reported_waiting(shared: &Shared, request: &Request) -> Option<u64> {
@@ -437,27 +442,31 @@
 
 /// Reads an owner's heartbeat in one shard and stores the numbers of waiting jobs in it, if it is recent by the store's
 /// clock. An entry that does not follow the owners has no other report.
-async fn read_reported_counts<R: Rows>(shared: &Shared, store: &R, pool: &str, shard: usize) {
+async fn read_reported_counts<R: Rows>(
+    shared: &Shared,
+    store: &R,
+    pool: &str,
+    shard: usize,
+) -> Result<(), ReadError> {
     let range = Range {
         from: HEARTBEAT_KEY.to_string(),
         until: format!("{HEARTBEAT_KEY}~"),
         rows_max: 1,
     };
     let part = shard_part(pool, shard);
-    let scan = store.scan(Table::Owners, &part, range, TX_TIMEOUT_MS).await;
-    let Ok(Scan { rows, store_ms, .. }) = scan else {
-        return;
-    };
+    let scan = store.scan(Table::Owners, &part, range, TX_TIMEOUT_MS);
+    let Scan { rows, store_ms, .. } = scan.await?;
     let value = rows.into_iter().next().and_then(|row| row.value);
     // A heartbeat that can't be decoded is logged by the entries that follow the owners.
     let Ok(heartbeat) = rows::decode::<HeartbeatRow>(&value.unwrap_or_default()) else {
-        return;
+        return Ok(());
     };
     let age_ms = store_ms.saturating_sub(heartbeat.store_ms);
     let is_recent = heartbeat.store_ms > 0 && age_ms <= COUNT_AGE_MAX_MS;
     if let Some(by_queue) = heartbeat.waiting.filter(|_| is_recent) {
         shared.set_waiting_counts(pool, by_queue, age_ms);
     }
+    Ok(())
 }
 
 async fn count_waiting_jobs<R: Rows>(
@@ -471,17 +480,25 @@
     }
     // Most heartbeats go to the first shard.
     for shard in 0..SHARDS {
-        read_reported_counts(shared, store, &request.pool, shard).await;
+        if shared.store_down_for_ms().is_some() {
+            return UNAVAILABLE;
+        }
+        let read = read_reported_counts(shared, store, &request.pool, shard).await;
         if let Some(waiting) = reported_waiting(shared, request) {
             return Outcome::Waiting(waiting);
         }
+        if read.is_err() {
+            break;
+        }
     }
     loop {
         if let Ok(waiting) = count_waiting_in_rows(store, &request.pool, &request.queue).await {
             return Outcome::Waiting(waiting);
         }
-        if shared.clock.now_ms() + RETRY_PAUSE_MS >= until_ms {
-            return Outcome::Unsure;
+        if shared.store_down_for_ms().is_some()
+            || shared.clock.now_ms() + RETRY_PAUSE_MS >= until_ms
+        {
+            return UNAVAILABLE;
         }
         Timer::after(Duration::from_millis(RETRY_PAUSE_MS)).await;
     }
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -273,6 +273,12 @@
     wait_until("not ready", || {
         get_status(one.ready, "/readyz") == Some(503)
     });
+    // The caller's deadline is longer than the test waits for an answer.
+    wait_until("the count is refused", || {
+        let headers = [("Rockwick-Deadline", "60000")];
+        let answer = call_with(one.callers, Method::Get, "/q/", &Value::Null, &headers);
+        answer.is_some_and(|a| a.status == 503 && a.header("retry-after") == Some("1"))
+    });
     fleet.set_store_fault(StoreFault::None);
     wait_until("ready", || get_status(one.ready, "/readyz") == Some(200));
     assert_eq!(
