--- a/src/core/sched/moves.rs
+++ b/src/core/sched/moves.rs
@@ -195,8 +195,8 @@
         .collect()
     }
 
-    /// Whether a host is up in this pool, outside evacuated halls, and has no slot of a wave, no pending order and no recent order of this entry
-    /// or a former one.
+    /// Whether a host is up in this pool, outside evacuated halls, and has no slot of a wave, no pending order and no
+    /// recent order of this entry or a former one.
     fn is_free(&self, controller: &HostController, host: &str, pool: &str) -> bool {
         let record = controller.list.get(host);
         let is_up = |h: &HostRecord| h.pool == pool && h.state == HostState::Up;
--- a/src/core/sched/standby.rs
+++ b/src/core/sched/standby.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::claim::Claimant;
+use super::owner_lease::OwnerLease;
 use super::rows;
 use super::state::{Effect, PoolKey, State, Timer};
 use crate::clock::{Millis, Now};
@@ -197,14 +198,10 @@
     if !standbys.is_enabled || standbys.own.is_some() || standbys.held_by_others() < HELD_MIN {
         return true;
     }
-    let has_claim = |lease: &super::owner_lease::OwnerLease| {
-        lease.claim.is_some() || lease.unsettled_claim_ms.is_some()
-    };
-    if state
-        .pools
-        .iter()
-        .any(|pool| pool.ownership.is_some() || has_claim(&pool.lease))
-    {
+    let has_claim =
+        |lease: &OwnerLease| lease.claim.is_some() || lease.unsettled_claim_ms.is_some();
+    let mut pools = state.pools.iter();
+    if pools.any(|pool| pool.ownership.is_some() || has_claim(&pool.lease)) {
         return true;
     }
     let mut configured = state.config.pools.keys();
