--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -49,6 +49,7 @@
         pool: PoolKey(0),
         me: "entry",
         cpu_milli: 250,
+        deployment: Default::default(),
         until_ms: u64::MAX,
         timers: &mut timers,
         out: &mut out,
--- a/src/config.rs
+++ b/src/config.rs
@@ -15,7 +15,7 @@
 const PREFIX: &str = "ROCKWICK_";
 
 /// All environment variables that some command reads.
-const KNOWN_VARIABLES: [&str; 24] = [
+const KNOWN_VARIABLES: [&str; 29] = [
     "ROCKWICK_CONFIG_OUTAGE_MS",
     "ROCKWICK_CONFIG_WITHIN_MS",
     "ROCKWICK_NAME",
@@ -40,6 +40,11 @@
     "ROCKWICK_STORE",
     "ROCKWICK_HOSTS",
     "ROCKWICK_CPU_SHARE",
+    "ROCKWICK_REMOTE_DATA_FACTOR",
+    "ROCKWICK_HOST_ORDERS_PER_S",
+    "ROCKWICK_HOST_MOVE_COST_MS",
+    "ROCKWICK_CHECKPOINT_INTERVAL_S",
+    "ROCKWICK_CHECKPOINT_RESTORE_MS",
 ];
 
 /// The flags as given, before they are checked.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -220,6 +220,7 @@
         pool: PoolKey(0),
         me: &state.me,
         cpu_milli: state.cpu_milli,
+        deployment: state.deployment,
         until_ms: 0,
         timers: &mut state.timers,
         out,
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::deployment::Deployment;
 use super::hosts::{HostController, HostTask};
 use super::keys::{JobKey, PoolStateId, TaskKey, WorkerKey};
 use super::limits::CPU_FULL_MILLI;
@@ -412,6 +413,8 @@
     pub nonce: u64,
     /// Processor time that this entry may use, in thousandths of a core.
     pub cpu_milli: u64,
+    /// Figures of the deployment.
+    pub deployment: Deployment,
     /// Configuration that this entry has adopted.
     pub config: Arc<FleetConfig>,
     /// Pools by key.
@@ -455,6 +458,11 @@
         Self { cpu_milli, ..self }
     }
 
+    /// Sets the figures of the deployment.
+    pub fn with_deployment(self, deployment: Deployment) -> Self {
+        Self { deployment, ..self }
+    }
+
     /// Makes the entry take part in the standbys' slots. Without this, it always follows the owners of pools.
     pub fn with_standbys(self) -> Self {
         Self {
@@ -509,6 +517,8 @@
     pub me: &'a str,
     /// Processor time that this entry may use, in thousandths of a core.
     pub cpu_milli: u64,
+    /// Figures of the deployment.
+    pub deployment: Deployment,
     /// Time until which orders may be sent: shortly before the owner's lease ends.
     pub until_ms: Millis,
     /// Timers of all pools.
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -89,6 +89,7 @@
     let shared = &runner.shared;
     let mut state = State::new(shared.settings.name.clone(), fastrand::u64(1..))
         .with_cpu_milli(shared.settings.cpu_milli)
+        .with_deployment(shared.settings.deployment)
         .with_standbys();
     let mut suspended_ms = shared.clock.suspended_ms();
     loop {
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -81,8 +81,8 @@
 fn log_start(shared: &Shared) {
     let s = &shared.settings;
     let why = format!(
-        "hall {}, callers {}, ready {}, store {}, hosts {:?}",
-        s.hall, s.listen, s.ready, s.store, s.hosts
+        "hall {}, callers {}, ready {}, store {}, hosts {:?}, {:?}",
+        s.hall, s.listen, s.ready, s.store, s.hosts, s.deployment
     );
     shared.log_decision(Decision::new(
         Code::EntryStarted,
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Millis;
 use crate::config::{check_name, parse_address, usage_error};
+use crate::core::sched::deployment::Deployment;
 use crate::error::Result;
 
 /// The default of `config-within-ms`: the shortest that the users' deployments state.
@@ -17,6 +18,9 @@
 /// The default of `config-outage-ms`: the shortest that the users' deployments state.
 const CONFIG_OUTAGE_MS: Millis = 5_000;
 
+/// The default of `host-move-cost-ms`: a move takes 1.5 s, in which the host serves nobody.
+const HOST_MOVE_COST_MS: Millis = 1_500;
+
 /// The flags of `rockwick serve` as given, not checked yet.
 #[derive(Clone, Debug)]
 pub struct ServeFlags {
@@ -30,6 +34,17 @@
     hosts: String,
     config_within_ms: String,
     config_outage_ms: String,
+    deployment: DeploymentFlags,
+}
+
+/// The flags of a deployment's figures as given, not checked yet. Each may be empty.
+#[derive(Clone, Debug)]
+struct DeploymentFlags {
+    remote_data_factor: String,
+    host_orders_per_s: String,
+    host_move_cost_ms: String,
+    checkpoint_interval_s: String,
+    checkpoint_restore_ms: String,
 }
 
 /// Returns the parser of the flags of `rockwick serve`.
@@ -79,6 +94,7 @@
         .help("How long calls are accepted under the last known configuration while the store can't be read for newer ones")
         .argument("MS")
         .fallback(String::new());
+    let deployment = deployment_flags();
     construct!(ServeFlags {
         name,
         hall,
@@ -89,7 +105,43 @@
         store,
         hosts,
         config_within_ms,
-        config_outage_ms
+        config_outage_ms,
+        deployment
+    })
+}
+
+fn deployment_flags() -> impl Parser<DeploymentFlags> {
+    let remote_data_factor = long("remote-data-factor")
+        .env("ROCKWICK_REMOTE_DATA_FACTOR")
+        .help("How many times as long a task takes outside the rack of its data; empty if unknown")
+        .argument("FACTOR")
+        .fallback(String::new());
+    let host_orders_per_s = long("host-orders-per-s")
+        .env("ROCKWICK_HOST_ORDERS_PER_S")
+        .help("Orders to hosts that the platform accepts per second from all entries; empty if unknown")
+        .argument("N")
+        .fallback(String::new());
+    let host_move_cost_ms = long("host-move-cost-ms")
+        .env("ROCKWICK_HOST_MOVE_COST_MS")
+        .help("Cost of moving a host to another pool, as the time for which a host in service costs the same")
+        .argument("MS")
+        .fallback(String::new());
+    let checkpoint_interval_s = long("checkpoint-interval-s")
+        .env("ROCKWICK_CHECKPOINT_INTERVAL_S")
+        .help("Time of work after which a task renews its checkpoint; empty if unknown")
+        .argument("SECONDS")
+        .fallback(String::new());
+    let checkpoint_restore_ms = long("checkpoint-restore-ms")
+        .env("ROCKWICK_CHECKPOINT_RESTORE_MS")
+        .help("Time that a run takes to continue from a checkpoint; empty if unknown")
+        .argument("MS")
+        .fallback(String::new());
+    construct!(DeploymentFlags {
+        remote_data_factor,
+        host_orders_per_s,
+        host_move_cost_ms,
+        checkpoint_interval_s,
+        checkpoint_restore_ms
     })
 }
 
@@ -116,6 +168,8 @@
     pub config_within_ms: Millis,
     /// How long the last known configuration stays in force while reads of the operator's table fail.
     pub config_outage_ms: Millis,
+    /// Figures of the deployment for the scheduler.
+    pub deployment: Deployment,
 }
 
 impl ServeFlags {
@@ -140,10 +194,43 @@
                 &self.config_outage_ms,
                 CONFIG_OUTAGE_MS,
             )?,
+            deployment: self.deployment.check()?,
+        })
+    }
+}
+
+impl DeploymentFlags {
+    fn check(&self) -> Result<Deployment> {
+        Ok(Deployment {
+            remote_data_factor_milli: parse_milli("remote-data-factor", &self.remote_data_factor)?,
+            host_orders_per_s: parse_milli("host-orders-per-s", &self.host_orders_per_s)? / 1_000,
+            host_move_cost_ms: match parse_milli("host-move-cost-ms", &self.host_move_cost_ms)? {
+                0 => HOST_MOVE_COST_MS,
+                milli => milli / 1_000,
+            },
+            checkpoint_interval_ms: parse_milli(
+                "checkpoint-interval-s",
+                &self.checkpoint_interval_s,
+            )?,
+            checkpoint_restore_ms: parse_milli(
+                "checkpoint-restore-ms",
+                &self.checkpoint_restore_ms,
+            )? / 1_000,
         })
     }
 }
 
+/// Parses a decimal number and returns it in thousandths, or 0 for an empty value.
+fn parse_milli(flag: &str, value: &str) -> Result<u64> {
+    if value.is_empty() {
+        return Ok(0);
+    }
+    match value.parse::<f64>() {
+        Ok(number) if (0.0..=1e9).contains(&number) => Ok((number * 1_000.0).round() as u64),
+        _ => usage_error(flag, value, "a number from 0 to 1000000000"),
+    }
+}
+
 fn check_cpu_share(share: f64) -> Result<u64> {
     let milli = (share * 1_000.0).round();
     if (1.0..=1_000_000.0).contains(&milli) {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -24,6 +24,7 @@
         pool: PoolKey(0),
         me: "entry",
         cpu_milli: 250,
+        deployment: Default::default(),
         until_ms: u64::MAX,
         timers: &mut timers,
         out: &mut effects,
