Pace what fills beside tasks that serve

A serving step's target (tail_max_ms) was decoded and used nowhere: what fills kept it over its target for as long as it ran.

Each report of a worker that has both adjusts the pace of what fills: halved with each settled figure over the target, raised in steps under four fifths of it, full again where the serving task is over its target even at pace 0. A quarter or less for 6 s moves one filling task, within its step's allowance. Orders without an answer are repeated until no earlier one can be carried out any more; a new owner sets runs of unknown pace to what its first figure asks.

Ruled out: stopping what fills (loses its work and start each time), a model of each image's disturbance (it changes within seconds).

--- a/src/core/sched/advice.rs
+++ b/src/core/sched/advice.rs
@@ -1,19 +1,20 @@
-//! Asks the advice service which workers may run a step, and keeps the tickets in its answers.
+//! Asks the advice service which workers may run a step.
 //!
 //! The load that this handles: the service takes a time for each call and for each worker that the call names, and
 //! answers one call at a time, while several steps wait for their first start. So a call names only as many workers as
 //! the waiting tasks of one step need, those with room first, and steps are asked about in the order of placement.
 //!
-//! Tickets are kept by worker instance and in memory alone: they end within seconds, and a new owner asks again. The
-//! [reducer](super::reduce) calls [`request`] after each event, and placement asks [`may_start`].
+//! The reducer calls [`request`] after each round of placement. What was said is kept in [`tickets`](super::tickets).
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
-use super::keys::{JobKey, StepKey, TaskKey, WorkerKey};
+use super::job::StepSpec;
+use super::keys::{JobKey, StepKey, WorkerKey};
 use super::limits::PLACE_SCAN_MAX;
 use super::pool_state::PoolState;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::{Phase, Round, StepRun};
+use super::tickets::{AdviceRequest, StepAdvice, Ticket, WORKERS_USUAL};
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -22,13 +23,6 @@
 /// Most workers that a call may name.
 const WORKERS_MAX: usize = 100;
 
-/// Fewest workers that a call names while that many have not been asked about: the platform counts a call of this size
-/// in a step's time.
-pub(super) const WORKERS_USUAL: usize = 30;
-
-/// A ticket is used for a start only if it is valid for at least this long: the time to record the start and to send it.
-const START_MARGIN_MS: Millis = 250;
-
 /// Pause after the first call without an answer. Doubles with each further one up to [`PAUSE_MAX_MS`].
 const PAUSE_MS: Millis = 100;
 
@@ -38,116 +32,11 @@
 /// Added to three times the service's own time for the calls of other pools that are answered first.
 const TIMEOUT_SLACK_MS: Millis = 1_000;
 
-/// A ticket of one worker instance for one step.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Ticket {
-    text: String,
-    /// When it ends: its validity counted from the time when the call was sent.
-    until_ms: Millis,
-}
-
-/// What the service has said about one step.
-#[derive(Clone, Debug, Default)]
-struct StepAdvice {
-    /// Newest ticket of each worker that may run the step, also after its end.
-    tickets: HashMap<WorkerKey, Ticket>,
-    /// Workers that may not run the step.
-    ruled_out: HashSet<WorkerKey>,
-}
-
-impl StepAdvice {
-    fn is_known(&self, worker: WorkerKey) -> bool {
-        self.tickets.contains_key(&worker) || self.ruled_out.contains(&worker)
-    }
-
-    fn is_valid(&self, worker: WorkerKey, now_ms: Millis) -> bool {
-        let ticket = self.tickets.get(&worker);
-        ticket.is_some_and(|ticket| now_ms + START_MARGIN_MS < ticket.until_ms)
-    }
-}
-
-/// What an owner knows from the advice service.
-#[derive(Clone, Debug, Default)]
-pub struct AdviceBook {
-    /// Whether some job of the pool needs advice.
-    is_used: bool,
-    steps: HashMap<StepKey, StepAdvice>,
-    /// Whether a call is under way.
-    is_asking: bool,
-    /// Number of calls without an answer since the last answer.
-    failures: u32,
-    /// Time before which no call is sent.
-    paused_until_ms: Millis,
-}
-
-impl AdviceBook {
-    /// Notes the terms that apply to a job.
-    pub fn note_terms(&mut self, terms: Option<AdviceTerms>) {
-        self.is_used |= terms.is_some();
-    }
-
-    /// Returns the ticket of a worker for a step, whether or not it is still valid.
-    pub fn ticket(&self, step: StepKey, worker: WorkerKey) -> Option<&str> {
-        let ticket = self.steps.get(&step)?.tickets.get(&worker)?;
-        Some(&ticket.text)
-    }
-
-    /// Drops the ticket of a worker that has refused it.
-    pub fn drop_ticket(&mut self, step: StepKey, worker: WorkerKey) {
-        if let Some(advice) = self.steps.get_mut(&step) {
-            advice.tickets.remove(&worker);
-        }
-    }
-}
-
-/// A call for advice about one step.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AdviceRequest {
-    /// The step.
-    pub step: StepKey,
-    /// Name of the step.
-    pub name: StepName,
-    /// The workers to ask about.
-    pub workers: Vec<WorkerKey>,
-    /// Ids of these workers, in the same order.
-    pub worker_ids: Vec<String>,
-    /// Time after which the call counts as unanswered.
-    pub timeout_ms: Millis,
-}
-
 /// Returns the terms of the advice service for a job.
 fn terms(pool_state: &PoolState, job: JobKey) -> Option<AdviceTerms> {
     pool_state.jobs.get(job)?.policy.advice
 }
 
-/// Returns the time that is expected for a step's advice before its tasks can start.
-pub(super) fn expected_ms(terms: Option<AdviceTerms>) -> Millis {
-    terms.map_or(0, |terms| terms.call_ms(WORKERS_USUAL))
-}
-
-/// Returns whether a worker is known not to be allowed to run a task.
-pub(super) fn is_ruled_out(pool_state: &PoolState, task: TaskKey, worker: WorkerKey) -> bool {
-    if !pool_state.advice.is_used {
-        return false;
-    }
-    let advice = pool_state.advice.steps.get(&StepKey::from(task));
-    advice.is_some_and(|advice| advice.ruled_out.contains(&worker))
-}
-
-/// Returns whether a task may be started on a worker now, as far as advice goes.
-pub(super) fn may_start(
-    pool_state: &PoolState,
-    task: TaskKey,
-    worker: WorkerKey,
-    now_ms: Millis,
-) -> bool {
-    if !pool_state.advice.is_used || terms(pool_state, task.job).is_none() {
-        return true;
-    }
-    let advice = pool_state.advice.steps.get(&StepKey::from(task));
-    advice.is_some_and(|advice| advice.is_valid(worker, now_ms))
-}
-
 /// Requests the next call, if a step needs one and none is under way.
 pub fn request(pool_state: &mut PoolState, ctx: &mut Ctx<'_>) {
     let book = &pool_state.advice;
@@ -292,7 +181,7 @@
 }
 
 /// Returns how many tasks of a step fit on a worker now.
-fn places_on(worker: &Worker, spec: &super::job::StepSpec) -> u64 {
+fn places_on(worker: &Worker, spec: &StepSpec) -> u64 {
     let (free, demand) = (worker.free(), spec.demand());
     let most = match spec.per_worker_max {
         0 => u64::MAX,
--- a/src/core/sched/gang.rs
+++ b/src/core/sched/gang.rs
@@ -5,7 +5,6 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::advice;
 use super::keys::{TaskKey, WorkerKey};
 use super::place;
 use super::pool_state::PoolState;
@@ -86,7 +85,7 @@
                 && is_below_max
                 && w.fits(used)
                 && place::meets_constraints(pool_state, *member, spec, *key)
-                && advice::may_start(pool_state, *member, *key, now_ms)
+                && pool_state.has_ticket(*member, *key, now_ms)
         });
         let cost = |key: &WorkerKey| {
             let (used, _) = taken.get(key).copied().unwrap_or_default();
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -225,6 +225,7 @@
     });
     pool_state.jobs_by_id.insert(row.key.clone(), key);
     pool_state.advice.note_terms(policy.advice);
+    pool_state.pace.note_spec(&pool_state.jobs[key].spec);
     Some(key)
 }
 
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -6,11 +6,10 @@
 use std::cell::Cell;
 use std::collections::HashSet;
 
-use super::advice;
 use super::free_index::Slot;
 use super::gang;
 use super::job::{JobState, StepSpec};
-use super::keys::{TaskKey, WorkerKey};
+use super::keys::{StepKey, TaskKey, WorkerKey};
 use super::limits::{SUSPEND_MAX_MS, SUSPEND_MS};
 use super::pool_state::PoolState;
 use super::reservations;
@@ -27,6 +26,9 @@
 /// would have to move.
 const DUE_HOST_COST_MILLI: u64 = 700;
 
+/// Added to a worker's cost, in thousandths, for a filling task if what fills there is paced down already.
+const PACED_DOWN_COST_MILLI: u64 = 2_000;
+
 /// Added to a worker's cost, in thousandths, for each consecutive task failure on the worker.
 const FAILURE_COST_MILLI: u64 = 300;
 
@@ -203,7 +205,7 @@
         }
         self.has_room.set(true);
         meets_constraints(self.pool_state, self.key, self.spec, key)
-            && advice::may_start(self.pool_state, self.key, key, self.now_ms)
+            && self.pool_state.has_ticket(self.key, key, self.now_ms)
             && !should_avoid(self.pool_state, self.key, self.spec, key, self.now_ms)
             && !(self.must_be_placed_apart && self.pool_state.is_watched(key))
     }
@@ -265,7 +267,8 @@
     spec: &StepSpec,
     worker: WorkerKey,
 ) -> bool {
-    if advice::is_ruled_out(pool_state, key, worker) {
+    let step = StepKey::from(key);
+    if pool_state.advice.is_ruled_out(step, worker) {
         return false;
     }
     let worker = &pool_state.workers[worker];
@@ -298,6 +301,9 @@
     {
         cost += REMOTE_DATA_COST_MILLI;
     }
+    if spec.filler && pool_state.pace.is_paced_down(worker) {
+        cost += PACED_DOWN_COST_MILLI;
+    }
     if spec.lasting && w.awaits_wave {
         cost += DUE_HOST_COST_MILLI;
     }
--- a/src/core/sched/policy.rs
+++ b/src/core/sched/policy.rs
@@ -4,13 +4,13 @@
 //! therefore writes the queue's policy with it, an owner records each policy that has changed since, and the newest
 //! known one applies.
 
-use super::advice;
 use super::job::{JobSpec, QueuePolicy};
 use super::keys::JobKey;
 use super::limits::HOPELESS_FACTOR;
 use super::pool_state::PoolState;
 use super::state::Ctx;
 use super::tasks::Job;
+use super::tickets;
 use crate::clock::{Millis, Now};
 use crate::port::fleet::FleetConfig;
 
@@ -48,7 +48,7 @@
 impl Deadlines {
     /// Computes the deadlines of a job whose steps are expected to take the times in `step_ms`.
     pub(super) fn new(spec: &JobSpec, step_ms: &[Millis], policy: QueuePolicy, now: Now) -> Self {
-        let advice_ms = advice::expected_ms(policy.advice);
+        let advice_ms = tickets::expected_ms(policy.advice);
         let step_ms: Vec<Millis> = step_ms.iter().map(|ms| ms + advice_ms).collect();
         let chain_ms = spec.longest_chain_ms(&step_ms, |_| true);
         let objective_ms = policy.target_ms + chain_ms * policy.stretch_milli / 1_000;
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -8,15 +8,16 @@
 use slotmap::SlotMap;
 
 use super::accounts::AccountUse;
-use super::advice::AdviceBook;
 use super::free_index::FreeIndex;
 use super::job::{JobState, StepSpec};
-use super::keys::{AccountKey, JobKey, PoolStateId, TaskKey, WorkerKey};
+use super::keys::{AccountKey, JobKey, PoolStateId, StepKey, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, CALM_WAIT_MAX_MS, FORGOTTEN_KEPT_MS};
 use super::order::ScanCursor;
+use super::pace::PaceBook;
 use super::reservations::Reservations;
 use super::run_log::StartAnswers;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
+use super::tickets::AdviceBook;
 use super::times::Times;
 use super::worker::{AppliedEnd, Worker};
 use crate::clock::Millis;
@@ -111,6 +112,8 @@
     pub orphans: Vec<(usize, String)>,
     /// What the advice service has said about steps.
     pub advice: AdviceBook,
+    /// What is known of the pace of runs.
+    pub pace: PaceBook,
     /// Recent running times of steps.
     pub times: Times,
     /// Recently arrived jobs: arrival time, and work in core-milliseconds.
@@ -146,6 +149,13 @@
         step.tasks.get_mut(usize::from(key.index))
     }
 
+    /// Returns whether the advice service lets a task start on a worker now. Always true on queues without advice.
+    pub(super) fn has_ticket(&self, key: TaskKey, worker: WorkerKey, now_ms: Millis) -> bool {
+        let terms = self.jobs.get(key.job).and_then(|job| job.policy.advice);
+        let step = StepKey::from(key);
+        self.advice.may_start(terms, step, worker, now_ms)
+    }
+
     /// Returns the specification of the task's step.
     pub fn step_spec(&self, key: TaskKey) -> Option<&StepSpec> {
         self.jobs
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -24,6 +24,7 @@
 use super::load;
 use super::offers::OFFERS_KEY;
 use super::owner_lease;
+use super::pacing;
 use super::place;
 use super::policy;
 use super::pool_state::PoolState;
@@ -84,11 +85,22 @@
                 runs::settle_stop(pool_state, task, run, reply, ctx)
             });
         }
+        Event::Paced(pool, id, task, run, percent, reply) => {
+            with_pool_state(state, pool, id, now, &mut out, |pool_state, ctx| {
+                pacing::apply_reply(pool_state, task, run, percent, reply, ctx);
+                false
+            });
+        }
         // The worker reports the same to the next owner. Taking the report in here would delay the handover.
         Event::WorkerRenewed(..) if state.is_stopping() => {}
         Event::WorkerRenewed(pool, id, worker, sent_ms, result) => {
             with_pool_state(state, pool, id, now, &mut out, |pool_state, ctx| {
-                renewal::settle(pool_state, worker, sent_ms, result, id.epoch, ctx)
+                let shared = pacing::shared_runs(pool_state, worker, &result);
+                let is_lost = renewal::settle(pool_state, worker, sent_ms, result, id.epoch, ctx);
+                if let Some(shared) = shared.filter(|_| !is_lost) {
+                    pacing::regulate(pool_state, worker, &shared, id.epoch, ctx);
+                }
+                is_lost
             });
         }
         Event::Advised(pool, id, step, workers, sent_ms, result) => {
@@ -609,6 +621,7 @@
             runs::end_exhausted_jobs(pool_state, epoch, ctx);
             halls::move_lasting(pool_state, epoch, ctx);
             renewal::renew_stuck(pool_state, epoch, ctx);
+            pacing::drop_ended(pool_state);
             pool_state.wants_placing = true;
             // The set of timers merges only equal timers that are due at the same time. The check keeps further cycles
             // of this timer from running side by side.
--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -13,6 +13,7 @@
     RECORDING_WAIT_MS, RENEWAL_IDLE_WAIT_MS, RENEWAL_RETRY_MS, RENEWAL_WAIT_MS, REPORT_GAP_MAX_MS,
     SAME_INSTANCE_MS, WORKER_LEASE_MS,
 };
+use super::pace;
 use super::pool_state::PoolState;
 use super::restarts;
 use super::run_log;
@@ -30,6 +31,7 @@
 /// Sends the next renewal to a worker unless one is in flight.
 pub fn send_next(pool_state: &mut PoolState, key: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
     let last_acknowledgeable = pool_state.last_acknowledgeable_end(key);
+    let is_watched = pool_state.pace.watches(key);
     let Some(w) = pool_state.workers.get_mut(key) else {
         return;
     };
@@ -67,6 +69,7 @@
         (None, _) => 0,
         // The worker would not wait in any case: it answers at once with the ends that are not recorded yet.
         _ if !w.unrecorded.is_empty() => 0,
+        _ if is_watched => pace::REPORT_MS,
         (Some(_), true) => RENEWAL_IDLE_WAIT_MS,
         (Some(_), false) => RENEWAL_WAIT_MS,
     };
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -4,7 +4,6 @@
 //! A recorded run may be executing until its worker reports otherwise, the worker's instance has ended, or every lease
 //! and order given to the worker has expired. Only then is the task's next run placed.
 
-use super::advice;
 use super::crashes::{self, Evidence};
 use super::fencing_token;
 use super::gang;
@@ -76,7 +75,7 @@
     }
     let checkpoint = task.checkpoint.clone();
     let is_unsent = task.phase == Phase::Recording(worker);
-    if is_unsent && !advice::may_start(pool_state, key, worker, ctx.now.ms) {
+    if is_unsent && !pool_state.has_ticket(key, worker, ctx.now.ms) {
         note_never_started(pool_state, key);
         requeue_task(
             pool_state,
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -6,7 +6,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::advice::AdviceRequest;
 use super::deployment::Deployment;
 use super::hosts::{HostController, HostTask};
 use super::keys::{JobKey, PoolStateId, StepKey, TaskKey, WorkerKey};
@@ -18,6 +17,7 @@
 use super::rows::{WaveRow, SHARDS};
 use super::sizing::Sizing;
 use super::standby::{self, Standbys};
+use super::tickets::AdviceRequest;
 use super::wave::WaveController;
 use super::worker_list::ListChanges;
 use crate::clock::{Millis, Now};
@@ -275,6 +275,8 @@
     Started(PoolKey, PoolStateId, TaskKey, u32, OrderReply),
     /// An order to stop a run was answered: pool, state id, task, run, reply.
     Stopped(PoolKey, PoolStateId, TaskKey, u32, OrderReply),
+    /// An order that set the pace of a run was answered: pool, state id, task, run, percentage, reply.
+    Paced(PoolKey, PoolStateId, TaskKey, u32, u32, OrderReply),
     /// A renewal of a worker's lease was answered: pool, state id, worker, send time, result.
     WorkerRenewed(
         PoolKey,
@@ -384,8 +386,8 @@
     Stop(Order, TaskKey, TaskName, u32),
     /// Stop a run that the in-memory state does not contain: order, task, run. Nothing waits for the answer.
     StopStray(Order, TaskName, u32),
-    /// Set the pace of a run as a percentage of full speed: order, task, run, percentage.
-    Pace(Order, TaskName, u32, u32),
+    /// Set the pace of a run as a percentage of full speed: order, key and name of the task, run, percentage.
+    Pace(Order, TaskKey, TaskName, u32, u32),
     /// Renew a worker's lease.
     RenewWorker(Order, WorkerKey, RenewalRequest),
     /// Ask the advice service which workers may run a step.
--- a/src/event.rs
+++ b/src/event.rs
@@ -137,6 +137,8 @@
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
     AdviceGiven, 665, "advice-given", "The advice service named the workers that may run a step; the event shows how many were asked about and allowed.";
     AdviceFailed, 666, "advice-failed", "A call for advice got no answer; the next one follows after a pause.";
+    PaceChanged, 667, "pace-changed", "The pace of what fills on a worker changed; the event shows how far the worst serving task there is from its target.";
+    FillerMoved, 668, "filler-moved", "A filling task is stopped to be placed elsewhere, because what serves beside it leaves it next to no pace.";
 }
 
 impl Code {
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -17,13 +17,13 @@
 use super::owned::OwnedPools;
 use super::shared::Shared;
 use crate::clock::Millis;
-use crate::core::sched::advice::AdviceRequest;
 use crate::core::sched::hosts::{controller_pool, HostTask};
 use crate::core::sched::limits::{
     ORDER_TIMEOUT_MS, RENEWAL_SLACK_MS, TX_RETRY_MS, TX_TIMEOUT_MAX_MS, TX_TIMEOUT_MS,
 };
 use crate::core::sched::quota::quota_part;
 use crate::core::sched::state::{Effect, Event, LoadedRows, Order, State};
+use crate::core::sched::tickets::AdviceRequest;
 use crate::core::sched::{reduce, rows};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
@@ -275,16 +275,18 @@
                     None
                 });
             }
-            Effect::Pace(order, name, run, percent) => {
+            Effect::Pace(order, task, name, run, percent) => {
                 self.spawn(async move {
-                    if may_send(&shared, &order) {
-                        // If no answer comes, the next report shows the old pace.
+                    let reply = if may_send(&shared, &order) {
                         let timeout_ms = ORDER_TIMEOUT_MS;
-                        let _ = platform
+                        platform
                             .pace(&order.to, &name, run, percent, timeout_ms)
-                            .await;
-                    }
-                    None
+                            .await
+                    } else {
+                        OrderReply::TooLate
+                    };
+                    let (pool, pool_state) = (order.pool, order.pool_state);
+                    Some(Event::Paced(pool, pool_state, task, run, percent, reply))
                 });
             }
             Effect::RenewWorker(order, worker, request) => {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -45,6 +45,7 @@
 mod test_offers;
 mod test_old_conflicts;
 mod test_overload;
+mod test_pace;
 mod test_packing;
 mod test_place;
 mod test_platform;
--- a/tests/world/advice.rs
+++ b/tests/world/advice.rs
@@ -1,7 +1,7 @@
 //! The advice service: it names the worker instances that may run a step, and gives tickets that end.
 
-use rockwick::core::sched::advice::AdviceRequest;
 use rockwick::core::sched::keys::PoolStateId;
+use rockwick::core::sched::tickets::AdviceRequest;
 use rockwick::port::fleet::{AdviceAnswer, AdviceError, AdviceTerms, StepName};
 
 use super::*;
--- a/tests/world/effects.rs
+++ b/tests/world/effects.rs
@@ -166,7 +166,21 @@
             Effect::Advise(pool, pool_state, request) => {
                 self.ask_advice(n, pool, pool_state, request);
             }
-            Effect::Pace(..) => {}
+            Effect::Pace(order, task, name, run, percent) => {
+                let late = LateOrder::Pace(order.to.fence, name.clone(), run, percent);
+                let (after_ms, reply) = if let Some(reply) = self.misaddressed_reply(&order.to) {
+                    (self.draw_delay_ms(), reply)
+                } else if self.is_order_delivered(&order.to.worker, late) {
+                    let reply =
+                        self.set_pace(&order.to.worker, order.to.fence, &name, run, percent);
+                    (self.draw_delay_ms(), reply)
+                } else {
+                    (ORDER_TIMEOUT_MS, OrderReply::Silent)
+                };
+                let pool_state = order.pool_state;
+                let event = Event::Paced(order.pool, pool_state, task, run, percent, reply);
+                self.schedule_reply(n, after_ms, event);
+            }
         }
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -13,6 +13,7 @@
 mod extras;
 mod halls;
 mod jobs;
+mod pace;
 mod restart;
 mod standbys;
 mod start_history;
@@ -128,6 +129,8 @@
     since_ms: u64,
     /// When a lasting task begins to work.
     at_work_ms: u64,
+    /// Share of its full speed at which the run works.
+    pace_percent: u64,
 }
 
 /// An instance of a worker.
@@ -229,6 +232,8 @@
     has_evacuations: bool,
     /// Number of runs started in each hall.
     pub(crate) starts_by_hall: BTreeMap<String, u64>,
+    /// How much a filling task at full pace adds to the tails of what serves beside it, in percent of their targets.
+    pub(crate) disturbance_percent: u64,
     /// The advice service.
     pub(crate) advice: advice::Service,
     /// Whether entries take part in the slots of standbys.
@@ -310,6 +315,7 @@
             evacuated_since_ms: BTreeMap::new(),
             has_evacuations: false,
             starts_by_hall: BTreeMap::new(),
+            disturbance_percent: 0,
             advice: Default::default(),
             has_standbys: false,
             owner_rows_delivered: 0,
--- a/tests/world/timed_events.rs
+++ b/tests/world/timed_events.rs
@@ -31,6 +31,7 @@
     Start(u64, RunStart),
     Stop(u64, TaskName, u32),
     Renew(u64, RenewalRequest),
+    Pace(u64, TaskName, u32, u32),
 }
 
 pub(super) struct QueuedEvent {
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -111,6 +111,7 @@
             demand,
             since_ms: now_ms,
             at_work_ms,
+            pace_percent: 100,
         };
         w.running.insert(start.task.clone(), run);
         self.starts += 1;
@@ -253,6 +254,7 @@
         request: RenewalRequest,
     ) -> Result<RenewalReport, OrderReply> {
         let now_ms = self.now_ms;
+        let tails_ms = self.tails_ms(id);
         let w = self.workers.get_mut(id).filter(|w| w.is_up);
         let w = w.ok_or(OrderReply::Refused)?;
         if fence < w.fence {
@@ -281,7 +283,7 @@
                     run: r.run,
                     checkpoint: String::new(),
                     percent: if now_ms >= r.at_work_ms { 100 } else { 0 },
-                    gauge: 0,
+                    gauge: tails_ms.get(task).copied().unwrap_or(0),
                 })
                 .collect(),
             ended: w.ended.clone(),
@@ -414,6 +416,9 @@
                 self.stop_run(id, fence, &task, run);
                 self.is_late_order = false;
             }
+            LateOrder::Pace(fence, task, run, percent) => {
+                self.set_pace(id, fence, &task, run, percent);
+            }
             LateOrder::Renew(fence, request) => {
                 // The answer to a late renewal is lost.
                 let _ = self.renew_lease(id, fence, request);
