--- a/tests/test_pace.rs
+++ b/tests/test_pace.rs
@@ -45,7 +45,14 @@
 #[test]
 fn pace_changing_disturbance() {
     // The disturbance begins and ends every 5 s.
-    let waves = |ms: u64, pace: u64| 500 + pace * if ms / 5_000 % 2 == 0 { 12 } else { 1 };
+    let waves = |ms: u64, pace: u64| {
+        500 + pace
+            * if (ms / 5_000).is_multiple_of(2) {
+                12
+            } else {
+                1
+            }
+    };
     let (over_ms, _) = play(60_000, waves);
     assert!(over_ms < HARM_MS, "over for {over_ms} ms");
 }
