Count the fraction of a request that a bucket has earned

Cause: a bucket advanced its time by all that had passed, but added whole thousandths only; asked every 4 ms, a third of a request a second earned 15 in a minute in place of 20. The time that earned nothing now counts for the next call. admit_quota_small: 15 of 20 before, passes now.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -41,12 +41,10 @@
             return Ok(());
         }
         let passed_ms = now_ms.saturating_sub(self.filled_ms);
-        self.filled_ms = now_ms;
         // Thousandths per second times milliseconds; the division by 1000 ms gives thousandths.
         let earned = self.rate_milli_per_s * passed_ms / 1_000;
-        if earned == 0 {
-            self.filled_ms = now_ms - passed_ms;
-        }
+        // The time that earned no whole thousandth counts for the next call.
+        self.filled_ms += earned * 1_000 / self.rate_milli_per_s;
         self.saved_milli = (self.saved_milli + earned).min(self.burst_milli);
         if self.saved_milli >= MILLI {
             self.saved_milli -= MILLI;
--- a/tests/test_admit.rs
+++ b/tests/test_admit.rs
@@ -21,6 +21,15 @@
     assert!(taken >= most * 95 / 100, "{taken} of {most}");
 }
 
+#[test]
+fn admit_quota_small() {
+    // A third of one request a second, asked for more often than a thousandth of a request is earned.
+    let mut bucket = Bucket::new(1, 1, 3, 0);
+    let taken = (0..60_000).step_by(4).filter(|ms| bucket.take(*ms).is_ok());
+    let taken = taken.count();
+    assert!((19..=21).contains(&taken), "{taken} of 20 in a minute");
+}
+
 #[test]
 fn admit_quota_wait() {
     let mut bucket = Bucket::new(2, 1, 1, 0);
