--- a/src/core/sched/instances.rs
+++ b/src/core/sched/instances.rs
@@ -46,7 +46,7 @@
             return;
         };
         self.dropped_ids
-            .retain(|_, (restarts, at_ms)| *restarts > 0 || now_ms < *at_ms + DROPPED_KEPT_MS);
+            .retain(|_, (_, at_ms)| now_ms < *at_ms + DROPPED_KEPT_MS);
         if worker.has_been_listed() {
             let id = worker.info.id.clone();
             let dropped = self.dropped_ids.entry(id).or_default();
--- a/tests/test_instances.rs
+++ b/tests/test_instances.rs
@@ -126,3 +126,18 @@
     let over_ms = pool_state.workers.get(one).map(|w| w.lease_end_ms);
     assert_eq!(over_ms, Some(9_000), "its lease stays valid");
 }
+
+/// An id that has restarted is remembered while orders to its former instances may be on their way, and no longer.
+#[test]
+fn instances_dropped_ids_forgotten() {
+    let mut pool_state = PoolState::default();
+    for n in 0..100 {
+        let key = add_answering_worker(&mut pool_state, listed_worker(&format!("w-{n}"), ""));
+        pool_state.workers[key].restarts = 1;
+        pool_state.remove_worker(key, 1_000);
+    }
+    assert_eq!(pool_state.restarts("w-0"), Some(1));
+    let key = add_answering_worker(&mut pool_state, listed_worker("last", ""));
+    pool_state.remove_worker(key, 100_000);
+    assert_eq!(pool_state.dropped_ids.len(), 1);
+}
