Do not read the reboot of a single host as a wave

Cause: host-back is logged by both programs, and the report took any reason for a wave's name. report_host_back_alone: a wave named after the reason before, none now.

--- a/src/report.rs
+++ b/src/report.rs
@@ -125,8 +125,10 @@
         } else if is(Code::HostClosing) {
             self.extend_wave(line.wave.to_string(), line.at_ms);
         } else if is(Code::HostBack) {
-            let wave = line.why.trim_start_matches("wave ");
-            self.extend_wave(wave.to_string(), line.at_ms);
+            // A host that was rebooted by itself belongs to no wave.
+            if let Some(wave) = line.why.strip_prefix("wave ") {
+                self.extend_wave(wave.to_string(), line.at_ms);
+            }
         } else if is(Code::WaveDone) {
             let wave = line.wave.as_str().unwrap_or_default();
             self.extend_wave(wave.to_string(), line.at_ms);
--- a/tests/test_report.rs
+++ b/tests/test_report.rs
@@ -42,6 +42,14 @@
     assert_eq!(report.unread_lines, 1);
 }
 
+#[test]
+fn report_host_back_alone() {
+    let line =
+        r#"{"at_ms":1,"event":407,"name":"host-back","host":"h","why":"the host has booted"}"#;
+    let report = Report::new(std::iter::once(line));
+    assert!(report.waves.is_empty(), "a reboot belongs to no wave");
+}
+
 #[test]
 fn report_prints() {
     let path = std::env::temp_dir().join(format!("rockwick-report-{}.log", std::process::id()));
