Refuse windows that never open and defaults out of a template's range

Cause: 08:00-08:00 was accepted and contains no time, so that a host in such a pool could never leave; and the product's own default of a field applied where it lies outside the range to which the template narrows the field. It is checked where a pool uses it: a template whose pools all name values is as valid as before. config_windows and config_default_in_range failed before, pass now.

--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -71,13 +71,14 @@
 }
 
 impl Window {
-    /// Parses `HH:MM-HH:MM`.
+    /// Parses `HH:MM-HH:MM`. A window that ends as it begins would never be open and is refused.
     pub fn parse(text: &str) -> Option<Self> {
         let (from, to) = text.split_once('-')?;
-        Some(Self {
+        let window = Self {
             from_ms: time_of_day(from)?,
             to_ms: time_of_day(to)?,
-        })
+        };
+        (window.from_ms != window.to_ms).then_some(window)
     }
 
     /// Whether the window is open at a wall-clock time.
@@ -462,8 +463,46 @@
         }
         match limits.and_then(|l| l.default.as_ref()) {
             Some(given) => self.check_value(name, kind, limits, given),
-            None => Ok(default.to_string()),
+            None => {
+                self.check_own_default(raw, name, kind, limits, default)?;
+                Ok(default.to_string())
+            }
+        }
+    }
+
+    /// Checks that the product's own default of a field, which a pool uses, is within the range to which its template
+    /// narrows the field.
+    fn check_own_default(
+        &self,
+        raw: &RawPool,
+        name: &str,
+        kind: FieldType,
+        limits: Option<&RawField>,
+        default: &str,
+    ) -> Checked<()> {
+        let Some(limits) = limits else {
+            return Ok(());
+        };
+        let is_allowed = match kind {
+            FieldType::Integer { .. } => {
+                let (min, max) = (limits.min.unwrap_or(0), limits.max.unwrap_or(i64::MAX));
+                default
+                    .parse::<i64>()
+                    .is_ok_and(|n| (min..=max).contains(&n))
+            }
+            FieldType::Choice(_) => {
+                let allowed = limits.allowed.as_ref();
+                allowed.is_none_or(|allowed| allowed.iter().any(|value| value == default))
+            }
+            FieldType::Windows => true,
+        };
+        if is_allowed {
+            return Ok(());
         }
+        let reason = format!(
+            "{name}: the default of {default} is not allowed by the template; name a value"
+        );
+        self.error_at(&raw.name, reason)
     }
 
     fn check_value(
--- a/tests/test_config.rs
+++ b/tests/test_config.rs
@@ -96,6 +96,22 @@
     assert_eq!(pool.pace_percent, 100);
 }
 
+#[test]
+fn config_default_in_range() {
+    // The product's own default, which applies where neither the pool nor the template names a value.
+    let text = CONFIG.replace(
+        "[template.fields.reserve]",
+        "[template.fields.pace_percent]\nmax = 50\n[template.fields.reserve]",
+    );
+    let error = parse(&text).expect_err("the default of 100 is over 50");
+    assert_eq!(error.line, 19, "{error}");
+    assert!(error.reason.contains("default"), "{error}");
+    let with_default = text.replace("max = 50", "max = 50\ndefault = 40");
+    assert!(parse(&with_default).is_ok());
+    let with_value = text.replace("serving_min = 2", "serving_min = 2\npace_percent = 30");
+    assert!(parse(&with_value).is_ok());
+}
+
 #[test]
 fn config_windows() {
     const HOUR_MS: u64 = 3_600_000;
@@ -111,6 +127,11 @@
         assert_eq!(day.contains(hour * HOUR_MS), in_day, "{hour}");
     }
     assert!(any_open(&[], 0));
+    assert!(
+        Window::parse("08:00-08:00").is_none(),
+        "it would never be open"
+    );
+    assert!(Window::parse("00:00-24:00").is_some());
     assert!(Window::parse("25:00-26:00").is_none());
 }
 
