Bound the turns of all waves together, and reopen hosts without a slot

Cause: the bound of a third of a pool's hosts counted the turns of one wave, so two waves closed six of nine hosts; and a closed host that was cleared while its wave had no free slot stayed closed for as long as that lasted. The bound now counts all turns, and such a host serves again after the time that bounds the closing, unless a slot was requested for it: that write may yet take effect. waves_share_bound (6 before, 3 now) and waves_no_slot_reopens failed before and pass now.

--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -261,6 +261,11 @@
                 if clear_host(pool_state, &host, since_ms, epoch, ctx) {
                     if take_slot(controller, wave, &host, (pool, epoch), ctx) {
                         pool_state.set_may_leave(&host);
+                    } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS
+                        && !pool_state.hosts_that_may_leave.contains(&host)
+                    {
+                        let why = "its wave has no free slot";
+                        reopen_host(pool_state, controller, &host, why, ctx);
                     }
                 } else if ctx.now.ms >= since_ms + CLOSE_MAX_MS {
                     reopen_host(
@@ -593,9 +598,12 @@
         .count();
     let left = candidates.len() + in_turn;
     let listed = pool_state.workers.values().filter(|w| w.is_listed).count();
+    // The bound is the pool's, so it counts the turns of all waves.
     let most = (listed / POOL_DIVISOR).max(1);
-    let allowed = turns_at_once(wave, left, ctx.now.ms).min(most);
-    for (host, _) in candidates.into_iter().take(allowed.saturating_sub(in_turn)) {
+    let of_pool = most.saturating_sub(controller.turns.len());
+    let allowed = turns_at_once(wave, left, ctx.now.ms);
+    let more = allowed.saturating_sub(in_turn).min(of_pool);
+    for (host, _) in candidates.into_iter().take(more) {
         pool_state.set_closing(&host, true);
         let turn = Turn::Closing(ctx.now.ms);
         ctx.log(
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -10,7 +10,7 @@
 use rockwick::event::{Code, Decision, Subject};
 use rockwick::port::fleet::{HostRecord, HostState, WaveOrder};
 
-use crate::decide::decide;
+use crate::decide::{add_answering_worker, decide};
 use crate::world::{listed_worker, POOL};
 
 const HOST: &str = "host-1";
@@ -165,3 +165,70 @@
         "the wait is logged again later"
     );
 }
+
+/// A pool of nine empty hosts and these waves over all of them, each with room for all.
+fn scenario_of_waves(numbers: &[u64]) -> Scenario {
+    let mut scenario = Scenario::new();
+    scenario.pool_state = PoolState::default();
+    let hosts: Vec<String> = (0..9).map(|n| format!("host-{n}")).collect();
+    for host in &hosts {
+        let info = listed_worker(&format!("w-{host}"), host);
+        add_answering_worker(&mut scenario.pool_state, info);
+    }
+    let wave = |number: &u64| {
+        let wave = WaveKnown {
+            order: WaveOrder {
+                wave: *number,
+                hosts: hosts.clone(),
+                duration_ms: 10_000,
+                out_max: 9,
+            },
+            seen_ms: 10_000,
+            ..WaveKnown::default()
+        };
+        (*number, wave)
+    };
+    scenario.waves = numbers.iter().map(wave).collect();
+    scenario
+}
+
+fn closed_hosts(scenario: &Scenario) -> Vec<String> {
+    let workers = scenario.pool_state.workers.values();
+    let closed = workers.filter(|w| w.is_closing);
+    closed.map(|w| w.info.host.clone()).collect()
+}
+
+/// Two waves together take no more of a pool's hosts at a time than one may.
+#[test]
+fn waves_share_bound() {
+    let mut one = scenario_of_waves(&[1]);
+    one.reconcile_once();
+    assert_eq!(closed_hosts(&one).len(), 3);
+    let mut two = scenario_of_waves(&[1, 2]);
+    two.reconcile_once();
+    two.reconcile_once();
+    assert_eq!(closed_hosts(&two).len(), 3);
+}
+
+/// A host that is cleared while its wave has no free slot serves its pool again.
+#[test]
+fn waves_no_slot_reopens() {
+    let mut scenario = scenario_of_waves(&[1]);
+    let wave = scenario.waves.get_mut(&1).expect("the wave is known");
+    wave.order.out_max = 1;
+    let taken = SlotRow {
+        pool: "another".to_string(),
+        is_ordered: true,
+        ..SlotRow::default()
+    };
+    wave.row.out.insert("elsewhere".to_string(), taken);
+    scenario.reconcile_once();
+    let first = closed_hosts(&scenario);
+    assert_eq!(first.len(), 1);
+    let mut has_opened = false;
+    for _ in 0..70 {
+        scenario.reconcile_once();
+        has_opened |= !closed_hosts(&scenario).contains(&first[0]);
+    }
+    assert!(has_opened, "the host is closed for longer than 6 s");
+}
