Deadlines by round of a scheduled job

Cause: due and hopeless times were those of the job, counted from its acceptance. A round that is due some intervals later counted as hopeless from its beginning: it waited behind all other work and asked for no hosts. The users count each round from its own due time.

Ruled out: moving the job's deadlines on with each round, since rounds overlap.

Change: a round holds its due and hopeless times and its deferral. Class, outlook, contender and the need for hosts go by round; an owner that loads rows computes the same from schedule and policy. A job without a schedule is one round that counts from acceptance, as before. test_overload builds its contenders with a RoundKey in place of a JobKey, all its assertions as they were.

--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -70,6 +70,14 @@
     pub interval_ms: Millis,
 }
 
+impl Schedule {
+    /// Returns the wall-clock time at which a round may begin.
+    pub fn due_wall_ms(&self, round: u32) -> Millis {
+        let after_ms = Millis::from(round).saturating_mul(self.interval_ms);
+        self.first_wall_ms.saturating_add(after_ms)
+    }
+}
+
 /// One step: a number of identical tasks.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/src/core/sched/keys.rs
+++ b/src/core/sched/keys.rs
@@ -24,6 +24,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AccountKey(pub u16);
 
+/// Identifies a round of a job in a pool's in-memory state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RoundKey {
+    /// Job that the round belongs to.
+    pub job: JobKey,
+    /// Number of the round, counted from 0.
+    pub round: u32,
+}
+
 /// Identifies a task in a pool's in-memory state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TaskKey {
@@ -36,3 +45,13 @@
     /// Index of the task within the step.
     pub index: u16,
 }
+
+impl TaskKey {
+    /// Returns the round that the task belongs to.
+    pub fn round_key(self) -> RoundKey {
+        RoundKey {
+            job: self.job,
+            round: self.round,
+        }
+    }
+}
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -192,7 +192,6 @@
     };
     let policy = policy::initial_policy(&spec, config);
     let step_ms = pool_state.times.expected_step_ms(&spec);
-    let deadlines = Deadlines::new(&spec, &step_ms, policy, ctx.now);
     *pool_state
         .waiting_jobs
         .entry(spec.queue.clone())
@@ -207,8 +206,6 @@
         rounds: Default::default(),
         rounds_begun: 0,
         policy,
-        due_ms: deadlines.due_ms,
-        hopeless_ms: deadlines.hopeless_ms,
         revision: ABSENT,
         recorded_digest: 0,
         account,
@@ -219,7 +216,6 @@
         changes: 0,
         recorded_changes: 0,
         finished_ms: None,
-        deferral: Default::default(),
         step_ms,
         spec,
     });
@@ -236,15 +232,12 @@
         let next = job.rounds_begun;
         let is_due = match job.spec.schedule {
             None => next == 0,
-            Some(s) => {
-                let due_wall_ms = s.first_wall_ms + Millis::from(next) * s.interval_ms;
-                next < s.rounds && ctx.now.wall_ms >= due_wall_ms
-            }
+            Some(s) => next < s.rounds && ctx.now.wall_ms >= s.due_wall_ms(next),
         };
         if !is_due || job.state.is_final() || job.is_unreadable {
             return;
         }
-        pool_state.begin_round(key, next, ctx.now.ms);
+        pool_state.begin_round(key, next, ctx.now);
     }
 }
 
@@ -296,7 +289,7 @@
         })
         .collect();
     for round in &progress.rounds {
-        apply_round(pool_state, key, round, &named_workers, ctx.now.ms);
+        apply_round(pool_state, key, round, &named_workers, ctx.now);
     }
 }
 
@@ -333,7 +326,7 @@
     job: JobKey,
     row: &RoundRow,
     named_workers: &[WorkerKey],
-    now_ms: Millis,
+    now: Now,
 ) {
     let spec = pool_state.jobs[job].spec.clone();
     let mut round = Round::default();
@@ -354,6 +347,7 @@
             is_open: false,
         });
     }
+    Deadlines::new(&pool_state.jobs[job], row.round, now).apply(&mut round);
     pool_state.jobs[job].rounds.insert(row.round, round);
     for (step, tasks) in row.steps.iter().enumerate() {
         for (index, task) in tasks.iter().enumerate() {
@@ -369,10 +363,10 @@
                 step: step as u16,
                 index: index as u16,
             };
-            pool_state.set_phase(key, Phase::Suspect(*worker), now_ms);
+            pool_state.set_phase(key, Phase::Suspect(*worker), now.ms);
         }
     }
-    pool_state.open_steps(job, row.round, now_ms);
+    pool_state.open_steps(job, row.round, now.ms);
 }
 
 fn task_from_row(row: &TaskRow) -> Task {
--- a/src/core/sched/order.rs
+++ b/src/core/sched/order.rs
@@ -1,13 +1,13 @@
-//! Orders waiting tasks by class and due time, and defers jobs that can't all be in time with the pool's capacity.
+//! Orders waiting tasks by class and due time, and defers rounds that can't all be in time with the pool's capacity.
 //!
 //! Placement takes its candidates from here; the owner of a pool calls `resort` regularly.
 
 use std::collections::HashMap;
 use std::ops::Bound;
 
-use super::keys::{JobKey, TaskKey};
+use super::keys::{RoundKey, TaskKey};
 use super::limits::{PLACE_SCAN_MAX, RESORT_MS};
-use super::overload::{self, Supply};
+use super::overload::{self, Contender, Supply};
 use super::pool_state::PoolState;
 use super::runs;
 use super::tasks::{Class, Outlook, Rank};
@@ -58,33 +58,53 @@
 
     pub(super) fn rank(&self, key: TaskKey, now_ms: Millis) -> Option<Rank> {
         let job = self.jobs.get(key.job)?;
+        let round = job.rounds.get(&key.round)?;
         let lasts = job.spec.steps.get(usize::from(key.step))?.lasting;
         let class = match lasts {
             true => Class::Lasting,
-            false => job.class(now_ms),
+            false => job.class(round, now_ms),
         };
         let weight_ms = if lasts { 0 } else { job.weight_ms(key.round) };
         Some(Rank {
             class,
-            due_ms: job.due_ms + weight_ms,
+            due_ms: round.due_ms + weight_ms,
             task: key,
         })
     }
 
-    /// Defers jobs where not all can be in time.
-    fn defer_jobs(&mut self, now_ms: Millis) {
+    /// Defers rounds where not all can be in time.
+    fn defer_rounds(&mut self, now_ms: Millis) {
         let supply = self.supply(now_ms);
-        let open = self.jobs.iter().filter(|(_, job)| {
-            let is_open = !job.state.is_final() && !job.spec.is_lasting();
-            let is_deferred = job.is_excess || job.deferral.is_set(now_ms);
-            is_open && !is_deferred && job.outlook(now_ms) == Outlook::InTime
-        });
-        let contenders = open.map(|(key, job)| job.contender(key)).collect();
-        for key in overload::jobs_to_defer(contenders, &supply, now_ms) {
-            self.jobs[key].deferral.set(now_ms);
+        let contenders = self.contenders(now_ms);
+        for key in overload::rounds_to_defer(contenders, &supply, now_ms) {
+            if let Some(round) = self.jobs[key.job].rounds.get_mut(&key.round) {
+                round.deferral.set(now_ms);
+            }
         }
     }
 
+    /// Returns the rounds that could be in time and are not deferred.
+    fn contenders(&self, now_ms: Millis) -> Vec<Contender> {
+        let open = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.state.is_final() && !job.spec.is_lasting() && !job.is_excess);
+        let mut contenders = Vec::new();
+        for (key, job) in open {
+            for (number, round) in &job.rounds {
+                let can_be_in_time = job.outlook(round, now_ms) == Outlook::InTime;
+                if can_be_in_time && !round.deferral.is_set(now_ms) {
+                    let key = RoundKey {
+                        job: key,
+                        round: *number,
+                    };
+                    contenders.push(job.contender(key, round));
+                }
+            }
+        }
+        contenders
+    }
+
     /// Returns the processors of the hosts that take work now and of those that are expected.
     fn supply(&self, now_ms: Millis) -> Supply {
         let open = self.workers.values().filter(|w| w.is_open(now_ms));
@@ -103,18 +123,22 @@
         }
     }
 
-    /// Ranks jobs that can't be in time, or not together with all others, behind those that can.
+    /// Ranks rounds that can't be in time, or not together with all others, behind those that can.
     pub fn resort(&mut self, now_ms: Millis) {
-        self.defer_jobs(now_ms);
+        self.defer_rounds(now_ms);
         let waiting: Vec<Rank> = self.ready.iter().copied().collect();
-        let mut classes: HashMap<JobKey, Class> = HashMap::new();
+        let mut classes: HashMap<RoundKey, Class> = HashMap::new();
         for rank in waiting.into_iter().filter(|r| r.class > Class::Lasting) {
-            let Some(job) = self.jobs.get(rank.task.job) else {
+            let key = rank.task.round_key();
+            let Some(job) = self.jobs.get(key.job) else {
+                continue;
+            };
+            let Some(round) = job.rounds.get(&key.round) else {
                 continue;
             };
             let class = *classes
-                .entry(rank.task.job)
-                .or_insert_with(|| job.class(now_ms));
+                .entry(key)
+                .or_insert_with(|| job.class(round, now_ms));
             if class != rank.class {
                 self.set_queued(rank.task, Some(Rank { class, ..rank }));
             }
--- a/src/core/sched/overload.rs
+++ b/src/core/sched/overload.rs
@@ -1,4 +1,5 @@
-//! Decides which jobs to defer where a pool has more work than capacity, so that as many as possible are in time.
+//! Decides which rounds of jobs to defer where a pool has more work than capacity, so that as many as possible are in
+//! time. A job without a schedule is one round.
 //!
 //! The overload that this handles: a queue gets five times its mean load for some seconds, more than its pool can
 //! run. With the earliest deadline first alone, each job waits for all before it, and nearly all end a little late.
@@ -9,7 +10,7 @@
 
 use std::collections::BinaryHeap;
 
-use super::keys::JobKey;
+use super::keys::RoundKey;
 use crate::clock::Millis;
 
 /// How long a job stays deferred, so that its tasks don't change places with others in each pass. This is about the
@@ -52,30 +53,34 @@
     }
 }
 
-/// A job that could be in time if it were alone.
+/// A round of a job that could be in time if it were alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Contender {
-    /// The job.
-    pub job: JobKey,
-    /// The latest time at which the job's last tasks may start for the job to be in time.
+    /// The round.
+    pub round: RoundKey,
+    /// The latest time at which the round's last tasks may start for the round to be in time.
     pub start_by_ms: Millis,
-    /// Duration of the tasks of the job's longest unfinished step.
+    /// Duration of the tasks of the round's longest unfinished step.
     pub task_ms: Millis,
-    /// Work of the job's tasks that have not started, in core-milliseconds.
+    /// Work of the round's tasks that have not started, in core-milliseconds.
     pub work_core_ms: u64,
 }
 
-/// Returns the jobs to defer so that the others can be in time.
-pub fn jobs_to_defer(mut jobs: Vec<Contender>, supply: &Supply, now_ms: Millis) -> Vec<JobKey> {
-    jobs.sort_unstable_by_key(|job| (job.start_by_ms, job.job));
-    let mut kept: BinaryHeap<(u64, JobKey)> = BinaryHeap::new();
+/// Returns the rounds to defer so that the others can be in time.
+pub fn rounds_to_defer(
+    mut contenders: Vec<Contender>,
+    supply: &Supply,
+    now_ms: Millis,
+) -> Vec<RoundKey> {
+    contenders.sort_unstable_by_key(|contender| (contender.start_by_ms, contender.round));
+    let mut kept: BinaryHeap<(u64, RoundKey)> = BinaryHeap::new();
     let mut sum = 0;
     let mut deferred = Vec::new();
-    for job in jobs {
-        kept.push((job.work_core_ms, job.job));
-        sum += job.work_core_ms;
-        let startable_work =
-            supply.startable_core_ms(job.start_by_ms.saturating_sub(now_ms), job.task_ms);
+    for contender in contenders {
+        kept.push((contender.work_core_ms, contender.round));
+        sum += contender.work_core_ms;
+        let left_ms = contender.start_by_ms.saturating_sub(now_ms);
+        let startable_work = supply.startable_core_ms(left_ms, contender.task_ms);
         while sum > startable_work {
             let Some((work, largest)) = kept.pop() else {
                 break;
@@ -87,19 +92,19 @@
     deferred
 }
 
-/// Whether a job is deferred, and until when.
+/// Whether a round is deferred, and until when.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Deferral {
     until_ms: Millis,
 }
 
 impl Deferral {
-    /// Defers the job for `DEFERRAL_MS` from now.
+    /// Defers the round for `DEFERRAL_MS` from now.
     pub fn set(&mut self, now_ms: Millis) {
         self.until_ms = now_ms + DEFERRAL_MS;
     }
 
-    /// Whether the job is deferred now.
+    /// Whether the round is deferred now.
     pub fn is_set(self, now_ms: Millis) -> bool {
         now_ms < self.until_ms
     }
--- a/src/core/sched/policy.rs
+++ b/src/core/sched/policy.rs
@@ -1,4 +1,5 @@
-//! Applies the policy of a job's queue: the attempts of its tasks and the time by which the job should be completed.
+//! Applies the policy of a job's queue: the attempts of its tasks and the time by which each of its rounds should be
+//! completed.
 //!
 //! An owner's configuration may be older than a job, or may no longer have its queue. The entry that accepts a job
 //! therefore writes the queue's policy with it, an owner records each policy that has changed since, and the newest
@@ -9,7 +10,7 @@
 use super::limits::HOPELESS_FACTOR;
 use super::pool_state::PoolState;
 use super::state::Ctx;
-use super::tasks::Job;
+use super::tasks::{Job, Round};
 use crate::clock::{Millis, Now};
 use crate::port::fleet::FleetConfig;
 
@@ -34,27 +35,44 @@
     other.filter(|other| !is_same(other)).unwrap_or(known)
 }
 
-/// Times at which a job is late and at which completing it loses its value.
+/// Times at which a round of a job is late and at which completing it loses its value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Deadlines {
-    /// Time by which the job should be completed.
+    /// Time by which the round should be completed.
     pub(super) due_ms: Millis,
-    /// Time after which completing the job has no value.
+    /// Time after which completing the round has no value.
     pub(super) hopeless_ms: Millis,
 }
 
 impl Deadlines {
-    /// Computes the deadlines of a job whose steps are expected to take the times in `step_ms`.
-    pub(super) fn new(spec: &JobSpec, step_ms: &[Millis], policy: QueuePolicy, now: Now) -> Self {
-        let chain_ms = spec.longest_chain_ms(step_ms, |_| true);
-        let objective_ms = policy.target_ms + chain_ms * policy.stretch_milli / 1_000;
-        let age_ms = now.wall_ms.saturating_sub(spec.accepted_wall_ms);
-        let begun_ms = now.ms.saturating_sub(age_ms);
+    /// Computes the deadlines of a round of a job. They count from the time at which the round may begin: the job's
+    /// acceptance, or the round's time in the schedule.
+    pub(super) fn new(job: &Job, round: u32, now: Now) -> Self {
+        let chain_ms = job.spec.longest_chain_ms(&job.step_ms, |_| true);
+        let objective_ms = job.policy.target_ms + chain_ms * job.policy.stretch_milli / 1_000;
+        let from_ms = match job.spec.schedule {
+            Some(schedule) => {
+                let from_wall_ms = schedule.due_wall_ms(round);
+                let wait_ms = from_wall_ms.saturating_sub(now.wall_ms);
+                let age_ms = now.wall_ms.saturating_sub(from_wall_ms);
+                (now.ms + wait_ms).saturating_sub(age_ms)
+            }
+            None => {
+                let age_ms = now.wall_ms.saturating_sub(job.spec.accepted_wall_ms);
+                now.ms.saturating_sub(age_ms)
+            }
+        };
         Self {
-            due_ms: begun_ms + objective_ms,
-            hopeless_ms: begun_ms + objective_ms * HOPELESS_FACTOR,
+            due_ms: from_ms + objective_ms,
+            hopeless_ms: from_ms + objective_ms * HOPELESS_FACTOR,
         }
     }
+
+    /// Sets the deadlines of a round.
+    pub(super) fn apply(self, round: &mut Round) {
+        round.due_ms = self.due_ms;
+        round.hopeless_ms = self.hopeless_ms;
+    }
 }
 
 impl Job {
@@ -64,10 +82,12 @@
         if newest == self.policy {
             return false;
         }
-        let deadlines = Deadlines::new(&self.spec, &self.step_ms, newest, now);
         self.policy = newest;
-        self.due_ms = deadlines.due_ms;
-        self.hopeless_ms = deadlines.hopeless_ms;
+        let numbers = self.rounds.keys();
+        let deadlines: Vec<Deadlines> = numbers.map(|n| Deadlines::new(self, *n, now)).collect();
+        for (round, deadlines) in self.rounds.values_mut().zip(deadlines) {
+            deadlines.apply(round);
+        }
         true
     }
 
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -13,12 +13,13 @@
 use super::keys::{AccountKey, JobKey, PoolStateId, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, CALM_WAIT_MAX_MS, FORGOTTEN_KEPT_MS};
 use super::order::ScanCursor;
+use super::policy::Deadlines;
 use super::reservations::Reservations;
 use super::run_log::StartAnswers;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::times::Times;
 use super::worker::{AppliedEnd, Worker};
-use crate::clock::Millis;
+use crate::clock::{Millis, Now};
 use crate::port::fleet::{Capacity, TaskName};
 
 /// A run that is running, or may still start, although an earlier run of its task has ended the task.
@@ -362,7 +363,7 @@
     }
 
     /// Begins a round: steps without predecessors are opened, all others stay blocked.
-    pub fn begin_round(&mut self, key: JobKey, number: u32, now_ms: Millis) {
+    pub fn begin_round(&mut self, key: JobKey, number: u32, now: Now) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -372,12 +373,14 @@
             longest_ms: 0,
             is_open: false,
         });
-        let round = Round {
+        let mut round = Round {
             steps: steps.collect(),
+            ..Round::default()
         };
+        Deadlines::new(job, number, now).apply(&mut round);
         job.rounds.insert(number, round);
         job.rounds_begun = job.rounds_begun.max(number + 1);
-        self.open_steps(key, number, now_ms);
+        self.open_steps(key, number, now.ms);
     }
 
     /// Opens the steps of a round whose predecessors are done.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -24,7 +24,7 @@
 use super::offers::OFFERS_KEY;
 use super::owner_lease;
 use super::place;
-use super::policy;
+use super::policy::{self, Deadlines};
 use super::pool_state::PoolState;
 use super::quota;
 use super::remove;
@@ -426,6 +426,7 @@
     else {
         return;
     };
+    let due_ms = Deadlines::new(job, 0, ctx.now).due_ms;
     ctx.log(
         Decision::new(
             Code::JobTaken,
@@ -438,7 +439,7 @@
             "chain_ms",
             job.spec.longest_chain_ms(&job.step_ms, |_| true),
         )
-        .with("due_in_ms", job.due_ms.saturating_sub(ctx.now.ms))
+        .with("due_in_ms", due_ms.saturating_sub(ctx.now.ms))
         .with("excess", u64::from(job.is_excess))
         .with("attempts_max", u64::from(job.policy.attempts_max))
         .with("config", config_version),
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -217,12 +217,15 @@
     let mut late = Capacity::default();
     let mut counted = vec![Capacity::default(); pool_state.accounts.len()];
     for job in pool_state.jobs.values().filter(|job| !job.state.is_final()) {
-        let sum = match job.outlook(now_ms) {
-            _ if job.spec.is_lasting() => &mut lasting,
-            Outlook::InTime if !job.is_excess => &mut in_time,
-            _ => &mut late,
-        };
-        sum.add(within_quota(pool_state, job, &mut counted));
+        for round in job.rounds.values() {
+            let sum = match job.outlook(round, now_ms) {
+                _ if job.spec.is_lasting() => &mut lasting,
+                Outlook::InTime if !job.is_excess => &mut in_time,
+                _ => &mut late,
+            };
+            let demand = round.open_demand(&job.spec);
+            sum.add(within_quota(pool_state, job, demand, &mut counted));
+        }
     }
     let arriving_cpu_milli = match has_offers {
         true => pool_state.min_arriving_cpu_milli(now_ms),
@@ -239,10 +242,14 @@
     }
 }
 
-/// Returns the demand of a job's open steps, as far as the account's quota could allow it in addition to what was
+/// Returns the part of a job's demand that its account may get, as far as the account's quota could allow it in addition to what was
 /// `counted` before.
-fn within_quota(pool_state: &PoolState, job: &Job, counted: &mut [Capacity]) -> Capacity {
-    let demand = job.open_demand();
+fn within_quota(
+    pool_state: &PoolState,
+    job: &Job,
+    demand: Capacity,
+    counted: &mut [Capacity],
+) -> Capacity {
     let Some(key) = job.account else {
         return demand;
     };
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use super::job::{JobSpec, JobState, QueuePolicy};
-use super::keys::{AccountKey, JobKey, TaskKey, WorkerKey};
+use super::keys::{AccountKey, RoundKey, TaskKey, WorkerKey};
 use super::limits::{SUSPECT_APART_MS, WORK_DELAY_MAX_MS, WORK_PER_MS};
 use super::overload::{Contender, Deferral};
 pub use super::worker_losses::{Seen, WorkerLosses};
@@ -131,6 +131,24 @@
 pub struct Round {
     /// Steps of the round.
     pub steps: Vec<StepRun>,
+    /// Time by which it should be completed.
+    pub due_ms: Millis,
+    /// Time after which completing it has no value.
+    pub hopeless_ms: Millis,
+    /// Set while other rounds can meet their objectives only if this one is deferred.
+    pub deferral: Deferral,
+}
+
+impl Round {
+    /// Returns the capacity of the tasks that run or may start now.
+    pub fn open_demand(&self, spec: &JobSpec) -> Capacity {
+        let mut sum = Capacity::default();
+        let steps = spec.steps.iter().zip(&self.steps);
+        for (spec, step) in steps.filter(|(_, step)| step.is_open) {
+            sum.add(spec.demand().times(step.tasks_left as u64));
+        }
+        sum
+    }
 }
 
 /// A job in the pool's state.
@@ -152,10 +170,6 @@
     pub rounds_begun: u32,
     /// The policy of its queue that applies to it.
     pub policy: QueuePolicy,
-    /// Time by which it should be completed.
-    pub due_ms: Millis,
-    /// Time after which completing it has no value.
-    pub hopeless_ms: Millis,
     /// Revision of its recorded progress, or an upper bound of it: see [`conflict`](super::conflict).
     pub revision: Revision,
     /// Digest of its recorded bytes.
@@ -176,12 +190,10 @@
     pub recorded_changes: u64,
     /// When it reached its final state.
     pub finished_ms: Option<Millis>,
-    /// Set while other jobs can meet their objectives only if this one is deferred.
-    pub deferral: Deferral,
 }
 
 impl Job {
-    /// Returns the time that is added to the job's objective when waiting tasks are ordered, in proportion to the work
+    /// Returns the time that is added to a round's objective when waiting tasks are ordered, in proportion to the work
     /// left in the round. Under overload, small jobs bring more value for the same work.
     pub(super) fn weight_ms(&self, round: u32) -> Millis {
         let Some(round) = self.rounds.get(&round) else {
@@ -194,22 +206,9 @@
         (work / 1_000 / WORK_PER_MS).min(WORK_DELAY_MAX_MS)
     }
 
-    /// Returns the capacity of the tasks that run or may start now.
-    pub fn open_demand(&self) -> Capacity {
-        let mut sum = Capacity::default();
-        for round in self.rounds.values() {
-            let steps = self.spec.steps.iter().zip(&round.steps);
-            for (spec, step) in steps.filter(|(_, step)| step.is_open) {
-                sum.add(spec.demand().times(step.tasks_left as u64));
-            }
-        }
-        sum
-    }
-
-    /// Returns the job as a contender for the pool's capacity.
-    pub(super) fn contender(&self, key: JobKey) -> Contender {
-        let rounds = self.rounds.values();
-        let steps = rounds.flat_map(|round| round.steps.iter().enumerate());
+    /// Returns a round as a contender for the pool's capacity.
+    pub(super) fn contender(&self, key: RoundKey, round: &Round) -> Contender {
+        let steps = round.steps.iter().enumerate();
         let (mut work, mut task_ms) = (0, 0);
         for (n, step) in steps.filter(|(_, step)| step.tasks_left > 0) {
             let is_unstarted = |t: &&Task| matches!(t.phase, Phase::Blocked | Phase::Ready);
@@ -219,36 +218,30 @@
             task_ms = task_ms.max(self.step_ms[n]);
         }
         Contender {
-            job: key,
-            start_by_ms: self.due_ms.saturating_sub(task_ms),
+            round: key,
+            start_by_ms: round.due_ms.saturating_sub(task_ms),
             task_ms,
             work_core_ms: work,
         }
     }
 
-    /// Returns what the job could still achieve if it had the pool to itself.
-    pub fn outlook(&self, now_ms: Millis) -> Outlook {
-        if now_ms > self.hopeless_ms {
+    /// Returns what a round could still achieve if it had the pool to itself.
+    pub fn outlook(&self, round: &Round, now_ms: Millis) -> Outlook {
+        if now_ms > round.hopeless_ms {
             return Outlook::Nothing;
         }
-        let left_ms = self
-            .rounds
-            .values()
-            .map(|r| {
-                self.spec
-                    .longest_chain_ms(&self.step_ms, |n| r.steps[n].tasks_left > 0)
-            })
-            .max();
-        if now_ms + left_ms.unwrap_or(0) > self.due_ms {
+        let is_left = |n: usize| round.steps[n].tasks_left > 0;
+        let left_ms = self.spec.longest_chain_ms(&self.step_ms, is_left);
+        if now_ms + left_ms > round.due_ms {
             return Outlook::Late;
         }
         Outlook::InTime
     }
 
-    /// Returns its class among the waiting tasks.
-    pub(super) fn class(&self, now_ms: Millis) -> Class {
-        match self.outlook(now_ms) {
-            Outlook::InTime if self.is_excess || self.deferral.is_set(now_ms) => Class::Deferred,
+    /// Returns the class of a round among the waiting tasks.
+    pub(super) fn class(&self, round: &Round, now_ms: Millis) -> Class {
+        match self.outlook(round, now_ms) {
+            Outlook::InTime if self.is_excess || round.deferral.is_set(now_ms) => Class::Deferred,
             Outlook::InTime => Class::InTime,
             Outlook::Late => Class::Late,
             Outlook::Nothing => Class::Hopeless,
@@ -256,7 +249,7 @@
     }
 }
 
-/// What a job can still achieve.
+/// What a round of a job can still achieve.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outlook {
     /// It can meet its objective.
@@ -272,22 +265,22 @@
 pub enum Class {
     /// The task runs until its job is cancelled.
     Lasting,
-    /// The job can be in time together with the others.
+    /// The round can be in time together with the others.
     InTime,
-    /// The job could be in time, but not together with all others: see [`overload`](super::overload).
+    /// The round could be in time, but not together with all others: see [`overload`](super::overload).
     Deferred,
-    /// The job will be late.
+    /// The round will be late.
     Late,
-    /// Completing the job has no value any more.
+    /// Completing the round has no value any more.
     Hopeless,
 }
 
 /// Rank of a waiting task; tasks are placed in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// Class of the job.
+    /// Class of the round.
     pub class: Class,
-    /// Objective of the job, plus the weight of its remaining work if the task isn't lasting. The earliest comes first.
+    /// Objective of the round, plus the weight of its remaining work if the task isn't lasting. The earliest comes first.
     pub due_ms: Millis,
     /// Breaks ties.
     pub task: TaskKey,
--- a/tests/test_overload.rs
+++ b/tests/test_overload.rs
@@ -1,8 +1,8 @@
 //! When there is more work than capacity, as many jobs as possible are in time, rather than all a little late.
 
 use rockwick::core::sched::job::JobState;
-use rockwick::core::sched::keys::JobKey;
-use rockwick::core::sched::overload::{jobs_to_defer, Contender, Supply};
+use rockwick::core::sched::keys::{JobKey, RoundKey};
+use rockwick::core::sched::overload::{rounds_to_defer, Contender, Supply};
 use slotmap::SlotMap;
 
 use crate::world::{job, World};
@@ -18,15 +18,18 @@
         .iter()
         .enumerate()
         .map(|(n, (start_by_ms, work))| Contender {
-            job: keys.insert(n),
+            round: RoundKey {
+                job: keys.insert(n),
+                round: 0,
+            },
             start_by_ms: *start_by_ms,
             task_ms: 1_000,
             work_core_ms: *work,
         });
     let contenders = contenders.collect();
-    let mut positions: Vec<usize> = jobs_to_defer(contenders, supply, 0)
+    let mut positions: Vec<usize> = rounds_to_defer(contenders, supply, 0)
         .into_iter()
-        .map(|key| keys[key])
+        .map(|key| keys[key.job])
         .collect();
     positions.sort_unstable();
     positions
