Rounds begin when they are due, and count as arrivals

Cause: rounds were begun by the periodic look at all jobs, up to 250 ms after they were due, out of the two seconds or so that they have. Their work counted as arrived when the job was submitted, before there is anything to run, and never again, so that a pool asked for hosts when it needed none and not when rounds came.

Change: rounds.rs begins rounds; the look at all jobs sets a timer for the next one that is due before the next look. The work of each counts as arrived when it begins.

--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -41,6 +41,7 @@
 pub mod renewal;
 pub mod reservations;
 mod restarts;
+mod rounds;
 pub mod routing;
 pub mod rows;
 pub mod run_log;
