--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -13,6 +13,7 @@
 };
 use super::policy::{self, Deadlines};
 use super::pool_state::PoolState;
+use super::rounds;
 use super::rows::{
     self, cancelled_job, shard_of_part, ProgressRow, RoundRow, TaskProgress, TaskRow,
 };
@@ -66,7 +67,7 @@
     }
     let keys: Vec<JobKey> = pool_state.jobs.keys().collect();
     for key in keys {
-        begin_new_rounds(&mut pool_state, key, ctx);
+        rounds::begin_new(&mut pool_state, key, ctx);
     }
     for row in cancels {
         apply_intake(&mut pool_state, &row, state.config, id.epoch, ctx);
@@ -146,17 +147,7 @@
     }
     if let Some(key) = add_job(pool_state, row, config, ctx) {
         pool_state.meter_job(key, ctx.now.ms);
-        begin_new_rounds(pool_state, key, ctx);
-        let Some(job) = pool_state.jobs.get(key) else {
-            return;
-        };
-        // Work beyond its account's weight or quota does not indicate a need for hosts.
-        let is_beyond = job
-            .account
-            .is_some_and(|account| pool_state.is_beyond_quota(account));
-        if !job.is_excess && !is_beyond {
-            pool_state.note_arrival(key, ctx.now.ms);
-        }
+        rounds::begin_arrived(pool_state, key, ctx);
     }
 }
 
@@ -192,7 +183,6 @@
     };
     let policy = policy::initial_policy(&spec, config);
     let step_ms = pool_state.times.expected_step_ms(&spec);
-    let deadlines = Deadlines::new(&spec, &step_ms, policy, ctx.now);
     *pool_state
         .waiting_jobs
         .entry(spec.queue.clone())
@@ -207,8 +197,6 @@
         rounds: Default::default(),
         rounds_begun: 0,
         policy,
-        due_ms: deadlines.due_ms,
-        hopeless_ms: deadlines.hopeless_ms,
         revision: ABSENT,
         recorded_digest: 0,
         account,
@@ -219,7 +207,6 @@
         changes: 0,
         recorded_changes: 0,
         finished_ms: None,
-        deferral: Default::default(),
         step_ms,
         spec,
     });
@@ -229,27 +216,6 @@
     Some(key)
 }
 
-/// Begins the rounds of a job that are due and have never begun.
-pub fn begin_new_rounds(pool_state: &mut PoolState, key: JobKey, ctx: &mut Ctx<'_>) {
-    loop {
-        let Some(job) = pool_state.jobs.get(key) else {
-            return;
-        };
-        let next = job.rounds_begun;
-        let is_due = match job.spec.schedule {
-            None => next == 0,
-            Some(s) => {
-                let due_wall_ms = s.first_wall_ms + Millis::from(next) * s.interval_ms;
-                next < s.rounds && ctx.now.wall_ms >= due_wall_ms
-            }
-        };
-        if !is_due || job.state.is_final() || job.is_unreadable {
-            return;
-        }
-        pool_state.begin_round(key, next, ctx.now.ms);
-    }
-}
-
 fn apply_progress(
     pool_state: &mut PoolState,
     row: &StoredRow,
@@ -298,7 +264,7 @@
         })
         .collect();
     for round in &progress.rounds {
-        apply_round(pool_state, key, round, &named_workers, ctx.now.ms);
+        apply_round(pool_state, key, round, &named_workers, ctx.now);
     }
 }
 
@@ -335,7 +301,7 @@
     job: JobKey,
     row: &RoundRow,
     named_workers: &[WorkerKey],
-    now_ms: Millis,
+    now: Now,
 ) {
     let spec = pool_state.jobs[job].spec.clone();
     let mut round = Round::default();
@@ -356,6 +322,7 @@
             is_open: false,
         });
     }
+    Deadlines::new(&pool_state.jobs[job], row.round, now).apply(&mut round);
     pool_state.jobs[job].rounds.insert(row.round, round);
     for (step, tasks) in row.steps.iter().enumerate() {
         for (index, task) in tasks.iter().enumerate() {
@@ -371,10 +338,10 @@
                 step: step as u16,
                 index: index as u16,
             };
-            pool_state.set_phase(key, Phase::Suspect(*worker), now_ms);
+            pool_state.set_phase(key, Phase::Suspect(*worker), now.ms);
         }
     }
-    pool_state.open_steps(job, row.round, now_ms);
+    pool_state.open_steps(job, row.round, now.ms);
 }
 
 fn task_from_row(row: &TaskRow) -> Task {
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -26,11 +26,12 @@
 use super::owner_lease;
 use super::pacing;
 use super::place;
-use super::policy;
+use super::policy::{self, Deadlines};
 use super::pool_state::PoolState;
 use super::quota;
 use super::remove;
 use super::renewal;
+use super::rounds;
 use super::rows::{cancelled_job, pool_of_part, shard_of_part, HEARTBEAT_KEY, OWNER_KEY};
 use super::run_log;
 use super::runs;
@@ -445,6 +446,7 @@
     else {
         return;
     };
+    let due_ms = Deadlines::new(job, 0, ctx.now).due_ms;
     ctx.log(
         Decision::new(
             Code::JobTaken,
@@ -457,7 +459,7 @@
             "chain_ms",
             job.spec.longest_chain_ms(&job.step_ms, |_| true),
         )
-        .with("due_in_ms", job.due_ms.saturating_sub(ctx.now.ms))
+        .with("due_in_ms", due_ms.saturating_sub(ctx.now.ms))
         .with("excess", u64::from(job.is_excess))
         .with("attempts_max", u64::from(job.policy.attempts_max))
         .with("config", config_version),
@@ -610,6 +612,7 @@
 
 fn fire_pool_state_timer(pool_state: &mut PoolState, timer: Timer, epoch: u64, ctx: &mut Ctx<'_>) {
     match timer {
+        Timer::Rounds => rounds::begin_due(pool_state, ctx),
         Timer::RenewWorker(worker) => renewal::send_next(pool_state, worker, epoch, ctx),
         Timer::ExpireLease(worker) => renewal::expire_lease(pool_state, worker, ctx),
         Timer::ResendStart(task, run) => runs::send_start(pool_state, task, run, epoch, ctx),
@@ -617,7 +620,7 @@
         Timer::Upkeep => {
             pool_state.resort(ctx.now.ms);
             sizing::log_load(pool_state, ctx);
-            runs::begin_due_rounds(pool_state, ctx);
+            rounds::begin_due(pool_state, ctx);
             runs::end_exhausted_jobs(pool_state, epoch, ctx);
             halls::move_lasting(pool_state, epoch, ctx);
             renewal::renew_stuck(pool_state, epoch, ctx);
