Hosts go off by the platform's limit of orders, after a move's cost

Cause: free hosts stay on offer for 4 s and go off 16 at a time, 8 a second, whatever the platform accepts; after a peak of 100 hosts the last one goes off 16 s later. New module reserve: the hold is the cost of a move, and hosts go off within half of the platform's orders per second, less all orders sent in the last second.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -10,6 +10,7 @@
 use super::moves;
 use super::offers::{Offers, OffersRow, Taken};
 use super::owner_lease::{epoch_guard, FormerHostOrders};
+use super::reserve::ORDER_RATE_MS;
 use super::rows::{self, HostOrdersRow, WaveRow, HOST_ORDERS_KEY};
 use super::state::{Ctx, Effect, Pool, Timer, WaveKnown};
 use super::wave;
@@ -219,6 +220,14 @@
         self.orders.values().filter(|o| o.task == *task).count()
     }
 
+    /// Returns how many orders count against the platform's limit: those sent recently and those not sent yet.
+    pub(super) fn count_recent_orders(&self, now_ms: Millis) -> usize {
+        let sent = self.sent_ms.values();
+        let sent = sent.filter(|at| now_ms < **at + ORDER_RATE_MS);
+        let unsent = self.orders.values().filter(|order| !order.is_sent);
+        sent.count() + unsent.count()
+    }
+
     /// Creates an order to a host. It is sent once it is recorded and the host is taken from the pool that offers
     /// it.
     pub(super) fn create_order(
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -40,6 +40,7 @@
 mod remove;
 pub mod renewal;
 pub mod reservations;
+pub mod reserve;
 mod restarts;
 pub mod routing;
 pub mod rows;
--- a/src/core/sched/moves.rs
+++ b/src/core/sched/moves.rs
@@ -8,18 +8,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::hosts::{HostController, HostTask, Inputs, PoolNeed, NEED_KEPT_MS, RETRY_SENT_MS};
+use super::reserve::{self, Orders};
 use super::state::{Ctx, WaveKnown};
 use crate::clock::Millis;
 use crate::port::fleet::{HostRecord, HostState};
 
-/// How long a host is on offer, wanted by no pool, before it is turned off. On the users' sites two moves cost as
-/// much as a host for 2.3 s; after this time the next use is on average at least as far away.
-const PARK_MS: Millis = 4_000;
-
-/// Most hosts that are being turned off at a time, which takes 2 s each. The platform accepts 64 orders per second
-/// on the users' sites, and moves to pools that lack hosts must not wait behind hosts that are turned off.
-const PARKING_MAX: usize = 16;
-
 /// A host that may leave its pool.
 struct Spare {
     host: String,
@@ -151,14 +144,19 @@
     }
 }
 
-/// Turns off hosts that have been on offer for [`PARK_MS`].
+/// Turns off hosts that have been on offer for long, as many as the platform's limit of orders leaves room for.
 fn park_hosts(controller: &mut HostController, parked: &str, spare: Vec<Spare>, ctx: &Ctx<'_>) {
     let task = HostTask::Move(parked.to_string());
+    let hold_ms = reserve::hold_ms(&ctx.deployment);
     let is_long = |other: &Spare| {
         let since_ms = controller.offered_ms.get(&other.host);
-        other.is_offered && since_ms.is_some_and(|since| ctx.now.ms >= since + PARK_MS)
+        other.is_offered && since_ms.is_some_and(|since| ctx.now.ms >= since + hold_ms)
+    };
+    let orders = Orders {
+        recent: controller.count_recent_orders(ctx.now.ms),
+        parking: controller.count_orders(&task),
     };
-    let room = PARKING_MAX.saturating_sub(controller.count_orders(&task));
+    let room = reserve::room_to_park(&ctx.deployment, orders);
     let long: Vec<Spare> = spare.into_iter().filter(is_long).take(room).collect();
     for other in long {
         controller.create_order(&other.host, task.clone(), Some(other.pool), ctx);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -2,6 +2,7 @@
 //! are returned for the test to check.
 
 use rockwick::clock::Now;
+use rockwick::core::sched::deployment::Deployment;
 use rockwick::core::sched::hosts::PoolNeed;
 use rockwick::core::sched::keys::WorkerKey;
 use rockwick::core::sched::load;
@@ -13,6 +14,15 @@
 
 /// Runs `work` at `now_ms` as an entry that may send orders, and returns the effects.
 pub(crate) fn decide(now_ms: u64, work: impl FnOnce(&mut Ctx<'_>)) -> Vec<Effect> {
+    decide_in(Deployment::default(), now_ms, work)
+}
+
+/// Runs `work` like [`decide`], with these figures of the deployment.
+pub(crate) fn decide_in(
+    deployment: Deployment,
+    now_ms: u64,
+    work: impl FnOnce(&mut Ctx<'_>),
+) -> Vec<Effect> {
     let mut timers = Timers::new();
     let mut effects = Vec::new();
     let mut ctx = Ctx {
@@ -24,7 +34,7 @@
         pool: PoolKey(0),
         me: "entry",
         cpu_milli: 250,
-        deployment: Default::default(),
+        deployment,
         until_ms: u64::MAX,
         timers: &mut timers,
         out: &mut effects,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -55,6 +55,7 @@
 mod test_report;
 mod test_reread;
 mod test_reread_orders;
+mod test_reserve;
 mod test_restarts;
 mod test_revisions;
 mod test_room;
