--- a/src/core/sched/claim.rs
+++ b/src/core/sched/claim.rs
@@ -13,7 +13,6 @@
     heartbeat_row, observe, owners_guard, owners_write, send_release, Claim, OwnerLease,
 };
 use super::rows::{self, shard_part, OwnerRow, HEARTBEAT_KEY, OWNER_KEY, SHARDS};
-use super::sizing::Sizing;
 use super::state::{Ctx, Effect, Ownership, Pool, Timer};
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
@@ -326,7 +325,7 @@
         began_ms: ctx.now.ms,
         waves: Default::default(),
         quota: Default::default(),
-        sizing: Sizing::new(pool.lease.heartbeat.kept),
+        sizing: Default::default(),
         hosts: Default::default(),
     });
     ctx.out
--- a/src/core/sched/owner_lease.rs
+++ b/src/core/sched/owner_lease.rs
@@ -302,7 +302,6 @@
         wanted: sizing.map_or(0, |s| s.wanted),
         needed: sizing.map_or(0, |s| s.needed),
         serving: sizing.map_or(0, |s| s.serving),
-        kept: sizing.map_or(pool.lease.heartbeat.kept, |s| s.kept),
         short_accounts: short_accounts(pool),
         ordered: host_order_ages(pool, ctx.now.ms),
         times: pool_state.map_or_else(|| pool.lease.heartbeat.times.clone(), |b| b.times.clone()),
--- a/src/core/sched/reserve.rs
+++ b/src/core/sched/reserve.rs
@@ -1,8 +1,7 @@
 //! Decides how long hosts without work stay on, and how fast they are turned off.
 //!
 //! Load pattern: pools peak in turn, each for some seconds, and together need far fewer hosts than are on. After a peak
-//! some hundred hosts are free at once, and no pool wants them before the next peak begins. Also the time before the first
-//! job, in which every host is free.
+//! some hundred hosts are free at once, and no pool wants them before the next peak begins.
 
 use super::deployment::Deployment;
 use crate::clock::Millis;
@@ -24,18 +23,6 @@
 /// bytes each, and the store's limit is 64 KB.
 const PARKED_PER_S_MAX: u64 = 400;
 
-/// Share of a pool's hosts that stay on before its first job, in percent. The load is unknown then, and more hosts arrive
-/// within the time of a move once it shows.
-const KEPT_PERCENT: u64 = 50;
-
-/// Returns how many of the hosts that a pool was found with stay on before its first job; 0 if the pool turns none off.
-pub fn kept_before_load(deployment: &Deployment, found: u64) -> u64 {
-    match deployment.host_orders_per_s {
-        0 => 0,
-        _ => (found * KEPT_PERCENT).div_ceil(100),
-    }
-}
-
 /// Returns how long a host that no pool wants stays on offer before it is turned off: as long as staying on costs less than
 /// the move that it takes to bring the host back.
 pub fn hold_ms(deployment: &Deployment) -> Millis {
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -61,9 +61,6 @@
     /// Number of hosts that take the pool's work now.
     #[serde(default)]
     pub serving: u64,
-    /// Number of hosts that the pool keeps before its first job; 0 if it keeps all, or had a job.
-    #[serde(default, skip_serializing_if = "is_default")]
-    pub kept: u64,
     /// Accounts with more work waiting here than is granted.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub short_accounts: BTreeSet<String>,
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -11,7 +11,6 @@
 use super::offers::Offers;
 use super::overload::HOSTS_EXPECTED_MS;
 use super::pool_state::{ExpectedCapacity, PoolState};
-use super::reserve;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::{Class, Job, Outlook, Rank, Task};
 use crate::clock::Millis;
@@ -72,20 +71,6 @@
     pub needed: u64,
     /// Hosts that take the pool's work now.
     pub serving: u64,
-    /// Hosts that the pool keeps before its first job; 0 if it keeps all.
-    pub kept: u64,
-    /// Whether the pool has had a job.
-    had_load: bool,
-}
-
-impl Sizing {
-    /// Creates the state of an owner whose predecessor kept this many hosts before the first job.
-    pub fn new(kept: u64) -> Self {
-        Self {
-            kept,
-            ..Self::default()
-        }
-    }
 }
 
 /// Numbers of hosts that a pool could use.
@@ -134,9 +119,8 @@
     let most = |hosts: fn(&Need) -> u64| sizing.needs.iter().map(|(_, n)| hosts(n)).max();
     let needed = most(|n| n.in_time).unwrap_or(HOSTS_MIN);
     let for_all = most(|n| n.all).unwrap_or(HOSTS_MIN);
-    // Before the first job the load is unknown, and the pool keeps its hosts, or a share of them.
+    // Before the first job the load is unknown, and the pool keeps its hosts.
     let has_load = !pool_state.jobs.is_empty();
-    note_kept(pool_state, sizing, has_load, ctx);
     sizing.needed = if has_load { needed } else { 0 };
     // Work that is late already has to wait while another pool lacks hosts for work that can be in time.
     let for_work = if inputs.another_pool_lacks_hosts {
@@ -144,13 +128,8 @@
     } else {
         for_all
     };
-    sizing.wanted = match has_load {
-        true => for_work,
-        false if inputs.another_pool_lacks_hosts => 0,
-        false => sizing.kept,
-    };
-    let may_give = has_load || inputs.another_pool_lacks_hosts || sizing.kept > 0;
-    if inputs.can_park && may_give {
+    sizing.wanted = if has_load { for_work } else { 0 };
+    if inputs.can_park && (has_load || inputs.another_pool_lacks_hosts) {
         adjust_spare(pool_state, sizing, offers, now_ms);
         update_offers(pool_state, sizing, offers, inputs, ctx);
     }
@@ -182,19 +161,6 @@
     was_short || sizing.is_short
 }
 
-/// Records how many hosts the pool keeps before its first job. A predecessor's number stays, since hosts that it gave away
-/// are no longer found.
-fn note_kept(pool_state: &PoolState, sizing: &mut Sizing, has_load: bool, ctx: &Ctx<'_>) {
-    sizing.had_load |= has_load;
-    if sizing.had_load {
-        sizing.kept = 0;
-        return;
-    }
-    let found = pool_state.workers.values().filter(|w| w.is_listed).count() as u64;
-    let kept = reserve::kept_before_load(&ctx.deployment, found);
-    sizing.kept = sizing.kept.max(kept);
-}
-
 /// Records the capacity that the pool can expect once the hosts that it lacks arrive. The expected time is set when
 /// the lack begins, so hosts that don't come by then no longer count.
 fn note_expected_hosts(pool_state: &mut PoolState, sizing: &Sizing, now_ms: Millis) {
