--- a/src/core/sched/moves.rs
+++ b/src/core/sched/moves.rs
@@ -11,6 +11,7 @@
 use super::reserve::{self, Orders};
 use super::state::{Ctx, WaveKnown};
 use crate::clock::Millis;
+use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{HostRecord, HostState};
 
 /// A host that may leave its pool.
@@ -33,7 +34,7 @@
     controller: &mut HostController,
     waves: &BTreeMap<u64, WaveKnown>,
     inputs: &Inputs<'_>,
-    ctx: &Ctx<'_>,
+    ctx: &mut Ctx<'_>,
 ) {
     let Some(parked) = inputs.config.pools.values().find(|p| p.is_parked) else {
         return;
@@ -145,7 +146,7 @@
 }
 
 /// Turns off hosts that have been on offer for long, as many as the platform's limit of orders leaves room for.
-fn park_hosts(controller: &mut HostController, parked: &str, spare: Vec<Spare>, ctx: &Ctx<'_>) {
+fn park_hosts(controller: &mut HostController, parked: &str, spare: Vec<Spare>, ctx: &mut Ctx<'_>) {
     let task = HostTask::Move(parked.to_string());
     let hold_ms = reserve::hold_ms(&ctx.deployment);
     let is_long = |other: &Spare| {
@@ -157,7 +158,18 @@
         parking: controller.count_orders(&task),
     };
     let room = reserve::room_to_park(&ctx.deployment, orders);
+    let free = spare.len() as u64;
     let long: Vec<Spare> = spare.into_iter().filter(is_long).take(room).collect();
+    if long.is_empty() {
+        return;
+    }
+    let why = format!("on offer for {hold_ms} ms, and no pool wants them");
+    ctx.log(
+        Decision::new(Code::HostsOff, Subject::Pool, parked, why)
+            .with("off", long.len() as u64)
+            .with("free", free)
+            .with("recent_orders", orders.recent as u64),
+    );
     for other in long {
         controller.create_order(&other.host, task.clone(), Some(other.pool), ctx);
     }
--- a/src/core/sched/reserve.rs
+++ b/src/core/sched/reserve.rs
@@ -6,7 +6,7 @@
 use super::deployment::Deployment;
 use crate::clock::Millis;
 
-/// How long a host stays on offer where the cost of a move is unknown.
+/// How long a host stays on offer where the cost of a move or the platform's limit of orders is unknown.
 const HOLD_MS: Millis = 4_000;
 
 /// Most hosts that are being turned off at a time where the platform's limit of orders is unknown.
@@ -26,9 +26,9 @@
 /// Returns how long a host that no pool wants stays on offer before it is turned off: as long as staying on costs less than
 /// the move that it takes to bring the host back.
 pub fn hold_ms(deployment: &Deployment) -> Millis {
-    match deployment.host_move_cost_ms {
-        0 => HOLD_MS,
-        cost_ms => cost_ms,
+    match (deployment.host_orders_per_s, deployment.host_move_cost_ms) {
+        (0, _) | (_, 0) => HOLD_MS,
+        (_, cost_ms) => cost_ms,
     }
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -135,6 +135,7 @@
     HostReserved, 635, "host-reserved", "A task fits on no host although the pool has enough free capacity in all; a host gets no other work until the task fits there.";
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
+    HostsOff, 650, "hosts-off", "Hosts that no pool wants are turned off; the event shows how many, how many are free, and how many orders the platform got within the last second.";
 }
 
 impl Code {
--- a/tests/test_reserve.rs
+++ b/tests/test_reserve.rs
@@ -7,7 +7,8 @@
 use rockwick::core::sched::offers::{Offers, OffersRow};
 use rockwick::core::sched::owner_lease::FormerHostOrders;
 use rockwick::core::sched::reserve::{self, Orders};
-use rockwick::core::sched::state::{Ctx, Effect};
+use rockwick::core::sched::rows::SlotRow;
+use rockwick::core::sched::state::{Ctx, Effect, WaveKnown};
 use rockwick::port::fleet::{FleetConfig, HostRecord, HostReply, HostState, TxOutcome};
 
 use crate::decide::{decide_in, donor_config, pool_need};
@@ -45,6 +46,16 @@
     accepted_ms: Vec<u64>,
     refused: usize,
     is_store_down: bool,
+    waves: BTreeMap<u64, WaveKnown>,
+    evacuated_halls: BTreeSet<String>,
+}
+
+/// Returns the hall of a host: every other host is in hall `even`.
+fn hall_of(host: &str) -> &'static str {
+    match host.ends_with(['0', '2', '4', '6', '8']) {
+        true => "even",
+        false => "odd",
+    }
 }
 
 impl Fleet {
@@ -75,6 +86,8 @@
             accepted_ms: Vec::new(),
             refused: 0,
             is_store_down: false,
+            waves: BTreeMap::new(),
+            evacuated_halls: BTreeSet::new(),
         };
         fleet.take_over();
         fleet
@@ -92,7 +105,7 @@
     fn list(&self) -> Vec<HostRecord> {
         let records = self.places.iter().map(|(host, (pool, at_ms))| HostRecord {
             host: host.clone(),
-            hall: "hall".to_string(),
+            hall: hall_of(host).to_string(),
             pool: pool.clone(),
             state: match self.now_ms < *at_ms {
                 true => HostState::Moving,
@@ -115,7 +128,7 @@
         let inputs = Inputs {
             config: &self.config,
             needs: &needs,
-            evacuated_halls: &BTreeSet::new(),
+            evacuated_halls: &self.evacuated_halls,
             pool: "off",
             epoch: EPOCH,
         };
@@ -129,9 +142,9 @@
         self.now_ms += PASS_MS;
         let list = self.list();
         hosts::apply_list(&mut self.controller, list);
-        let mut effects = self.with_ctx(|controller, inputs, ctx| {
-            hosts::reconcile(controller, &BTreeMap::new(), inputs, ctx)
-        });
+        let waves = self.waves.clone();
+        let mut effects = self
+            .with_ctx(|controller, inputs, ctx| hosts::reconcile(controller, &waves, inputs, ctx));
         while let Some(effect) = effects.pop() {
             let outcome = match self.is_store_down {
                 true => TxOutcome::Unknown,
@@ -173,6 +186,21 @@
         self.with_ctx(|c, _, ctx| hosts::apply_reply(c, host, reply, ctx));
     }
 
+    /// Returns a fleet in which the first of 100 free hosts are being turned off.
+    fn half_off() -> Self {
+        let mut fleet = Self::new(100, deployment(64));
+        while fleet.count("off") == 0 {
+            fleet.pass();
+        }
+        assert!(fleet.count("idle") > 20, "some hosts are still on");
+        fleet
+    }
+
+    fn hosts_in(&self, pool: &str) -> BTreeSet<String> {
+        let there = self.places.iter().filter(|(_, (at, _))| at == pool);
+        there.map(|(host, _)| host.clone()).collect()
+    }
+
     fn count(&self, pool: &str) -> usize {
         self.places.values().filter(|(at, _)| at == pool).count()
     }
@@ -233,6 +261,38 @@
     assert_eq!(fleet.accepted_ms.len(), 50, "each host is ordered once");
 }
 
+/// The operator evacuates a data hall while hosts are turned off: those of the hall that are still on stay where they are.
+#[test]
+fn reserve_hall_evacuated() {
+    let mut fleet = Fleet::half_off();
+    let mut kept = fleet.hosts_in("idle");
+    kept.retain(|host| hall_of(host) == "even");
+    fleet.evacuated_halls.insert("even".to_string());
+    fleet.run_until_off(10_000);
+    assert_eq!(fleet.hosts_in("idle"), kept);
+}
+
+/// Hosts take slots of a wave while others are turned off: they stay in their pool until they are back.
+#[test]
+fn reserve_wave_begins() {
+    let mut fleet = Fleet::half_off();
+    let kept: BTreeSet<String> = fleet.hosts_in("idle").into_iter().take(10).collect();
+    let slot = SlotRow {
+        pool: "idle".to_string(),
+        is_ordered: true,
+        ..SlotRow::default()
+    };
+    let mut wave = WaveKnown::default();
+    let out = kept.iter().map(|host| (host.clone(), slot.clone()));
+    wave.row.out = out.collect();
+    fleet.waves.insert(1, wave);
+    fleet.run_until_off(10_000);
+    assert_eq!(fleet.hosts_in("idle"), kept);
+    fleet.waves.clear();
+    fleet.run_until_off(10_000);
+    assert_eq!(fleet.count("idle"), 0);
+}
+
 /// A new owner of the pool whose owner orders hosts counts each offer from when it sees it.
 #[test]
 fn reserve_new_owner() {
@@ -252,8 +312,12 @@
 /// Without the platform's limit, hosts go off a few at a time, after the longer hold.
 #[test]
 fn reserve_without_limit() {
-    let unknown = Deployment::default();
+    let unknown = Deployment {
+        host_move_cost_ms: 1_500,
+        ..Deployment::default()
+    };
     assert_eq!(reserve::hold_ms(&unknown), 4_000);
+    assert_eq!(reserve::hold_ms(&deployment(64)), 1_500);
     let room = |parking| {
         let orders = Orders {
             recent: 90,
