--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -43,6 +43,7 @@
 mod remove;
 pub mod renewal;
 pub mod reservations;
+pub mod reserve;
 mod restarts;
 mod rounds;
 pub mod routing;
