Keep reported checkpoints, on record too, and continue from them

Cause: Task.checkpoint was set only from an end that the same owner saw, and was not in the rows. A crash, a lapsed lease or a change of owner threw away the whole run; members of a gang took each its own text.

Ruled out: a text in each task's row (2,000 tasks with one pass the store's limit); a write for each renewal (four writes a second for eight tasks at 2 s); overwriting Task.checkpoint from reports (a start sent again would bring another text than its first sending, and members of a gang different ones).

Change: checkpoints.rs keeps the newest text of each task, a gang's under its first member, from reports and ends of the current run on its instance. It is copied to the task when a run is placed. The progress row lists it (serde default, at most 16 KB of at most 60 KB, the least work left out); written with other changes, when a run ends undone or is stopped, and alone at most once in 10 s or five intervals.

--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -144,6 +144,7 @@
         let Some(progress) = pool_state.progress_row(key) else {
             continue;
         };
+        pool_state.checkpoints.note_recorded(key);
         let job = &pool_state.jobs[key];
         tx.guards.push(Guard {
             table: Table::Progress,
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::checkpoints;
 use super::conflict;
 use super::job::{JobSpec, JobState};
 use super::keys::{JobKey, PoolStateId, TaskKey, WorkerKey};
@@ -298,6 +299,7 @@
     for round in &progress.rounds {
         apply_round(pool_state, key, round, &named_workers, ctx.now.ms);
     }
+    checkpoints::restore(pool_state, key, &progress.checkpoints);
 }
 
 /// Returns the worker that a progress row names. A worker that is not listed may still run its tasks until a later
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -5,6 +5,7 @@
 
 mod access;
 pub mod accounts;
+pub mod checkpoints;
 pub mod claim;
 pub mod commit;
 pub mod conflict;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::collections::HashSet;
 
+use super::checkpoints;
 use super::free_index::Slot;
 use super::gang;
 use super::job::{JobState, StepSpec};
@@ -306,6 +307,7 @@
     ctx: &mut Ctx<'_>,
 ) {
     pool_state.set_phase(key, Phase::Recording(worker), ctx.now.ms);
+    checkpoints::prepare_start(pool_state, key, ctx);
     let Some(task) = pool_state.task_mut(key) else {
         return;
     };
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use super::accounts::AccountUse;
+use super::checkpoints::Checkpoints;
 use super::free_index::FreeIndex;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, PoolStateId, TaskKey, WorkerKey};
@@ -124,6 +125,8 @@
     pub wants_quota: bool,
     /// Whether capacity or work was added since tasks were last placed.
     pub wants_placing: bool,
+    /// Checkpoints of tasks that are not done.
+    pub checkpoints: Checkpoints,
     /// Answers to starts that are not logged yet.
     pub answers: StartAnswers,
 }
--- a/src/core/sched/progress.rs
+++ b/src/core/sched/progress.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::checkpoints;
 use super::keys::{JobKey, WorkerKey};
 use super::pool_state::PoolState;
 use super::rows::{ProgressRow, RoundRow, TaskProgress, TaskRow};
@@ -46,6 +47,7 @@
         if row.first_unbegun_round() < job.rounds_begun {
             row.rounds_begun = job.rounds_begun;
         }
+        row.checkpoints = checkpoints::rows(self, key, &row);
         Some(row)
     }
 
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -9,6 +9,7 @@
     owned_pools, ownership_of, pool_key, with_grant_controller, with_host_controller, with_pool,
     with_pool_state, with_quota_controller, with_wave_controller,
 };
+use super::checkpoints;
 use super::claim;
 use super::commit::{self, Settled};
 use super::crashes;
@@ -602,6 +603,11 @@
             runs::end_exhausted_jobs(pool_state, epoch, ctx);
             halls::move_lasting(pool_state, epoch, ctx);
             renewal::renew_stuck(pool_state, epoch, ctx);
+            checkpoints::record_due(
+                pool_state,
+                ctx.deployment.checkpoint_interval_ms,
+                ctx.now.ms,
+            );
             pool_state.wants_placing = true;
             // The set of timers merges only equal timers that are due at the same time. The check keeps further cycles
             // of this timer from running side by side.
--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 
+use super::checkpoints;
 use super::crashes::{self, Evidence};
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::{
@@ -431,8 +432,12 @@
         runs::stop_stray(pool_state, worker, &run.task, run.run, epoch, ctx);
         return;
     };
-    let is_here = task.run == run.run && task.phase.worker() == Some(worker);
-    match task.phase {
+    let (phase, current_run) = (task.phase, task.run);
+    let is_here = current_run == run.run && phase.worker() == Some(worker);
+    if is_here {
+        checkpoints::note_run(pool_state, key, run, ctx.now.ms);
+    }
+    match phase {
         Phase::Suspect(_) | Phase::Starting(_) if is_here => {
             pool_state.set_phase(key, Phase::Running(worker), ctx.now.ms);
             if let Some(task) = pool_state.task_mut(key) {
@@ -450,7 +455,7 @@
         }
         Phase::Stopping(_) if is_here => {}
         // A retried start whose earlier copy is listed has the same run number and is not stray.
-        _ if task.run == run.run && task.phase.worker() == Some(worker) => {}
+        _ if is_here => {}
         _ => runs::stop_stray(pool_state, worker, &run.task, run.run, epoch, ctx),
     }
 }
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -106,6 +106,9 @@
     /// Rounds that have begun and are not done.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rounds: Vec<RoundRow>,
+    /// Checkpoints of tasks that are not done, as far as there is room.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub checkpoints: Vec<CheckpointRow>,
 }
 
 impl ProgressRow {
@@ -157,6 +160,11 @@
     #[serde(default, skip_serializing_if = "is_default")] pub WorkerLosses,
 );
 
+/// Checkpoint of a task: round, step, index, completed part of the work in percent, and the text to continue from. That
+/// of a gang is under its first member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CheckpointRow(pub u32, pub u16, pub u16, pub u32, pub String);
+
 /// Recorded progress of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskProgress {
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -4,6 +4,7 @@
 //! A recorded run may be executing until its worker reports otherwise, the worker's instance has ended, or every lease
 //! and order given to the worker has expired. Only then is the task's next run placed.
 
+use super::checkpoints;
 use super::crashes::{self, Evidence};
 use super::fencing_token;
 use super::gang;
@@ -269,6 +270,7 @@
     };
     if task.phase != Phase::Stopping(worker) {
         pool_state.set_phase(key, Phase::Stopping(worker), ctx.now.ms);
+        checkpoints::record_soon(pool_state, key.job, ctx.now.ms);
     }
     send_stop(pool_state, key, worker, run, epoch, ctx);
 }
@@ -390,6 +392,7 @@
         // worker a second time.
         pool_state.mark_dirty(key.job, ctx.now.ms);
     }
+    checkpoints::record_soon(pool_state, key.job, ctx.now.ms);
     if gang::is_member(pool_state, key) {
         pool_state.broken_gangs.push(key);
     }
@@ -446,6 +449,9 @@
         }
         return;
     }
+    if is_current && end.kind != EndKind::Done {
+        checkpoints::note_end(pool_state, key, end, ctx.now.ms);
+    }
     match end.kind {
         EndKind::Done => complete_task(
             pool_state,
@@ -457,9 +463,6 @@
         ),
         EndKind::Failed => fail_run(pool_state, key, worker, end.run, epoch, ctx),
         _ if is_current => {
-            if let Some(task) = pool_state.task_mut(key) {
-                task.checkpoint.clone_from(&end.checkpoint);
-            }
             requeue_task(pool_state, key, "run ended before the task was done", ctx);
         }
         _ => {}
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -56,7 +56,7 @@
     pub run: u32,
     /// Failed runs, one bit each, so that an end that is reported twice counts once.
     pub failed_runs: u64,
-    /// Checkpoint from which the next run continues.
+    /// Checkpoint that its last run was started with; empty for none.
     pub checkpoint: String,
     /// Worker on which the last failed run executed.
     pub failed_on: Option<WorkerKey>,
--- a/src/event.rs
+++ b/src/event.rs
@@ -135,6 +135,7 @@
     HostReserved, 635, "host-reserved", "A task fits on no host although the pool has enough free capacity in all; a host gets no other work until the task fits there.";
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
+    CheckpointUsed, 660, "checkpoint-used", "A task's next run continues from a checkpoint; the event shows the run that reported it (0: a former owner recorded it) and the completed part of the work in percent.";
 }
 
 impl Code {
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -99,6 +99,8 @@
     Halls,
     /// The allowed attempts change, runs fail often, and entries receive the configuration late.
     Configs,
+    /// Workers restart as in `Restarts`, the tasks of all jobs that end renew checkpoints, and some of the jobs are gangs.
+    Checkpoints,
 }
 
 /// An additional fault occurs in one of this many rounds on average.
@@ -107,6 +109,9 @@
 /// Probability of a late order in worlds with late orders, in thousandths.
 const LATE_ORDERS_MILLI: u32 = 30;
 
+/// Factor on the estimates of tasks in worlds with checkpoints.
+const LONG_WORK: u64 = 4;
+
 fn inject_extra_fault(world: &mut World, extra: Extra, jobs: &[String], rng: &mut Rng) {
     if extra == Extra::Nothing || rng.u32(0..ROUNDS_PER_EXTRA) > 0 {
         return;
@@ -129,7 +134,7 @@
             let other = worker_ids[rng.usize(0..worker_ids.len())].clone();
             world.readdress(&worker_id, &other, ms);
         }
-        Extra::Restarts | Extra::LateRestarts => match rng.u32(0..4) {
+        Extra::Restarts | Extra::LateRestarts | Extra::Checkpoints => match rng.u32(0..4) {
             0 => world.relist_former_instance(),
             _ => world.restart_worker(&worker_id, ms / 2),
         },
@@ -146,14 +151,15 @@
 }
 
 fn play(seed: u64) {
-    play_with_delivery(seed, Extra::Nothing, DeliveryOrder::InOrder);
+    play_with(seed, Extra::Nothing);
 }
 
 fn play_with(seed: u64, extra: Extra) {
     play_with_delivery(seed, extra, DeliveryOrder::InOrder);
 }
 
-fn play_with_delivery(seed: u64, extra: Extra, delivery_order: DeliveryOrder) {
+/// Plays a world, and returns it as it ended.
+fn play_with_delivery(seed: u64, extra: Extra, delivery_order: DeliveryOrder) -> World {
     let mut extras = Rng::with_seed(seed ^ 0xe874);
     let mut rng = Rng::with_seed(seed ^ 0x5eed);
     let mut partial = Rng::with_seed(seed ^ 0x9a47);
@@ -207,6 +213,13 @@
                 let (rounds, apart_ms) = (extras.u32(2..7), extras.u64(100..900));
                 spec = with_schedule(spec, rounds, WALL_MS + world.now_ms, apart_ms);
             }
+            if extra == Extra::Checkpoints && !lasts {
+                let steps = spec.steps.iter_mut();
+                steps.for_each(|step| {
+                    step.checkpoints = true;
+                    step.estimate_ms *= LONG_WORK;
+                });
+            }
             world.submit(&id, spec);
             jobs.push(id);
         }
@@ -256,6 +269,7 @@
             world.describe(id)
         );
     }
+    world
 }
 
 #[test]
@@ -308,6 +322,24 @@
     play_all(Extra::Configs);
 }
 
+/// No start brings a foreign checkpoint, and the runs take little more time than the work of their tasks.
+#[test]
+fn sched_model_checkpoints() {
+    let (mut run_ms, mut wasted_ms, mut resumed) = (0, 0, 0);
+    for seed in seeds() {
+        let world = play_with_delivery(seed, Extra::Checkpoints, DeliveryOrder::InOrder);
+        run_ms += world.checkpoints.run_ms;
+        wasted_ms += world.wasted_ms();
+        resumed += world.checkpoints.resumed;
+    }
+    println!("{wasted_ms} of {run_ms} ms wasted, {resumed} runs resumed");
+    assert!(resumed > 0, "no run brought a checkpoint");
+    assert!(
+        wasted_ms * 10 <= run_ms,
+        "{wasted_ms} of {run_ms} ms wasted"
+    );
+}
+
 #[test]
 fn sched_model_halls() {
     play_all(Extra::Halls);
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -15,6 +15,7 @@
 mod test_budget;
 mod test_catalogue;
 mod test_chaos;
+mod test_checkpoints;
 mod test_clock;
 mod test_commands;
 mod test_commit;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod calm;
+pub(crate) mod checkpoints;
 mod crash;
 mod effects;
 mod entries;
@@ -26,6 +27,7 @@
 
 use fastrand::Rng;
 use rockwick::clock::Now;
+use rockwick::core::sched::deployment::Deployment;
 use rockwick::core::sched::hosts::HostTask;
 use rockwick::core::sched::job::{JobSpec, JobState, QueuePolicy, Schedule, StepSpec};
 use rockwick::core::sched::pool_state::PoolState;
@@ -127,6 +129,8 @@
     since_ms: u64,
     /// When a lasting task begins to work.
     at_work_ms: u64,
+    /// What the run continues from.
+    resumed: checkpoints::Resumed,
 }
 
 /// An instance of a worker.
@@ -221,6 +225,10 @@
     pub(crate) runs_ended_by_upkeep: usize,
     /// Tasks that crash workers, and their effects.
     pub(crate) crashes: crash::Crashes,
+    /// Tasks that renew checkpoints.
+    pub(crate) checkpoints: checkpoints::Checkpoints,
+    /// Figures of the deployment that entries start with.
+    pub(crate) deployment: Deployment,
     /// Halls that the operator evacuates, and since when.
     evacuated_since_ms: BTreeMap<String, u64>,
     /// Whether a hall was ever evacuated. Without that, entries are told of no halls, so that older seeds play the same
@@ -304,6 +312,8 @@
             max_hosts_out: 0,
             runs_ended_by_upkeep: 0,
             crashes: Default::default(),
+            checkpoints: Default::default(),
+            deployment: Deployment::default(),
             evacuated_since_ms: BTreeMap::new(),
             has_evacuations: false,
             starts_by_hall: BTreeMap::new(),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -100,12 +100,22 @@
             w.info.capacity.cpu_milli
         );
         self.check_no_other_run(id, start);
+        let resumed = match step.checkpoints {
+            true => {
+                let drawn_ms = self.rng.u64(step.estimate_ms / 2..=step.estimate_ms * 2);
+                let set_ms = self.run_ms.get(&start.task).copied();
+                self.resume(start, set_ms.unwrap_or(drawn_ms))
+            }
+            false => self.resume(start, 0),
+        };
+        let left_ms = step.checkpoints.then(|| resumed.left_ms());
         let w = self.workers.get_mut(id).expect("the worker is up");
         let run = ActiveRun {
             run: start.run,
             demand,
             since_ms: now_ms,
             at_work_ms,
+            resumed,
         };
         w.running.insert(start.task.clone(), run);
         self.starts += 1;
@@ -123,7 +133,7 @@
         } else if !step.lasting {
             let drawn_ms = self.rng.u64(step.estimate_ms / 2..=step.estimate_ms * 2);
             let set_ms = self.run_ms.get(&start.task).copied();
-            let work_ms = set_ms.unwrap_or(drawn_ms);
+            let work_ms = left_ms.or(set_ms).unwrap_or(drawn_ms);
             let end = TimedEvent::RunEnds(id.to_string(), start.task.clone(), start.run);
             self.schedule(work_ms, end);
         }
@@ -137,6 +147,7 @@
         };
         let lost = std::mem::take(&mut w.running);
         for (task, run) in lost {
+            self.note_run_over(&run);
             self.end_other_members(&task, run.run, EndKind::GangBroken);
         }
     }
@@ -264,6 +275,7 @@
             .drain(..)
             .partition(|e| e.number <= request.acked_through);
         w.ended = rest;
+        let w = &self.workers[id];
         let report = RenewalReport {
             born_wall_ms: w.info.born_wall_ms,
             clock_ms: w.clock(now_ms),
@@ -274,7 +286,7 @@
                 .map(|(task, r)| RunningTask {
                     task: task.clone(),
                     run: r.run,
-                    checkpoint: String::new(),
+                    checkpoint: self.checkpoint_of(task, r, false),
                     percent: if now_ms >= r.at_work_ms { 100 } else { 0 },
                     gauge: 0,
                 })
@@ -320,10 +332,20 @@
     }
 
     fn end_single_run(&mut self, id: &str, task: &TaskName, run: u32, kind: EndKind) {
+        let over = self
+            .workers
+            .get_mut(id)
+            .and_then(|w| w.running.remove(task));
+        let checkpoint = match &over {
+            Some(run) => {
+                self.note_run_over(run);
+                self.checkpoint_of(task, run, true)
+            }
+            None => String::new(),
+        };
         let Some(w) = self.workers.get_mut(id) else {
             return;
         };
-        w.running.remove(task);
         let refused_through = w.refused_through.entry(task.clone()).or_default();
         *refused_through = (*refused_through).max(run);
         if kind == EndKind::Failed {
@@ -350,7 +372,7 @@
             task: task.clone(),
             run,
             kind,
-            checkpoint: String::new(),
+            checkpoint,
         });
     }
 
