--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -6,6 +6,7 @@
 mod access;
 pub mod accounts;
 pub mod advice;
+pub mod checkpoints;
 pub mod claim;
 pub mod commit;
 pub mod conflict;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -10,6 +10,7 @@
     with_pool_state, with_quota_controller, with_wave_controller,
 };
 use super::advice;
+use super::checkpoints;
 use super::claim;
 use super::commit::{self, Settled};
 use super::crashes;
@@ -625,6 +626,11 @@
             halls::move_lasting(pool_state, epoch, ctx);
             renewal::renew_stuck(pool_state, epoch, ctx);
             pacing::drop_ended(pool_state);
+            checkpoints::record_due(
+                pool_state,
+                ctx.deployment.checkpoint_interval_ms,
+                ctx.now.ms,
+            );
             pool_state.wants_placing = true;
             // The set of timers merges only equal timers that are due at the same time. The check keeps further cycles
             // of this timer from running side by side.
--- a/src/event.rs
+++ b/src/event.rs
@@ -136,6 +136,7 @@
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
     HostsOff, 650, "hosts-off", "Hosts that no pool wants are turned off; the event shows how many, how many are free, and how many orders the platform got within the last second.";
+    CheckpointUsed, 660, "checkpoint-used", "A task's next run continues from a checkpoint; the event shows the run that reported it (0: a former owner recorded it) and the completed part of the work in percent.";
     AdviceGiven, 665, "advice-given", "The advice service named the workers that may run a step; the event shows how many were asked about and allowed.";
     AdviceFailed, 666, "advice-failed", "A call for advice got no answer; the next one follows after a pause.";
     PaceChanged, 667, "pace-changed", "The pace of what fills on a worker changed; the event shows how far the worst serving task there is from its target.";
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod callers;
 mod calm;
+pub(crate) mod checkpoints;
 mod crash;
 mod effects;
 mod entries;
@@ -28,6 +29,7 @@
 
 use fastrand::Rng;
 use rockwick::clock::Now;
+use rockwick::core::sched::deployment::Deployment;
 use rockwick::core::sched::hosts::HostTask;
 use rockwick::core::sched::job::{JobSpec, JobState, QueuePolicy, Schedule, StepSpec};
 use rockwick::core::sched::pool_state::PoolState;
@@ -131,6 +133,8 @@
     at_work_ms: u64,
     /// Share of its full speed at which the run works.
     pace_percent: u64,
+    /// What the run continues from.
+    resumed: checkpoints::Resumed,
 }
 
 /// An instance of a worker.
@@ -225,6 +229,10 @@
     pub(crate) runs_ended_by_upkeep: usize,
     /// Tasks that crash workers, and their effects.
     pub(crate) crashes: crash::Crashes,
+    /// Tasks that renew checkpoints.
+    pub(crate) checkpoints: checkpoints::Checkpoints,
+    /// Figures of the deployment that entries start with.
+    pub(crate) deployment: Deployment,
     /// Halls that the operator evacuates, and since when.
     evacuated_since_ms: BTreeMap<String, u64>,
     /// Whether a hall was ever evacuated. Without that, entries are told of no halls, so that older seeds play the same
@@ -312,6 +320,8 @@
             max_hosts_out: 0,
             runs_ended_by_upkeep: 0,
             crashes: Default::default(),
+            checkpoints: Default::default(),
+            deployment: Deployment::default(),
             evacuated_since_ms: BTreeMap::new(),
             has_evacuations: false,
             starts_by_hall: BTreeMap::new(),
