Wait for the rack of a task's data, and hosts by rack

Change: placement compares the expected ends near the data and elsewhere with the time left; the sizing of a pool closes, opens and requests hosts by rack; moves go by what is lacking.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -211,6 +211,7 @@
         .map(|n| HostRecord {
             host: format!("host-{n}"),
             hall: "hall".to_string(),
+            rack: String::new(),
             pool: format!("pool-{}", 1 + n % 4),
             state: HostState::Up,
             worker: format!("life-{n}"),
@@ -226,11 +227,13 @@
         })
         .collect();
     let names: Vec<String> = (0..5).map(|n| format!("pool-{n}")).collect();
+    let no_racks = BTreeMap::new();
     let needs: Vec<PoolNeed<'_>> = (0..5)
         .map(|n| PoolNeed {
             pool: &names[n],
             wanted: if n == 0 { workers as u64 / 2 } else { 1 },
             needed: if n == 0 { workers as u64 / 2 } else { 1 },
+            lacking_racks: &no_racks,
             offers: &offers[n],
             heartbeat_seen_ms: NOW_MS,
         })
--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -66,6 +66,8 @@
     pub wanted: u64,
     /// Hosts that the pool's work needs now.
     pub needed: u64,
+    /// Racks in which the pool lacks hosts, and how many.
+    pub lacking_racks: &'a BTreeMap<String, u64>,
     /// Hosts that the pool offers, and those that were taken from it.
     pub offers: &'a Offers,
     /// When the owner's heartbeat was last seen.
@@ -79,6 +81,7 @@
             pool: &pool.name,
             wanted: pool.lease.heartbeat.wanted,
             needed: pool.lease.heartbeat.needed,
+            lacking_racks: &pool.lease.heartbeat.lacking_racks,
             offers: &pool.offers,
             heartbeat_seen_ms: pool.lease.heartbeat_seen_ms,
         }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -9,6 +9,7 @@
 pub mod commit;
 pub mod conflict;
 pub mod crashes;
+pub mod data_racks;
 pub mod deployment;
 mod exchange;
 pub mod fairness;
--- a/src/core/sched/moves.rs
+++ b/src/core/sched/moves.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use super::data_racks;
 use super::hosts::{HostController, HostTask, Inputs, PoolNeed, NEED_KEPT_MS, RETRY_SENT_MS};
 use super::state::{Ctx, WaveKnown};
 use crate::clock::Millis;
@@ -82,12 +83,19 @@
         .filter(|h| fleet.is_free(controller, &h.host, parked))
         .map(|h| h.host.clone())
         .collect();
+    let mut lacking = lacking_racks(controller, inputs);
     while let Some(n) = find_neediest_pool(inputs.needs, &recent, &serving) {
         let pool = inputs.needs[n].pool;
         let task = HostTask::Move(pool.to_string());
-        if let Some(host) = idle.pop() {
+        let near = take_near(controller, &mut idle, spare, pool, &mut lacking[n]);
+        let (host, spare_host) = match near {
+            Some(Near::Idle(host)) => (Some(host), None),
+            Some(Near::Spare(other)) => (None, Some(other)),
+            None => (idle.pop(), None),
+        };
+        if let Some(host) = host {
             controller.create_order(&host, task, None, ctx);
-        } else if let Some(other) = take_spare_elsewhere(spare, pool) {
+        } else if let Some(other) = spare_host.or_else(|| take_spare_elsewhere(spare, pool)) {
             controller.create_order(&other.host, task, Some(other.pool), ctx);
         } else {
             return;
@@ -96,6 +104,57 @@
     }
 }
 
+/// A host in a rack in which a pool lacks hosts.
+enum Near {
+    Idle(String),
+    Spare(Spare),
+}
+
+/// Removes and returns a free host in one of the racks in which a pool lacks hosts. Once there is none, the pool lacks
+/// none for the rest of the pass.
+fn take_near(
+    controller: &HostController,
+    idle: &mut Vec<String>,
+    spare: &mut Vec<Spare>,
+    pool: &str,
+    lacking: &mut BTreeMap<String, u64>,
+) -> Option<Near> {
+    if lacking.is_empty() {
+        return None;
+    }
+    let rack_of = |host: &str| controller.list.get(host).map(|h| h.rack.as_str());
+    if let Some(host) = data_racks::take_lacking(idle, lacking, |host| rack_of(host)) {
+        return Some(Near::Idle(host));
+    }
+    let rack_elsewhere = |other: &Spare| rack_of(&other.host).filter(|_| other.pool != pool);
+    if let Some(other) = data_racks::take_lacking(spare, lacking, rack_elsewhere) {
+        return Some(Near::Spare(other));
+    }
+    lacking.clear();
+    None
+}
+
+/// Returns the racks in which each pool lacks hosts, without hosts that are on their way to it.
+fn lacking_racks(controller: &HostController, inputs: &Inputs<'_>) -> Vec<BTreeMap<String, u64>> {
+    let needs = inputs.needs.iter();
+    let mut lacking: Vec<_> = needs.map(|need| need.lacking_racks.clone()).collect();
+    if lacking.iter().all(BTreeMap::is_empty) {
+        return lacking;
+    }
+    for record in controller.list.iter() {
+        let Some(HostTask::Move(to)) = controller.task_of(&record.host) else {
+            continue;
+        };
+        let Some(n) = inputs.needs.iter().position(|need| need.pool == to) else {
+            continue;
+        };
+        if let Some(hosts) = lacking[n].get_mut(&record.rack) {
+            *hosts = hosts.saturating_sub(1);
+        }
+    }
+    lacking
+}
+
 /// Counts the hosts that serve each pool, including those on their way to it and without those that leave it, are
 /// spare or are in an evacuated hall.
 fn count_serving(controller: &HostController, inputs: &Inputs<'_>) -> Vec<u64> {
--- a/src/core/sched/owner_lease.rs
+++ b/src/core/sched/owner_lease.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::conflict;
+use super::data_racks;
 use super::hosts::ORDERS_APART_MS;
 use super::limits::{
     HEARTBEAT_MIN_GAP_MS, OWNER_LEASE_MS, OWNER_MARGIN_MS, RENEW_MS, RENEW_SLOW_MS, SHARD_LATE_MS,
@@ -302,6 +303,8 @@
         wanted: sizing.map_or(0, |s| s.wanted),
         needed: sizing.map_or(0, |s| s.needed),
         serving: sizing.map_or(0, |s| s.serving),
+        lacking_racks: pool_state
+            .map_or_else(BTreeMap::new, |b| data_racks::lacking(b, ctx.now.ms)),
         short_accounts: short_accounts(pool),
         ordered: host_order_ages(pool, ctx.now.ms),
         times: pool_state.map_or_else(|| pool.lease.heartbeat.times.clone(), |b| b.times.clone()),
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::collections::HashSet;
 
+use super::data_racks;
 use super::free_index::Slot;
 use super::gang;
 use super::job::{JobState, StepSpec};
@@ -22,6 +23,12 @@
 /// Added to a worker's cost, in thousandths, if the worker is in another rack than the task's data.
 const REMOTE_DATA_COST_MILLI: u64 = 1_000;
 
+/// Added to a worker's cost, in thousandths, if the task doesn't need the worker's rack and other tasks do.
+const SOUGHT_RACK_COST_MILLI: u64 = 1_000;
+
+/// Most workers that are compared for the sake of sought racks once one is found: the others are likely no better.
+const SOUGHT_SCAN_MAX: usize = 64;
+
 /// Added to a worker's cost, in thousandths, for a lasting task if the worker's host is due for maintenance: the task
 /// would have to move.
 const DUE_HOST_COST_MILLI: u64 = 700;
@@ -33,6 +40,7 @@
 pub fn place(pool_state: &mut PoolState, ctx: &mut Ctx<'_>) {
     pool_state.wants_placing = false;
     reservations::settle(pool_state, ctx);
+    pool_state.data_racks.begin_pass();
     let mut too_large: Vec<Capacity> = Vec::new();
     let mut tried_gangs: HashSet<TaskKey> = HashSet::new();
     for Rank { task: key, .. } in pool_state.next_to_place(ctx.now.ms) {
@@ -51,7 +59,11 @@
             continue;
         }
         match choose_worker(pool_state, key, ctx.now.ms) {
-            Choice::Worker(worker) => assign(pool_state, key, worker, ctx),
+            Choice::Worker(worker) => {
+                if !data_racks::should_wait(pool_state, key, worker, ctx) {
+                    assign(pool_state, key, worker, ctx);
+                }
+            }
             Choice::NoRoom => too_large.push(demand),
             Choice::NoneAllowed => {}
         }
@@ -168,7 +180,11 @@
         more_milli: u64,
         mut best: Option<(u64, WorkerKey)>,
     ) -> Option<(u64, WorkerKey)> {
-        for slot in slots {
+        let has_sought = self.pool_state.data_racks.has_sought();
+        for (n, slot) in slots.enumerate() {
+            if has_sought && best.is_some() && n >= SOUGHT_SCAN_MAX {
+                break;
+            }
             let least_milli = slot.free_milli + more_milli;
             if best.is_some_and(|(cost, _)| cost <= least_milli) {
                 break;
@@ -286,13 +302,13 @@
     let room = w.info.capacity.cpu_milli;
     let free = room.saturating_sub(w.used.cpu_milli + more.cpu_milli);
     let mut cost = free * 1_000 / room.max(1);
-    if spec
-        .data_rack
-        .as_deref()
-        .is_some_and(|rack| rack != w.rack())
-    {
+    let data_rack = spec.data_rack.as_deref();
+    if data_rack.is_some_and(|rack| rack != w.rack()) {
         cost += REMOTE_DATA_COST_MILLI;
     }
+    if data_rack != Some(w.rack()) && pool_state.data_racks.is_sought(w.rack()) {
+        cost += SOUGHT_RACK_COST_MILLI;
+    }
     if spec.lasting && w.awaits_wave {
         cost += DUE_HOST_COST_MILLI;
     }
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use super::accounts::AccountUse;
+use super::data_racks::DataRacks;
 use super::free_index::FreeIndex;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, PoolStateId, TaskKey, WorkerKey};
@@ -76,6 +77,8 @@
     pub evacuated_halls: BTreeSet<String>,
     /// Workers by free capacity.
     pub free_index: FreeIndex,
+    /// Demand for racks that hold the data of tasks.
+    pub data_racks: DataRacks,
     /// Workers that are reserved for tasks that need most of one.
     pub reserved: Reservations,
     /// Workers with ends that are being recorded.
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -61,6 +61,9 @@
     /// Number of hosts that take the pool's work now.
     #[serde(default)]
     pub serving: u64,
+    /// Racks that hold the data of the pool's tasks and have too few of its hosts, and how many they lack.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub lacking_racks: BTreeMap<String, u64>,
     /// Accounts with more work waiting here than is granted.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub short_accounts: BTreeSet<String>,
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use super::data_racks;
 use super::fragmentation::Fragmentation;
 use super::keys::WorkerKey;
 use super::limits::PLACE_SCAN_MAX;
@@ -119,6 +120,9 @@
     let most = |hosts: fn(&Need) -> u64| sizing.needs.iter().map(|(_, n)| hosts(n)).max();
     let needed = most(|n| n.in_time).unwrap_or(HOSTS_MIN);
     let for_all = most(|n| n.all).unwrap_or(HOSTS_MIN);
+    let host_cpu_milli = mean_capacity(pool_state).cpu_milli;
+    let for_racks = data_racks::note_demand(pool_state, host_cpu_milli, needed, now_ms);
+    let (needed, for_all) = (needed + for_racks, for_all + for_racks);
     // Before the first job the load is unknown, and the pool keeps its hosts.
     let has_load = !pool_state.jobs.is_empty();
     sizing.needed = if has_load { needed } else { 0 };
@@ -362,15 +366,19 @@
 
 fn open_hosts(pool_state: &mut PoolState, sizing: &mut Sizing, offers: &Offers, count: usize) {
     let mut left = count;
-    let mut offered: Vec<&str> = Vec::new();
-    let spare = pool_state.workers.values_mut().filter(|w| w.is_spare);
-    for worker in spare.filter(|w| !w.is_evacuated) {
+    let mut offered: Vec<String> = Vec::new();
+    let spare = pool_state.workers.iter();
+    let spare = spare.filter(|(_, w)| w.is_spare && !w.is_evacuated);
+    let mut spare: Vec<WorkerKey> = spare.map(|(key, _)| key).collect();
+    spare.sort_by_key(|key| !data_racks::is_named(pool_state, &pool_state.workers[*key]));
+    for key in spare {
+        let worker = &mut pool_state.workers[key];
         let (host, worker_id) = (&worker.info.host, &worker.info.id);
         if offers.is_taken(host, worker_id) {
             continue;
         }
         if offers.is_offered(host) {
-            offered.push(host);
+            offered.push(host.clone());
         } else if left > 0 {
             // The host was closed and never offered, so it can serve at once.
             worker.is_spare = false;
@@ -378,12 +386,12 @@
             left -= 1;
         }
     }
-    let coming = offered.iter().filter(|h| sizing.withdrawn.contains(**h));
+    let coming = offered.iter().filter(|h| sizing.withdrawn.contains(*h));
     left = left.saturating_sub(coming.count());
     let more = offered
         .into_iter()
-        .filter(|h| !sizing.withdrawn.contains(*h));
-    let more: Vec<String> = more.take(left).map(str::to_string).collect();
+        .filter(|h| !sizing.withdrawn.contains(h));
+    let more: Vec<String> = more.take(left).collect();
     sizing.withdrawn.extend(more);
 }
 
@@ -457,7 +465,9 @@
         .map(|(key, w)| (w.used.cpu_milli, key))
         .collect();
     idle.sort_unstable();
-    for (_, key) in idle.into_iter().take(count) {
+    let idle = idle.into_iter().map(|(_, key)| key).collect();
+    let order = data_racks::order_for_closing(pool_state, idle, now_ms);
+    for key in order.into_iter().take(count) {
         pool_state.workers[key].is_spare = true;
     }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -135,6 +135,8 @@
     HostReserved, 635, "host-reserved", "A task fits on no host although the pool has enough free capacity in all; a host gets no other work until the task fits there.";
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
+    DataRackLeft, 655, "data-rack-left", "A task runs outside the rack of its data; the event shows its expected ends near the data and elsewhere and the time left.";
+    DataRackAwaited, 656, "data-rack-awaited", "A task begins to wait for the rack of its data although there is room elsewhere; the event shows the same figures.";
 }
 
 impl Code {
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -585,6 +585,8 @@
     pub pool: String,
     /// The data hall of the host.
     pub hall: String,
+    /// The rack of the host; empty if unknown.
+    pub rack: String,
     /// The state of the host.
     pub state: HostState,
     /// The id of the worker on the host; empty if there is none.
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -1,6 +1,8 @@
 //! Helpers for tests of single scheduler decisions: a decision runs on a context with a fixed clock, and its effects
 //! are returned for the test to check.
 
+use std::collections::BTreeMap;
+
 use rockwick::clock::Now;
 use rockwick::core::sched::hosts::PoolNeed;
 use rockwick::core::sched::keys::WorkerKey;
@@ -62,6 +64,9 @@
     }
 }
 
+/// A pool that lacks hosts in no rack.
+static NO_RACKS: BTreeMap<String, u64> = BTreeMap::new();
+
 /// Returns the need of a pool whose heartbeat was seen at `now_ms`.
 pub(crate) fn pool_need<'a>(
     pool: &'a str,
@@ -73,6 +78,7 @@
         pool,
         wanted: needed,
         needed,
+        lacking_racks: &NO_RACKS,
         offers,
         heartbeat_seen_ms: now_ms,
     }
--- a/tests/test_halls.rs
+++ b/tests/test_halls.rs
@@ -252,6 +252,7 @@
         host: host.to_string(),
         pool: "off".to_string(),
         hall: hall.to_string(),
+        rack: String::new(),
         state: HostState::Up,
         worker: String::new(),
     });
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -57,6 +57,7 @@
         let list = ["h1", "h2"].map(|host| HostRecord {
             host: host.to_string(),
             hall: "hall".to_string(),
+            rack: String::new(),
             pool: "idle".to_string(),
             state: HostState::Up,
             worker: format!("worker of {host}"),
@@ -276,6 +277,7 @@
     let list = names.iter().map(|host| HostRecord {
         host: host.clone(),
         hall: "hall".to_string(),
+        rack: String::new(),
         pool: "idle".to_string(),
         state: HostState::Up,
         worker: String::new(),
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -291,6 +291,7 @@
         hosts
             .map(|host| HostRecord {
                 hall: "hall".to_string(),
+                rack: String::new(),
                 pool: match self.gone.contains(&host) {
                     true => "busy".to_string(),
                     false => POOL.to_string(),
--- a/tests/test_old_conflicts.rs
+++ b/tests/test_old_conflicts.rs
@@ -117,6 +117,7 @@
         let hosts = [HOST, "host-2"].map(|host| HostRecord {
             host: host.to_string(),
             hall: "hall".to_string(),
+            rack: String::new(),
             pool: "other".to_string(),
             state: HostState::Up,
             worker: "worker".to_string(),
--- a/tests/test_unknown.rs
+++ b/tests/test_unknown.rs
@@ -222,6 +222,7 @@
     let old = HostRecord {
         host: "old".to_string(),
         hall: "hall".to_string(),
+        rack: String::new(),
         pool: POOL.to_string(),
         state: HostState::Up,
         worker: "life-1".to_string(),
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -94,6 +94,7 @@
         let record = HostRecord {
             host: HOST.to_string(),
             hall: "hall".to_string(),
+            rack: String::new(),
             pool: POOL.to_string(),
             state,
             worker: "life-2".to_string(),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -500,6 +500,7 @@
             let record = HostRecord {
                 host: w.info.host.clone(),
                 hall: w.info.hall.clone(),
+                rack: String::new(),
                 pool: POOL.to_string(),
                 state: if w.is_up {
                     HostState::Up
