Tests of data racks; a rack counts only with a worker that may take the task

A rack whose open workers lack the label, are too small or failed the task before is not waited for (seen in review, not in a run). progress_data_racks plays the worlds of progress_random with a factor of 3; the model's list of hosts now has racks.

--- a/src/core/sched/data_racks.rs
+++ b/src/core/sched/data_racks.rs
@@ -17,7 +17,6 @@
 use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::Capacity;
 
 /// How long the view of a rack is used. Placement runs hundreds of times a second in a busy pool.
 const VIEW_KEPT_MS: Millis = 50;
@@ -68,8 +67,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RackView {
     at_ms: Millis,
-    /// Largest capacity of the rack's open workers; zero if it has none.
-    largest: Capacity,
     /// Expected ends in order, and the processors released by then, in thousandths of a core.
     releases: Vec<(Millis, u64)>,
     /// Processors wanted by tasks that wait for the rack and come first.
@@ -78,7 +75,7 @@
 
 impl RackView {
     /// Creates the view of a rack whose runs end and release processors as in `ends`.
-    pub fn new(at_ms: Millis, largest: Capacity, mut ends: Vec<(Millis, u64)>) -> Self {
+    pub fn new(at_ms: Millis, mut ends: Vec<(Millis, u64)>) -> Self {
         ends.sort_unstable();
         let mut sum = 0;
         for (_, cpu_milli) in &mut ends {
@@ -87,7 +84,6 @@
         }
         Self {
             at_ms,
-            largest,
             releases: ends,
             ahead_cpu_milli: 0,
         }
@@ -198,6 +194,7 @@
     if views.get(&rack).is_none_or(is_stale) {
         refresh_view(pool_state, &rack, factor_milli, now_ms);
     }
+    let has_worker = has_worker_in(pool_state, key, &rack, now_ms);
     let latest_ms = latest_end_ms(pool_state, key);
     let data_racks = &mut pool_state.data_racks;
     let Some(view) = data_racks.views.get_mut(&rack) else {
@@ -210,7 +207,7 @@
     };
     let since_ms = data_racks.waiting_since_ms.get(&key).copied();
     let is_over = since_ms.is_some_and(|since_ms| now_ms >= since_ms + elsewhere_ms);
-    let waits = view.largest.contains(demand) && !is_over && ends.is_near_better();
+    let waits = has_worker && !is_over && ends.is_near_better();
     if waits {
         view.add_waiting(demand.cpu_milli);
         data_racks.waiting_since_ms.entry(key).or_insert(now_ms);
@@ -248,6 +245,23 @@
     );
 }
 
+/// Returns whether some worker in a rack could take the task once it has room.
+fn has_worker_in(pool_state: &PoolState, key: TaskKey, rack: &str, now_ms: Millis) -> bool {
+    let (Some(spec), Some(task)) = (pool_state.step_spec(key), pool_state.task(key)) else {
+        return false;
+    };
+    let has_label = |worker: &Worker| {
+        let label = spec.label.as_ref();
+        label.is_none_or(|label| worker.info.labels.contains(label))
+    };
+    let mut in_rack = pool_state.free_index.rack_workers_with_free(rack, 0);
+    in_rack.any(|slot| {
+        let worker = &pool_state.workers[slot.worker];
+        let is_allowed = has_label(worker) && task.failed_on != Some(slot.worker);
+        is_allowed && worker.is_open(now_ms) && worker.is_large_enough(spec.demand())
+    })
+}
+
 /// Returns when the task must end for the steps after it to be in time.
 fn latest_end_ms(pool_state: &PoolState, key: TaskKey) -> Millis {
     let job = &pool_state.jobs[key.job];
@@ -263,15 +277,12 @@
 fn refresh_view(pool_state: &mut PoolState, rack: &str, factor_milli: u64, now_ms: Millis) {
     let in_rack = pool_state.free_index.rack_workers_with_free(rack, 0);
     let workers = in_rack.map(|slot| &pool_state.workers[slot.worker]);
-    let (mut largest, mut ends) = (Capacity::default(), Vec::new());
+    let mut ends = Vec::new();
     for worker in workers.filter(|w| w.is_open(now_ms)) {
-        if worker.info.capacity.cpu_milli > largest.cpu_milli {
-            largest = worker.info.capacity;
-        }
         let tasks = worker.tasks.iter();
         ends.extend(tasks.filter_map(|key| release(pool_state, *key, rack, factor_milli, now_ms)));
     }
-    let mut view = RackView::new(now_ms, largest, ends);
+    let mut view = RackView::new(now_ms, ends);
     let data_racks = &mut pool_state.data_racks;
     let before = data_racks.views.get(rack);
     view.ahead_cpu_milli = before.map_or(0, |view| view.ahead_cpu_milli);
--- a/tests/test_progress.rs
+++ b/tests/test_progress.rs
@@ -6,6 +6,7 @@
 //! in the list of workers.
 
 use fastrand::Rng;
+use rockwick::core::sched::deployment::Deployment;
 use rockwick::core::sched::job::JobSpec;
 use rockwick::core::sched::limits::{
     OWNER_LEASE_MS, PLACE_SCAN_MAX, RESORT_MS, STRAY_LEASE_MS, SUSPEND_MAX_MS, WORKER_LEASE_MAX_MS,
@@ -129,9 +130,14 @@
     }
 }
 
-fn play(seed: u64) {
+/// Plays a world in which tasks take `factor_milli` times as long outside the rack of their data; 0 if unknown.
+fn play(seed: u64, factor_milli: u64) {
     let mut rng = Rng::with_seed(seed ^ 0x9a09);
     let mut world = World::new(seed, rng.usize(1..4), rng.usize(2..7));
+    world.set_deployment(Deployment {
+        remote_data_factor_milli: factor_milli,
+        ..Deployment::default()
+    });
     world.set_attempts(rng.u32(2..ATTEMPTS_MAX + 1));
     for worker_id in world.worker_ids() {
         world.resize(&worker_id, SIZES[rng.usize(0..SIZES.len())]);
@@ -208,13 +214,23 @@
     number(first)..number(end)
 }
 
-#[test]
-fn progress_random() {
+fn check_seeds(factor_milli: u64) {
     let seeds = seeds();
-    let is_failing = |seed: &u64| std::panic::catch_unwind(|| play(*seed)).is_err();
+    let is_failing = |seed: &u64| std::panic::catch_unwind(|| play(*seed, factor_milli)).is_err();
     let failing: Vec<u64> = seeds.clone().filter(is_failing).collect();
     assert!(
         failing.is_empty(),
         "seeds {failing:?} of {seeds:?} failed; ROCKWICK_SEEDS=N..M plays others"
     );
 }
+
+#[test]
+fn progress_random() {
+    check_seeds(0);
+}
+
+/// Tasks that wait for the rack of their data get their turn.
+#[test]
+fn progress_data_racks() {
+    check_seeds(3_000);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -21,6 +21,7 @@
 mod test_compare;
 mod test_config;
 mod test_crashes;
+mod test_data_racks;
 mod test_drain;
 mod test_edge;
 mod test_ends;
--- a/tests/world/entries.rs
+++ b/tests/world/entries.rs
@@ -12,7 +12,7 @@
         entry.undisturbed_since_ms = self.now_ms;
         entry.wake_ms = self.now_ms + 5;
         let nonce = entry.incarnation * 100 + n as u64;
-        let state = State::new(format!("entry-{n}"), nonce);
+        let state = State::new(format!("entry-{n}"), nonce).with_deployment(self.deployment);
         entry.state = Some(match self.has_standbys {
             true => state.with_standbys(),
             false => state,
@@ -21,6 +21,14 @@
         self.schedule(5, TimedEvent::Wake(n));
     }
 
+    /// Sets the figures of the deployment at all entries.
+    pub(crate) fn set_deployment(&mut self, deployment: Deployment) {
+        self.deployment = deployment;
+        for state in self.entries.iter_mut().filter_map(|e| e.state.as_mut()) {
+            state.deployment = deployment;
+        }
+    }
+
     /// Sets the processor time of an entry, in thousandths of a core.
     pub(crate) fn set_cpu(&mut self, n: usize, cpu_milli: u64) {
         if let Some(state) = &mut self.entries[n].state {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -26,6 +26,7 @@
 
 use fastrand::Rng;
 use rockwick::clock::Now;
+use rockwick::core::sched::deployment::Deployment;
 use rockwick::core::sched::hosts::HostTask;
 use rockwick::core::sched::job::{JobSpec, JobState, QueuePolicy, Schedule, StepSpec};
 use rockwick::core::sched::pool_state::PoolState;
@@ -278,6 +279,8 @@
     /// Final states of jobs whose rows were removed.
     removed_job_states: HashMap<String, JobState>,
     hosts_out: HashSet<String>,
+    /// Figures of the deployment.
+    deployment: Deployment,
 }
 
 impl World {
@@ -337,6 +340,7 @@
             ordering_entry: 0,
             removed_job_states: HashMap::new(),
             hosts_out: HashSet::new(),
+            deployment: Deployment::default(),
         };
         for host in 0..workers {
             world.start_instance(&format!("host-{host}"));
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -500,7 +500,7 @@
             let record = HostRecord {
                 host: w.info.host.clone(),
                 hall: w.info.hall.clone(),
-                rack: String::new(),
+                rack: w.info.labels.get(1).cloned().unwrap_or_default(),
                 pool: POOL.to_string(),
                 state: if w.is_up {
                     HostState::Up
