--- a/src/event.rs
+++ b/src/event.rs
@@ -136,6 +136,8 @@
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
     HostsOff, 650, "hosts-off", "Hosts that no pool wants are turned off; the event shows how many, how many are free, and how many orders the platform got within the last second.";
+    DataRackLeft, 655, "data-rack-left", "A task runs outside the rack of its data; the event shows its expected ends near the data and elsewhere and the time left.";
+    DataRackAwaited, 656, "data-rack-awaited", "A task begins to wait for the rack of its data although there is room elsewhere; the event shows the same figures.";
     CheckpointUsed, 660, "checkpoint-used", "A task's next run continues from a checkpoint; the event shows the run that reported it (0: a former owner recorded it) and the completed part of the work in percent.";
     AdviceGiven, 665, "advice-given", "The advice service named the workers that may run a step; the event shows how many were asked about and allowed.";
     AdviceFailed, 666, "advice-failed", "A call for advice got no answer; the next one follows after a pause.";
--- a/tests/test_reserve.rs
+++ b/tests/test_reserve.rs
@@ -106,6 +106,7 @@
         let records = self.places.iter().map(|(host, (pool, at_ms))| HostRecord {
             host: host.clone(),
             hall: hall_of(host).to_string(),
+            rack: String::new(),
             pool: pool.clone(),
             state: match self.now_ms < *at_ms {
                 true => HostState::Moving,
--- a/tests/world/entries.rs
+++ b/tests/world/entries.rs
@@ -21,6 +21,14 @@
         self.schedule(5, TimedEvent::Wake(n));
     }
 
+    /// Sets the figures of the deployment at all entries.
+    pub(crate) fn set_deployment(&mut self, deployment: Deployment) {
+        self.deployment = deployment;
+        for state in self.entries.iter_mut().filter_map(|e| e.state.as_mut()) {
+            state.deployment = deployment;
+        }
+    }
+
     /// Sets the processor time of an entry, in thousandths of a core.
     pub(crate) fn set_cpu(&mut self, n: usize, cpu_milli: u64) {
         if let Some(state) = &mut self.entries[n].state {
