Move runs off slow and hung workers, and pause these workers

Cause: a worker that hangs or runs eight times slower renews its lease and takes starts, so its runs stayed until it recovered and it was filled up meanwhile. The reports show it: all percentages stand still or creep.

Change: stragglers compares each worker's progress with the pool's median on the worker's own clock. A worker below a third is paused and costs more, a run that would make its job late and would end clearly sooner elsewhere is stopped and starts again once its end was noted. Bounds: a quarter of the workers, a quarter of the runs in 5 s, a task twice. On only where the settings give the longest time of a stop (ROCKWICK_RUN_STOP_MS); without it nothing is observed.

Worlds have speeds and report progress (only those of with_speeds, so that older seeds play as before); sched_model_speeds plays them beside all other faults. Seen failing without the module's decisions: stragglers_hung_workers (8 of 8 late), stragglers_slow_workers (20 to 24 late; now 0 or 1).

--- a/src/core/sched/deployment.rs
+++ b/src/core/sched/deployment.rs
@@ -15,4 +15,6 @@
     pub checkpoint_interval_ms: Millis,
     /// Time that a run takes to continue from a checkpoint.
     pub checkpoint_restore_ms: Millis,
+    /// Longest time that a worker takes to stop a run.
+    pub stop_ms: Millis,
 }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -48,6 +48,7 @@
 pub mod sizing;
 pub mod standby;
 pub mod state;
+pub mod stragglers;
 pub mod tasks;
 pub mod times;
 pub mod wave;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -35,6 +35,7 @@
 use super::sizing;
 use super::standby;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Timer, WaveKnown};
+use super::stragglers;
 use super::wave;
 use super::worker_list::{
     apply_feed_list, apply_separate_list, apply_worker_event, start_renewing,
@@ -601,6 +602,9 @@
             runs::begin_due_rounds(pool_state, ctx);
             runs::end_exhausted_jobs(pool_state, epoch, ctx);
             halls::move_lasting(pool_state, epoch, ctx);
+            for task in stragglers::review(pool_state, ctx) {
+                runs::stop_run(pool_state, task, epoch, ctx);
+            }
             renewal::renew_stuck(pool_state, epoch, ctx);
             pool_state.wants_placing = true;
             // The set of timers merges only equal timers that are due at the same time. The check keeps further cycles
--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -18,6 +18,7 @@
 use super::run_log;
 use super::runs;
 use super::state::{Ctx, Effect, Timer};
+use super::stragglers;
 use super::tasks::Phase;
 use super::worker::{ClockSample, RenewalPhase, Worker};
 use crate::clock::Millis;
@@ -239,6 +240,7 @@
         epoch,
         ctx,
     );
+    stragglers::observe(pool_state, key, &report, ctx);
     drop_leftover_runs(pool_state, key, sent_ms, &report.running);
     let is_recorded = pool_state.settle_ends(key);
     let is_blocked =
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -87,6 +87,8 @@
     pub lost_ms: Option<Millis>,
     /// Time before which it is not placed again, because its workers crashed as they started it.
     pub held_until_ms: Millis,
+    /// Number of times that its run was stopped because its worker was slow.
+    pub moves: u8,
     /// Its rank among the waiting tasks; `None` if it doesn't wait.
     pub waiting_rank: Option<Rank>,
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -135,6 +135,9 @@
     HostReserved, 635, "host-reserved", "A task fits on no host although the pool has enough free capacity in all; a host gets no other work until the task fits there.";
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
+    WorkerSlow, 645, "worker-slow", "The runs on a worker progress far more slowly than those on other workers; it gets no new tasks for a while.";
+    WorkerSound, 646, "worker-sound", "A worker that was slow is treated as the others again.";
+    RunMoved, 647, "run-moved", "A run on a slow worker is stopped so that its task starts on another one; the event shows both expected times.";
 }
 
 impl Code {
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -45,6 +45,7 @@
     host_move_cost_ms: String,
     checkpoint_interval_s: String,
     checkpoint_restore_ms: String,
+    run_stop_ms: String,
 }
 
 /// Returns the parser of the flags of `rockwick serve`.
@@ -136,12 +137,18 @@
         .help("Time that a run takes to continue from a checkpoint; empty if unknown")
         .argument("MS")
         .fallback(String::new());
+    let run_stop_ms = long("run-stop-ms")
+        .env("ROCKWICK_RUN_STOP_MS")
+        .help("Longest time that a worker takes to stop a run; empty if unknown")
+        .argument("MS")
+        .fallback(String::new());
     construct!(DeploymentFlags {
         remote_data_factor,
         host_orders_per_s,
         host_move_cost_ms,
         checkpoint_interval_s,
-        checkpoint_restore_ms
+        checkpoint_restore_ms,
+        run_stop_ms
     })
 }
 
@@ -216,6 +223,7 @@
                 "checkpoint-restore-ms",
                 &self.checkpoint_restore_ms,
             )? / 1_000,
+            stop_ms: parse_milli("run-stop-ms", &self.run_stop_ms)? / 1_000,
         })
     }
 }
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -99,11 +99,16 @@
     Halls,
     /// The allowed attempts change, runs fail often, and entries receive the configuration late.
     Configs,
+    /// Workers run slowly or hang for a while, and the owner acts on it.
+    Speeds,
 }
 
 /// An additional fault occurs in one of this many rounds on average.
 const ROUNDS_PER_EXTRA: u32 = 4;
 
+/// Longest time of a stop in worlds with slow workers.
+const STOP_MS: u64 = 400;
+
 /// Probability of a late order in worlds with late orders, in thousandths.
 const LATE_ORDERS_MILLI: u32 = 30;
 
@@ -141,6 +146,10 @@
             0 => world.return_all_halls(),
             _ => world.evacuate(&format!("hall-{}", rng.u32(0..2))),
         },
+        Extra::Speeds => {
+            let speeds_milli = [0, 0, 60, 125, 1_000, 1_000];
+            world.set_speed(&worker_id, speeds_milli[rng.usize(0..speeds_milli.len())]);
+        }
         Extra::Nothing | Extra::Timed | Extra::Late => {}
     }
 }
@@ -159,7 +168,11 @@
     let mut partial = Rng::with_seed(seed ^ 0x9a47);
     let mut gangs = Rng::with_seed(seed ^ 0x9a79);
     let mut crashers = Rng::with_seed(seed ^ 0xc4a5);
-    let mut world = World::new(seed, rng.usize(1..5), rng.usize(2..8));
+    let (entries, workers) = (rng.usize(1..5), rng.usize(2..8));
+    let mut world = match extra {
+        Extra::Speeds => World::with_speeds(seed, entries, workers, STOP_MS),
+        _ => World::new(seed, entries, workers),
+    };
     world.delivery_order = delivery_order;
     world.keeps_ids = extra == Extra::LateRestarts && seed % 2 == 1;
     world.faults = Faults {
@@ -234,6 +247,7 @@
     world.delay_orders(0, Rng::with_seed(0));
     world.unavailable_parts.clear();
     world.return_all_halls();
+    world.restore_speeds();
     // Entries that were asked to stop have ended by then.
     world.run(6_000);
     for n in 0..world.entries.len() {
@@ -313,6 +327,11 @@
     play_all(Extra::Halls);
 }
 
+#[test]
+fn sched_model_speeds() {
+    play_all(Extra::Speeds);
+}
+
 #[test]
 fn sched_model_two_lives() {
     play_all(Extra::TwoInstances);
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -72,6 +72,7 @@
 mod test_standby;
 mod test_starts;
 mod test_stop;
+mod test_stragglers;
 mod test_timeout;
 mod test_times;
 mod test_unknown;
--- a/tests/world/entries.rs
+++ b/tests/world/entries.rs
@@ -12,7 +12,7 @@
         entry.undisturbed_since_ms = self.now_ms;
         entry.wake_ms = self.now_ms + 5;
         let nonce = entry.incarnation * 100 + n as u64;
-        let state = State::new(format!("entry-{n}"), nonce);
+        let state = State::new(format!("entry-{n}"), nonce).with_deployment(self.deployment);
         entry.state = Some(match self.has_standbys {
             true => state.with_standbys(),
             false => state,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -13,6 +13,7 @@
 mod halls;
 mod jobs;
 mod restart;
+mod speeds;
 mod standbys;
 mod start_history;
 mod store;
@@ -26,6 +27,7 @@
 
 use fastrand::Rng;
 use rockwick::clock::Now;
+use rockwick::core::sched::deployment::Deployment;
 use rockwick::core::sched::hosts::HostTask;
 use rockwick::core::sched::job::{JobSpec, JobState, QueuePolicy, Schedule, StepSpec};
 use rockwick::core::sched::pool_state::PoolState;
@@ -127,6 +129,12 @@
     since_ms: u64,
     /// When a lasting task begins to work.
     at_work_ms: u64,
+    /// Work of a task that ends by itself, as its time at normal speed.
+    work_ms: u64,
+    /// Work done, in thousandths of a millisecond at normal speed.
+    done_us: u64,
+    /// When `done_us` was last brought up to date.
+    counted_ms: u64,
 }
 
 /// An instance of a worker.
@@ -151,6 +159,8 @@
     /// Whether the process is up; false after a crash and while the host is out.
     is_up: bool,
     disconnected_until_ms: u64,
+    /// Speed of its runs in thousandths of the normal one.
+    speed_milli: u64,
 }
 
 impl Worker {
@@ -170,6 +180,7 @@
             shrunk_ms: None,
             is_up: true,
             disconnected_until_ms: 0,
+            speed_milli: 1_000,
         }
     }
 
@@ -278,6 +289,9 @@
     /// Final states of jobs whose rows were removed.
     removed_job_states: HashMap<String, JobState>,
     hosts_out: HashSet<String>,
+    /// Figures of the deployment that entries are given. Without a time of stops, workers report no progress, so that
+    /// older seeds play the same worlds.
+    deployment: Deployment,
 }
 
 impl World {
@@ -337,6 +351,7 @@
             ordering_entry: 0,
             removed_job_states: HashMap::new(),
             hosts_out: HashSet::new(),
+            deployment: Deployment::default(),
         };
         for host in 0..workers {
             world.start_instance(&format!("host-{host}"));
--- a/tests/world/timed_events.rs
+++ b/tests/world/timed_events.rs
@@ -106,7 +106,8 @@
             }
             TimedEvent::RunEnds(id, task, run) => {
                 let active = self.workers.get(&id).and_then(|w| w.running.get(&task));
-                if active.is_some_and(|r| r.run == run) {
+                let is_active = active.is_some_and(|r| r.run == run);
+                if is_active && self.has_done_work(&id, &task, run) {
                     let is_bad = self.bad_worker.as_ref() == Some(&id);
                     let fails = self.draw_chance(self.faults.run_fails) || is_bad;
                     let kind = if fails {
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -106,6 +106,9 @@
             demand,
             since_ms: now_ms,
             at_work_ms,
+            work_ms: 0,
+            done_us: 0,
+            counted_ms: now_ms,
         };
         w.running.insert(start.task.clone(), run);
         self.starts += 1;
@@ -124,6 +127,10 @@
             let drawn_ms = self.rng.u64(step.estimate_ms / 2..=step.estimate_ms * 2);
             let set_ms = self.run_ms.get(&start.task).copied();
             let work_ms = set_ms.unwrap_or(drawn_ms);
+            let w = self.workers.get_mut(id).expect("the worker is up");
+            if let Some(run) = w.running.get_mut(&start.task) {
+                run.work_ms = work_ms;
+            }
             let end = TimedEvent::RunEnds(id.to_string(), start.task.clone(), start.run);
             self.schedule(work_ms, end);
         }
@@ -264,6 +271,8 @@
             .drain(..)
             .partition(|e| e.number <= request.acked_through);
         w.ended = rest;
+        w.progress_runs(now_ms);
+        let reports_progress = self.deployment.stop_ms > 0;
         let report = RenewalReport {
             born_wall_ms: w.info.born_wall_ms,
             clock_ms: w.clock(now_ms),
@@ -275,7 +284,13 @@
                     task: task.clone(),
                     run: r.run,
                     checkpoint: String::new(),
-                    percent: if now_ms >= r.at_work_ms { 100 } else { 0 },
+                    percent: match r.work_ms {
+                        0 if now_ms >= r.at_work_ms => 100,
+                        0 => 0,
+                        _ if reports_progress => r.percent_done(),
+                        _ if now_ms >= r.at_work_ms => 100,
+                        _ => 0,
+                    },
                     gauge: 0,
                 })
                 .collect(),
