Notice a hung worker by the end that doesn't come

Cause: on a hung worker no run ends, so its report came only after the second that a renewal waits, and its older progress hid the standstill a while longer.

Change: a renewal waits 1.5 times the time until the next end is expected there, 250 ms at least and a second at most. A worker without any progress for 200 ms (400 ms with one run), in which 15% was expected, counts as hung at once and is looked at without the periodic pass. Ruled out: short waits everywhere, each look is charged for.

--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -31,6 +31,7 @@
 /// Sends the next renewal to a worker unless one is in flight.
 pub fn send_next(pool_state: &mut PoolState, key: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
     let last_acknowledgeable = pool_state.last_acknowledgeable_end(key);
+    let busy_wait_ms = pool_state.stragglers.renewal_wait_ms(key, RENEWAL_WAIT_MS);
     let Some(w) = pool_state.workers.get_mut(key) else {
         return;
     };
@@ -69,7 +70,7 @@
         // The worker would not wait in any case: it answers at once with the ends that are not recorded yet.
         _ if !w.unrecorded.is_empty() => 0,
         (Some(_), true) => RENEWAL_IDLE_WAIT_MS,
-        (Some(_), false) => RENEWAL_WAIT_MS,
+        (Some(_), false) => busy_wait_ms,
     };
     let request = RenewalRequest {
         lease_until_ms,
--- a/src/core/sched/stragglers.rs
+++ b/src/core/sched/stragglers.rs
@@ -13,14 +13,23 @@
 use super::deployment::Deployment;
 use super::keys::{TaskKey, WorkerKey};
 use super::pool_state::PoolState;
-use super::state::Ctx;
+use super::state::{Ctx, Timer};
 use super::tasks::Phase;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{RenewalReport, RunningTask};
 
 /// Time after which an observation has lost half of its weight against one of the same length.
-const WINDOW_MS: u64 = 400;
+const WINDOW_MS: u64 = 300;
+
+/// Time without any progress after which several runs show that their worker is hung; a single one needs twice as long.
+const STILL_MIN_MS: u64 = 200;
+
+/// Expected progress, in percent, whose absence shows that a worker is hung.
+const STILL_MIN_PERCENT: u64 = 15;
+
+/// Shortest time that a renewal waits at a worker for the next end.
+const RENEWAL_WAIT_MIN_MS: Millis = 250;
 
 /// Time of runs that must have been observed on a worker before it is judged.
 const OBSERVED_MIN_MS: u64 = 250;
@@ -97,6 +106,12 @@
     passed_ms: u64,
     /// Work that they did, as the time that it is expected to take, weighted.
     done_ms: u64,
+    /// Time since any of its runs progressed.
+    still_ms: u64,
+    /// Progress in percent that the shortest of its runs was expected to make in that time.
+    still_percent: u64,
+    /// Time from the last report until one of its runs is expected to end; `None` without such runs.
+    next_end_ms: Option<Millis>,
     /// Whether it is treated as slow.
     is_slow: bool,
     /// Number of pauses in a row.
@@ -118,9 +133,21 @@
         self.done_ms = self.done_ms * WINDOW_MS / (WINDOW_MS + ms);
     }
 
+    /// Returns whether none of its runs progresses.
+    fn is_still(&self) -> bool {
+        let least_ms = match self.runs.len() {
+            0 | 1 => 2 * STILL_MIN_MS,
+            _ => STILL_MIN_MS,
+        };
+        self.still_ms >= least_ms && self.still_percent >= STILL_MIN_PERCENT
+    }
+
     /// Returns its speed in thousandths of the expected one, if enough was observed recently.
     fn speed_milli(&self, now_ms: Millis) -> Option<u64> {
         let is_recent = now_ms < self.observed_ms + RECENT_MS;
+        if is_recent && self.is_still() {
+            return Some(0);
+        }
         let is_enough = is_recent && self.passed_ms >= OBSERVED_MIN_MS;
         is_enough.then(|| self.done_ms * 1_000 / self.passed_ms)
     }
@@ -135,6 +162,14 @@
         }
     }
 
+    /// Returns how long a renewal should wait at a worker for the next end: a little longer than an end should take, so
+    /// that a worker on which it doesn't come is noticed soon.
+    pub fn renewal_wait_ms(&self, worker: WorkerKey, most_ms: Millis) -> Millis {
+        let next_end_ms = self.tracks.get(worker).and_then(|t| t.next_end_ms);
+        let wait_ms = next_end_ms.map(|ms| (ms * 3 / 2).max(RENEWAL_WAIT_MIN_MS));
+        wait_ms.map_or(most_ms, |ms| ms.min(most_ms))
+    }
+
     /// Returns the median speed of the workers, if it allows a judgement.
     fn pool_speed_milli(&self, now_ms: Millis) -> Option<u64> {
         let tracks = self.tracks.values();
@@ -191,7 +226,7 @@
     pool_state: &mut PoolState,
     worker: WorkerKey,
     report: &RenewalReport,
-    ctx: &Ctx<'_>,
+    ctx: &mut Ctx<'_>,
 ) {
     if ctx.deployment.stop_ms == 0 {
         return;
@@ -202,6 +237,8 @@
     if passed_ms > 0 {
         let before = std::mem::take(&mut track.runs);
         let mut observed = Vec::new();
+        let mut shortest_ms = Millis::MAX;
+        track.next_end_ms = None;
         for run in &report.running {
             let Some(key) = current_task(pool_state, worker, run) else {
                 continue;
@@ -212,18 +249,32 @@
             if let Some((_, percent)) = before.get(&key).filter(|(n, _)| *n == run.run) {
                 let done = u64::from(run.percent.saturating_sub(*percent));
                 observed.push(done * expected_ms / 100);
+                shortest_ms = shortest_ms.min(expected_ms);
             }
+            let left_ms = expected_ms * u64::from(100u32.saturating_sub(run.percent)) / 100;
+            track.next_end_ms = Some(track.next_end_ms.map_or(left_ms, |ms| ms.min(left_ms)));
             track.runs.insert(key, (run.run, run.percent));
         }
         if !observed.is_empty() {
             track.age(passed_ms);
             track.observed_ms = ctx.now.ms;
+            let is_still = observed.iter().all(|done_ms| *done_ms == 0);
+            track.still_ms = if is_still {
+                track.still_ms + passed_ms
+            } else {
+                0
+            };
+            track.still_percent = track.still_ms * 100 / shortest_ms;
         }
         for done_ms in observed {
             track.add(passed_ms, done_ms);
         }
         track.clock_ms = report.clock_ms;
     }
+    // A hung worker is looked at before the next periodic pass.
+    if track.is_still() && !track.is_slow {
+        ctx.set_timer(0, Timer::Upkeep);
+    }
     stragglers.tracks.insert(worker, track);
     pool_state.stragglers = stragglers;
 }
