--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -46,6 +46,7 @@
 pub mod run_log;
 pub mod runs;
 pub mod sizing;
+pub mod speeds;
 pub mod standby;
 pub mod state;
 pub mod stragglers;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -296,7 +296,7 @@
     if spec.lasting && w.awaits_wave {
         cost += DUE_HOST_COST_MILLI;
     }
-    cost += pool_state.stragglers.cost_milli(worker);
+    cost += pool_state.speeds.cost_milli(worker);
     cost + u64::from(w.fails_in_row) * FAILURE_COST_MILLI
 }
 
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -15,7 +15,7 @@
 use super::order::ScanCursor;
 use super::reservations::Reservations;
 use super::run_log::StartAnswers;
-use super::stragglers::Stragglers;
+use super::speeds::Speeds;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::times::Times;
 use super::worker::{AppliedEnd, Worker};
@@ -126,7 +126,7 @@
     /// Whether capacity or work was added since tasks were last placed.
     pub wants_placing: bool,
     /// Observed progress of the workers' runs.
-    pub stragglers: Stragglers,
+    pub speeds: Speeds,
     /// Answers to starts that are not logged yet.
     pub answers: StartAnswers,
 }
--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -17,8 +17,8 @@
 use super::restarts;
 use super::run_log;
 use super::runs;
+use super::speeds;
 use super::state::{Ctx, Effect, Timer};
-use super::stragglers;
 use super::tasks::Phase;
 use super::worker::{ClockSample, RenewalPhase, Worker};
 use crate::clock::Millis;
@@ -31,7 +31,7 @@
 /// Sends the next renewal to a worker unless one is in flight.
 pub fn send_next(pool_state: &mut PoolState, key: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
     let last_acknowledgeable = pool_state.last_acknowledgeable_end(key);
-    let busy_wait_ms = pool_state.stragglers.renewal_wait_ms(key, RENEWAL_WAIT_MS);
+    let busy_wait_ms = pool_state.speeds.renewal_wait_ms(key, RENEWAL_WAIT_MS);
     let Some(w) = pool_state.workers.get_mut(key) else {
         return;
     };
@@ -241,7 +241,7 @@
         epoch,
         ctx,
     );
-    stragglers::observe(pool_state, key, &report, ctx);
+    speeds::observe(pool_state, key, &report, ctx);
     drop_leftover_runs(pool_state, key, sent_ms, &report.running);
     let is_recorded = pool_state.settle_ends(key);
     let is_blocked =
