--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -19,6 +19,7 @@
 use super::policy::Deadlines;
 use super::reservations::Reservations;
 use super::run_log::StartAnswers;
+use super::speeds::Speeds;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::tickets::AdviceBook;
 use super::times::Times;
@@ -137,6 +138,8 @@
     pub wants_placing: bool,
     /// Checkpoints of tasks that are not done.
     pub checkpoints: Checkpoints,
+    /// Observed progress of the workers' runs.
+    pub speeds: Speeds,
     /// Answers to starts that are not logged yet.
     pub answers: StartAnswers,
 }
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -39,6 +39,7 @@
 use super::sizing;
 use super::standby;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Timer, WaveKnown};
+use super::stragglers;
 use super::wave;
 use super::worker_list::{
     apply_feed_list, apply_separate_list, apply_worker_event, start_renewing,
@@ -624,6 +625,9 @@
             rounds::begin_due(pool_state, ctx);
             runs::end_exhausted_jobs(pool_state, epoch, ctx);
             halls::move_lasting(pool_state, epoch, ctx);
+            for task in stragglers::review(pool_state, ctx) {
+                runs::stop_run(pool_state, task, epoch, ctx);
+            }
             renewal::renew_stuck(pool_state, epoch, ctx);
             pacing::drop_ended(pool_state);
             checkpoints::record_due(
--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -19,6 +19,7 @@
 use super::restarts;
 use super::run_log;
 use super::runs;
+use super::speeds;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::Phase;
 use super::worker::{ClockSample, RenewalPhase, Worker};
@@ -33,6 +34,7 @@
 pub fn send_next(pool_state: &mut PoolState, key: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
     let last_acknowledgeable = pool_state.last_acknowledgeable_end(key);
     let is_watched = pool_state.pace.watches(key);
+    let busy_wait_ms = pool_state.speeds.renewal_wait_ms(key, RENEWAL_WAIT_MS);
     let Some(w) = pool_state.workers.get_mut(key) else {
         return;
     };
@@ -72,7 +74,7 @@
         _ if !w.unrecorded.is_empty() => 0,
         _ if is_watched => pace::REPORT_MS,
         (Some(_), true) => RENEWAL_IDLE_WAIT_MS,
-        (Some(_), false) => RENEWAL_WAIT_MS,
+        (Some(_), false) => busy_wait_ms,
     };
     let request = RenewalRequest {
         lease_until_ms,
@@ -243,6 +245,7 @@
         epoch,
         ctx,
     );
+    speeds::observe(pool_state, key, &report, ctx);
     drop_leftover_runs(pool_state, key, sent_ms, &report.running);
     let is_recorded = pool_state.settle_ends(key);
     let is_blocked =
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -16,6 +16,7 @@
 mod jobs;
 mod pace;
 mod restart;
+mod speeds;
 mod standbys;
 mod start_history;
 mod store;
@@ -135,6 +136,12 @@
     pace_percent: u64,
     /// What the run continues from.
     resumed: checkpoints::Resumed,
+    /// Work of a task that ends by itself, as its time at normal speed.
+    work_ms: u64,
+    /// Work done, in thousandths of a millisecond at normal speed.
+    done_us: u64,
+    /// When `done_us` was last brought up to date.
+    counted_ms: u64,
 }
 
 /// An instance of a worker.
@@ -159,6 +166,8 @@
     /// Whether the process is up; false after a crash and while the host is out.
     is_up: bool,
     disconnected_until_ms: u64,
+    /// Speed of its runs in thousandths of the normal one.
+    speed_milli: u64,
 }
 
 impl Worker {
@@ -178,6 +187,7 @@
             shrunk_ms: None,
             is_up: true,
             disconnected_until_ms: 0,
+            speed_milli: 1_000,
         }
     }
 
@@ -231,7 +241,8 @@
     pub(crate) crashes: crash::Crashes,
     /// Tasks that renew checkpoints.
     pub(crate) checkpoints: checkpoints::Checkpoints,
-    /// Figures of the deployment that entries start with.
+    /// Figures of the deployment that entries start with. Without a time of stops, workers report no progress, so that
+    /// older seeds play the same worlds.
     pub(crate) deployment: Deployment,
     /// Halls that the operator evacuates, and since when.
     evacuated_since_ms: BTreeMap<String, u64>,
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -122,6 +122,9 @@
             at_work_ms,
             pace_percent: 100,
             resumed,
+            work_ms: 0,
+            done_us: 0,
+            counted_ms: now_ms,
         };
         w.running.insert(start.task.clone(), run);
         self.starts += 1;
@@ -140,6 +143,10 @@
             let drawn_ms = self.rng.u64(step.estimate_ms / 2..=step.estimate_ms * 2);
             let set_ms = self.run_ms.get(&start.task).copied();
             let work_ms = left_ms.or(set_ms).unwrap_or(drawn_ms);
+            let w = self.workers.get_mut(id).expect("the worker is up");
+            if let Some(run) = w.running.get_mut(&start.task) {
+                run.work_ms = work_ms;
+            }
             let end = TimedEvent::RunEnds(id.to_string(), start.task.clone(), start.run);
             self.schedule(work_ms, end);
         }
@@ -282,6 +289,8 @@
             .drain(..)
             .partition(|e| e.number <= request.acked_through);
         w.ended = rest;
+        w.progress_runs(now_ms);
+        let reports_progress = self.deployment.stop_ms > 0;
         let w = &self.workers[id];
         let report = RenewalReport {
             born_wall_ms: w.info.born_wall_ms,
@@ -294,7 +303,13 @@
                     task: task.clone(),
                     run: r.run,
                     checkpoint: self.checkpoint_of(task, r, false),
-                    percent: if now_ms >= r.at_work_ms { 100 } else { 0 },
+                    percent: match r.work_ms {
+                        0 if now_ms >= r.at_work_ms => 100,
+                        0 => 0,
+                        _ if reports_progress => r.percent_done(),
+                        _ if now_ms >= r.at_work_ms => 100,
+                        _ => 0,
+                    },
                     gauge: tails_ms.get(task).copied().unwrap_or(0),
                 })
                 .collect(),
