--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -13,7 +13,6 @@
 };
 use super::policy::{self, Deadlines};
 use super::pool_state::PoolState;
-use super::rounds;
 use super::rows::{
     self, cancelled_job, shard_of_part, ProgressRow, RoundRow, TaskProgress, TaskRow,
 };
@@ -67,7 +66,7 @@
     }
     let keys: Vec<JobKey> = pool_state.jobs.keys().collect();
     for key in keys {
-        rounds::begin_new(&mut pool_state, key, ctx);
+        begin_new_rounds(&mut pool_state, key, ctx);
     }
     for row in cancels {
         apply_intake(&mut pool_state, &row, state.config, id.epoch, ctx);
@@ -147,7 +146,17 @@
     }
     if let Some(key) = add_job(pool_state, row, config, ctx) {
         pool_state.meter_job(key, ctx.now.ms);
-        rounds::begin_arrived(pool_state, key, ctx);
+        begin_new_rounds(pool_state, key, ctx);
+        let Some(job) = pool_state.jobs.get(key) else {
+            return;
+        };
+        // Work beyond its account's weight or quota does not indicate a need for hosts.
+        let is_beyond = job
+            .account
+            .is_some_and(|account| pool_state.is_beyond_quota(account));
+        if !job.is_excess && !is_beyond {
+            pool_state.note_arrival(key, ctx.now.ms);
+        }
     }
 }
 
@@ -214,6 +223,24 @@
     Some(key)
 }
 
+/// Begins the rounds of a job that are due and have never begun.
+pub fn begin_new_rounds(pool_state: &mut PoolState, key: JobKey, ctx: &mut Ctx<'_>) {
+    loop {
+        let Some(job) = pool_state.jobs.get(key) else {
+            return;
+        };
+        let next = job.rounds_begun;
+        let is_due = match job.spec.schedule {
+            None => next == 0,
+            Some(s) => next < s.rounds && ctx.now.wall_ms >= s.due_wall_ms(next),
+        };
+        if !is_due || job.state.is_final() || job.is_unreadable {
+            return;
+        }
+        pool_state.begin_round(key, next, ctx.now);
+    }
+}
+
 fn apply_progress(
     pool_state: &mut PoolState,
     row: &StoredRow,
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -41,7 +41,6 @@
 pub mod renewal;
 pub mod reservations;
 mod restarts;
-mod rounds;
 pub mod routing;
 pub mod rows;
 pub mod run_log;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -29,7 +29,6 @@
 use super::quota;
 use super::remove;
 use super::renewal;
-use super::rounds;
 use super::rows::{cancelled_job, pool_of_part, shard_of_part, HEARTBEAT_KEY, OWNER_KEY};
 use super::run_log;
 use super::runs;
@@ -593,7 +592,6 @@
 
 fn fire_pool_state_timer(pool_state: &mut PoolState, timer: Timer, epoch: u64, ctx: &mut Ctx<'_>) {
     match timer {
-        Timer::Rounds => rounds::begin_due(pool_state, ctx),
         Timer::RenewWorker(worker) => renewal::send_next(pool_state, worker, epoch, ctx),
         Timer::ExpireLease(worker) => renewal::expire_lease(pool_state, worker, ctx),
         Timer::ResendStart(task, run) => runs::send_start(pool_state, task, run, epoch, ctx),
@@ -601,7 +599,7 @@
         Timer::Upkeep => {
             pool_state.resort(ctx.now.ms);
             sizing::log_load(pool_state, ctx);
-            rounds::begin_due(pool_state, ctx);
+            runs::begin_due_rounds(pool_state, ctx);
             runs::end_exhausted_jobs(pool_state, epoch, ctx);
             halls::move_lasting(pool_state, epoch, ctx);
             renewal::renew_stuck(pool_state, epoch, ctx);
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -12,6 +12,7 @@
 use super::limits::{
     FAILS_IN_A_ROW, FULL_PAUSE_MS, ORDER_RETRY_MS, SUSPEND_MAX_MS, SUSPEND_MS, WORKER_LEASE_MS,
 };
+use super::load;
 use super::pool_state::{LeftoverRun, PoolState};
 use super::run_log;
 use super::state::{Ctx, Effect, Order, Timer};
@@ -788,3 +789,16 @@
     );
     ctx.out.push(Effect::StopStray(order, name.clone(), run));
 }
+
+/// Begins the rounds of scheduled jobs that have fallen due.
+pub fn begin_due_rounds(pool_state: &mut PoolState, ctx: &mut Ctx<'_>) {
+    let timed: Vec<JobKey> = pool_state
+        .jobs
+        .iter()
+        .filter(|(_, job)| job.spec.schedule.is_some() && !job.state.is_final())
+        .map(|(key, _)| key)
+        .collect();
+    for key in timed {
+        load::begin_new_rounds(pool_state, key, ctx);
+    }
+}
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -220,8 +220,6 @@
     /// Periodic work: reorder and place waiting tasks, log the pool's load, begin rounds that are due, end jobs that
     /// have no attempt left, and renew the leases of workers whose run ends are still to be recorded.
     Upkeep,
-    /// Begin the rounds that are due.
-    Rounds,
     /// Reconcile waves.
     Wave,
     /// Reconcile the pool's size.
--- a/tests/test_deadlines.rs
+++ b/tests/test_deadlines.rs
@@ -92,28 +92,3 @@
     let sum: usize = in_time.iter().sum();
     assert!(sum >= 30, "{sum} of 60 rounds in time: {in_time:?}");
 }
-
-/// Time within which an idle owner begins a round that is due.
-const BEGIN_MS: u64 = 20;
-
-/// A round begins when it is due, not at the next periodic look at all jobs up to 250 ms later. Its work counts as newly
-/// arrived then, and not at the submission.
-#[test]
-fn deadlines_begin_at_once() {
-    let mut world = World::new(7, 1, 4);
-    world.run(SETTLE_MS);
-    let rounds = Rounds::submit(&mut world, "rounds", 4, 6, 1_330);
-    world.run(100);
-    let arriving_cpu_milli = |world: &World| {
-        let pool_state = world.owner_pool_state().expect("the pool has an owner");
-        pool_state.arriving_cpu_milli(world.now_ms)
-    };
-    assert_eq!(arriving_cpu_milli(&world), 0, "no round is due yet");
-    for (n, due_ms) in rounds.due_ms.iter().enumerate() {
-        world.run(due_ms + BEGIN_MS - world.now_ms);
-        let pool_state = world.owner_pool_state().expect("the pool has an owner");
-        let job = &pool_state.jobs[pool_state.jobs_by_id["rounds"]];
-        assert_eq!(job.rounds_begun as usize, n + 1, "round {n} has begun");
-        assert!(arriving_cpu_milli(&world) > 0, "its work has arrived");
-    }
-}
