--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -47,7 +47,6 @@
 pub mod reservations;
 pub mod reserve;
 mod restarts;
-mod rounds;
 pub mod routing;
 pub mod rows;
 pub mod run_log;
