Wait for the log line of a row that can't be read

The line is handed to a thread that writes it, and the test's reader takes it from a pipe, so the answer can come first. The check is the same, with the bounded wait that the other tests of this file use for lines.

--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -345,6 +345,6 @@
         let answer = call_with(one.callers, method, &path, &Value::Null, &headers);
         assert_eq!(answer.map(|a| a.status), Some(504), "{method}");
     }
-    let lines = one.lines();
-    assert!(lines.iter().any(|l| l.contains("bad-row") && l.contains(A)));
+    let is_told = |line: &String| line.contains("bad-row") && line.contains(A);
+    wait_until("a line on the row", || one.lines().iter().any(is_told));
 }
