A flood that waits stays excess under a new owner

Cause: whether a job is beyond its account's weight was decided when it arrived and known to its owner alone. A new owner read all jobs as within their weights, so that a flood's waiting jobs competed with what others were promised.

Ruled out: meters in the heartbeat. A meter covers one second of the weight and a takeover takes about two, so it is full again by then, and the waiting jobs would still not be counted.

Change: a new owner counts the jobs in its rows against the weights by their times of acceptance, before anything is ranked. No row changes.

--- a/src/core/sched/accounts.rs
+++ b/src/core/sched/accounts.rs
@@ -6,7 +6,7 @@
 use super::fairness::Meter;
 use super::keys::{AccountKey, JobKey, TaskKey};
 use super::pool_state::PoolState;
-use crate::clock::Millis;
+use crate::clock::{Millis, Now};
 use crate::port::fleet::{AccountConfig, Capacity};
 
 /// What a client account uses and may use in a pool.
@@ -90,6 +90,22 @@
         self.jobs[key].is_excess = !is_within;
     }
 
+    /// Counts the jobs of a pool that is being loaded against their accounts' weights in the order of their acceptance, as
+    /// its former owner did when they arrived.
+    pub(super) fn meter_loaded_jobs(&mut self, now: Now) {
+        let of_accounts = self.jobs.iter().filter(|(_, job)| job.account.is_some());
+        let mut by_age: Vec<(Millis, JobKey)> = of_accounts
+            .map(|(key, job)| (job.spec.accepted_wall_ms, key))
+            .collect();
+        by_age.sort_unstable();
+        for (accepted_wall_ms, key) in by_age {
+            self.meter_job(key, accepted_wall_ms);
+        }
+        for account in &mut self.accounts {
+            account.meter.rebase(now.wall_ms, now.ms);
+        }
+    }
+
     /// Returns whether the account uses and waits for more than this pool could be granted.
     pub fn is_beyond_quota(&self, account: AccountKey) -> bool {
         let account = &self.accounts[usize::from(account.0)];
--- a/src/core/sched/fairness.rs
+++ b/src/core/sched/fairness.rs
@@ -7,7 +7,8 @@
 //! soon as there is room.
 //!
 //! Each pool's owner counts by itself, so an account may use its whole weight in each pool: its load shifts between
-//! queues, and owners exchange nothing about single jobs.
+//! queues, and owners exchange nothing about single jobs. The next owner of a pool counts the jobs in its rows again by
+//! their times of acceptance, so that a flood that waits remains excess.
 
 use crate::clock::Millis;
 
@@ -43,4 +44,10 @@
         }
         is_within
     }
+
+    /// Moves the meter to another clock, which shows `to_ms` when its present one shows `from_ms`.
+    pub fn rebase(&mut self, from_ms: Millis, to_ms: Millis) {
+        let age_ms = from_ms.saturating_sub(self.at_ms);
+        self.at_ms = to_ms.saturating_sub(age_ms);
+    }
 }
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -61,6 +61,7 @@
             add_job(&mut pool_state, &row, state.config, ctx);
         }
     }
+    pool_state.meter_loaded_jobs(ctx.now);
     for row in loaded.progress {
         apply_progress(&mut pool_state, &row, began_ms, ctx);
     }
--- a/tests/test_fairness.rs
+++ b/tests/test_fairness.rs
@@ -1,5 +1,7 @@
 //! One account floods a pool: work within the other accounts' rates goes first, and the flood gets the rest.
 
+use std::collections::BTreeMap;
+
 use rockwick::core::sched::fairness::Meter;
 use rockwick::core::sched::job::{JobSpec, JobState};
 
@@ -76,3 +78,44 @@
         "{unbounded} in time without a weight for the flood, {done} with it"
     );
 }
+
+/// Returns the jobs that have not ended, each with whether it is beyond its account's weight.
+fn open_jobs(world: &World) -> Option<BTreeMap<String, bool>> {
+    let jobs = world.owner_pool_state()?.jobs.values();
+    let open = jobs.filter(|job| !job.state.is_final());
+    Some(open.map(|job| (job.id.clone(), job.is_excess)).collect())
+}
+
+/// A flood that waits remains beyond its account's weight when another entry takes the pool over.
+#[test]
+fn fairness_owner_killed() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, 2, 4);
+        world.set_accounts(&[("flood", 0, 20), ("dock", 0, 5)]);
+        world.run(SETTLE_MS);
+        for n in 0..40u64 {
+            for k in 0..8 {
+                world.submit(&format!("flood-{n}-{k}"), of_account("flood"));
+            }
+            world.run(25);
+        }
+        world.submit("dock", of_account("dock"));
+        world.run(25);
+        let before = open_jobs(&world).expect("the pool has an owner");
+        world.kill(world.owner_entry().expect("the pool has an owner"));
+        let mut after = None;
+        while after.is_none() {
+            world.run(25);
+            after = open_jobs(&world);
+        }
+        let after = after.unwrap_or_default();
+        assert!(after.len() > 50, "{} jobs are left", after.len());
+        let is_kept = |(id, is_excess): &(&String, &bool)| before.get(*id) == Some(*is_excess);
+        let kept = after.iter().filter(is_kept).count();
+        assert!(
+            kept * 100 >= after.len() * 95,
+            "seed {seed}: {kept} of {} jobs are counted as before",
+            after.len()
+        );
+    }
+}
