Tell slow workers sooner, and move runs of jobs that can still be in time

The older reports of a worker weighed too long, a stop was counted with its longest time, and a full pool has no room at the moment although the earliest job gets the next that ends.

Change: window 150 ms (300), slow below 0.4 (0.333) of the pool's speed, a move for 1.25 (1.5) times a fresh run with half of the longest stop, and in a full pool for jobs that can still be in time. Ruled out: a shorter periodic pass.

--- a/src/core/sched/speeds.rs
+++ b/src/core/sched/speeds.rs
@@ -16,7 +16,7 @@
 use crate::port::fleet::{RenewalReport, RunningTask};
 
 /// Time after which an observation has lost half of its weight against one of the same length.
-const WINDOW_MS: u64 = 300;
+const WINDOW_MS: u64 = 150;
 
 /// Time without any progress after which several runs show that their worker is hung; a single one needs twice as long.
 const STILL_MIN_MS: u64 = 200;
--- a/src/core/sched/stragglers.rs
+++ b/src/core/sched/stragglers.rs
@@ -14,7 +14,7 @@
 use crate::event::{Code, Decision, Subject};
 
 /// A worker below this share of the pool's speed, in thousandths, is slow.
-const SLOW_MILLI: u64 = 333;
+const SLOW_MILLI: u64 = 400;
 
 /// A slow worker that reaches this share of the pool's speed, in thousandths, is sound again.
 const SOUND_MILLI: u64 = 600;
@@ -38,7 +38,7 @@
 const START_MS: Millis = 100;
 
 /// A run is moved if its remaining time exceeds that of a fresh run by this factor, in thousandths.
-const GAIN_MIN_MILLI: u64 = 1_500;
+const GAIN_MIN_MILLI: u64 = 1_250;
 
 /// Most times that a task is moved.
 const MOVES_MAX: u8 = 2;
@@ -255,7 +255,7 @@
     let work_left_ms = expected_ms * u64::from(100u32.saturating_sub(percent)) / 100;
     let gain = Gain {
         left_ms: work_left_ms * 1_000 / pace.worker_milli.max(1),
-        fresh_ms: expected_ms * 1_000 / pace.pool_milli + ctx.deployment.stop_ms + START_MS,
+        fresh_ms: expected_ms * 1_000 / pace.pool_milli + ctx.deployment.stop_ms / 2 + START_MS,
     };
     let is_sooner = gain.left_ms * 1_000 > gain.fresh_ms * GAIN_MIN_MILLI;
     let steps = &job.rounds.get(&key.round)?.steps;
@@ -263,7 +263,10 @@
     let rest_ms = job.spec.longest_chain_ms(&job.step_ms, is_later);
     let makes_late = ctx.now.ms + gain.left_ms + rest_ms > job.due_ms;
     let is_hopeless = ctx.now.ms + gain.fresh_ms > job.hopeless_ms;
-    let has_room = pace.is_hung() || has_room_elsewhere(pool_state, key, worker, ctx.now.ms);
+    // A job that can be in time is placed before others as soon as any run ends.
+    let is_first = ctx.now.ms + gain.fresh_ms + rest_ms <= job.due_ms;
+    let has_room =
+        pace.is_hung() || is_first || has_room_elsewhere(pool_state, key, worker, ctx.now.ms);
     (is_sooner && makes_late && !is_hopeless && has_room).then_some(gain)
 }
 
