Hosts stay on offer for the cost of two moves

Cause: with a hold of one move (1.5 s) hosts go off between peaks that follow each other at once, and the next peak waits for them.

Also: at most 150 hosts a second, since a pool's row of offers names a taken host for 3.3 s and has room for some 512.

--- a/src/core/sched/reserve.rs
+++ b/src/core/sched/reserve.rs
@@ -19,16 +19,16 @@
 /// The platform's limit counts orders per second.
 pub const ORDER_RATE_MS: Millis = 1_000;
 
-/// Most orders per second for hosts that are turned off. Rows name the hosts with orders of the last 3.3 s, at some 20
-/// bytes each, and the store's limit is 64 KB.
-const PARKED_PER_S_MAX: u64 = 400;
+/// Most orders per second up to which hosts are turned off. A pool's row of offers names a taken host for 3.3 s, and has
+/// room for some 512 of them.
+const PARKED_PER_S_MAX: u64 = 150;
 
 /// Returns how long a host that no pool wants stays on offer before it is turned off: as long as staying on costs less than
-/// the move that it takes to bring the host back.
+/// the two moves, off and back.
 pub fn hold_ms(deployment: &Deployment) -> Millis {
     match (deployment.host_orders_per_s, deployment.host_move_cost_ms) {
         (0, _) | (_, 0) => HOLD_MS,
-        (_, cost_ms) => cost_ms,
+        (_, cost_ms) => 2 * cost_ms,
     }
 }
 
