--- a/src/core/sched/data_racks.rs
+++ b/src/core/sched/data_racks.rs
@@ -143,6 +143,9 @@
 impl DataRacks {
     /// Begins a pass of placement, in which the tasks that wait are counted anew.
     pub fn begin_pass(&mut self) {
+        if self.views.is_empty() {
+            return;
+        }
         for view in self.views.values_mut() {
             view.ahead_cpu_milli = 0;
         }
