--- a/tests/test_data_racks.rs
+++ b/tests/test_data_racks.rs
@@ -343,6 +343,32 @@
     }
 }
 
+/// A task does not wait for a rack in which no worker has its label, or only the one on which it failed.
+#[test]
+fn racks_none_suitable() {
+    for is_label in [true, false] {
+        let mut pool = full_rack(FACTOR * 1_000);
+        pool.run(50);
+        let task = pool.state.ready.first().map(|rank| rank.task);
+        let task = task.expect("the task waits for its rack");
+        if is_label {
+            let elsewhere = pool.state.workers.values_mut();
+            let elsewhere = elsewhere.filter(|w| w.rack() == "r1");
+            elsewhere.for_each(|w| w.info.labels.push("b".to_string()));
+            pool.state.jobs[task.job].spec.steps[0].label = Some("b".to_string());
+        } else {
+            let mut workers = pool.state.workers.iter();
+            let near = workers.find(|(_, w)| w.rack() == "r0").map(|(key, _)| key);
+            pool.state
+                .task_mut(task)
+                .expect("the task is there")
+                .failed_on = near;
+        }
+        pool.run(50);
+        assert_eq!(pool.remote_runs, 1, "label: {is_label}");
+    }
+}
+
 /// The runs in the rack stand still: the task waits no longer than it would take elsewhere.
 #[test]
 fn racks_wait_bounded() {
