Take preemption back: a failed try

Cause: the run with the most time left is the one that is nearly done, whose room comes by itself, and others' tasks ended within milliseconds of the order.

--- a/src/core/sched/checkpoints.rs
+++ b/src/core/sched/checkpoints.rs
@@ -53,16 +53,6 @@
 }
 
 impl Checkpoints {
-    /// Returns whether no task has a checkpoint.
-    pub(super) fn is_empty(&self) -> bool {
-        self.newest.is_empty()
-    }
-
-    /// Returns the completed part of the work that a task's checkpoint was reported with, in percent.
-    pub(super) fn percent(&self, key: TaskKey) -> Option<u32> {
-        self.newest.get(&key).map(|newest| newest.percent)
-    }
-
     /// Notes that a job's progress, with its checkpoints, is about to be recorded.
     pub(super) fn note_recorded(&mut self, job: JobKey) {
         self.unrecorded.remove(&job);
--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -39,9 +39,6 @@
     pub target_ms: Millis,
     /// Factor on the longest chain of steps, in thousandths.
     pub stretch_milli: u64,
-    /// Priority of the queue; 0 is the highest, and may preempt others.
-    #[serde(default, skip_serializing_if = "is_default")]
-    pub priority: u32,
 }
 
 impl QueuePolicy {
@@ -53,7 +50,6 @@
             attempts_max: queue.attempts_max,
             target_ms: queue.target_ms,
             stretch_milli: queue.stretch_milli,
-            priority: queue.priority,
         })
     }
 
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -35,7 +35,6 @@
 pub mod place;
 mod policy;
 pub mod pool_state;
-pub mod preemption;
 mod progress;
 pub mod quota;
 pub mod reduce;
--- a/src/core/sched/policy.rs
+++ b/src/core/sched/policy.rs
@@ -19,7 +19,6 @@
     attempts_max: 3,
     target_ms: 1_000,
     stretch_milli: 1_000,
-    priority: 0,
 };
 
 /// Returns the policy of a job that is being loaded.
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -14,7 +14,6 @@
 use super::keys::{AccountKey, JobKey, PoolStateId, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, CALM_WAIT_MAX_MS, FORGOTTEN_KEPT_MS};
 use super::order::ScanCursor;
-use super::preemption::Preempted;
 use super::reservations::Reservations;
 use super::run_log::StartAnswers;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
@@ -128,8 +127,6 @@
     pub wants_placing: bool,
     /// Checkpoints of tasks that are not done.
     pub checkpoints: Checkpoints,
-    /// Runs that were stopped for urgent work.
-    pub preempted: Preempted,
     /// Answers to starts that are not logged yet.
     pub answers: StartAnswers,
 }
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -27,7 +27,6 @@
 use super::place;
 use super::policy;
 use super::pool_state::PoolState;
-use super::preemption;
 use super::quota;
 use super::remove;
 use super::renewal;
@@ -609,7 +608,6 @@
                 ctx.deployment.checkpoint_interval_ms,
                 ctx.now.ms,
             );
-            preemption::make_room(pool_state, epoch, ctx);
             pool_state.wants_placing = true;
             // The set of timers merges only equal timers that are due at the same time. The check keeps further cycles
             // of this timer from running side by side.
--- a/src/event.rs
+++ b/src/event.rs
@@ -136,7 +136,6 @@
     ReservationUsed, 636, "reservation-used", "A task was placed on the host that was reserved for it; the event shows the capacity left idle by the reservation.";
     ReservationDropped, 637, "reservation-dropped", "The reservation of a host was dropped; the event shows the reason and the capacity left idle by the reservation.";
     CheckpointUsed, 660, "checkpoint-used", "A task's next run continues from a checkpoint; the event shows the run that reported it (0: a former owner recorded it) and the completed part of the work in percent.";
-    TaskPreempted, 661, "task-preempted", "A run that can continue from its checkpoint was stopped for an urgent task that waits for room; the event shows the time that both jobs have left.";
 }
 
 impl Code {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -49,7 +49,6 @@
 mod test_place;
 mod test_platform;
 mod test_policy;
-mod test_preemption;
 mod test_progress;
 mod test_quota;
 mod test_reload;
