Take hosts that are off through a wave at once

Cause: a pool's bound on turns counts its listed workers, and a host that is switched off has none, so the pool of such hosts took one at a time through a wave, each for seconds. Hosts that are off carry nothing: they now take up to half of the wave's slots at a time. waves_hosts_off: 1 turn before, 4 now.

--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -41,6 +41,9 @@
 /// carry the pool's work.
 const POOL_DIVISOR: usize = 3;
 
+/// Hosts that are switched off take at most one in this many of a wave's slots, so that pools that serve find some.
+const OFF_DIVISOR: usize = 2;
+
 /// How long a closing host waits for its short tasks to end before they are stopped.
 const SHORT_TASK_WAIT_MS: Millis = 3_000;
 
@@ -598,11 +601,19 @@
         .count();
     let left = candidates.len() + in_turn;
     let listed = pool_state.workers.values().filter(|w| w.is_listed).count();
-    // The bound is the pool's, so it counts the turns of all waves.
-    let most = (listed / POOL_DIVISOR).max(1);
-    let of_pool = most.saturating_sub(controller.turns.len());
-    let allowed = turns_at_once(wave, left, ctx.now.ms);
-    let more = allowed.saturating_sub(in_turn).min(of_pool);
+    let more = match listed {
+        // All hosts are switched off and carry nothing.
+        0 => (wave.order.out_max / OFF_DIVISOR)
+            .max(1)
+            .saturating_sub(in_turn),
+        _ => {
+            // The bound is the pool's, so it counts the turns of all waves.
+            let most = (listed / POOL_DIVISOR).max(1);
+            let of_pool = most.saturating_sub(controller.turns.len());
+            let allowed = turns_at_once(wave, left, ctx.now.ms);
+            allowed.saturating_sub(in_turn).min(of_pool)
+        }
+    };
     for (host, _) in candidates.into_iter().take(more) {
         pool_state.set_closing(&host, true);
         let turn = Turn::Closing(ctx.now.ms);
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -233,3 +233,26 @@
     }
     assert!(has_opened, "the host is closed for longer than 6 s");
 }
+
+/// Hosts that are switched off carry nothing, so many of them have their turns at a time, but they leave slots to the
+/// pools that serve.
+#[test]
+fn waves_hosts_off() {
+    let mut scenario = scenario_of_waves(&[1]);
+    scenario.pool_state = PoolState::default();
+    let off = (0..9).map(|n| HostRecord {
+        host: format!("host-{n}"),
+        hall: "hall".to_string(),
+        rack: String::new(),
+        pool: POOL.to_string(),
+        state: HostState::Up,
+        worker: String::new(),
+    });
+    wave::apply_list(&mut scenario.controller, off.collect());
+    let wave = scenario.waves.get_mut(&1).expect("the wave is known");
+    wave.order.duration_ms = 60_000;
+    wave.order.out_max = 8;
+    let effects = scenario.reconcile_once();
+    let is_closing = |e: &&Effect| matches!(e, Effect::Log(d) if d.code == Code::HostClosing);
+    assert_eq!(effects.iter().filter(is_closing).count(), 4);
+}
