--- a/src/core/sched/advice.rs
+++ b/src/core/sched/advice.rs
@@ -9,13 +9,12 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::job::StepSpec;
-use super::keys::{JobKey, StepKey, WorkerKey};
-use super::limits::PLACE_SCAN_MAX;
+use super::keys::{JobKey, StepKey, TaskKey, WorkerKey};
+use super::place;
 use super::pool_state::PoolState;
 use super::state::{Ctx, Effect, Timer};
 use super::tasks::{Phase, Round, StepRun};
 use super::tickets::{AdviceRequest, StepAdvice, Ticket, WORKERS_USUAL};
-use super::worker::Worker;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{AdviceAnswer, AdviceError, AdviceTerms, StepName};
@@ -52,32 +51,32 @@
 }
 
 /// Returns the call for the first step that lacks tickets: steps whose tasks wait, in the order of placement, then
-/// steps that are about to open.
+/// steps that are about to open. The step whose call last failed comes after all others.
 pub fn next_request(pool_state: &PoolState, now_ms: Millis) -> Option<AdviceRequest> {
-    let mut waiting: BTreeMap<StepKey, u64> = BTreeMap::new();
-    let mut order = Vec::new();
-    for rank in pool_state.ready.iter().take(PLACE_SCAN_MAX) {
+    let mut waiting: BTreeMap<StepKey, (TaskKey, u64)> = BTreeMap::new();
+    let mut steps = Vec::new();
+    for rank in pool_state.placeable(None, now_ms) {
         if terms(pool_state, rank.task.job).is_none() {
             continue;
         }
         let step = StepKey::from(rank.task);
-        let count = waiting.entry(step).or_default();
+        let (_, count) = waiting.entry(step).or_insert((rank.task, 0));
         if *count == 0 {
-            order.push(step);
+            steps.push(step);
         }
         *count += 1;
     }
-    let mut open = order.iter().map(|step| (*step, waiting[step]));
-    open.find_map(|(step, count)| request_for(pool_state, step, count, now_ms))
-        .or_else(|| {
-            let mut next = next_steps(pool_state, now_ms).into_iter();
-            next.find_map(|(step, count)| request_for(pool_state, step, count, now_ms))
-        })
+    let open = steps.iter().map(|step| waiting[step]);
+    let mut wanted: Vec<(TaskKey, u64)> = open.collect();
+    wanted.extend(next_steps(pool_state, now_ms));
+    wanted.sort_by_key(|(task, _)| pool_state.advice.failed_step == Some(StepKey::from(*task)));
+    let mut wanted = wanted.into_iter();
+    wanted.find_map(|(task, count)| request_for(pool_state, task, count, now_ms))
 }
 
-/// Returns the steps on queues with advice that are expected to open within half of a ticket's validity, and the number
-/// of their tasks.
-fn next_steps(pool_state: &PoolState, now_ms: Millis) -> Vec<(StepKey, u64)> {
+/// Returns the first tasks of the steps on queues with advice that are expected to open within half of a ticket's
+/// validity, and the number of tasks of each step.
+fn next_steps(pool_state: &PoolState, now_ms: Millis) -> Vec<(TaskKey, u64)> {
     let mut found = Vec::new();
     for (key, job) in &pool_state.jobs {
         let Some(terms) = job.policy.advice.filter(|_| !job.state.is_final()) else {
@@ -88,12 +87,13 @@
             for (n, spec) in job.spec.steps.iter().enumerate() {
                 let opens_ms = opening_ms(round, &spec.after, &job.step_ms);
                 if !round.steps[n].is_open && opens_ms.is_some_and(|at_ms| at_ms <= soon_ms) {
-                    let step = StepKey {
+                    let task = TaskKey {
                         job: key,
                         round: *number,
                         step: n as u16,
+                        index: 0,
                     };
-                    found.push((step, u64::from(spec.count)));
+                    found.push((task, u64::from(spec.count)));
                 }
             }
         }
@@ -120,47 +120,85 @@
     ends.collect::<Option<Vec<Millis>>>()?.into_iter().max()
 }
 
-/// Returns the call for a step with `count` waiting tasks, or `None` if the workers with valid tickets have room for
-/// them, or no other worker could be asked about.
+/// The workers of a pool that may take a step's tasks, apart from its advice.
+#[derive(Default)]
+struct Candidates {
+    /// Number of tasks for which workers with valid tickets have room.
+    places: u64,
+    /// Workers whose tickets have ended, and those that were not asked about, each with its room for tasks.
+    ended: Vec<(WorkerKey, u64)>,
+    unknown: Vec<(WorkerKey, u64)>,
+}
+
+impl Candidates {
+    fn add(&mut self, advice: &StepAdvice, worker: WorkerKey, places: u64, now_ms: Millis) {
+        if advice.is_valid(worker, now_ms) {
+            self.places = self.places.saturating_add(places);
+        } else if advice.tickets.contains_key(&worker) {
+            self.ended.push((worker, places));
+        } else if !advice.ruled_out.contains(&worker) {
+            self.unknown.push((worker, places));
+        }
+    }
+
+    /// Returns the workers that a call names for `count` tasks: those with ended tickets first, which are known to be
+    /// allowed, then the others, as many as the tasks need if half of them are ruled out.
+    fn choose(self, count: u64) -> Vec<WorkerKey> {
+        let mut places = 0_u64;
+        let mut chosen = Vec::new();
+        for (worker, room) in self.ended.into_iter().chain(self.unknown) {
+            let is_enough = chosen.len() >= WORKERS_USUAL && places >= count.saturating_mul(2);
+            if is_enough || chosen.len() >= WORKERS_MAX {
+                break;
+            }
+            places = places.saturating_add(room);
+            chosen.push(worker);
+        }
+        chosen
+    }
+}
+
+/// Returns the call for the step of `task`, of which `count` tasks wait; `None` if the workers with valid tickets have
+/// room for them, or no other worker could be asked about. Workers in the rack of the step's data come first, then
+/// those with room. Workers without room fill the call up, so that their room can be used once it is free.
 fn request_for(
     pool_state: &PoolState,
-    step: StepKey,
+    task: TaskKey,
     count: u64,
     now_ms: Millis,
 ) -> Option<AdviceRequest> {
-    let job = pool_state.jobs.get(step.job)?;
+    let step = StepKey::from(task);
+    let job = pool_state.jobs.get(task.job)?;
     let terms = job.policy.advice?;
-    let spec = job.spec.steps.get(usize::from(step.step))?;
+    let spec = job.spec.steps.get(usize::from(task.step))?;
     let none = StepAdvice::default();
     let advice = pool_state.advice.steps.get(&step).unwrap_or(&none);
-    let room_for = |worker: &Worker| places_on(worker, spec);
-    let mut places = 0;
-    let mut ended = Vec::new();
-    let mut unknown = Vec::new();
-    for slot in pool_state
-        .free_index
-        .workers_with_free(spec.demand().cpu_milli)
-    {
-        let worker = &pool_state.workers[slot.worker];
-        let has_label = spec
-            .label
-            .as_ref()
-            .is_none_or(|label| worker.info.labels.contains(label));
-        if !worker.is_open(now_ms) || !has_label || room_for(worker) == 0 {
-            continue;
-        }
-        if advice.is_valid(slot.worker, now_ms) {
-            places += room_for(worker);
-        } else if advice.tickets.contains_key(&slot.worker) {
-            ended.push((slot.worker, room_for(worker)));
-        } else if !advice.is_known(slot.worker) {
-            unknown.push((slot.worker, room_for(worker)));
-        }
-        if places >= count {
-            return None;
+    let cpu_milli = spec.demand().cpu_milli;
+    let is_near = |worker: WorkerKey| {
+        let rack = spec.data_rack.as_deref();
+        rack.is_some_and(|rack| rack == pool_state.workers[worker].rack())
+    };
+    let mut found = Candidates::default();
+    let mut has_near_to_ask = false;
+    let slots = pool_state.free_index.workers_with_free(cpu_milli);
+    for worker in slots.map(|slot| slot.worker) {
+        let places = places_on(pool_state, task, spec, worker);
+        if places > 0 && place::is_eligible(pool_state, task, spec, worker, now_ms) {
+            let may_ask = !advice.is_valid(worker, now_ms) && !advice.ruled_out.contains(&worker);
+            has_near_to_ask |= may_ask && is_near(worker);
+            found.add(advice, worker, places, now_ms);
         }
     }
-    let workers = choose_workers(ended, unknown, count - places);
+    if found.places >= count && !has_near_to_ask {
+        return None;
+    }
+    found.ended.sort_by_key(|(worker, _)| !is_near(*worker));
+    found.unknown.sort_by_key(|(worker, _)| !is_near(*worker));
+    if found.ended.len() + found.unknown.len() < WORKERS_USUAL {
+        add_full_workers(pool_state, (task, spec), advice, &mut found, now_ms);
+    }
+    let lacking = count.saturating_sub(found.places).max(1);
+    let workers = found.choose(lacking);
     if workers.is_empty() {
         return None;
     }
@@ -180,12 +218,31 @@
     })
 }
 
-/// Returns how many tasks of a step fit on a worker now.
-fn places_on(worker: &Worker, spec: &StepSpec) -> u64 {
+/// Adds workers that may take the step's tasks once they have room.
+fn add_full_workers(
+    pool_state: &PoolState,
+    (task, spec): (TaskKey, &StepSpec),
+    advice: &StepAdvice,
+    found: &mut Candidates,
+    now_ms: Millis,
+) {
+    for (key, worker) in &pool_state.workers {
+        let is_full = places_on(pool_state, task, spec, key) == 0;
+        let may_take = worker.is_large_enough(spec.demand())
+            && place::is_eligible(pool_state, task, spec, key, now_ms);
+        if is_full && may_take {
+            found.add(advice, key, 0, now_ms);
+        }
+    }
+}
+
+/// Returns how many more tasks of a step fit on a worker now.
+fn places_on(pool_state: &PoolState, task: TaskKey, spec: &StepSpec, worker: WorkerKey) -> u64 {
+    let worker = &pool_state.workers[worker];
     let (free, demand) = (worker.free(), spec.demand());
     let most = match spec.per_worker_max {
         0 => u64::MAX,
-        most => u64::from(most),
+        most => u64::from(most).saturating_sub(pool_state.siblings_on(task, worker) as u64),
     };
     let fitting = |free: u64, demand: u64| free.checked_div(demand).unwrap_or(u64::MAX);
     let by_cpu = fitting(free.cpu_milli, demand.cpu_milli);
@@ -195,32 +252,6 @@
         .min(fitting(free.gpu, demand.gpu))
 }
 
-/// Chooses the workers that a call names: those whose tickets have ended, as far as they hold the tasks, else those
-/// that have not been asked about.
-fn choose_workers(
-    ended: Vec<(WorkerKey, u64)>,
-    unknown: Vec<(WorkerKey, u64)>,
-    count: u64,
-) -> Vec<WorkerKey> {
-    let of_ended: u64 = ended.iter().fold(0, |sum, (_, n)| sum.saturating_add(*n));
-    if !ended.is_empty() && (of_ended >= count || unknown.is_empty()) {
-        let chosen = ended.into_iter().take(WORKERS_MAX);
-        return chosen.map(|(worker, _)| worker).collect();
-    }
-    let mut places = 0_u64;
-    let mut chosen = Vec::new();
-    for (worker, room) in ended.into_iter().chain(unknown) {
-        // Half of the workers may be ruled out.
-        let is_enough = chosen.len() >= WORKERS_USUAL && places >= count.saturating_mul(2);
-        if is_enough || chosen.len() >= WORKERS_MAX {
-            break;
-        }
-        places = places.saturating_add(room);
-        chosen.push(worker);
-    }
-    chosen
-}
-
 /// Applies the answer to a call that was sent at `sent_ms`.
 pub fn apply_answer(
     pool_state: &mut PoolState,
@@ -247,11 +278,14 @@
     ctx: &mut Ctx<'_>,
 ) {
     pool_state.advice.failures = 0;
+    pool_state.advice.failed_step = None;
     drop_ended_steps(pool_state);
     let Some(job) = pool_state.jobs.get(step.job) else {
         return;
     };
-    let until_ms = sent_ms + answer.valid_ms;
+    let by_terms_ms = job.policy.advice.map_or(0, |terms| terms.valid_ms);
+    let valid_ms = answer.valid_ms.unwrap_or(by_terms_ms);
+    let until_ms = sent_ms + valid_ms;
     let mut texts: HashMap<String, String> = answer.tickets.into_iter().collect();
     let decision = Decision::new(
         Code::AdviceGiven,
@@ -263,7 +297,7 @@
     .with("step", u64::from(step.step))
     .with("asked", workers.len() as u64)
     .with("allowed", texts.len() as u64)
-    .with("valid_ms", answer.valid_ms)
+    .with("valid_ms", valid_ms)
     .with("took_ms", ctx.now.ms.saturating_sub(sent_ms));
     let advice = pool_state.advice.steps.entry(step).or_default();
     for key in workers {
@@ -298,6 +332,7 @@
     let book = &mut pool_state.advice;
     let pause_ms = (PAUSE_MS << book.failures.min(8)).min(PAUSE_MAX_MS);
     book.failures = book.failures.saturating_add(1);
+    book.failed_step = Some(step);
     book.paused_until_ms = ctx.now.ms + pause_ms;
     ctx.set_timer(pause_ms, Timer::Upkeep);
     let why = match why {
--- a/src/core/sched/data_racks.rs
+++ b/src/core/sched/data_racks.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::job::StepSpec;
-use super::keys::{TaskKey, WorkerKey};
+use super::keys::{StepKey, TaskKey, WorkerKey};
 use super::pool_state::PoolState;
 use super::state::Ctx;
 use super::tasks::Phase;
@@ -260,7 +260,10 @@
     let mut in_rack = pool_state.free_index.rack_workers_with_free(rack, 0);
     in_rack.any(|slot| {
         let worker = &pool_state.workers[slot.worker];
-        let is_allowed = has_label(worker) && task.failed_on != Some(slot.worker);
+        let step = StepKey::from(key);
+        let is_allowed = has_label(worker)
+            && task.failed_on != Some(slot.worker)
+            && !pool_state.advice.is_ruled_out(step, slot.worker);
         is_allowed && worker.is_open(now_ms) && worker.is_large_enough(spec.demand())
     })
 }
--- a/src/core/sched/order.rs
+++ b/src/core/sched/order.rs
@@ -44,7 +44,7 @@
 
     /// Returns the first waiting tasks after a rank. Tasks that are delayed, have no attempt left or exceed their
     /// quota are skipped, so that they don't block others.
-    fn placeable(&self, after: Option<Rank>, now_ms: Millis) -> Vec<Rank> {
+    pub(super) fn placeable(&self, after: Option<Rank>, now_ms: Millis) -> Vec<Rank> {
         let first = after.map_or(Bound::Unbounded, Bound::Excluded);
         let waiting = self.ready.range((first, Bound::Unbounded));
         waiting
--- a/src/core/sched/pacing.rs
+++ b/src/core/sched/pacing.rs
@@ -4,7 +4,7 @@
 //! to the pace that its own first figure asks for.
 
 use super::keys::{TaskKey, WorkerKey};
-use super::pace::{RunPace, WorkerPace, FULL_PERCENT, LATE_ORDER_MS, REPEAT_MS};
+use super::pace::{RunPace, Tail, WorkerPace, FULL_PERCENT, LATE_ORDER_MS, REPEAT_MS};
 use super::place;
 use super::pool_state::PoolState;
 use super::runs;
@@ -17,8 +17,8 @@
 
 /// What a worker's report shows of the runs that serve or fill.
 pub struct SharedRuns {
-    /// Tail of the worst serving task, in thousandths of its target; `None` if none serves.
-    worst_milli: Option<u64>,
+    /// Tails of the tasks that serve.
+    tails: Vec<Tail>,
     /// Tasks that fill, with their runs.
     fillers: Vec<(TaskKey, u32)>,
 }
@@ -26,7 +26,7 @@
 impl SharedRuns {
     fn of(pool_state: &PoolState, worker: WorkerKey, running: &[RunningTask]) -> Self {
         let mut shares = Self {
-            worst_milli: None,
+            tails: Vec::new(),
             fillers: Vec::new(),
         };
         for run in running {
@@ -43,7 +43,7 @@
                 shares.fillers.push((key, run.run));
             } else if spec.tail_max_ms > 0 && run.percent >= 100 {
                 let milli = run.gauge * 1_000 / spec.tail_max_ms;
-                shares.worst_milli = shares.worst_milli.max(Some(milli));
+                shares.tails.push(Tail { task: key, milli });
             }
         }
         shares
@@ -74,24 +74,17 @@
         return;
     }
     let now_ms = ctx.now.ms;
-    let mut pace = pool_state
-        .pace
-        .workers
-        .get(&worker)
-        .copied()
-        .unwrap_or_default();
-    match shares.worst_milli {
-        Some(worst_milli) => {
-            if pace.adjust(worst_milli, now_ms) {
-                log_pace(pool_state, worker, pace, worst_milli, ctx);
-            }
-            pool_state.pace.workers.insert(worker, pace);
-        }
+    let known = pool_state.pace.workers.remove(&worker);
+    let mut pace = known.unwrap_or_default();
+    if shares.tails.is_empty() {
         // Nothing serves here any more.
-        None => {
-            pace = WorkerPace::default();
-            pool_state.pace.workers.remove(&worker);
+        pace = WorkerPace::default();
+    } else {
+        let acked_ms = acked_ms(pool_state, &shares.fillers, pace.percent());
+        if pace.adjust(&shares.tails, acked_ms, now_ms) {
+            log_pace(pool_state, worker, &pace, &shares.tails, ctx);
         }
+        pool_state.pace.workers.insert(worker, pace.clone());
     }
     for (key, run) in &shares.fillers {
         order_pace(pool_state, worker, (*key, *run), pace.percent(), epoch, ctx);
@@ -101,13 +94,34 @@
     }
 }
 
+/// Returns when the last of these runs was acknowledged to have a pace, or `None` if one was not. A run that this owner
+/// started has its full pace from its start.
+fn acked_ms(pool_state: &PoolState, fillers: &[(TaskKey, u32)], percent: u32) -> Option<Millis> {
+    let acked = fillers.iter().map(|(key, run)| {
+        let known = pool_state.pace.runs.get(key).filter(|p| p.run == *run);
+        let acked = match known {
+            Some(known) => known.acked,
+            None => own_pace(pool_state, *key),
+        };
+        acked.filter(|(pace, _)| *pace == percent).map(|(_, ms)| ms)
+    });
+    acked.collect::<Option<Vec<Millis>>>()?.into_iter().max()
+}
+
+/// Returns the pace that a run has without an order: full if this owner started it, else unknown.
+fn own_pace(pool_state: &PoolState, key: TaskKey) -> Option<(u32, Millis)> {
+    let sent_ms = pool_state.task(key)?.sent_ms;
+    sent_ms.map(|sent_ms| (FULL_PERCENT, sent_ms))
+}
+
 fn log_pace(
     pool_state: &PoolState,
     worker: WorkerKey,
-    pace: WorkerPace,
-    worst_milli: u64,
+    pace: &WorkerPace,
+    tails: &[Tail],
     ctx: &mut Ctx<'_>,
 ) {
+    let worst_milli = tails.iter().map(|tail| tail.milli).max().unwrap_or(0);
     let Some(worker) = pool_state.workers.get(worker) else {
         return;
     };
@@ -128,21 +142,19 @@
     ctx: &mut Ctx<'_>,
 ) {
     let now_ms = ctx.now.ms;
-    let is_own = pool_state
-        .task(key)
-        .is_some_and(|task| task.sent_ms.is_some());
     let known = pool_state.pace.runs.get(&key).filter(|p| p.run == run);
     let mut state = known.copied().unwrap_or(RunPace {
         run,
-        // A run that this owner started is at full pace. One that a former owner started may be at any.
-        acked: is_own.then_some(FULL_PERCENT),
+        // A run that a former owner started may be at any pace.
+        acked: own_pace(pool_state, key),
         sent_ms: 0,
         unsure_until_ms: 0,
     });
     // The last order must be sent once no earlier one can be carried out any more.
     let is_unsure = state.sent_ms < state.unsure_until_ms;
     let repeat_ms = state.unsure_until_ms.min(state.sent_ms + REPEAT_MS);
-    if state.acked == Some(percent) && (!is_unsure || now_ms < repeat_ms) {
+    let is_acked = state.acked.is_some_and(|(pace, _)| pace == percent);
+    if is_acked && (!is_unsure || now_ms < repeat_ms) {
         pool_state.pace.runs.insert(key, state);
         return;
     }
@@ -171,7 +183,7 @@
         return;
     };
     match reply {
-        OrderReply::Accepted => state.acked = Some(percent),
+        OrderReply::Accepted => state.acked = Some((percent, ctx.now.ms)),
         OrderReply::Silent | OrderReply::Broken => {
             state.acked = None;
             state.unsure_until_ms = ctx.now.ms + LATE_ORDER_MS;
@@ -189,7 +201,8 @@
     ctx: &mut Ctx<'_>,
 ) {
     let movable = fillers.iter().map(|(key, _)| *key).find(|key| {
-        wave::may_stop_lasting(pool_state, *key, ctx.now.ms)
+        pool_state.step_spec(*key).is_some_and(|spec| spec.lasting)
+            && wave::may_stop_lasting(pool_state, *key, ctx.now.ms)
             && has_calm_worker(pool_state, *key, worker, ctx.now.ms)
     });
     let Some(key) = movable else {
@@ -207,7 +220,7 @@
     runs::stop_run(pool_state, key, epoch, ctx);
 }
 
-/// Returns whether another open worker has room for a filling task and no serving task that is paced for.
+/// Returns whether another open worker has room for a filling task and none that serves there needed a lower pace lately.
 fn has_calm_worker(
     pool_state: &PoolState,
     key: TaskKey,
@@ -222,7 +235,7 @@
         other != worker
             && w.is_open(now_ms)
             && w.fits(spec.demand())
-            && !pool_state.pace.is_paced_down(other)
+            && pool_state.pace.is_calm(other)
             && place::meets_constraints(pool_state, key, spec, other)
     })
 }
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -278,6 +278,20 @@
     })
 }
 
+/// Whether a worker may take a task now, apart from its room and its ticket.
+pub(super) fn is_eligible(
+    pool_state: &PoolState,
+    key: TaskKey,
+    spec: &StepSpec,
+    worker: WorkerKey,
+    now_ms: Millis,
+) -> bool {
+    pool_state.workers[worker].is_open(now_ms)
+        && !pool_state.reserved.is_reserved_for_other(worker, key)
+        && meets_constraints(pool_state, key, spec, worker)
+        && !should_avoid(pool_state, key, spec, worker, now_ms)
+}
+
 pub(super) fn meets_constraints(
     pool_state: &PoolState,
     key: TaskKey,
--- a/src/core/sched/reservations.rs
+++ b/src/core/sched/reservations.rs
@@ -7,7 +7,7 @@
 
 use super::fragmentation::Fragmentation;
 use super::job::StepSpec;
-use super::keys::{TaskKey, WorkerKey};
+use super::keys::{StepKey, TaskKey, WorkerKey};
 use super::limits::{PLACE_SCAN_MAX, RESORT_MS, WORKER_LEASE_MS};
 use super::place;
 use super::pool_state::PoolState;
@@ -224,10 +224,16 @@
             );
         }
         let demand = spec.demand();
-        if worker.fits(demand) {
+        if pool_state
+            .advice
+            .is_ruled_out(StepKey::from(self.task), self.worker)
+        {
+            return Outcome::Dropped("the policy of the task's queue rules the host out");
+        }
+        if worker.fits(demand) && pool_state.has_ticket(self.task, self.worker, now_ms) {
             return Outcome::Fits;
         }
-        if free_ms(pool_state, worker, demand, now_ms).is_none() {
+        if !worker.fits(demand) && free_ms(pool_state, worker, demand, now_ms).is_none() {
             return Outcome::Dropped("the reserved host will not have enough room");
         }
         match now_ms < self.until_ms {
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -76,14 +76,8 @@
     }
     let checkpoint = task.checkpoint.clone();
     let is_unsent = task.phase == Phase::Recording(worker);
-    if is_unsent && !pool_state.has_ticket(key, worker, ctx.now.ms) {
-        note_never_started(pool_state, key);
-        requeue_task(
-            pool_state,
-            key,
-            "its ticket ended before the start was sent",
-            ctx,
-        );
+    if !pool_state.has_ticket(key, worker, ctx.now.ms) {
+        handle_refusal(pool_state, key, "its ticket has ended", epoch, ctx);
         return;
     }
     let ticket = pool_state.advice.ticket(StepKey::from(key), worker);
--- a/src/core/sched/stragglers.rs
+++ b/src/core/sched/stragglers.rs
@@ -6,10 +6,12 @@
 //! The owner calls [`review`] periodically; the speeds come from [`speeds`](super::speeds).
 
 use super::keys::{TaskKey, WorkerKey};
+use super::place;
 use super::pool_state::PoolState;
 use super::speeds::{expected_ms, Speeds, Track};
 use super::state::Ctx;
 use super::tasks::Phase;
+use super::tickets;
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 
@@ -255,7 +257,10 @@
     let work_left_ms = expected_ms * u64::from(100u32.saturating_sub(percent)) / 100;
     let gain = Gain {
         left_ms: work_left_ms * 1_000 / pace.worker_milli.max(1),
-        fresh_ms: expected_ms * 1_000 / pace.pool_milli + ctx.deployment.stop_ms / 2 + START_MS,
+        fresh_ms: expected_ms * 1_000 / pace.pool_milli
+            + ctx.deployment.stop_ms / 2
+            + START_MS
+            + tickets::expected_ms(job.policy.advice),
     };
     let is_sooner = gain.left_ms * 1_000 > gain.fresh_ms * GAIN_MIN_MILLI;
     let round = job.rounds.get(&key.round)?;
@@ -266,29 +271,12 @@
     let is_hopeless = ctx.now.ms + gain.fresh_ms > round.hopeless_ms;
     // A job that can be in time is placed before others as soon as any run ends.
     let is_first = ctx.now.ms + gain.fresh_ms + rest_ms <= round.due_ms;
-    let has_room =
-        pace.is_hung() || is_first || has_room_elsewhere(pool_state, key, worker, ctx.now.ms);
+    // On a queue with advice, a worker that is freed may be ruled out.
+    let takes_any = job.policy.advice.is_none() && (pace.is_hung() || is_first);
+    let has_room = takes_any || place::has_other_worker(pool_state, key, worker, ctx.now.ms);
     (is_sooner && makes_late && !is_hopeless && has_room).then_some(gain)
 }
 
-/// Returns whether another open worker has room for the task.
-fn has_room_elsewhere(
-    pool_state: &PoolState,
-    key: TaskKey,
-    worker: WorkerKey,
-    now_ms: Millis,
-) -> bool {
-    let Some(demand) = pool_state.step_spec(key).map(|s| s.demand()) else {
-        return false;
-    };
-    let slots = pool_state.free_index.workers_with_free(demand.cpu_milli);
-    let mut others = slots.map(|slot| slot.worker).filter(|w| *w != worker);
-    others.any(|other| {
-        let w = &pool_state.workers[other];
-        w.is_open(now_ms) && w.fits(demand)
-    })
-}
-
 /// Returns whether a further run may be moved now.
 fn may_move(speeds: &mut Speeds, now_ms: Millis) -> bool {
     while (speeds.moves.front()).is_some_and(|at| now_ms >= at + MOVES_PERIOD_MS) {
--- a/src/core/sched/tickets.rs
+++ b/src/core/sched/tickets.rs
@@ -34,10 +34,6 @@
 }
 
 impl StepAdvice {
-    pub(super) fn is_known(&self, worker: WorkerKey) -> bool {
-        self.tickets.contains_key(&worker) || self.ruled_out.contains(&worker)
-    }
-
     pub(super) fn is_valid(&self, worker: WorkerKey, now_ms: Millis) -> bool {
         let ticket = self.tickets.get(&worker);
         ticket.is_some_and(|ticket| now_ms + START_MARGIN_MS < ticket.until_ms)
@@ -54,6 +50,8 @@
     pub(super) is_asking: bool,
     /// Number of calls without an answer since the last answer.
     pub(super) failures: u32,
+    /// The step that the last of these calls was about.
+    pub(super) failed_step: Option<StepKey>,
     /// Time before which no call is sent.
     pub(super) paused_until_ms: Millis,
 }
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -416,8 +416,8 @@
 pub struct AdviceAnswer {
     /// The ids of those of the named workers that may run the step, each with its ticket.
     pub tickets: Vec<(String, String)>,
-    /// The time for which the tickets are valid.
-    pub valid_ms: Millis,
+    /// The time for which the tickets are valid; `None` if the answer does not tell.
+    pub valid_ms: Option<Millis>,
 }
 
 /// The reason why the advice service gave no answer.
--- a/tests/test_advice.rs
+++ b/tests/test_advice.rs
@@ -160,6 +160,61 @@
     }
 }
 
+/// A worker that already has a task of the step counts as no place for another one, so that others are asked about.
+#[test]
+fn advice_one_a_worker() {
+    for seed in 0..10 {
+        let mut world = advised_world(seed);
+        world.advice.rules_out_half = false;
+        world.submit("lasts", lasting(5, 1));
+        world.run(6_000);
+        assert_eq!(world.running("lasts"), 5, "seed {seed}");
+        let worker = world.worker_running("lasts", 0).expect("it runs");
+        world.crash(&worker, 60_000);
+        world.run(15_000);
+        assert_eq!(
+            world.running("lasts"),
+            5,
+            "seed {seed}: on the sixth worker"
+        );
+    }
+}
+
+/// Work without advice that fills the pool does not keep a step with advice from its first ticket: workers are asked about
+/// before they have room.
+#[test]
+fn advice_full_pool() {
+    let mut world = advised_world(2);
+    for n in 0..30 {
+        world.submit(&format!("early-{n}"), job(2, 6_000, 1_500));
+    }
+    world.run(12_000);
+    let calls = world.advice.calls;
+    assert!(calls > 0);
+    world.run(60_000);
+    for n in 0..30 {
+        let id = format!("early-{n}");
+        assert_eq!(world.recorded_state(&id), JobState::Completed, "{id}");
+    }
+}
+
+/// Workers refuse no start for its ticket while orders are lost and held up, apart from starts that were on their way.
+#[test]
+fn advice_tickets_checked_again() {
+    let mut refused = 0;
+    for seed in 0..20 {
+        let mut world = advised_world(seed);
+        world.faults.order_lost = 200;
+        let ids = submit_jobs(&mut world);
+        world.run(10_000);
+        world.faults = Default::default();
+        world.run(25_000);
+        check_completed(&world, &ids);
+        refused += world.advice.refused_tickets;
+    }
+    assert_eq!(refused, 0);
+}
+
 #[test]
 fn advice_unknown_service() {
     let platform = Platform::new(std::net::SocketAddr::from(([127, 0, 0, 1], 1)), None);
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -396,12 +396,16 @@
     let workers = ["w-1".to_string(), "w-2".to_string()];
     let good = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 45\r\n\r\n\
         {\"good\":[[\"w-2\",\"c81e-7a21\"]],\"valid_ms\":900}";
-    let cases: [(&str, Result<AdviceAnswer, AdviceError>); 4] = [
+    let cases: [(&str, Result<AdviceAnswer, AdviceError>); 5] = [
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\n{\"good\":[]}",
+            Ok(AdviceAnswer::default()),
+        ),
         (
             good,
             Ok(AdviceAnswer {
                 tickets: vec![("w-2".to_string(), "c81e-7a21".to_string())],
-                valid_ms: 900,
+                valid_ms: Some(900),
             }),
         ),
         (
--- a/tests/world/advice.rs
+++ b/tests/world/advice.rs
@@ -83,7 +83,7 @@
             tickets: allowed
                 .map(|(id, serial)| (id.clone(), self.ticket(serial, &request.name)))
                 .collect(),
-            valid_ms,
+            valid_ms: Some(valid_ms),
         }
     }
 
