Keep a pool's hosts until it has had a job that ends by itself

Cause: a pool counted its load as known with its first job. Lasting jobs come some seconds before the traffic, so pools shrank to the hosts of these, and with hosts going off by the platform's limit all others were off when the first peak began.

Change: hosts are given away once the pool has had a job that ends, or another pool lacks hosts.

Ruled out: keeping a share of all hosts before the first job (tried before: no gain, a later first peak).

--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -133,7 +133,8 @@
         for_all
     };
     sizing.wanted = if has_load { for_work } else { 0 };
-    if inputs.can_park && (has_load || inputs.another_pool_lacks_hosts) {
+    let may_give_hosts = knows_peaks(pool_state) || inputs.another_pool_lacks_hosts;
+    if inputs.can_park && may_give_hosts {
         adjust_spare(pool_state, sizing, offers, now_ms);
         update_offers(pool_state, sizing, offers, inputs, ctx);
     }
@@ -165,6 +166,12 @@
     was_short || sizing.is_short
 }
 
+/// Returns whether the pool has had a job that ends by itself. Lasting jobs alone tell nothing of the peaks to come, which
+/// may begin at any moment, so the pool keeps its hosts until then.
+fn knows_peaks(pool_state: &PoolState) -> bool {
+    pool_state.jobs.values().any(|job| !job.spec.is_lasting())
+}
+
 /// Records the capacity that the pool can expect once the hosts that it lacks arrive. The expected time is set when
 /// the lack begins, so hosts that don't come by then no longer count.
 fn note_expected_hosts(pool_state: &mut PoolState, sizing: &Sizing, now_ms: Millis) {
--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -255,3 +255,35 @@
         "{needed} hosts are needed, though one task waits for another"
     );
 }
+
+/// Returns how many hosts a pool of ten keeps open after a second, if hosts can be given away.
+fn open_hosts_after(spec: &JobSpec, another_pool_lacks_hosts: bool) -> usize {
+    let mut fixture = Fixture::new(0);
+    for n in 0..10 {
+        let info = listed_worker(&format!("life-{n}"), &format!("host-{n}"));
+        add_answering_worker(&mut fixture.pool_state, info);
+    }
+    fixture.submit(spec, fixture.now_ms);
+    fixture.with_ctx(|pool_state, _, ctx| place::place(pool_state, ctx));
+    let inputs = Inputs {
+        can_park: true,
+        ..base_inputs(another_pool_lacks_hosts)
+    };
+    for _ in 0..10 {
+        fixture.now_ms += 100;
+        fixture.with_ctx(|pool_state, sizing, ctx| {
+            sizing::reconcile(pool_state, sizing, &mut Offers::default(), &inputs, ctx);
+        });
+    }
+    let workers = fixture.pool_state.workers.values();
+    workers.filter(|w| !w.is_spare).count()
+}
+
+/// A pool that has had lasting jobs alone does not know its peaks: it keeps its hosts until its first job that ends, or
+/// until another pool lacks some.
+#[test]
+fn sizing_peaks_unknown() {
+    assert_eq!(open_hosts_after(&lasting(2, 1), false), 10);
+    assert!(open_hosts_after(&lasting(2, 1), true) < 10);
+    assert!(open_hosts_after(&job(1, 500, 1_000), false) < 10);
+}
