Match a host's reply with the order that it answers

Cause: a reply named its host alone and counted for whatever order the host had by then. Change: orders carry a number; a reply to an earlier one is logged and ignored. Existing tests only pass the number through. Before: hosts_late_reply failed with the comparison switched off; after: passes.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -100,8 +100,13 @@
     Upkeep(u64),
 }
 
+/// Tells the orders of one controller apart, so that a late reply counts only for the order that it answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OrderNumber(pub u64);
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct HostOrder {
+    number: OrderNumber,
     task: HostTask,
     /// The pool that offers the host; `None` once the host is taken, or if it need not be taken.
     offered_by: Option<String>,
@@ -129,6 +134,8 @@
 pub struct HostController {
     pub(super) list: HostList,
     orders: BTreeMap<String, HostOrder>,
+    /// Number of the last order that was created.
+    last_number: OrderNumber,
     pending: Option<WaveChange>,
     /// Hosts whose orders are being recorded.
     recording: Option<BTreeSet<String>>,
@@ -228,7 +235,9 @@
         offered_by: Option<String>,
         ctx: &Ctx<'_>,
     ) {
+        self.last_number.0 += 1;
         let order = HostOrder {
+            number: self.last_number,
             task,
             offered_by,
             is_recorded: false,
@@ -514,10 +523,10 @@
         order.is_sent = true;
         order.since_ms = ctx.now.ms;
         order.retry_at_ms = Some(ctx.now.ms + RETRY_SENT_MS);
-        ready.push((host.clone(), order.task.clone()));
+        ready.push((host.clone(), order.number, order.task.clone()));
     }
-    for (host, task) in ready {
-        send_order(controller, &host, &task, epoch, ctx);
+    for (host, number, task) in ready {
+        send_order(controller, &host, number, &task, epoch, ctx);
     }
 }
 
@@ -558,17 +567,17 @@
             }
         }
     });
-    let again: Vec<(String, HostTask)> = controller
+    let again: Vec<(String, OrderNumber, HostTask)> = controller
         .orders
         .iter()
         .filter(|(_, order)| order.is_sent && order.retry_at_ms.is_some_and(|at| now_ms >= at))
-        .map(|(host, order)| (host.clone(), order.task.clone()))
+        .map(|(host, order)| (host.clone(), order.number, order.task.clone()))
         .collect();
-    for (host, task) in again {
+    for (host, number, task) in again {
         if let Some(order) = controller.orders.get_mut(&host) {
             order.retry_at_ms = Some(now_ms + RETRY_SENT_MS);
         }
-        send_order(controller, &host, &task, inputs.epoch, ctx);
+        send_order(controller, &host, number, &task, inputs.epoch, ctx);
     }
     record_accepted(controller, waves, inputs.epoch, ctx);
 }
@@ -576,6 +585,7 @@
 fn send_order(
     controller: &mut HostController,
     host: &str,
+    number: OrderNumber,
     task: &HostTask,
     epoch: u64,
     ctx: &mut Ctx<'_>,
@@ -591,6 +601,7 @@
         ctx.pool,
         epoch,
         host.to_string(),
+        number,
         task.clone(),
         until_ms,
     ));
@@ -680,16 +691,22 @@
     }
 }
 
-/// Applies a host's reply to an order.
+/// Applies a host's reply to the order with this number.
 pub fn apply_reply(
     controller: &mut HostController,
     host: &str,
+    number: OrderNumber,
     reply: HostReply,
     ctx: &mut Ctx<'_>,
 ) {
     let Some(order) = controller.orders.get_mut(host) else {
         return;
     };
+    if order.number != number {
+        let why = format!("{reply:?} to an earlier order");
+        ctx.log(Decision::new(Code::HostAnswered, Subject::Host, host, why));
+        return;
+    }
     let why = format!("{:?}: {reply:?}", order.task);
     ctx.log(Decision::new(Code::HostAnswered, Subject::Host, host, why));
     match reply {
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -187,10 +187,10 @@
                 }
             });
         }
-        Event::HostOrdered(pool, epoch, host, reply) => {
+        Event::HostOrdered(pool, epoch, host, number, reply) => {
             with_host_controller(state, pool, now, &mut out, |controller, _, inputs, ctx| {
                 if inputs.epoch == epoch {
-                    hosts::apply_reply(controller, &host, reply, ctx);
+                    hosts::apply_reply(controller, &host, number, reply, ctx);
                 }
             });
         }
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use super::deployment::Deployment;
-use super::hosts::{HostController, HostTask};
+use super::hosts::{HostController, HostTask, OrderNumber};
 use super::keys::{JobKey, PoolStateId, StepKey, TaskKey, WorkerKey};
 use super::limits::CPU_FULL_MILLI;
 use super::offers::Offers;
@@ -312,8 +312,8 @@
     QuotaRead(PoolKey, u64, String, Option<StoredRow>),
     /// The transaction that records imminent orders to hosts was answered: pool, epoch, outcome.
     HostOrdersRecorded(PoolKey, u64, TxOutcome),
-    /// An order to a host was answered: pool, epoch, host, reply.
-    HostOrdered(PoolKey, u64, String, HostReply),
+    /// An order to a host was answered: pool, epoch, host, number of the order, reply.
+    HostOrdered(PoolKey, u64, String, OrderNumber, HostReply),
     /// The list of hosts was read: pool, epoch, records.
     HostsRead(PoolKey, u64, Vec<HostRecord>),
     /// The slots of standbys were read: their changed rows, and whether no reading has failed since the last one.
@@ -410,8 +410,8 @@
     RecordHostOrders(PoolKey, u64, RowTx),
     /// Write the row of a standby's slot.
     WriteStandby(RowTx),
-    /// Order a host: pool, epoch, host, task, time until which the order may be sent.
-    OrderHost(PoolKey, u64, String, HostTask, Millis),
+    /// Order a host: pool, epoch, host, number of the order, task, time until which the order may be sent.
+    OrderHost(PoolKey, u64, String, OrderNumber, HostTask, Millis),
     /// Log a decision.
     Log(Decision),
     /// The entry is stopping and owns no pool any more.
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -353,7 +353,7 @@
                 let outcome = shared.transact(&platform, &tx, TX_TIMEOUT_MAX_MS).await;
                 Some(Event::StandbyWritten(outcome))
             }),
-            Effect::OrderHost(pool, epoch, host, task, until_ms) => {
+            Effect::OrderHost(pool, epoch, host, number, task, until_ms) => {
                 self.spawn(async move {
                     let authority = HostAuthority {
                         entry: shared.settings.name.clone(),
@@ -364,7 +364,7 @@
                     } else {
                         HostReply::TooMany
                     };
-                    Some(Event::HostOrdered(pool, epoch, host, reply))
+                    Some(Event::HostOrdered(pool, epoch, host, number, reply))
                 });
             }
             Effect::Log(decision) => self.shared.log_decision(decision),
--- a/tests/test_halls.rs
+++ b/tests/test_halls.rs
@@ -264,7 +264,7 @@
         hosts::apply_recorded(&mut controller, &TxOutcome::Committed(9), 7, ctx);
     });
     let moved = effects.into_iter().filter_map(|effect| match effect {
-        Effect::OrderHost(_, _, host, _, _) => Some(host),
+        Effect::OrderHost(_, _, host, ..) => Some(host),
         _ => None,
     });
     moved.collect()
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs};
+use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs, OrderNumber};
 use rockwick::core::sched::offers::{Offers, OffersRow, Taken};
 use rockwick::core::sched::owner_lease::FormerHostOrders;
 use rockwick::core::sched::rows::{encode, HostOrdersRow};
@@ -126,12 +126,23 @@
 
 fn list_moves(effects: &[Effect]) -> Vec<(String, HostTask)> {
     let orders = effects.iter().filter_map(|e| match e {
-        Effect::OrderHost(_, _, host, task, _) => Some((host.clone(), task.clone())),
+        Effect::OrderHost(_, _, host, _, task, _) => Some((host.clone(), task.clone())),
         _ => None,
     });
     orders.collect()
 }
 
+fn order_numbers(effects: &[Effect]) -> impl Iterator<Item = OrderNumber> + '_ {
+    effects.iter().filter_map(|e| match e {
+        Effect::OrderHost(_, _, _, number, _, _) => Some(*number),
+        _ => None,
+    })
+}
+
+fn order_number(effects: &[Effect]) -> OrderNumber {
+    order_numbers(effects).next().expect("no order")
+}
+
 fn move_to_busy() -> Vec<(String, HostTask)> {
     vec![("h1".to_string(), HostTask::Move("busy".to_string()))]
 }
@@ -186,9 +197,11 @@
     let mut owner = Owner::new(&[], &[]);
     owner.reconcile_hosts();
     owner.apply_recorded_orders();
-    assert_eq!(list_moves(&owner.apply_take_answer(true)).len(), 1);
+    let effects = owner.apply_take_answer(true);
+    assert_eq!(list_moves(&effects).len(), 1);
+    let number = order_number(&effects);
     owner.with_ctx(|controller, _, ctx| {
-        hosts::apply_reply(controller, "h1", HostReply::Silent, ctx)
+        hosts::apply_reply(controller, "h1", number, HostReply::Silent, ctx)
     });
     owner.now_ms += 500;
     assert_eq!(
@@ -197,7 +210,7 @@
         "the host is taken, so the order is sent again"
     );
     owner.with_ctx(|controller, _, ctx| {
-        hosts::apply_reply(controller, "h1", HostReply::Silent, ctx)
+        hosts::apply_reply(controller, "h1", number, HostReply::Silent, ctx)
     });
     owner.offers.replace_row(OffersRow::default(), 12);
     owner.now_ms += 500;
@@ -208,6 +221,46 @@
     );
 }
 
+/// An order was given up without a reply, and the host got another one. The late reply to the first order must neither
+/// stop the retries of the second one nor remove it.
+#[test]
+fn hosts_late_reply() {
+    for late in [HostReply::Accepted, HostReply::Busy] {
+        let mut owner = Owner::new(&[], &[]);
+        let off = HostRecord {
+            host: "h1".to_string(),
+            hall: "hall".to_string(),
+            pool: "off".to_string(),
+            state: HostState::Up,
+            worker: String::new(),
+        };
+        hosts::apply_list(&mut owner.controller, vec![off]);
+        owner.reconcile_hosts();
+        let first = order_number(&owner.apply_recorded_orders());
+        let mut effects = Vec::new();
+        while order_numbers(&effects).all(|number| number == first) {
+            assert!(owner.now_ms < 70_000, "the host got no second order");
+            owner.now_ms += 500;
+            effects = owner.reconcile_hosts();
+            effects.extend(owner.apply_recorded_orders());
+        }
+        let second = order_number(&effects);
+        let reply = |owner: &mut Owner, number, reply| {
+            owner.with_ctx(|controller, _, ctx| {
+                hosts::apply_reply(controller, "h1", number, reply, ctx)
+            })
+        };
+        reply(&mut owner, first, late);
+        owner.now_ms += 1_000;
+        let again = owner.reconcile_hosts();
+        assert_eq!(list_moves(&again), move_to_busy(), "{late:?}");
+        assert_eq!(order_number(&again), second, "{late:?}");
+        reply(&mut owner, second, HostReply::Accepted);
+        owner.now_ms += 1_000;
+        assert_eq!(list_moves(&owner.reconcile_hosts()), [], "{late:?}");
+    }
+}
+
 /// The former owner took a host and did not move it, and its orders can't move the host any more. Since no pool lacks a
 /// host, the host must go back to its pool.
 #[test]
--- a/tests/test_offers.rs
+++ b/tests/test_offers.rs
@@ -5,7 +5,7 @@
 
 use fastrand::Rng;
 use rockwick::clock::Millis;
-use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs};
+use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs, OrderNumber};
 use rockwick::core::sched::keys::TaskKey;
 use rockwick::core::sched::load;
 use rockwick::core::sched::offers::{Offers, OffersRow, Taken, OFFERS_KEY};
@@ -38,7 +38,7 @@
     Settled(TxOutcome),
     Taken(TxOutcome),
     Recorded,
-    Ordered(String, HostReply),
+    Ordered(String, OrderNumber, HostReply),
     /// The owner's feed delivers the row.
     ToOwner(StoredRow),
     /// The feed of the entry that orders hosts delivers the row.
@@ -161,14 +161,16 @@
                     let after_ms = self.rng.u64(2..300);
                     self.schedule_arrival(after_ms, Arrival::Recorded);
                 }
-                Effect::OrderHost(_, _, host, HostTask::Move(_), _) => self.order_away(&host),
+                Effect::OrderHost(_, _, host, number, HostTask::Move(_), _) => {
+                    self.order_away(&host, number)
+                }
                 _ => {}
             }
         }
     }
 
     /// Orders a host away, after checking that its owner does not use it.
-    fn order_away(&mut self, host: &str) {
+    fn order_away(&mut self, host: &str, number: OrderNumber) {
         self.check_idle(host);
         let is_silent = self.rng.u32(0..5) == 0;
         if !self.gone.contains(host) {
@@ -180,7 +182,7 @@
         } else {
             HostReply::Accepted
         };
-        self.schedule_arrival(20, Arrival::Ordered(host.to_string(), reply));
+        self.schedule_arrival(20, Arrival::Ordered(host.to_string(), number, reply));
     }
 
     fn check_idle(&self, host: &str) {
@@ -331,8 +333,8 @@
             Arrival::Recorded => self.with_holder(|controller, _, ctx| {
                 hosts::apply_recorded(controller, &TxOutcome::Committed(1), EPOCH, ctx);
             }),
-            Arrival::Ordered(host, reply) => self.with_holder(|controller, _, ctx| {
-                hosts::apply_reply(controller, &host, reply, ctx);
+            Arrival::Ordered(host, number, reply) => self.with_holder(|controller, _, ctx| {
+                hosts::apply_reply(controller, &host, number, reply, ctx);
             }),
             Arrival::ToOwner(row) => apply_row_if_present(&mut self.offers, &row),
             Arrival::ToHolder(row) => apply_row_if_present(&mut self.holder_offers, &row),
--- a/tests/world/effects.rs
+++ b/tests/world/effects.rs
@@ -153,13 +153,13 @@
                 self.schedule_reply(n, after_ms, Event::HostOrdersRecorded(pool, epoch, outcome));
             }
             Effect::WriteStandby(tx) => self.write_standby(n, &tx),
-            Effect::OrderHost(pool, epoch, host, task, _) => {
+            Effect::OrderHost(pool, epoch, host, number, task, _) => {
                 let reply = match task {
                     _ if self.drops_host_orders => HostReply::Silent,
                     HostTask::Upkeep(wave) => self.start_upkeep(wave, &host),
                     HostTask::Move(_) => HostReply::Wrong,
                 };
-                self.schedule_reply(n, 5, Event::HostOrdered(pool, epoch, host, reply));
+                self.schedule_reply(n, 5, Event::HostOrdered(pool, epoch, host, number, reply));
             }
             Effect::Left => self.kill(n),
             Effect::Log(decision) => self.log.extend(self.keeps_log.then_some(decision)),
