--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -94,6 +94,31 @@
     });
 }
 
+/// A weight of 0 means that the account has no bound, so a smaller weight than 1 must not become 0.
+#[test]
+fn platform_small_weights() {
+    let (fleet, platform) = start_fleet();
+    let cases = [
+        ("none", 0.0, 0),
+        ("half", 0.5, 1),
+        ("one", 1.0, 1),
+        ("more", 2.5, 3),
+    ];
+    let accounts = cases.map(|(name, weight, _)| json!({"name": name, "weight": weight}));
+    let config = json!({"version": 8, "tenants": accounts});
+    fleet.put("op", "", "config", &config);
+    let events = smol::block_on(platform.read_operator_table())
+        .expect("read")
+        .changes;
+    let weights = events.iter().find_map(|event| match event {
+        OperatorEvent::Config(config) if config.version == 8 => {
+            Some(cases.map(|(name, _, _)| config.accounts[name].weight))
+        }
+        _ => None,
+    });
+    assert_eq!(weights, Some(cases.map(|(_, _, expected)| expected)));
+}
+
 #[test]
 fn platform_scans_and_feeds() {
     let (fleet, platform) = start_fleet();
