Tell an operator's cancel from a caller's; count only lost attempts as losses

Two causes in one commit, since both change how an attempt's end is recorded. Cancel: log and history said the caller asked, also for operators. Rows keep counts of before.

--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -21,7 +21,7 @@
 /// Number of failed attempts, which go to different hosts where possible, after which a job is given up as faulty.
 const FAILURES_MAX: usize = 3;
 
-/// Number of requeues after which a lost attempt ends a repeatable job.
+/// Number of lost attempts that are repeated; one more ends a repeatable job.
 const LOSSES_MAX: u32 = 20;
 
 /// Maximum number of placements per pool and decision, so that many new jobs do not flood the table.
@@ -30,6 +30,16 @@
 /// Maximum number of run times kept per account and pool.
 const RUN_TIMES_MAX: usize = 64;
 
+/// How an attempt ended whose job is queued again.
+enum Ended {
+    /// It failed on this host.
+    Failed(String),
+    /// It was lost.
+    Lost,
+    /// It was stopped for its host to leave, or never began.
+    Stopped,
+}
+
 impl State {
     /// Stores task reports, and drops those of ended jobs and earlier attempts.
     pub(super) fn apply_reports(&mut self, r: Reports, out: &mut Vec<Effect>) {
@@ -244,13 +254,7 @@
             TaskState::Running => {}
             TaskState::Done => self.end_job(key, JobState::Done, "done", now, out),
             TaskState::Stopped if row.cancel => {
-                self.end_job(
-                    key,
-                    JobState::Cancelled,
-                    "stopped on the caller's wish",
-                    now,
-                    out,
-                );
+                self.end_job(key, JobState::Cancelled, "stopped as requested", now, out);
             }
             TaskState::Failed if !repeatable => {
                 self.end_job(
@@ -265,12 +269,15 @@
                 let why = "failed on several hosts: the job's own fault";
                 self.end_job(key, JobState::Failed, why, now, out);
             }
-            TaskState::Failed => self.requeue(key, Some(host), "the attempt failed", now, out),
+            TaskState::Failed => {
+                self.requeue(key, Ended::Failed(host), "the attempt failed", now, out);
+            }
             TaskState::Stopped if repeatable => {
-                self.requeue(key, None, "stopped for its host to leave", now, out);
+                let why = "stopped for its host to leave";
+                self.requeue(key, Ended::Stopped, why, now, out);
             }
             TaskState::Lost if repeatable && row.losses < LOSSES_MAX => {
-                self.requeue(key, None, "the attempt was lost", now, out);
+                self.requeue(key, Ended::Lost, "the attempt was lost", now, out);
             }
             TaskState::Lost | TaskState::Stopped => {
                 let why = "lost sight of; not to be repeated";
@@ -307,19 +314,15 @@
         self.commit(vec![], vec![put], CommitPurpose::Decision(line), out);
     }
 
-    fn requeue(
-        &mut self,
-        key: JobKey,
-        failed_on: Option<String>,
-        why: &str,
-        now: Now,
-        out: &mut Vec<Effect>,
-    ) {
+    fn requeue(&mut self, key: JobKey, ended: Ended, why: &str, now: Now, out: &mut Vec<Effect>) {
         let mut row = self.next_job_row(key, why, now);
         row.state = JobState::Waiting;
         row.host = None;
-        row.losses += 1;
-        row.failed_on.extend(failed_on);
+        match ended {
+            Ended::Failed(host) => row.failed_on.push(host),
+            Ended::Lost => row.losses += 1,
+            Ended::Stopped => {}
+        }
         self.write_job(key, &row, Code::JobRequeued, why.to_string(), out);
     }
 
@@ -365,7 +368,7 @@
         if self.jobs[key].row.cancel {
             self.end_job(key, JobState::Cancelled, "never started", now, out);
         } else {
-            self.requeue(key, None, "the attempt never began", now, out);
+            self.requeue(key, Ended::Stopped, "the attempt never began", now, out);
         }
     }
 
--- a/src/core/operate.rs
+++ b/src/core/operate.rs
@@ -604,9 +604,11 @@
             return Err(Kind::Conflict.with_detail("the job is being changed; try again"));
         }
         let mut row = job.row.clone();
-        let (reply, what) = match row.state {
-            JobState::Waiting => ("cancelled", "cancelled before any start"),
-            _ => ("stopping", "the caller asked to stop it"),
+        let (reply, what) = match (row.state, &account) {
+            (JobState::Waiting, Some(_)) => ("cancelled", "cancelled by the caller while waiting"),
+            (JobState::Waiting, None) => ("cancelled", "cancelled by an operator while waiting"),
+            (_, Some(_)) => ("stopping", "the caller asked to stop it"),
+            (_, None) => ("stopping", "an operator asked to stop it"),
         };
         row.cancel = true;
         if row.state == JobState::Waiting {
--- a/src/core/rows.rs
+++ b/src/core/rows.rs
@@ -271,7 +271,7 @@
     pub host: Option<String>,
     /// Ids of the hosts on which attempts have failed, one for each failure.
     pub failed_on: Vec<String>,
-    /// Number of attempts that were requeued so far.
+    /// Number of attempts that were lost and repeated so far.
     pub losses: u32,
     /// Whether a cancellation was requested.
     pub cancel: bool,
--- a/tests/test_jobs.rs
+++ b/tests/test_jobs.rs
@@ -171,6 +171,43 @@
     assert_eq!(count_starts(&fleet, &waiting), 0);
 }
 
+/// Returns what the job's history and the log say about its cancellation and its end, in one text.
+fn cancel_account(fleet: &Fleet, id: &str) -> String {
+    let lines = fleet.entries[0].get_admin(&format!("/v1/explain/job/{id}"));
+    let texts = lines.as_array().expect("lines").iter();
+    let texts = texts.filter_map(|line| line["what"].as_str());
+    texts.collect::<Vec<_>>().join("; ")
+}
+
+/// A job that an operator cancels must not be recorded as cancelled on its caller's wish, nor the other way round.
+#[test]
+fn jobs_cancelled_by() {
+    let fleet = Plan::new(4, 2).start();
+    let by_operator = submit_job(&fleet, 0, &job_spec(60_000, "done", false));
+    let by_caller = submit_job(&fleet, 0, &job_spec(60_000, "done", false));
+    wait_started(&fleet, &by_operator);
+    wait_started(&fleet, &by_caller);
+    wait_for("the operator's cancel is taken", || {
+        let edit = json!({ "ask": "cancel", "account": null, "job": by_operator });
+        (fleet.entries[0].send_edit(&edit).status == 200).then_some(())
+    });
+    assert_eq!(cancel_job(&fleet, 0, &by_caller).status, 200);
+    wait_state(&fleet, 0, &by_operator, "cancelled");
+    wait_state(&fleet, 0, &by_caller, "cancelled");
+    let (operator, caller) = (
+        cancel_account(&fleet, &by_operator),
+        cancel_account(&fleet, &by_caller),
+    );
+    assert!(
+        operator.contains("operator") && !operator.contains("caller"),
+        "{operator}"
+    );
+    assert!(
+        caller.contains("caller") && !caller.contains("operator"),
+        "{caller}"
+    );
+}
+
 #[test]
 fn jobs_refused() {
     let fleet = Plan::new(4, 1).start();
@@ -264,6 +301,23 @@
     assert_eq!(fleet.entries[0].count_logged("host-fails-jobs"), 1);
 }
 
+/// Drains that stop a repeatable job are planned; they must not use up the losses after which it is given up.
+#[test]
+fn jobs_planned_stops() {
+    let fleet = Plan::new(4, 2).start();
+    let id = submit_job(&fleet, 0, &job_spec(60_000, "done", true));
+    wait_started(&fleet, &id);
+    let host = get_job(&fleet, 0, &id)["host"].clone();
+    let edit = json!({ "ask": "drain", "host": host, "reboot": true, "why": "test" });
+    assert_eq!(fleet.entries[0].send_edit(&edit).status, 200);
+    wait_for("the job moves", || {
+        let at = get_job(&fleet, 0, &id)["host"].clone();
+        (at.is_string() && at != host).then_some(())
+    });
+    let view = fleet.entries[0].get_admin(&format!("/v1/jobs/{id}"));
+    assert_eq!(view["row"]["losses"], 0, "{view}");
+}
+
 #[test]
 fn jobs_leave_host() {
     // The drain of a host waits for a job that may not be repeated, and moves a repeatable job to another host.
