Read every page of waves, standbys and owners

Cause: the feeds' first scan ignored has_more. Change: Rows::scan_pages, which the intake's scan uses too. Before (the scan as the feeds did it): pages_all_read read 1 row of 2; after: passes. Ruled out: the feed itself repeats changes.

--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -164,6 +164,44 @@
         range: Range,
         timeout_ms: Millis,
     ) -> impl Future<Output = Result<Scan, ReadError>>;
+    /// Reads all rows of one partition, or of a whole table without partitions, in pages of up to `rows_max` rows; 0
+    /// leaves the size of a page to the store. A feed from the returned revision, that of the first page, repeats what
+    /// has changed during the later ones.
+    fn scan_pages(
+        &self,
+        table: Table,
+        part: &str,
+        rows_max: u32,
+        timeout_ms: Millis,
+    ) -> impl Future<Output = Result<Feed<StoredRow>, ReadError>> {
+        async move {
+            let mut range = Range {
+                rows_max,
+                ..Range::default()
+            };
+            let mut all: Option<Feed<StoredRow>> = None;
+            loop {
+                let scan = self.scan(table, part, range.clone(), timeout_ms).await?;
+                let has_more = scan.has_more;
+                let last = scan.rows.last().map(|row| row.key.clone());
+                let feed = match all.take() {
+                    None => Feed::from(scan),
+                    Some(mut feed) => {
+                        feed.changes.extend(scan.rows);
+                        feed.store_ms = scan.store_ms;
+                        feed
+                    }
+                };
+                match last {
+                    // The next page starts at the least key after the last one, unless a key contains control
+                    // characters.
+                    Some(key) if has_more => range.from = format!("{key}\u{1}"),
+                    _ => return Ok(feed),
+                }
+                all = Some(feed);
+            }
+        }
+    }
     /// Waits up to `wait_ms` for changes of a table after `since`.
     fn wait_for_changes(
         &self,
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -260,10 +260,7 @@
                     .wait_for_changes(Table::Waves, revision, FEED_WAIT_MS)
                     .await
             }
-            None => platform
-                .scan(Table::Waves, "", Default::default(), FEED_WAIT_MS)
-                .await
-                .map(Feed::from),
+            None => platform.scan_pages(Table::Waves, "", 0, FEED_WAIT_MS).await,
         };
         match result {
             Ok(feed) => {
@@ -338,15 +335,11 @@
                     .wait_for_changes(Table::Standbys, revision, 0)
                     .await
             }
-            None => platform
-                .scan(
-                    Table::Standbys,
-                    STANDBY_PART,
-                    Default::default(),
-                    FEED_WAIT_MS,
-                )
-                .await
-                .map(Feed::from),
+            None => {
+                platform
+                    .scan_pages(Table::Standbys, STANDBY_PART, 0, FEED_WAIT_MS)
+                    .await
+            }
         };
         match result {
             Ok(feed) => {
@@ -387,14 +380,13 @@
         store_ms: 0,
     };
     for part in platform.list_parts(Table::Owners).await? {
-        let range = Default::default();
         let scan = platform
-            .scan(Table::Owners, &part, range, FEED_WAIT_MS)
+            .scan_pages(Table::Owners, &part, 0, FEED_WAIT_MS)
             .await?;
         if all.revision == 0 {
             all.revision = scan.revision;
         }
-        all.changes.extend(scan.rows);
+        all.changes.extend(scan.changes);
     }
     if all.revision == 0 {
         let scan = platform.scan(Table::Owners, "", Default::default(), FEED_WAIT_MS);
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -567,21 +567,8 @@
     table: Table,
     part: &str,
 ) -> Result<Vec<StoredRow>, ReadError> {
-    let mut rows = Vec::new();
-    let mut range = Range {
-        rows_max: PAGE_ROWS,
-        ..Range::default()
-    };
-    loop {
-        let scan = store
-            .scan(table, part, range.clone(), TX_TIMEOUT_MS)
-            .await?;
-        let last = scan.rows.last().map(|row| row.key.clone());
-        rows.extend(scan.rows);
-        match last {
-            // The next page starts at the least key after the last one, unless a key contains control characters.
-            Some(key) if scan.has_more => range.from = format!("{key}\u{1}"),
-            _ => return Ok(rows),
-        }
-    }
+    let feed = store
+        .scan_pages(table, part, PAGE_ROWS, TX_TIMEOUT_MS)
+        .await?;
+    Ok(feed.changes)
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -47,6 +47,7 @@
 mod test_overload;
 mod test_pace;
 mod test_packing;
+mod test_pages;
 mod test_place;
 mod test_platform;
 mod test_policy;
