--- a/tests/test_reserve.rs
+++ b/tests/test_reserve.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use rockwick::core::sched::deployment::Deployment;
-use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs};
+use rockwick::core::sched::hosts::{self, HostController, HostTask, Inputs, OrderNumber};
 use rockwick::core::sched::offers::{Offers, OffersRow};
 use rockwick::core::sched::owner_lease::FormerHostOrders;
 use rockwick::core::sched::reserve::{self, Orders};
@@ -165,13 +165,15 @@
                         self.offers.replace_row(row, revision);
                     }
                 }
-                Effect::OrderHost(_, _, host, HostTask::Move(to), _) => self.order(&host, &to),
+                Effect::OrderHost(_, _, host, number, HostTask::Move(to), _) => {
+                    self.order(&host, number, &to);
+                }
                 _ => {}
             }
         }
     }
 
-    fn order(&mut self, host: &str, to: &str) {
+    fn order(&mut self, host: &str, number: OrderNumber, to: &str) {
         let since_ms = self.now_ms.saturating_sub(1_000);
         let recent = self.accepted_ms.iter().filter(|at| **at > since_ms);
         let reply = if recent.count() < self.limit {
@@ -184,7 +186,7 @@
             self.refused += 1;
             HostReply::TooMany
         };
-        self.with_ctx(|c, _, ctx| hosts::apply_reply(c, host, reply, ctx));
+        self.with_ctx(|c, _, ctx| hosts::apply_reply(c, host, number, reply, ctx));
     }
 
     /// Returns a fleet in which the first of 100 free hosts are being turned off.
--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -287,3 +287,22 @@
     assert!(open_hosts_after(&lasting(2, 1), true) < 10);
     assert!(open_hosts_after(&job(1, 500, 1_000), false) < 10);
 }
+
+/// While a wave takes hosts of the pool, others are kept for the lasting tasks of those that close.
+#[test]
+fn sizing_wave_hosts() {
+    let mut fixture = Fixture::new(0);
+    for n in 0..12 {
+        let info = listed_worker(&format!("life-{n}"), &format!("host-{n}"));
+        add_answering_worker(&mut fixture.pool_state, info);
+    }
+    fixture.submit(&lasting(5, 1), fixture.now_ms);
+    fixture.with_ctx(|pool_state, _, ctx| place::place(pool_state, ctx));
+    assert_eq!(fixture.reconcile_for_second(false).0, 6);
+    let workers = fixture.pool_state.workers.values_mut();
+    for (n, worker) in workers.enumerate() {
+        worker.awaits_wave = true;
+        worker.is_closing = n < 2;
+    }
+    assert_eq!(fixture.reconcile_for_second(false).0, 10);
+}
