Begin pressing turns of a wave without a place for lasting tasks at hand

Cause: a host has its turn only while another host has room for its lasting tasks at that moment. Lasting tasks are placed first once there is room, and no more of a step are stopped than may be away. So after half of the wave's time the turn begins all the same. waves_pressing.

--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -37,6 +37,10 @@
 /// Percentage of a wave's duration that is planned with, so that a late host is still in time.
 const PLANNED_PERCENT: u64 = 75;
 
+/// Percentage of a wave's duration after which hosts have their turns also while no other host has room for their
+/// lasting tasks.
+const PRESSING_PERCENT: u64 = 50;
+
 /// At most one in this many of a pool's hosts, but at least one host, has its turn in a wave at a time: the others
 /// carry the pool's work.
 const POOL_DIVISOR: usize = 3;
@@ -653,6 +657,9 @@
                 .get(host)
                 .is_none_or(|again| now_ms >= *again)
     };
+    // Lasting tasks of a host that closes are placed first once there is room anywhere.
+    let pressing_ms = wave.seen_ms + wave.order.duration_ms * PRESSING_PERCENT / 100;
+    let is_pressing = now_ms >= pressing_ms;
     let mut found: Vec<(String, u64)> = Vec::new();
     for host in due.iter().copied().filter(|h| may_begin(h)) {
         if is_evacuated(pool_state, controller, host) {
@@ -663,7 +670,7 @@
             if w.is_answering
                 && !w.info.is_draining
                 && !w.is_offered
-                && can_clear(pool_state, key, now_ms)
+                && (can_clear(pool_state, key, now_ms) || is_pressing)
             {
                 found.push((host.to_string(), w.used.cpu_milli + w.tasks.len() as u64));
             }
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -2,16 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use rockwick::core::sched::load;
 use rockwick::core::sched::pool_state::PoolState;
 use rockwick::core::sched::rows::{SlotRow, WaveRow};
 use rockwick::core::sched::state::{Effect, WaveKnown};
 use rockwick::core::sched::wave::{self, WaveController};
+use rockwick::core::sched::{load, place, rows};
 use rockwick::event::{Code, Decision, Subject};
-use rockwick::port::fleet::{HostRecord, HostState, WaveOrder};
+use rockwick::port::fleet::{HostRecord, HostState, StoredRow, WaveOrder};
 
 use crate::decide::{add_answering_worker, decide};
-use crate::world::{listed_worker, POOL};
+use crate::world::{config, lasting, listed_worker, POOL};
 
 const HOST: &str = "host-1";
 
@@ -256,3 +256,31 @@
     let is_closing = |e: &&Effect| matches!(e, Effect::Log(d) if d.code == Code::HostClosing);
     assert_eq!(effects.iter().filter(is_closing).count(), 4);
 }
+
+/// A host whose lasting task fits on no other host now has its turn once half of the wave's time has passed.
+#[test]
+fn waves_pressing() {
+    let mut scenario = scenario_of_waves(&[1]);
+    scenario.pool_state = PoolState::default();
+    let key = add_answering_worker(&mut scenario.pool_state, listed_worker("w-0", "host-0"));
+    let spec = lasting(1, 1);
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: "lasts".to_string(),
+        value: Some(rows::encode(&spec)),
+        revision: 1,
+    };
+    decide(10_000, |ctx| {
+        load::apply_intake(&mut scenario.pool_state, &row, &config(1), 0, ctx);
+        place::place(&mut scenario.pool_state, ctx);
+    });
+    assert_eq!(scenario.pool_state.workers[key].tasks.len(), 1);
+    let wave = scenario.waves.get_mut(&1).expect("the wave is known");
+    wave.order.duration_ms = 20_000;
+    scenario.now_ms = 12_000;
+    scenario.reconcile_once();
+    assert!(closed_hosts(&scenario).is_empty(), "there is time left");
+    scenario.now_ms = 21_000;
+    scenario.reconcile_once();
+    assert_eq!(closed_hosts(&scenario), ["host-0"]);
+}
