Take back the hosts kept for a wave's turns

A pool of a dozen hosts that kept two and more for a wave's turns took them from pools that had work.

--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -43,9 +43,6 @@
 /// The least number of hosts that a pool keeps.
 const HOSTS_MIN: u64 = 3;
 
-/// Hosts that a pool keeps for the next turns of a wave, beside one for each host that closes.
-const WAVE_HOSTS: u64 = 2;
-
 /// A task that has waited this long although the pool has room fits on no open host: placement takes only
 /// milliseconds.
 const UNPLACEABLE_WAIT_MS: Millis = 500;
@@ -246,7 +243,7 @@
         false => pool_state.arriving_cpu_milli(now_ms),
     };
     in_time.cpu_milli = in_time.cpu_milli.max(arriving_cpu_milli);
-    let least = (separate_hosts(pool_state) + 1 + hosts_for_wave(pool_state)).max(HOSTS_MIN);
+    let least = (separate_hosts(pool_state) + 1).max(HOSTS_MIN);
     let least = least.max(hosts_for_unplaceable(pool_state, host, now_ms));
     in_time.add(lasting);
     late.add(in_time);
@@ -338,15 +335,6 @@
     hosts.max().unwrap_or(0)
 }
 
-/// Returns the hosts needed in addition while a wave takes hosts of the pool: the lasting tasks of those that close move
-/// to others, and a host that can't be cleared in time loses its turn.
-fn hosts_for_wave(pool_state: &PoolState) -> u64 {
-    let listed = pool_state.workers.values().filter(|w| w.is_listed);
-    let due = listed.clone().filter(|w| w.awaits_wave).count() as u64;
-    let closing = listed.filter(|w| w.is_closing).count() as u64;
-    due.min(closing + WAVE_HOSTS)
-}
-
 /// Closes hosts that are not wanted, those with the least work first, and opens them again when they are wanted.
 fn adjust_spare(pool_state: &mut PoolState, sizing: &mut Sizing, offers: &Offers, now_ms: Millis) {
     reopen_withdrawn(pool_state, sizing, offers);
