--- a/src/config.rs
+++ b/src/config.rs
@@ -15,7 +15,7 @@
 const PREFIX: &str = "ROCKWICK_";
 
 /// All environment variables that some command reads.
-const KNOWN_VARIABLES: [&str; 31] = [
+const KNOWN_VARIABLES: [&str; 30] = [
     "ROCKWICK_CONFIG_OUTAGE_MS",
     "ROCKWICK_CONFIG_WITHIN_MS",
     "ROCKWICK_NAME",
@@ -45,7 +45,6 @@
     "ROCKWICK_HOST_ORDERS_PER_S",
     "ROCKWICK_HOST_MOVE_COST_MS",
     "ROCKWICK_CHECKPOINT_INTERVAL_S",
-    "ROCKWICK_CHECKPOINT_RESTORE_MS",
     "ROCKWICK_RUN_STOP_MS",
 ];
 
--- a/src/core/sched/checkpoints.rs
+++ b/src/core/sched/checkpoints.rs
@@ -65,6 +65,11 @@
     TaskKey { index, ..key }
 }
 
+fn is_undone(pool_state: &PoolState, key: TaskKey) -> bool {
+    let task = pool_state.task(key);
+    task.is_some_and(|task| task.phase != Phase::Done)
+}
+
 /// Notes the checkpoint of a run that a worker reports. The run must be the task's current one, on the instance that
 /// reports it.
 pub(super) fn note_run(
@@ -167,10 +172,9 @@
         let job = pool_state.jobs.get(job);
         job.is_some_and(|job| !job.state.is_final())
     };
-    let is_undone = |key: TaskKey| pool_state.task(key).is_some_and(|t| t.phase != Phase::Done);
     checkpoints
         .newest
-        .retain(|key, _| is_open(key.job) && is_undone(*key));
+        .retain(|key, _| is_open(key.job) && is_undone(pool_state, *key));
     checkpoints.unrecorded.retain(|job, _| is_open(*job));
     pool_state.checkpoints = checkpoints;
     if interval_ms == 0 {
@@ -199,7 +203,7 @@
         return Vec::new();
     };
     let (specs, step_ms, rounds) = steps;
-    for (round, round_run) in rounds {
+    for round in rounds.keys() {
         for (n, step) in specs.iter().enumerate().filter(|(_, s)| s.checkpoints) {
             let slots = if step.gang { 1 } else { step.count };
             for index in 0..slots {
@@ -212,11 +216,7 @@
                 let Some(newest) = pool_state.checkpoints.newest.get(&key) else {
                     continue;
                 };
-                let task = round_run
-                    .steps
-                    .get(n)
-                    .and_then(|s| s.tasks.get(usize::from(index)));
-                if task.is_none_or(|t| t.phase == Phase::Done) {
+                if !is_undone(pool_state, key) {
                     continue;
                 }
                 let members = if step.gang { u64::from(step.count) } else { 1 };
@@ -259,8 +259,8 @@
             continue;
         };
         let is_slot = slot(spec, key) == key;
-        let is_undone = pool_state.task(key).is_some_and(|t| t.phase != Phase::Done);
-        if !is_slot || !is_undone || text.is_empty() || text.len() > TEXT_BYTES_MAX {
+        if !is_slot || !is_undone(pool_state, key) || text.is_empty() || text.len() > TEXT_BYTES_MAX
+        {
             continue;
         }
         let newest = Checkpoint {
--- a/src/core/sched/data_racks.rs
+++ b/src/core/sched/data_racks.rs
@@ -9,6 +9,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use super::deployment::Deployment;
 use super::job::StepSpec;
 use super::keys::{StepKey, TaskKey, WorkerKey};
 use super::pool_state::PoolState;
@@ -146,9 +147,6 @@
 impl DataRacks {
     /// Begins a pass of placement, in which the tasks that wait are counted anew.
     pub fn begin_pass(&mut self) {
-        if self.views.is_empty() {
-            return;
-        }
         for view in self.views.values_mut() {
             view.ahead_cpu_milli = 0;
         }
@@ -156,7 +154,7 @@
 
     /// Returns whether tasks that don't need the rack should leave its room to those that do.
     pub fn is_sought(&self, rack: &str) -> bool {
-        !self.sought.is_empty() && self.sought.contains(rack)
+        self.sought.contains(rack)
     }
 
     /// Returns whether any rack is sought.
@@ -180,25 +178,25 @@
     worker: WorkerKey,
     ctx: &mut Ctx<'_>,
 ) -> bool {
-    let factor_milli = ctx.deployment.remote_data_factor_milli;
     let (Some(spec), Some(task)) = (pool_state.step_spec(key), pool_state.task(key)) else {
         return false;
     };
     let Some(rack) = spec.data_rack.clone() else {
         return false;
     };
-    let is_near = pool_state.workers[worker].rack() == rack;
-    if is_near || factor_milli <= 1_000 || spec.lasting || task.is_crash_suspect() {
+    let here = pool_state.workers[worker].rack();
+    let is_slower_here = ctx.deployment.remote_data_factor_milli > 1_000 && here != rack;
+    if !is_slower_here || spec.lasting || task.is_crash_suspect() {
         pool_state.data_racks.waiting_since_ms.remove(&key);
         return false;
     }
     let (demand, now_ms) = (spec.demand(), ctx.now.ms);
     let run_ms = pool_state.jobs[key.job].step_ms[usize::from(key.step)];
-    let elsewhere_ms = run_ms * factor_milli / 1_000;
+    let elsewhere_ms = ctx.deployment.task_ms(run_ms, Some(&rack), here);
     let is_stale = |view: &RackView| now_ms >= view.at_ms + VIEW_KEPT_MS;
     let views = &pool_state.data_racks.views;
     if views.get(&rack).is_none_or(is_stale) {
-        refresh_view(pool_state, &rack, factor_milli, now_ms);
+        refresh_view(pool_state, &rack, &ctx.deployment, now_ms);
     }
     let has_worker = has_worker_in(pool_state, key, &rack, now_ms);
     let latest_ms = latest_end_ms(pool_state, key);
@@ -284,13 +282,13 @@
     round.due_ms.saturating_sub(after_ms)
 }
 
-fn refresh_view(pool_state: &mut PoolState, rack: &str, factor_milli: u64, now_ms: Millis) {
+fn refresh_view(pool_state: &mut PoolState, rack: &str, deployment: &Deployment, now_ms: Millis) {
     let in_rack = pool_state.free_index.rack_workers_with_free(rack, 0);
     let workers = in_rack.map(|slot| &pool_state.workers[slot.worker]);
     let mut ends = Vec::new();
     for worker in workers.filter(|w| w.is_open(now_ms)) {
         let tasks = worker.tasks.iter();
-        ends.extend(tasks.filter_map(|key| release(pool_state, *key, rack, factor_milli, now_ms)));
+        ends.extend(tasks.filter_map(|key| release(pool_state, *key, rack, deployment, now_ms)));
     }
     let mut view = RackView::new(now_ms, ends);
     let data_racks = &mut pool_state.data_racks;
@@ -309,7 +307,7 @@
     pool_state: &PoolState,
     key: TaskKey,
     rack: &str,
-    factor_milli: u64,
+    deployment: &Deployment,
     now_ms: Millis,
 ) -> Option<(Millis, u64)> {
     let (spec, task) = (pool_state.step_spec(key)?, pool_state.task(key)?);
@@ -317,11 +315,7 @@
         return None;
     }
     let run_ms = pool_state.jobs[key.job].step_ms[usize::from(key.step)];
-    let is_remote = spec.data_rack.as_deref().is_some_and(|r| r != rack);
-    let expected_ms = match is_remote {
-        true => run_ms * factor_milli / 1_000,
-        false => run_ms,
-    };
+    let expected_ms = deployment.task_ms(run_ms, spec.data_rack.as_deref(), rack);
     let begun_ms = task.begun_ms.unwrap_or(task.since_ms);
     let end_ms = expected_end_ms(begun_ms, expected_ms, now_ms);
     Some((end_ms, spec.demand().cpu_milli))
@@ -480,8 +474,7 @@
 
 /// Returns whether a worker's rack is among those that the pool's tasks name.
 pub(super) fn is_named(pool_state: &PoolState, worker: &Worker) -> bool {
-    let demands = &pool_state.data_racks.demands;
-    !demands.is_empty() && demands.contains_key(worker.rack())
+    pool_state.data_racks.demands.contains_key(worker.rack())
 }
 
 /// Removes and returns an item of a rack that lacks hosts, and counts it off; `None` if there is none.
--- a/src/core/sched/deployment.rs
+++ b/src/core/sched/deployment.rs
@@ -13,8 +13,18 @@
     pub host_move_cost_ms: Millis,
     /// Time of work after which a task renews its checkpoint.
     pub checkpoint_interval_ms: Millis,
-    /// Time that a run takes to continue from a checkpoint.
-    pub checkpoint_restore_ms: Millis,
     /// Longest time that a worker takes to stop a run.
     pub stop_ms: Millis,
 }
+
+impl Deployment {
+    /// Returns the time that a task takes in `rack` if it takes `near_ms` in the rack of its data.
+    pub fn task_ms(&self, near_ms: Millis, data_rack: Option<&str>, rack: &str) -> Millis {
+        let is_remote = data_rack.is_some_and(|data| data != rack);
+        let factor_milli = match is_remote {
+            true => self.remote_data_factor_milli.max(1_000),
+            false => 1_000,
+        };
+        near_ms * factor_milli / 1_000
+    }
+}
--- a/src/core/sched/pacing.rs
+++ b/src/core/sched/pacing.rs
@@ -227,17 +227,7 @@
     worker: WorkerKey,
     now_ms: Millis,
 ) -> bool {
-    let Some(spec) = pool_state.step_spec(key) else {
-        return false;
-    };
-    let mut others = pool_state.workers.iter();
-    others.any(|(other, w)| {
-        other != worker
-            && w.is_open(now_ms)
-            && w.fits(spec.demand())
-            && pool_state.pace.is_calm(other)
-            && place::meets_constraints(pool_state, key, spec, other)
-    })
+    place::other_workers(pool_state, key, worker, now_ms).any(|w| pool_state.pace.is_calm(w))
 }
 
 /// Drops the paces of runs and workers that are gone.
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -266,15 +266,27 @@
     worker: WorkerKey,
     now_ms: u64,
 ) -> bool {
-    let Some(spec) = pool_state.step_spec(key) else {
-        return false;
-    };
-    let demand = spec.demand();
-    let slots = pool_state.free_index.workers_with_free(demand.cpu_milli);
-    let mut others = slots.map(|slot| slot.worker).filter(|w| *w != worker);
-    others.any(|other| {
-        let w = &pool_state.workers[other];
-        w.is_open(now_ms) && w.fits(demand) && meets_constraints(pool_state, key, spec, other)
+    other_workers(pool_state, key, worker, now_ms)
+        .next()
+        .is_some()
+}
+
+/// Returns the open workers apart from `worker` that have room for a task and meet its constraints.
+pub(super) fn other_workers(
+    pool_state: &PoolState,
+    key: TaskKey,
+    worker: WorkerKey,
+    now_ms: u64,
+) -> impl Iterator<Item = WorkerKey> + '_ {
+    let spec = pool_state.step_spec(key).into_iter();
+    spec.flat_map(move |spec| {
+        let demand = spec.demand();
+        let slots = pool_state.free_index.workers_with_free(demand.cpu_milli);
+        let others = slots.map(|slot| slot.worker).filter(move |w| *w != worker);
+        others.filter(move |other| {
+            let w = &pool_state.workers[*other];
+            w.is_open(now_ms) && w.fits(demand) && meets_constraints(pool_state, key, spec, *other)
+        })
     })
 }
 
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -253,8 +253,7 @@
     }
 }
 
-/// Returns the part of a job's demand that its account may get, as far as the account's quota could allow it in addition to what was
-/// `counted` before.
+/// Returns the part of a job's demand that its account's quota could allow in addition to what was `counted` before.
 fn within_quota(
     pool_state: &PoolState,
     job: &Job,
--- a/src/core/sched/speeds.rs
+++ b/src/core/sched/speeds.rs
@@ -153,12 +153,8 @@
         .step_ms
         .get(usize::from(key.step))?;
     let rack = pool_state.workers.get(worker)?.rack();
-    let is_remote = spec.data_rack.as_deref().is_some_and(|data| data != rack);
-    let factor_milli = match is_remote {
-        true => deployment.remote_data_factor_milli.max(1_000),
-        false => 1_000,
-    };
-    Some((ms * factor_milli / 1_000).max(1))
+    let ms = deployment.task_ms(ms, spec.data_rack.as_deref(), rack);
+    Some(ms.max(1))
 }
 
 /// Returns the task of a reported run if it is the task's current one and is not being stopped.
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -45,7 +45,6 @@
     host_orders_per_s: String,
     host_move_cost_ms: String,
     checkpoint_interval_s: String,
-    checkpoint_restore_ms: String,
     run_stop_ms: String,
 }
 
@@ -139,11 +138,6 @@
         .help("Time of work after which a task renews its checkpoint; empty if unknown")
         .argument("SECONDS")
         .fallback(String::new());
-    let checkpoint_restore_ms = long("checkpoint-restore-ms")
-        .env("ROCKWICK_CHECKPOINT_RESTORE_MS")
-        .help("Time that a run takes to continue from a checkpoint; empty if unknown")
-        .argument("MS")
-        .fallback(String::new());
     let run_stop_ms = long("run-stop-ms")
         .env("ROCKWICK_RUN_STOP_MS")
         .help("Longest time that a worker takes to stop a run; empty if unknown")
@@ -154,7 +148,6 @@
         host_orders_per_s,
         host_move_cost_ms,
         checkpoint_interval_s,
-        checkpoint_restore_ms,
         run_stop_ms
     })
 }
@@ -229,10 +222,6 @@
                 "checkpoint-interval-s",
                 &self.checkpoint_interval_s,
             )?,
-            checkpoint_restore_ms: parse_milli(
-                "checkpoint-restore-ms",
-                &self.checkpoint_restore_ms,
-            )? / 1_000,
             stop_ms: parse_milli("run-stop-ms", &self.run_stop_ms)? / 1_000,
         })
     }
--- a/tests/test_checkpoints.rs
+++ b/tests/test_checkpoints.rs
@@ -40,7 +40,6 @@
     let mut world = World::new(seed, 3, 4);
     world.deployment = Deployment {
         checkpoint_interval_ms: INTERVAL_MS,
-        checkpoint_restore_ms: RESTORE_MS,
         ..Deployment::default()
     };
     for n in 0..world.entries.len() {
--- a/tests/world/pace.rs
+++ b/tests/world/pace.rs
@@ -14,13 +14,10 @@
         run: u32,
         percent: u32,
     ) -> OrderReply {
-        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
-            return OrderReply::Refused;
+        let w = match self.take_order(id, fence) {
+            Ok(w) => w,
+            Err(reply) => return reply,
         };
-        if fence < w.fence {
-            return OrderReply::Fenced;
-        }
-        w.fence = fence;
         match w.running.get_mut(task).filter(|r| r.run == run) {
             Some(running) => {
                 running.pace_percent = u64::from(percent);
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -60,13 +60,10 @@
         let demand = step.demand();
         let slow = if self.rng.u32(0..6) == 0 { 6 } else { 1 };
         let at_work_ms = now_ms + self.rng.u64(400..1_400) * slow;
-        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
-            return OrderReply::Refused;
+        let w = match self.take_order(id, fence) {
+            Ok(w) => w,
+            Err(reply) => return reply,
         };
-        if fence < w.fence {
-            return OrderReply::Fenced;
-        }
-        w.fence = fence;
         if start.lease_until_ms <= w.clock(now_ms) {
             return OrderReply::TooLate;
         }
@@ -214,6 +211,17 @@
         }
     }
 
+    /// Returns the worker that an order goes to, which keeps the order's fencing token, or why it refuses the order.
+    pub(super) fn take_order(&mut self, id: &str, fence: u64) -> Result<&mut Worker, OrderReply> {
+        let w = self.workers.get_mut(id).filter(|w| w.is_up);
+        let w = w.ok_or(OrderReply::Refused)?;
+        if fence < w.fence {
+            return Err(OrderReply::Fenced);
+        }
+        w.fence = fence;
+        Ok(w)
+    }
+
     pub(super) fn stop_run(
         &mut self,
         id: &str,
@@ -221,13 +229,10 @@
         task: &TaskName,
         run: u32,
     ) -> OrderReply {
-        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
-            return OrderReply::Refused;
+        let w = match self.take_order(id, fence) {
+            Ok(w) => w,
+            Err(reply) => return reply,
         };
-        if fence < w.fence {
-            return OrderReply::Fenced;
-        }
-        w.fence = fence;
         let refused_through = w.refused_through.entry(task.clone()).or_default();
         *refused_through = (*refused_through).max(run);
         if w.running.get(task).is_some_and(|r| r.run == run) {
