--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,6 +5,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(FOLDER, "record.txt")  # what was sent, answered and run
 sys.path.insert(0, os.path.dirname(FOLDER))
 sys.dont_write_bytecode = True
 from standin import main  # noqa: E402
@@ -52,4 +53,4 @@
     return broken
 
 
-main(FOLDER, case)
+main(RECORD, case)
--- a/review/standin.py
+++ b/review/standin.py
@@ -599,10 +599,13 @@
             self.child = None
 
 
-def main(folder, case):
-    """Runs `case(fleet, record, trouble)`, which returns a list of broken rules; exits with 1, 0 or 2."""
+def main(record_path, case):
+    """Runs `case(fleet, record, trouble)`, which returns a list of broken rules; exits with 1, 0 or 2.
+
+    What was sent, answered and run is written to `record_path`.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
     record(f"TROUBLE={int(trouble)}")
     status = 2
 
@@ -627,6 +630,8 @@
         record(f"the case could not run: {e}")
     except asyncio.TimeoutError:
         record("the case could not run: it took longer than 115 s")
+    except Exception as e:  # a fault of the case itself says nothing about the rule
+        record(f"the case could not run: {type(e).__name__}: {e}")
     record({0: "the rule held", 1: "the rule was broken", 2: "no result"}[status])
     print({0: "held", 1: "broken", 2: "could not run"}[status])
     sys.exit(status)
