Log when an owner learns of a drain, and starts sent again or withdrawn

What was missing to tell the hypotheses apart: worker-draining (670) says by which reading of the list and how long before that the list was last known to be current, with the unsent and unanswered starts on the worker; start-withdrawn (671) says why a start does not go out; starts-answered has the number of sendings (",sent3"); pool-loaded the age of the list and the number of draining workers. The list's age needs an event for each answer of the workers' feed: about one a second for an owner.

No change of a decision.

--- a/src/core/sched/access.rs
+++ b/src/core/sched/access.rs
@@ -35,6 +35,7 @@
     let facts = Facts {
         config: &state.config,
         listed: &state.listed,
+        list_changes: &state.list_changes,
         evacuated_halls: &state.evacuated_halls,
     };
     Some(work(pool, &mut ctx, &facts))
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -22,6 +22,7 @@
 use super::tasks::{Job, Phase, Round, Seen, StepRun, Task, WorkerLosses};
 use super::times::Times;
 use super::worker::Worker;
+use super::worker_list::ListChanges;
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{FleetConfig, StoredRow, WorkerInfo, ABSENT};
@@ -83,6 +84,8 @@
     pub config: &'a FleetConfig,
     /// Workers that the platform lists, by id.
     pub listed: &'a BTreeMap<String, WorkerInfo>,
+    /// When the list was known to be current.
+    pub list_changes: &'a ListChanges,
     /// Data halls that the operator evacuates.
     pub evacuated_halls: &'a BTreeSet<String>,
 }
@@ -93,6 +96,7 @@
         Self {
             config: &state.config,
             listed: &state.listed,
+            list_changes: &state.list_changes,
             evacuated_halls: &state.evacuated_halls,
         }
     }
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -221,6 +221,7 @@
         task.started_ms = None;
         task.is_start_open = false;
         task.is_start_broken = false;
+        task.start_sends = 0;
         task.seen = match phase {
             Phase::Running(_) => Seen::Begun,
             Phase::Stopping(_) | Phase::Suspect(_) => task.seen,
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -58,6 +58,7 @@
         Event::Operator(change) => apply_operator_event(state, change, now, &mut out),
         Event::Worker(change) => apply_worker_event(state, change, now, &mut out),
         Event::WorkersRead(all) => apply_feed_list(state, all, now, &mut out),
+        Event::WorkersCurrent(ms) => state.list_changes.note_current(ms),
         Event::Owner(row) => apply_owner_row(state, &row, now, &mut out),
         Event::Claimed(pool, shard, sent_ms, outcome) => {
             let me = claimant(state);
@@ -400,7 +401,7 @@
         for row in std::mem::take(&mut ownership.early_intake) {
             load::apply_intake(&mut pool_state, &row, facts.config, epoch, ctx);
         }
-        run_log::log_loaded_pool(&name, &pool_state, ownership, facts.config.version, ctx);
+        run_log::log_loaded_pool(&name, &pool_state, ownership, facts, ctx);
         let workers: Vec<WorkerKey> = pool_state.workers.keys().collect();
         for worker in workers {
             start_renewing(&mut pool_state, worker, epoch, ctx);
--- a/src/core/sched/run_log.rs
+++ b/src/core/sched/run_log.rs
@@ -8,6 +8,7 @@
 
 use super::crashes::Evidence;
 use super::keys::{TaskKey, WorkerKey};
+use super::load::Facts;
 use super::pool_state::PoolState;
 use super::state::{Batch, Ctx, Ownership};
 use super::tasks::Phase;
@@ -202,8 +203,8 @@
     waiting: Vec<(Millis, String)>,
 }
 
-/// Notes the answer to a start, with the time since the run was recorded. The text names the worker that the pool's
-/// in-memory state gives for the task.
+/// Notes the answer to a start, with the time since the run was recorded and, if the start was sent several times, their
+/// number. The text names the worker that the pool's in-memory state gives for the task.
 pub(super) fn add_start_answer(
     pool_state: &mut PoolState,
     key: TaskKey,
@@ -221,7 +222,12 @@
     let took_ms = ctx.now.ms.saturating_sub(task.since_ms);
     let text = match task.phase {
         Phase::Starting(on) if task.run == run => {
-            format!("{name}@{}:{reply:?},{took_ms}", worker_id(pool_state, on))
+            let sends = match task.start_sends {
+                0 | 1 => String::new(),
+                sends => format!(",sent{sends}"),
+            };
+            let worker = worker_id(pool_state, on);
+            format!("{name}@{worker}:{reply:?},{took_ms}{sends}")
         }
         // The task has moved on since the start was sent.
         phase => format!("{name}:{reply:?}/{}#{}", phase_name(phase), task.run),
@@ -299,13 +305,18 @@
     name: &str,
     pool_state: &PoolState,
     ownership: &Ownership,
-    config_version: u64,
+    facts: &Facts<'_>,
     ctx: &mut Ctx<'_>,
 ) {
     let rounds = pool_state.jobs.values().flat_map(|job| job.rounds.values());
     let tasks = rounds.flat_map(|round| round.steps.iter().flat_map(|step| &step.tasks));
     let done = tasks.filter(|task| task.phase == Phase::Done).count() as u64;
     let carrying = pool_state.workers.values().filter(|w| !w.tasks.is_empty());
+    let draining = pool_state
+        .workers
+        .values()
+        .filter(|w| w.is_listed && w.info.is_draining)
+        .count();
     let started: usize = carrying.clone().map(|w| w.tasks.len()).sum();
     let mut on = List::default();
     for w in carrying.take(LOADED_MAX) {
@@ -324,7 +335,9 @@
             .with("workers", pool_state.workers.len() as u64)
             .with("started", started as u64)
             .with("done", done)
-            .with("config", config_version)
+            .with("draining", draining as u64)
+            .with("list_age_ms", facts.list_changes.age_ms(ctx.now.ms))
+            .with("config", facts.config.version)
             .with("took_ms", ctx.now.ms - ownership.began_ms),
     );
 }
@@ -371,6 +384,53 @@
         .with("told_seen", w.acked_through)
 }
 
+/// Builds the event of a worker that the list shows as draining from now on. `by` names the reading of the list, and
+/// `list_age_ms` is the time since the list was last known to be current.
+pub(super) fn worker_draining(
+    pool_state: &PoolState,
+    worker: WorkerKey,
+    by: &'static str,
+    list_age_ms: Millis,
+) -> Option<Decision> {
+    let w = pool_state.workers.get(worker)?;
+    let phases = w
+        .tasks
+        .iter()
+        .filter_map(|key| Some(pool_state.task(*key)?.phase));
+    let count = |is_counted: fn(&Phase) -> bool| phases.clone().filter(is_counted).count() as u64;
+    let why = "the worker announced its end";
+    let decision = Decision::new(Code::WorkerDraining, Subject::Host, &w.info.id, why)
+        .with_name("on", &*w.info.host)
+        .with_name("by", by)
+        .with("list_age_ms", list_age_ms)
+        .with("tasks", w.tasks.len() as u64)
+        .with("unsent", count(|p| matches!(p, Phase::Recording(_))))
+        .with("unanswered", count(|p| matches!(p, Phase::Starting(_))));
+    Some(decision)
+}
+
+/// Builds the event of a start that is not sent, or not sent again.
+pub(super) fn start_withdrawn(
+    pool_state: &PoolState,
+    key: TaskKey,
+    why: &str,
+    now_ms: Millis,
+) -> Option<Decision> {
+    let task = pool_state.task(key)?;
+    let worker = pool_state.workers.get(task.phase.worker()?)?;
+    let job = &pool_state.jobs.get(key.job)?.id;
+    let decision = Decision::new(Code::StartWithdrawn, Subject::Job, job, why)
+        .with_name("worker", &*worker.info.id)
+        .with_name("on", &*worker.info.host)
+        .with("round", u64::from(key.round))
+        .with("step", u64::from(key.step))
+        .with("task", u64::from(key.index))
+        .with("run", u64::from(task.run))
+        .with("sends", u64::from(task.start_sends))
+        .with("since_ms", now_ms.saturating_sub(task.since_ms));
+    Some(decision)
+}
+
 /// Builds the event of a task that is queued again, with the facts behind the decision on its run. `asked_ms` is the
 /// request time of the report that lacks the run, if the decision rests on one.
 pub(super) fn task_requeued(
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -110,18 +110,25 @@
         ticket,
     };
     ctx.out.push(Effect::Start(order, key, start));
+    if let Some(task) = pool_state.task_mut(key) {
+        task.start_sends += 1;
+    }
 }
 
 /// Withdraws the start of a run on a worker whose hall is evacuated. If the start was sent and got no answer, the run is
 /// stopped instead of being started again.
 fn withdraw_start(pool_state: &mut PoolState, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
+    let why = "its worker's hall is evacuated";
+    if let Some(decision) = run_log::start_withdrawn(pool_state, key, why, ctx.now.ms) {
+        ctx.log(decision);
+    }
     let is_sent = |task: &Task| matches!(task.phase, Phase::Starting(_));
     if pool_state.task(key).is_some_and(is_sent) {
         stop_run(pool_state, key, epoch, ctx);
         return;
     }
     note_never_started(pool_state, key);
-    requeue_task(pool_state, key, "its worker's hall is evacuated", ctx);
+    requeue_task(pool_state, key, why, ctx);
 }
 
 /// Returns whether a refusal for a stale fencing token means that another entry owns the pool. A worker that has
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -259,6 +259,8 @@
     Worker(WorkerEvent),
     /// The whole list of workers was read.
     WorkersRead(Vec<WorkerInfo>),
+    /// All changes of the list of workers that the store took before this time were delivered.
+    WorkersCurrent(Millis),
     /// A row of the owners table changed.
     Owner(StoredRow),
     /// A claim of a shard was answered: pool, shard, send time, outcome.
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -70,6 +70,8 @@
     pub started_ms: Option<Millis>,
     /// When this owner first sent the start; the run began no earlier. `None` if a former owner sent it.
     pub sent_ms: Option<Millis>,
+    /// Number of times that this owner sent the start of its run.
+    pub start_sends: u32,
     /// When this owner learned that the worker had the run; the run began no later. Kept while the run is being
     /// stopped.
     pub begun_ms: Option<Millis>,
--- a/src/core/sched/worker_list.rs
+++ b/src/core/sched/worker_list.rs
@@ -32,6 +32,30 @@
     by_id: BTreeMap<String, Millis>,
     /// When the feed last reported the whole list.
     whole_list_ms: Millis,
+    /// Everything that the store took before this time is known.
+    current_ms: Millis,
+}
+
+/// The reading of the list from which a worker's entry was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// A single change that the feed reported.
+    Change,
+    /// The whole list, as the feed reports it first.
+    Whole,
+    /// A list that was read separately from the feed.
+    Separate,
+}
+
+impl Reading {
+    /// Returns the name that the log gives the reading.
+    fn as_str(self) -> &'static str {
+        match self {
+            Reading::Change => "feed",
+            Reading::Whole => "whole list",
+            Reading::Separate => "separate list",
+        }
+    }
 }
 
 impl ListChanges {
@@ -48,6 +72,16 @@
         self.whole_list_ms = now_ms;
     }
 
+    /// Records that everything that the store took before `ms` is known.
+    pub(super) fn note_current(&mut self, ms: Millis) {
+        self.current_ms = self.current_ms.max(ms);
+    }
+
+    /// Returns the time since the list was last known to be current.
+    pub(super) fn age_ms(&self, now_ms: Millis) -> Millis {
+        now_ms.saturating_sub(self.current_ms)
+    }
+
     /// Returns whether the feed has reported a worker, alone or with the whole list, since a reading was requested at
     /// `asked_ms`.
     fn is_reported_since(&self, id: &str, asked_ms: Millis) -> bool {
@@ -77,7 +111,7 @@
     };
     state.list_changes.note_worker(id, now.ms);
     match change {
-        WorkerEvent::Present(info) => apply_listed_worker(state, info, now, out),
+        WorkerEvent::Present(info) => apply_listed_worker(state, info, Reading::Change, now, out),
         WorkerEvent::Gone(id) => {
             state.unreadable.remove(&id);
             apply_unlisted_worker(state, &id, now, out);
@@ -116,7 +150,7 @@
     now: Now,
     out: &mut Vec<Effect>,
 ) {
-    apply_list(state, all, now, out);
+    apply_list(state, all, Reading::Whole, now, out);
     state.list_changes.note_all(now.ms);
 }
 
@@ -134,10 +168,17 @@
     all.retain(|info| !is_reported(&info.id));
     let kept = state.listed.values().filter(|info| is_reported(&info.id));
     all.extend(kept.cloned());
-    apply_list(state, all, now, out);
+    apply_list(state, all, Reading::Separate, now, out);
+    state.list_changes.note_current(asked_ms);
 }
 
-fn apply_list(state: &mut State, all: Vec<WorkerInfo>, now: Now, out: &mut Vec<Effect>) {
+fn apply_list(
+    state: &mut State,
+    all: Vec<WorkerInfo>,
+    reading: Reading,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
     let present: HashSet<&str> = all.iter().map(|info| info.id.as_str()).collect();
     let known = state.listed.keys();
     let missing = known.filter(|id| !present.contains(id.as_str()));
@@ -146,16 +187,18 @@
         apply_unlisted_worker(state, &id, now, out);
     }
     for info in all {
-        apply_listed_worker(state, info, now, out);
+        apply_listed_worker(state, info, reading, now, out);
     }
 }
 
-pub(super) fn apply_listed_worker(
+fn apply_listed_worker(
     state: &mut State,
     info: WorkerInfo,
+    reading: Reading,
     now: Now,
     out: &mut Vec<Effect>,
 ) {
+    let list_age_ms = state.list_changes.age_ms(now.ms);
     state.unreadable.remove(&info.id);
     state.listed.insert(info.id.clone(), info.clone());
     for key in owned_pools(state) {
@@ -170,7 +213,13 @@
                 return;
             };
             match is_its_pool {
-                true => apply_worker_entry(pool_state, &info, offers, epoch, ctx),
+                true => {
+                    let was_draining = is_known_to_drain(pool_state, &info);
+                    apply_worker_entry(pool_state, &info, offers, epoch, ctx);
+                    if info.is_draining && !was_draining {
+                        log_draining(pool_state, &info, reading, list_age_ms, ctx);
+                    }
+                }
                 // The entry names another pool, so this pool's instances of the same id are no longer listed.
                 false => note_unlisted(pool_state, &info.id, ctx),
             }
@@ -178,6 +227,26 @@
     }
 }
 
+fn is_known_to_drain(pool_state: &PoolState, info: &WorkerInfo) -> bool {
+    let key = pool_state.find_instance(&info.id, info.born_wall_ms);
+    key.is_some_and(|key| pool_state.workers[key].info.is_draining)
+}
+
+fn log_draining(
+    pool_state: &PoolState,
+    info: &WorkerInfo,
+    reading: Reading,
+    list_age_ms: Millis,
+    ctx: &mut Ctx<'_>,
+) {
+    let key = pool_state.find_instance(&info.id, info.born_wall_ms);
+    let decision = key
+        .and_then(|key| run_log::worker_draining(pool_state, key, reading.as_str(), list_age_ms));
+    if let Some(decision) = decision {
+        ctx.log(decision);
+    }
+}
+
 /// Applies a worker's entry in the list to the worker's pool: updates a known instance unless a later one has
 /// superseded it, or adds a new instance.
 pub fn apply_worker_entry(
--- a/src/event.rs
+++ b/src/event.rs
@@ -146,6 +146,8 @@
     AdviceFailed, 666, "advice-failed", "A call for advice got no answer; the next one follows after a pause.";
     PaceChanged, 667, "pace-changed", "The pace of what fills on a worker changed; the event shows how far the worst serving task there is from its target.";
     FillerMoved, 668, "filler-moved", "A filling task is stopped to be placed elsewhere, because what serves beside it leaves it next to no pace.";
+    WorkerDraining, 670, "worker-draining", "The owner learned that a worker drains; the event shows from which reading of the list, how long before that the list was last known to be current, and how many starts on the worker are unsent or unanswered.";
+    StartWithdrawn, 671, "start-withdrawn", "The start of a run is not sent or not sent again; the event shows the reason, how often it was sent, and how long the run has waited.";
 }
 
 impl Code {
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -63,7 +63,12 @@
     };
     let operator = feeds::follow_operator(platform.clone(), Arc::clone(shared), events.clone());
     executor.spawn(operator).detach();
-    let workers = feeds::follow_workers(platform.clone(), Rc::clone(&runner.owned), events.clone());
+    let workers = feeds::follow_workers(
+        platform.clone(),
+        Arc::clone(shared),
+        Rc::clone(&runner.owned),
+        events.clone(),
+    );
     executor.spawn(workers).detach();
     let owners = feeds::follow_owners(platform.clone(), Rc::clone(&runner.owned), events.clone());
     executor.spawn(owners).detach();
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -205,6 +205,7 @@
 /// Follows the list of workers while this entry owns a pool.
 pub(super) async fn follow_workers<P: Directory>(
     platform: P,
+    shared: Arc<Shared>,
     owned: Rc<OwnedPools>,
     events: Sender<Event>,
 ) {
@@ -214,6 +215,7 @@
             since = None;
             owned.workers.wait_open().await;
         }
+        let asked_ms = shared.clock.now_ms();
         let result = match since {
             None => platform.read_workers().await,
             Some(revision) => {
@@ -233,6 +235,7 @@
                 for change in feed.changes.into_iter().filter(is_new) {
                     send(&events, Event::Worker(change)).await;
                 }
+                send(&events, Event::WorkersCurrent(asked_ms)).await;
                 since = Some(feed.revision);
                 pause(WORKERS_PAUSE_MS).await;
             }
--- /dev/null
+++ b/tests/test_draining.rs
@@ -0,0 +1,85 @@
+//! Workers that announce their end: nothing is started on them, also if the start was decided on or sent before.
+
+use rockwick::core::sched::job::JobState;
+use rockwick::event::{Code, Decision};
+
+use crate::world::{job, Faults, World};
+
+/// Time within which an entry has claimed the pool.
+const SETTLE_MS: u64 = 8_000;
+
+/// Time for which a worker continues to serve after it announced its end.
+const SERVE_MS: u64 = 6_000;
+
+/// Number of jobs submitted after each drain begins.
+const JOBS_PER_DRAIN: u64 = 15;
+
+/// Time after which the next instance of a host starts.
+const BACK_MS: u64 = 1_000;
+
+/// Time within which the world's work is done once there are no more faults.
+const CALM_MS: u64 = 30_000;
+
+/// Returns a world with two entries and six workers, whose pool has an owner.
+fn settled_world(seed: u64) -> World {
+    let mut world = World::new(seed, 2, 6);
+    world.run(SETTLE_MS);
+    world
+}
+
+/// Lets each worker in turn announce its end while jobs keep coming. The world checks each start. Returns the jobs.
+fn drain_in_turn(world: &mut World) -> Vec<String> {
+    let mut jobs = Vec::new();
+    for worker_id in world.worker_ids() {
+        world.drain_worker(&worker_id, SERVE_MS, BACK_MS);
+        for _ in 0..JOBS_PER_DRAIN {
+            let id = format!("job-{}", jobs.len());
+            world.submit(&id, job(4, 1_500, 400));
+            jobs.push(id);
+            world.run(SERVE_MS / 2 / JOBS_PER_DRAIN);
+        }
+    }
+    jobs
+}
+
+/// Checks that all jobs complete once there are no more faults.
+fn check_completed(world: &mut World, jobs: &[String]) {
+    world.faults = Faults::default();
+    world.run(CALM_MS);
+    for id in jobs {
+        assert_eq!(world.recorded_state(id), JobState::Completed, "{id}");
+    }
+}
+
+fn lines(world: &World, code: Code) -> Vec<&Decision> {
+    world.log.iter().filter(|d| d.code == code).collect()
+}
+
+fn figure(decision: &Decision, what: &str) -> Option<u64> {
+    let found = decision.figures.iter().find(|(name, _)| name == what);
+    found.map(|(_, value)| *value)
+}
+
+#[test]
+fn draining_no_fault() {
+    for seed in 0..6 {
+        let mut world = settled_world(seed);
+        let jobs = drain_in_turn(&mut world);
+        check_completed(&mut world, &jobs);
+    }
+}
+
+/// The owner logs when and by which reading it learned that a worker drains.
+#[test]
+fn draining_logged() {
+    let mut world = settled_world(4);
+    world.keeps_log = true;
+    let id = world.worker_ids().remove(0);
+    world.drain_worker(&id, SERVE_MS, BACK_MS);
+    world.run(500);
+    let found = lines(&world, Code::WorkerDraining);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].id, id);
+    assert!(found[0].names.contains(&("by", "feed".to_string())));
+    assert!(figure(found[0], "list_age_ms").is_some());
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -26,6 +26,7 @@
 mod test_data_racks;
 mod test_deadlines;
 mod test_drain;
+mod test_draining;
 mod test_edge;
 mod test_ends;
 mod test_ends_holding;
--- a/tests/world/extras.rs
+++ b/tests/world/extras.rs
@@ -52,13 +52,10 @@
     /// Starts a new instance on a host while the old one drains for a time: its runs continue, and it takes no new
     /// ones.
     pub(crate) fn overlap_instances(&mut self, id: &str, ms: u64) {
-        let Some(w) = self.workers.get_mut(id).filter(|w| w.is_up) else {
+        if !self.announce_end(id) {
             return;
-        };
-        w.info.is_draining = true;
-        let info = w.info.clone();
-        let host = info.host.clone();
-        self.broadcast(&Event::Worker(WorkerEvent::Present(info)));
+        }
+        let host = self.workers[id].info.host.clone();
         self.start_instance(&host);
         self.schedule(ms, TimedEvent::DrainEnds(id.to_string()));
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,6 +9,7 @@
 mod calm;
 pub(crate) mod checkpoints;
 mod crash;
+mod draining;
 mod effects;
 mod entries;
 mod extras;
@@ -163,6 +164,8 @@
     lapses: u32,
     /// When the capacity last shrank.
     shrunk_ms: Option<u64>,
+    /// When the instance announced its end.
+    draining_since_ms: Option<u64>,
     /// Whether the process is up; false after a crash and while the host is out.
     is_up: bool,
     disconnected_until_ms: u64,
@@ -185,6 +188,7 @@
             next_end: 1,
             lapses: 0,
             shrunk_ms: None,
+            draining_since_ms: None,
             is_up: true,
             disconnected_until_ms: 0,
             speed_milli: 1_000,
