Check that draining workers get no starts, failing

The random worlds had no check of this rule. Now each start is checked: an entry in touch starts nothing on a worker over 2 s after the worker announced its end (orders that were held up apart). Drains are drawn in all worlds of the ranges by a generator of their own; saved seeds are played as they broke, without. The planned end of a worker counts as no crash.

--- a/tests/test_draining.rs
+++ b/tests/test_draining.rs
@@ -1,9 +1,10 @@
 //! Workers that announce their end: nothing is started on them, also if the start was decided on or sent before.
 
 use rockwick::core::sched::job::JobState;
+use rockwick::core::sched::rows::shard_parts;
 use rockwick::event::{Code, Decision};
 
-use crate::world::{job, Faults, World};
+use crate::world::{job, Faults, World, POOL};
 
 /// Time within which an entry has claimed the pool.
 const SETTLE_MS: u64 = 8_000;
@@ -69,6 +70,56 @@
     }
 }
 
+/// A start that got no answer is not sent again to a worker that has announced its end meanwhile.
+#[test]
+fn draining_start_unanswered() {
+    for seed in 0..60 {
+        let mut world = settled_world(seed);
+        world.faults.order_lost = 300;
+        world.faults.order_late = 500;
+        let jobs = drain_in_turn(&mut world);
+        check_completed(&mut world, &jobs);
+    }
+}
+
+/// The store records a placement only after the worker announced its end. The start must not be sent then.
+#[test]
+fn draining_recorded_late() {
+    for seed in 0..20 {
+        let mut world = settled_world(seed);
+        world.unavailable_parts.extend(shard_parts(POOL));
+        world.submit("late", job(24, 1_500, 400));
+        world.run(500);
+        for id in world.worker_ids().into_iter().take(3) {
+            world.drain_worker(&id, SERVE_MS, BACK_MS);
+        }
+        // Shorter than the bound of an owner's lease, so that the owner stays the same.
+        world.run(300);
+        let before = world.starts_while_draining;
+        world.unavailable_parts.clear();
+        check_completed(&mut world, &["late".to_string()]);
+        assert_eq!(world.starts_while_draining, before, "seed {seed}");
+    }
+}
+
+/// A start waits for its worker, which does not answer, and the worker announces its end before it answers again.
+#[test]
+fn draining_unheard() {
+    for seed in 0..40 {
+        let mut world = settled_world(seed);
+        let ids = world.worker_ids();
+        for id in ids.iter().take(3) {
+            world.disconnect_worker(id, 2_900);
+        }
+        world.submit("waits", job(24, 1_500, 400));
+        world.run(600);
+        for id in ids.iter().take(3) {
+            world.drain_worker(id, 2 * SERVE_MS, BACK_MS);
+        }
+        check_completed(&mut world, &["waits".to_string()]);
+    }
+}
+
 /// The owner logs when and by which reading it learned that a worker drains.
 #[test]
 fn draining_logged() {
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -105,6 +105,17 @@
     Speeds,
 }
 
+/// Whether workers announce their ends in a world. Those of a range of seeds have it; saved seeds are played as they
+/// broke.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Drains {
+    Never,
+    Sometimes,
+}
+
+/// A worker announces its end in one of this many rounds on average.
+const ROUNDS_PER_DRAIN: u32 = 8;
+
 /// An additional fault occurs in one of this many rounds on average.
 const ROUNDS_PER_EXTRA: u32 = 4;
 
@@ -159,16 +170,27 @@
     }
 }
 
+/// Makes a random worker announce its end. It serves for a while, and the host's next instance comes later.
+fn inject_drain(world: &mut World, rng: &mut Rng) {
+    let worker_ids = world.worker_ids();
+    if worker_ids.is_empty() || rng.u32(0..ROUNDS_PER_DRAIN) > 0 {
+        return;
+    }
+    let id = &worker_ids[rng.usize(0..worker_ids.len())];
+    world.drain_worker(id, rng.u64(2_000..8_000), rng.u64(100..3_000));
+}
+
 fn play(seed: u64) {
     play_with(seed, Extra::Nothing);
 }
 
 fn play_with(seed: u64, extra: Extra) {
-    play_with_delivery(seed, extra, DeliveryOrder::InOrder);
+    play_world(seed, extra, DeliveryOrder::InOrder, Drains::Never);
 }
 
 /// Plays a world, and returns it as it ended.
-fn play_with_delivery(seed: u64, extra: Extra, delivery_order: DeliveryOrder) -> World {
+fn play_world(seed: u64, extra: Extra, delivery_order: DeliveryOrder, drains: Drains) -> World {
+    let mut draining = Rng::with_seed(seed ^ 0xd7a1);
     let mut extras = Rng::with_seed(seed ^ 0xe874);
     let mut rng = Rng::with_seed(seed ^ 0x5eed);
     let mut partial = Rng::with_seed(seed ^ 0x9a47);
@@ -247,6 +269,9 @@
             inject_fault(&mut world, &mut rng);
         }
         inject_extra_fault(&mut world, extra, &jobs, &mut extras);
+        if drains == Drains::Sometimes {
+            inject_drain(&mut world, &mut draining);
+        }
         // Unavailable partitions use a generator of their own so that older seeds play the same worlds.
         world.unavailable_parts.clear();
         for part in shard_parts(POOL) {
@@ -293,7 +318,10 @@
 
 fn play_all(extra: Extra) {
     let seeds = seeds();
-    let is_failing = |seed: &u64| std::panic::catch_unwind(|| play_with(*seed, extra)).is_err();
+    let plays = |seed: u64| {
+        play_world(seed, extra, DeliveryOrder::InOrder, Drains::Sometimes);
+    };
+    let is_failing = |seed: &u64| std::panic::catch_unwind(|| plays(*seed)).is_err();
     let failing: Vec<u64> = seeds.clone().filter(is_failing).collect();
     assert!(
         failing.is_empty(),
@@ -341,7 +369,12 @@
 fn sched_model_checkpoints() {
     let (mut run_ms, mut wasted_ms, mut resumed) = (0, 0, 0);
     for seed in seeds() {
-        let world = play_with_delivery(seed, Extra::Checkpoints, DeliveryOrder::InOrder);
+        let world = play_world(
+            seed,
+            Extra::Checkpoints,
+            DeliveryOrder::InOrder,
+            Drains::Sometimes,
+        );
         run_ms += world.checkpoints.run_ms;
         wasted_ms += world.wasted_ms();
         resumed += world.checkpoints.resumed;
@@ -377,7 +410,7 @@
 #[test]
 fn sched_model_saved() {
     for seed in SAVED {
-        play_with_delivery(seed, Extra::Nothing, DeliveryOrder::AtThaw);
+        play_world(seed, Extra::Nothing, DeliveryOrder::AtThaw, Drains::Never);
         play(seed);
     }
 }
--- a/tests/world/draining.rs
+++ b/tests/world/draining.rs
@@ -1,7 +1,11 @@
-//! Workers that announce their end.
+//! Workers that announce their end, and the check that they get no starts once that is known.
 
 use super::*;
 
+/// An entry that is in touch starts nothing on a worker this long after the worker announced its end: the shortest
+/// bound that the users' deployments state.
+const DRAIN_MS: u64 = 2_000;
+
 impl World {
     /// Makes a worker announce its end. Its runs continue for `serve_ms`, and it accepts starts until then. The host's
     /// next instance starts `back_after_ms` later.
@@ -10,7 +14,7 @@
             return;
         }
         let host = self.workers[id].info.host.clone();
-        self.schedule(serve_ms, TimedEvent::DrainEnds(id.to_string()));
+        self.schedule(serve_ms, TimedEvent::PlannedEnd(id.to_string()));
         self.schedule(serve_ms + back_after_ms, TimedEvent::UpkeepOver(host));
     }
 
@@ -30,4 +34,32 @@
         self.broadcast(&Event::Worker(WorkerEvent::Present(info)));
         true
     }
+
+    /// Ends a worker that announced its end. That is no crash of the tasks that run on it.
+    pub(super) fn end_as_planned(&mut self, id: &str) {
+        let draining = self.workers.get_mut(id).filter(|w| w.is_up);
+        let Some(w) = draining.filter(|w| w.draining_since_ms.is_some()) else {
+            return;
+        };
+        w.is_up = false;
+        self.end_all_runs(id);
+    }
+
+    /// Checks that a worker on which a run starts has not announced its end too long ago.
+    pub(super) fn check_draining(&mut self, id: &str, start: &RunStart) {
+        let Some(since_ms) = self.workers[id].draining_since_ms else {
+            return;
+        };
+        self.starts_while_draining += 1;
+        let entry = &self.entries[self.ordering_entry];
+        let is_in_touch = self.now_ms >= entry.undisturbed_since_ms + UNDISTURBED_MS;
+        let until_ms = since_ms + DRAIN_MS + self.worker_events_late_ms;
+        assert!(
+            !is_in_touch || self.is_late_order || self.now_ms < until_ms,
+            "{} ms: {:?} starts as run {} on {id}, which drains since {since_ms} ms",
+            self.now_ms,
+            start.task,
+            start.run
+        );
+    }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -253,6 +253,8 @@
     /// Whether a hall was ever evacuated. Without that, entries are told of no halls, so that older seeds play the same
     /// worlds.
     has_evacuations: bool,
+    /// Number of runs started on workers that had announced their end.
+    pub(crate) starts_while_draining: u64,
     /// Number of runs started in each hall.
     pub(crate) starts_by_hall: BTreeMap<String, u64>,
     /// How much a filling task at full pace adds to the tails of what serves beside it, in percent of their targets.
@@ -339,6 +341,7 @@
             deployment: Deployment::default(),
             evacuated_since_ms: BTreeMap::new(),
             has_evacuations: false,
+            starts_while_draining: 0,
             starts_by_hall: BTreeMap::new(),
             disturbance_percent: 0,
             advice: Default::default(),
--- a/tests/world/timed_events.rs
+++ b/tests/world/timed_events.rs
@@ -21,6 +21,8 @@
     UpkeepOver(String),
     LaterInstanceStarts(String),
     DrainEnds(String),
+    /// A worker ends as it announced.
+    PlannedEnd(String),
     ReadStandbys(usize),
     Wake(usize),
     Kill(usize, u64),
@@ -144,6 +146,7 @@
             }
             TimedEvent::Lapse(id) => self.lapse_lease(&id),
             TimedEvent::DrainEnds(id) => self.end_draining(&id),
+            TimedEvent::PlannedEnd(id) => self.end_as_planned(&id),
             TimedEvent::LaterInstanceStarts(id) => self.start_later_instance(&id),
             TimedEvent::UpkeepOver(host) => {
                 self.hosts_out.remove(&host);
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -128,6 +128,7 @@
         self.record_start(id, start);
         self.check_start(id, &start.task);
         self.check_hall(id);
+        self.check_draining(id, start);
         self.check_crasher_start(id, &start.task, start.run);
         let at_work = TimedEvent::AtWork(id.to_string(), start.task.clone(), start.run);
         self.schedule(at_work_ms - now_ms, at_work);
