Ask again at each sending whether a start may go out

Callers saw tasks started on workers that had announced their end over 2 s before; such a run dies with its worker, and the task runs again elsewhere.

Cause: what was known when a start was decided on was not asked again when it was sent. send_start looked at evacuated halls and tickets alone, while placing looks at is_open. So a start without an answer was sent again each 450 ms to a worker that was known to drain; a start whose record took long, or that waited for an unheard worker, was sent first when the worker drained. The class holds for hosts due for maintenance, unlisted and moved workers, hosts given to other pools, and shrunk capacity, too.

Change: start_check::check decides at each sending. A start that was never sent (or certainly not carried out) goes out only if the task could still be placed there, else the task is queued again at once. One without an answer may run: it is stopped if its worker leaves or has shrunk, since sending it again breaks the drain and queueing the task again could run it twice; a lasting task whose step has too many away waits instead. Gang members are withdrawn before any member is sent.

--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -240,6 +240,7 @@
     for key in &batch.removed {
         pool_state.drop_job(*key, ctx.now.ms);
     }
+    runs::withdraw_unsent(pool_state, &batch.starts, epoch, ctx);
     for (task, run) in &batch.starts {
         runs::send_start(pool_state, *task, *run, epoch, ctx);
     }
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -54,6 +54,7 @@
 pub mod sizing;
 pub mod speeds;
 pub mod standby;
+pub mod start_check;
 pub mod state;
 pub mod stragglers;
 pub mod tasks;
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -11,11 +11,13 @@
 use super::job::JobState;
 use super::keys::{JobKey, StepKey, TaskKey, WorkerKey};
 use super::limits::{
-    FAILS_IN_A_ROW, FULL_PAUSE_MS, ORDER_RETRY_MS, SUSPEND_MAX_MS, SUSPEND_MS, WORKER_LEASE_MS,
+    FAILS_IN_A_ROW, FULL_PAUSE_MS, ORDER_RETRY_MS, RENEWAL_RETRY_MS, SUSPEND_MAX_MS, SUSPEND_MS,
+    WORKER_LEASE_MS,
 };
 use super::load;
 use super::pool_state::{LeftoverRun, PoolState};
 use super::run_log;
+use super::start_check::{self, Verdict};
 use super::state::{Ctx, Effect, Order, Timer};
 use super::tasks::{Phase, Task};
 use super::worker::Worker;
@@ -49,7 +51,7 @@
     })
 }
 
-/// Sends the start of a recorded run.
+/// Sends the start of a recorded run, or sends it again, if its worker may still get it.
 pub fn send_start(
     pool_state: &mut PoolState,
     key: TaskKey,
@@ -66,20 +68,19 @@
     if task.run != run {
         return;
     }
-    if pool_state
-        .workers
-        .get(worker)
-        .is_some_and(|w| w.is_evacuated)
-    {
-        withdraw_start(pool_state, key, epoch, ctx);
-        return;
+    match start_check::check(pool_state, key, worker, ctx.now.ms) {
+        Verdict::Send => {}
+        Verdict::Wait => {
+            ctx.set_timer(RENEWAL_RETRY_MS, Timer::ResendStart(key, run));
+            return;
+        }
+        Verdict::Requeue(why) | Verdict::Stop(why) => {
+            withdraw_start(pool_state, key, why, epoch, ctx);
+            return;
+        }
     }
     let checkpoint = task.checkpoint.clone();
     let is_unsent = task.phase == Phase::Recording(worker);
-    if !pool_state.has_ticket(key, worker, ctx.now.ms) {
-        handle_refusal(pool_state, key, "its ticket has ended", epoch, ctx);
-        return;
-    }
     let ticket = pool_state.advice.ticket(StepKey::from(key), worker);
     let ticket = ticket.unwrap_or_default().to_string();
     if is_unsent {
@@ -115,20 +116,42 @@
     }
 }
 
-/// Withdraws the start of a run on a worker whose hall is evacuated. If the start was sent and got no answer, the run is
-/// stopped instead of being started again.
-fn withdraw_start(pool_state: &mut PoolState, key: TaskKey, epoch: u64, ctx: &mut Ctx<'_>) {
-    let why = "its worker's hall is evacuated";
+/// Withdraws a start instead of sending it, or sending it again.
+fn withdraw_start(
+    pool_state: &mut PoolState,
+    key: TaskKey,
+    why: &str,
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    run_log::log_start_answers(pool_state, ctx);
     if let Some(decision) = run_log::start_withdrawn(pool_state, key, why, ctx.now.ms) {
         ctx.log(decision);
     }
-    let is_sent = |task: &Task| matches!(task.phase, Phase::Starting(_));
-    if pool_state.task(key).is_some_and(is_sent) {
-        stop_run(pool_state, key, epoch, ctx);
-        return;
+    handle_refusal(pool_state, key, why, epoch, ctx);
+}
+
+/// Withdraws those of the recorded starts that may not be sent any more, so that no member of a gang is started whose
+/// other members are not.
+pub(super) fn withdraw_unsent(
+    pool_state: &mut PoolState,
+    starts: &[(TaskKey, u32)],
+    epoch: u64,
+    ctx: &mut Ctx<'_>,
+) {
+    for (key, run) in starts {
+        let Some(task) = pool_state.task(*key).filter(|t| t.run == *run) else {
+            continue;
+        };
+        let Phase::Recording(worker) = task.phase else {
+            continue;
+        };
+        let verdict = start_check::check(pool_state, *key, worker, ctx.now.ms);
+        if let Verdict::Requeue(why) = verdict {
+            withdraw_start(pool_state, *key, why, epoch, ctx);
+        }
     }
-    note_never_started(pool_state, key);
-    requeue_task(pool_state, key, why, ctx);
+    gang::stop_broken(pool_state, epoch, ctx);
 }
 
 /// Returns whether a refusal for a stale fencing token means that another entry owns the pool. A worker that has
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -157,14 +157,37 @@
 
     /// Returns whether it may get new tasks.
     pub fn is_open(&self, now_ms: Millis) -> bool {
-        self.is_listed
-            && self.is_answering
-            && self.clock.is_some()
-            && !self.info.is_draining
-            && !self.is_closing
-            && !self.is_spare
-            && !self.is_evacuated
-            && now_ms >= self.suspended_until_ms
+        self.closed_reason(now_ms).is_none()
+    }
+
+    /// Returns why it may get no new tasks now, or `None` if it is open.
+    pub fn closed_reason(&self, now_ms: Millis) -> Option<&'static str> {
+        if let Some(why) = self.leaving_reason() {
+            return Some(why);
+        }
+        if !self.is_answering || self.clock.is_none() {
+            return Some("its worker does not answer");
+        }
+        if self.is_spare {
+            return Some("its worker's host is surplus to the pool");
+        }
+        (now_ms < self.suspended_until_ms).then_some("its worker is suspended")
+    }
+
+    /// Returns why it is about to leave the pool or its host, or `None` if it stays as far as this owner knows.
+    pub fn leaving_reason(&self) -> Option<&'static str> {
+        let reasons = [
+            (self.info.is_draining, "its worker announced its end"),
+            (!self.is_listed, "its worker is no longer listed"),
+            (self.is_evacuated, "its worker's hall is evacuated"),
+            (self.is_closing, "its worker's host is due for maintenance"),
+            (
+                self.is_offered,
+                "its worker's host is given to another pool",
+            ),
+        ];
+        let mut holding = reasons.into_iter().filter(|(holds, _)| *holds);
+        holding.next().map(|(_, why)| why)
     }
 
     /// Returns whether it is the instance that started at `born_wall_ms`. If either time is unknown, the id alone
--- a/tests/world/draining.rs
+++ b/tests/world/draining.rs
@@ -35,6 +35,26 @@
         true
     }
 
+    /// Returns the delay of a worker's event to an entry. A feed keeps the order of changes, so the announcement of a
+    /// worker's end arrives no earlier than what the worker stated before. Other events keep their drawn delay, so that
+    /// older seeds play the same worlds.
+    pub(super) fn keep_announcement_last(&mut self, n: usize, event: &Event, drawn_ms: u64) -> u64 {
+        let Event::Worker(WorkerEvent::Present(info)) = event else {
+            return drawn_ms;
+        };
+        let now_ms = self.now_ms;
+        let last_ms = self
+            .worker_events_at_ms
+            .entry((n, info.id.clone()))
+            .or_default();
+        let delay_ms = match info.is_draining {
+            true => drawn_ms.max(last_ms.saturating_sub(now_ms)),
+            false => drawn_ms,
+        };
+        *last_ms = (*last_ms).max(now_ms + delay_ms);
+        delay_ms
+    }
+
     /// Ends a worker that announced its end. That is no crash of the tasks that run on it.
     pub(super) fn end_as_planned(&mut self, id: &str) {
         let draining = self.workers.get_mut(id).filter(|w| w.is_up);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -286,6 +286,8 @@
     attempts_allowed: HashMap<String, (u32, u32)>,
     /// Durations of tasks for which they are set instead of drawn.
     pub(crate) run_ms: HashMap<TaskName, u64>,
+    /// When the last event of a worker reaches an entry, by entry and worker.
+    worker_events_at_ms: HashMap<(usize, String), u64>,
     /// Workers that are missing from the worker list for a while.
     unlisted: HashSet<String>,
     /// Probability that an order is delayed, in thousandths, and the generator that draws the delay.
@@ -360,6 +362,7 @@
             acked_done: HashSet::new(),
             attempts_allowed: HashMap::new(),
             run_ms: HashMap::new(),
+            worker_events_at_ms: HashMap::new(),
             unlisted: HashSet::new(),
             late_orders: None,
             start_history: Default::default(),
@@ -469,7 +472,8 @@
                 Event::Operator(OperatorEvent::Config(_)) => self.config_late_ms,
                 _ => 0,
             };
-            let delay_ms = self.draw_delay_ms() + 20 + late_ms;
+            let drawn_ms = self.draw_delay_ms() + 20 + late_ms;
+            let delay_ms = self.keep_announcement_last(n, event, drawn_ms);
             self.schedule(delay_ms, TimedEvent::Deliver(n, incarnation, event.clone()));
         }
     }
