Apply the list of workers that is read with a pool's rows, whatever the entry owns

An entry that owns no pool does not follow the list of workers, but keeps it. The list that is read with a pool's rows was applied only if the entry owned no other pool, so an entry that claimed two pools at once built both from the kept list, and its feed read the list anew only later, at times seconds later where the store turns reads away.

Change: that list is always applied. What the feed reported since the reading was requested is kept, as before. Test: draining_list_kept, which failed (both pools took the worker as ready).

--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -351,10 +351,8 @@
     out: &mut Vec<Effect>,
 ) {
     if let Some(rows) = &rows {
-        if state.owned_count() <= 1 {
-            let (workers, asked_ms) = (rows.workers.clone(), rows.workers_asked_ms);
-            apply_separate_list(state, workers, asked_ms, now, out);
-        }
+        let (workers, asked_ms) = (rows.workers.clone(), rows.workers_asked_ms);
+        apply_separate_list(state, workers, asked_ms, now, out);
         for row in &rows.waves {
             apply_wave_row(state, row, now, out);
         }
--- a/tests/test_draining.rs
+++ b/tests/test_draining.rs
@@ -1,10 +1,16 @@
 //! Workers that announce their end: nothing is started on them, also if the start was decided on or sent before.
 
+use std::sync::Arc;
+
+use rockwick::clock::Now;
 use rockwick::core::sched::job::JobState;
-use rockwick::core::sched::rows::shard_parts;
+use rockwick::core::sched::reduce;
+use rockwick::core::sched::rows::{encode, shard_parts, OwnerRow, OWNER_KEY, SHARDS};
+use rockwick::core::sched::state::{Effect, Event, LoadedRows, PoolKey, State};
 use rockwick::event::{Code, Decision};
+use rockwick::port::fleet::{FleetConfig, OperatorEvent, StoredRow, TxOutcome, WorkerInfo};
 
-use crate::world::{job, Faults, World, POOL};
+use crate::world::{config, job, listed_worker, Faults, World, POOL};
 
 /// Time within which an entry has claimed the pool.
 const SETTLE_MS: u64 = 8_000;
@@ -134,3 +140,101 @@
     assert!(found[0].names.contains(&("by", "feed".to_string())));
     assert!(figure(found[0], "list_age_ms").is_some());
 }
+
+/// Names of the pools of an entry that claims two at once.
+const POOLS: [&str; 2] = ["first", "second"];
+
+fn now(ms: u64) -> Now {
+    Now {
+        ms,
+        wall_ms: ms,
+        ..Now::default()
+    }
+}
+
+/// Returns an entry that has just claimed both pools, and when. It read the list of workers `before` claiming.
+fn entry_with_claims(before: &[WorkerInfo]) -> (State, u64) {
+    let config = FleetConfig {
+        pools: POOLS
+            .map(|pool| (pool.to_string(), Default::default()))
+            .into(),
+        ..config(1)
+    };
+    let mut state = State::new("entry", 7);
+    let config_event = OperatorEvent::Config(Arc::new(config));
+    reduce(&mut state, Event::Operator(config_event), now(10));
+    reduce(&mut state, Event::WorkersRead(before.to_vec()), now(15));
+    reduce(&mut state, Event::Store(true), now(20));
+    let mut now_ms = 3_000;
+    while state.owned_count() < POOLS.len() {
+        now_ms += 10;
+        assert!(now_ms < 10_000, "the pools are claimed");
+        let mut claims = vec![];
+        for effect in reduce(&mut state, Event::Tick, now(now_ms)) {
+            claims.extend(match effect {
+                Effect::Claim(pool, shard, _) => Some((pool, shard)),
+                _ => None,
+            });
+        }
+        for (pool, _) in claims {
+            for shard in 0..SHARDS {
+                let done = TxOutcome::Committed(100 + u64::from(pool.0) * 10 + shard as u64);
+                let event = Event::Claimed(pool, shard, now_ms, done);
+                reduce(&mut state, event, now(now_ms));
+            }
+        }
+    }
+    (state, now_ms)
+}
+
+/// Delivers the rows of a pool, which were read together with the list of workers.
+fn deliver_rows(state: &mut State, key: PoolKey, workers: &[WorkerInfo], now_ms: u64) {
+    let pool = &state.pools[usize::from(key.0)];
+    let epoch = pool.ownership.as_ref().expect("the pool is owned").epoch;
+    let owner = OwnerRow {
+        entry: "entry".to_string(),
+        nonce: 7,
+        epoch: 0,
+    };
+    let rows = LoadedRows {
+        owner: vec![StoredRow {
+            part: pool.name.clone(),
+            key: OWNER_KEY.to_string(),
+            value: Some(encode(&owner)),
+            revision: epoch,
+        }],
+        workers: workers.to_vec(),
+        workers_asked_ms: now_ms,
+        ..LoadedRows::default()
+    };
+    let event = Event::Loaded(key, epoch, Some(rows));
+    reduce(state, event, now(now_ms + 5));
+}
+
+/// An entry keeps the list of workers while it owns no pool and does not follow the list. When it claims two pools at
+/// once, both are built from the list that was read with their rows.
+#[test]
+fn draining_list_kept() {
+    let workers = POOLS.map(|pool| WorkerInfo {
+        pool: pool.to_string(),
+        ..listed_worker(&format!("worker-{pool}"), &format!("host-{pool}"))
+    });
+    let draining = workers.clone().map(|info| WorkerInfo {
+        is_draining: true,
+        ..info
+    });
+    let (mut state, now_ms) = entry_with_claims(&workers);
+    for key in [PoolKey(0), PoolKey(1)] {
+        deliver_rows(&mut state, key, &draining, now_ms);
+    }
+    for pool in &state.pools {
+        let ownership = pool.ownership.as_ref().expect("the pool is owned");
+        let pool_state = ownership.pool_state.as_ref().expect("its rows are read");
+        let drains: Vec<bool> = pool_state
+            .workers
+            .values()
+            .map(|w| w.info.is_draining)
+            .collect();
+        assert_eq!(drains, [true], "pool {}", pool.name);
+    }
+}
