--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -537,3 +537,46 @@
         play_with(seed, Extra::Reread);
     }
 }
+
+/// Plays a world in which workers announce their ends.
+fn play_with_drains(seed: u64, extra: Extra) {
+    play_world(seed, extra, DeliveryOrder::InOrder, Drains::Sometimes);
+}
+
+/// Guards against a sixth or later start of a crashing task. Some of its workers crash while they drain, which does not
+/// count as a crash.
+#[test]
+fn sched_model_crash_in_drain() {
+    play_with_drains(137, Extra::Nothing);
+    play_with_drains(221, Extra::Reread);
+    for seed in [661, 685] {
+        play_with_drains(seed, Extra::LateRestarts);
+    }
+    for seed in [769, 969] {
+        play_with_drains(seed, Extra::Configs);
+    }
+    for seed in [285, 601] {
+        play_with_drains(seed, Extra::TwoInstances);
+    }
+    for seed in [69, 761] {
+        play_with_drains(seed, Extra::Readdressed);
+    }
+}
+
+/// Guards against work that waits forever beside a wave. The pool has two hosts, and a lasting step has more tasks than
+/// may run there, so none of them may be stopped. The wave closes the hosts by turns, and a gang that needs most of a
+/// host never finds the room.
+#[test]
+fn sched_model_wave_starves() {
+    play_with_drains(890, Extra::Timed);
+    play_with_drains(860, Extra::Restarts);
+    for seed in [551, 860] {
+        play_with_drains(seed, Extra::LateRestarts);
+    }
+    play_with_drains(878, Extra::Configs);
+    for seed in [152, 518] {
+        play_with_drains(seed, Extra::Halls);
+    }
+    play_with_drains(518, Extra::Speeds);
+    play_with_drains(698, Extra::TwoInstances);
+}
--- a/tests/world/draining.rs
+++ b/tests/world/draining.rs
@@ -13,9 +13,8 @@
         if !self.announce_end(id) {
             return;
         }
-        let host = self.workers[id].info.host.clone();
-        self.schedule(serve_ms, TimedEvent::PlannedEnd(id.to_string()));
-        self.schedule(serve_ms + back_after_ms, TimedEvent::UpkeepOver(host));
+        let end = TimedEvent::PlannedEnd(id.to_string(), back_after_ms);
+        self.schedule(serve_ms, end);
     }
 
     /// Marks a worker as draining in the list. Returns whether it is up and had not announced its end before.
@@ -55,13 +54,16 @@
         delay_ms
     }
 
-    /// Ends a worker that announced its end, and takes it out of the list. That is no crash of the tasks that run on it.
-    pub(super) fn end_as_planned(&mut self, id: &str) {
+    /// Ends a worker that announced its end, unless it has crashed since, and takes it out of the list. That is no crash
+    /// of the tasks that run on it.
+    pub(super) fn end_as_planned(&mut self, id: &str, back_after_ms: u64) {
         let draining = self.workers.get_mut(id).filter(|w| w.is_up);
         let Some(w) = draining.filter(|w| w.draining_since_ms.is_some()) else {
             return;
         };
         w.is_up = false;
+        let host = w.info.host.clone();
+        self.schedule(back_after_ms, TimedEvent::UpkeepOver(host));
         self.end_all_runs(id);
         self.unlisted.insert(id.to_string());
         self.broadcast(&Event::Worker(WorkerEvent::Gone(id.to_string())));
--- a/tests/world/timed_events.rs
+++ b/tests/world/timed_events.rs
@@ -21,8 +21,8 @@
     UpkeepOver(String),
     LaterInstanceStarts(String),
     DrainEnds(String),
-    /// A worker ends as it announced.
-    PlannedEnd(String),
+    /// A worker ends as it announced; the host is back after this time.
+    PlannedEnd(String, u64),
     ReadStandbys(usize),
     Wake(usize),
     Kill(usize, u64),
@@ -146,7 +146,9 @@
             }
             TimedEvent::Lapse(id) => self.lapse_lease(&id),
             TimedEvent::DrainEnds(id) => self.end_draining(&id),
-            TimedEvent::PlannedEnd(id) => self.end_as_planned(&id),
+            TimedEvent::PlannedEnd(id, back_after_ms) => {
+                self.end_as_planned(&id, back_after_ms);
+            }
             TimedEvent::LaterInstanceStarts(id) => self.start_later_instance(&id),
             TimedEvent::UpkeepOver(host) => {
                 self.hosts_out.remove(&host);
