--- a/src/core/sched/start_check.rs
+++ b/src/core/sched/start_check.rs
@@ -2,9 +2,9 @@
 //!
 //! Between the choice of a worker and the moment at which the start is sent, or sent again, seconds may pass: the
 //! placement is recorded first, the worker may fall silent, and answers get lost. The worker may have announced its end
-//! meanwhile. [`check`] asks anew each time, with the conditions that placing asks.
+//! meanwhile. [`check`] asks anew each time.
 //!
-//! A start that was never sent goes out only if the task could still be placed on its worker. A start without an answer
+//! A start that was never sent goes out only if its worker stays and takes new tasks. A start without an answer
 //! may have been carried out, so nothing temporary keeps it from being sent again; a worker that leaves does.
 
 use super::keys::{TaskKey, WorkerKey};
@@ -52,7 +52,7 @@
     let w = pool_state.workers.get(worker)?;
     let closed = match may_run {
         true => w.leaving_reason(),
-        false => w.closed_reason(now_ms),
+        false => w.refusal_reason(now_ms),
     };
     if closed.is_some() {
         return closed;
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -162,15 +162,21 @@
 
     /// Returns why it may get no new tasks now, or `None` if it is open.
     pub fn closed_reason(&self, now_ms: Millis) -> Option<&'static str> {
+        if self.is_spare {
+            return Some("its worker's host is surplus to the pool");
+        }
+        self.refusal_reason(now_ms)
+    }
+
+    /// Returns why a start that was decided on earlier and never sent must not go out now. A surplus host stays until it
+    /// is empty, so it may still get such a start.
+    pub fn refusal_reason(&self, now_ms: Millis) -> Option<&'static str> {
         if let Some(why) = self.leaving_reason() {
             return Some(why);
         }
         if !self.is_answering || self.clock.is_none() {
             return Some("its worker does not answer");
         }
-        if self.is_spare {
-            return Some("its worker's host is surplus to the pool");
-        }
         (now_ms < self.suspended_until_ms).then_some("its worker is suspended")
     }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -12,6 +12,9 @@
 /// Key in [`Decision::names`] for a list of runs.
 pub const RUNS_KEY: &str = "runs";
 
+/// Keys in [`Decision::names`] for the worker and the host of a run.
+const PLACE_KEYS: [&str; 2] = ["worker", "on"];
+
 /// One event of the catalogue.
 #[derive(Clone, Copy, Debug)]
 pub struct EventInfo {
@@ -262,11 +265,16 @@
         self
     }
 
-    /// Returns whether the decision is about this thing; for a job, also whether one of its lists of runs names it.
+    /// Returns whether the decision is about this thing; for a job, also whether one of its lists of runs names it, and
+    /// for a host, whether the decision is on a run there.
     pub fn is_about(&self, subject: Subject, id: &str) -> bool {
         if self.subject == subject && self.id == id {
             return true;
         }
+        if subject == Subject::Host && self.subject == Subject::Job {
+            let mut places = self.names.iter();
+            return places.any(|(what, name)| PLACE_KEYS.contains(what) && name == id);
+        }
         let mut lists = self.names.iter().filter(|(what, _)| *what == RUNS_KEY);
         subject == Subject::Job && lists.any(|(_, list)| list_names_job(list, id))
     }
--- a/tests/test_draining.rs
+++ b/tests/test_draining.rs
@@ -7,7 +7,7 @@
 use rockwick::core::sched::reduce;
 use rockwick::core::sched::rows::{encode, shard_parts, OwnerRow, OWNER_KEY, SHARDS};
 use rockwick::core::sched::state::{Effect, Event, LoadedRows, PoolKey, State};
-use rockwick::event::{Code, Decision};
+use rockwick::event::{Code, Decision, Subject};
 use rockwick::port::fleet::{FleetConfig, OperatorEvent, StoredRow, TxOutcome, WorkerInfo};
 
 use crate::world::{config, job, listed_worker, Faults, World, POOL};
@@ -141,6 +141,32 @@
     assert!(figure(found[0], "list_age_ms").is_some());
 }
 
+/// The log tells of a withdrawn start why it did not go out, for its job and for its worker.
+#[test]
+fn draining_explained() {
+    let mut world = settled_world(4);
+    world.keeps_log = true;
+    world.unavailable_parts.extend(shard_parts(POOL));
+    world.submit("late", job(24, 1_500, 400));
+    world.run(500);
+    let worker_ids = world.worker_ids();
+    for id in worker_ids.iter().take(3) {
+        world.drain_worker(id, SERVE_MS, BACK_MS);
+    }
+    world.run(300);
+    world.unavailable_parts.clear();
+    world.run(500);
+    let withdrawn = lines(&world, Code::StartWithdrawn);
+    assert!(!withdrawn.is_empty());
+    for line in withdrawn {
+        assert_eq!(line.why, "its worker announced its end");
+        assert_eq!(figure(line, "sends"), Some(0));
+        assert!(line.is_about(Subject::Job, "late"));
+        let is_named = |id: &String| line.is_about(Subject::Host, id);
+        assert_eq!(worker_ids.iter().filter(|id| is_named(id)).count(), 1);
+    }
+}
+
 /// Names of the pools of an entry that claims two at once.
 const POOLS: [&str; 2] = ["first", "second"];
 
