Bound the reads of counts without a setting

The rate adapts to the store in any case, so its bounds are constants now (10 reads a second at first, 50 at most).

--- a/src/port/read_budget.rs
+++ b/src/port/read_budget.rs
@@ -7,12 +7,12 @@
 
 use crate::clock::Millis;
 
-/// An entry's counts get at most the store's reads divided by this. A count by rows then takes 1.4 s on a store that
-/// serves 2,000 reads a second.
-const SHARE_DIVISOR: u64 = 40;
+/// The highest rate of an entry. A count by rows then takes 1.4 s, and 40 entries that count at this rate ask for the
+/// 2,000 reads a second that the users' stores serve.
+const RATE_MAX_PER_S: u64 = 50;
 
-/// An entry begins with its highest rate divided by this: 97 entries that start at once then ask for half of the reads.
-const FIRST_RATE_DIVISOR: u64 = 5;
+/// The rate at which an entry begins: 97 entries that start at once ask for half of the store's reads.
+const FIRST_RATE_PER_S: u64 = 10;
 
 /// The least rate: the rate must stay high enough to notice that the store serves reads again.
 const RATE_MIN_PER_S: u64 = 4;
@@ -26,8 +26,6 @@
 /// A number of reads a second that adapts to the store.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadBudget {
-    /// The highest rate; 0 for no bound.
-    rate_max_per_s: u64,
     /// The present rate in thousandths of a read a second.
     rate_milli_per_s: u64,
     /// Reads that may be made now, in thousandths.
@@ -36,19 +34,18 @@
     failed_ms: Option<Millis>,
 }
 
+impl Default for ReadBudget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ReadBudget {
-    /// Creates the budget of an entry for a store that serves `reads_per_s` to all entries together; 0 if that is not
-    /// known, for a budget without a bound.
-    pub fn new(reads_per_s: u64) -> Self {
-        let rate_max_per_s = match reads_per_s {
-            0 => 0,
-            _ => (reads_per_s / SHARE_DIVISOR).max(RATE_MIN_PER_S),
-        };
-        let first_per_s = (rate_max_per_s / FIRST_RATE_DIVISOR).max(RATE_MIN_PER_S);
+    /// Creates the budget of an entry that has read nothing yet.
+    pub fn new() -> Self {
         Self {
-            rate_max_per_s,
-            rate_milli_per_s: first_per_s * 1_000,
-            saved_milli: first_per_s * 1_000,
+            rate_milli_per_s: FIRST_RATE_PER_S * 1_000,
+            saved_milli: FIRST_RATE_PER_S * 1_000,
             updated_ms: 0,
             failed_ms: None,
         }
@@ -56,9 +53,6 @@
 
     /// Takes up to `wanted` reads and returns how many may be made now.
     pub fn take(&mut self, wanted: usize, now_ms: Millis) -> usize {
-        if self.rate_max_per_s == 0 {
-            return wanted;
-        }
         let passed_ms = now_ms.saturating_sub(self.updated_ms);
         self.updated_ms = now_ms;
         let gained_milli = self.rate_milli_per_s.saturating_mul(passed_ms) / 1_000;
@@ -81,7 +75,7 @@
             return;
         }
         let raise_milli = made as u64 * 1_000 * 1_000 / RAISE_MS;
-        let most_milli = self.rate_max_per_s * 1_000;
+        let most_milli = RATE_MAX_PER_S * 1_000;
         self.rate_milli_per_s = (self.rate_milli_per_s + raise_milli).min(most_milli);
     }
 
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -35,7 +35,6 @@
     advice: String,
     config_within_ms: String,
     config_outage_ms: String,
-    store_reads_per_s: String,
     deployment: DeploymentFlags,
 }
 
@@ -101,13 +100,6 @@
         .help("How long calls are accepted under the last known configuration while the store can't be read for newer ones")
         .argument("MS")
         .fallback(String::new());
-    let store_reads_per_s = long("store-reads-per-s")
-        .env("ROCKWICK_STORE_READS_PER_S")
-        .help(
-            "Reads per second that the row store serves to all entries together; empty if unknown",
-        )
-        .argument("N")
-        .fallback(String::new());
     let deployment = deployment_flags();
     construct!(ServeFlags {
         name,
@@ -121,7 +113,6 @@
         advice,
         config_within_ms,
         config_outage_ms,
-        store_reads_per_s,
         deployment
     })
 }
@@ -186,8 +177,6 @@
     pub config_within_ms: Millis,
     /// How long the last known configuration stays in force while reads of the operator's table fail.
     pub config_outage_ms: Millis,
-    /// The reads per second that the row store serves to all entries together; 0 if unknown.
-    pub store_reads_per_s: u64,
     /// Figures of the deployment for the scheduler.
     pub deployment: Deployment,
 }
@@ -215,7 +204,6 @@
                 &self.config_outage_ms,
                 CONFIG_OUTAGE_MS,
             )?,
-            store_reads_per_s: parse_milli("store-reads-per-s", &self.store_reads_per_s)? / 1_000,
             deployment: self.deployment.check()?,
         })
     }
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -105,7 +105,6 @@
 impl Shared {
     /// Creates the state of a process that has read nothing from the store yet.
     pub(super) fn new(settings: ServeSettings, log: Log) -> Self {
-        let count_budget = Mutex::new(ReadBudget::new(settings.store_reads_per_s));
         Self {
             settings,
             clock: Clock::new(),
@@ -123,7 +122,7 @@
             connections: AtomicU64::new(0),
             waiting_by_pool: Mutex::new(BTreeMap::new()),
             counts_under_way: CountsUnderWay::default(),
-            count_budget,
+            count_budget: Mutex::default(),
         }
     }
 
