Bound what a job's row can hold, and batches by bytes

Change: due rounds begin in their order as far as the row has room once all their tasks are started, the others as earlier ones end (rounds-held, 672).

--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -11,12 +11,12 @@
 use super::pool_state::PoolState;
 use super::remove;
 use super::renewal;
-use super::rows::{self, shard_part, SHARDS};
+use super::row_room::{self, BATCH_BYTES_MAX};
+use super::rows::{shard_part, SHARDS};
 use super::run_log;
 use super::runs;
 use super::state::{Batch, Ctx, Effect, Ownership, Pool, Timer};
 use super::worker::RenewalPhase;
-use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{Guard, RowTx, StoredRow, Table, TxOutcome, Write};
 
@@ -93,14 +93,17 @@
     if jobs.is_empty() {
         return;
     }
-    let is_complete = jobs.len() < BATCH_JOBS;
+    let picked = jobs.len();
     let tx = RowTx {
         part: shard_part(&pool.name, shard),
         guards: vec![epoch_guard(ownership.owner_revisions[shard])],
         writes: Vec::new(),
     };
-    let mut batch = build_batch(pool_state, jobs, tx, ctx.now.ms);
-    batch.is_complete = is_complete;
+    let mut batch = build_batch(pool_state, jobs, tx, ctx);
+    if batch.jobs.is_empty() {
+        return;
+    }
+    batch.is_complete = picked < BATCH_JOBS && batch.is_complete;
     // The heartbeat travels with the batch to save one write: on the users' slow days the store takes a partition's
     // writes one after another, 300 ms each.
     batch.tx.writes.push(owner_lease::next_heartbeat(pool, ctx));
@@ -136,14 +139,30 @@
     pool_state: &mut PoolState,
     jobs: Vec<JobKey>,
     mut tx: RowTx,
-    now_ms: Millis,
+    ctx: &mut Ctx<'_>,
 ) -> Batch {
     let mut kept = Vec::with_capacity(jobs.len());
+    let mut left_bytes = BATCH_BYTES_MAX;
+    let mut is_complete = true;
     for key in jobs {
-        pool_state.dirty.remove(&key);
         let Some(progress) = pool_state.progress_row(key) else {
+            pool_state.dirty.remove(&key);
             continue;
         };
+        let value = match row_room::encode_progress(progress) {
+            Ok(value) => value,
+            Err(bytes) => {
+                pool_state.dirty.remove(&key);
+                log_too_large(pool_state, key, bytes, ctx);
+                continue;
+            }
+        };
+        if value.len() > left_bytes {
+            is_complete = false;
+            break;
+        }
+        left_bytes -= value.len();
+        pool_state.dirty.remove(&key);
         pool_state.checkpoints.note_recorded(key);
         let job = &pool_state.jobs[key];
         tx.guards.push(Guard {
@@ -154,7 +173,7 @@
         tx.writes.push(Write {
             table: Table::Progress,
             key: job.id.clone(),
-            value: Some(rows::encode(&progress)),
+            value: Some(value),
         });
         kept.push((key, job.changes));
     }
@@ -167,12 +186,22 @@
         jobs: kept,
         starts,
         removed: Vec::new(),
-        sent_ms: now_ms,
+        sent_ms: ctx.now.ms,
         has_heartbeat: true,
-        is_complete: false,
+        is_complete,
     }
 }
 
+/// Logs that a job can't be recorded. The other jobs of its shard go on.
+fn log_too_large(pool_state: &PoolState, key: JobKey, bytes: usize, ctx: &mut Ctx<'_>) {
+    let job = &pool_state.jobs[key];
+    let why = "the store would refuse the job's record";
+    let decision = Decision::new(Code::RecordTooLarge, Subject::Job, &job.id, why)
+        .with("bytes", bytes as u64)
+        .with("rounds", job.rounds.len() as u64);
+    ctx.log(decision);
+}
+
 /// Resumes renewals of workers whose ends are all committed.
 fn resume_renewals(pool_state: &mut PoolState, epoch: u64, ctx: &mut Ctx<'_>) {
     let waiting: Vec<WorkerKey> = pool_state.recording.iter().copied().collect();
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -14,6 +14,7 @@
 };
 use super::policy::{self, Deadlines};
 use super::pool_state::PoolState;
+use super::row_room;
 use super::rows::{
     self, cancelled_job, shard_of_part, ProgressRow, RoundRow, TaskProgress, TaskRow,
 };
@@ -216,6 +217,7 @@
         recorded_digest: 0,
         account,
         is_excess: false,
+        holds_rounds: false,
         is_unreadable: false,
         intake: vec![row.part.clone()],
         shard: None,
@@ -231,8 +233,10 @@
     Some(key)
 }
 
-/// Begins the rounds of a job that are due and have never begun.
+/// Begins the rounds of a job that are due and have never begun, in their order, as far as the job's row has room for
+/// them. The others begin as earlier ones end.
 pub fn begin_new_rounds(pool_state: &mut PoolState, key: JobKey, ctx: &mut Ctx<'_>) {
+    let mut room = None;
     loop {
         let Some(job) = pool_state.jobs.get(key) else {
             return;
@@ -245,8 +249,30 @@
         if !is_due || job.state.is_final() || job.is_unreadable {
             return;
         }
+        if job.spec.schedule.is_some() && !job.rounds.is_empty() {
+            let left = room.get_or_insert_with(|| row_room::rounds_with_room(pool_state, key));
+            if *left == 0 {
+                hold_rounds(pool_state, key, next, ctx);
+                return;
+            }
+            *left -= 1;
+        }
         pool_state.begin_round(key, next, ctx.now);
+        pool_state.jobs[key].holds_rounds = false;
+    }
+}
+
+/// Notes that a job's due rounds wait for room in its row, and logs it when that begins.
+fn hold_rounds(pool_state: &mut PoolState, key: JobKey, next: u32, ctx: &mut Ctx<'_>) {
+    let job = &mut pool_state.jobs[key];
+    if std::mem::replace(&mut job.holds_rounds, true) {
+        return;
     }
+    let why = "the job's record has no room for further rounds until earlier ones end";
+    let decision = Decision::new(Code::RoundsHeld, Subject::Job, &job.id, why)
+        .with("round", u64::from(next))
+        .with("open", job.rounds.len() as u64);
+    ctx.log(decision);
 }
 
 fn apply_progress(
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -48,6 +48,7 @@
 pub mod reserve;
 mod restarts;
 pub mod routing;
+pub mod row_room;
 pub mod rows;
 pub mod run_log;
 pub mod runs;
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -181,6 +181,8 @@
     /// Whether its account had sent more than its weight allows when the job came. The job then waits behind those of
     /// accounts that had not.
     pub is_excess: bool,
+    /// Whether rounds that are due wait for room in its row.
+    pub holds_rounds: bool,
     /// Whether its recorded progress can't be read. Nothing of it is started, and what runs is left alone until the job
     /// is cancelled.
     pub is_unreadable: bool,
--- a/src/event.rs
+++ b/src/event.rs
@@ -151,6 +151,8 @@
     FillerMoved, 668, "filler-moved", "A filling task is stopped to be placed elsewhere, because what serves beside it leaves it next to no pace.";
     WorkerDraining, 670, "worker-draining", "The owner learned that a worker drains; the event shows from which reading of the list, how long before that the list was last known to be current, and how many starts on the worker are unsent or unanswered.";
     StartWithdrawn, 671, "start-withdrawn", "The start of a run is not sent or not sent again; the event shows the reason, how often it was sent, and how long the run has waited.";
+    RoundsHeld, 672, "rounds-held", "Rounds of a scheduled job that are due wait until earlier ones end, since the job's record has no room for them.";
+    RecordTooLarge, 673, "record-too-large", "The progress of a job is larger than a row may be; the job is not recorded until it is smaller, and starts nothing new.";
 }
 
 impl Code {
--- a/tests/test_rounds.rs
+++ b/tests/test_rounds.rs
@@ -3,10 +3,22 @@
 //! again. With the owner killed 4 to 8 s after the job was submitted, 9 of the 120 seeds below failed.
 
 use rockwick::core::sched::job::JobState;
-use rockwick::core::sched::rows::{self, ProgressRow};
-use rockwick::port::fleet::TaskName;
+use rockwick::core::sched::keys::{JobKey, WorkerKey};
+use rockwick::core::sched::load;
+use rockwick::core::sched::pool_state::PoolState;
+use rockwick::core::sched::row_room;
+use rockwick::core::sched::rows::{self, ProgressRow, RoundRow, TaskProgress, TaskRow};
+use rockwick::core::sched::state::Effect;
+use rockwick::core::sched::tasks::Phase;
+use rockwick::core::sched::worker_losses::WorkerLosses;
+use rockwick::event::Code;
+use rockwick::port::fleet::{StoredRow, TaskName};
 
-use crate::world::{job, with_schedule, World, WALL_MS};
+use crate::decide::{add_answering_worker, decide};
+use crate::world::{config, job, listed_worker, with_schedule, World, POOL, WALL_MS};
+
+/// Bytes of a value that the users' stores accept.
+const STORE_ROW_BYTES: usize = 65_536;
 
 /// Time within which an entry has claimed the pool, also after a lease expired.
 const SETTLE_MS: u64 = 8_000;
@@ -85,3 +97,79 @@
         (0, 2)
     );
 }
+
+/// A day of rounds falls due at once, as after an outage. As many begin as the job's row has room for when all their
+/// tasks are started; the others begin as earlier ones end, in their order.
+#[test]
+fn rounds_row_bound() {
+    let mut pool_state = PoolState::default();
+    let worker = add_answering_worker(&mut pool_state, listed_worker("life", "host"));
+    let spec = with_schedule(job(90, 20, 20_000), 1_000, 0, 500);
+    let row = StoredRow {
+        part: POOL.to_string(),
+        key: "a".to_string(),
+        value: Some(rows::encode(&spec)),
+        revision: 9,
+    };
+    let effects = decide(1_000_000, |ctx| {
+        load::apply_intake(&mut pool_state, &row, &config(1), 7, ctx);
+    });
+    let held = |e: &Effect| matches!(e, Effect::Log(d) if d.code == Code::RoundsHeld);
+    assert_eq!(effects.iter().filter(|e| held(e)).count(), 1);
+    let key = pool_state.jobs_by_id["a"];
+    let begun = pool_state.jobs[key].rounds_begun;
+    assert!((20..100).contains(&begun), "{begun} rounds begin");
+    start_all(&mut pool_state, key, worker);
+    pool_state.jobs[key].rounds.remove(&0);
+    pool_state.jobs[key].rounds.remove(&1);
+    decide(1_000_250, |ctx| {
+        load::begin_new_rounds(&mut pool_state, key, ctx)
+    });
+    let after = pool_state.jobs[key].rounds_begun;
+    assert!(after > begun, "{after} rounds after {begun}");
+    start_all(&mut pool_state, key, worker);
+}
+
+/// Starts all tasks of a job, and checks that its row still fits.
+fn start_all(pool_state: &mut PoolState, key: JobKey, worker: WorkerKey) {
+    for task in pool_state.tasks_of(key) {
+        pool_state.set_phase(task, Phase::Running(worker), 1_000_000);
+    }
+    let progress = pool_state.progress_row(key).expect("the job is known");
+    let bytes = rows::encode(&progress).len();
+    assert!(bytes <= STORE_ROW_BYTES, "{bytes} bytes");
+}
+
+/// Returns a row of `tasks` started tasks with these losses.
+fn row_of(tasks: usize, losses: WorkerLosses) -> ProgressRow {
+    let task = TaskRow(12, 0, TaskProgress::Started(3), losses);
+    ProgressRow {
+        rounds: vec![RoundRow {
+            round: 0,
+            steps: vec![vec![task; tasks]],
+        }],
+        ..ProgressRow::default()
+    }
+}
+
+/// A row that the losses of its tasks make too large goes without them; one that is too large even so is not encoded.
+#[test]
+fn rounds_row_reduced() {
+    let losses = WorkerLosses {
+        likely: 2,
+        all: 3,
+        ..WorkerLosses::default()
+    };
+    let whole = row_of(100, losses);
+    assert_eq!(
+        row_room::encode_progress(whole.clone()),
+        Ok(rows::encode(&whole))
+    );
+    let large = row_of(3_000, losses);
+    assert!(rows::encode(&large).len() > STORE_ROW_BYTES);
+    let reduced = row_room::encode_progress(large).expect("the row fits without losses");
+    assert!(reduced.len() <= STORE_ROW_BYTES);
+    let decoded = rows::decode::<ProgressRow>(&reduced).expect("the row decodes");
+    assert_eq!(decoded, row_of(3_000, WorkerLosses::default()));
+    assert!(row_room::encode_progress(row_of(10_000, losses)).is_err());
+}
