--- a/src/core/sched/commit.rs
+++ b/src/core/sched/commit.rs
@@ -14,7 +14,7 @@
 use super::row_room::{self, BATCH_BYTES_MAX};
 use super::rows::{shard_part, SHARDS};
 use super::run_log;
-use super::runs;
+use super::starts;
 use super::state::{Batch, Ctx, Effect, Ownership, Pool, Timer};
 use super::worker::RenewalPhase;
 use crate::event::{Code, Decision, Subject};
@@ -269,7 +269,7 @@
     for key in &batch.removed {
         pool_state.drop_job(*key, ctx.now.ms);
     }
-    runs::send_recorded(pool_state, &batch.starts, epoch, ctx);
+    starts::send_recorded(pool_state, &batch.starts, epoch, ctx);
     // While more changes wait than fit into a batch, workers are not asked for more ends, since each report costs the
     // owner processor time that is short then. With renewals resumed at once, 95 of 100 tasks of a peak day started
     // within 1,447 ms; with this delay, within 961 ms.
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -56,6 +56,7 @@
 pub mod speeds;
 pub mod standby;
 pub mod start_check;
+pub mod starts;
 pub mod state;
 pub mod stragglers;
 pub mod tasks;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -37,6 +37,7 @@
 use super::runs;
 use super::sizing;
 use super::standby;
+use super::starts;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Timer, WaveKnown};
 use super::stragglers;
 use super::wave;
@@ -80,7 +81,7 @@
         }
         Event::Started(pool, id, task, run, reply) => {
             with_pool_state(state, pool, id, now, &mut out, |pool_state, ctx| {
-                runs::settle_start(pool_state, task, run, reply, id.epoch, ctx)
+                starts::settle_start(pool_state, task, run, reply, id.epoch, ctx)
             });
         }
         Event::Stopped(pool, id, task, run, reply) => {
@@ -614,7 +615,7 @@
     match timer {
         Timer::RenewWorker(worker) => renewal::send_next(pool_state, worker, epoch, ctx),
         Timer::ExpireLease(worker) => renewal::expire_lease(pool_state, worker, ctx),
-        Timer::ResendStart(task, run) => runs::send_start(pool_state, task, run, epoch, ctx),
+        Timer::ResendStart(task, run) => starts::send_start(pool_state, task, run, epoch, ctx),
         Timer::ResendStop(task, run) => runs::resend_stop(pool_state, task, run, epoch, ctx),
         Timer::Upkeep => {
             pool_state.resort(ctx.now.ms);
--- a/src/core/sched/start_check.rs
+++ b/src/core/sched/start_check.rs
@@ -4,8 +4,8 @@
 //! placement is recorded first, the worker may fall silent, and answers get lost. The worker may have announced its end
 //! meanwhile. [`check`] asks anew each time.
 //!
-//! A start that was never sent goes out only if its worker stays and takes new tasks. A start without an answer
-//! may have been carried out, so nothing temporary keeps it from being sent again; a worker that leaves does.
+//! A start that was never sent goes out only if its worker stays and takes new tasks. A start without an answer may have
+//! been carried out, so nothing temporary keeps it from being sent again; a worker that leaves does.
 
 use super::keys::{TaskKey, WorkerKey};
 use super::pool_state::PoolState;
--- a/tests/test_barred.rs
+++ b/tests/test_barred.rs
@@ -6,7 +6,7 @@
 use rockwick::core::sched::limits::PLACE_SCAN_MAX;
 use rockwick::core::sched::pool_state::PoolState;
 use rockwick::core::sched::tasks::Phase;
-use rockwick::core::sched::{load, place, rows, runs};
+use rockwick::core::sched::{load, place, rows, runs, starts};
 use rockwick::port::fleet::{EndKind, OrderReply, RunEnd, StoredRow, WorkerInfo};
 
 use crate::decide::{add_answering_worker, decide};
@@ -92,8 +92,8 @@
         checkpoint: String::new(),
     };
     decide(NOW_MS, |ctx| {
-        runs::send_start(pool_state, task, run, EPOCH, ctx);
-        runs::settle_start(pool_state, task, run, OrderReply::Accepted, EPOCH, ctx);
+        starts::send_start(pool_state, task, run, EPOCH, ctx);
+        starts::settle_start(pool_state, task, run, OrderReply::Accepted, EPOCH, ctx);
         runs::apply_end(pool_state, worker, &end, EPOCH, ctx);
     });
     assert_eq!(pool_state.task(task).map(|t| t.phase), Some(Phase::Ready));
--- a/tests/test_checkpoints.rs
+++ b/tests/test_checkpoints.rs
@@ -14,6 +14,7 @@
 use rockwick::core::sched::renewal;
 use rockwick::core::sched::rows::{self, ProgressRow};
 use rockwick::core::sched::runs;
+use rockwick::core::sched::starts;
 use rockwick::core::sched::state::{Ctx, Effect};
 use rockwick::port::fleet::{RenewalReport, RunningTask, StoredRow, TaskName};
 
@@ -224,7 +225,7 @@
         let effects = self.decide(|pool_state, ctx| {
             place::place(pool_state, ctx);
             for (task, run) in std::mem::take(&mut pool_state.unsent_starts) {
-                runs::send_start(pool_state, task, run, EPOCH, ctx);
+                starts::send_start(pool_state, task, run, EPOCH, ctx);
             }
         });
         let starts = effects.into_iter().filter_map(|effect| match effect {
@@ -346,7 +347,7 @@
     scene.report(workers[1], BORN_MS[0], &[(1, 1, "half")]);
     let task = scene.key(0);
     let effects = scene.decide(|pool_state, ctx| {
-        runs::send_start(pool_state, task, 1, EPOCH, ctx);
+        starts::send_start(pool_state, task, 1, EPOCH, ctx);
     });
     let again = effects.iter().find_map(|effect| match effect {
         Effect::Start(_, _, start) => Some(start.checkpoint.as_str()),
--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -15,7 +15,7 @@
 use rockwick::core::sched::pool_state::PoolState;
 use rockwick::core::sched::renewal;
 use rockwick::core::sched::rows;
-use rockwick::core::sched::runs;
+use rockwick::core::sched::starts;
 use rockwick::core::sched::state::Effect;
 use rockwick::core::sched::tasks::Phase;
 use rockwick::core::sched::worker::ClockSample;
@@ -153,7 +153,7 @@
             load::apply_intake(&mut pool_state, &row, &config(1), EPOCH, ctx);
             place::place(&mut pool_state, ctx);
             for (task, run) in std::mem::take(&mut pool_state.unsent_starts) {
-                runs::send_start(&mut pool_state, task, run, EPOCH, ctx);
+                starts::send_start(&mut pool_state, task, run, EPOCH, ctx);
             }
         });
         let mut scene = Scene {
@@ -179,7 +179,7 @@
         let task = self.task(index);
         let mut is_lost = false;
         decide(now_ms, |ctx| {
-            is_lost = runs::settle_start(&mut self.pool_state, task, 1, reply, EPOCH, ctx);
+            is_lost = starts::settle_start(&mut self.pool_state, task, 1, reply, EPOCH, ctx);
         });
         is_lost
     }
--- a/tests/test_run_log.rs
+++ b/tests/test_run_log.rs
@@ -10,6 +10,7 @@
 use rockwick::core::sched::renewal;
 use rockwick::core::sched::rows;
 use rockwick::core::sched::runs;
+use rockwick::core::sched::starts;
 use rockwick::core::sched::state::{Ctx, Effect};
 use rockwick::event::{Code, Decision, Subject};
 use rockwick::port::fleet::{
@@ -52,7 +53,7 @@
 fn send_placed(pool_state: &mut PoolState, ctx: &mut Ctx<'_>) {
     place::place(pool_state, ctx);
     for (task, run) in std::mem::take(&mut pool_state.unsent_starts) {
-        runs::send_start(pool_state, task, run, EPOCH, ctx);
+        starts::send_start(pool_state, task, run, EPOCH, ctx);
     }
 }
 
@@ -74,7 +75,7 @@
 fn settle_first_start(pool_state: &mut PoolState, now_ms: u64, reply: OrderReply) -> Vec<Effect> {
     let task = task_key(pool_state, 0);
     decide(now_ms, |ctx| {
-        runs::settle_start(pool_state, task, 1, reply, EPOCH, ctx);
+        starts::settle_start(pool_state, task, 1, reply, EPOCH, ctx);
     })
 }
 
--- a/tests/test_start_check.rs
+++ b/tests/test_start_check.rs
@@ -7,8 +7,8 @@
 use rockwick::core::sched::place;
 use rockwick::core::sched::pool_state::PoolState;
 use rockwick::core::sched::rows;
-use rockwick::core::sched::runs;
 use rockwick::core::sched::start_check::{self, Verdict};
+use rockwick::core::sched::starts;
 use rockwick::core::sched::state::Effect;
 use rockwick::core::sched::tasks::{Phase, Task};
 use rockwick::core::sched::worker::Worker;
@@ -48,7 +48,7 @@
 /// Sends the first start of a task, or sends it again.
 fn send(pool_state: &mut PoolState, task: TaskKey, now_ms: u64) -> Vec<Effect> {
     decide(now_ms, |ctx| {
-        runs::send_start(pool_state, task, 1, EPOCH, ctx);
+        starts::send_start(pool_state, task, 1, EPOCH, ctx);
     })
 }
 
@@ -58,7 +58,7 @@
     send(&mut pool_state, tasks[0], SENT_MS);
     decide(SENT_MS + 400, |ctx| {
         let reply = OrderReply::Silent;
-        runs::settle_start(&mut pool_state, tasks[0], 1, reply, EPOCH, ctx);
+        starts::settle_start(&mut pool_state, tasks[0], 1, reply, EPOCH, ctx);
     });
     (pool_state, worker, tasks[0])
 }
@@ -173,7 +173,7 @@
         let starts = std::mem::take(&mut pool_state.unsent_starts);
         assert_eq!(starts.len(), 2);
         pool_state.workers[workers[1]].info.is_draining = true;
-        runs::send_recorded(&mut pool_state, &starts, EPOCH, ctx);
+        starts::send_recorded(&mut pool_state, &starts, EPOCH, ctx);
     });
     assert!(!has_start(&effects));
     let steps = &pool_state.jobs.values().next().expect("one job").rounds[&0].steps;
--- a/tests/test_starts.rs
+++ b/tests/test_starts.rs
@@ -5,7 +5,7 @@
 use rockwick::core::sched::load;
 use rockwick::core::sched::place;
 use rockwick::core::sched::pool_state::PoolState;
-use rockwick::core::sched::runs;
+use rockwick::core::sched::starts;
 use rockwick::core::sched::state::Effect;
 use rockwick::core::sched::tasks::Phase;
 use rockwick::port::fleet::{OrderReply, StoredRow};
@@ -33,7 +33,7 @@
         load::apply_intake(&mut pool_state, &row, &config(1), EPOCH, ctx);
         place::place(&mut pool_state, ctx);
         let (task, run) = pool_state.unsent_starts[0];
-        runs::send_start(&mut pool_state, task, run, EPOCH, ctx);
+        starts::send_start(&mut pool_state, task, run, EPOCH, ctx);
     });
     let (task, _) = pool_state.unsent_starts[0];
     (pool_state, task, worker)
@@ -42,7 +42,7 @@
 fn apply_replies(pool_state: &mut PoolState, task: TaskKey, replies: &[OrderReply]) -> Vec<Effect> {
     decide(2_000, |ctx| {
         for reply in replies {
-            runs::settle_start(pool_state, task, 1, *reply, EPOCH, ctx);
+            starts::settle_start(pool_state, task, 1, *reply, EPOCH, ctx);
         }
     })
 }
