One check for an undisturbed entry in the worlds, and no dead branch for rounds

The checks on draining workers and on evacuated halls computed what World::is_undisturbed of the crash checks says already; both call it now. rounds_with_room had a branch for a job without open rounds that its only caller rules out, and the caller's look at the schedule followed from that.

--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -249,7 +249,8 @@
         if !is_due || job.state.is_final() || job.is_unreadable {
             return;
         }
-        if job.spec.schedule.is_some() && !job.rounds.is_empty() {
+        // A job without an open round may always begin one.
+        if !job.rounds.is_empty() {
             let left = room.get_or_insert_with(|| row_room::rounds_with_room(pool_state, key));
             if *left == 0 {
                 hold_rounds(pool_state, key, next, ctx);
--- a/src/core/sched/row_room.rs
+++ b/src/core/sched/row_room.rs
@@ -21,15 +21,11 @@
 /// Bytes that a round takes apart from its tasks.
 const ROUND_BYTES: usize = 32;
 
-/// Returns the number of further rounds of a job for which its row has room once all their tasks are started. A job
-/// without an open round may always begin one.
+/// Returns the number of further rounds of a job for which its row has room once all their tasks are started.
 pub fn rounds_with_room(pool_state: &PoolState, key: JobKey) -> usize {
     let Some(job) = pool_state.jobs.get(key) else {
         return 0;
     };
-    if job.rounds.is_empty() {
-        return usize::MAX;
-    }
     let Some(row) = pool_state.progress_row(key) else {
         return 0;
     };
--- a/tests/world/crash.rs
+++ b/tests/world/crash.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns whether the order that is being carried out is in time and comes from an undisturbed entry.
-    fn is_undisturbed(&self) -> bool {
+    pub(super) fn is_undisturbed(&self) -> bool {
         !self.is_late_order
             && self.now_ms
                 >= self.entries[self.ordering_entry].undisturbed_since_ms + UNDISTURBED_MS
--- a/tests/world/draining.rs
+++ b/tests/world/draining.rs
@@ -75,11 +75,9 @@
             return;
         };
         self.starts_while_draining += 1;
-        let entry = &self.entries[self.ordering_entry];
-        let is_in_touch = self.now_ms >= entry.undisturbed_since_ms + UNDISTURBED_MS;
         let until_ms = since_ms + DRAIN_MS + self.worker_events_late_ms;
         assert!(
-            !is_in_touch || self.is_late_order || self.now_ms < until_ms,
+            !self.is_undisturbed() || self.now_ms < until_ms,
             "{} ms: {:?} starts as run {} on {id}, which drains since {since_ms} ms",
             self.now_ms,
             start.task,
--- a/tests/world/halls.rs
+++ b/tests/world/halls.rs
@@ -68,10 +68,8 @@
         let hall = self.workers[id].info.hall.clone();
         if let Some(since_ms) = self.evacuated_since_ms.get(&hall) {
             let since_ms = *since_ms;
-            let entry = &self.entries[self.ordering_entry];
-            let is_in_touch = self.now_ms >= entry.undisturbed_since_ms + UNDISTURBED_MS;
             assert!(
-                !is_in_touch || self.is_late_order || self.now_ms < since_ms + EVACUATE_MS,
+                !self.is_undisturbed() || self.now_ms < since_ms + EVACUATE_MS,
                 "{} ms: a start on {id} in {hall}, which is evacuated since {since_ms} ms",
                 self.now_ms
             );
