Stand-in: workers of several pools, routes to them, and a second store address

Tests of queues that change their pool need workers in more than one pool, and entries that read a configuration late. All workers serve the first pool as before until a test assigns them.

--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //! leases, and hosts.
 //!
 //! It speaks the protocol that the adapter in `platform/` expects, injects faults on command, and records each
-//! promise of rockwick that it sees broken. It serves a single pool of workers.
+//! promise of rockwick that it sees broken. All workers serve one pool until a test assigns them to others.
 
 mod clocks;
 mod order_faults;
@@ -86,6 +86,15 @@
     Answers,
 }
 
+/// Names what is served at an address.
+#[derive(Clone, Copy, Debug)]
+enum Listener {
+    Store,
+    SecondStore,
+    /// The worker of the host with this index.
+    Worker(usize),
+}
+
 /// Holds a row's base64 value and version; the value is `None` once the row is removed.
 #[derive(Clone, Debug)]
 struct Stored {
@@ -125,6 +134,8 @@
 
 struct Host {
     name: String,
+    /// Pool that its worker serves.
+    pool: String,
     /// Address that its worker announces for orders.
     address: SocketAddr,
     /// Id of the worker instance that runs on it; `None` while it is down.
@@ -140,6 +151,7 @@
     fault: StoreFault,
     unavailable_parts: BTreeSet<String>,
     is_operator_unavailable: bool,
+    is_second_operator_unavailable: bool,
     operator_calls_refused: u64,
     feed_rows_max: usize,
     feed_page_ms: u64,
@@ -197,18 +209,19 @@
             work_ms,
             address: listener.get_ref().local_addr()?,
         };
-        fleet.listen(listener, None);
+        fleet.listen(listener, Listener::Store);
         for n in 0..workers {
             let listener = Async::new(TcpListener::bind("127.0.0.1:0")?)?;
             let host = Host {
                 name: format!("m-{n}"),
+                pool: pool.to_string(),
                 address: listener.get_ref().local_addr()?,
                 instance: None,
                 maintenance_wave: None,
             };
             fleet.lock().hosts.push(host);
             fleet.start_new_instance(n);
-            fleet.listen(listener, Some(n));
+            fleet.listen(listener, Listener::Worker(n));
         }
         Ok(fleet)
     }
@@ -273,6 +286,13 @@
         self.put("op", "", "config", &config);
     }
 
+    /// Writes a configuration with these queues, each under its name as the path of host `queue.example`, and the pools
+    /// that they are routed to. All of `pools` are configured.
+    pub fn configure_routes(&self, version: u64, routes: &[(&str, &str)], pools: &[&str]) {
+        let config = routes_config(version, routes, pools);
+        self.put("op", "", "config", &config);
+    }
+
     /// Writes a configuration with a queue for accounts under `/q/`, a public queue under `/open/`, and these accounts,
     /// given as names and keys.
     pub fn configure_accounts(&self, version: u64, pool: &str, accounts: &[(&str, &[&str])]) {
@@ -332,8 +352,22 @@
         Timer::after(Duration::from_millis(UNANSWERED_MS)).await;
     }
 
+    /// Serves the store at a second address, where the operator's table refuses all reads while
+    /// [`Fleet::set_second_operator_unavailable`] says so. Entries there keep an older configuration than the others.
+    pub fn serve_second_store(&self) -> std::io::Result<SocketAddr> {
+        let listener = Async::new(TcpListener::bind("127.0.0.1:0")?)?;
+        let address = listener.get_ref().local_addr()?;
+        self.listen(listener, Listener::SecondStore);
+        Ok(address)
+    }
+
+    /// Makes the operator's table refuse all reads at the store's second address, or serve them again.
+    pub fn set_second_operator_unavailable(&self, is_unavailable: bool) {
+        self.lock().is_second_operator_unavailable = is_unavailable;
+    }
+
     /// Serves the store, or the worker of one host.
-    fn listen(&self, listener: Async<TcpListener>, host: Option<usize>) {
+    fn listen(&self, listener: Async<TcpListener>, kind: Listener) {
         let fleet = self.clone();
         self.runtime.spawn_detached(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -342,9 +376,12 @@
                     let handle = |incoming: Incoming| {
                         let fleet = served.clone();
                         async move {
-                            match host {
-                                Some(n) => fleet.handle_order(n, &incoming).await,
-                                None => fleet.handle_store_call(&incoming).await,
+                            match kind {
+                                Listener::Worker(n) => fleet.handle_order(n, &incoming).await,
+                                Listener::Store => fleet.handle_store_call(&incoming).await,
+                                Listener::SecondStore => {
+                                    fleet.handle_second_store_call(&incoming).await
+                                }
                             }
                         }
                     };
@@ -355,3 +392,18 @@
         });
     }
 }
+
+/// Returns a configuration with these queues and pools; see [`Fleet::configure_routes`].
+fn routes_config(version: u64, routes: &[(&str, &str)], pools: &[&str]) -> Value {
+    let route = |(name, pool): &(&str, &str)| {
+        json!({"name": name, "host": "queue.example", "path_prefix": format!("/{name}/"),
+            "service": pool, "max_attempts": 3, "stretch": 1.6, "target_latency_ms": 600})
+    };
+    let service = |pool: &&str| json!({"name": pool, "headroom": false});
+    json!({
+        "version": version,
+        "routes": routes.iter().map(route).collect::<Vec<Value>>(),
+        "services": pools.iter().map(service).collect::<Vec<Value>>(),
+        "limits": {"max_body_bytes": 262_144}
+    })
+}
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -12,15 +12,23 @@
 
 use super::{Fleet, State, StoreFault, Stored, POLL_MS};
 
-/// Returns the partition of a transaction's first row.
-fn part_of(body: &[u8]) -> String {
-    let tx: Value = serde_json::from_slice(body).unwrap_or_default();
+/// Returns the partitions of a transaction's rows.
+fn parts_of(tx: &Value) -> BTreeSet<String> {
     let rows = ["put", "remove", "expected_revision"].map(|name| items(&tx[name]));
-    let part = rows.iter().flatten().next().map(|row| row_key(row).1);
-    part.unwrap_or_default()
+    rows.iter().flatten().map(|row| row_key(row).1).collect()
 }
 
 impl Fleet {
+    pub(super) async fn handle_second_store_call(&self, incoming: &Incoming) -> Response {
+        let is_operator_table = query(incoming, "table") == "op";
+        let res = self.handle_store_call(incoming).await;
+        // A call that waited for changes brings none if reads are refused by now.
+        if is_operator_table && self.lock().is_second_operator_unavailable {
+            return answer(503, "application/json", Vec::new());
+        }
+        res
+    }
+
     pub(super) async fn handle_store_call(&self, incoming: &Incoming) -> Response {
         let fault = self.lock().fault;
         let path = incoming.head.url().path().to_string();
@@ -40,21 +48,25 @@
             }
             _ => {}
         }
-        let part = match path.as_str() {
-            "/rows-tx" => part_of(&incoming.body),
-            "/rows-get" => query(incoming, "part"),
-            _ => String::new(),
+        let parts = match path.as_str() {
+            "/rows-tx" => parts_of(&serde_json::from_slice(&incoming.body).unwrap_or_default()),
+            "/rows-get" => BTreeSet::from([query(incoming, "part")]),
+            _ => BTreeSet::new(),
         };
         if self.lock().is_operator_unavailable && query(incoming, "table") == "op" {
             self.lock().operator_calls_refused += 1;
             return answer(503, "application/json", Vec::new());
         }
-        if self.lock().unavailable_parts.contains(&part) {
+        if !self.lock().unavailable_parts.is_disjoint(&parts) {
             return answer(503, "application/json", Vec::new());
         }
         if let (StoreFault::Turns(ms), "/rows-tx") = (fault, path.as_str()) {
-            if !self.wait_turn(part, ms).await {
-                return answer(429, "application/json", Vec::new());
+            // A transaction in several partitions takes twice as long.
+            let takes_ms = if parts.len() > 1 { 2 * ms } else { ms };
+            for part in parts {
+                if !self.wait_turn(part, takes_ms).await {
+                    return answer(429, "application/json", Vec::new());
+                }
             }
         }
         if fault == StoreFault::Belated && path == "/rows-tx" {
@@ -106,6 +118,9 @@
         let Ok(tx) = serde_json::from_slice::<Value>(body) else {
             return answer(400, "application/json", Vec::new());
         };
+        if parts_of(&tx).len() > 1 && tx["across"] != true {
+            return answer(400, "application/json", Vec::new());
+        }
         let (res, is_delayed) = self.commit(&tx);
         if is_delayed {
             self.delay_answer().await;
--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -123,7 +123,7 @@
             let host = &mut state.hosts[n];
             host.instance = Some(instance.clone());
             host.maintenance_wave = None;
-            server_row(&self.pool, &host.name, &host.address.to_string(), born_ms)
+            server_row(&host.pool, &host.name, &host.address.to_string(), born_ms)
         };
         self.put("servers", "", &instance, &row);
     }
@@ -138,7 +138,7 @@
             .as_ref()
             .and_then(|instance| state.workers.get(instance));
         let born_ms = worker.map_or(0, |w| w.born_ms);
-        let row = server_row(&self.pool, &host.name, &address.to_string(), born_ms);
+        let row = server_row(&host.pool, &host.name, &address.to_string(), born_ms);
         let instance = host.instance.clone();
         drop(state);
         if let Some(instance) = instance {
@@ -146,6 +146,12 @@
         }
     }
 
+    /// Lists a host's worker, and its later instances, as serving another pool.
+    pub fn assign(&self, n: usize, pool: &str) {
+        self.lock().hosts[n].pool = pool.to_string();
+        self.relist(n);
+    }
+
     /// Takes a host's worker off the list; it continues to serve.
     pub fn unlist(&self, n: usize) {
         let instance = self.lock().hosts[n].instance.clone();
@@ -223,7 +229,7 @@
             let of = |h: &super::Host| {
                 let name = if h.instance.is_some() { "up" } else { "upkeep" };
                 let id = h.instance.clone().unwrap_or_default();
-                json!({"machine": h.name, "pool": self.pool, "state": name, "id": id})
+                json!({"machine": h.name, "pool": h.pool, "state": name, "id": id})
             };
             let hosts: Vec<Value> = state.hosts.iter().map(of).collect();
             return json(200, &json!({"machines": hosts, "next_token": null}));
--- a/tests/test_serve.rs
+++ b/tests/test_serve.rs
@@ -31,6 +31,11 @@
 
 /// Starts an entry with flags beside the usual ones and waits until it is ready.
 pub(crate) fn start_entry_with(fleet: &Fleet, name: &str, more: &[&str]) -> Entry {
+    start_entry_at(fleet, fleet.address, name, more)
+}
+
+/// Starts an entry that uses the store at this address, with flags beside the usual ones, and waits until it is ready.
+pub(crate) fn start_entry_at(fleet: &Fleet, store: SocketAddr, name: &str, more: &[&str]) -> Entry {
     let (callers, ready, metrics) = (free_addr(), free_addr(), free_addr());
     let args = [
         ("--name", name.to_string()),
@@ -38,7 +43,7 @@
         ("--listen", callers.to_string()),
         ("--ready", ready.to_string()),
         ("--metrics", metrics.to_string()),
-        ("--store", fleet.address.to_string()),
+        ("--store", store.to_string()),
         ("--hosts", fleet.address.to_string()),
     ];
     let flags = args
