--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -92,7 +92,7 @@
     let spec = JobSpec {
         queue: "queue".to_string(),
         account: None,
-        home: None,
+        pool: None,
         payload: "work".to_string(),
         steps: vec![StepSpec {
             count,
--- a/src/core/sched/homes.rs
+++ b/src/core/sched/homes.rs
@@ -1,27 +1,34 @@
 //! Decides where the jobs of a queue are stored, so that an id names one job whichever pool the queue is routed to.
 //!
-//! The first pool that a queue is ever routed to is its home pool. A job that runs in another pool is stored in that
-//! pool, and the transaction that stores it also puts a reference under the job's id into both of the job's intake
-//! partitions of the home pool. Every submission requires that the id is absent from the home pool. Of two submissions
-//! by entries that route the queue differently, only one takes effect, even if the store applies a write late.
+//! The first pool that a queue is ever routed to is its home pool. All jobs of the queue are stored in the intake of the
+//! home pool, and a job that another pool runs, its guest, names that pool. So submissions of one id meet in the same two
+//! partitions, also those of entries that route the queue differently. If both partitions hold a row of one id, the row
+//! that was written first is the job.
 //!
-//! The pools of each queue are recorded in the store before a job of the queue is stored in one of them, so an entry
-//! that has never seen an earlier configuration knows the home pool.
+//! A transaction covers one partition, and owners need to know where the jobs of their pool are stored. So before an
+//! entry stores a job for a pool that is not the home pool, it records the home pool with that pool.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::rows::{self, intake_parts_of, IntakeRow, JobReference, QueueRow};
+use serde::{Deserialize, Serialize};
+
+use super::rows::{
+    self, cancelled_job, intake_parts_of, pool_of_part, shard_part, QueueRow, SHARDS,
+};
 use crate::port::fleet::{Guard, QueueRoute, Revision, RowTx, StoredRow, Table, Write, ABSENT};
 use crate::util::fnv1a;
 
-/// Partitions that each hold the rows of all queues. A read needs one of them, and a change all of them.
-pub const QUEUE_PARTS: [&str; 3] = ["0", "1", "2"];
+/// Partitions that hold the rows of queues. The first one decides on a queue's home pool, which never changes; the others
+/// hold copies, for entries that start while the first one does not answer.
+pub const QUEUE_PARTS: [&str; 3] = ["homes/0", "homes/1", "homes/2"];
+
+/// Most queues in one transaction: each takes a condition and a write, and the store accepts 100 of both together.
+const REGISTERED_MAX: usize = 40;
 
-/// Most queues that one transaction registers: each takes a condition and a write in every partition, and the store
-/// accepts 100 of both together.
-const REGISTERED_MAX: usize = 16;
+/// Precedes the name of a home pool in the keys of guests' rows.
+const GUEST_SIGN: &str = "home ";
 
-/// The pools in which the jobs of a queue are stored.
+/// Where a job is stored, and which pool runs it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobStorage {
     /// Home pool of the queue.
@@ -40,31 +47,42 @@
     }
 
     /// Returns whether another pool than the home pool runs the job.
-    pub fn is_away(&self) -> bool {
+    pub fn is_guest(&self) -> bool {
         self.home != self.pool
     }
 
-    /// Returns the transactions, to be committed together, that store a job unless its id is taken. The job's row goes
-    /// into the first or second of its intake partitions, as `part` says.
-    pub fn insert_txs(&self, id: &str, job: Vec<u8>, part: usize) -> Vec<RowTx> {
-        let [first, second] = intake_parts_of(&self.pool, id);
-        let part = if part.is_multiple_of(2) {
+    /// Returns the transaction that stores a job unless its id is taken, in the first or second of its partitions, as
+    /// `attempt` says.
+    pub fn insert_tx(&self, id: &str, job: Vec<u8>, attempt: usize) -> RowTx {
+        let [first, second] = intake_parts_of(&self.home, id);
+        let part = if attempt.is_multiple_of(2) {
             first
         } else {
             second
         };
-        let mut txs = vec![insert_tx(part, id, job)];
-        if self.is_away() {
-            let reference = rows::encode(&JobReference {
-                stored_in: self.pool.clone(),
-            });
-            let home_parts = intake_parts_of(&self.home, id);
-            txs.extend(home_parts.map(|part| insert_tx(part, id, reference.clone())));
+        insert_tx(part, id, job)
+    }
+
+    /// Returns the transaction that tells owners of a guest where its jobs are stored, in one of the guest's shards.
+    pub fn guest_tx(&self, shard: usize) -> RowTx {
+        RowTx {
+            part: shard_part(&self.pool, shard % SHARDS),
+            guards: Vec::new(),
+            writes: vec![Write {
+                table: Table::Queues,
+                key: format!("{GUEST_SIGN}{}", self.home),
+                value: Some(b"{}".to_vec()),
+            }],
         }
-        txs
     }
 }
 
+/// Returns the home pool that a guest's row names.
+pub fn home_of_guest_row(row: &StoredRow) -> Option<&str> {
+    row.value.as_ref()?;
+    row.key.strip_prefix(GUEST_SIGN)
+}
+
 /// Returns the transaction that inserts an intake row if it does not exist yet.
 pub fn insert_tx(part: String, key: &str, value: Vec<u8>) -> RowTx {
     RowTx {
@@ -82,27 +100,90 @@
     }
 }
 
-/// What stands under an id that is taken.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Existing {
-    /// The job's row.
-    Job(Vec<u8>),
-    /// A reference to the pool that stores the job.
-    StoredIn(String),
-}
-
-/// Returns what the rows of a conflict hold: the job itself if one of them is its row.
-pub fn find_existing(conflict: Vec<(Table, StoredRow)>) -> Option<Existing> {
-    let values = conflict.into_iter().filter_map(|(_, row)| row.value);
-    let mut reference = None;
-    for value in values {
-        match rows::decode_intake(&value) {
-            Ok(IntakeRow::Reference(r)) => reference = Some(Existing::StoredIn(r.stored_in)),
-            // A row that can't be decoded takes the id as well.
-            Ok(IntakeRow::Job(_)) | Err(_) => return Some(Existing::Job(value)),
+/// The first bytes of a job's row that names the pool that runs it.
+const GUEST_ROW_START: &[u8] = b"{\"pool\":";
+
+#[derive(Serialize, Deserialize)]
+struct GuestJob {
+    pool: String,
+}
+
+/// Returns the pool that an intake row names to run its job; `None` if that is the pool whose intake it is in.
+pub fn guest_of(row: &StoredRow) -> Option<String> {
+    let value = row.value.as_ref()?;
+    let is_guest = value.starts_with(GUEST_ROW_START) && cancelled_job(&row.key).is_none();
+    let job = is_guest.then(|| rows::decode::<GuestJob>(value).ok())??;
+    Some(job.pool).filter(|pool| pool != pool_of_part(&row.part))
+}
+
+/// Returns the pool that runs the job of an intake row.
+pub fn running_pool(row: &StoredRow) -> String {
+    guest_of(row).unwrap_or_else(|| pool_of_part(&row.part).to_string())
+}
+
+/// Returns the job's other partition of the same home pool, given the partition of one of its rows.
+pub fn other_part(row_part: &str, id: &str) -> String {
+    let [first, second] = intake_parts_of(pool_of_part(row_part), id);
+    if first == row_part {
+        second
+    } else {
+        first
+    }
+}
+
+/// Returns whether the row of a guest's job is the job, and not a later row under an id that was taken. `others` are the
+/// rows under the id in the job's other partition, read after the row was.
+pub fn is_first(row: &StoredRow, others: &[StoredRow]) -> bool {
+    let earlier = |other: &&StoredRow| other.key == row.key && other.revision < row.revision;
+    !others
+        .iter()
+        .any(|other| earlier(&other) && other.value.is_some())
+}
+
+/// Returns the intake rows that concern a pool, in the order of their revisions, from those of its own intake and of its
+/// home pools: jobs that it runs with their cancels, and all rows of its own intake. Rows after revision `until` are left
+/// out: an earlier row of the same id may be missing, and the feed brings both in their order.
+pub fn rows_of_pool(pool: &str, mut all: Vec<StoredRow>, until: Revision) -> Vec<StoredRow> {
+    all.retain(|row| row.revision <= until);
+    all.sort_unstable_by_key(|row| row.revision);
+    let mut taken: HashMap<String, bool> = HashMap::new();
+    for row in all.iter().filter(|row| cancelled_job(&row.key).is_none()) {
+        if !taken.contains_key(&row.key) {
+            taken.insert(row.key.clone(), running_pool(row) == pool);
+        }
+    }
+    all.retain(|row| {
+        let id = cancelled_job(&row.key).unwrap_or(&row.key);
+        pool_of_part(&row.part) == pool || taken.get(id).copied().unwrap_or(false)
+    });
+    all
+}
+
+/// Ids in a pool's intake whose jobs other pools run, with the partition of the job's row.
+#[derive(Clone, Debug, Default)]
+pub struct GuestIds {
+    part_by_id: BTreeMap<String, String>,
+}
+
+impl GuestIds {
+    /// Notes the first or a later row under an id that no job of the pool has. Returns whether another pool runs the job.
+    pub fn note(&mut self, row: &StoredRow) -> bool {
+        if self.part_by_id.contains_key(&row.key) {
+            return true;
+        }
+        let is_guest = guest_of(row).is_some();
+        if is_guest {
+            self.part_by_id.insert(row.key.clone(), row.part.clone());
+        }
+        is_guest
+    }
+
+    /// Notes that a row was removed.
+    pub fn note_removed(&mut self, row: &StoredRow) {
+        if self.part_by_id.get(&row.key) == Some(&row.part) {
+            self.part_by_id.remove(&row.key);
         }
     }
-    reference
 }
 
 /// Returns the key of a queue's row. Callers know a queue by its address, which may be longer than a key.
@@ -112,23 +193,42 @@
 
 #[derive(Clone, Debug)]
 struct KnownQueue {
+    /// Revision of the row in the partition that decides; [`ABSENT`] if it is not known.
     revision: Revision,
     pools: Vec<String>,
 }
 
-/// What is known here of the recorded pools of queues. A home pool never changes and pools are only added, so this may
-/// be older than the store.
+/// What is known here of queues and their pools. A home pool never changes and pools are only added, so this may be older
+/// than the store.
 #[derive(Clone, Debug, Default)]
 pub struct KnownQueues {
     by_key: BTreeMap<String, KnownQueue>,
+    /// Guests and home pools that are recorded with the guests.
+    guests: BTreeSet<(String, String)>,
 }
 
 impl KnownQueues {
-    /// Returns where a job is stored under a route; `None` if the route is not known to be recorded.
+    /// Returns where a job is stored under a route; `None` if the home pool is not known.
     pub fn storage(&self, route: &QueueRoute) -> Option<JobStorage> {
-        let pools = self.pools(&route.address);
-        let is_recorded = pools.contains(&route.pool);
-        is_recorded.then(|| JobStorage::new(pools[0].clone(), route.pool.clone()))
+        let home = self.pools(&route.address).first()?;
+        Some(JobStorage::new(home, &route.pool))
+    }
+
+    /// Returns whether jobs may be stored so: the owners of a guest must know where.
+    pub fn may_store(&self, storage: &JobStorage) -> bool {
+        let key = (storage.pool.clone(), storage.home.clone());
+        !storage.is_guest() || self.guests.contains(&key)
+    }
+
+    /// Notes that a home pool is recorded with a guest.
+    pub fn note_guest(&mut self, storage: &JobStorage) {
+        self.guests
+            .insert((storage.pool.clone(), storage.home.clone()));
+    }
+
+    /// Returns whether a route is recorded.
+    pub fn is_recorded(&self, route: &QueueRoute) -> bool {
+        self.pools(&route.address).contains(&route.pool)
     }
 
     /// Returns the recorded pools of a queue, the home pool first; none if it is not known.
@@ -137,7 +237,14 @@
         known.map_or(&[], |known| &known.pools)
     }
 
-    /// Applies a row as read from the store, or returns why it can't be decoded.
+    /// Returns the home pools of the queues that were routed to a pool.
+    pub fn homes_of(&self, pool: &str) -> BTreeSet<String> {
+        let queues = self.by_key.values();
+        let routed = queues.filter(|queue| queue.pools.iter().any(|p| p == pool));
+        routed.map(|queue| queue.pools[0].clone()).collect()
+    }
+
+    /// Applies a row of a queue as read from the store, or returns why it can't be decoded.
     pub fn apply_row(&mut self, row: &StoredRow) -> Result<(), String> {
         let Some(value) = &row.value else {
             return Ok(());
@@ -146,52 +253,75 @@
         if pools.is_empty() {
             return Err("a queue without pools".to_string());
         }
-        let revision = row.revision;
-        let is_older = |known: &KnownQueue| known.revision >= revision;
-        if !self.by_key.get(&row.key).is_some_and(is_older) {
-            let known = KnownQueue { revision, pools };
-            self.by_key.insert(row.key.clone(), known);
+        let known = self.by_key.entry(row.key.clone()).or_insert(KnownQueue {
+            revision: ABSENT,
+            pools: Vec::new(),
+        });
+        if row.part == QUEUE_PARTS[0] {
+            known.revision = known.revision.max(row.revision);
+        }
+        if known.pools.len() < pools.len() {
+            known.pools = pools;
         }
         Ok(())
     }
 
-    /// Returns the transactions, to be committed together, that record the first of the routes that are not known yet,
-    /// and how many routes they record; `None` if all are known. The condition is that the rows are as known here.
-    pub fn registration(&self, routes: &[QueueRoute]) -> Option<(Vec<RowTx>, usize)> {
-        let unknown = routes.iter().filter(|route| self.storage(route).is_none());
-        let unknown: Vec<&QueueRoute> = unknown.take(REGISTERED_MAX).collect();
-        if unknown.is_empty() {
-            return None;
+    /// Returns the transaction that records the first routes that are not recorded as far as is known, on condition that
+    /// the rows are as known here; `None` if all are recorded.
+    pub fn registration(&self, routes: &[QueueRoute]) -> Option<RowTx> {
+        let mut tx = RowTx {
+            part: QUEUE_PARTS[0].to_string(),
+            ..RowTx::default()
+        };
+        let mut unrecorded: BTreeMap<String, Vec<&QueueRoute>> = BTreeMap::new();
+        for route in routes.iter().filter(|route| !self.is_recorded(route)) {
+            let key = queue_key(&route.address);
+            unrecorded.entry(key).or_default().push(route);
         }
-        let txs = QUEUE_PARTS.map(|part| RowTx {
-            part: part.to_string(),
-            guards: unknown.iter().map(|route| self.guard(route)).collect(),
-            writes: unknown.iter().map(|route| self.write(route)).collect(),
-        });
-        Some((txs.into(), unknown.len()))
-    }
-
-    fn guard(&self, route: &QueueRoute) -> Guard {
-        let key = queue_key(&route.address);
-        let revision = self.by_key.get(&key).map_or(ABSENT, |k| k.revision);
-        Guard {
-            table: Table::Queues,
-            key,
-            revision,
+        for (key, routes) in unrecorded.into_iter().take(REGISTERED_MAX) {
+            let known = self.by_key.get(&key);
+            tx.guards.push(Guard {
+                table: Table::Queues,
+                key: key.clone(),
+                revision: known.map_or(ABSENT, |known| known.revision),
+            });
+            let mut pools = known.map_or(Vec::new(), |known| known.pools.clone());
+            pools.extend(routes.iter().map(|route| route.pool.clone()));
+            let row = QueueRow {
+                address: routes[0].address.clone(),
+                pools,
+            };
+            tx.writes.push(Write {
+                table: Table::Queues,
+                key,
+                value: Some(rows::encode(&row)),
+            });
         }
+        (!tx.writes.is_empty()).then_some(tx)
     }
 
-    fn write(&self, route: &QueueRoute) -> Write {
-        let mut pools = self.pools(&route.address).to_vec();
-        pools.push(route.pool.clone());
-        let row = QueueRow {
-            address: route.address.clone(),
-            pools,
-        };
-        Write {
-            table: Table::Queues,
-            key: queue_key(&route.address),
-            value: Some(rows::encode(&row)),
+    /// Applies a registration that was committed.
+    pub fn note_registered(&mut self, tx: &RowTx) {
+        for write in &tx.writes {
+            let row = StoredRow {
+                // The revision is left open: the store's answer may name a later one.
+                part: String::new(),
+                key: write.key.clone(),
+                value: write.value.clone(),
+                revision: ABSENT,
+            };
+            // The row was encoded here.
+            let _ = self.apply_row(&row);
         }
     }
 }
+
+/// Returns the transactions that copy a registration to the other partitions.
+pub fn copies_of(registration: &RowTx) -> Vec<RowTx> {
+    let copies = QUEUE_PARTS[1..].iter().map(|part| RowTx {
+        part: part.to_string(),
+        guards: Vec::new(),
+        writes: registration.writes.clone(),
+    });
+    copies.collect()
+}
--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -9,14 +9,15 @@
 /// A job as submitted. The job's row in the store holds this.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
+    /// Pool that runs it; `None` if that is the pool in whose intake it is stored. This is the first field of a row, so
+    /// that rows of other pools are told apart without decoding all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pool: Option<String>,
     /// Queue to which it was submitted.
     pub queue: String,
     /// The client account that submitted it; `None` on a public queue.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub account: Option<String>,
-    /// The queue's home pool, which holds references to the job; `None` if the home pool itself stores the job.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub home: Option<String>,
     /// Passed to its tasks unchanged.
     pub payload: String,
     /// Steps of the job. A step's number is its index.
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -7,6 +7,7 @@
 
 use super::checkpoints;
 use super::conflict;
+use super::homes::other_part;
 use super::job::{JobSpec, JobState};
 use super::keys::{JobKey, PoolStateId, TaskKey, WorkerKey};
 use super::limits::{
@@ -16,8 +17,7 @@
 use super::pool_state::PoolState;
 use super::row_room;
 use super::rows::{
-    self, cancelled_job, intake_parts_of, shard_of_part, IntakeRow, ProgressRow, RoundRow,
-    TaskProgress, TaskRow,
+    self, cancelled_job, pool_of_part, shard_of_part, ProgressRow, RoundRow, TaskProgress, TaskRow,
 };
 use super::runs;
 use super::state::{Ctx, LoadedRows, State};
@@ -136,6 +136,7 @@
     ctx: &mut Ctx<'_>,
 ) {
     if row.value.is_none() {
+        pool_state.guest_ids.note_removed(row);
         return;
     }
     if let Some(id) = cancelled_job(&row.key) {
@@ -189,10 +190,12 @@
         }
         return None;
     }
-    let spec = match rows::decode_intake(row.value.as_deref().unwrap_or_default()) {
-        Ok(IntakeRow::Job(spec)) => *spec,
-        // The job belongs to the pool that the reference names.
-        Ok(IntakeRow::Reference(_)) => return None,
+    let is_in_own_intake = pool_of_part(&row.part) == pool_state.name;
+    if is_in_own_intake && pool_state.guest_ids.note(row) {
+        return None;
+    }
+    let spec: JobSpec = match rows::decode(row.value.as_deref().unwrap_or_default()) {
+        Ok(spec) => spec,
         Err(e) => {
             let why = format!("cannot decode the intake row: {e}");
             ctx.log(Decision::new(Code::BadRow, Subject::Job, &row.key, why));
@@ -222,7 +225,11 @@
         is_excess: false,
         holds_rounds: false,
         is_unreadable: false,
-        intake: intake_parts_with(row, &spec),
+        intake: match is_in_own_intake {
+            true => vec![row.part.clone()],
+            // A later row under the id may be in the other partition.
+            false => vec![row.part.clone(), other_part(&row.part, &row.key)],
+        },
         shard: None,
         changes: 0,
         recorded_changes: 0,
@@ -236,15 +243,6 @@
     Some(key)
 }
 
-/// Returns the partitions with rows under a job's id, as one of its intake rows shows them.
-fn intake_parts_with(row: &StoredRow, spec: &JobSpec) -> Vec<String> {
-    let mut parts = vec![row.part.clone()];
-    if let Some(home) = &spec.home {
-        parts.extend(intake_parts_of(home, &row.key));
-    }
-    parts
-}
-
 /// Begins the rounds of a job that are due and have never begun, in their order, as far as the job's row has room for
 /// them. The others begin as earlier ones end.
 pub fn begin_new_rounds(pool_state: &mut PoolState, key: JobKey, ctx: &mut Ctx<'_>) {
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -11,6 +11,7 @@
 use super::checkpoints::Checkpoints;
 use super::data_racks::DataRacks;
 use super::free_index::FreeIndex;
+use super::homes::GuestIds;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, PoolStateId, StepKey, TaskKey, WorkerKey};
 use super::limits::{ARRIVALS_MS, CALM_MS, CALM_WAIT_MAX_MS, FORGOTTEN_KEPT_MS};
@@ -65,6 +66,8 @@
     pub jobs: SlotMap<JobKey, Job>,
     /// Keys of jobs by id.
     pub jobs_by_id: HashMap<String, JobKey>,
+    /// Ids of jobs in the pool's intake that other pools run.
+    pub guest_ids: GuestIds,
     /// Worker instances of the pool, including some that are no longer listed.
     pub workers: SlotMap<WorkerKey, Worker>,
     /// Worker instances by id. A worker that restarts may keep its id.
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -18,6 +18,7 @@
 use super::gang;
 use super::halls;
 use super::handover;
+use super::homes::guest_of;
 use super::hosts;
 use super::job::JobSpec;
 use super::keys::{PoolStateId, WorkerKey};
@@ -76,6 +77,7 @@
             apply_loaded_rows(state, pool, epoch, rows, now, &mut out)
         }
         Event::Intake(row) => apply_intake_row(state, &row, now, &mut out),
+        Event::GuestIntake(row) => apply_guest_row(state, &row, now, &mut out),
         Event::Recorded(pool, pool_state, shard, outcome) => {
             settle_batch(state, pool, pool_state, shard, outcome, now, &mut out);
         }
@@ -416,9 +418,38 @@
 }
 
 fn apply_intake_row(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
-    let Some(key) = state.pool_keys.get(pool_of_part(&row.part)).copied() else {
-        return;
-    };
+    let home = state.pool_keys.get(pool_of_part(&row.part)).copied();
+    if let Some(key) = home {
+        apply_row_to_pool(state, key, row, now, out);
+    }
+    if let Some(id) = cancelled_job(&row.key) {
+        // A job that another pool runs is cancelled in the intake of its home pool.
+        for key in owned_pools(state) {
+            let ownership = state.pools[usize::from(key.0)].ownership.as_ref();
+            let pool_state = ownership.and_then(|o| o.pool_state.as_ref());
+            let may_run = pool_state.is_none_or(|p| p.jobs_by_id.contains_key(id));
+            if Some(key) != home && may_run {
+                apply_row_to_pool(state, key, row, now, out);
+            }
+        }
+    }
+}
+
+/// Applies the row of a job in the intake of another pool than the one that runs it.
+fn apply_guest_row(state: &mut State, row: &StoredRow, now: Now, out: &mut Vec<Effect>) {
+    let guest = guest_of(row).and_then(|pool| state.pool_keys.get(&pool).copied());
+    if let Some(key) = guest {
+        apply_row_to_pool(state, key, row, now, out);
+    }
+}
+
+fn apply_row_to_pool(
+    state: &mut State,
+    key: PoolKey,
+    row: &StoredRow,
+    now: Now,
+    out: &mut Vec<Effect>,
+) {
     with_pool(state, key, now, out, |pool, ctx, facts| {
         let Some(ownership) = &mut pool.ownership else {
             return;
--- a/src/core/sched/remove.rs
+++ b/src/core/sched/remove.rs
@@ -9,9 +9,8 @@
 use super::limits::{FINISHED_KEPT_MS, REMOVED_JOBS, REMOVE_MS};
 use super::owner_lease::epoch_guard;
 use super::pool_state::PoolState;
-use super::rows::{cancel_key, pool_of_part, shard_part, SHARDS};
+use super::rows::{cancel_key, shard_part, SHARDS};
 use super::state::{Batch, Ctx, Effect, Ownership, Pool, Timer};
-use super::tasks::Job;
 use crate::port::fleet::{RowTx, Table, TxOutcome, Write};
 
 /// Removes intake rows of old jobs from the partition that holds the most of them.
@@ -29,7 +28,8 @@
         // The next owner does not know of an end that is not recorded yet.
         let is_recorded = job.recorded_changes >= job.changes;
         if is_recorded && job.finished_ms.is_some_and(is_old) {
-            for part in removable_parts(&pool_state.name, job) {
+            // The first row is the job. If it were removed before a later one, that one would be taken for a new job.
+            if let Some(part) = job.intake.last() {
                 old.entry(part).or_default().push(key);
             }
         }
@@ -51,19 +51,6 @@
         .push(Effect::RemoveIntake(ctx.pool, pool_state.id, tx));
 }
 
-/// Returns the partitions from which the rows under a job's id may be removed now. References in another pool come
-/// first, since only the job's own row tells a later owner of them.
-fn removable_parts<'a>(pool: &str, job: &'a Job) -> Vec<&'a String> {
-    let (own, references): (Vec<_>, Vec<_>) = job
-        .intake
-        .iter()
-        .partition(|part| pool_of_part(part) == pool);
-    match references.is_empty() {
-        true => own,
-        false => references,
-    }
-}
-
 fn removal_of(table: Table, key: String) -> Write {
     Write {
         table,
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::job::{JobSpec, JobState, QueuePolicy};
+use super::job::{JobState, QueuePolicy};
 use super::tasks::WorkerLosses;
 use super::times::Times;
 use crate::clock::Millis;
@@ -24,22 +24,6 @@
 /// Suffix that forms the key of a cancel from the job's id.
 const CANCEL_SUFFIX: &str = "/cancel";
 
-/// An intake row under a job's id.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum IntakeRow {
-    /// The job as submitted.
-    Job(Box<JobSpec>),
-    /// The job is stored in another pool.
-    Reference(JobReference),
-}
-
-/// Takes the place of a job in its queue's home pool while another pool stores the job.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct JobReference {
-    /// Pool that stores the job.
-    pub stored_in: String,
-}
-
 /// The pools that a queue has been routed to.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueRow {
@@ -306,17 +290,6 @@
     serde_json::to_vec(row).unwrap_or_default()
 }
 
-/// Decodes an intake row under a job's id, or returns why it cannot be decoded.
-pub fn decode_intake(bytes: &[u8]) -> Result<IntakeRow, String> {
-    match decode::<JobSpec>(bytes) {
-        Ok(spec) => Ok(IntakeRow::Job(Box::new(spec))),
-        Err(e) => match decode::<JobReference>(bytes) {
-            Ok(reference) => Ok(IntakeRow::Reference(reference)),
-            Err(_) => Err(e),
-        },
-    }
-}
-
 /// Decodes a row, or returns why it cannot be decoded.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
     serde_json::from_slice(bytes).map_err(|e| e.to_string())
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -271,6 +271,8 @@
     Loaded(PoolKey, u64, Option<LoadedRows>),
     /// An intake row changed.
     Intake(StoredRow),
+    /// A job was stored in the intake of another pool than the one that runs it, and is the first of its id.
+    GuestIntake(StoredRow),
     /// The batch of a shard was answered: pool, state id, shard, outcome.
     Recorded(PoolKey, PoolStateId, usize, TxOutcome),
     /// An order to start a run was answered: pool, state id, task, run, reply.
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -36,7 +36,7 @@
     Quotas,
     /// Slots of the entries that stand by for the owners of pools.
     Standbys,
-    /// The pools that each queue has been routed to.
+    /// The home pools of queues, and of the jobs that each pool runs for other home pools.
     Queues,
 }
 
@@ -158,12 +158,6 @@
 pub trait Rows {
     /// Sends a transaction once, without a retry.
     fn transact(&self, tx: &RowTx, timeout_ms: Millis) -> impl Future<Output = TxOutcome>;
-    /// Sends transactions of different partitions once, without a retry. They take effect together or not at all.
-    fn transact_together(
-        &self,
-        txs: &[RowTx],
-        timeout_ms: Millis,
-    ) -> impl Future<Output = TxOutcome>;
     /// Reads a range of one partition.
     fn scan(
         &self,
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -13,6 +13,7 @@
 use smol::{LocalExecutor, Timer};
 
 use super::feeds;
+use super::guests::GuestIntake;
 use super::owned::OwnedPools;
 use super::pool_rows::Reading;
 use super::shared::Shared;
@@ -77,12 +78,15 @@
     executor.spawn(standbys).detach();
     let waves = feeds::follow_waves(platform.clone(), Rc::clone(&runner.owned), events.clone());
     executor.spawn(waves).detach();
-    let intake = feeds::follow_intake(
-        platform,
+    let guests = GuestIntake::new(
+        platform.clone(),
         Arc::clone(shared),
+        Rc::clone(&executor),
         Rc::clone(&runner.owned),
         events.clone(),
     );
+    let owned = Rc::clone(&runner.owned);
+    let intake = feeds::follow_intake(platform, Arc::clone(shared), owned, guests);
     executor.spawn(intake).detach();
     let stop_on_signal = async move {
         if stop_receiver.recv().await.is_ok() {
--- a/src/serve/counts.rs
+++ b/src/serve/counts.rs
@@ -12,6 +12,7 @@
 use super::operations::RETRY_AFTER_S;
 use super::shared::Shared;
 use crate::clock::Millis;
+use crate::core::sched::homes::{rows_of_pool, running_pool};
 use crate::core::sched::job::JobSpec;
 use crate::core::sched::limits::TX_TIMEOUT_MS;
 use crate::core::sched::operation::{Outcome, Request};
@@ -19,7 +20,7 @@
     self, cancelled_job, intake_parts, shard_part, shard_parts, HeartbeatRow, HEARTBEAT_KEY, SHARDS,
 };
 use crate::port::backoff::Backoff;
-use crate::port::fleet::{Range, ReadError, Rows, Scan, StoredRow, Table};
+use crate::port::fleet::{Range, ReadError, Revision, Rows, Scan, StoredRow, Table};
 use crate::port::part_scan::PartScan;
 
 /// The greatest age of a count that is given to a caller. Callers are promised a count at most 2 s old.
@@ -58,7 +59,7 @@
 fn counted_pools(shared: &Shared, request: &Request) -> Vec<String> {
     let pool = &request.route.pool;
     let configured = shared.pools();
-    let mut pools = shared.queue_pools(&request.route.address);
+    let mut pools = shared.queues().pools(&request.route.address).to_vec();
     pools.retain(|other| other != pool && configured.contains(other));
     pools.push(pool.clone());
     pools
@@ -117,7 +118,10 @@
 /// are read.
 async fn count_by_rows<R: Rows>(shared: &Shared, store: &R, pool: &str, until_ms: Millis) {
     let began_ms = shared.clock.now_ms();
-    let mut intake = PartScan::new(Table::Intake, intake_parts(pool));
+    let mut homes = shared.queues().homes_of(pool);
+    homes.insert(pool.to_string());
+    let intake_parts = homes.iter().flat_map(|home| intake_parts(home));
+    let mut intake = PartScan::new(Table::Intake, intake_parts.collect());
     let mut progress = PartScan::new(Table::Progress, shard_parts(pool));
     let mut backoff = Backoff::new(PAUSE_MS, PAUSE_MAX_MS);
     loop {
@@ -136,7 +140,9 @@
         }
         if intake.is_done() && progress.is_done() {
             let age_ms = shared.clock.now_ms().saturating_sub(began_ms);
-            let by_queue = count_by_queue(&intake.into_rows(), &progress.into_rows());
+            let (intake, revision) = intake.into_rows_since();
+            let intake = rows_of_pool(pool, intake, revision.unwrap_or(Revision::MAX));
+            let by_queue = count_by_queue(pool, &intake, &progress.into_rows());
             shared.set_waiting_counts(pool, by_queue, age_ms);
             return;
         }
@@ -189,7 +195,11 @@
 }
 
 /// Counts the jobs of each queue that have neither begun nor been cancelled.
-fn count_by_queue(intake: &[StoredRow], progress: &[StoredRow]) -> BTreeMap<String, u64> {
+fn count_by_queue(
+    pool: &str,
+    intake: &[StoredRow],
+    progress: &[StoredRow],
+) -> BTreeMap<String, u64> {
     let begun: BTreeSet<&str> = progress.iter().map(|row| row.key.as_str()).collect();
     let cancelled: BTreeSet<&str> = intake
         .iter()
@@ -197,7 +207,8 @@
         .collect();
     let waiting = intake.iter().filter(|row| {
         let id = row.key.as_str();
-        cancelled_job(id).is_none() && !begun.contains(id) && !cancelled.contains(id)
+        let is_open = !begun.contains(id) && !cancelled.contains(id);
+        cancelled_job(id).is_none() && is_open && running_pool(row) == pool
     });
     // A job may have a row in both of its partitions.
     let queue_by_job: BTreeMap<&str, String> = waiting
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -11,10 +11,12 @@
 use smol::channel::Sender;
 use smol::Timer;
 
+use super::guests::GuestIntake;
 use super::owned::OwnedPools;
 use super::pool_rows::Reading;
 use super::shared::Shared;
 use crate::clock::Millis;
+use crate::core::sched::homes::rows_of_pool;
 use crate::core::sched::rows::{shard_part, SHARDS};
 use crate::core::sched::standby::STANDBY_PART;
 use crate::core::sched::state::Event;
@@ -407,11 +409,11 @@
 }
 
 /// Follows new jobs and cancels while this entry owns a pool.
-pub(super) async fn follow_intake<P: Rows + Directory>(
+pub(super) async fn follow_intake<P: Rows + Directory + Clone + 'static>(
     platform: P,
     shared: Arc<Shared>,
     owned: Rc<OwnedPools>,
-    events: Sender<Event>,
+    guests: GuestIntake<P>,
 ) {
     loop {
         owned.intake.wait_open().await;
@@ -430,9 +432,7 @@
                 if owned.intake_from.get().is_some() {
                     owned.intake_from.set(Some(feed.revision));
                 }
-                for row in feed.changes {
-                    send(&events, Event::Intake(row)).await;
-                }
+                feed.changes.into_iter().for_each(|row| guests.forward(row));
                 pause(INTAKE_PAUSE_MS).await;
             }
             Err(_) => pause_after_failure().await,
@@ -455,7 +455,8 @@
     let mut changes = Vec::new();
     for pool in pools {
         let mut reading = Reading::new(platform, shared, Rc::clone(owned), &pool);
-        changes.extend(reading.read_intake().await?);
+        let (rows, _) = reading.read_intake().await?;
+        changes.extend(rows_of_pool(&pool, rows, revision));
     }
     Ok(Feed {
         changes,
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod counts;
 mod feeds;
 mod find;
+mod guests;
 mod operations;
 mod owned;
 mod pool_rows;
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -72,8 +72,9 @@
         if timeout_ms == 0 {
             return None;
         }
-        let pools = shared.storage_pools(&request.route);
-        if let Ok(found) = find_job(store, &pools, id, timeout_ms).await {
+        let pools = shared.queues().pools(&request.route.address).to_vec();
+        let found = find_job(store, &pools, &request.route.pool, id, timeout_ms).await;
+        if let Ok(found) = found {
             let Some(job) = found else {
                 return Some(None);
             };
@@ -137,7 +138,7 @@
         return Outcome::Cancelled;
     }
     let key = cancel_key(id);
-    let attempt = |_| vec![insert_tx(found.part.clone(), &key, b"{}".to_vec())];
+    let attempt = |_| insert_tx(found.part.clone(), &key, b"{}".to_vec());
     match insert_row(shared, store, attempt, false, until_ms).await {
         InsertOutcome::Done | InsertOutcome::Conflict(_) => Outcome::Cancelled,
         InsertOutcome::NotDone => Outcome::NotTaken {
--- a/src/serve/pool_rows.rs
+++ b/src/serve/pool_rows.rs
@@ -1,5 +1,6 @@
 //! Reads the rows of a pool for its new owner, and intake rows again after the store has lost its history.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,11 +10,12 @@
 use super::owned::OwnedPools;
 use super::shared::Shared;
 use crate::clock::Millis;
+use crate::core::sched::homes::{home_of_guest_row, rows_of_pool};
 use crate::core::sched::limits::TX_TIMEOUT_MS;
 use crate::core::sched::rows::{intake_parts, shard_parts};
 use crate::core::sched::state::LoadedRows;
 use crate::port::backoff::Backoff;
-use crate::port::fleet::{Directory, ReadError, Rows, StoredRow, Table, WorkerInfo};
+use crate::port::fleet::{Directory, ReadError, Revision, Rows, StoredRow, Table, WorkerInfo};
 use crate::port::part_scan::PartScan;
 
 /// The pauses between attempts at the reads that failed. An owner reads nothing else that its pool waits for, so the
@@ -55,7 +57,8 @@
     /// Reads everything that a new owner of the pool needs to rebuild its state.
     pub(super) async fn load(mut self) -> Result<LoadedRows, ReadError> {
         let pool = self.pool;
-        let intake = self.read_intake().await?;
+        let (intake, revision) = self.read_intake().await?;
+        let intake = rows_of_pool(pool, intake, revision);
         let progress = self.read_parts(Table::Progress, shard_parts(pool)).await?;
         let owner = self.read_parts(Table::Owners, one(pool)).await?;
         let (workers_asked_ms, workers) = self.read_workers().await?;
@@ -70,10 +73,18 @@
         })
     }
 
-    /// Reads all intake rows of the pool.
-    pub(super) async fn read_intake(&mut self) -> Result<Vec<StoredRow>, ReadError> {
-        self.read_parts(Table::Intake, intake_parts(self.pool))
-            .await
+    /// Reads all intake rows of the pool and of the home pools that store its jobs. Returns also the revision up to which
+    /// all of them were read.
+    pub(super) async fn read_intake(&mut self) -> Result<(Vec<StoredRow>, Revision), ReadError> {
+        let guest_rows = self
+            .read_parts(Table::Queues, shard_parts(self.pool))
+            .await?;
+        let mut homes: BTreeSet<&str> = guest_rows.iter().filter_map(home_of_guest_row).collect();
+        homes.insert(self.pool);
+        let parts = homes.into_iter().flat_map(intake_parts).collect();
+        let scan = self.scan_parts(Table::Intake, parts).await?;
+        let (rows, revision) = scan.into_rows_since();
+        Ok((rows, revision.unwrap_or(Revision::MAX)))
     }
 
     async fn read_parts(
@@ -81,6 +92,14 @@
         table: Table,
         parts: Vec<String>,
     ) -> Result<Vec<StoredRow>, ReadError> {
+        Ok(self.scan_parts(table, parts).await?.into_rows())
+    }
+
+    async fn scan_parts(
+        &mut self,
+        table: Table,
+        parts: Vec<String>,
+    ) -> Result<PartScan, ReadError> {
         let mut scan = PartScan::new(table, parts);
         loop {
             let missing = scan.missing();
@@ -88,7 +107,7 @@
                 self.backoff.reset();
             }
             if scan.is_done() {
-                return Ok(scan.into_rows());
+                return Ok(scan);
             }
             self.pause().await?;
         }
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwapOption;
 use smol::channel::{Receiver, Sender};
@@ -19,7 +19,7 @@
 use crate::event::Decision;
 use crate::log::Log;
 use crate::metrics::Metrics;
-use crate::port::fleet::{FleetConfig, QueueRoute, RowTx, Rows, StoredRow, TxOutcome};
+use crate::port::fleet::{FleetConfig, QueueRoute, RowTx, Rows, TxOutcome};
 use crate::port::read_budget::ReadBudget;
 use crate::port::timeout::AdaptiveTimeout;
 use crate::util::lock;
@@ -55,7 +55,7 @@
     routing_known_ms: AtomicU64,
     /// Signals that a configuration came into force.
     config_adopted: (Sender<()>, Receiver<()>),
-    /// The recorded pools of queues.
+    /// What is known of queues and their pools.
     queues: Mutex<KnownQueues>,
     /// Signals that a transaction got no answer, so the store may be down.
     unanswered: (Sender<()>, Receiver<()>),
@@ -168,31 +168,6 @@
         let began_ms = self.clock.now_ms();
         let outcome = platform.transact(tx, timeout_ms).await;
         let took_ms = self.clock.now_ms() - began_ms;
-        self.note_transaction(&outcome, took_ms, timeout_ms);
-        outcome
-    }
-
-    /// Sends transactions of different partitions once, to be committed together. A single one is sent as by
-    /// [`Shared::transact`]; several take twice as long, and get twice the timeout.
-    pub(super) async fn transact_together<P: Rows>(
-        &self,
-        platform: &P,
-        txs: &[RowTx],
-        timeout_max_ms: Millis,
-    ) -> TxOutcome {
-        if let [tx] = txs {
-            return self.transact(platform, tx, timeout_max_ms).await;
-        }
-        let timeout_ms = self.store_timeout.current_ms().min(timeout_max_ms);
-        let began_ms = self.clock.now_ms();
-        let outcome = platform.transact_together(txs, 2 * timeout_ms).await;
-        let took_ms = self.clock.now_ms() - began_ms;
-        self.note_transaction(&outcome, took_ms / 2, timeout_ms);
-        outcome
-    }
-
-    /// Adapts the timeouts to a transaction in one partition.
-    fn note_transaction(&self, outcome: &TxOutcome, took_ms: Millis, timeout_ms: Millis) {
         match outcome {
             TxOutcome::Unknown if took_ms >= timeout_ms => {
                 self.store_timeout.record_timeout(timeout_ms);
@@ -207,6 +182,7 @@
                 self.intake_timeout.record_answer(took_ms);
             }
         }
+        outcome
     }
 
     pub(super) fn log_decision(&self, decision: Decision) {
@@ -274,34 +250,14 @@
         queues.map(|queue| queue.route()).collect()
     }
 
-    /// Returns where a job is stored under a route; `None` if the route is not known to be recorded.
-    pub(super) fn storage(&self, route: &QueueRoute) -> Option<JobStorage> {
-        lock(&self.queues).storage(route)
-    }
-
-    /// Returns the recorded pools of a queue, the home pool first; none if it is not known.
-    pub(super) fn queue_pools(&self, address: &str) -> Vec<String> {
-        lock(&self.queues).pools(address).to_vec()
+    /// Gives access to what is known of queues and their pools.
+    pub(super) fn queues(&self) -> MutexGuard<'_, KnownQueues> {
+        lock(&self.queues)
     }
 
-    /// Returns the pools to look in for a job: the home pool of its queue, then the pool that runs the queue.
-    pub(super) fn storage_pools(&self, route: &QueueRoute) -> Vec<String> {
-        let home = self.queue_pools(&route.address).into_iter().next();
-        let mut pools: Vec<String> = home.into_iter().collect();
-        if !pools.contains(&route.pool) {
-            pools.push(route.pool.clone());
-        }
-        pools
-    }
-
-    /// Applies the row of a queue, or returns why it can't be decoded.
-    pub(super) fn apply_queue_row(&self, row: &StoredRow) -> Result<(), String> {
-        lock(&self.queues).apply_row(row)
-    }
-
-    /// Returns the transactions that record routes; see [`KnownQueues::registration`].
-    pub(super) fn registration(&self, routes: &[QueueRoute]) -> Option<(Vec<RowTx>, usize)> {
-        lock(&self.queues).registration(routes)
+    /// Returns where a job is stored under a route; `None` if the home pool is not known.
+    pub(super) fn storage(&self, route: &QueueRoute) -> Option<JobStorage> {
+        self.queues().storage(route)
     }
 
     /// Records that every change that the operator had made by `at_ms` is in force here.
--- a/src/serve/submit.rs
+++ b/src/serve/submit.rs
@@ -4,19 +4,18 @@
 
 use smol::Timer;
 
-use super::find;
 use super::operations::{RETRY_AFTER_S, RETRY_PAUSE_MS};
 use super::queues;
 use super::shared::Shared;
 use crate::clock::Millis;
-use crate::core::sched::homes::{find_existing, Existing, JobStorage};
+use crate::core::sched::homes::{running_pool, JobStorage};
 use crate::core::sched::insert::{Attempts, InsertOutcome};
 use crate::core::sched::job::JobSpec;
 use crate::core::sched::limits::TX_TIMEOUT_MS;
 use crate::core::sched::operation::Outcome;
 use crate::core::sched::rows;
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::{QueueRoute, RowTx, Rows};
+use crate::port::fleet::{QueueRoute, RowTx, Rows, StoredRow};
 
 /// The time after which a caller learns that the outcome of a write is unknown, so that the caller can try another
 /// entry. It is about twice the timeout of one attempt.
@@ -33,14 +32,13 @@
 /// The interval between checks while a submission waits for the store.
 const STORE_POLL_MS: Millis = 25;
 
-/// Inserts a row that must not exist yet, by the transactions that `attempt` returns for attempts 0, 1 and so on, each
-/// list of which is committed together. Tries until the outcome is known, the store has refused too often, or the time
-/// is over. Each attempt takes `timeout_max_ms` at most, or the adaptive timeout if `has_choice` is set: the next
-/// attempt goes to another partition then.
+/// Inserts a row that must not exist yet, by the transactions that `attempt` returns for attempts 0, 1 and so on. Tries
+/// until the outcome is known, the store has refused too often, or the time is over. With `has_choice`, the next attempt
+/// goes to another partition, so each one gets the adaptive timeout and not all the time left.
 pub(super) async fn insert_row<R: Rows>(
     shared: &Shared,
     store: &R,
-    attempt: impl Fn(usize) -> Vec<RowTx>,
+    attempt: impl Fn(usize) -> RowTx,
     has_choice: bool,
     until_ms: Millis,
 ) -> InsertOutcome {
@@ -52,8 +50,7 @@
             true => shared.intake_timeout.current_ms(),
             false => left_ms.max(TX_TIMEOUT_MS),
         };
-        let txs = attempt(n);
-        let answer = shared.transact_together(store, &txs, timeout_max_ms).await;
+        let answer = shared.transact(store, &attempt(n), timeout_max_ms).await;
         if let Some(outcome) = attempts.note(answer) {
             return outcome;
         }
@@ -100,14 +97,11 @@
         return not_taken;
     };
     let job = encode_job(spec, &storage);
-    let attempt = |n| storage.insert_txs(id, job.clone(), n);
+    let attempt = |n| storage.insert_tx(id, job.clone(), n);
     match insert_row(shared, store, attempt, true, until_ms).await {
         InsertOutcome::Done => Outcome::Accepted,
-        InsertOutcome::Conflict(found) => match find_existing(found) {
-            Some(Existing::Job(bytes)) => compare_job(&bytes, spec),
-            Some(Existing::StoredIn(pool)) => {
-                compare_job_in(shared, store, &pool, id, spec, until_ms).await
-            }
+        InsertOutcome::Conflict(found) => match found.into_iter().next() {
+            Some((_, row)) => compare_job(shared, &row, spec, &storage),
             None => Outcome::Unsure,
         },
         InsertOutcome::NotDone => not_taken,
@@ -116,40 +110,34 @@
 }
 
 fn encode_job(spec: &JobSpec, storage: &JobStorage) -> Vec<u8> {
-    if !storage.is_away() {
+    if !storage.is_guest() {
         return rows::encode(spec);
     }
     let spec = JobSpec {
-        home: Some(storage.home.clone()),
+        pool: Some(storage.pool.clone()),
         ..spec.clone()
     };
     rows::encode(&spec)
 }
 
-/// Compares a submission with the job of its id in another pool. A failed read leaves it unknown whether the submission
-/// is accepted: the id may be a job of another account or with another body.
-async fn compare_job_in<R: Rows>(
-    shared: &Shared,
-    store: &R,
-    pool: &str,
-    id: &str,
-    spec: &JobSpec,
-    until_ms: Millis,
-) -> Outcome {
-    let left_ms = until_ms.saturating_sub(shared.clock.now_ms());
-    let timeout_ms = TX_TIMEOUT_MS.min(left_ms);
-    let found = find::read_job_row(store, pool, id, timeout_ms).await;
-    let outcome = match found {
-        Ok(Some(bytes)) => compare_job(&bytes, spec),
-        Ok(None) | Err(_) => Outcome::Unsure,
+/// Returns the outcome of a submission whose id is taken by a row.
+fn compare_job(shared: &Shared, row: &StoredRow, spec: &JobSpec, storage: &JobStorage) -> Outcome {
+    let Some(existing) = &row.value else {
+        return Outcome::Unsure;
     };
-    let why = format!("the job is stored in pool {pool}: {outcome:?}");
-    shared.log_decision(Decision::new(Code::JobElsewhere, Subject::Job, id, why));
-    outcome
-}
-
-/// Returns the outcome of a submission whose id is taken by this row.
-fn compare_job(existing: &[u8], spec: &JobSpec) -> Outcome {
+    let pool = running_pool(row);
+    if pool != storage.pool {
+        let why = format!(
+            "pool {pool} runs the job, and the queue is routed to {}",
+            storage.pool
+        );
+        shared.log_decision(Decision::new(
+            Code::JobElsewhere,
+            Subject::Job,
+            &row.key,
+            why,
+        ));
+    }
     match rows::decode::<JobSpec>(existing) {
         Ok(existing) if existing.account != spec.account => Outcome::NotTaken {
             // The job will never be accepted, but any other answer would reveal that this id belongs to a job of
--- a/standin/src/fleet/store.rs
+++ b/standin/src/fleet/store.rs
@@ -61,12 +61,9 @@
             return answer(503, "application/json", Vec::new());
         }
         if let (StoreFault::Turns(ms), "/rows-tx") = (fault, path.as_str()) {
-            // A transaction in several partitions takes twice as long.
-            let takes_ms = if parts.len() > 1 { 2 * ms } else { ms };
-            for part in parts {
-                if !self.wait_turn(part, takes_ms).await {
-                    return answer(429, "application/json", Vec::new());
-                }
+            let part = parts.into_iter().next().unwrap_or_default();
+            if !self.wait_turn(part, ms).await {
+                return answer(429, "application/json", Vec::new());
             }
         }
         if fault == StoreFault::Belated && path == "/rows-tx" {
@@ -118,7 +115,7 @@
         let Ok(tx) = serde_json::from_slice::<Value>(body) else {
             return answer(400, "application/json", Vec::new());
         };
-        if parts_of(&tx).len() > 1 && tx["across"] != true {
+        if parts_of(&tx).len() > 1 {
             return answer(400, "application/json", Vec::new());
         }
         let (res, is_delayed) = self.commit(&tx);
--- a/tests/test_pages.rs
+++ b/tests/test_pages.rs
@@ -22,10 +22,6 @@
         TxOutcome::Refused
     }
 
-    async fn transact_together(&self, _: &[RowTx], _: Millis) -> TxOutcome {
-        TxOutcome::Refused
-    }
-
     async fn scan(&self, _: Table, part: &str, range: Range, _: Millis) -> Result<Scan, ReadError> {
         self.scans.set(self.scans.get() + 1);
         let asked = match range.rows_max {
--- a/tests/test_read_budget.rs
+++ b/tests/test_read_budget.rs
@@ -167,10 +167,6 @@
         TxOutcome::Refused
     }
 
-    async fn transact_together(&self, _: &[RowTx], _: Millis) -> TxOutcome {
-        TxOutcome::Refused
-    }
-
     async fn scan(&self, _: Table, part: &str, _: Range, _: Millis) -> Result<Scan, ReadError> {
         let mut asked = self.asked.borrow_mut();
         let asked = asked.entry(part.to_string()).or_default();
--- a/tests/world/jobs.rs
+++ b/tests/world/jobs.rs
@@ -33,9 +33,9 @@
 /// Returns a job of one step with these demands for each of its tasks.
 pub(crate) fn job(count: u16, cpu_milli: u64, estimate_ms: u64) -> JobSpec {
     JobSpec {
+        pool: None,
         queue: QUEUE.to_string(),
         account: None,
-        home: None,
         payload: "work".to_string(),
         steps: vec![StepSpec {
             count,
