--- a/tests/test_moved_queues.rs
+++ b/tests/test_moved_queues.rs
@@ -234,3 +234,25 @@
     }
     assert_eq!(get_status(one.callers, &format!("/q/{B}")), Some(410));
 }
+
+/// A pool that no queue is routed to any more, also one whose service has left the configuration, still runs the jobs
+/// that were accepted for it, also after all entries have restarted.
+#[test]
+fn moved_pool_unrouted() {
+    for pools in [&POOLS[..], &POOLS[1..]] {
+        let fleet = start_fleet();
+        fleet.configure_routes(1, &[("q", POOLS[0])], &POOLS);
+        let one = start_entry_with(&fleet, "e1", &[]);
+        let steps = json!([{"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 1_500},
+            {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 1_500, "depends_on": [0]}]);
+        let chain = json!({"spec": "ms=1500", "steps": steps});
+        let answer = call(one.callers, Method::Post, &format!("/q/{A}"), &chain);
+        assert_eq!(answer.map(|a| a.status), Some(200));
+        wait_until("running", || fleet.running() == 2);
+        drop(one);
+        fleet.configure_routes(2, &[("q", POOLS[1])], pools);
+        let two = start_entry_with(&fleet, "e2", &[]);
+        wait_until("completed", || job_state(two.callers, A) == "completed");
+        assert_eq!(fleet.starts(), 4);
+    }
+}
