--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! promise of rockwick that it sees broken. All workers serve one pool until a test assigns them to others.
 
 mod clocks;
+mod drains;
 mod order_faults;
 mod promises;
 mod restarts;
@@ -24,6 +25,7 @@
 use smol::{Async, Timer};
 
 use clocks::WorkerClock;
+pub use drains::LateStart;
 use order_faults::Trap;
 use promises::Promises;
 
@@ -118,6 +120,8 @@
     /// Start time that the instance states, as Unix time.
     born_ms: u64,
     clock: WorkerClock,
+    /// When it announced its end.
+    draining_since_ms: Option<u64>,
     fencing_token: u64,
     lease_until_ms: u64,
     /// When the lease last lapsed before its last renewal, if it ever did.
@@ -182,6 +186,7 @@
     /// Hosts that each wave has taken through maintenance.
     maintained: BTreeMap<u64, BTreeSet<String>>,
     promises: Promises,
+    late_starts: Vec<LateStart>,
 }
 
 /// Handle to the stand-in platform; clones share its state.
--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -12,7 +12,7 @@
 use super::clocks::WorkerClock;
 use super::order_faults::OrderDelivery;
 use super::runs::Start;
-use super::{Fleet, Run, State, Worker, POLL_MS, UPKEEP_MS};
+use super::{Fleet, Host, Run, State, Worker, POLL_MS, UPKEEP_MS};
 
 /// Time after which the sender of an order stops waiting for its answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -123,7 +123,7 @@
             let host = &mut state.hosts[n];
             host.instance = Some(instance.clone());
             host.maintenance_wave = None;
-            server_row(&host.pool, &host.name, &host.address.to_string(), born_ms)
+            server_row(host, born_ms, false)
         };
         self.put("servers", "", &instance, &row);
     }
@@ -138,7 +138,8 @@
             .as_ref()
             .and_then(|instance| state.workers.get(instance));
         let born_ms = worker.map_or(0, |w| w.born_ms);
-        let row = server_row(&host.pool, &host.name, &address.to_string(), born_ms);
+        let is_draining = host.instance.as_ref().is_some_and(|i| state.is_draining(i));
+        let row = server_row(host, born_ms, is_draining);
         let instance = host.instance.clone();
         drop(state);
         if let Some(instance) = instance {
@@ -270,6 +271,7 @@
     }
 
     pub(super) async fn handle_order(&self, n: usize, incoming: &Incoming) -> Response {
+        let received = (self.clock_ms(), Instant::now());
         let body: Value = serde_json::from_slice(&incoming.body).unwrap_or_default();
         let is_renewal = incoming.head.url().path() == "/hold";
         let fencing_token = body["fencing_token"].as_u64().unwrap_or(0);
@@ -281,7 +283,7 @@
             )
         };
         match delivery {
-            OrderDelivery::Normal => return self.carry_out(n, incoming, &body).await,
+            OrderDelivery::Normal => return self.carry_out(n, incoming, &body, received).await,
             OrderDelivery::Lost => {
                 self.wait_unanswered().await;
                 return answer(503, "application/json", Vec::new());
@@ -298,12 +300,18 @@
             OrderDelivery::AnswerLost => {}
         }
         // The sender has stopped waiting, so the order gets no answer.
-        let res = self.carry_out(n, incoming, &body).await;
+        let res = self.carry_out(n, incoming, &body, received).await;
         self.wait_unanswered().await;
         res
     }
 
-    async fn carry_out(&self, n: usize, incoming: &Incoming, body: &Value) -> Response {
+    async fn carry_out(
+        &self,
+        n: usize,
+        incoming: &Incoming,
+        body: &Value,
+        received: (u64, Instant),
+    ) -> Response {
         let Some(instance) = self.lock().hosts[n].instance.clone() else {
             self.wait_unanswered().await;
             return answer(503, "application/json", Vec::new());
@@ -332,14 +340,19 @@
             worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
         }
         match (incoming.head.method(), incoming.head.url().path()) {
-            (Method::Post, "/run-start") => self.run_start(&instance, body),
+            (Method::Post, "/run-start") => self.run_start(&instance, body, received),
             (Method::Post, "/run-stop") => self.run_stop(&instance, body),
             (Method::Post, "/hold") => self.renew_lease(&instance, body).await,
             _ => answer(404, "application/json", Vec::new()),
         }
     }
 
-    fn run_start(&self, instance: &str, body: &Value) -> Response {
+    fn run_start(
+        &self,
+        instance: &str,
+        body: &Value,
+        (received_ms, received_at): (u64, Instant),
+    ) -> Response {
         let now_ms = self.clock_ms();
         let spec = body["spec"].as_str().unwrap_or("");
         let task = body["task"].as_str().unwrap_or("").to_string();
@@ -373,6 +386,8 @@
             run,
             fencing_token: body["fencing_token"].as_u64().unwrap_or(0),
         };
+        let token = start.fencing_token;
+        state.note_start_on(instance, &task, token, received_ms, received_at);
         state.check_start(&task, spec, start);
         let work_ms = stated_work_ms(spec).unwrap_or(self.work_ms);
         let ends_ms = (!spec.contains("lasts")).then_some(now_ms + work_ms);
@@ -462,8 +477,10 @@
     stated.parse().ok()
 }
 
-fn server_row(pool: &str, host: &str, address: &str, born_ms: u64) -> Value {
-    json!({"service": pool, "address": address, "zone": "hall", "state": "ready", "machine": host,
+fn server_row(host: &Host, born_ms: u64, is_draining: bool) -> Value {
+    let state = if is_draining { "draining" } else { "ready" };
+    json!({"service": host.pool, "address": host.address.to_string(), "zone": "hall",
+        "state": state, "machine": host.name,
         "capacity": {"cpu": CAPACITY_MILLI, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
         "sequence": 1, "born": born_ms})
 }
--- a/standin/src/soak/disturbances.rs
+++ b/standin/src/soak/disturbances.rs
@@ -7,7 +7,7 @@
 use super::callers::lock;
 
 /// Time that an entry counts as disturbed after a fault has ended.
-const RECOVERY_MS: u64 = 3_000;
+pub(crate) const RECOVERY: Duration = Duration::from_millis(3_000);
 
 /// Holds when the last unplanned fault ended, for each entry and for the platform.
 pub(crate) struct Disturbances {
@@ -39,9 +39,9 @@
         *at = until.max(*at);
     }
 
-    /// Returns whether the entry was undisturbed from `RECOVERY_MS` before `since` until now.
+    /// Returns whether the entry was undisturbed from [`RECOVERY`] before `since` until now.
     pub(crate) fn is_undisturbed_since(&self, entry: usize, since: Instant) -> bool {
         let last = lock(&self.entries)[entry].max(*lock(&self.platform));
-        since > last + Duration::from_millis(RECOVERY_MS)
+        since > last + RECOVERY
     }
 }
--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -10,6 +10,8 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 
+use super::disturbances::RECOVERY;
+
 /// Longest time for a process to exit after SIGTERM. The platform kills it after 6 s.
 const GRACE_MS: u64 = 6_500;
 
@@ -27,6 +29,7 @@
     /// Number of processes started so far.
     pub(crate) starts: u64,
     stop_sent: Option<Instant>,
+    started_at: Instant,
 }
 
 /// Hands out ports for entries. All listeners stay bound until the last port is handed out, because a port that is
@@ -68,6 +71,7 @@
             child: None,
             starts: 0,
             stop_sent: None,
+            started_at: Instant::now(),
         })
     }
 
@@ -90,6 +94,7 @@
             .spawn()?;
         self.child = Some(child);
         self.starts += 1;
+        self.started_at = Instant::now();
         self.stop_sent = None;
         Ok(())
     }
@@ -127,6 +132,12 @@
         }
     }
 
+    /// Returns whether the process had run for a while at a time, and is not told to stop.
+    pub(crate) fn is_settled_at(&self, at: Instant) -> bool {
+        let since = at.checked_duration_since(self.started_at);
+        self.stop_sent.is_none() && since.is_some_and(|since| since > RECOVERY)
+    }
+
     /// Returns whether a process runs.
     pub(crate) fn is_running(&self) -> bool {
         self.child.is_some()
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -47,26 +47,39 @@
     killed: Vec<bool>,
     /// One line per event, for the report.
     pub(crate) events: Vec<String>,
+    /// Whether only workers and orders to them have faults.
+    is_workers_only: bool,
     waves: u64,
+    drains: u64,
     began: Instant,
 }
 
 impl Faults {
     /// Creates the injector, with no fault in progress.
-    pub(crate) fn new(seed: u64, entries: usize) -> Self {
+    pub(crate) fn new(seed: u64, entries: usize, drain_one_in: u32) -> Self {
         Self {
             rng: Rng::with_seed(seed),
             silence_rng: Rng::with_seed(!seed),
-            rare_faults: RareFaults::new(seed),
+            rare_faults: RareFaults::new(seed, drain_one_in),
             suspend_ms: None,
             due: Vec::new(),
             killed: vec![false; entries],
             events: Vec::new(),
+            is_workers_only: false,
             waves: 0,
+            drains: 0,
             began: Instant::now(),
         }
     }
 
+    /// Limits the faults to those of workers and of orders to them.
+    pub(crate) fn with_workers_only(self, is_workers_only: bool) -> Self {
+        Self {
+            is_workers_only,
+            ..self
+        }
+    }
+
     fn end_after(&mut self, ms: u64, recovery: Recovery) {
         self.due
             .push((Instant::now() + Duration::from_millis(ms), recovery));
@@ -87,10 +100,18 @@
         self.waves
     }
 
+    /// Returns the number of workers that were told to announce their end.
+    pub(crate) fn drains(&self) -> u64 {
+        self.drains
+    }
+
     /// Injects the next fault, and the rare faults that are drawn with it.
     pub(crate) fn inject_next(&mut self, cluster: &mut Cluster) {
         let n = self.rng.usize(..cluster.entries.len());
         let ms = self.rng.u64(200..5_000);
+        if self.is_workers_only {
+            return self.inject_worker_fault(cluster, ms);
+        }
         if self.silence_rng.u32(..SILENCE_ONE_IN) == 0 {
             self.silence_connections(cluster);
         }
@@ -109,21 +130,8 @@
             5 | 6 => self.break_store_path(cluster, n, ms),
             7 | 8 => self.break_worker_path(cluster, ms),
             9 => self.inject_store_fault(cluster, ms),
-            10 => {
-                let fault = OrderFault {
-                    lost: self.rng.u32(..30),
-                    late: self.rng.u32(..30),
-                    ..OrderFault::default()
-                };
-                cluster.fleet.set_order_fault(fault);
-                self.record(format!("{fault:?} for {ms} ms"));
-                self.end_after(ms, Recovery::RestoreOrders);
-            }
-            11 => {
-                let host = self.rng.usize(..cluster.worker_paths.len());
-                cluster.fleet.crash(host, ms);
-                self.record(format!("host {host} crashes, back after {ms} ms"));
-            }
+            10 => self.lose_orders(cluster, 30, ms),
+            11 => self.crash_worker(cluster, ms),
             _ => {
                 cluster.change_config();
                 self.record(format!("configuration {}", cluster.version));
@@ -137,6 +145,32 @@
         }
     }
 
+    /// Injects a fault of workers or of orders to them: mostly drains while orders get no answers.
+    fn inject_worker_fault(&mut self, cluster: &mut Cluster, ms: u64) {
+        match self.rng.u32(..8) {
+            0 => self.crash_worker(cluster, ms),
+            1..=3 => self.lose_orders(cluster, 95, ms),
+            _ => self.inject_rare(cluster, RareFault::Drain(3_000 + 2 * ms), ms),
+        }
+    }
+
+    /// Loses and delays up to `percent` each of the orders to workers.
+    fn lose_orders(&mut self, cluster: &mut Cluster, percent: u32, ms: u64) {
+        let fault = OrderFault {
+            lost: self.rng.u32(..percent),
+            late: self.rng.u32(..percent),
+            ..OrderFault::default()
+        };
+        self.record(format!("{fault:?} for {ms} ms"));
+        self.delay_orders(cluster, fault, ms);
+    }
+
+    fn crash_worker(&mut self, cluster: &mut Cluster, ms: u64) {
+        let host = self.rng.usize(..cluster.worker_paths.len());
+        cluster.fleet.crash(host, ms);
+        self.record(format!("host {host} crashes, back after {ms} ms"));
+    }
+
     /// Injects a rare fault for `ms` milliseconds.
     fn inject_rare(&mut self, cluster: &mut Cluster, rare_fault: RareFault, ms: u64) {
         self.record(format!("{rare_fault:?} for {ms} ms"));
@@ -155,6 +189,7 @@
             }
             RareFault::HalfCut(fault) => {
                 let host = ms as usize % cluster.worker_paths.len();
+                cluster.worker_disturbances.disturb(host, ms);
                 cluster.worker_paths[host].set(LinkFault::OneWay);
                 self.end_after(ms, Recovery::RestoreWorkerPath(host));
                 self.delay_orders(cluster, fault, ms);
@@ -207,6 +242,11 @@
                         .restart((first + n) % cluster.worker_paths.len(), back_ms);
                 }
             }
+            RareFault::Drain(serve_ms) => {
+                let host = ms as usize % cluster.worker_paths.len();
+                self.drains += 1;
+                cluster.fleet.drain(host, serve_ms);
+            }
             RareFault::KeptIds => {
                 cluster.fleet.set_keeps_ids(true);
                 self.end_after(ms, Recovery::UseNewIds);
@@ -283,6 +323,7 @@
     fn break_worker_path(&mut self, cluster: &mut Cluster, ms: u64) {
         let host = self.rng.usize(..cluster.worker_paths.len());
         let link_fault = self.draw_link_fault();
+        cluster.worker_disturbances.disturb(host, ms);
         cluster.worker_paths[host].set(link_fault);
         self.record(format!("host {host}: {link_fault:?} for {ms} ms"));
         self.end_after(ms, Recovery::RestoreWorkerPath(host));
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -54,6 +54,8 @@
     workers: usize,
     callers: u64,
     timed: u32,
+    drains: u32,
+    workers_only: bool,
     logs: PathBuf,
     binary: Option<PathBuf>,
     report: Option<PathBuf>,
@@ -89,6 +91,13 @@
         .help("Give one job in N a schedule with overlapping rounds; 0 for none")
         .argument("N")
         .fallback(0);
+    let drains = long("drains")
+        .help("Make a worker announce its end with one in N of the other faults")
+        .argument("N")
+        .fallback(20);
+    let workers_only = long("workers-only")
+        .help("Inject only faults of workers and of orders to them")
+        .switch();
     let logs = long("logs")
         .help("Directory for the entries' logs; logs of passing seeds are removed")
         .argument("DIR")
@@ -109,6 +118,8 @@
         workers,
         callers,
         timed,
+        drains,
+        workers_only,
         logs,
         binary,
         report
@@ -125,6 +136,8 @@
     /// Relays before the workers.
     worker_paths: Vec<Proxy>,
     disturbances: Arc<Disturbances>,
+    /// Faults of the paths to workers.
+    worker_disturbances: Disturbances,
     /// Version of the configuration; version N has N - 1 queues besides the first.
     version: u64,
     /// When that version was written.
@@ -165,6 +178,7 @@
             store_paths,
             worker_paths,
             disturbances: Arc::new(Disturbances::new(args.entries)),
+            worker_disturbances: Disturbances::new(args.workers),
             version: 1,
             config_changed_at: Instant::now(),
         })
@@ -248,6 +262,24 @@
     }
 }
 
+/// Checks that undisturbed entries order nothing to workers that announced their end a while before.
+fn check_drains(cluster: &Cluster) {
+    for late in cluster.fleet.take_late_starts() {
+        let n = cluster.entries.iter().position(|e| e.name == late.entry);
+        let Some(n) = n else { continue };
+        let is_settled = cluster.entries[n].is_settled_at(late.received_at);
+        let is_undisturbed = cluster
+            .disturbances
+            .is_undisturbed_since(n, late.received_at)
+            && cluster
+                .worker_disturbances
+                .is_undisturbed_since(late.host, late.received_at);
+        if is_settled && is_undisturbed {
+            cluster.fleet.report_broken(late.what);
+        }
+    }
+}
+
 /// Holds the outcome of one seed.
 struct SeedResult {
     seed: u64,
@@ -260,7 +292,8 @@
 fn run_seed(args: &Args, seed: u64) -> std::io::Result<SeedResult> {
     let began = Instant::now();
     let mut cluster = Cluster::new(args, seed)?;
-    let mut faults = Faults::new(seed, args.entries);
+    let mut faults =
+        Faults::new(seed, args.entries, args.drains).with_workers_only(args.workers_only);
     faults.tick(&mut cluster)?;
     let shared = Callers {
         fleet: cluster.fleet.clone(),
@@ -293,6 +326,7 @@
         faults.tick(&mut cluster)?;
         let starts: Vec<u64> = cluster.entries.iter().map(|e| e.starts).collect();
         check_config(&cluster, &mut checker, &mut seen, &starts);
+        check_drains(&cluster);
         std::thread::sleep(Duration::from_millis(20));
     }
     faults.end_all(&mut cluster)?;
@@ -317,6 +351,7 @@
             "completed": counts.completed.load(Ordering::Relaxed),
             "starts": cluster.fleet.starts(),
             "waves": faults.waves(),
+            "drains": faults.drains(),
         }),
         faults: std::mem::take(&mut faults.events),
         took: began.elapsed(),
@@ -335,6 +370,7 @@
     let mut cancelled: Vec<AcceptedJob> = Vec::new();
     loop {
         faults.tick(cluster)?;
+        check_drains(cluster);
         let open: Vec<AcceptedJob> = lock(&shared.open).clone();
         let waves = (1..=faults.waves()).all(|w| cluster.fleet.wave_completed(w));
         if open.is_empty() && waves && cancelled.iter().all(|k| has_no_runs(cluster, k)) {
--- a/standin/src/soak/rare.rs
+++ b/standin/src/soak/rare.rs
@@ -44,23 +44,31 @@
     Restarts(usize, u64),
     /// Makes workers that end, by a crash or by maintenance, restart under their ids.
     KeptIds,
+    /// Makes a worker announce its end; it serves on for this number of milliseconds.
+    Drain(u64),
 }
 
 /// Number of kinds; halls cut one way and both ways count as one.
-const KINDS: usize = 14;
+const KINDS: usize = 15;
+
+/// The kind of drains, which has a frequency of its own.
+const DRAIN_KIND: usize = 14;
 
 /// Holds the random generators.
 pub(crate) struct RareFaults {
     rngs: Vec<Rng>,
+    /// A drain comes with one in this many of the other faults.
+    drain_one_in: u32,
 }
 
 impl RareFaults {
     /// Creates one generator for each kind.
-    pub(crate) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, drain_one_in: u32) -> Self {
         let of =
             |kind: usize| Rng::with_seed((seed ^ 0x5EED_FA17).rotate_left(5 * kind as u32 + 3));
         Self {
             rngs: (0..KINDS).map(of).collect(),
+            drain_one_in,
         }
     }
 
@@ -68,7 +76,11 @@
     pub(crate) fn draw(&mut self) -> Vec<(RareFault, u64)> {
         let mut all = Vec::new();
         for (kind, rng) in self.rngs.iter_mut().enumerate() {
-            if rng.u32(..ONE_IN) == 0 {
+            let one_in = match kind {
+                DRAIN_KIND => self.drain_one_in,
+                _ => ONE_IN,
+            };
+            if rng.u32(..one_in.max(1)) == 0 {
                 let rare_fault = draw_kind(kind, rng);
                 all.push((rare_fault, rng.u64(1_000..8_000)));
             }
@@ -99,7 +111,8 @@
         10 => RareFault::Lapse(rng.u64(..2_000)),
         11 => RareFault::Withdrawn,
         12 => RareFault::Restarts(rng.usize(1..5), rng.u64(20..3_000)),
-        _ => RareFault::KeptIds,
+        13 => RareFault::KeptIds,
+        _ => RareFault::Drain(rng.u64(3_000..14_000)),
     }
 }
 
--- a/tests/test_soak.rs
+++ b/tests/test_soak.rs
@@ -28,6 +28,15 @@
     run_soak(&split_options("--seed 1 --seconds 8"));
 }
 
+/// Workers announce their end while orders to them get no answers. With starts that are sent again without a look at their
+/// worker, this seed breaks.
+#[test]
+fn soak_drains() {
+    run_soak(&split_options(
+        "--seed 30001 --seconds 12 --callers 12 --workers-only",
+    ));
+}
+
 /// Replays seeds that failed once; the first line of each file in `tests/seeds` holds the options.
 #[test]
 fn soak_saved_seeds() {
