Read whether a home pool is recorded with a guest before recording it

Found while reading the change: on a new route every entry wrote the same row to a shard of the pool that got the queue, within half a second. A partition takes 200 writes a second and the pool's owner renews its lease there: with 586 entries that is 3 s of writes in each shard in turn.

--- a/src/serve/queues.rs
+++ b/src/serve/queues.rs
@@ -163,11 +163,30 @@
     }
     for shard in 0..SHARDS {
         let tx = storage.guest_tx(shard);
-        let timeout_ms = shared.intake_timeout.current_ms();
-        if let TxOutcome::Committed(_) = shared.transact(store, &tx, timeout_ms).await {
+        if has_row(shared, store, &tx).await || write_once(shared, store, &tx).await {
             shared.queues().note_guest(storage);
             return true;
         }
     }
     false
 }
+
+/// Returns whether the row that a transaction writes is there. The owner of the guest writes to the same partition, and
+/// the writes of all entries at once would hold it up.
+async fn has_row<R: Rows>(shared: &Shared, store: &R, tx: &RowTx) -> bool {
+    let key = tx.writes.first().map_or("", |write| write.key.as_str());
+    let range = Range {
+        from: key.to_string(),
+        until: format!("{key}~"),
+        rows_max: 0,
+    };
+    let timeout_ms = shared.intake_timeout.current_ms();
+    let scan = store.scan(Table::Queues, &tx.part, range, timeout_ms).await;
+    scan.is_ok_and(|scan| scan.rows.iter().any(|row| row.key == key))
+}
+
+async fn write_once<R: Rows>(shared: &Shared, store: &R, tx: &RowTx) -> bool {
+    let timeout_ms = shared.intake_timeout.current_ms();
+    let outcome = shared.transact(store, tx, timeout_ms).await;
+    matches!(outcome, TxOutcome::Committed(_))
+}
