--- a/tests/test_sizing.rs
+++ b/tests/test_sizing.rs
@@ -1,17 +1,20 @@
 //! How many hosts a pool wants, by how much of its work can still be in time.
 
+use std::sync::Arc;
+
 use rockwick::core::sched::job::JobSpec;
 use rockwick::core::sched::keys::TaskKey;
 use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::pool_state::PoolState;
+use rockwick::core::sched::rows::{HeartbeatRow, HEARTBEAT_KEY};
 use rockwick::core::sched::sizing::{self, Inputs, Sizing};
-use rockwick::core::sched::state::{Ctx, Effect};
+use rockwick::core::sched::state::{Ctx, Effect, Event};
 use rockwick::core::sched::worker::ClockSample;
 use rockwick::core::sched::{load, place, rows};
-use rockwick::port::fleet::{Capacity, StoredRow};
+use rockwick::port::fleet::{Capacity, OperatorEvent, PoolConfig, StoredRow};
 
 use crate::decide::{add_answering_worker, decide};
-use crate::world::{config, job, lasting, listed_worker, POOL};
+use crate::world::{config, job, lasting, listed_worker, World, POOL};
 
 /// A pool of hosts with 16 cores each that has no work yet.
 struct Fixture {
@@ -306,3 +309,53 @@
     }
     assert_eq!(fixture.reconcile_for_second(false).0, 6);
 }
+
+/// Another pool lacked one host for three seconds, since a worker of it had a pause. A pool full of late work closed all
+/// its hosts but six, so that most of its capacity stood still beside tasks that could run.
+#[test]
+fn sizing_one_host_lacked() {
+    const HOSTS: usize = 20;
+    let mut world = World::new(1, 1, HOSTS);
+    let mut config = config(2);
+    for (name, is_parked) in [("other", false), ("parked", true)] {
+        let pool = PoolConfig {
+            name: name.to_string(),
+            is_parked,
+        };
+        config.pools.insert(name.to_string(), pool);
+    }
+    world.deliver_event(0, Event::Operator(OperatorEvent::Config(Arc::new(config))));
+    world.run(8_000);
+    for n in 0..80 {
+        world.submit(&format!("late-{n}"), job(8, 4_000, 4_000));
+    }
+    // By then none of the work can be in time.
+    world.run(15_000);
+    assert!(open_hosts(&world) >= HOSTS - 1, "{}", open_hosts(&world));
+    for count in 0..6 {
+        let heartbeat = HeartbeatRow {
+            entry: "elsewhere".to_string(),
+            count,
+            needed: 6,
+            serving: 5,
+            wanted: 6,
+            ..HeartbeatRow::default()
+        };
+        let row = StoredRow {
+            part: "other".to_string(),
+            key: HEARTBEAT_KEY.to_string(),
+            value: Some(rows::encode(&heartbeat)),
+            revision: 1_000_000 + count,
+        };
+        world.deliver_event(0, Event::Owner(row));
+        world.run(500);
+    }
+    // Under half of the capacity may not stand still beside work.
+    assert!(open_hosts(&world) >= HOSTS / 2, "{}", open_hosts(&world));
+}
+
+fn open_hosts(world: &World) -> usize {
+    let pool_state = world.owner_pool_state().expect("the pool is owned");
+    let workers = pool_state.workers.values();
+    workers.filter(|w| w.is_open(world.now_ms)).count()
+}
