--- a/src/core/sched/homes.rs
+++ b/src/core/sched/homes.rs
@@ -134,10 +134,10 @@
 /// Returns whether the row of a guest's job is the job, and not a later row under an id that was taken. `others` are the
 /// rows under the id in the job's other partition, read after the row was.
 pub fn is_first(row: &StoredRow, others: &[StoredRow]) -> bool {
-    let earlier = |other: &&StoredRow| other.key == row.key && other.revision < row.revision;
-    !others
-        .iter()
-        .any(|other| earlier(&other) && other.value.is_some())
+    let is_earlier = |other: &StoredRow| {
+        other.key == row.key && other.value.is_some() && other.revision < row.revision
+    };
+    !others.iter().any(is_earlier)
 }
 
 /// Returns the intake rows that concern a pool, in the order of their revisions, from those of its own intake and of its
@@ -146,15 +146,16 @@
 pub fn rows_of_pool(pool: &str, mut all: Vec<StoredRow>, until: Revision) -> Vec<StoredRow> {
     all.retain(|row| row.revision <= until);
     all.sort_unstable_by_key(|row| row.revision);
-    let mut taken: HashMap<String, bool> = HashMap::new();
+    let mut runs_here: HashMap<String, bool> = HashMap::new();
     for row in all.iter().filter(|row| cancelled_job(&row.key).is_none()) {
-        if !taken.contains_key(&row.key) {
-            taken.insert(row.key.clone(), running_pool(row) == pool);
-        }
+        let id = row.key.clone();
+        runs_here
+            .entry(id)
+            .or_insert_with(|| running_pool(row) == pool);
     }
     all.retain(|row| {
         let id = cancelled_job(&row.key).unwrap_or(&row.key);
-        pool_of_part(&row.part) == pool || taken.get(id).copied().unwrap_or(false)
+        pool_of_part(&row.part) == pool || runs_here.get(id).copied().unwrap_or(false)
     });
     all
 }
