review: a pool closes its minions beside accepted work since another lacks one

One of 8 minions of a pool that needs all of them is cut off for 5.5 s. Another pool with late work closes 37 of its 40 minions, and over a hundred accepted jobs have nothing running for more than 3 s, with 48 of 640 cores in use.

The stand-ins take ports below those of outgoing connections: a run found one of its ports taken.

--- a/review/stand_2.py
+++ b/review/stand_2.py
@@ -25,9 +25,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.SystemRandom().randint(18000, 31000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
