--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,6 +4,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(HERE, "record.txt")  # what was sent, answered and run
 sys.path.insert(0, os.path.dirname(HERE))
 from stand_2 import Machine, call, config, now_ms, run  # noqa: E402
 
@@ -93,4 +94,4 @@
     return bool(bad)
 
 
-run(main, HERE)
+run(main, RECORD)
--- a/review/stand_2.py
+++ b/review/stand_2.py
@@ -37,10 +37,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`."""
+    """Writes what was sent, answered and run to a case's `record.txt`."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
 
     def say(self, text):
         self.file.write(f"{now_ms() / 1000.0:9.3f} {text}\n")
@@ -356,8 +356,8 @@
 class World:
     """All stand-ins of a script."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.store = Store()
         self.cloud = HttpServer(self.handle_cloud)
         self.machines, self.entries, self.jobs = [], [], {}
@@ -505,22 +505,26 @@
     }
 
 
-def run(main, folder, limit_s=115):
+def run(main, record_path, limit_s=115):
     """Runs a script. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     async def guarded():
-        world = World(folder)
+        world = World(record_path)
         try:
             return await asyncio.wait_for(main(world), limit_s)
         finally:
             world.stop()
     code = 2
     if not os.path.exists(ROCKWICK):
-        print("target/release/rockwick is missing: run the build of the deploy file first")
+        why = "target/release/rockwick is missing: run the build of the deploy file first"
+        print(why)
+        Record(record_path).say(why)
     else:
         logging.getLogger("asyncio").disabled = True
         try:
             code = 1 if asyncio.run(guarded()) else 0
         except Exception as e:  # The case could not run.
             print(f"the case could not run: {e!r}")
+            with open(record_path, "a", encoding="utf-8") as record:
+                record.write(f"the case could not run: {e!r}\n")
     sys.stdout.flush()
     os._exit(code)
