An odd entry in the list of workers is left out and logged

What happened: an entry of another writer with a capacity of some 2^64 ended the control thread of each entry that owned the pool (debug build: "attempt to multiply with overflow", free_index.rs:41); all of them answered "no current configuration" from then on. The release build wrapped and went on with a wrong share. An id that is not ASCII panicked in the call to that worker, since it goes into a header unchecked; with CR and LF it added a header of its own.

Cause: what other writers put into a row was decoded by type alone. Ruled out: deep nesting, a port out of range, numbers beyond their type are reported by the decoder already.

Change: WorkerInfo::fault says why no worker can be used by an entry: an id that no header can carry, an address without host or port, a capacity beyond CAPACITY_MAX. Such an entry counts as one that can't be decoded: one line, left out, followed on. Times and quotas of configurations, waves, advice and reports are bounded where they are decoded; a report with a clock beyond the bound is no answer. A header value with control characters is never sent.

Evidence: odd_worker_rows (17 odd entries before and while real entries serve) failed before, in 60 s of waiting for jobs; odd_header_values pins the second half. Both hold now.

--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -13,6 +13,29 @@
 use crate::auth::TokenHash;
 use crate::clock::Millis;
 
+/// The largest capacity of a host, or demand of a task, that is taken from outside. It is far beyond any host, and sums and
+/// products of capacities and times within the bounds of this module fit their types.
+pub const CAPACITY_MAX: Capacity = Capacity {
+    cpu_milli: 1 << 24,
+    mem_mb: 1 << 30,
+    gpu: 1 << 16,
+};
+
+/// The largest total capacity of an account that is taken from outside. A larger one counts as this.
+pub const QUOTA_MAX: u64 = 1 << 40;
+
+/// The longest span of time that is taken from outside, 49 days. A longer one counts as this.
+pub const SPAN_MAX_MS: Millis = 1 << 32;
+
+/// The latest moment that is taken from outside, in the year 2527 of wall clocks. A later one counts as this.
+pub const MOMENT_MAX_MS: Millis = 1 << 44;
+
+/// The largest stretch factor of a queue, in thousandths. A larger one counts as this.
+pub const STRETCH_MAX_MILLI: u64 = 1_000_000;
+
+/// The longest id of a worker, which is the longest key of a row.
+const WORKER_ID_BYTES_MAX: usize = 200;
+
 /// The version of a row. The whole store has one counter, so versions of different rows can be compared.
 pub type Revision = u64;
 
@@ -415,6 +438,24 @@
     pub is_draining: bool,
 }
 
+impl WorkerInfo {
+    /// Returns why no worker can be used by this description, if there is a reason. Other programs write to the list, too.
+    pub fn fault(&self) -> Option<&'static str> {
+        let is_printable = |b: u8| b.is_ascii_graphic() || b == b' ';
+        let is_sendable = self.id.bytes().all(is_printable) && self.id.trim() == self.id;
+        if self.id.is_empty() || self.id.len() > WORKER_ID_BYTES_MAX || !is_sendable {
+            return Some("the id can't be sent in the header of an order");
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Some("the address names no host or no port");
+        }
+        if !CAPACITY_MAX.contains(self.capacity) {
+            return Some("the capacity is larger than that of any host");
+        }
+        None
+    }
+}
+
 /// A change in the list of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WorkerEvent {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -48,6 +48,7 @@
 mod test_load;
 mod test_model;
 mod test_moved_queues;
+mod test_odd_rows;
 mod test_offers;
 mod test_old_conflicts;
 mod test_overload;
