--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::port::fleet::{AdviceTerms, Capacity, FleetConfig};
+use crate::port::fleet::{AdviceTerms, Capacity, FleetConfig, CAPACITY_MAX, MOMENT_MAX_MS};
 
 /// A job as submitted. The job's row in the store holds this.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -82,7 +82,8 @@
     /// Returns the wall-clock time at which a round may begin.
     pub fn due_wall_ms(&self, round: u32) -> Millis {
         let after_ms = Millis::from(round).saturating_mul(self.interval_ms);
-        self.first_wall_ms.saturating_add(after_ms)
+        let due_ms = self.first_wall_ms.saturating_add(after_ms);
+        due_ms.min(MOMENT_MAX_MS)
     }
 }
 
@@ -178,7 +179,7 @@
     /// Returns its work in core-milliseconds without lasting steps, if each step takes the time in `step_ms`.
     pub fn work(&self, step_ms: &[Millis]) -> u64 {
         let ends = self.steps.iter().zip(step_ms).filter(|(s, _)| !s.lasting);
-        ends.map(|(s, ms)| u64::from(s.count) * s.demand().cpu_milli * ms / 1_000)
+        ends.map(|(s, ms)| work_core_ms(u64::from(s.count), s.demand().cpu_milli, *ms))
             .sum()
     }
 
@@ -217,6 +218,13 @@
         {
             return Some("too many tasks in one job");
         }
+        if self
+            .steps
+            .iter()
+            .any(|s| !CAPACITY_MAX.contains(s.charge()))
+        {
+            return Some("a task needs more than any host has");
+        }
         let forward = |(n, s): (usize, &StepSpec)| s.after.iter().any(|a| usize::from(*a) >= n);
         if self.steps.iter().enumerate().any(forward) {
             return Some("a step may only wait for earlier steps");
@@ -225,6 +233,16 @@
     }
 }
 
+/// Most work of one step, in core-milliseconds: that of 10,000 cores over a day. More counts as this, so that the work of
+/// all jobs of a pool can be added up.
+const STEP_WORK_MAX_CORE_MS: u64 = 1 << 40;
+
+/// Returns the work of tasks that each take some thousandths of a core for some time, in core-milliseconds.
+pub fn work_core_ms(tasks: u64, cpu_milli: u64, task_ms: Millis) -> u64 {
+    let work_milli = tasks.saturating_mul(cpu_milli).saturating_mul(task_ms);
+    (work_milli / 1_000).min(STEP_WORK_MAX_CORE_MS)
+}
+
 /// Most tasks in one job. Its progress takes about 20 bytes a task and must fit a row of 64 KB.
 pub const TASKS_MAX: usize = 2_000;
 
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -199,7 +199,7 @@
     if is_in_own_intake && pool_state.guest_ids.note(row) {
         return None;
     }
-    let spec: JobSpec = match rows::decode(row.value.as_deref().unwrap_or_default()) {
+    let spec: JobSpec = match decode_job(row) {
         Ok(spec) => spec,
         Err(e) => {
             let why = format!("cannot decode the intake row: {e}");
@@ -248,6 +248,15 @@
     Some(key)
 }
 
+/// Decodes a job's row, or returns why it can't be run. Another writer may have left it.
+fn decode_job(row: &StoredRow) -> Result<JobSpec, String> {
+    let spec: JobSpec = rows::decode(row.value.as_deref().unwrap_or_default())?;
+    match spec.fault() {
+        None => Ok(spec),
+        Some(why) => Err(why.to_string()),
+    }
+}
+
 /// Begins the rounds of a job that are due and have never begun, in their order, as far as the job's row has room for
 /// them. The others begin as earlier ones end.
 pub fn begin_new_rounds(pool_state: &mut PoolState, key: JobKey, ctx: &mut Ctx<'_>) {
--- a/src/core/sched/overload.rs
+++ b/src/core/sched/overload.rs
@@ -48,7 +48,10 @@
             Some(left_ms) => left_ms + task_ms,
             None => 0,
         };
-        let sum = self.now_cpu_milli * ms + self.free_cpu_milli * task_ms + more_milli * more_ms;
+        let product = |cpu_milli: u64, ms: Millis| cpu_milli.saturating_mul(ms);
+        let sum = product(self.now_cpu_milli, ms)
+            .saturating_add(product(self.free_cpu_milli, task_ms))
+            .saturating_add(product(more_milli, more_ms));
         sum / 1_000 * FILL_PERCENT / 100
     }
 }
--- a/src/core/sched/policy.rs
+++ b/src/core/sched/policy.rs
@@ -13,7 +13,7 @@
 use super::tasks::{Job, Round};
 use super::tickets;
 use crate::clock::{Millis, Now};
-use crate::port::fleet::FleetConfig;
+use crate::port::fleet::{FleetConfig, MOMENT_MAX_MS};
 
 /// Policy of a job whose queue is not configured and which was accepted by an entry of a version that wrote no policy.
 const FALLBACK: QueuePolicy = QueuePolicy {
@@ -53,7 +53,9 @@
         let advice_ms = tickets::expected_ms(job.policy.advice);
         let step_ms: Vec<Millis> = job.step_ms.iter().map(|ms| ms + advice_ms).collect();
         let chain_ms = job.spec.longest_chain_ms(&step_ms, |_| true);
-        let objective_ms = job.policy.target_ms + chain_ms * job.policy.stretch_milli / 1_000;
+        let stretched_ms = chain_ms.saturating_mul(job.policy.stretch_milli) / 1_000;
+        let objective_ms = job.policy.target_ms.saturating_add(stretched_ms);
+        let objective_ms = objective_ms.min(MOMENT_MAX_MS);
         let from_ms = match job.spec.schedule {
             Some(schedule) => {
                 let from_wall_ms = schedule.due_wall_ms(round);
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -476,15 +476,18 @@
     /// Returns the processor capacity that jobs keep busy on average if they continue to arrive at the recent rate, in
     /// thousandths of a core.
     pub fn arriving_cpu_milli(&self, now_ms: Millis) -> u64 {
-        self.recent_work(now_ms).sum::<u64>() * 1_000 / ARRIVALS_MS
+        let sum: u64 = self.recent_work(now_ms).sum();
+        sum.saturating_mul(1_000) / ARRIVALS_MS
     }
 
     /// Returns [`Self::arriving_cpu_milli`] less the standard deviation of the sum of the jobs' work, since that much
     /// may have arrived by chance. A single large job does not indicate a rate.
     pub fn min_arriving_cpu_milli(&self, now_ms: Millis) -> u64 {
         let sum: u64 = self.recent_work(now_ms).sum();
-        let squares: u64 = self.recent_work(now_ms).map(|work| work * work).sum();
-        sum.saturating_sub(squares.isqrt()) * 1_000 / ARRIVALS_MS
+        let squares: u128 = self.recent_work(now_ms).map(|w| u128::from(w).pow(2)).sum();
+        sum.saturating_sub(squares.isqrt() as u64)
+            .saturating_mul(1_000)
+            / ARRIVALS_MS
     }
 
     /// Returns the work of each job that arrived recently.
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use super::job::{JobSpec, JobState, QueuePolicy};
+use super::job::{work_core_ms, JobSpec, JobState, QueuePolicy};
 use super::keys::{AccountKey, RoundKey, TaskKey, WorkerKey};
 use super::limits::{SUSPECT_APART_MS, WORK_DELAY_MAX_MS, WORK_PER_MS};
 use super::overload::{Contender, Deferral};
@@ -207,9 +207,9 @@
         };
         let steps = self.spec.steps.iter().zip(&round.steps).zip(&self.step_ms);
         let work: u64 = steps
-            .map(|((spec, step), ms)| spec.cpu_milli * ms * step.tasks_left as u64)
+            .map(|((spec, step), ms)| work_core_ms(step.tasks_left as u64, spec.cpu_milli, *ms))
             .sum();
-        (work / 1_000 / WORK_PER_MS).min(WORK_DELAY_MAX_MS)
+        (work / WORK_PER_MS).min(WORK_DELAY_MAX_MS)
     }
 
     /// Returns a round as a contender for the pool's capacity.
@@ -220,7 +220,7 @@
             let is_unstarted = |t: &&Task| matches!(t.phase, Phase::Blocked | Phase::Ready);
             let unstarted = step.tasks.iter().filter(is_unstarted).count() as u64;
             let cpu_milli = self.spec.steps[n].demand().cpu_milli;
-            work += unstarted * cpu_milli * self.step_ms[n] / 1_000;
+            work += work_core_ms(unstarted, cpu_milli, self.step_ms[n]);
             task_ms = task_ms.max(self.step_ms[n]);
         }
         Contender {
--- a/tests/test_odd_rows.rs
+++ b/tests/test_odd_rows.rs
@@ -104,6 +104,54 @@
     assert_eq!(fleet.all_broken(), Vec::<String>::new());
 }
 
+/// Returns bodies of submissions with numbers that are far too large. Their jobs are refused, or never begin, or are small.
+fn odd_bodies() -> Vec<String> {
+    let with_step = |fields: &str| format!(r#"{{"spec":"work","steps":[{{{fields}}}]}}"#);
+    let mut bodies = Vec::new();
+    for value in ["1e300", "18446744073709551615", "9.3e18", "1e17", "1e9"] {
+        for field in ["estimate_ms", "gpu", "target_ms"] {
+            let fields = format!(r#""count":2,"cpu":500,"mem_mb":100,"{field}":{value}"#);
+            bodies.push(with_step(&fields));
+        }
+        for field in ["cpu", "mem_mb"] {
+            for more in ["", r#","gang":true"#, r#","estimate_ms":1e300"#] {
+                bodies.push(with_step(&format!(
+                    r#""count":2000,"{field}":{value}{more}"#
+                )));
+            }
+        }
+        let timed = r#""steps":[{"count":1,"cpu":100}],"repeat_count":4294967295"#;
+        bodies.push(format!(
+            r#"{{"spec":"work",{timed},"start_at_ms":{value},"interval_ms":1}}"#
+        ));
+        bodies.push(format!(
+            r#"{{"spec":"work",{timed},"interval_ms":{value}}}"#
+        ));
+    }
+    // The first rounds of this one are long past: its interval is 12 days.
+    bodies.retain(|body| !body.ends_with(r#""interval_ms":1e9}"#));
+    bodies.retain(|body| !body.contains(r#""start_at_ms":1e9,"#));
+    bodies
+}
+
+/// A job with numbers that are far too large ended the thread that owns its pool.
+#[test]
+fn odd_jobs() {
+    let fleet = Fleet::start(POOL, 4, 50).expect("the stand-in starts");
+    fleet.configure(1, POOL);
+    let one = start_entry(&fleet, "e1");
+    for (n, body) in odd_bodies().iter().enumerate() {
+        let path = format!("/q/{:016x}", 0x1_0000 + n);
+        let body: Value = serde_json::from_str(body).expect("JSON");
+        let status = call(one.callers, Method::Post, &path, &body).map(|a| a.status);
+        assert!(matches!(status, Some(200 | 400)), "{body}: {status:?}");
+    }
+    assert_serves(&one, 1..11);
+    let two = start_entry(&fleet, "e2");
+    drop(one);
+    assert_serves(&two, 11..21);
+}
+
 /// The id of a worker that can't be sent in a header made the call panic, or added a header of its own.
 #[test]
 fn odd_header_values() {
