One odd record in the list of hosts does not hide the others

What happens: a record of the hosts' interface that can't be decoded (a field of another type, a missing name, deep nesting) made the whole list unreadable. The entry that orders hosts then moved none and no wave went on, without a line in the log.

Change: records are decoded one by one. Those that fail are counted and logged when they change.

Ruled out for now: the same for the runs in a worker's report. A run that is left out there counts as not running and would be started again, so a report that can't be decoded stays no answer.

Evidence: odd_host_records and odd_host_not_gone; the decoding of the whole page failed on each of these records before (by the types; the tests use an interface that is new). No call more.

--- a/src/core/sched/hosts.rs
+++ b/src/core/sched/hosts.rs
@@ -17,8 +17,8 @@
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    FleetConfig, HostRecord, HostReply, HostState, Revision, RowTx, StoredRow, Table, TxOutcome,
-    Write,
+    FleetConfig, HostListing, HostRecord, HostReply, HostState, Revision, RowTx, StoredRow, Table,
+    TxOutcome, Write,
 };
 
 /// How often orders to hosts are reconciled.
@@ -543,8 +543,8 @@
 }
 
 /// Applies the list of hosts as it was read.
-pub fn apply_list(controller: &mut HostController, list: Vec<HostRecord>) {
-    controller.list.replace(list);
+pub fn apply_list(controller: &mut HostController, list: impl Into<HostListing>) {
+    controller.list.replace(list.into());
 }
 
 /// Sends orders without an answer again, and drops those that are done or can't be carried out any more.
--- a/src/core/sched/listing.rs
+++ b/src/core/sched/listing.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use crate::clock::Millis;
-use crate::port::fleet::HostRecord;
+use crate::port::fleet::{HostListing, HostRecord};
 
 /// Index of a host in [`HostList`], valid until the next reading.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostList {
     records: Vec<HostRecord>,
+    /// Whether some records could not be decoded.
+    has_unreadable: bool,
     by_name: HashMap<String, HostKey>,
     pending_asked_ms: Millis,
     asked_ms: Millis,
@@ -36,7 +38,9 @@
     }
 
     /// Replaces the records by those of the requested reading.
-    pub fn replace(&mut self, records: Vec<HostRecord>) {
+    pub fn replace(&mut self, listing: HostListing) {
+        let records = listing.hosts;
+        self.has_unreadable = !listing.unreadable.is_empty();
         let names = records.iter().enumerate();
         self.by_name = names
             .map(|(n, record)| (record.host.clone(), HostKey(n)))
@@ -50,9 +54,9 @@
         self.asked_ms
     }
 
-    /// Returns whether the list names no host.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+    /// Returns whether a host is known not to exist: the list names hosts, and each record could be decoded.
+    pub fn is_missing(&self, host: &str) -> bool {
+        !self.records.is_empty() && !self.has_unreadable && self.get(host).is_none()
     }
 
     /// Returns the record of a host.
--- a/src/core/sched/state.rs
+++ b/src/core/sched/state.rs
@@ -23,7 +23,7 @@
 use crate::clock::{Millis, Now};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    AdviceAnswer, AdviceError, FleetConfig, HostRecord, HostReply, OperatorEvent, OrderReply,
+    AdviceAnswer, AdviceError, FleetConfig, HostListing, HostReply, OperatorEvent, OrderReply,
     OrderTarget, RenewalReport, RenewalRequest, Revision, RowTx, RunStart, StoredRow, TaskName,
     TxOutcome, WaveOrder, WaveState, WorkerEvent, WorkerInfo, ABSENT,
 };
@@ -328,7 +328,7 @@
     /// An order to a host was answered: pool, epoch, host, number of the order, reply.
     HostOrdered(PoolKey, u64, String, OrderNumber, HostReply),
     /// The list of hosts was read: pool, epoch, records.
-    HostsRead(PoolKey, u64, Vec<HostRecord>),
+    HostsRead(PoolKey, u64, HostListing),
     /// The slots of standbys were read: their changed rows, and whether no reading has failed since the last one.
     Standbys {
         /// The rows that have changed since the last reading.
--- a/src/core/sched/wave.rs
+++ b/src/core/sched/wave.rs
@@ -19,7 +19,8 @@
 use crate::clock::Millis;
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    Guard, HostRecord, HostState, Revision, RowTx, StoredRow, Table, TxOutcome, WaveState, Write,
+    Guard, HostListing, HostRecord, HostState, Revision, RowTx, StoredRow, Table, TxOutcome,
+    WaveState, Write,
 };
 
 /// How often waves are reconciled.
@@ -177,9 +178,8 @@
     // A list that is older than the wave lacks hosts that were added since.
     let is_newer = controller.hosts.asked_ms() > wave.seen_ms;
     let is_gone = |host: &&str| {
-        let is_listed =
-            !is_newer || controller.hosts.is_empty() || controller.hosts.get(host).is_some();
-        !is_listed && !wave.row.out.contains_key(*host)
+        let is_missing = is_newer && controller.hosts.is_missing(host);
+        is_missing && !wave.row.out.contains_key(*host)
     };
     due.iter().all(is_gone)
 }
@@ -584,8 +584,8 @@
 }
 
 /// Applies the list of hosts as it was read.
-pub fn apply_list(controller: &mut WaveController, hosts: Vec<HostRecord>) {
-    controller.hosts.replace(hosts);
+pub fn apply_list(controller: &mut WaveController, hosts: impl Into<HostListing>) {
+    controller.hosts.replace(hosts.into());
 }
 
 /// Begins the turns of as many hosts as the wave needs to be done in time.
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -759,6 +759,24 @@
     pub worker: String,
 }
 
+/// The list of all hosts as it was read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostListing {
+    /// The hosts whose records can be decoded.
+    pub hosts: Vec<HostRecord>,
+    /// Why each of the other records can't be decoded. Each of them may be that of any host that is not in `hosts`.
+    pub unreadable: Vec<String>,
+}
+
+impl From<Vec<HostRecord>> for HostListing {
+    fn from(hosts: Vec<HostRecord>) -> Self {
+        Self {
+            hosts,
+            unreadable: Vec::new(),
+        }
+    }
+}
+
 /// The state of a wave, as the operator reads it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaveState {
@@ -798,7 +816,7 @@
 /// Sends orders to hosts and lists them.
 pub trait HostMoves {
     /// Reads the list of all hosts.
-    fn list_hosts(&self) -> impl Future<Output = Result<Vec<HostRecord>, ReadError>>;
+    fn list_hosts(&self) -> impl Future<Output = Result<HostListing, ReadError>>;
     /// Takes a host out of service for its maintenance in a wave.
     fn start_maintenance(
         &self,
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -3,6 +3,7 @@
 //! It owns the scheduler's in-memory state and is the only thread that changes it. `serve::run` starts it; the feeds
 //! and the answers of the platform reach it as events through one channel.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,8 +29,8 @@
 use crate::core::sched::{reduce, rows};
 use crate::event::{Code, Decision, Subject};
 use crate::port::fleet::{
-    AdviceService, Directory, HostAuthority, HostMoves, HostReply, OrderReply, Range, ReadError,
-    Rows, StoredRow, Table, TxOutcome, WaveStatus, WorkerOrders,
+    AdviceService, Directory, HostAuthority, HostListing, HostMoves, HostReply, OrderReply, Range,
+    ReadError, Rows, StoredRow, Table, TxOutcome, WaveStatus, WorkerOrders,
 };
 
 /// The longest sleep of the event loop while nothing is due.
@@ -46,6 +47,8 @@
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
     owned: Rc<OwnedPools>,
+    /// Why records of hosts could not be decoded when the list was last read.
+    unreadable_hosts: Rc<RefCell<Vec<String>>>,
 }
 
 /// Runs the control thread; returns only when the process ends.
@@ -61,6 +64,7 @@
         executor: Rc::clone(&executor),
         events: events.clone(),
         owned: Rc::new(OwnedPools::default()),
+        unreadable_hosts: Rc::default(),
     };
     let operator = feeds::follow_operator(platform.clone(), Arc::clone(shared), events.clone());
     executor.spawn(operator).detach();
@@ -218,6 +222,7 @@
         let platform = self.platform.clone();
         let shared = Arc::clone(&self.shared);
         let owned = Rc::clone(&self.owned);
+        let unreadable_hosts = Rc::clone(&self.unreadable_hosts);
         let sent_ms = self.shared.clock.now_ms();
         match effect {
             Effect::Claim(pool, shard, tx) => self.spawn(async move {
@@ -238,8 +243,9 @@
             }),
             Effect::ReadHosts(pool, epoch) => self.spawn(async move {
                 // If the read fails, the next reconciliation of the wave asks again.
-                let hosts = platform.list_hosts().await.ok()?;
-                Some(Event::HostsRead(pool, epoch, hosts))
+                let listing = platform.list_hosts().await.ok()?;
+                log_unreadable_hosts(&shared, &unreadable_hosts, &listing);
+                Some(Event::HostsRead(pool, epoch, listing))
             }),
             Effect::Load(pool, epoch, name) => self.spawn(async move {
                 let rows = Reading::new(&platform, &shared, owned, &name).load().await;
@@ -399,6 +405,20 @@
     }
 }
 
+/// Logs the records of hosts that can't be decoded, if they are others than at the last reading.
+fn log_unreadable_hosts(shared: &Shared, known: &RefCell<Vec<String>>, listing: &HostListing) {
+    if *known.borrow() == listing.unreadable {
+        return;
+    }
+    if let Some(why) = listing.unreadable.first() {
+        let why = format!("records in the list of hosts cannot be decoded, the first: {why}");
+        let name = &shared.settings.name;
+        let decision = Decision::new(Code::BadRow, Subject::Host, name, why);
+        shared.log_decision(decision.with("records", listing.unreadable.len() as u64));
+    }
+    known.replace(listing.unreadable.clone());
+}
+
 /// Whether the owner's lease, on which an order is sent, is still valid.
 fn may_send(shared: &Shared, order: &Order) -> bool {
     shared.clock.now_ms() < order.until_ms
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -156,6 +156,8 @@
     unavailable_parts: BTreeSet<String>,
     /// Partitions that apply writes late without an answer, and how late.
     late_parts: BTreeMap<String, u64>,
+    /// Records in the list of hosts beside the real ones, as they are sent.
+    odd_hosts: Vec<String>,
     /// Number of late writes that are still to be applied.
     late_writes: u64,
     is_operator_unavailable: bool,
@@ -341,6 +343,11 @@
         self.lock().late_parts = late_parts.collect();
     }
 
+    /// Adds records to the list of hosts, which are sent as they are.
+    pub fn set_odd_hosts(&self, records: &[String]) {
+        self.lock().odd_hosts = records.to_vec();
+    }
+
     /// Returns the number of late writes that are still to be applied.
     pub fn late_writes(&self) -> u64 {
         self.lock().late_writes
--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -232,8 +232,10 @@
                 let id = h.instance.clone().unwrap_or_default();
                 json!({"machine": h.name, "pool": h.pool, "state": name, "id": id})
             };
-            let hosts: Vec<Value> = state.hosts.iter().map(of).collect();
-            return json(200, &json!({"machines": hosts, "next_token": null}));
+            let hosts = state.hosts.iter().map(|h| of(h).to_string());
+            let hosts: Vec<String> = hosts.chain(state.odd_hosts.iter().cloned()).collect();
+            let body = format!(r#"{{"machines":[{}],"next_token":null}}"#, hosts.join(","));
+            return answer(200, "application/json", body.into_bytes());
         }
         let body: Value = serde_json::from_slice(&incoming.body).unwrap_or_default();
         let holder = incoming.header("Rockwick-Duty-Holder").unwrap_or("");
--- a/tests/test_hosts.rs
+++ b/tests/test_hosts.rs
@@ -336,7 +336,7 @@
         state: HostState::Up,
         worker: String::new(),
     });
-    hosts::apply_list(&mut owner.controller, list.collect());
+    hosts::apply_list(&mut owner.controller, list.collect::<Vec<_>>());
     owner.reconcile_hosts();
     owner.apply_recorded_orders();
     owner.apply_take_answer(true);
--- a/tests/test_odd_rows.rs
+++ b/tests/test_odd_rows.rs
@@ -2,8 +2,12 @@
 //! a line in the log or refused, and everything else goes on. Real entries run against the stand-in of the platform.
 
 use http_types::Method;
+use rockwick::core::sched::listing::HostList;
 use rockwick::platform::Platform;
-use rockwick::port::fleet::{OrderReply, OrderTarget, RenewalRequest, WorkerOrders};
+use rockwick::port::fleet::{
+    HostListing, HostMoves, HostRecord, HostState, OrderReply, OrderTarget, RenewalRequest,
+    WorkerOrders,
+};
 use serde_json::{json, Value};
 use standin::fleet::Fleet;
 
@@ -152,6 +156,54 @@
     assert_serves(&two, 11..21);
 }
 
+/// Returns records of hosts that can't be decoded.
+fn odd_hosts() -> Vec<String> {
+    let nested = String::from_utf8(nested(50_000)).expect("ASCII");
+    vec![
+        "7".to_string(),
+        "[]".to_string(),
+        "{}".to_string(),
+        r#"{"machine":7,"pool":"pool","state":"up"}"#.to_string(),
+        r#"{"machine":"m-9","pool":"pool","labels":"a"}"#.to_string(),
+        format!(r#"{{"machine":"m-9","pool":"pool","state":{nested}}}"#),
+    ]
+}
+
+/// One odd record hid all others in the list of hosts: no host was moved or maintained any more.
+#[test]
+fn odd_host_records() {
+    let fleet = Fleet::start(POOL, 2, 50).expect("the stand-in starts");
+    let platform = Platform::new(fleet.address, Some(fleet.address));
+    let odd = odd_hosts();
+    fleet.set_odd_hosts(&odd);
+    let listing = smol::block_on(platform.list_hosts()).expect("read");
+    let names: Vec<&str> = listing.hosts.iter().map(|h| h.host.as_str()).collect();
+    assert_eq!(names, ["m-0", "m-1"]);
+    assert_eq!(listing.unreadable.len(), odd.len());
+}
+
+/// A host that the list lacks is taken for gone, and its wave for completed, unless some records can't be decoded.
+#[test]
+fn odd_host_not_gone() {
+    let record = |host: &str| HostRecord {
+        host: host.to_string(),
+        pool: POOL.to_string(),
+        hall: String::new(),
+        rack: String::new(),
+        state: HostState::Up,
+        worker: String::new(),
+    };
+    let mut list = HostList::default();
+    assert!(!list.is_missing("m-0"));
+    list.replace(vec![record("m-1")].into());
+    assert!(list.is_missing("m-0") && !list.is_missing("m-1"));
+    list.replace(HostListing {
+        hosts: vec![record("m-1")],
+        unreadable: vec!["no machine".to_string()],
+    });
+    assert!(!list.is_missing("m-0"));
+}
+
 /// The id of a worker that can't be sent in a header made the call panic, or added a header of its own.
 #[test]
 fn odd_header_values() {
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -351,7 +351,7 @@
 fn platform_hosts() {
     let (fleet, platform) = start_fleet();
     smol::block_on(async {
-        let hosts = platform.list_hosts().await.expect("read");
+        let hosts = platform.list_hosts().await.expect("read").hosts;
         assert_eq!(hosts.len(), 2);
         assert_eq!(hosts[0].state, HostState::Up);
         let authority = HostAuthority {
--- a/tests/test_waves.rs
+++ b/tests/test_waves.rs
@@ -248,7 +248,7 @@
         state: HostState::Up,
         worker: String::new(),
     });
-    wave::apply_list(&mut scenario.controller, off.collect());
+    wave::apply_list(&mut scenario.controller, off.collect::<Vec<_>>());
     let wave = scenario.waves.get_mut(&1).expect("the wave is known");
     wave.order.duration_ms = 60_000;
     wave.order.out_max = 8;
--- a/tests/world/effects.rs
+++ b/tests/world/effects.rs
@@ -54,7 +54,7 @@
             }
             Effect::ReadHosts(pool, epoch) => {
                 let hosts = self.hosts();
-                self.schedule_reply(n, 5, Event::HostsRead(pool, epoch, hosts));
+                self.schedule_reply(n, 5, Event::HostsRead(pool, epoch, hosts.into()));
             }
             Effect::Start(order, task, start) => {
                 let run = start.run;
