A panic no longer ends a feed, a call that the reducer waits for, or the control thread

A panic in the task of a call was swallowed with its answer: the worker was not asked again. One in a feed's task would have ended the feed unseen. No such case is known now; this bounds what the next one does.

Change: guard.rs. A call that panics counts as one without an answer (a transaction as unknown, an order as silent, a reading as failed). A feed starts again from its beginning, which reads the whole table. The control thread starts again with an empty state and a new nonce, as a new process of the entry would, so its pools are claimed anew by their leases; not while the process stops. Each is logged (108, fault) and counted; pauses grow from 250 ms to 8 s. The tasks of a control thread that panicked are not freed.

Ruled out: ending the process, since an input that brings a fault to light again and again would end all entries in turn.

Evidence: guard_call, guard_feed, guard_thread (the module is new; they were not seen failing before). The whole path in a real process is not tested: there is no input left that is known to panic.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod error;
 pub mod event;
+pub mod guard;
 pub mod http;
 pub mod log;
 pub mod metrics;
--- a/src/serve/control.rs
+++ b/src/serve/control.rs
@@ -28,9 +28,10 @@
 use crate::core::sched::tickets::AdviceRequest;
 use crate::core::sched::{reduce, rows};
 use crate::event::{Code, Decision, Subject};
+use crate::guard::{or_after_panic, restart_after_panic};
 use crate::port::fleet::{
-    AdviceService, Directory, HostAuthority, HostListing, HostMoves, HostReply, OrderReply, Range,
-    ReadError, Rows, StoredRow, Table, TxOutcome, WaveStatus, WorkerOrders,
+    AdviceError, AdviceService, Directory, HostAuthority, HostListing, HostMoves, HostReply,
+    OrderReply, Range, ReadError, Rows, StoredRow, Table, TxOutcome, WaveStatus, WorkerOrders,
 };
 
 /// The longest sleep of the event loop while nothing is due.
@@ -51,7 +52,8 @@
     unreadable_hosts: Rc<RefCell<Vec<String>>>,
 }
 
-/// Runs the control thread; returns only when the process ends.
+/// Runs the control thread from its beginning; does not return. After a panic, another run is to its predecessor's pools as
+/// a new process of this entry.
 pub(super) fn run<P>(platform: P, shared: &Arc<Shared>, stop_receiver: Receiver<()>)
 where
     P: Rows + Directory + WorkerOrders + AdviceService + HostMoves + WaveStatus + Clone + 'static,
@@ -66,32 +68,7 @@
         owned: Rc::new(OwnedPools::default()),
         unreadable_hosts: Rc::default(),
     };
-    let operator = feeds::follow_operator(platform.clone(), Arc::clone(shared), events.clone());
-    executor.spawn(operator).detach();
-    let workers = feeds::follow_workers(
-        platform.clone(),
-        Arc::clone(shared),
-        Rc::clone(&runner.owned),
-        events.clone(),
-    );
-    executor.spawn(workers).detach();
-    let owners = feeds::follow_owners(platform.clone(), Rc::clone(&runner.owned), events.clone());
-    executor.spawn(owners).detach();
-    let standbys =
-        feeds::follow_standbys(platform.clone(), Rc::clone(&runner.owned), events.clone());
-    executor.spawn(standbys).detach();
-    let waves = feeds::follow_waves(platform.clone(), Rc::clone(&runner.owned), events.clone());
-    executor.spawn(waves).detach();
-    let guests = GuestIntake::new(
-        platform.clone(),
-        Arc::clone(shared),
-        Rc::clone(&executor),
-        Rc::clone(&runner.owned),
-        events.clone(),
-    );
-    let owned = Rc::clone(&runner.owned);
-    let intake = feeds::follow_intake(platform, Arc::clone(shared), owned, guests);
-    executor.spawn(intake).detach();
+    spawn_feeds(&runner);
     let stop_on_signal = async move {
         if stop_receiver.recv().await.is_ok() {
             let _ = events.send(Event::Stop).await;
@@ -101,6 +78,64 @@
     smol::block_on(executor.run(run_event_loop(&runner, inbox)));
 }
 
+/// Starts the tasks that follow the store's tables.
+fn spawn_feeds<P>(runner: &EffectRunner<P>)
+where
+    P: Rows + Directory + Clone + 'static,
+{
+    let EffectRunner {
+        platform,
+        shared,
+        executor,
+        events,
+        owned,
+        ..
+    } = runner;
+    let parts = || {
+        let platform = platform.clone();
+        (
+            platform,
+            Arc::clone(shared),
+            Rc::clone(owned),
+            events.clone(),
+        )
+    };
+    let (platform, shared, _, events) = parts();
+    runner.spawn_feed("the operator's feed", move || {
+        feeds::follow_operator(platform.clone(), Arc::clone(&shared), events.clone())
+    });
+    let (platform, shared, owned, events) = parts();
+    runner.spawn_feed("the workers' feed", move || {
+        let shared = Arc::clone(&shared);
+        feeds::follow_workers(platform.clone(), shared, Rc::clone(&owned), events.clone())
+    });
+    let (platform, _, owned, events) = parts();
+    runner.spawn_feed("the owners' feed", move || {
+        feeds::follow_owners(platform.clone(), Rc::clone(&owned), events.clone())
+    });
+    let (platform, _, owned, events) = parts();
+    runner.spawn_feed("the standbys' feed", move || {
+        feeds::follow_standbys(platform.clone(), Rc::clone(&owned), events.clone())
+    });
+    let (platform, _, owned, events) = parts();
+    runner.spawn_feed("the waves' feed", move || {
+        feeds::follow_waves(platform.clone(), Rc::clone(&owned), events.clone())
+    });
+    let (platform, shared, owned, events) = parts();
+    let executor = Rc::clone(executor);
+    let guests = GuestIntake::new(
+        platform.clone(),
+        Arc::clone(&shared),
+        executor,
+        Rc::clone(&owned),
+        events,
+    );
+    runner.spawn_feed("the intake's feed", move || {
+        let owned = Rc::clone(&owned);
+        feeds::follow_intake(platform.clone(), Arc::clone(&shared), owned, guests.clone())
+    });
+}
+
 async fn run_event_loop<P>(runner: &EffectRunner<P>, inbox: Receiver<Event>)
 where
     P: Rows + Directory + WorkerOrders + AdviceService + HostMoves + WaveStatus + Clone + 'static,
@@ -243,12 +278,23 @@
             }),
             Effect::ReadHosts(pool, epoch) => self.spawn(async move {
                 // If the read fails, the next reconciliation of the wave asks again.
-                let listing = platform.list_hosts().await.ok()?;
+                let call = platform.list_hosts();
+                let unknown = Err(ReadError::Down);
+                let listing = or_after_panic(unknown, call, |why| {
+                    shared.log_panic("the list of hosts", why)
+                })
+                .await;
+                let listing = listing.ok()?;
                 log_unreadable_hosts(&shared, &unreadable_hosts, &listing);
                 Some(Event::HostsRead(pool, epoch, listing))
             }),
             Effect::Load(pool, epoch, name) => self.spawn(async move {
-                let rows = Reading::new(&platform, &shared, owned, &name).load().await;
+                let call = Reading::new(&platform, &shared, owned, &name).load();
+                let unknown = Err(ReadError::Down);
+                let rows = or_after_panic(unknown, call, |why| {
+                    shared.log_panic("a reading of a pool", why)
+                })
+                .await;
                 Some(Event::Loaded(pool, epoch, rows.ok()))
             }),
             Effect::Record(pool, pool_state, shard, tx) => self.spawn(async move {
@@ -258,7 +304,11 @@
             Effect::Start(order, task, start) => {
                 self.spawn(async move {
                     let reply = if may_send(&shared, &order) {
-                        platform.start(&order.to, &start, ORDER_TIMEOUT_MS).await
+                        let call = platform.start(&order.to, &start, ORDER_TIMEOUT_MS);
+                        or_after_panic(OrderReply::Silent, call, |why| {
+                            shared.log_panic("a start", why)
+                        })
+                        .await
                     } else {
                         OrderReply::Silent
                     };
@@ -274,7 +324,11 @@
             Effect::Stop(order, task, name, run) => {
                 self.spawn(async move {
                     let reply = if may_send(&shared, &order) {
-                        platform.stop(&order.to, &name, run, ORDER_TIMEOUT_MS).await
+                        let call = platform.stop(&order.to, &name, run, ORDER_TIMEOUT_MS);
+                        or_after_panic(OrderReply::Silent, call, |why| {
+                            shared.log_panic("a stop", why)
+                        })
+                        .await
                     } else {
                         OrderReply::Silent
                     };
@@ -299,10 +353,11 @@
             Effect::Pace(order, task, name, run, percent) => {
                 self.spawn(async move {
                     let reply = if may_send(&shared, &order) {
-                        let timeout_ms = ORDER_TIMEOUT_MS;
-                        platform
-                            .pace(&order.to, &name, run, percent, timeout_ms)
-                            .await
+                        let call = platform.pace(&order.to, &name, run, percent, ORDER_TIMEOUT_MS);
+                        or_after_panic(OrderReply::Silent, call, |why| {
+                            shared.log_panic("an order on pace", why)
+                        })
+                        .await
                     } else {
                         OrderReply::TooLate
                     };
@@ -314,7 +369,11 @@
                 self.spawn(async move {
                     let result = if may_send(&shared, &order) {
                         let timeout_ms = request.wait_ms + RENEWAL_SLACK_MS;
-                        platform.renew_lease(&order.to, request, timeout_ms).await
+                        let call = platform.renew_lease(&order.to, request, timeout_ms);
+                        or_after_panic(Err(OrderReply::Silent), call, |why| {
+                            shared.log_panic("a renewal", why)
+                        })
+                        .await
                     } else {
                         Err(OrderReply::Silent)
                     };
@@ -332,7 +391,12 @@
                     worker_ids,
                     timeout_ms,
                 } = request;
-                let result = platform.advise(&name, &worker_ids, timeout_ms).await;
+                let call = platform.advise(&name, &worker_ids, timeout_ms);
+                let unknown = Err(AdviceError::Down);
+                let result = or_after_panic(unknown, call, |why| {
+                    shared.log_panic("a call for advice", why)
+                })
+                .await;
                 Some(Event::Advised(
                     pool, pool_state, step, workers, sent_ms, result,
                 ))
@@ -363,7 +427,13 @@
             }),
             Effect::ReadQuota(pool, epoch, account) => self.spawn(async move {
                 // If the read fails, the next reconciliation asks again.
-                let row = read_quota(&platform, &account).await.ok()?;
+                let call = read_quota(&platform, &account);
+                let unknown = Err(ReadError::Down);
+                let row = or_after_panic(unknown, call, |why| {
+                    shared.log_panic("a reading of a quota", why)
+                })
+                .await;
+                let row = row.ok()?;
                 Some(Event::QuotaRead(pool, epoch, account, row))
             }),
             Effect::RecordHostOrders(pool, epoch, tx) => self.spawn(async move {
@@ -381,7 +451,11 @@
                         fence: epoch,
                     };
                     let reply = if shared.clock.now_ms() < until_ms {
-                        send_host_order(&platform, &authority, &host, &task).await
+                        let call = send_host_order(&platform, &authority, &host, &task);
+                        or_after_panic(HostReply::Silent, call, |why| {
+                            shared.log_panic("an order to a host", why)
+                        })
+                        .await
                     } else {
                         HostReply::TooMany
                     };
@@ -405,6 +479,21 @@
     }
 }
 
+impl<P> EffectRunner<P> {
+    /// Runs a feed, and starts it again if it panics: nobody else would bring its changes.
+    fn spawn_feed<F: Future<Output = ()> + 'static>(
+        &self,
+        name: &'static str,
+        start: impl Fn() -> F + 'static,
+    ) {
+        let shared = Arc::clone(&self.shared);
+        let feed = async move {
+            restart_after_panic(start, |why| shared.log_panic(name, why)).await;
+        };
+        self.executor.spawn(feed).detach();
+    }
+}
+
 /// Logs the records of hosts that can't be decoded, if they are others than at the last reading.
 fn log_unreadable_hosts(shared: &Shared, known: &RefCell<Vec<String>>, listing: &HostListing) {
     if *known.borrow() == listing.unreadable {
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::error::{Error, Result};
 use crate::event::{Code, Decision, Subject};
+use crate::guard::restart_thread_after_panic;
 use crate::log::Log;
 use crate::metrics::CallUse;
 use crate::platform::Platform;
@@ -65,7 +66,12 @@
     let control = Arc::clone(&shared);
     std::thread::Builder::new()
         .name("control".to_string())
-        .spawn(move || control::run(new_platform(&control), &control, stop_receiver))
+        .spawn(move || {
+            let run = || control::run(new_platform(&control), &control, stop_receiver.clone());
+            let may_restart = || control.stopping_for_ms().is_none();
+            let report = |why: &str| control.log_panic("the control thread", why);
+            restart_thread_after_panic(run, may_restart, report);
+        })
         .map_err(|e| Error::Io("control thread".to_string(), e))?;
     smol::block_on(wait_until_stopped(&shared, stop_sender))?;
     shared.log.close();
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -17,7 +17,9 @@
 use crate::core::sched::homes::{JobStorage, KnownQueues};
 use crate::core::sched::limits::{INTAKE_TIMEOUT_MS, TX_TIMEOUT_MAX_MS, TX_TIMEOUT_MS};
 use crate::core::sched::routing::Routing;
-use crate::event::Decision;
+use crate::error::Kind;
+use crate::event::{Code, Decision, Subject};
+use crate::guard::or_after_panic;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::port::fleet::{FleetConfig, QueueRoute, RowTx, Rows, TxOutcome};
@@ -175,7 +177,9 @@
     ) -> TxOutcome {
         let timeout_ms = self.store_timeout.current_ms().min(timeout_max_ms);
         let began_ms = self.clock.now_ms();
-        let outcome = platform.transact(tx, timeout_ms).await;
+        let call = platform.transact(tx, timeout_ms);
+        let report = |why: &str| self.log_panic("a transaction", why);
+        let outcome = or_after_panic(TxOutcome::Unknown, call, report).await;
         let took_ms = self.clock.now_ms() - began_ms;
         match outcome {
             TxOutcome::Unknown if took_ms >= timeout_ms => {
@@ -198,6 +202,14 @@
         self.log.record(decision);
     }
 
+    /// Logs and counts that something panicked: a fault of this program.
+    pub(super) fn log_panic(&self, what: &str, message: &str) {
+        let why = format!("{what} panicked: {message}");
+        let name = &self.settings.name;
+        self.log_decision(Decision::new(Code::Fault, Subject::Entry, name, why));
+        self.metrics.count_failure(Kind::Internal);
+    }
+
     /// Returns how long ago the process received the signal to stop, or nothing before that.
     pub(super) fn stopping_for_ms(&self) -> Option<Millis> {
         let at_ms = self.stopping_at_ms.load(Ordering::SeqCst);
