Check that odd numbers and texts in rows and jobs overflow nothing

60 seeded pools with odd entries of workers, as the adapter decodes them, and odd jobs, beside good ones, with overflow checks. Orders go only to ids that a header can carry, and the good jobs are done.

--- a/tests/test_foreign.rs
+++ b/tests/test_foreign.rs
@@ -5,11 +5,11 @@
 use rockwick::core::sched::job::JobState;
 use rockwick::core::sched::state::Event;
 use rockwick::platform::Platform;
-use rockwick::port::fleet::{Directory, OperatorEvent, WorkerEvent};
+use rockwick::port::fleet::{Directory, OperatorEvent, WorkerEvent, SPAN_MAX_MS};
 use serde_json::{json, Value};
 use standin::fleet::Fleet;
 
-use crate::world::{job, World};
+use crate::world::{job, World, POOL};
 
 /// Time within which an entry has claimed the pool.
 const SETTLE_MS: u64 = 8_000;
@@ -226,3 +226,83 @@
     };
     assert_eq!(simulate(true), simulate(false));
 }
+
+/// Returns a number as other writers may leave it: small, at a bound, or far too large.
+fn odd_number(rng: &mut Rng) -> Value {
+    const BOUNDS: [u64; 8] = [0, 1, 1 << 16, 1 << 24, 1 << 30, 1 << 32, 1 << 44, 1 << 63];
+    let bound = BOUNDS[rng.usize(0..BOUNDS.len())];
+    match rng.u32(0..6) {
+        0 => json!(rng.u64(..)),
+        1 => json!(u64::MAX),
+        2 => json!(bound as f64 * 1.5),
+        3 => json!(bound.saturating_add(1)),
+        _ => json!(bound),
+    }
+}
+
+fn odd_text(rng: &mut Rng) -> String {
+    let pieces = [
+        "", "pool", "a", "\u{e9}", "\r\n", "\u{0}", "r1", " ", "/", "x: 1",
+    ];
+    let count = rng.usize(0..4);
+    (0..count)
+        .map(|_| pieces[rng.usize(0..pieces.len())])
+        .collect()
+}
+
+/// Entries with odd numbers and texts, and jobs with odd numbers, in a pool with good ones: nothing overflows, orders go
+/// only to ids that a header can carry, and the good jobs are done.
+#[test]
+fn foreign_extremes() {
+    let fleet = Fleet::start("pool", 1, 50).expect("the fleet starts");
+    let platform = Platform::new(fleet.address, Some(fleet.address));
+    for seed in 0..60 {
+        let mut rng = Rng::with_seed(seed);
+        for n in 0..8 {
+            let mut row = entry();
+            row["service"] = json!(POOL);
+            row["capacity"] = json!({"cpu": odd_number(&mut rng), "mem_mb": odd_number(&mut rng),
+                "gpu": odd_number(&mut rng)});
+            row["born"] = odd_number(&mut rng);
+            row["machine"] = json!(odd_text(&mut rng));
+            row["zone"] = json!(odd_text(&mut rng));
+            row["labels"] = json!([odd_text(&mut rng), odd_text(&mut rng)]);
+            let id = format!("x-{n}-{}", odd_text(&mut rng));
+            fleet.put("servers", "", &id, &row);
+        }
+        let events = smol::block_on(platform.read_workers())
+            .expect("read")
+            .changes;
+        let mut world = World::new(seed, 2, 2);
+        world.run(SETTLE_MS);
+        let mut present = 0;
+        for event in events {
+            if let WorkerEvent::Present(info) = &event {
+                assert!(
+                    info.id.bytes().all(|b| (b' '..=b'~').contains(&b)),
+                    "{info:?}"
+                );
+                present += u32::from(info.id.starts_with("x-"));
+            }
+            (0..2).for_each(|n| world.deliver_event(n, Event::Worker(event.clone())));
+        }
+        for n in 0..8 {
+            let number = |rng: &mut Rng| odd_number(rng).as_f64().unwrap_or(0.0) as u64;
+            // The simulated workers take as long as estimated, in their own sums.
+            let estimate_ms = number(&mut rng).min(SPAN_MAX_MS);
+            let mut odd = job(rng.u16(1..40), number(&mut rng), estimate_ms);
+            odd.steps[0].mem_mb = number(&mut rng);
+            odd.steps[0].gang = rng.bool();
+            if odd.fault().is_none() {
+                world.submit(&format!("odd-{n}"), odd);
+            }
+        }
+        world.submit("good", job(2, 1_000, 300));
+        world.run(SETTLE_MS);
+        assert_eq!(
+            world.recorded_state("good"),
+            JobState::Completed,
+            "seed {seed}, {present} odd"
+        );
+    }
+}
