Hosts of late work serve again if nobody takes them (LOST)

What callers saw: while another pool lacked a host, for instance since a worker of it was cut off or had a pause, a pool full of late work closed nearly all of its hosts.

Cause: late work counted for nothing as long as any pool lacked any number of hosts, whether or not hosts given up went anywhere.

Counting a paused worker as no lack would leave those that were cut off.

Change: giving.rs. A pool gives up the hosts of its late work for 1.5 s after the last sign that others get any: the number that they lack changes, or one of its own is taken. Then late work counts again until there is another such sign.

No store call more.

--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -19,6 +19,7 @@
 mod fragmentation;
 pub mod free_index;
 pub mod gang;
+pub mod giving;
 mod halls;
 mod handover;
 pub mod homes;
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -34,7 +34,7 @@
 use super::remove;
 use super::renewal;
 use super::rows::{
-    cancelled_job, is_job_key, pool_of_part, shard_of_part, HEARTBEAT_KEY, OWNER_KEY,
+    cancelled_job, is_job_key, pool_of_part, shard_of_part, HeartbeatRow, HEARTBEAT_KEY, OWNER_KEY,
 };
 use super::run_log;
 use super::runs;
@@ -678,23 +678,27 @@
     }
 }
 
-/// Returns whether another pool lacks hosts for its work.
-fn another_pool_lacks_hosts(state: &State, key: PoolKey, now_ms: Millis) -> bool {
+/// Returns how many hosts the other pools lack for their work.
+fn lacked_elsewhere(state: &State, key: PoolKey, now_ms: Millis) -> u64 {
     let others = state
         .pools
         .iter()
         .enumerate()
         .filter(|(n, _)| *n != usize::from(key.0));
-    let mut leases = others.map(|(_, pool)| &pool.lease);
-    leases.any(|lease| {
-        let is_recent = now_ms < lease.heartbeat_seen_ms + hosts::NEED_KEPT_MS;
-        is_recent && lease.heartbeat.needed > lease.heartbeat.serving
-    })
+    let leases = others.map(|(_, pool)| &pool.lease);
+    let recent = leases.filter(|lease| now_ms < lease.heartbeat_seen_ms + hosts::NEED_KEPT_MS);
+    let lacked = recent.map(|lease| {
+        let HeartbeatRow {
+            needed, serving, ..
+        } = lease.heartbeat;
+        needed.saturating_sub(serving)
+    });
+    lacked.fold(0, u64::saturating_add)
 }
 
 /// Reconciles the size of a pool, and brings the next heartbeat forward if the pool's needs changed.
 fn reconcile_size(state: &mut State, key: PoolKey, now: Now, out: &mut Vec<Effect>) {
-    let another_pool_lacks_hosts = another_pool_lacks_hosts(state, key, now.ms);
+    let lacked = lacked_elsewhere(state, key, now.ms);
     with_pool(state, key, now, out, |pool, ctx, facts| {
         let is_parked = |name: &str| facts.config.pools.get(name).is_some_and(|p| p.is_parked);
         let can_park = facts.config.pools.values().any(|p| p.is_parked);
@@ -708,11 +712,12 @@
         let Some(pool_state) = &mut ownership.pool_state else {
             return;
         };
+        let giving = &mut ownership.sizing.giving;
         let inputs = sizing::Inputs {
             pool: &pool.name,
             epoch,
             can_park,
-            another_pool_lacks_hosts,
+            another_pool_lacks_hosts: giving.note(lacked, &pool.offers, ctx.now.ms),
             answer_ms: pool.lease.answer_ms,
         };
         if sizing::reconcile(
--- a/src/core/sched/sizing.rs
+++ b/src/core/sched/sizing.rs
@@ -7,6 +7,7 @@
 
 use super::data_racks;
 use super::fragmentation::Fragmentation;
+use super::giving::Giving;
 use super::keys::WorkerKey;
 use super::limits::PLACE_SCAN_MAX;
 use super::offers::Offers;
@@ -66,6 +67,8 @@
     logged: (u64, u64),
     /// When hosts were last put on offer.
     offered_ms: Millis,
+    /// What is known of the other pools' need for hosts of this one.
+    pub giving: Giving,
     /// More hosts were needed than served when the need was last logged.
     is_short: bool,
     /// Hosts that the pool's work needs now.
@@ -92,8 +95,8 @@
     pub epoch: u64,
     /// Whether the configuration has a pool whose hosts are turned off.
     pub can_park: bool,
-    /// Whether another pool has fewer hosts than its work needs. This pool then wants no hosts for work that is already
-    /// late.
+    /// Whether this pool should give hosts to others that have fewer than their work needs. It then wants no hosts for
+    /// work that is already late.
     pub another_pool_lacks_hosts: bool,
     /// How long the store's last answer took.
     pub answer_ms: Millis,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -33,6 +33,7 @@
 mod test_fairness;
 mod test_foreign;
 mod test_fuzz;
+mod test_giving;
 mod test_guard;
 mod test_halls;
 mod test_homes;
