One piece each for intake rows' conditions, expected times' bound and a refusal

Conditions on intake rows and writes of them were spelled out in four places of homes.rs and tombstones.rs: intake_guard and intake_write in rows.rs. The bound on expected times stood at three returns: once, where all pass. submit.rs built the refusal that operations.rs has as NOT_TAKEN.

--- a/src/core/sched/homes.rs
+++ b/src/core/sched/homes.rs
@@ -13,7 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::rows::{
-    self, cancelled_job, intake_parts_of, is_job_key, pool_of_part, shard_part, QueueRow, SHARDS,
+    self, cancelled_job, intake_guard, intake_parts_of, intake_write, is_job_key, pool_of_part,
+    shard_part, QueueRow, SHARDS,
 };
 use super::tombstones::tombstone_guard;
 use crate::port::fleet::{Guard, QueueRoute, Revision, RowTx, StoredRow, Table, Write, ABSENT};
@@ -96,16 +97,8 @@
 pub fn insert_tx(part: String, key: &str, value: Vec<u8>) -> RowTx {
     RowTx {
         part,
-        guards: vec![Guard {
-            table: Table::Intake,
-            key: key.to_string(),
-            revision: ABSENT,
-        }],
-        writes: vec![Write {
-            table: Table::Intake,
-            key: key.to_string(),
-            value: Some(value),
-        }],
+        guards: vec![intake_guard(key, ABSENT)],
+        writes: vec![intake_write(key, Some(value))],
     }
 }
 
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -12,7 +12,7 @@
 use super::tasks::WorkerLosses;
 use super::times::Times;
 use crate::clock::Millis;
-use crate::port::fleet::Revision;
+use crate::port::fleet::{Guard, Revision, Table, Write};
 use crate::util::fnv1a;
 
 /// Key of the row that names a pool's owner; its revision in the first shard is the owner's epoch.
@@ -290,6 +290,24 @@
     format!("{job}{TOMBSTONE_SIGN}{account}{CANCEL_SUFFIX}")
 }
 
+/// Returns the condition that an intake row has this revision.
+pub fn intake_guard(key: &str, revision: Revision) -> Guard {
+    Guard {
+        table: Table::Intake,
+        key: key.to_string(),
+        revision,
+    }
+}
+
+/// Returns the write of an intake row, or its removal.
+pub fn intake_write(key: &str, value: Option<Vec<u8>>) -> Write {
+    Write {
+        table: Table::Intake,
+        key: key.to_string(),
+        value,
+    }
+}
+
 /// Whether the key of an intake row is that of a job.
 pub fn is_job_key(key: &str) -> bool {
     !key.ends_with(CANCEL_SUFFIX)
--- a/src/core/sched/times.rs
+++ b/src/core/sched/times.rs
@@ -54,13 +54,13 @@
 impl QueueTimes {
     fn expected_ms(&self, estimate_ms: Millis) -> Millis {
         if self.samples < SAMPLES_MIN {
-            return estimate_ms.min(SPAN_MAX_MS);
+            return estimate_ms;
         }
         let by_queue = 1.0 / self.took.1.max(VARIANCE_MIN);
         let by_estimate = 1.0 / self.error.1.max(VARIANCE_MIN);
         let estimate = (estimate_ms.max(1) as f64).ln() - self.error.0;
         let mean = (self.took.0 * by_queue + estimate * by_estimate) / (by_queue + by_estimate);
-        (mean.exp() as Millis).min(SPAN_MAX_MS)
+        mean.exp() as Millis
     }
 }
 
@@ -83,8 +83,8 @@
         let times = self.by_queue.get(&spec.queue);
         let expected = spec.steps.iter().map(|step| match times {
             Some(times) if !step.lasting => times.expected_ms(step.estimate_ms),
-            _ => step.estimate_ms.min(SPAN_MAX_MS),
+            _ => step.estimate_ms,
         });
-        expected.collect()
+        expected.map(|ms| ms.min(SPAN_MAX_MS)).collect()
     }
 }
--- a/src/core/sched/tombstones.rs
+++ b/src/core/sched/tombstones.rs
@@ -11,9 +11,9 @@
 use std::collections::BTreeMap;
 
 use super::limits::FINISHED_KEPT_MS;
-use super::rows::{intake_parts_of, tombstone_key};
+use super::rows::{intake_guard, intake_parts_of, intake_write, tombstone_key};
 use crate::clock::Millis;
-use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, Table, Write, ABSENT};
+use crate::port::fleet::{Guard, Revision, RowTx, StoredRow, ABSENT};
 
 /// Returns the transactions that keep a caller's job out of its two partitions of the home pool: the job of the caller's
 /// account, or one without an account, which every caller may cancel.
@@ -24,31 +24,18 @@
     }
     intake_parts_of(home, id).map(|part| RowTx {
         part,
-        guards: vec![Guard {
-            table: Table::Intake,
-            key: id.to_string(),
-            revision: ABSENT,
-        }],
+        guards: vec![intake_guard(id, ABSENT)],
         // Written again each time, so that the latest cancel decides how long the tombstone is kept.
-        writes: keys.iter().map(|key| write_of(key, Some(b"{}"))).collect(),
+        writes: keys
+            .iter()
+            .map(|key| intake_write(key, Some(b"{}".to_vec())))
+            .collect(),
     })
 }
 
 /// Returns the condition that a job of the account has no tombstone.
 pub fn tombstone_guard(id: &str, account: Option<&str>) -> Guard {
-    Guard {
-        table: Table::Intake,
-        key: tombstone_key(id, account),
-        revision: ABSENT,
-    }
-}
-
-fn write_of(key: &str, value: Option<&[u8]>) -> Write {
-    Write {
-        table: Table::Intake,
-        key: key.to_string(),
-        value: value.map(<[u8]>::to_vec),
-    }
+    intake_guard(&tombstone_key(id, account), ABSENT)
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -106,12 +93,8 @@
         let in_part = self.by_part.get(&tx.part).into_iter();
         let old = in_part.flat_map(|in_part| old_in(in_part, now_ms));
         for (key, tombstone) in old.take(removed_max) {
-            tx.guards.push(Guard {
-                table: Table::Intake,
-                key: key.clone(),
-                revision: tombstone.revision,
-            });
-            tx.writes.push(write_of(key, None));
+            tx.guards.push(intake_guard(key, tombstone.revision));
+            tx.writes.push(intake_write(key, None));
         }
     }
 }
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -41,7 +41,7 @@
 pub(super) const RETRY_AFTER_S: u32 = 1;
 
 /// A call that had no effect and may come again soon.
-const NOT_TAKEN: Outcome = Outcome::NotTaken {
+pub(super) const NOT_TAKEN: Outcome = Outcome::NotTaken {
     retry_after_s: RETRY_AFTER_S,
 };
 
--- a/src/serve/submit.rs
+++ b/src/serve/submit.rs
@@ -4,7 +4,7 @@
 
 use smol::Timer;
 
-use super::operations::{RETRY_AFTER_S, RETRY_PAUSE_MS};
+use super::operations::{NOT_TAKEN, RETRY_AFTER_S, RETRY_PAUSE_MS};
 use super::queues;
 use super::shared::Shared;
 use crate::clock::Millis;
@@ -90,11 +90,8 @@
         let retry_after_s = down_s.clamp(RETRY_AFTER_S, RETRY_AFTER_MAX_S);
         return Outcome::NotTaken { retry_after_s };
     }
-    let not_taken = Outcome::NotTaken {
-        retry_after_s: RETRY_AFTER_S,
-    };
     let Some(storage) = queues::find_storage(shared, store, route, until_ms).await else {
-        return not_taken;
+        return NOT_TAKEN;
     };
     let job = encode_job(spec, &storage);
     let account = spec.account.as_deref();
@@ -113,7 +110,7 @@
                 retry_after_s: RETRY_AFTER_MAX_S,
             }
         }
-        InsertOutcome::NotDone => not_taken,
+        InsertOutcome::NotDone => NOT_TAKEN,
         InsertOutcome::Unsure => Outcome::Unsure,
     }
 }
