Log whether a requeued run was reported, had an unanswered start, and when its worker last got a lease

Incident of later instances: task-requeued did not tell a run that the instance had reported from one that only an answer, or nothing, speaks for; worker-over did not tell for how long an order may still be carried out. Both lines have it now (reported, unanswered; leased_ago_ms). No decision uses the new fields yet.

--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -233,6 +233,7 @@
             Phase::Stopping(_) | Phase::Suspect(_) => task.seen,
             _ => Seen::Nothing,
         };
+        task.is_reported &= matches!(phase, Phase::Stopping(_));
         task.is_past_startup = false;
         task.sent_ms = match phase {
             Phase::Starting(_) => Some(now_ms),
--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -58,7 +58,7 @@
     let clock = w.clock.filter(|_| w.is_answering);
     let lease_until_ms = clock.map(|c| c.at(ctx.now.ms) + WORKER_LEASE_MS);
     if let Some(until_ms) = lease_until_ms {
-        w.note_lease(until_ms);
+        w.note_lease(until_ms, ctx.now.ms);
     }
     // Ends are acknowledged only to the instance that reported them. A later instance would discard its own ends with
     // the same numbers before it had reported them.
@@ -448,6 +448,7 @@
             pool_state.set_phase(key, Phase::Running(worker), ctx.now.ms);
             if let Some(task) = pool_state.task_mut(key) {
                 task.settled_ms = Some(ctx.now.ms);
+                task.is_reported = true;
             }
             if pool_state.jobs[key.job].state.is_final() {
                 runs::stop_run(pool_state, key, epoch, ctx);
@@ -456,6 +457,7 @@
         Phase::Running(_) if is_here => {
             if let Some(task) = pool_state.task_mut(key) {
                 task.is_past_startup = run.percent >= 100;
+                task.is_reported = true;
             }
             crashes::note_reported(pool_state, key, sent_ms, ctx.now.ms);
         }
--- a/src/core/sched/restarts.rs
+++ b/src/core/sched/restarts.rs
@@ -129,6 +129,7 @@
     pool_state.set_phase(key, Phase::Running(worker), ctx.now.ms);
     if let Some(task) = pool_state.task_mut(key) {
         task.settled_ms = Some(ctx.now.ms);
+        task.is_reported = true;
     }
     if is_stopping {
         runs::stop_run(pool_state, key, epoch, ctx);
--- a/src/core/sched/run_log.rs
+++ b/src/core/sched/run_log.rs
@@ -379,6 +379,7 @@
         .with("tasks", w.tasks.len() as u64)
         .with("unheard_ms", now_ms.saturating_sub(w.answered_ms))
         .with("lease_left_ms", w.lease_end_ms.saturating_sub(now_ms))
+        .with("leased_ago_ms", now_ms.saturating_sub(w.leased_ms))
         .with("taken", w.applied_through)
         .with("recorded", w.recorded_through)
         .with("told_seen", w.acked_through)
@@ -450,6 +451,8 @@
         .with("task", u64::from(key.index))
         .with("run", u64::from(task.run))
         .with("answered", u64::from(task.begun_ms.is_some()))
+        .with("reported", u64::from(task.is_reported))
+        .with("unanswered", u64::from(task.is_start_open))
         .with("since_ms", now_ms.saturating_sub(task.since_ms))
         .with_name("phase", phase_name(task.phase));
     if let Some(w) = task.phase.worker().and_then(|w| pool_state.workers.get(w)) {
--- a/src/core/sched/starts.rs
+++ b/src/core/sched/starts.rs
@@ -71,7 +71,7 @@
         return;
     };
     let lease_until_ms = clock.at(ctx.now.ms) + WORKER_LEASE_MS;
-    w.note_lease(lease_until_ms);
+    w.note_lease(lease_until_ms, ctx.now.ms);
     let start = RunStart {
         task: name,
         run,
--- a/src/core/sched/tasks.rs
+++ b/src/core/sched/tasks.rs
@@ -79,6 +79,8 @@
     pub is_start_open: bool,
     /// Whether the worker closed the connection on which its start was sent.
     pub is_start_broken: bool,
+    /// Whether the worker instance has reported its run.
+    pub is_reported: bool,
     /// What this owner or a former one observed of its run.
     pub seen: Seen,
     /// Whether the worker reported that the task is past its start-up.
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -59,6 +59,8 @@
     pub clock: Option<ClockSample>,
     /// Time by which everything ordered to it has expired, even if it never answers again.
     pub lease_end_ms: Millis,
+    /// When an order that carries a lease was last sent to it; 0 if never.
+    pub leased_ms: Millis,
     /// State of its lease renewal.
     pub renewal: RenewalPhase,
     /// Whether it answered the last renewal.
@@ -126,6 +128,7 @@
             tasks: BTreeSet::new(),
             clock: None,
             lease_end_ms,
+            leased_ms: 0,
             renewal: RenewalPhase::Idle,
             is_answering: false,
             answered_ms: 0,
@@ -275,9 +278,10 @@
         self.info.labels.get(1).map_or("", String::as_str)
     }
 
-    /// Extends `lease_end_ms` to cover a lease that was or may have been granted until `lease_until_ms` on the worker's
-    /// clock.
-    pub fn note_lease(&mut self, lease_until_ms: Millis) {
+    /// Extends `lease_end_ms` to cover a lease that is ordered now and may be granted until `lease_until_ms` on the
+    /// worker's clock.
+    pub fn note_lease(&mut self, lease_until_ms: Millis, now_ms: Millis) {
+        self.leased_ms = now_ms;
         let Some(clock) = self.clock else { return };
         let ahead_ms = lease_until_ms.saturating_sub(clock.worker_ms);
         let longest_ms = ahead_ms * 100 / (100 - CLOCK_SLOW_PERCENT);
