--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -93,16 +93,16 @@
 }
 
 /// Epoch of the owner.
-const EPOCH: u64 = 7;
+pub(crate) const EPOCH: u64 = 7;
 
 /// Start times of the earlier and the later instance; the wall clock was set back in between.
-const BORN_MS: [u64; 2] = [50_000, 49_000];
+pub(crate) const BORN_MS: [u64; 2] = [50_000, 49_000];
 
 /// The earlier instance's clock when its last report is received.
-const EARLIER_CLOCK_MS: u64 = 60_000;
+pub(crate) const EARLIER_CLOCK_MS: u64 = 60_000;
 
 /// When the last report of the earlier instance is received.
-const LAST_REPORT_MS: u64 = 2_000;
+pub(crate) const LAST_REPORT_MS: u64 = 2_000;
 
 /// The id that both instances use.
 const ID: &str = "i-1";
@@ -125,13 +125,13 @@
 
 /// In-memory state with a worker that has reported, and two tasks on it: the start of the first one was answered, that
 /// of the second one was not.
-struct Scene {
-    pool_state: PoolState,
-    earlier: WorkerKey,
+pub(crate) struct Scene {
+    pub(crate) pool_state: PoolState,
+    pub(crate) earlier: WorkerKey,
 }
 
 impl Scene {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let mut pool_state = PoolState::default();
         let earlier = load::add_worker(&mut pool_state, worker_info(BORN_MS[0]), 0);
         let w = &mut pool_state.workers[earlier];
@@ -164,18 +164,18 @@
         scene
     }
 
-    fn task(&self, index: u16) -> TaskKey {
+    pub(crate) fn task(&self, index: u16) -> TaskKey {
         self.pool_state
             .find_task(&task_name(index))
             .expect("the task is there")
     }
 
-    fn phase(&self, index: u16) -> Phase {
+    pub(crate) fn phase(&self, index: u16) -> Phase {
         let task = self.pool_state.task(self.task(index));
         task.expect("the task is there").phase
     }
 
-    fn answer_start(&mut self, index: u16, now_ms: u64, reply: OrderReply) -> bool {
+    pub(crate) fn answer_start(&mut self, index: u16, now_ms: u64, reply: OrderReply) -> bool {
         let task = self.task(index);
         let mut is_lost = false;
         decide(now_ms, |ctx| {
@@ -185,7 +185,12 @@
     }
 
     /// Applies a report of a worker that was requested 5 ms before.
-    fn apply_report(&mut self, key: WorkerKey, now_ms: u64, report: RenewalReport) -> Vec<Effect> {
+    pub(crate) fn apply_report(
+        &mut self,
+        key: WorkerKey,
+        now_ms: u64,
+        report: RenewalReport,
+    ) -> Vec<Effect> {
         decide(now_ms, |ctx| {
             let sent_ms = now_ms - 5;
             let is_lost =
@@ -196,7 +201,7 @@
 
     /// Reads the later instance's entry and its first answer; returns its key and the fencing token of its second
     /// renewal.
-    fn confirm_later(&mut self, now_ms: u64) -> (WorkerKey, u64) {
+    pub(crate) fn confirm_later(&mut self, now_ms: u64) -> (WorkerKey, u64) {
         let later = load::add_worker(&mut self.pool_state, worker_info(BORN_MS[1]), now_ms);
         let effects = self.apply_report(later, now_ms + 10, report(BORN_MS[1], now_ms));
         let (fence, request) = only_renewal(&effects);
@@ -205,7 +210,7 @@
     }
 }
 
-fn report(born_wall_ms: u64, clock_ms: u64) -> RenewalReport {
+pub(crate) fn report(born_wall_ms: u64, clock_ms: u64) -> RenewalReport {
     RenewalReport {
         born_wall_ms: Some(born_wall_ms),
         clock_ms,
@@ -213,7 +218,7 @@
     }
 }
 
-fn end(number: u64, index: u16) -> RunEnd {
+pub(crate) fn end(number: u64, index: u16) -> RunEnd {
     RunEnd {
         number,
         task: task_name(index),
@@ -223,7 +228,7 @@
     }
 }
 
-fn running(index: u16) -> RunningTask {
+pub(crate) fn running(index: u16) -> RunningTask {
     RunningTask {
         task: task_name(index),
         run: 1,
@@ -233,7 +238,7 @@
     }
 }
 
-fn only_renewal(effects: &[Effect]) -> (u64, RenewalRequest) {
+pub(crate) fn only_renewal(effects: &[Effect]) -> (u64, RenewalRequest) {
     let renewals = effects.iter().filter_map(|effect| match effect {
         Effect::RenewWorker(order, _, request) => Some((order.to.fence, *request)),
         _ => None,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -43,6 +43,7 @@
 mod test_jobs;
 mod test_keys;
 mod test_late_claim;
+mod test_later_instance;
 mod test_leases;
 mod test_left;
 mod test_links;
--- a/tests/world/timed_events.rs
+++ b/tests/world/timed_events.rs
@@ -10,8 +10,8 @@
     DeliverHeld(usize, u64, Event, u64),
     /// A write without an answer that reaches the store late.
     Apply(RowTx),
-    /// A delayed order, and the serial number of the instance that has already received it, if any.
-    LateOrderArrives(String, Option<u64>, LateOrder),
+    /// A delayed order to the worker with this id.
+    LateOrderArrives(String, LateOrder),
     RunEnds(String, TaskName, u32),
     AtWork(String, TaskName, u32),
     GangAlone(String, TaskName, u32),
@@ -104,9 +104,7 @@
             TimedEvent::Apply(tx) => {
                 self.apply_transaction(&tx);
             }
-            TimedEvent::LateOrderArrives(id, serial, order) => {
-                self.apply_late_order(&id, serial, order)
-            }
+            TimedEvent::LateOrderArrives(id, order) => self.apply_late_order(&id, order),
             TimedEvent::RunEnds(id, task, run) => {
                 let active = self.workers.get(&id).and_then(|w| w.running.get(&task));
                 let is_active = active.is_some_and(|r| r.run == run);
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -427,26 +427,15 @@
         true
     }
 
-    /// Schedules a late order. Within the time for which the sender waits, the order may still be in transit and
-    /// reaches whichever instance is up then. Later it can only be waiting in the process that received it, and is
-    /// lost if that process ends.
+    /// Schedules a late order. It reaches whichever instance of the id is up then.
     fn schedule_late_order(&mut self, worker: &str, late_ms: u64, order: LateOrder) {
-        let receiver = self.workers.get(worker).filter(|w| w.is_up);
-        let serial = match late_ms {
-            0..=ORDER_TIMEOUT_MS => None,
-            _ => Some(receiver.map_or(0, |w| w.serial)),
-        };
         self.schedule(
             late_ms,
-            TimedEvent::LateOrderArrives(worker.to_string(), serial, order),
+            TimedEvent::LateOrderArrives(worker.to_string(), order),
         );
     }
 
-    pub(super) fn apply_late_order(&mut self, id: &str, serial: Option<u64>, order: LateOrder) {
-        let current = self.workers.get(id).map(|w| w.serial);
-        if serial.is_some() && serial != current {
-            return;
-        }
+    pub(super) fn apply_late_order(&mut self, id: &str, order: LateOrder) {
         match order {
             LateOrder::Start(fence, start) => {
                 self.is_late_order = true;
