--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -75,6 +75,15 @@
 }
 
 impl Evidence {
+    /// Returns whether another id has taken the place of a worker's id, so that no instance uses the id again.
+    pub(super) fn has_ended_id(&self, id: &str) -> bool {
+        match self {
+            Evidence::Answer(_) => true,
+            Evidence::Report { instance, .. } => instance != id,
+            Evidence::Lapse => false,
+        }
+    }
+
     /// Returns the cause that the evidence shows.
     pub fn end_cause(&self) -> EndCause {
         match self {
--- a/src/core/sched/gang.rs
+++ b/src/core/sched/gang.rs
@@ -27,7 +27,10 @@
 /// Places a whole gang if all its members wait and there is room for all of them.
 pub(super) fn place(pool_state: &mut PoolState, key: TaskKey, ctx: &mut Ctx<'_>) {
     let members = members(pool_state, key);
-    let waits = |m: &TaskKey| pool_state.task(*m).is_some_and(|t| t.phase == Phase::Ready);
+    let waits = |m: &TaskKey| {
+        pool_state.task(*m).is_some_and(|t| t.phase == Phase::Ready)
+            && !pool_state.has_leftover_run(*m)
+    };
     if !members.iter().all(waits) {
         return;
     }
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -102,6 +102,9 @@
 pub const STRAY_LEASE_MS: Millis =
     WORKER_LEASE_MAX_MS * 100 / (100 - CLOCK_SLOW_PERCENT) + LEASE_SLACK_MS;
 
+/// Longest time for which an order without an answer may still be carried out.
+pub const ORDER_DELAY_MAX_MS: Millis = 12_000;
+
 /// An instance that started this long ago can't be reached by orders that were meant for an earlier one: twice
 /// [`WORKER_LEASE_MAX_MS`], since wall clocks differ by seconds.
 pub const YOUNG_INSTANCE_MS: Millis = 2 * WORKER_LEASE_MAX_MS;
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -107,7 +107,9 @@
 
 /// Adds a worker instance to the in-memory state. Its lease is taken to end [`FOREIGN_LEASE_MS`] after `began_ms`.
 pub fn add_worker(pool_state: &mut PoolState, info: WorkerInfo, began_ms: Millis) -> WorkerKey {
-    pool_state.add_worker(Worker::new(info, began_ms + FOREIGN_LEASE_MS))
+    let mut worker = Worker::new(info, began_ms + FOREIGN_LEASE_MS);
+    worker.leased_ms = began_ms;
+    pool_state.add_worker(worker)
 }
 
 /// Adds a worker instance whose start this owner did not observe. If the instance started recently, a former owner may
@@ -337,6 +339,7 @@
     pool_state.jobs[key].recorded_digest = conflict::digest(row.value.as_deref());
     pool_state.jobs[key].shard = Some(shard);
     pool_state.jobs[key].rounds_begun = progress.first_unbegun_round();
+    pool_state.restore_bindings(key, &progress.bound, began_ms);
     if progress.state.is_final() {
         return;
     }
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -59,6 +59,9 @@
             continue;
         }
         let demand = spec.demand();
+        if pool_state.has_leftover_run(key) {
+            continue;
+        }
         if too_large.iter().any(|d| demand.contains(*d)) || !pool_state.is_within_quota(key, 1) {
             continue;
         }
@@ -315,6 +318,9 @@
         return false;
     }
     let worker = &pool_state.workers[worker];
+    if pool_state.is_bound_elsewhere(key, worker) {
+        return false;
+    }
     if let Some(label) = &spec.label {
         if !worker.info.labels.contains(label) {
             return false;
@@ -366,6 +372,7 @@
         return;
     };
     task.run += 1;
+    task.starts_in_flight = 0;
     task.lost_ms = None;
     let run = task.run;
     pool_state.unsent_starts.push((key, run));
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -14,6 +14,7 @@
 use super::homes::GuestIds;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, PoolStateId, StepKey, TaskKey, WorkerKey};
+use super::late_starts::LateStarts;
 use super::limits::{ARRIVALS_MS, CALM_MS, CALM_WAIT_MAX_MS, FORGOTTEN_KEPT_MS};
 use super::order::ScanCursor;
 use super::pace::PaceBook;
@@ -29,7 +30,8 @@
 use crate::clock::{Millis, Now};
 use crate::port::fleet::{Capacity, TaskName};
 
-/// A run that is running, or may still start, although an earlier run of its task has ended the task.
+/// A run that is running, or may still start, although an earlier run of its task has ended the task, or the task waits
+/// for a later run.
 #[derive(Clone, Debug)]
 pub struct LeftoverRun {
     /// Name of the task. Its job may be dropped before this run ends.
@@ -40,9 +42,9 @@
     pub worker: WorkerKey,
     /// Capacity that the run takes there.
     pub demand: Capacity,
-    /// Worker that reported the end, and the end's number. The end is acknowledged to the worker only after this run is
-    /// over.
-    pub reported_end: (WorkerKey, u64),
+    /// Worker that reported the end of the task, if it has ended, and the end's number. The end is acknowledged to the
+    /// worker only after this run is over.
+    pub reported_end: Option<(WorkerKey, u64)>,
     /// When the stop of the run was answered. A report requested later must not list the run.
     pub settled_ms: Option<Millis>,
 }
@@ -104,7 +106,9 @@
     pub dirty_since_ms: Millis,
     /// Runs that are started once their record is committed.
     pub unsent_starts: Vec<(TaskKey, u32)>,
-    /// Leftover runs of tasks that are done, by task and run.
+    /// Tasks whose starts may still be carried out.
+    pub late_starts: LateStarts,
+    /// Leftover runs, by task and run.
     pub leftover_runs: BTreeMap<(TaskKey, u32), LeftoverRun>,
     /// Number of jobs that have not begun, by queue.
     pub waiting_jobs: BTreeMap<String, u64>,
@@ -562,15 +566,16 @@
     }
 
     /// Returns the number of the last run end that may be acknowledged to a worker. Ends are acknowledged in order once
-    /// they are recorded, but none from the first one on whose task left another run behind.
-    pub fn last_acknowledgeable_end(&self, worker: WorkerKey) -> u64 {
+    /// they are recorded, but none from the first one on whose task left another run behind or may still be started.
+    pub fn last_acknowledgeable_end(&self, worker: WorkerKey, now_ms: Millis) -> u64 {
         let recorded = self.workers.get(worker).map_or(0, |w| w.recorded_through);
         let blocked = self
             .leftover_runs
             .values()
-            .map(|leftover| leftover.reported_end);
+            .filter_map(|leftover| leftover.reported_end);
         let blocked = blocked.filter(|(by, _)| *by == worker);
-        blocked.fold(recorded, |last, (_, end)| last.min(end.saturating_sub(1)))
+        let unheld = self.last_unheld_end(worker, recorded, now_ms);
+        blocked.fold(unheld, |last, (_, end)| last.min(end.saturating_sub(1)))
     }
 
     /// Returns all tasks of a job.
--- a/src/core/sched/progress.rs
+++ b/src/core/sched/progress.rs
@@ -20,6 +20,7 @@
                 .next()
                 .copied()
                 .unwrap_or(job.rounds_begun),
+            bound: self.bound_rows(key),
             ..ProgressRow::default()
         };
         if job.state.is_final() {
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -22,6 +22,7 @@
 use super::hosts;
 use super::job::JobSpec;
 use super::keys::{PoolStateId, WorkerKey};
+use super::late_starts;
 use super::limits::RESORT_MS;
 use super::load;
 use super::offers::OFFERS_KEY;
@@ -659,6 +660,7 @@
                 runs::stop_run(pool_state, task, epoch, ctx);
             }
             renewal::renew_stuck(pool_state, epoch, ctx);
+            late_starts::expire(pool_state, ctx.now.ms);
             pacing::drop_ended(pool_state);
             checkpoints::record_due(
                 pool_state,
--- a/src/core/sched/renewal.rs
+++ b/src/core/sched/renewal.rs
@@ -10,6 +10,7 @@
 use super::checkpoints;
 use super::crashes::{self, Evidence};
 use super::keys::{TaskKey, WorkerKey};
+use super::late_starts;
 use super::limits::{
     RECORDING_WAIT_MS, RENEWAL_IDLE_WAIT_MS, RENEWAL_RETRY_MS, RENEWAL_WAIT_MS, REPORT_GAP_MAX_MS,
     SAME_INSTANCE_MS, WORKER_LEASE_MS,
@@ -32,7 +33,7 @@
 
 /// Sends the next renewal to a worker unless one is in flight.
 pub fn send_next(pool_state: &mut PoolState, key: WorkerKey, epoch: u64, ctx: &mut Ctx<'_>) {
-    let last_acknowledgeable = pool_state.last_acknowledgeable_end(key);
+    let last_acknowledgeable = pool_state.last_acknowledgeable_end(key, ctx.now.ms);
     let is_watched = pool_state.pace.watches(key);
     let busy_wait_ms = pool_state.speeds.renewal_wait_ms(key, RENEWAL_WAIT_MS);
     let Some(w) = pool_state.workers.get_mut(key) else {
@@ -61,9 +62,9 @@
         w.note_lease(until_ms, ctx.now.ms);
     }
     // Ends are acknowledged only to the instance that reported them. A later instance would discard its own ends with
-    // the same numbers before it had reported them.
+    // the same numbers before it had reported them. For the same reason a renewal with nothing to acknowledge names no end.
     let is_same_instance = w.is_answering && ctx.now.ms < w.answered_ms + SAME_INSTANCE_MS;
-    let acked_through = if is_same_instance {
+    let acked_through = if is_same_instance && w.lists_ends {
         last_acknowledgeable
     } else {
         0
@@ -218,6 +219,8 @@
         pool_state.wants_placing = true;
     }
     w.answered_ms = ctx.now.ms;
+    w.asked_ms = sent_ms;
+    w.lists_ends = !report.ended.is_empty();
     w.first_asked_ms.get_or_insert(sent_ms);
     w.is_refusing = false;
     if w.disconnected_ms.take().is_some() {
@@ -248,8 +251,8 @@
     speeds::observe(pool_state, key, &report, ctx);
     drop_leftover_runs(pool_state, key, sent_ms, &report.running);
     let is_recorded = pool_state.settle_ends(key);
-    let is_blocked =
-        pool_state.last_acknowledgeable_end(key) < pool_state.workers[key].recorded_through;
+    let is_blocked = pool_state.last_acknowledgeable_end(key, ctx.now.ms)
+        < pool_state.workers[key].recorded_through;
     if !is_recorded {
         pool_state.workers[key].renewal = RenewalPhase::Recording(ctx.now.ms);
         pool_state.recording.insert(key);
@@ -276,6 +279,7 @@
             ends_log.add_repeated(end);
         } else {
             ends_log.add(pool_state, end, ctx);
+            pool_state.hold_end(key, end, ctx.now.ms);
             runs::apply_end(pool_state, key, end, epoch, ctx);
             let job = pool_state.jobs_by_id.get(&end.task.job).copied();
             pool_state.note_applied_end(key, end.number, job);
@@ -464,6 +468,8 @@
         Phase::Stopping(_) if is_here => {}
         // A retried start whose earlier copy is listed has the same run number and is not stray.
         _ if is_here => {}
+        Phase::Ready
+            if late_starts::take_over_run(pool_state, key, worker, run.run, epoch, ctx) => {}
         _ => runs::stop_stray(pool_state, worker, &run.task, run.run, epoch, ctx),
     }
 }
--- a/src/core/sched/rows.rs
+++ b/src/core/sched/rows.rs
@@ -124,6 +124,9 @@
     /// Checkpoints of tasks that are not done, as far as there is room.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub checkpoints: Vec<CheckpointRow>,
+    /// Tasks whose starts may still be carried out.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub bound: Vec<BoundRow>,
 }
 
 impl ProgressRow {
@@ -180,6 +183,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CheckpointRow(pub u32, pub u16, pub u16, pub u32, pub String);
 
+/// A task whose starts may still be carried out: round, step, index, and the id of the worker that they were sent to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoundRow(pub u32, pub u16, pub u16, pub String);
+
 /// Recorded progress of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskProgress {
--- a/src/core/sched/runs.rs
+++ b/src/core/sched/runs.rs
@@ -5,11 +5,12 @@
 //! and order given to the worker has expired. Only then is the task's next run placed.
 
 use super::checkpoints;
-use super::crashes::{self, Evidence};
+use super::crashes::{self, EndCause, Evidence};
 use super::fencing_token;
 use super::gang;
 use super::job::JobState;
 use super::keys::{JobKey, TaskKey, WorkerKey};
+use super::late_starts;
 use super::limits::{FAILS_IN_A_ROW, ORDER_RETRY_MS, SUSPEND_MAX_MS, SUSPEND_MS};
 use super::load;
 use super::pool_state::{LeftoverRun, PoolState};
@@ -214,6 +215,7 @@
         return;
     }
     let has_losses = task.losses.has_losses();
+    late_starts::bind_given_up(pool_state, key, false, ctx);
     let decision = run_log::task_requeued(pool_state, key, why, asked_ms, ctx.now.ms);
     pool_state.set_phase(key, Phase::Ready, ctx.now.ms);
     if has_losses {
@@ -252,9 +254,15 @@
         if pool_state.task(key).is_some_and(is_unsent) {
             note_never_started(pool_state, key);
         }
+        late_starts::bind_given_up(pool_state, key, cause == EndCause::Lease, ctx);
         requeue_task(pool_state, key, cause.why(), ctx);
     }
+    pool_state.hold_ends_of_leftovers(worker);
     pool_state.drop_leftover_runs(|leftover| leftover.worker == worker);
+    let id = pool_state.workers[worker].info.id.clone();
+    if evidence.has_ended_id(&id) {
+        pool_state.unbind_worker(&id);
+    }
 }
 
 /// Applies a reported run end to its task and job.
@@ -384,7 +392,7 @@
         charge: pool_state.charge(key),
         worker,
         demand: spec.demand(),
-        reported_end: earlier_end,
+        reported_end: Some(earlier_end),
         settled_ms: None,
     };
     pool_state.keep_leftover_run(key, run, leftover);
--- a/src/core/sched/start_check.rs
+++ b/src/core/sched/start_check.rs
@@ -30,7 +30,10 @@
 pub fn check(pool_state: &PoolState, key: TaskKey, worker: WorkerKey, now_ms: Millis) -> Verdict {
     let may_run = pool_state.task(key).is_some_and(|t| t.is_start_open);
     let Some(why) = objection(pool_state, key, worker, may_run, now_ms) else {
-        return Verdict::Send;
+        return match may_run || pool_state.is_start_safe(key, worker, now_ms) {
+            true => Verdict::Send,
+            false => Verdict::Wait,
+        };
     };
     if !may_run {
         return Verdict::Requeue(why);
--- a/src/core/sched/starts.rs
+++ b/src/core/sched/starts.rs
@@ -83,6 +83,7 @@
     ctx.out.push(Effect::Start(order, key, start));
     if let Some(task) = pool_state.task_mut(key) {
         task.start_sends += 1;
+        task.starts_in_flight += 1;
     }
 }
 
@@ -146,6 +147,7 @@
     ctx: &mut Ctx<'_>,
 ) -> bool {
     run_log::add_start_answer(pool_state, key, run, reply, ctx);
+    note_start_reply(pool_state, key, run, reply, ctx);
     let Some(task) = pool_state.task(key) else {
         return false;
     };
@@ -228,6 +230,24 @@
     false
 }
 
+/// Binds a task to its worker if a request to start it got no answer.
+fn note_start_reply(
+    pool_state: &mut PoolState,
+    key: TaskKey,
+    run: u32,
+    reply: OrderReply,
+    ctx: &mut Ctx<'_>,
+) {
+    let Some(task) = pool_state.task_mut(key).filter(|t| t.run == run) else {
+        return;
+    };
+    task.starts_in_flight = task.starts_in_flight.saturating_sub(1);
+    let is_unanswered = matches!(reply, OrderReply::Silent | OrderReply::Broken);
+    if let Some(worker) = task.phase.worker().filter(|_| is_unanswered) {
+        pool_state.bind_task(key, worker, ctx);
+    }
+}
+
 /// Handles a refused start. A refusal covers only the request that it answers: an earlier request without a reply may
 /// still start the run, so the run is stopped before the task is queued again.
 fn handle_refusal(
--- a/src/core/sched/worker.rs
+++ b/src/core/sched/worker.rs
@@ -59,7 +59,7 @@
     pub clock: Option<ClockSample>,
     /// Time by which everything ordered to it has expired, even if it never answers again.
     pub lease_end_ms: Millis,
-    /// When an order that carries a lease was last sent to it; 0 if never.
+    /// When an order that carries a lease was last sent to it, by this owner or, as far as this one knows, by another.
     pub leased_ms: Millis,
     /// State of its lease renewal.
     pub renewal: RenewalPhase,
@@ -67,6 +67,8 @@
     pub is_answering: bool,
     /// When it last answered a renewal; 0 if never.
     pub answered_ms: Millis,
+    /// When the last renewal that it answered was sent; 0 if none.
+    pub asked_ms: Millis,
     /// When the first renewal that it answered was sent.
     pub first_asked_ms: Option<Millis>,
     /// When its list entry last changed to another address.
@@ -87,6 +89,8 @@
     pub acked_through: u64,
     /// Applied run ends after `recorded_through`, in order.
     pub unrecorded: VecDeque<AppliedEnd>,
+    /// Whether its last report listed ends.
+    pub lists_ends: bool,
     /// Number of entries in its last report that could not be read.
     pub unreadable: usize,
     /// Number of tasks that failed on it in a row.
@@ -132,6 +136,7 @@
             renewal: RenewalPhase::Idle,
             is_answering: false,
             answered_ms: 0,
+            asked_ms: 0,
             first_asked_ms: None,
             moved_ms: None,
             is_refusing: false,
@@ -141,6 +146,7 @@
             recorded_through: 0,
             acked_through: 0,
             unrecorded: VecDeque::new(),
+            lists_ends: false,
             unreadable: 0,
             fails_in_row: 0,
             suspensions: 0,
--- a/tests/test_checkpoints.rs
+++ b/tests/test_checkpoints.rs
@@ -16,7 +16,7 @@
 use rockwick::core::sched::runs;
 use rockwick::core::sched::starts;
 use rockwick::core::sched::state::{Ctx, Effect};
-use rockwick::port::fleet::{RenewalReport, RunningTask, StoredRow, TaskName};
+use rockwick::port::fleet::{OrderReply, RenewalReport, RunningTask, StoredRow, TaskName};
 
 use crate::decide::{add_answering_worker, decide};
 use crate::world::checkpoints::{INTERVAL_MS, RESTORE_MS};
@@ -270,6 +270,7 @@
     /// Ends a worker and returns the checkpoints that the next starts bring.
     fn crash(&mut self, worker: WorkerKey) -> Vec<(u16, String)> {
         self.decide(|pool_state, ctx| {
+            answer_starts(pool_state, worker, ctx);
             runs::end_worker(pool_state, worker, &Evidence::Lapse, ctx);
             pool_state.workers[worker].is_listed = false;
         });
@@ -277,6 +278,15 @@
     }
 }
 
+/// Answers the starts of a worker's tasks; a start without an answer would bind its task to the worker.
+fn answer_starts(pool_state: &mut PoolState, worker: WorkerKey, ctx: &mut Ctx<'_>) {
+    let tasks: Vec<TaskKey> = pool_state.workers[worker].tasks.iter().copied().collect();
+    for task in tasks {
+        let run = pool_state.task(task).map_or(0, |t| t.run);
+        starts::settle_start(pool_state, task, run, OrderReply::Accepted, EPOCH, ctx);
+    }
+}
+
 fn task_name(index: u16) -> TaskName {
     TaskName {
         job: "a".to_string(),
@@ -356,8 +366,10 @@
     assert_eq!(again, Some(""));
     for worker in workers {
         scene.decide(|pool_state, ctx| {
+            answer_starts(pool_state, worker, ctx);
             runs::end_worker(pool_state, worker, &Evidence::Lapse, ctx);
             pool_state.workers[worker].is_answering = true;
+            pool_state.workers[worker].answered_ms = ctx.now.ms;
         });
     }
     let half = || "half".to_string();
--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -321,16 +321,23 @@
 #[test]
 fn restarts_withhold_acks() {
     let mut scene = Scene::new();
+    scene.pool_state.workers[scene.earlier].lists_ends = true;
     let soon = decide(LAST_REPORT_MS + 100, |ctx| {
         renewal::send_next(&mut scene.pool_state, scene.earlier, EPOCH, ctx);
     });
     assert_eq!(only_renewal(&soon).1.acked_through, 9);
     let mut scene = Scene::new();
+    scene.pool_state.workers[scene.earlier].lists_ends = true;
     let late = decide(LAST_REPORT_MS + 400, |ctx| {
         renewal::send_next(&mut scene.pool_state, scene.earlier, EPOCH, ctx);
     });
     let (_, request) = only_renewal(&late);
     assert_eq!(request.acked_through, 0);
+    let mut scene = Scene::new();
+    let nothing_listed = decide(LAST_REPORT_MS + 100, |ctx| {
+        renewal::send_next(&mut scene.pool_state, scene.earlier, EPOCH, ctx);
+    });
+    assert_eq!(only_renewal(&nothing_listed).1.acked_through, 0);
 }
 
 /// The later instance's clock counts from its start, and its lease must be computed from that clock.
