--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -95,6 +95,8 @@
     Restarts,
     /// Workers restart as in `Restarts`, and orders are carried out up to 12 s late.
     LateRestarts,
+    /// Workers restart as in `Restarts` and are disconnected soon after.
+    Recuts,
     /// The operator evacuates halls and gives them back.
     Halls,
     /// The allowed attempts change, runs fail often, and entries receive the configuration late.
@@ -154,6 +156,7 @@
             0 => world.relist_former_instance(),
             _ => world.restart_worker(&worker_id, ms / 2),
         },
+        Extra::Recuts => world.recut_worker(&worker_id, ms / 4, ms / 8),
         Extra::Configs => {
             world.config_late_ms = ms;
             world.set_attempts(rng.u32(2..7));
@@ -359,6 +362,19 @@
     play_all(Extra::LateRestarts);
 }
 
+#[test]
+fn sched_model_recuts() {
+    play_all(Extra::Recuts);
+}
+
+/// Guards against a start after an acknowledged end while a later instance under the worker's id is cut off.
+#[test]
+fn sched_model_cut_restarts() {
+    for seed in [2, 8, 10, 16, 26, 31, 42, 44, 48] {
+        play_with_drains(seed, Extra::Recuts);
+    }
+}
+
 #[test]
 fn sched_model_configs() {
     play_all(Extra::Configs);
--- a/tests/world/restart.rs
+++ b/tests/world/restart.rs
@@ -5,6 +5,9 @@
 /// Maximum step, back or forward, of a host's wall clock between two instances.
 const CLOCK_STEP_MS: u64 = 4_000;
 
+/// How long a worker is disconnected soon after a restart.
+const RECUT_MS: u64 = 9_000;
+
 impl World {
     /// Crashes a worker. A later instance starts `back_after_ms` later, with the same id and address.
     pub(crate) fn restart_worker(&mut self, id: &str, back_after_ms: u64) {
@@ -25,6 +28,13 @@
         );
     }
 
+    /// Restarts a worker and disconnects it `cut_after_ms` after the later instance starts.
+    pub(crate) fn recut_worker(&mut self, id: &str, back_after_ms: u64, cut_after_ms: u64) {
+        self.restart_worker(id, back_after_ms);
+        let cut = TimedEvent::Disconnect(id.to_string(), RECUT_MS);
+        self.schedule(back_after_ms + cut_after_ms, cut);
+    }
+
     /// Starts a worker on a host after a crash or maintenance: under the id of the host's last worker if ids are kept
     /// and that worker is down, else under a new id.
     pub(super) fn start_on_host(&mut self, host: &str) {
--- a/tests/world/timed_events.rs
+++ b/tests/world/timed_events.rs
@@ -20,6 +20,8 @@
     Lapse(String),
     UpkeepOver(String),
     LaterInstanceStarts(String),
+    /// A worker is disconnected for this long.
+    Disconnect(String, u64),
     DrainEnds(String),
     /// A worker ends as it announced; the host is back after this time.
     PlannedEnd(String, u64),
@@ -148,6 +150,7 @@
                 self.end_as_planned(&id, back_after_ms);
             }
             TimedEvent::LaterInstanceStarts(id) => self.start_later_instance(&id),
+            TimedEvent::Disconnect(id, ms) => self.disconnect_worker(&id, ms),
             TimedEvent::UpkeepOver(host) => {
                 self.hosts_out.remove(&host);
                 self.start_on_host(&host);
