Nothing is placed on a worker whose id is listed with a later start, until it is heard

Change: an entry with another start time suspends the id's instances for 0.5 s; the renewal that is sent with it shows which one is alive, and the later one takes work as soon as it is heard.

--- a/src/core/sched/worker_list.rs
+++ b/src/core/sched/worker_list.rs
@@ -12,6 +12,7 @@
 use super::pool_state::PoolState;
 use super::renewal;
 use super::run_log;
+use super::runs;
 use super::state::{Ctx, Effect, State, Timer};
 use super::worker::Worker;
 use crate::clock::{Millis, Now};
@@ -25,6 +26,9 @@
 /// Number of report times from which on each addition first drops those older than [`CHANGES_KEPT_MS`].
 const CHANGES_MAX: usize = 4_096;
 
+/// Pause for a worker whose id is listed with another start time. The next renewal shows which instance is alive.
+const NEW_INSTANCE_PAUSE_MS: Millis = 500;
+
 /// Records when the feed of the list last reported each worker. The feed reports each change once, in order. A separate
 /// reading that was requested before a change may be older than the change and must not undo it.
 #[derive(Clone, Debug, Default)]
@@ -283,6 +287,7 @@
             info.born_wall_ms,
             "a new instance with the worker's id was listed",
         ));
+        suspend_instances(pool_state, &info.id, ctx);
     }
     let key = load::add_listed(pool_state, info.clone(), ctx.now.ms, ctx.now);
     let is_given = offers.is_given(&info.host, &info.id);
@@ -295,6 +300,14 @@
 
 /// Logs a change of a worker's capacity. After a reduction, runs that no longer fit continue until they end, and no
 /// further run is started beside them while they exceed the capacity.
+/// Suspends the instances of an id until it is clear which of them is alive.
+fn suspend_instances(pool_state: &mut PoolState, id: &str, ctx: &mut Ctx<'_>) {
+    let instances: Vec<WorkerKey> = pool_state.instances_of(id).map(|(key, _)| key).collect();
+    for key in instances {
+        runs::suspend_worker(pool_state, key, NEW_INSTANCE_PAUSE_MS, ctx);
+    }
+}
+
 fn log_resized(worker: &Worker, info: &WorkerInfo, ctx: &mut Ctx<'_>) {
     let (before, current) = (worker.info.capacity, info.capacity);
     if before == current {
--- a/tests/test_later_instance.rs
+++ b/tests/test_later_instance.rs
@@ -5,16 +5,18 @@
 //! the end of the earlier instance's lease and started the task elsewhere.
 
 use rockwick::core::sched::keys::WorkerKey;
+use rockwick::core::sched::offers::Offers;
 use rockwick::core::sched::place;
 use rockwick::core::sched::renewal;
 use rockwick::core::sched::state::Effect;
 use rockwick::core::sched::tasks::Phase;
 use rockwick::core::sched::worker::RenewalPhase;
-use rockwick::port::fleet::{OrderReply, RenewalReport};
+use rockwick::core::sched::worker_list;
+use rockwick::port::fleet::{OrderReply, RenewalReport, WorkerInfo};
 
 use crate::decide::{add_answering_worker, decide};
 use crate::test_restarts::{
-    end, only_renewal, report, running, Scene, BORN_MS, EARLIER_CLOCK_MS, EPOCH, LAST_REPORT_MS,
+    end, only_renewal, report, running, Scene, BORN_MS, EARLIER_CLOCK_MS, EPOCH, ID, LAST_REPORT_MS,
 };
 use crate::world::listed_worker;
 
@@ -142,3 +144,23 @@
     assert!(acked(&mut scene, LAST_REPORT_MS + 1_100) < 10);
     assert_eq!(acked(&mut scene, LAST_REPORT_MS + 13_000), 10);
 }
+
+/// The list shows a later instance before anything of it was heard. Nothing is placed on the earlier one meanwhile.
+#[test]
+fn later_listed_pause() {
+    let mut scene = Scene::new();
+    let effects = decide(LAST_REPORT_MS + 100, |ctx| {
+        let offers = Offers::default();
+        let listed = WorkerInfo {
+            born_wall_ms: Some(BORN_MS[1]),
+            ..listed_worker(ID, "host")
+        };
+        worker_list::apply_worker_entry(&mut scene.pool_state, &listed, &offers, EPOCH, ctx);
+    });
+    assert!(effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::RenewWorker(..))));
+    let earlier = &scene.pool_state.workers[scene.earlier];
+    assert!(!earlier.is_open(LAST_REPORT_MS + 101));
+    assert!(earlier.is_open(LAST_REPORT_MS + 700));
+}
--- a/tests/test_restarts.rs
+++ b/tests/test_restarts.rs
@@ -105,7 +105,7 @@
 pub(crate) const LAST_REPORT_MS: u64 = 2_000;
 
 /// The id that both instances use.
-const ID: &str = "i-1";
+pub(crate) const ID: &str = "i-1";
 
 fn worker_info(born_wall_ms: u64) -> WorkerInfo {
     WorkerInfo {
