--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -40,6 +40,7 @@
 mod test_hosts;
 mod test_instances;
 mod test_intake;
+mod test_job_bounds;
 mod test_jobs;
 mod test_keys;
 mod test_late_claim;
