Refuse jobs whose texts exceed the documented limits

Callers that submitted jobs with texts of 250 KB brought an entry to 650 to 734 MB with 600 such jobs, beyond the 260 MB of a host.

Cause: what a job may be was checked for what can be run, not for its size. A payload was as long as a body may be (256 KB), although the specification gives it 4,000 bytes, and so were a label, a rack and an image. The owner of the pool keeps each job whole for as long as its state can be asked.

Rows in the store are still checked by JobSpec::fault alone, so what was accepted earlier runs.

--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -4,7 +4,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::port::fleet::{AdviceTerms, Capacity, FleetConfig, CAPACITY_MAX, MOMENT_MAX_MS};
+use crate::port::fleet::{
+    AdviceTerms, Capacity, FleetConfig, CAPACITY_MAX, MOMENT_MAX_MS, NAME_BYTES_MAX,
+    PAYLOAD_BYTES_MAX,
+};
 
 /// A job as submitted. The job's row in the store holds this.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -160,6 +163,15 @@
         }
     }
 
+    fn has_long_name(&self) -> bool {
+        let names = [
+            self.label.as_deref(),
+            self.data_rack.as_deref(),
+            Some(&*self.image),
+        ];
+        names.iter().flatten().any(|n| n.len() > NAME_BYTES_MAX)
+    }
+
     /// Returns what a task counts against its account's quota. Unlike `demand`, this includes the processors of a
     /// filler.
     pub fn charge(&self) -> Capacity {
@@ -201,7 +213,19 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns what is wrong with the job, if anything is.
+    /// Returns why the job is not accepted from a caller, if there is a reason. A job that is in the store already runs
+    /// unless it has a [`fault`](Self::fault).
+    pub fn refusal(&self) -> Option<&'static str> {
+        if self.payload.len() > PAYLOAD_BYTES_MAX {
+            return Some("the payload of a job has at most 4,000 bytes");
+        }
+        if self.steps.iter().any(StepSpec::has_long_name) {
+            return Some("a label, a rack and an image have at most 200 bytes each");
+        }
+        self.fault()
+    }
+
+    /// Returns why the job can't be run, if there is a reason.
     pub fn fault(&self) -> Option<&'static str> {
         if self.steps.is_empty() {
             return Some("a job needs at least one step");
--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -33,8 +33,11 @@
 /// The largest stretch factor of a queue, in thousandths. A larger one counts as this.
 pub const STRETCH_MAX_MILLI: u64 = 1_000_000;
 
-/// The longest id of a worker, which is the longest key of a row.
-const WORKER_ID_BYTES_MAX: usize = 200;
+/// The longest name that is taken from outside, in bytes: the longest key of a row.
+pub const NAME_BYTES_MAX: usize = 200;
+
+/// The longest payload of a job that is accepted, in bytes.
+pub const PAYLOAD_BYTES_MAX: usize = 4_000;
 
 /// The version of a row. The whole store has one counter, so versions of different rows can be compared.
 pub type Revision = u64;
@@ -443,7 +446,7 @@
     pub fn fault(&self) -> Option<&'static str> {
         let is_printable = |b: u8| b.is_ascii_graphic() || b == b' ';
         let is_sendable = self.id.bytes().all(is_printable) && self.id.trim() == self.id;
-        if self.id.is_empty() || self.id.len() > WORKER_ID_BYTES_MAX || !is_sendable {
+        if self.id.is_empty() || self.id.len() > NAME_BYTES_MAX || !is_sendable {
             return Some("the id can't be sent in the header of an order");
         }
         if self.address.port() == 0 || self.address.ip().is_unspecified() {
