Keep an earlier step of a job once, however often it is named

A step whose `depends_on` named step 0 120,000 times was accepted. 600 such jobs brought an entry to 563 MB, and the other entry to 139 MB.

Cause: the list was kept as sent, and only its entries were checked. Each of two bytes in the body takes two in memory for as long as the owner keeps the job, and more wherever the job is decoded, encoded or copied.

--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -1,7 +1,11 @@
 //! Defines a job as it is submitted and stored: its steps of tasks, what each task needs, and the policy of its queue.
 //! Entries write it at acceptance; the owner of the pool reads it.
 
-use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::clock::Millis;
 use crate::port::fleet::{
@@ -108,8 +112,11 @@
     /// The caller's estimate of a task's time.
     #[serde(skip_serializing_if = "is_default")]
     pub estimate_ms: Millis,
-    /// Steps whose tasks must all be done first.
-    #[serde(skip_serializing_if = "is_default")]
+    /// Steps whose tasks must all be done first, each once.
+    #[serde(
+        skip_serializing_if = "is_default",
+        deserialize_with = "deserialize_distinct"
+    )]
     pub after: Vec<u16>,
     /// Whether its tasks can continue from checkpoints.
     #[serde(skip_serializing_if = "is_default")]
@@ -149,6 +156,34 @@
     pub away_max: Option<u16>,
 }
 
+/// Collects step numbers without keeping any of them twice, so that memory is bounded by their number and not by that of
+/// the entries in the text.
+struct DistinctVisitor;
+
+impl<'de> Visitor<'de> for DistinctVisitor {
+    type Value = Vec<u16>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list of step numbers")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Vec<u16>, A::Error> {
+        let mut seen = BTreeSet::new();
+        let mut numbers = Vec::new();
+        while let Some(number) = list.next_element()? {
+            if seen.insert(number) {
+                numbers.push(number);
+            }
+        }
+        Ok(numbers)
+    }
+}
+
+/// Deserializes a list of step numbers, each once, in the order of the text.
+pub fn deserialize_distinct<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u16>, D::Error> {
+    from.deserialize_seq(DistinctVisitor)
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
