Refuse a job that no row of the store can hold

A job of many steps whose row is longer than the store takes was sent to it until the store had refused it REFUSALS_MAX times, and answered with 503, which invites the caller to try once more (read from the code, not played). A store that takes longer rows kept it, and its owner with it.

submit_job compares the encoded row with the longest value of the store (64 KB) before it sends anything, and answers 400. The row is encoded there anyway, so a plain call pays one comparison.

--- a/src/port/fleet.rs
+++ b/src/port/fleet.rs
@@ -36,6 +36,9 @@
 /// The longest name that is taken from outside, in bytes: the longest key of a row.
 pub const NAME_BYTES_MAX: usize = 200;
 
+/// The longest value of a row, in bytes.
+pub const VALUE_BYTES_MAX: usize = 64 * 1_024;
+
 /// The longest payload of a job that is accepted, in bytes.
 pub const PAYLOAD_BYTES_MAX: usize = 4_000;
 
--- a/src/serve/submit.rs
+++ b/src/serve/submit.rs
@@ -15,7 +15,7 @@
 use crate::core::sched::operation::Outcome;
 use crate::core::sched::rows;
 use crate::event::{Code, Decision, Subject};
-use crate::port::fleet::{QueueRoute, RowTx, Rows, StoredRow};
+use crate::port::fleet::{QueueRoute, RowTx, Rows, StoredRow, VALUE_BYTES_MAX};
 
 /// The time after which a caller learns that the outcome of a write is unknown, so that the caller can try another
 /// entry. It is about twice the timeout of one attempt.
@@ -94,6 +94,10 @@
         return NOT_TAKEN;
     };
     let job = encode_job(spec, &storage);
+    if job.len() > VALUE_BYTES_MAX {
+        let why = "the job is too large: it takes more than 64 KB as a row";
+        return Outcome::Malformed(why.to_string());
+    }
     let account = spec.account.as_deref();
     let attempt = |n| storage.insert_tx(id, account, job.clone(), n);
     match insert_row(shared, store, attempt, true, until_ms).await {
--- a/tests/test_job_bounds.rs
+++ b/tests/test_job_bounds.rs
@@ -170,7 +170,7 @@
     assert_eq!(log.decisions_about(Subject::Request, &name).len(), 1);
 }
 
-/// A job that no row of the users' store can hold was sent to it until its caller gave up.
+/// A job that no row of the users' store can hold was sent to it, and its caller told to come again.
 #[test]
 fn bounds_row() {
     let fleet = Fleet::start("pool", 2, 50).expect("the stand-in starts");
