Cut the reason of a refusal that quotes the caller

A body with a text of 250 KB where a number belongs was refused, and cost an entry as much memory as an accepted job.

Cause: the decoder's error quotes the text that it did not expect. The reason of the refusal was that error: written out once more for the log, kept among the latest 4,096 decisions about requests (1 GB at that size), escaped into the log line and sent back in the answer. The same held for a deadline header, of up to 8 KB.

Where and what was wrong stands at the beginning unless it is a quote.

--- a/src/core/sched/operation.rs
+++ b/src/core/sched/operation.rs
@@ -4,6 +4,10 @@
 use super::job::{JobSpec, JobState};
 use crate::clock::Millis;
 use crate::port::fleet::QueueRoute;
+use crate::util::cut_text;
+
+/// Longest reason of a malformed request, in bytes. It may quote the request.
+const REASON_BYTES_MAX: usize = 256;
 
 /// What a request asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,3 +73,12 @@
     /// The store's answer was lost, so it is unknown whether the request took effect.
     Unsure,
 }
+
+impl Outcome {
+    /// Returns the outcome of a malformed request, whose reason is cut where it is too long.
+    pub fn malformed(why: impl ToString) -> Self {
+        let mut why = why.to_string();
+        cut_text(&mut why, REASON_BYTES_MAX);
+        Outcome::Malformed(why)
+    }
+}
--- a/src/serve/submit.rs
+++ b/src/serve/submit.rs
@@ -96,7 +96,7 @@
     let job = encode_job(spec, &storage);
     if job.len() > VALUE_BYTES_MAX {
         let why = "the job is too large: it takes more than 64 KB as a row";
-        return Outcome::Malformed(why.to_string());
+        return Outcome::malformed(why);
     }
     let account = spec.account.as_deref();
     let attempt = |n| storage.insert_tx(id, account, job.clone(), n);
--- a/src/util.rs
+++ b/src/util.rs
@@ -42,6 +42,19 @@
     outputs.into_iter().flatten().collect()
 }
 
+/// Cuts a text to at most `bytes_max` bytes, between two characters, and frees what it no longer needs.
+pub fn cut_text(text: &mut String, bytes_max: usize) {
+    if text.len() <= bytes_max {
+        return;
+    }
+    let mut end = bytes_max;
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    text.truncate(end);
+    text.shrink_to_fit();
+}
+
 /// Percent-encodes every byte except ASCII letters, digits and `-_.~/`, so that a URL path can hold the text.
 pub fn escape_path(text: &str) -> String {
     let mut out = String::with_capacity(text.len());
