Cut the id and the reason of a decision that is logged

A log line was as long as the path of a call, up to 8 KB, and longer where it quoted a row of another writer, up to 64 KB. The latest 4,096 decisions of either kind stay in memory, and 8,192 lines wait where the output is slow, so such lines can take hundreds of megabytes. By calculation; no process was brought to that.

Log::record, which all decisions pass, cuts the id to 256 bytes and the reason to 2,048. Reasons about the configuration or the entry itself stay whole: they come from the operator and this program. Lists of runs are bounded where they are made and stay whole too.

bounds_log_lines failed before (100 KB) and passes.

--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,6 @@
 //! Writes each decision as one line of JSON to standard output, and keeps the latest ones in memory for `explain`.
 
-use crate::util::lock;
+use crate::util::{cut_text, lock};
 use std::collections::VecDeque;
 use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -24,6 +24,13 @@
 /// Maximum number of decisions about requests and backend servers kept in memory. At full load, they cover seconds.
 const TRAFFIC_RING_MAX: usize = 4_096;
 
+/// Maximum length of a decision's id in bytes: a name of the longest kind, or the beginning of a request's path.
+const ID_BYTES_MAX: usize = 256;
+
+/// Maximum length of a decision's reason in bytes, unless it is about the configuration or the entry itself. Reasons quote
+/// requests, and rows of other writers.
+const WHY_BYTES_MAX: usize = 2_048;
+
 /// Maximum number of lines that wait for the sink; further lines are dropped.
 const QUEUE_LINES_MAX: usize = 8_192;
 
@@ -88,9 +95,11 @@
         })
     }
 
-    /// Logs a decision with the current time and keeps it in memory, dropping the oldest one if its ring is full.
+    /// Logs a decision with the current time and keeps it in memory, dropping the oldest one if its ring is full. An id or
+    /// a reason that is too long is cut.
     pub fn record(&self, mut d: Decision) {
         d.at_ms = wall_ms();
+        cut_texts(&mut d);
         if let Some(logger) = self.logger.load().as_ref() {
             spdlog::log!(logger: logger, Level::Info, "{}", to_json_line(&d));
         }
@@ -136,6 +145,13 @@
     }
 }
 
+fn cut_texts(d: &mut Decision) {
+    cut_text(&mut d.id, ID_BYTES_MAX);
+    if !matches!(d.subject, Subject::Config | Subject::Entry) {
+        cut_text(&mut d.why, WHY_BYTES_MAX);
+    }
+}
+
 /// Formats a decision as its line of JSON.
 pub fn to_json_line(d: &Decision) -> String {
     let info = d.code.info();
