Tests of small jobs that stand for many tasks, which fail

A body of 100 bytes asks for up to 2,000 tasks, or for as many rounds as the row of the job has room for.

The crowd and the bounds are those of the other tests of this file.

The tests read the peak as soon as an ordinary job was accepted, before the entry owned its pool and had taken the jobs: the new ones passed that way, three times, with 14 to 55 MB. All tests of the file now begin when a first job has been run, and read the peak once it has stayed the same for 2 s, which is stricter.

--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -9,7 +9,7 @@
 use http_types::Method;
 use rockwick::http::client::deadline_after_ms;
 use rockwick::http::Client;
-use serde_json::json;
+use serde_json::{json, Value};
 use standin::fleet::Fleet;
 
 #[path = "hostile/content.rs"]
@@ -20,6 +20,9 @@
 
 const CALL_TIMEOUT_MS: u64 = 20_000;
 
+/// How long the peak of memory stays the same before it is read.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+
 const POOL: &str = "pool";
 
 static TURN: Mutex<()> = Mutex::new(());
@@ -61,10 +64,50 @@
             _platform: platform,
             _turn: turn,
         };
-        entry.submit_ordinary("00000000000000aa");
+        let id = "00000000000000aa";
+        entry.submit_ordinary(id);
+        let deadline = Instant::now() + WAIT_MAX;
+        while !entry.is_completed(id) {
+            assert!(Instant::now() < deadline, "no ordinary job is run");
+            std::thread::sleep(Duration::from_millis(20));
+        }
         entry
     }
 
+    fn is_completed(&self, id: &str) -> bool {
+        let client = Client::new(self.callers);
+        let Some(mut req) = client.request(Method::Get, &format!("/q/{id}")) else {
+            return false;
+        };
+        req.insert_header("host", "queue.example");
+        let answer = smol::block_on(client.exchange(req, deadline_after_ms(CALL_TIMEOUT_MS)));
+        let state: Option<Value> = answer.ok().and_then(|a| a.json());
+        state.is_some_and(|s| s["state"] == "completed")
+    }
+
+    fn peak_kb(&self) -> u64 {
+        let pid = self.child.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a status");
+        status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"))
+            .and_then(|text| text.trim().parse::<u64>().ok())
+            .expect("the peak of resident memory")
+    }
+
+    /// Waits until the peak of memory stays the same: the entry has worked off what it accepted.
+    fn wait_settled(&self) {
+        let deadline = Instant::now() + WAIT_MAX;
+        let (mut peak_kb, mut since) = (0, Instant::now());
+        while since.elapsed() < SETTLED_AFTER && Instant::now() < deadline {
+            std::thread::sleep(Duration::from_millis(50));
+            let now_kb = self.peak_kb();
+            if now_kb != peak_kb {
+                (peak_kb, since) = (now_kb, Instant::now());
+            }
+        }
+    }
+
     /// Submits an ordinary job until it is accepted, and reads its state.
     pub(crate) fn submit_ordinary(&self, id: &str) {
         let step = json!({"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 50});
@@ -86,15 +129,10 @@
 
     /// Checks that the process lives and has stayed within these bounds.
     pub(crate) fn assert_bounded(&mut self, memory_max_mb: u64, open_files_max: usize) {
+        self.wait_settled();
         let exit = self.child.try_wait().expect("the child is known");
         assert_eq!(exit, None, "the process has ended");
-        let pid = self.child.id();
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a status");
-        let peak_kb = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"))
-            .and_then(|text| text.trim().parse::<u64>().ok())
-            .expect("the peak of resident memory");
+        let (pid, peak_kb) = (self.child.id(), self.peak_kb());
         let open_files = std::fs::read_dir(format!("/proc/{pid}/fd"))
             .expect("the descriptors")
             .count();
--- a/tests/hostile/content.rs
+++ b/tests/hostile/content.rs
@@ -88,3 +88,23 @@
 fn hostile_empty_steps() {
     assert_bears(&json!({"steps": vec![json!({}); 83_000]}).to_string());
 }
+
+/// A step of a few bytes stands for many tasks, each of which the owner of the pool keeps.
+#[test]
+fn hostile_many_tasks() {
+    assert_bears(&job_with("count", json!(2_000)));
+}
+
+/// The rounds of a job that have begun are kept with their tasks.
+#[test]
+fn hostile_many_rounds() {
+    let step = json!({"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 50});
+    assert_bears(&json!({"spec": "work", "steps": [step], "repeat_count": 100_000}).to_string());
+}
+
+/// As many steps as the row of a job has room for.
+#[test]
+fn hostile_many_steps() {
+    let step = json!({"count": 2, "cpu": 500, "mem_mb": 100});
+    assert_bears(&json!({"spec": "work", "steps": vec![step; 1_000]}).to_string());
+}
