--- a/src/core/sched/job.rs
+++ b/src/core/sched/job.rs
@@ -1,10 +1,17 @@
 //! Defines a job as it is submitted and stored: its steps of tasks, what each task needs, and the policy of its queue.
 //! Entries write it at acceptance; the owner of the pool reads it.
 
-use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::clock::Millis;
-use crate::port::fleet::{AdviceTerms, Capacity, FleetConfig, CAPACITY_MAX, MOMENT_MAX_MS};
+use crate::port::fleet::{
+    AdviceTerms, Capacity, FleetConfig, CAPACITY_MAX, MOMENT_MAX_MS, NAME_BYTES_MAX,
+    PAYLOAD_BYTES_MAX,
+};
 
 /// A job as submitted. The job's row in the store holds this.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,8 +112,11 @@
     /// The caller's estimate of a task's time.
     #[serde(skip_serializing_if = "is_default")]
     pub estimate_ms: Millis,
-    /// Steps whose tasks must all be done first.
-    #[serde(skip_serializing_if = "is_default")]
+    /// Steps whose tasks must all be done first, each once.
+    #[serde(
+        skip_serializing_if = "is_default",
+        deserialize_with = "deserialize_distinct"
+    )]
     pub after: Vec<u16>,
     /// Whether its tasks can continue from checkpoints.
     #[serde(skip_serializing_if = "is_default")]
@@ -146,6 +156,34 @@
     pub away_max: Option<u16>,
 }
 
+/// Collects step numbers without keeping any of them twice, so that memory is bounded by their number and not by that of
+/// the entries in the text.
+struct DistinctVisitor;
+
+impl<'de> Visitor<'de> for DistinctVisitor {
+    type Value = Vec<u16>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list of step numbers")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Vec<u16>, A::Error> {
+        let mut seen = BTreeSet::new();
+        let mut numbers = Vec::new();
+        while let Some(number) = list.next_element()? {
+            if seen.insert(number) {
+                numbers.push(number);
+            }
+        }
+        Ok(numbers)
+    }
+}
+
+/// Deserializes a list of step numbers, each once, in the order of the text.
+pub fn deserialize_distinct<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u16>, D::Error> {
+    from.deserialize_seq(DistinctVisitor)
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
@@ -160,6 +198,15 @@
         }
     }
 
+    fn has_long_name(&self) -> bool {
+        let names = [
+            self.label.as_deref(),
+            self.data_rack.as_deref(),
+            Some(&*self.image),
+        ];
+        names.iter().flatten().any(|n| n.len() > NAME_BYTES_MAX)
+    }
+
     /// Returns what a task counts against its account's quota. Unlike `demand`, this includes the processors of a
     /// filler.
     pub fn charge(&self) -> Capacity {
@@ -201,7 +248,19 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns what is wrong with the job, if anything is.
+    /// Returns why the job is not accepted from a caller, if there is a reason. A job that is in the store already runs
+    /// unless it has a [`fault`](Self::fault).
+    pub fn refusal(&self) -> Option<&'static str> {
+        if self.payload.len() > PAYLOAD_BYTES_MAX {
+            return Some("the payload of a job has at most 4,000 bytes");
+        }
+        if self.steps.iter().any(StepSpec::has_long_name) {
+            return Some("a label, a rack and an image have at most 200 bytes each");
+        }
+        self.fault()
+    }
+
+    /// Returns why the job can't be run, if there is a reason.
     pub fn fault(&self) -> Option<&'static str> {
         if self.steps.is_empty() {
             return Some("a job needs at least one step");
