--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -86,9 +86,12 @@
         self.lines.lock().expect("the lock is not poisoned").clone()
     }
 
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal)
-            .expect("the child process can be signalled");
+        kill(Pid::from_raw(self.pid() as i32), signal).expect("the child process can be signalled");
     }
 
     /// Waits for the process to end and returns its exit code.
