Bound the bytes of request bodies over all connections of a listener

What users saw: many clients that send a large legal body, whole, in pieces or in chunks, and stop short of its end ended a process by memory.

Cause: a body was bounded, the sum of all bodies was not. Each unfinished body also cost up to twice its length, since its buffer grew by doubling, and the kernel held up to megabytes more that nobody had read. The readiness check and the metrics took bodies of 8 MB.

Change: core::connections decides, without I/O, which body is taken, refused or closed; http::intake holds the sockets of a listener. A body is charged with its length when its head is read, or with its buffer's size as it grows in chunks, and gets a buffer of that size. The last quarter is for bodies of up to 16 KB. When the budget is used up, a body without progress for 300 ms is closed, large ones first, and its bytes count until its connection is gone; a small body takes the place of any large one; else the newcomer gets 503 with Retry-After (overloaded, not run), which is true since its body was never read whole. A body that is being received yields to other connections every 4 KB. The kernel's receive buffer of a connection is 16 KB. Checks take bodies of 4 KB. Events 110 and 111 tell when clients begin to be refused and when that is over; two counters are in the metrics.

In calm a body of 256 KB is served, whole and in chunks (crowd_of_one). Idle connections and unread answers are still unbounded.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,13 +9,15 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, Result};
+use crate::http::intake::ProcessLimits;
 use crate::platform::SET_BY_PLATFORM;
+use crate::serve::settings::memory_mb_flag;
 
 /// Prefix of all environment variables.
 const PREFIX: &str = "ROCKWICK_";
 
 /// All environment variables that some command reads.
-const KNOWN_VARIABLES: [&str; 30] = [
+const KNOWN_VARIABLES: [&str; 31] = [
     "ROCKWICK_CONFIG_OUTAGE_MS",
     "ROCKWICK_CONFIG_WITHIN_MS",
     "ROCKWICK_NAME",
@@ -41,6 +43,7 @@
     "ROCKWICK_HOSTS",
     "ROCKWICK_ADVICE",
     "ROCKWICK_CPU_SHARE",
+    "ROCKWICK_MEMORY_MB",
     "ROCKWICK_REMOTE_DATA_FACTOR",
     "ROCKWICK_HOST_ORDERS_PER_S",
     "ROCKWICK_HOST_MOVE_COST_MS",
@@ -59,6 +62,7 @@
     peers: String,
     platform: String,
     threads: String,
+    memory_mb: String,
     body_bytes: String,
     answer_bytes: String,
     grace_ms: String,
@@ -104,6 +108,7 @@
         .help("Number of threads that serve callers, 1 to 64 (default 4)")
         .argument("N")
         .fallback("4".to_string());
+    let memory_mb = memory_mb_flag();
     let body_bytes = long("body-bytes")
         .env("ROCKWICK_BODY_BYTES")
         .help("Maximum size of a request's body (default 8388608)")
@@ -148,6 +153,7 @@
         peers,
         platform,
         threads,
+        memory_mb,
         body_bytes,
         answer_bytes,
         grace_ms,
@@ -177,6 +183,8 @@
     pub platform: SocketAddr,
     /// Number of threads that serve callers.
     pub threads: usize,
+    /// Memory that the process may use.
+    pub process: ProcessLimits,
     /// Maximum size of a request's body.
     pub body_bytes: usize,
     /// Maximum size of an answer's body.
@@ -222,6 +230,7 @@
             peers,
             platform: parse_address("platform", &self.platform)?,
             threads: parse_number("threads", &self.threads, 1, 64)? as usize,
+            process: parse_process_limits(&self.memory_mb)?,
             body_bytes: parse_number("body-bytes", &self.body_bytes, 1, 1 << 30)? as usize,
             answer_bytes: parse_number("answer-bytes", &self.answer_bytes, 1, 1 << 30)? as usize,
             grace_ms: parse_number("grace-ms", &self.grace_ms, 0, 600_000)?,
@@ -233,6 +242,21 @@
     }
 }
 
+/// Memory that the process may use unless a flag says otherwise, in megabytes.
+const MEMORY_MB: &str = "256";
+
+/// Parses the memory that the process may use; it may be empty.
+pub(crate) fn parse_process_limits(memory_mb: &str) -> Result<ProcessLimits> {
+    let memory_mb = if memory_mb.is_empty() {
+        MEMORY_MB
+    } else {
+        memory_mb
+    };
+    Ok(ProcessLimits {
+        memory_bytes: parse_number("memory-mb", memory_mb, 16, 1 << 24)? * 1_000_000,
+    })
+}
+
 /// Returns the usage error for a flag whose value is not `allowed`.
 pub(crate) fn usage_error<T>(flag: &str, value: &str, allowed: &str) -> Result<T> {
     Err(Error::Usage(format!(
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod budget;
 pub mod config;
+pub mod connections;
 pub mod drain;
 pub mod events;
 pub mod health;
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -20,22 +20,25 @@
 use crate::core::State;
 use crate::error::{Failure, Kind};
 use crate::event::Subject;
-use crate::http::{server, Incoming, Limits, Wire};
+use crate::http::{server, Incoming, Limits};
 use crate::port::HostStatus;
 use crate::view::{EntryView, HostView, JobView, Line, PoolView, Status, TemplateView, WaveView};
 
 /// Accepts operators' connections and serves each in a task on the control thread.
 pub(super) async fn accept_connections(control: Rc<Control>, listener: Async<TcpListener>) {
+    let limits = Limits::default();
+    let process = control.shared.settings.process;
+    let intake = super::new_intake(&control.shared, process.for_bodies(limits.body_bytes));
+    let intake = Arc::new(intake);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(seat) = intake.accept(&listener).await else {
             Timer::after(Duration::from_millis(10)).await;
             continue;
         };
         let this = Rc::clone(&control);
         control.spawn(async move {
             let handle = |incoming| handle_request(&this, incoming);
-            let limits = Limits::default();
-            server::serve(Wire::for_requests(stream), limits, || false, handle).await;
+            server::serve_seat(seat, limits, || false, handle).await;
         });
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,7 +12,7 @@
 mod traffic;
 mod upstream;
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,9 +23,11 @@
 use crate::auth;
 use crate::clock::wall_ms;
 use crate::config::{self, Settings};
+use crate::core::connections::ConnectionLimits;
 use crate::error::{Error, Result};
 use crate::event::{Code, Decision, Subject};
-use crate::http::{server, Limits, Wire};
+use crate::http::intake::limit_receive_buffers;
+use crate::http::{server, Intake, Limits, Seat};
 use crate::log::Log;
 use crate::runtime::Runtime;
 use shared::{CountGuard, Shared};
@@ -57,6 +59,7 @@
 fn bind_listener(flag: &str, addr: SocketAddr) -> Result<Async<TcpListener>> {
     let io = |e| Error::Io(format!("--{flag} {addr}"), e);
     let listener = TcpListener::bind(addr).map_err(io)?;
+    limit_receive_buffers(&listener);
     Async::new(listener).map_err(io)
 }
 
@@ -110,14 +113,19 @@
 
 async fn accept_callers(shared: Arc<Shared>, listener: Async<TcpListener>) {
     const CHECK_MS: u64 = 50;
+    let limits = shared
+        .settings
+        .process
+        .for_bodies(shared.settings.body_bytes);
+    let intake = Arc::new(new_intake(&shared, limits));
     while !shared.accept_stopped.load(Ordering::SeqCst) {
-        let next = async { Some(listener.accept().await) };
+        let next = async { Some(intake.accept(&listener).await) };
         let timeout = async {
             Timer::after(Duration::from_millis(CHECK_MS)).await;
             None
         };
         match next.or(timeout).await {
-            Some(Ok((stream, _))) => serve_connection(&shared, stream),
+            Some(Ok(seat)) => serve_connection(&shared, seat),
             // The process is most likely out of file descriptors, so wait until some are closed.
             Some(Err(_)) => {
                 Timer::after(Duration::from_millis(10)).await;
@@ -128,13 +136,18 @@
     // Connections that were made before the listener closes are still served.
     while let Ok((stream, _)) = listener.get_ref().accept() {
         if let Ok(stream) = Async::new(stream) {
-            serve_connection(&shared, stream);
+            serve_connection(&shared, intake.seat(stream));
         }
     }
     shared.listener_closed.store(true, Ordering::SeqCst);
 }
 
-fn serve_connection(shared: &Arc<Shared>, stream: Async<TcpStream>) {
+/// Returns the connections of a listener, whose refusals the metrics show.
+fn new_intake(shared: &Shared, limits: ConnectionLimits) -> Intake {
+    Intake::new(limits).with_counts(Arc::clone(&shared.metrics.intake))
+}
+
+fn serve_connection(shared: &Arc<Shared>, seat: Seat) {
     shared.connections.fetch_add(1, Ordering::SeqCst);
     let shared = Arc::clone(shared);
     let runtime = shared.runtime;
@@ -146,7 +159,7 @@
         };
         let stopping = || shared.stopping.load(Ordering::SeqCst);
         let handle = |incoming| traffic::handle_request(&shared, incoming);
-        server::serve(Wire::for_requests(stream), limits, stopping, handle).await;
+        server::serve_seat(seat, limits, stopping, handle).await;
     });
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -72,6 +72,7 @@
     HeadTooLarge, "head-too-large", 431, No, None, "The request's head is over the limit.";
     BodyTooLarge, "body-too-large", 413, No, None, "The request's body is over the limit.";
     SlowRequest, "slow-request", 408, No, Some(1), "The request did not arrive in time.";
+    Overloaded, "overloaded", 503, No, Some(1), "Clients hold as many bytes of requests as this entry can take.";
     Unauthorized, "unauthorized", 401, No, None, "The token is missing or unknown.";
     UnknownService, "unknown-service", 404, No, None, "No such service.";
     UnknownPath, "unknown-path", 404, No, None, "No such path.";
--- a/src/event.rs
+++ b/src/event.rs
@@ -54,6 +54,8 @@
     LogDropped, 107, "log-dropped", "Log lines were dropped because the sink could not keep up.";
     Fault, 108, "fault", "This program has a fault; the request or connection that met it is abandoned.";
     Reloaded, 109, "reloaded", "The entry received a reload signal; the event says what was reloaded.";
+    IntakeLimited, 110, "intake-limited", "Clients hold as many connections or bytes as a listener allows; the entry begins to close or refuse some.";
+    IntakeFree, 111, "intake-free", "No client was closed or refused for a while; the event shows how many were since the limit was met.";
     Routed, 200, "routed", "A backend server answered a request.";
     RouteFailed, 201, "route-failed", "A request was sent to a backend server and got no complete answer.";
     RouteRefused, 202, "route-refused", "The entry gave up a request before it was run.";
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -194,6 +194,11 @@
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
     }
 
+    /// Shuts down both directions, so that whoever reads or writes here finds the connection closed.
+    pub fn shutdown(&self) {
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Both);
+    }
+
     fn poll_socket(&self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut &*self.stream).poll_read(cx, out)
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,14 +1,17 @@
 //! HTTP/1.1 client and server on async-h1, with the checks that the library leaves to its users.
 //!
-//! `framing` checks where each message ends, `client` pools connections, and `server` reads and answers requests.
+//! `framing` checks where each message ends, `client` pools connections, `server` reads and answers requests, and `intake`
+//! bounds what the clients of a listener hold.
 //! The entry, the daemon of `serve` and the commands use them.
 
 pub mod client;
 pub mod framing;
+pub mod intake;
 pub mod server;
 
 pub use client::{Answer, Client, ExchangeError, Sent};
 pub use framing::{FramingError, Wire};
+pub use intake::{Intake, Seat};
 pub use server::{Incoming, Limits};
 
 use std::future::Future;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -3,14 +3,17 @@
 //! A request that is malformed or exceeds a bound is answered with its problem, and the connection is closed.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::future::yield_now;
+use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use futures_lite::FutureExt;
 use http_types::{Method, Request, Response, StatusCode};
 use smol::Timer;
 
-use super::{connection_names, drive_codec, FramingError, Wire};
+use super::{connection_names, drive_codec, FramingError, Intake, Seat, Wire};
+use crate::core::connections::{ConnectionLimits, Phase};
 use crate::error::{Failure, Kind, Run};
 
 /// Bounds on the time and the size that a client's requests may take.
@@ -38,6 +41,12 @@
 /// Equals the default bound on receiving a request's head.
 const WRITE_MAX_MS: u64 = 10_000;
 
+/// Smallest step by which the buffer for a chunked body grows.
+const GROWTH_BYTES: usize = 16 << 10;
+
+/// Number of received bytes that count as progress of a body.
+const PROGRESS_BYTES: usize = 4 << 10;
+
 /// Longest interval between two checks of a connection that waits for a request.
 const CHECK_MS: u64 = 500;
 
@@ -76,20 +85,37 @@
     Bad(Failure),
 }
 
-/// Serves the connection until it closes, an error ends it, or `stopping` returns true between two requests.
+/// Serves a connection that no listener counts, as [`serve_seat`] does.
 pub async fn serve<H, F, S>(wire: Wire, limits: Limits, stopping: S, handler: H)
 where
     H: Fn(Incoming) -> F,
     F: Future<Output = Response>,
     S: Fn() -> bool,
 {
+    serve_seat(seat_alone(wire), limits, stopping, handler).await;
+}
+
+fn seat_alone(wire: Wire) -> Seat {
+    Arc::new(Intake::new(ConnectionLimits::NONE)).seat_wire(wire)
+}
+
+/// Serves the connection until it closes, an error ends it, or `stopping` returns true between two requests.
+pub async fn serve_seat<H, F, S>(seat: Seat, limits: Limits, stopping: S, handler: H)
+where
+    H: Fn(Incoming) -> F,
+    F: Future<Output = Response>,
+    S: Fn() -> bool,
+{
+    let wire = seat.wire();
     loop {
-        match read_request(&wire, limits, &stopping).await {
+        seat.set_phase(Phase::Waiting);
+        match read_seated(&seat, limits, &stopping).await {
             Arrival::Nothing => return,
             Arrival::Bad(failure) => {
                 let res = problem(&failure);
-                let _ = write_answer(&wire, res, Method::Get, true).await;
-                linger(&wire).await;
+                seat.set_phase(Phase::Answering);
+                let _ = write_answer(wire, res, Method::Get, true).await;
+                linger(wire).await;
                 return;
             }
             Arrival::Request(incoming) => {
@@ -98,11 +124,12 @@
                 let is_end_known = wire.at_end();
                 let res = handler(*incoming).await;
                 let close = wants_close || stopping() || !is_end_known;
-                if write_answer(&wire, res, method, close).await.is_err() {
+                seat.set_phase(Phase::Answering);
+                if write_answer(wire, res, method, close).await.is_err() {
                     return;
                 }
                 if close {
-                    linger(&wire).await;
+                    linger(wire).await;
                     return;
                 }
             }
@@ -112,6 +139,11 @@
 
 /// Reads one complete request. Returns [`Arrival::Nothing`] if the connection is idle and `stopping` returns true.
 pub async fn read_request(wire: &Wire, limits: Limits, stopping: impl Fn() -> bool) -> Arrival {
+    read_seated(&seat_alone(wire.clone()), limits, stopping).await
+}
+
+async fn read_seated(seat: &Seat, limits: Limits, stopping: impl Fn() -> bool) -> Arrival {
+    let wire = seat.wire();
     wire.begin_request();
     let head = async { Some(async_h1::server::decode(wire.clone()).await) };
     let timeout = async {
@@ -124,7 +156,7 @@
         Some(Err(e)) => return arrival_of_bad_head(wire, &e),
         Some(Ok(Some((req, _)))) => req,
     };
-    read_body(wire, decoded, limits).await
+    read_body(seat, decoded, limits).await
 }
 
 async fn wait_for_head_deadline(wire: &Wire, limits: Limits, stopping: impl Fn() -> bool) {
@@ -158,20 +190,21 @@
     }
 }
 
-async fn read_body(wire: &Wire, mut head: Request, limits: Limits) -> Arrival {
+async fn read_body(seat: &Seat, mut head: Request, limits: Limits) -> Arrival {
     let arrived = Instant::now();
-    let max_bytes = limits.body_bytes;
-    if head.len().is_some_and(|n| n > max_bytes) {
-        return Arrival::Bad(Kind::BodyTooLarge.with_detail(format!("at most {max_bytes} bytes")));
+    let (wire, max_bytes) = (seat.wire(), limits.body_bytes);
+    let too_large = || Kind::BodyTooLarge.with_detail(format!("at most {max_bytes} bytes"));
+    let length = head.len();
+    if length.is_some_and(|n| n > max_bytes) {
+        return Arrival::Bad(too_large());
     }
-    let mut body = Vec::new();
-    let mut reader = head.take_body().take(max_bytes as u64 + 1);
-    let work = async { Some(drive_codec(reader.read_to_end(&mut body)).await) };
+    let reader = head.take_body();
+    let work = async { Some(drive_codec(fill_body(seat, reader, length, max_bytes)).await) };
     let timeout = async {
         Timer::after(Duration::from_millis(limits.receive_ms)).await;
         None
     };
-    match work.or(timeout).await {
+    let body = match work.or(timeout).await {
         None => {
             return Arrival::Bad(Kind::SlowRequest.with_detail("the body did not arrive in time"))
         }
@@ -180,13 +213,11 @@
         }
         Some(Some(Err(e))) => return Arrival::Bad(Kind::BadRequest.with_detail(e.to_string())),
         Some(None) => return Arrival::Bad(Kind::BadRequest.with_detail("malformed trailer")),
-        Some(Some(Ok(_))) if body.len() > max_bytes => {
-            return Arrival::Bad(
-                Kind::BodyTooLarge.with_detail(format!("at most {max_bytes} bytes")),
-            );
-        }
-        Some(Some(Ok(_))) => {}
-    }
+        Some(Some(Ok(Filled::TooLarge))) => return Arrival::Bad(too_large()),
+        Some(Some(Ok(Filled::NoRoom))) => return Arrival::Bad(Kind::Overloaded.into()),
+        Some(Some(Ok(Filled::Complete(body)))) => body,
+    };
+    seat.set_phase(Phase::Running);
     Arrival::Request(Box::new(Incoming {
         head,
         body,
@@ -194,6 +225,62 @@
     }))
 }
 
+/// The result of receiving a body.
+enum Filled {
+    Complete(Vec<u8>),
+    /// The body exceeds the limit on one body.
+    TooLarge,
+    /// The budget of the listener has no room for the body.
+    NoRoom,
+}
+
+/// Receives a body into a buffer of its length or, if that is not known, into one that grows with it. The connection is
+/// charged with the buffer's size before the buffer is made.
+async fn fill_body(
+    seat: &Seat,
+    mut reader: impl AsyncRead + Unpin,
+    length: Option<usize>,
+    max_bytes: usize,
+) -> std::io::Result<Filled> {
+    if length == Some(0) {
+        return Ok(Filled::Complete(Vec::new()));
+    }
+    seat.set_phase(Phase::Receiving);
+    if !seat.charge(length.unwrap_or(0)).await {
+        return Ok(Filled::NoRoom);
+    }
+    let mut body = vec![0; length.unwrap_or(0)];
+    let (mut received, mut noted) = (0, 0);
+    loop {
+        if received == body.len() {
+            if length.is_some() {
+                break;
+            }
+            if received > max_bytes {
+                return Ok(Filled::TooLarge);
+            }
+            let grown = received + GROWTH_BYTES.max(received / 4);
+            let grown = grown.min(max_bytes.saturating_add(1));
+            if !seat.charge(grown).await {
+                return Ok(Filled::NoRoom);
+            }
+            body.reserve_exact(grown - received);
+            body.resize(grown, 0);
+        }
+        match reader.read(&mut body[received..]).await? {
+            0 => break,
+            n => received += n,
+        }
+        if received - noted >= PROGRESS_BYTES {
+            seat.note_progress();
+            noted = received;
+            yield_now().await;
+        }
+    }
+    body.truncate(received);
+    Ok(Filled::Complete(body))
+}
+
 /// Writes an answer in one piece; `close` adds `Connection: close`.
 pub async fn write_answer(
     wire: &Wire,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::Millis;
 use crate::error::Kind;
+use crate::http::intake::IntakeCounts;
 
 /// Highest value that the histograms can record: an hour in microseconds.
 const HISTOGRAM_MAX_US: u64 = 3_600_000_000;
@@ -96,6 +97,8 @@
     pub platform_calls: AtomicU64,
     /// Calls to the platform by kind; only `rockwick serve` counts them.
     pub platform_use: Arc<PlatformUse>,
+    /// What the listeners refused and closed; their connections share it.
+    pub intake: Arc<IntakeCounts>,
     /// Bytes of peer messages sent and received.
     pub peer_bytes: AtomicU64,
     /// Ticks of the control thread.
@@ -121,6 +124,7 @@
             refused_by_backend: AtomicU64::new(0),
             platform_calls: AtomicU64::new(0),
             platform_use: Arc::default(),
+            intake: Arc::default(),
             peer_bytes: AtomicU64::new(0),
             ticks: AtomicU64::new(0),
             failures: Mutex::new(BTreeMap::new()),
@@ -161,6 +165,8 @@
             ("platform_calls_total", &self.platform_calls),
             ("peer_bytes_total", &self.peer_bytes),
             ("ticks_total", &self.ticks),
+            ("intake_refused_total", &self.intake.refused),
+            ("intake_closed_total", &self.intake.closed),
         ];
         for (name, counter) in counters {
             let value = counter.load(Ordering::Relaxed);
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -8,9 +8,10 @@
 use bpaf::{construct, long, Parser};
 
 use crate::clock::Millis;
-use crate::config::{check_name, parse_address, usage_error};
+use crate::config::{check_name, parse_address, parse_process_limits, usage_error};
 use crate::core::sched::deployment::Deployment;
 use crate::error::Result;
+use crate::http::intake::ProcessLimits;
 
 /// The default of `config-within-ms`: the shortest that the users' deployments state.
 const CONFIG_WITHIN_MS: Millis = 2_000;
@@ -30,6 +31,7 @@
     ready: String,
     metrics: String,
     cpu_share: f64,
+    memory_mb: String,
     store: String,
     hosts: String,
     advice: String,
@@ -76,6 +78,7 @@
         .help("Cores that this entry may use; entries with more cores own pools first")
         .argument("CORES")
         .fallback(1.0);
+    let memory_mb = memory_mb_flag();
     let store = long("store")
         .env("ROCKWICK_STORE")
         .help("Address of the platform's row store")
@@ -108,6 +111,7 @@
         ready,
         metrics,
         cpu_share,
+        memory_mb,
         store,
         hosts,
         advice,
@@ -117,6 +121,15 @@
     })
 }
 
+/// Returns the parser of the flag for the memory of the process.
+pub(crate) fn memory_mb_flag() -> impl Parser<String> {
+    long("memory-mb")
+        .env("ROCKWICK_MEMORY_MB")
+        .help("Memory that the process may use, which bounds the request bodies under way (default 256)")
+        .argument("MB")
+        .fallback(String::new())
+}
+
 fn deployment_flags() -> impl Parser<DeploymentFlags> {
     let remote_data_factor = long("remote-data-factor")
         .env("ROCKWICK_REMOTE_DATA_FACTOR")
@@ -167,6 +180,8 @@
     pub metrics: Option<SocketAddr>,
     /// The processor share of the entry, in thousandths of a core; an entry with a larger share claims pools earlier.
     pub cpu_milli: u64,
+    /// The memory that the process may use.
+    pub process: ProcessLimits,
     /// The address of the platform's row store.
     pub store: SocketAddr,
     /// The address that takes orders to hosts, if there is one.
@@ -191,6 +206,7 @@
             ready: parse_address("ready", &self.ready)?,
             metrics: parse_optional_address("metrics", &self.metrics)?,
             cpu_milli: check_cpu_share(self.cpu_share)?,
+            process: parse_process_limits(&self.memory_mb)?,
             store: parse_address("store", &self.store)?,
             hosts: parse_optional_address("hosts", &self.hosts)?,
             advice: parse_optional_address("advice", &self.advice)?,
--- a/src/serve/traffic.rs
+++ b/src/serve/traffic.rs
@@ -4,13 +4,14 @@
 //! changes the state of the control thread.
 
 use std::future::Future;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http_types::Response;
+use smol::channel::{Receiver, Sender};
 use smol::{Async, LocalExecutor, Timer};
 
 use super::operations;
@@ -18,9 +19,10 @@
 use super::shared::Shared;
 use super::{new_platform, status, KEEP_OPEN_MS};
 use crate::clock::wall_ms;
+use crate::core::connections::ConnectionLimits;
 use crate::core::sched::operation::{Operation, Outcome, Request};
 use crate::event::{Code, Decision, Subject};
-use crate::http::{server, Incoming, Limits, Wire};
+use crate::http::{server, Incoming, Intake, Limits, Seat};
 use crate::platform::{edge, Platform};
 
 /// Limits on callers' connections and requests: the users' configuration names 256 KB and 15 s.
@@ -30,6 +32,16 @@
     body_bytes: 256 << 10,
 };
 
+/// Limits on checks, which have no bodies.
+const CHECK_LIMITS: Limits = Limits {
+    idle_ms: 60_000,
+    receive_ms: 10_000,
+    body_bytes: 4 << 10,
+};
+
+/// How long no client may be refused or closed before this is logged as over.
+const INTAKE_FREE_MS: u64 = 10_000;
+
 /// The `retry-after` of an entry that is about to end: other entries answer at once.
 const RETRY_ELSEWHERE_S: u32 = 1;
 
@@ -45,17 +57,37 @@
 ) {
     let executor: Rc<LocalExecutor<'static>> = Rc::new(LocalExecutor::new());
     let platform = new_platform(shared);
+    let (limited, limited_receiver) = smol::channel::bounded(1);
+    let process = shared.settings.process;
+    let callers = new_intake(
+        shared,
+        process.for_bodies(CALLER_LIMITS.body_bytes),
+        &limited,
+    );
+    let readiness = new_intake(
+        shared,
+        process.for_bodies(CHECK_LIMITS.body_bytes),
+        &limited,
+    );
+    let metrics = new_intake(
+        shared,
+        process.for_bodies(CHECK_LIMITS.body_bytes),
+        &limited,
+    );
     let serve_caller = {
         let (shared, platform) = (Arc::clone(shared), platform.clone());
-        move |stream| serve_connection(Arc::clone(&shared), platform.clone(), stream)
+        move |seat| serve_connection(Arc::clone(&shared), platform.clone(), seat)
     };
     executor
         .spawn(accept_connections(
             Rc::clone(&executor),
             caller_listener,
+            callers,
             serve_caller,
         ))
         .detach();
+    let report = report_limits(Arc::clone(shared), limited_receiver);
+    executor.spawn(report).detach();
     let follow_configurations = {
         let (shared, platform) = (Arc::clone(shared), platform.clone());
         async move { queues::follow_configurations(&shared, &platform).await }
@@ -66,6 +98,7 @@
         .spawn(accept_connections(
             Rc::clone(&executor),
             readiness_listener,
+            readiness,
             serve_readiness,
         ))
         .detach();
@@ -75,6 +108,7 @@
             .spawn(accept_connections(
                 Rc::clone(&executor),
                 listener,
+                metrics,
                 serve_metrics,
             ))
             .detach();
@@ -82,14 +116,49 @@
     smol::block_on(executor.run(std::future::pending::<()>()));
 }
 
+fn new_intake(shared: &Shared, limits: ConnectionLimits, limited: &Sender<()>) -> Arc<Intake> {
+    let counts = Arc::clone(&shared.metrics.intake);
+    Arc::new(
+        Intake::new(limits)
+            .with_counts(counts)
+            .with_signal(limited.clone()),
+    )
+}
+
+/// Logs when the listeners begin to refuse or close clients, and when they have not done so for a while.
+async fn report_limits(shared: Arc<Shared>, limited: Receiver<()>) {
+    let counts = Arc::clone(&shared.metrics.intake);
+    let log = |code, refused, closed| {
+        let why = "limits of connections and of bytes";
+        let decision = Decision::new(code, Subject::Entry, &shared.settings.name, why);
+        let decision = decision.with("refused", refused).with("closed", closed);
+        shared.log_decision(decision);
+    };
+    let (mut refused, mut closed) = (0, 0);
+    while limited.recv().await.is_ok() {
+        log(Code::IntakeLimited, 0, 0);
+        let mut seen = 0;
+        while seen != counts.total() {
+            seen = counts.total();
+            Timer::after(Duration::from_millis(INTAKE_FREE_MS)).await;
+        }
+        let _ = limited.try_recv();
+        let all_refused = counts.refused.load(Ordering::Relaxed);
+        let all_closed = counts.closed.load(Ordering::Relaxed);
+        log(Code::IntakeFree, all_refused - refused, all_closed - closed);
+        (refused, closed) = (all_refused, all_closed);
+    }
+}
+
 async fn accept_connections<F: Future<Output = ()> + 'static>(
     executor: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
-    serve: impl Fn(Async<TcpStream>) -> F,
+    intake: Arc<Intake>,
+    serve: impl Fn(Seat) -> F,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => executor.spawn(serve(stream)).detach(),
+        match intake.accept(&listener).await {
+            Ok(seat) => executor.spawn(serve(seat)).detach(),
             Err(_) => {
                 Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
@@ -101,19 +170,18 @@
 fn make_status_server<F: Future<Output = Response> + 'static>(
     shared: &Arc<Shared>,
     handler: impl Fn(Arc<Shared>, Incoming) -> F + Copy + 'static,
-) -> impl Fn(Async<TcpStream>) -> std::pin::Pin<Box<dyn Future<Output = ()>>> {
+) -> impl Fn(Seat) -> std::pin::Pin<Box<dyn Future<Output = ()>>> {
     let shared = Arc::clone(shared);
-    move |stream| {
+    move |seat| {
         let shared = Arc::clone(&shared);
-        let wire = Wire::for_requests(stream);
         Box::pin(async move {
             let handle = |incoming| handler(Arc::clone(&shared), incoming);
-            server::serve(wire, Limits::default(), || false, handle).await;
+            server::serve_seat(seat, CHECK_LIMITS, || false, handle).await;
         })
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, platform: Platform, stream: Async<TcpStream>) {
+async fn serve_connection(shared: Arc<Shared>, platform: Platform, seat: Seat) {
     shared.connections.fetch_add(1, Ordering::SeqCst);
     let stopping = || {
         shared
@@ -121,7 +189,7 @@
             .is_some_and(|ms| ms >= KEEP_OPEN_MS)
     };
     let handle = |incoming| answer_call(&shared, &platform, incoming);
-    server::serve(Wire::for_requests(stream), CALLER_LIMITS, stopping, handle).await;
+    server::serve_seat(seat, CALLER_LIMITS, stopping, handle).await;
     shared.connections.fetch_sub(1, Ordering::SeqCst);
 }
 
--- a/tests/test_crowd.rs
+++ b/tests/test_crowd.rs
@@ -405,3 +405,35 @@
     watch.check("entry bodies", FDS_OF_MEMORY);
     assert_eq!(answer.ok().map(|a| a.status), Some(200));
 }
+
+#[test]
+fn crowd_of_one() {
+    // In calm, a body of the largest legal size is served, whole or in chunks.
+    let _alone = begin_with_memory();
+    let serving = Serving::start();
+    let step = json!({"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 50});
+    let mut body = json!({"spec": "work", "steps": [step]}).to_string();
+    body.push_str(&" ".repeat(BODY_BYTES - body.len()));
+    let chunks: Vec<String> = body
+        .as_bytes()
+        .chunks(1_000)
+        .map(|chunk| {
+            format!(
+                "{:x}\r\n{}\r\n",
+                chunk.len(),
+                String::from_utf8_lossy(chunk)
+            )
+        })
+        .collect();
+    let chunked = chunked_body(format!("{}0\r\n\r\n", chunks.concat()).as_bytes());
+    let head = format!(
+        "POST /q/{JOB} HTTP/1.1\r\nHost: queue.example\r\nContent-Length: {BODY_BYTES}\r\n\r\n{body}"
+    );
+    for bytes in [head.into_bytes(), chunked] {
+        let mut stream = TcpStream::connect(serving.callers).expect("a connection");
+        stream.write_all(&bytes).expect("the entry reads all");
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).expect("an answer");
+        assert_eq!(String::from_utf8_lossy(&answer), "HTTP/1.1 200");
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -22,6 +22,7 @@
 mod test_commit;
 mod test_compare;
 mod test_config;
+mod test_connections;
 mod test_crashes;
 mod test_data_racks;
 mod test_deadlines;
