Bound the connections of each listener and leave descriptors for the store

What users would see: idle connections, on any listener, used up the descriptors of a process. accept failed until some ended by their idle limit, and no new connection to the store or to workers could be made.

Cause: no bound on connections; a failed accept waited and closed nothing.

Change: callers' connections may take half the descriptors and a quarter of the memory at 48 KB each (1,322 on a machine of 260 MB and 4,100 descriptors), those of each other listener a 16th, 64 at most. At the limit, a listener that has a newcomer closes the connection that has gone longest without progress, unless its request is being run, and accepts when it is gone.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,15 +9,15 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, Result};
-use crate::http::intake::ProcessLimits;
+use crate::http::intake::{allowed_fds, ProcessLimits};
 use crate::platform::SET_BY_PLATFORM;
-use crate::serve::settings::memory_mb_flag;
+use crate::serve::settings::{max_fds_flag, memory_mb_flag};
 
 /// Prefix of all environment variables.
 const PREFIX: &str = "ROCKWICK_";
 
 /// All environment variables that some command reads.
-const KNOWN_VARIABLES: [&str; 31] = [
+const KNOWN_VARIABLES: [&str; 32] = [
     "ROCKWICK_CONFIG_OUTAGE_MS",
     "ROCKWICK_CONFIG_WITHIN_MS",
     "ROCKWICK_NAME",
@@ -43,6 +43,7 @@
     "ROCKWICK_HOSTS",
     "ROCKWICK_ADVICE",
     "ROCKWICK_CPU_SHARE",
+    "ROCKWICK_MAX_FDS",
     "ROCKWICK_MEMORY_MB",
     "ROCKWICK_REMOTE_DATA_FACTOR",
     "ROCKWICK_HOST_ORDERS_PER_S",
@@ -63,6 +64,7 @@
     platform: String,
     threads: String,
     memory_mb: String,
+    max_fds: String,
     body_bytes: String,
     answer_bytes: String,
     grace_ms: String,
@@ -109,6 +111,7 @@
         .argument("N")
         .fallback("4".to_string());
     let memory_mb = memory_mb_flag();
+    let max_fds = max_fds_flag();
     let body_bytes = long("body-bytes")
         .env("ROCKWICK_BODY_BYTES")
         .help("Maximum size of a request's body (default 8388608)")
@@ -154,6 +157,7 @@
         platform,
         threads,
         memory_mb,
+        max_fds,
         body_bytes,
         answer_bytes,
         grace_ms,
@@ -183,7 +187,7 @@
     pub platform: SocketAddr,
     /// Number of threads that serve callers.
     pub threads: usize,
-    /// Memory that the process may use.
+    /// Memory and descriptors that the process may use.
     pub process: ProcessLimits,
     /// Maximum size of a request's body.
     pub body_bytes: usize,
@@ -230,7 +234,7 @@
             peers,
             platform: parse_address("platform", &self.platform)?,
             threads: parse_number("threads", &self.threads, 1, 64)? as usize,
-            process: parse_process_limits(&self.memory_mb)?,
+            process: parse_process_limits(&self.memory_mb, &self.max_fds)?,
             body_bytes: parse_number("body-bytes", &self.body_bytes, 1, 1 << 30)? as usize,
             answer_bytes: parse_number("answer-bytes", &self.answer_bytes, 1, 1 << 30)? as usize,
             grace_ms: parse_number("grace-ms", &self.grace_ms, 0, 600_000)?,
@@ -245,8 +249,11 @@
 /// Memory that the process may use unless a flag says otherwise, in megabytes.
 const MEMORY_MB: &str = "256";
 
-/// Parses the memory that the process may use; it may be empty.
-pub(crate) fn parse_process_limits(memory_mb: &str) -> Result<ProcessLimits> {
+/// Number of descriptors that the process may use if neither a flag nor the system says.
+const FDS: u64 = 1_024;
+
+/// Parses the memory and the descriptors that the process may use; either may be empty.
+pub(crate) fn parse_process_limits(memory_mb: &str, max_fds: &str) -> Result<ProcessLimits> {
     let memory_mb = if memory_mb.is_empty() {
         MEMORY_MB
     } else {
@@ -254,6 +261,10 @@
     };
     Ok(ProcessLimits {
         memory_bytes: parse_number("memory-mb", memory_mb, 16, 1 << 24)? * 1_000_000,
+        fds: match max_fds {
+            "" => allowed_fds().unwrap_or(FDS),
+            _ => parse_number("max-fds", max_fds, 64, 1 << 24)?,
+        },
     })
 }
 
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -28,7 +28,7 @@
 pub(super) async fn accept_connections(control: Rc<Control>, listener: Async<TcpListener>) {
     let limits = Limits::default();
     let process = control.shared.settings.process;
-    let intake = super::new_intake(&control.shared, process.for_bodies(limits.body_bytes));
+    let intake = super::new_intake(&control.shared, process.for_checks(limits.body_bytes));
     let intake = Arc::new(intake);
     loop {
         let Ok(seat) = intake.accept(&listener).await else {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -116,7 +116,7 @@
     let limits = shared
         .settings
         .process
-        .for_bodies(shared.settings.body_bytes);
+        .for_callers(shared.settings.body_bytes);
     let intake = Arc::new(new_intake(&shared, limits));
     while !shared.accept_stopped.load(Ordering::SeqCst) {
         let next = async { Some(intake.accept(&listener).await) };
--- a/src/http/intake.rs
+++ b/src/http/intake.rs
@@ -24,24 +24,52 @@
 /// The kernel's receive buffer of an accepted connection. What it holds is not charged to the budget.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
-/// The part of the memory that bodies may use: one part of this many.
+/// Memory that one connection may cost beside the bodies and answers that are charged to the budget: its task, the
+/// buffers for a head and the kernel's receive buffer.
+const CONNECTION_BYTES: u64 = 48 << 10;
+
+/// The part of the memory that connections may use, and the part for bodies and answers: one part of this many.
+const CONNECTIONS_DIVISOR: u64 = 4;
 const BODIES_DIVISOR: u64 = 8;
 
-/// The memory that a process may use.
+/// The part of the descriptors that callers' connections may use, and the part of each listener for checks.
+const CALLERS_FDS_DIVISOR: u64 = 2;
+const CHECKS_FDS_DIVISOR: u64 = 16;
+
+/// Largest number of connections of a listener for checks.
+const CHECKS_MAX: u64 = 64;
+
+/// Smallest number of connections of a listener.
+const CONNECTIONS_MIN: u64 = 4;
+
+/// The memory and the descriptors that a process may use.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessLimits {
     /// Memory in bytes.
     pub memory_bytes: u64,
+    /// Number of descriptors.
+    pub fds: u64,
 }
 
 impl ProcessLimits {
-    /// Returns the limits of a listener whose requests' bodies have at most `body_bytes`.
-    pub fn for_bodies(self, body_bytes: usize) -> ConnectionLimits {
+    /// Returns the limits of a listener for callers, whose bodies have at most `body_bytes`.
+    pub fn for_callers(self, body_bytes: usize) -> ConnectionLimits {
+        let by_memory = self.memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        let by_fds = self.fds / CALLERS_FDS_DIVISOR;
+        self.limits(by_memory.min(by_fds), body_bytes)
+    }
+
+    /// Returns the limits of a listener for the balancer, for metrics or for operators.
+    pub fn for_checks(self, body_bytes: usize) -> ConnectionLimits {
+        self.limits((self.fds / CHECKS_FDS_DIVISOR).min(CHECKS_MAX), body_bytes)
+    }
+
+    fn limits(self, connections_max: u64, body_bytes: usize) -> ConnectionLimits {
         let bytes_max = (self.memory_bytes / BODIES_DIVISOR) as usize;
         ConnectionLimits {
+            connections_max: connections_max.max(CONNECTIONS_MIN) as usize,
             // The part that is not reserved for small bodies holds at least one body of the largest size.
             bytes_max: bytes_max.max(body_bytes.saturating_mul(2)),
-            ..ConnectionLimits::NONE
         }
     }
 }
@@ -105,10 +133,22 @@
         self
     }
 
-    /// Accepts the next connection.
+    /// Accepts the next connection. If there are as many as allowed, it first closes the one that has gone longest without
+    /// progress, and also if the process has no descriptors left.
     pub async fn accept(self: &Arc<Self>, listener: &Async<TcpListener>) -> io::Result<Seat> {
-        let (stream, _) = listener.accept().await?;
-        Ok(self.seat(stream))
+        while lock(&self.held).connections.is_full() {
+            listener.readable().await?;
+            self.close_idlest();
+            self.wait_for_close().await;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => Ok(self.seat(stream)),
+            Err(e) => {
+                self.close_idlest();
+                self.wait_for_close().await;
+                Err(e)
+            }
+        }
     }
 
     /// Adds an accepted connection.
@@ -127,6 +167,13 @@
         }
     }
 
+    fn close_idlest(&self) {
+        let mut held = lock(&self.held);
+        if let Some(key) = held.connections.find_idlest() {
+            self.close(&mut held, key);
+        }
+    }
+
     fn close(&self, held: &mut Held, key: ConnectionKey) {
         let now_ms = self.clock.now_ms();
         held.connections.set_phase(key, Phase::Closing, now_ms);
@@ -223,3 +270,8 @@
 pub fn limit_receive_buffers(listener: &TcpListener) {
     let _ = rustix::net::sockopt::set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES);
 }
+
+/// Returns the number of descriptors that the system allows this process.
+pub fn allowed_fds() -> Option<u64> {
+    rustix::process::getrlimit(rustix::process::Resource::Nofile).current
+}
--- a/src/serve/settings.rs
+++ b/src/serve/settings.rs
@@ -32,6 +32,7 @@
     metrics: String,
     cpu_share: f64,
     memory_mb: String,
+    max_fds: String,
     store: String,
     hosts: String,
     advice: String,
@@ -79,6 +80,7 @@
         .argument("CORES")
         .fallback(1.0);
     let memory_mb = memory_mb_flag();
+    let max_fds = max_fds_flag();
     let store = long("store")
         .env("ROCKWICK_STORE")
         .help("Address of the platform's row store")
@@ -112,6 +114,7 @@
         metrics,
         cpu_share,
         memory_mb,
+        max_fds,
         store,
         hosts,
         advice,
@@ -125,11 +128,20 @@
 pub(crate) fn memory_mb_flag() -> impl Parser<String> {
     long("memory-mb")
         .env("ROCKWICK_MEMORY_MB")
-        .help("Memory that the process may use, which bounds the request bodies under way (default 256)")
+        .help("Memory that the process may use, which bounds its callers' connections and request bodies (default 256)")
         .argument("MB")
         .fallback(String::new())
 }
 
+/// Returns the parser of the flag for the descriptors of the process.
+pub(crate) fn max_fds_flag() -> impl Parser<String> {
+    long("max-fds")
+        .env("ROCKWICK_MAX_FDS")
+        .help("Descriptors that the process may use, which bounds its callers' connections; empty for the system's limit")
+        .argument("N")
+        .fallback(String::new())
+}
+
 fn deployment_flags() -> impl Parser<DeploymentFlags> {
     let remote_data_factor = long("remote-data-factor")
         .env("ROCKWICK_REMOTE_DATA_FACTOR")
@@ -180,7 +192,7 @@
     pub metrics: Option<SocketAddr>,
     /// The processor share of the entry, in thousandths of a core; an entry with a larger share claims pools earlier.
     pub cpu_milli: u64,
-    /// The memory that the process may use.
+    /// The memory and the descriptors that the process may use.
     pub process: ProcessLimits,
     /// The address of the platform's row store.
     pub store: SocketAddr,
@@ -206,7 +218,7 @@
             ready: parse_address("ready", &self.ready)?,
             metrics: parse_optional_address("metrics", &self.metrics)?,
             cpu_milli: check_cpu_share(self.cpu_share)?,
-            process: parse_process_limits(&self.memory_mb)?,
+            process: parse_process_limits(&self.memory_mb, &self.max_fds)?,
             store: parse_address("store", &self.store)?,
             hosts: parse_optional_address("hosts", &self.hosts)?,
             advice: parse_optional_address("advice", &self.advice)?,
--- a/src/serve/traffic.rs
+++ b/src/serve/traffic.rs
@@ -61,17 +61,17 @@
     let process = shared.settings.process;
     let callers = new_intake(
         shared,
-        process.for_bodies(CALLER_LIMITS.body_bytes),
+        process.for_callers(CALLER_LIMITS.body_bytes),
         &limited,
     );
     let readiness = new_intake(
         shared,
-        process.for_bodies(CHECK_LIMITS.body_bytes),
+        process.for_checks(CHECK_LIMITS.body_bytes),
         &limited,
     );
     let metrics = new_intake(
         shared,
-        process.for_bodies(CHECK_LIMITS.body_bytes),
+        process.for_checks(CHECK_LIMITS.body_bytes),
         &limited,
     );
     let serve_caller = {
--- a/tests/test_connections.rs
+++ b/tests/test_connections.rs
@@ -3,6 +3,7 @@
 use rockwick::core::connections::{
     Charge, ConnectionKey, ConnectionLimits, Connections, Phase, SMALL_BYTES, STALLED_MS,
 };
+use rockwick::http::intake::ProcessLimits;
 
 const LARGE_BYTES: usize = 256 << 10;
 
@@ -165,3 +166,31 @@
         assert!(sum_bytes <= LIMITS.bytes_max && all.count() <= LIMITS.connections_max);
     }
 }
+
+#[test]
+fn connections_of_machine() {
+    // The machines of the users, and the smallest of them.
+    for (memory_mb, connections_min) in [(260, 1_000), (160, 600)] {
+        let process = ProcessLimits {
+            memory_bytes: memory_mb * 1_000_000,
+            fds: 4_100,
+        };
+        let callers = process.for_callers(LARGE_BYTES);
+        assert!(callers.connections_max >= connections_min, "{callers:?}");
+        assert!(callers.bytes_max >= 50 * LARGE_BYTES, "{callers:?}");
+        let checks = process.for_checks(4 << 10);
+        let all = callers.connections_max + 2 * checks.connections_max;
+        assert!(all as u64 <= process.fds * 3 / 4, "{all}");
+    }
+    let tiny = ProcessLimits {
+        memory_bytes: 16_000_000,
+        fds: 64,
+    };
+    let limits = tiny.for_callers(8 << 20);
+    let mut all = Connections::new(limits);
+    assert_eq!(
+        receive(&mut all, 8 << 20, 0).1,
+        Charge::Granted,
+        "one body of the largest size"
+    );
+}
