Bound what clients hold that send requests and read no answers

What users would see: clients that send requests without pause and read nothing kept a process from answering others for more than 10 s, and the kernel held megabytes of requests and answers for each of them.

Cause: a connection whose next request had arrived already was served on and on by its thread, and an answer was bounded by time only, not in bytes.

Change: after an answer, a connection whose next request is buffered yields to the others. The kernel's send buffer of a connection is 64 KB.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,7 +26,7 @@
 use crate::core::connections::ConnectionLimits;
 use crate::error::{Error, Result};
 use crate::event::{Code, Decision, Subject};
-use crate::http::intake::limit_receive_buffers;
+use crate::http::intake::limit_buffers;
 use crate::http::{server, Intake, Limits, Seat};
 use crate::log::Log;
 use crate::runtime::Runtime;
@@ -59,7 +59,7 @@
 fn bind_listener(flag: &str, addr: SocketAddr) -> Result<Async<TcpListener>> {
     let io = |e| Error::Io(format!("--{flag} {addr}"), e);
     let listener = TcpListener::bind(addr).map_err(io)?;
-    limit_receive_buffers(&listener);
+    limit_buffers(&listener);
     Async::new(listener).map_err(io)
 }
 
--- a/src/http/intake.rs
+++ b/src/http/intake.rs
@@ -24,6 +24,9 @@
 /// The kernel's receive buffer of an accepted connection. What it holds is not charged to the budget.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
+/// The kernel's send buffer of an accepted connection, which holds answers that the client does not read.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// Memory that one connection may cost beside the bodies and answers that are charged to the budget: its task, the
 /// buffers for a head and the kernel's receive buffer.
 const CONNECTION_BYTES: u64 = 48 << 10;
@@ -266,9 +269,10 @@
     }
 }
 
-/// Sets the receive buffers of the connections that a listener will accept. A system that refuses keeps its own size.
-pub fn limit_receive_buffers(listener: &TcpListener) {
+/// Sets the kernel's buffers of the connections that a listener will accept. A system that refuses keeps its own size.
+pub fn limit_buffers(listener: &TcpListener) {
     let _ = rustix::net::sockopt::set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES);
+    let _ = rustix::net::sockopt::set_socket_send_buffer_size(listener, SEND_BUFFER_BYTES);
 }
 
 /// Returns the number of descriptors that the system allows this process.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -13,7 +13,7 @@
 use smol::Timer;
 
 use super::{connection_names, drive_codec, FramingError, Intake, Seat, Wire};
-use crate::core::connections::{ConnectionLimits, Phase};
+use crate::core::connections::{ConnectionLimits, Phase, SMALL_BYTES};
 use crate::error::{Failure, Kind, Run};
 
 /// Bounds on the time and the size that a client's requests may take.
@@ -124,7 +124,7 @@
                 let is_end_known = wire.at_end();
                 let res = handler(*incoming).await;
                 let close = wants_close || stopping() || !is_end_known;
-                seat.set_phase(Phase::Answering);
+                let res = charge_answer(&seat, res, method).await;
                 if write_answer(wire, res, method, close).await.is_err() {
                     return;
                 }
@@ -132,11 +132,25 @@
                     linger(wire).await;
                     return;
                 }
+                if wire.has_buffered() {
+                    // A client that sends requests without pause must not keep the thread from others.
+                    yield_now().await;
+                }
             }
         }
     }
 }
 
+/// Charges a connection with a large answer. A read that finds no room for its answer is refused.
+async fn charge_answer(seat: &Seat, res: Response, method: Method) -> Response {
+    seat.set_phase(Phase::Answering);
+    let answer_bytes = res.len().unwrap_or(0);
+    if answer_bytes <= SMALL_BYTES || seat.charge(answer_bytes).await || method != Method::Get {
+        return res;
+    }
+    problem(&Kind::Overloaded.into())
+}
+
 /// Reads one complete request. Returns [`Arrival::Nothing`] if the connection is idle and `stopping` returns true.
 pub async fn read_request(wire: &Wire, limits: Limits, stopping: impl Fn() -> bool) -> Arrival {
     read_seated(&seat_alone(wire.clone()), limits, stopping).await
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -29,7 +29,7 @@
 use crate::error::{Error, Result};
 use crate::event::{Code, Decision, Subject};
 use crate::guard::restart_thread_after_panic;
-use crate::http::intake::limit_receive_buffers;
+use crate::http::intake::limit_buffers;
 use crate::log::Log;
 use crate::metrics::CallUse;
 use crate::platform::Platform;
@@ -90,7 +90,7 @@
 fn bind(flag: &str, addr: std::net::SocketAddr) -> Result<Async<TcpListener>> {
     let io = |e| Error::Io(format!("--{flag} {addr}"), e);
     let listener = TcpListener::bind(addr).map_err(io)?;
-    limit_receive_buffers(&listener);
+    limit_buffers(&listener);
     Async::new(listener).map_err(io)
 }
 
