--- a/tests/test_crowd.rs
+++ b/tests/test_crowd.rs
@@ -437,3 +437,35 @@
         assert_eq!(String::from_utf8_lossy(&answer), "HTTP/1.1 200");
     }
 }
+
+#[test]
+fn crowd_told_once() {
+    // The log tells once that a limit is met and once that it no longer is, however many clients there were.
+    let _alone = begin_with_memory();
+    let serving = Serving::start();
+    let mut watch = Watch::new(&serving.process, &[serving.callers]);
+    let mut crowd = Crowd::connect(serving.callers, CLIENTS);
+    crowd.send(&counted_body(), BODY_BYTES, true, &mut watch);
+    drop(crowd);
+    let lines_of = |name: &str| {
+        let needle = format!("\"name\":\"{name}\"");
+        let lines = serving.process.lines();
+        lines.into_iter().filter(move |l| l.contains(&needle))
+    };
+    let free = wait_for("the limit is no longer met", || {
+        lines_of("intake-free").next()
+    });
+    let free: serde_json::Value = serde_json::from_str(&free).expect("a line of JSON");
+    let told = free["refused"].as_u64().unwrap_or(0) + free["closed"].as_u64().unwrap_or(0);
+    assert!(told > 0, "{free}");
+    assert_eq!(lines_of("intake-limited").count(), 1);
+    let metrics = get("/metrics").to(serving.metrics);
+    let text = String::from_utf8_lossy(&metrics.body).into_owned();
+    let count_of = |name: &str| -> u64 {
+        let value = text.lines().find_map(|l| l.strip_prefix(name));
+        value.and_then(|v| v.trim().parse().ok()).unwrap_or(0)
+    };
+    let counted =
+        count_of("rockwick_intake_refused_total ") + count_of("rockwick_intake_closed_total ");
+    assert_eq!(counted, told);
+}
