Stand-in: orders that are held up outlive their process; soak of recuts

The users say the contrary: a worker that is back under its id takes orders that were meant for its former instance.

Change: whichever instance of the id is up when a held-up order falls due carries it out, with all that follows there: a start, a stop, a renewal, a raised fence, a lease cut to the longest. `--recuts` plays series of workers that restart under their ids and are cut off soon after, while orders are held up and owners are killed, with longer tasks. The soak of each scope waits until no order is held up any more, so that a late start is seen. A broken promise names the run, the instances, the token and when the order came; the counts tell the orders that reached a later instance.

--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -108,6 +108,7 @@
 #[derive(Clone, Debug)]
 struct Run {
     run: u64,
+    started_ms: u64,
     /// When its work is finished; `None` if it runs until it is stopped.
     ends_ms: Option<u64>,
 }
@@ -168,6 +169,10 @@
     /// When each partition will have applied the writes received so far, under [`StoreFault::Turns`].
     busy_until: BTreeMap<String, Instant>,
     order_fault: OrderFault,
+    /// Number of orders that are held up now.
+    delayed_orders: u64,
+    /// Number of orders that were held up until a later instance was up.
+    orders_to_later: u64,
     hall_cut: HallCut,
     /// Owners by epoch: the entry that took the pool at that revision.
     owners: BTreeMap<u64, String>,
--- a/standin/src/fleet/order_faults.rs
+++ b/standin/src/fleet/order_faults.rs
@@ -105,6 +105,31 @@
 }
 
 impl Fleet {
+    /// Holds an order to a host's worker up. It outlives the instance that it was meant for: whichever instance is up
+    /// afterwards carries it out, if it has the id that the order names.
+    pub(super) async fn delay_order(&self, host: usize, after: Duration) {
+        let serial = {
+            let mut state = self.lock();
+            state.delayed_orders += 1;
+            state.serial_on(host)
+        };
+        Timer::after(after).await;
+        let mut state = self.lock();
+        state.delayed_orders -= 1;
+        let later_serial = state.serial_on(host);
+        state.orders_to_later += u64::from(later_serial != 0 && later_serial != serial);
+    }
+
+    /// Returns the number of orders that are held up now.
+    pub fn delayed_orders(&self) -> u64 {
+        self.lock().delayed_orders
+    }
+
+    /// Returns the number of orders that were held up until a later instance than the one at their arrival was up.
+    pub fn orders_to_later(&self) -> u64 {
+        self.lock().orders_to_later
+    }
+
     /// Waits for the delay of the answer to a trapped renewal.
     pub(super) async fn delay_answer(&self) {
         Timer::after(Duration::from_millis(TRAPPED_MS)).await;
--- a/standin/src/fleet/promises.rs
+++ b/standin/src/fleet/promises.rs
@@ -91,31 +91,28 @@
             .iter()
             .filter_map(|h| h.instance.as_ref())
             .collect();
-        let runs_on = |other: &&&String| {
-            let worker = self.workers.get(**other);
-            ***other != instance && worker.is_some_and(|w| w.running.contains_key(task))
+        let run_on = |other: &&String| {
+            let run = self.workers.get(*other)?.running.get(task)?;
+            let label = self.instance_label(other);
+            let (run, since_ms) = (run.run, run.started_ms);
+            (**other != instance).then(|| format!("run {run} runs on {label} since {since_ms} ms"))
         };
-        let twice = instances
-            .iter()
-            .find(runs_on)
-            .map(|other| other.to_string());
+        let twice = instances.iter().find_map(run_on);
         let promises = &mut self.promises;
         let job = job_id(task).to_string();
         promises.started.insert(job.clone());
         if let Some(other) = twice {
+            promises.record_broken(format!("{now_ms} ms: {task} {start}, while {other}"));
+        }
+        if promises.acknowledged.contains(task) {
             promises.record_broken(format!(
-                "{now_ms} ms: {task} starts on {instance} while it runs on {other}"
+                "{now_ms} ms: {task} {start}, after an owner acknowledged its end"
             ));
         }
         let wrong = promises.runs.record_start(task, start);
         wrong
             .into_iter()
             .for_each(|what| promises.record_broken(what));
-        if promises.acknowledged.contains(task) {
-            promises.record_broken(format!(
-                "{now_ms} ms: {task} starts on {instance} after an owner acknowledged its end"
-            ));
-        }
         if promises.specs.get(&job).is_none_or(|text| text != spec) {
             promises.record_broken(format!(
                 "{now_ms} ms: {task} starts with a text that no caller sent"
--- a/standin/src/fleet/runs.rs
+++ b/standin/src/fleet/runs.rs
@@ -2,12 +2,15 @@
 //! acknowledges later. The promise checks own it.
 
 use std::collections::BTreeMap;
+use std::fmt::{Display, Formatter};
 
 /// Holds a start that a worker executed.
 #[derive(Clone, Debug)]
 pub(super) struct Start {
     /// Time of the start, on the platform's clock.
     pub(super) at_ms: u64,
+    /// When the order was received.
+    pub(super) ordered_ms: u64,
     /// Id of the worker instance.
     pub(super) instance: String,
     /// Name of the worker instance, unique when an id is used again.
@@ -41,6 +44,16 @@
     by_task: BTreeMap<String, History>,
 }
 
+impl Display for Start {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "run {} starts on {} with fencing token {}, ordered at {} ms",
+            self.run, self.label, self.fencing_token, self.ordered_ms
+        )
+    }
+}
+
 impl Done {
     /// Returns what is wrong with a start, if this end was acknowledged and comes before the start.
     fn forbids(&self, task: &str, start: &Start) -> Option<String> {
@@ -49,9 +62,8 @@
             return None;
         }
         Some(format!(
-            "{} ms: {task} run {} starts on {} with fencing token {}, after run {} was done on {} at {} ms, acknowledged at {acknowledged_ms} ms",
-            start.at_ms, start.run, start.label, start.fencing_token,
-            self.run, self.instance, self.at_ms
+            "{} ms: {task} {start}, after run {} was done on {} at {} ms, acknowledged at {acknowledged_ms} ms",
+            start.at_ms, self.run, self.instance, self.at_ms
         ))
     }
 }
--- a/standin/src/fleet/workers.rs
+++ b/standin/src/fleet/workers.rs
@@ -14,9 +14,6 @@
 use super::runs::Start;
 use super::{Fleet, Host, Run, State, Worker, POLL_MS, UPKEEP_MS};
 
-/// Time after which the sender of an order stops waiting for its answer.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Longest lease that a worker accepts.
 const LEASE_MAX_MS: u64 = 10_000;
 
@@ -277,28 +274,14 @@
         let body: Value = serde_json::from_slice(&incoming.body).unwrap_or_default();
         let is_renewal = incoming.head.url().path() == "/hold";
         let fencing_token = body["fencing_token"].as_u64().unwrap_or(0);
-        let (delivery, serial) = {
-            let mut state = self.lock();
-            (
-                state.draw_delivery(n, is_renewal, fencing_token),
-                state.serial_on(n),
-            )
-        };
+        let delivery = self.lock().draw_delivery(n, is_renewal, fencing_token);
         match delivery {
             OrderDelivery::Normal => return self.carry_out(n, incoming, &body, received).await,
             OrderDelivery::Lost => {
                 self.wait_unanswered().await;
                 return answer(503, "application/json", Vec::new());
             }
-            OrderDelivery::Delayed(after) => {
-                Timer::after(after).await;
-                // An order that a process had received is lost when that process ends. A delay within the sender's
-                // timeout counts as time on the way, so the order reaches whichever instance runs then.
-                if after > ORDER_TIMEOUT && self.lock().serial_on(n) != serial {
-                    self.wait_unanswered().await;
-                    return answer(503, "application/json", Vec::new());
-                }
-            }
+            OrderDelivery::Delayed(after) => self.delay_order(n, after).await,
             OrderDelivery::AnswerLost => {}
         }
         // The sender has stopped waiting, so the order gets no answer.
@@ -383,6 +366,7 @@
         }
         let start = Start {
             at_ms: now_ms,
+            ordered_ms: received_ms,
             instance: instance.to_string(),
             label: state.instance_label(instance),
             run,
@@ -394,7 +378,12 @@
         let work_ms = stated_work_ms(spec).unwrap_or(self.work_ms);
         let ends_ms = (!spec.contains("lasts")).then_some(now_ms + work_ms);
         if let Some(worker) = state.workers.get_mut(instance) {
-            worker.running.insert(task, Run { run, ends_ms });
+            let begun = Run {
+                run,
+                started_ms: now_ms,
+                ends_ms,
+            };
+            worker.running.insert(task, begun);
             worker.starts += 1;
         }
         json(200, &json!({"clock_ms": clock_ms}))
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -68,6 +69,8 @@
     pub(crate) is_over: Arc<AtomicBool>,
     /// One job in this many has a schedule; none if 0.
     pub(crate) timed: u32,
+    /// Run time of a long task in milliseconds.
+    pub(crate) long_ms: Range<u64>,
 }
 
 /// Holds one caller's connections and random draws.
@@ -84,7 +87,8 @@
     /// Creates the caller with this number; the number is part of its seed and of its job ids.
     pub(crate) fn new(shared: Callers, seed: u64, number: u64) -> Self {
         Self {
-            shapes: Shapes::new(seed ^ (number << 32), shared.timed),
+            shapes: Shapes::new(seed ^ (number << 32), shared.timed)
+                .with_long_ms(shared.long_ms.clone()),
             shared,
             rng: Rng::with_seed(seed ^ (number << 32)),
             clients: HashMap::new(),
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -8,6 +8,7 @@
 
 use super::proxy::LinkFault;
 use super::rare::{partitions_from, RareFault, RareFaults};
+use super::recuts::{Recuts, Step};
 use super::Cluster;
 use standin::fleet::{HallCut, OrderFault, StoreFault};
 
@@ -17,6 +18,18 @@
 /// Time until a host whose worker has left starts its next worker.
 const RESTART_MS: u64 = 1_000;
 
+/// Names which faults are injected.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Scope {
+    /// All of them.
+    #[default]
+    All,
+    /// Faults of workers and of orders to them.
+    Workers,
+    /// Series of workers that restart under their ids and are cut off, among kills of the owner.
+    Recuts,
+}
+
 /// Names the action that ends a fault; a number is that of the entry or host.
 #[derive(Clone, Copy, Debug)]
 enum Recovery {
@@ -47,8 +60,10 @@
     killed: Vec<bool>,
     /// One line per event, for the report.
     pub(crate) events: Vec<String>,
-    /// Whether only workers and orders to them have faults.
-    is_workers_only: bool,
+    /// Steps of series that are still to come: when, and the step.
+    planned: Vec<(Instant, Step)>,
+    recuts: Recuts,
+    scope: Scope,
     waves: u64,
     drains: u64,
     began: Instant,
@@ -65,19 +80,18 @@
             due: Vec::new(),
             killed: vec![false; entries],
             events: Vec::new(),
-            is_workers_only: false,
+            planned: Vec::new(),
+            recuts: Recuts::new(seed),
+            scope: Scope::default(),
             waves: 0,
             drains: 0,
             began: Instant::now(),
         }
     }
 
-    /// Limits the faults to those of workers and of orders to them.
-    pub(crate) fn with_workers_only(self, is_workers_only: bool) -> Self {
-        Self {
-            is_workers_only,
-            ..self
-        }
+    /// Limits the faults to this scope.
+    pub(crate) fn with_scope(self, scope: Scope) -> Self {
+        Self { scope, ..self }
     }
 
     fn end_after(&mut self, ms: u64, recovery: Recovery) {
@@ -92,7 +106,10 @@
 
     /// Draws the pause until the next fault.
     pub(crate) fn draw_pause(&mut self) -> Duration {
-        Duration::from_millis(self.rng.u64(50..1_500))
+        match self.scope {
+            Scope::Recuts => self.recuts.draw_pause(),
+            _ => Duration::from_millis(self.rng.u64(50..1_500)),
+        }
     }
 
     /// Returns the number of waves that were requested.
@@ -109,8 +126,10 @@
     pub(crate) fn inject_next(&mut self, cluster: &mut Cluster) {
         let n = self.rng.usize(..cluster.entries.len());
         let ms = self.rng.u64(200..5_000);
-        if self.is_workers_only {
-            return self.inject_worker_fault(cluster, ms);
+        match self.scope {
+            Scope::All => {}
+            Scope::Workers => return self.inject_worker_fault(cluster, ms),
+            Scope::Recuts => return self.plan_recuts(cluster),
         }
         if self.silence_rng.u32(..SILENCE_ONE_IN) == 0 {
             self.silence_connections(cluster);
@@ -154,6 +173,34 @@
         }
     }
 
+    /// Plans the steps of the next series of restarts and cuts.
+    fn plan_recuts(&mut self, cluster: &Cluster) {
+        let now = Instant::now();
+        let steps = self.recuts.draw(cluster.worker_paths.len());
+        let planned = steps
+            .into_iter()
+            .map(|(after_ms, step)| (now + Duration::from_millis(after_ms), step));
+        self.planned.extend(planned);
+    }
+
+    fn take_step(&mut self, cluster: &mut Cluster, step: Step) {
+        self.record(format!("{step:?}"));
+        match step {
+            Step::DelayOrders(fault, ms) => self.delay_orders(cluster, fault, ms),
+            Step::Restart(host, back_ms) => cluster.fleet.restart(host, back_ms),
+            Step::Cut(host, link_fault, ms) => {
+                cluster.worker_disturbances.disturb(host, ms);
+                cluster.worker_paths[host].set(link_fault);
+                self.end_after(ms, Recovery::RestoreWorkerPath(host));
+            }
+            Step::KillOwner(down_ms) => {
+                if let Some(n) = cluster.owner() {
+                    self.kill(cluster, n, down_ms);
+                }
+            }
+        }
+    }
+
     /// Loses and delays up to `percent` each of the orders to workers.
     fn lose_orders(&mut self, cluster: &mut Cluster, percent: u32, ms: u64) {
         let fault = OrderFault {
@@ -359,6 +406,11 @@
         let (over, rest) = self.due.drain(..).partition(|(at, _)| *at <= now);
         self.due = rest;
         self.end_faults(cluster, over)?;
+        let (due, rest): (Vec<_>, Vec<_>) = self.planned.drain(..).partition(|(at, _)| *at <= now);
+        self.planned = rest;
+        for (_, step) in due {
+            self.take_step(cluster, step);
+        }
         self.suspend_at_renewal(cluster);
         for n in 0..cluster.entries.len() {
             if let Some(what) = cluster.entries[n].reap(self.killed[n]) {
@@ -377,8 +429,9 @@
     /// Ends all faults at once.
     pub(crate) fn end_all(&mut self, cluster: &mut Cluster) -> std::io::Result<()> {
         let all = std::mem::take(&mut self.due);
-        // A suspension that begins after the last fault may never be ended.
+        // A fault that begins after the last one has ended may never be ended.
         self.suspend_ms = None;
+        self.planned.clear();
         self.end_faults(cluster, all)?;
         self.record("calm".to_string());
         Ok(())
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -8,8 +8,10 @@
 mod faults;
 mod proxy;
 mod rare;
+mod recuts;
 mod shapes;
 
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -22,7 +24,7 @@
 use callers::{lock, AcceptedJob, Caller, Callers};
 use disturbances::Disturbances;
 use entry::{Entry, Ports};
-use faults::Faults;
+use faults::{Faults, Scope};
 use proxy::Proxy;
 use standin::fleet::Fleet;
 
@@ -56,6 +58,7 @@
     timed: u32,
     drains: u32,
     workers_only: bool,
+    recuts: bool,
     logs: PathBuf,
     binary: Option<PathBuf>,
     report: Option<PathBuf>,
@@ -98,6 +101,9 @@
     let workers_only = long("workers-only")
         .help("Inject only faults of workers and of orders to them")
         .switch();
+    let recuts = long("recuts")
+        .help("Inject only series of workers that restart under their ids and are cut off, among kills of the owner")
+        .switch();
     let logs = long("logs")
         .help("Directory for the entries' logs; logs of passing seeds are removed")
         .argument("DIR")
@@ -120,12 +126,32 @@
         timed,
         drains,
         workers_only,
+        recuts,
         logs,
         binary,
         report
     })
 }
 
+impl Args {
+    /// Returns which faults to inject.
+    fn scope(&self) -> Scope {
+        match (self.recuts, self.workers_only) {
+            (true, _) => Scope::Recuts,
+            (_, true) => Scope::Workers,
+            _ => Scope::All,
+        }
+    }
+
+    /// Returns the range of the run time of long tasks, in milliseconds.
+    fn long_ms(&self) -> Range<u64> {
+        match self.recuts {
+            true => recuts::LONG_MS,
+            false => shapes::LONG_MS,
+        }
+    }
+}
+
 /// Holds everything that faults can act on: the entries, the stand-in platform and the relays between them.
 pub(crate) struct Cluster {
     binary: PathBuf,
@@ -292,8 +318,7 @@
 fn run_seed(args: &Args, seed: u64) -> std::io::Result<SeedResult> {
     let began = Instant::now();
     let mut cluster = Cluster::new(args, seed)?;
-    let mut faults =
-        Faults::new(seed, args.entries, args.drains).with_workers_only(args.workers_only);
+    let mut faults = Faults::new(seed, args.entries, args.drains).with_scope(args.scope());
     faults.tick(&mut cluster)?;
     let shared = Callers {
         fleet: cluster.fleet.clone(),
@@ -303,6 +328,7 @@
         counts: Arc::default(),
         is_over: Arc::new(AtomicBool::new(false)),
         timed: args.timed,
+        long_ms: args.long_ms(),
     };
     let threads: Vec<_> = (1..=args.callers)
         .map(|n| {
@@ -352,14 +378,15 @@
             "starts": cluster.fleet.starts(),
             "waves": faults.waves(),
             "drains": faults.drains(),
+            "orders_to_later": cluster.fleet.orders_to_later(),
         }),
         faults: std::mem::take(&mut faults.events),
         took: began.elapsed(),
     })
 }
 
-/// Waits after the last fault until every job has ended and every wave is completed; reports a broken promise after
-/// `SETTLE_MS`. Long-running jobs are cancelled once all their tasks run; no task of a cancelled job may still run.
+/// Waits after the last fault until every job has ended, every wave is completed and no order is held up; reports a
+/// broken promise after `SETTLE_MS`. Long-running jobs are cancelled once all their tasks run; no task of a cancelled job may still run.
 fn settle(
     cluster: &mut Cluster,
     faults: &mut Faults,
@@ -373,7 +400,9 @@
         check_drains(cluster);
         let open: Vec<AcceptedJob> = lock(&shared.open).clone();
         let waves = (1..=faults.waves()).all(|w| cluster.fleet.wave_completed(w));
-        if open.is_empty() && waves && cancelled.iter().all(|k| has_no_runs(cluster, k)) {
+        let is_quiet = cluster.fleet.delayed_orders() == 0;
+        let are_ended = open.is_empty() && cancelled.iter().all(|k| has_no_runs(cluster, k));
+        if are_ended && waves && is_quiet {
             return Ok(());
         }
         if Instant::now() >= until {
--- a/standin/src/soak/shapes.rs
+++ b/standin/src/soak/shapes.rs
@@ -1,12 +1,13 @@
 //! Draws the jobs that callers submit: their steps, their rounds and the run time of their tasks.
 
+use std::ops::Range;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use fastrand::Rng;
 use serde_json::{json, Value};
 
 /// Run time of a long task in milliseconds; it may outlast a change of owner.
-const LONG_MS: std::ops::Range<u64> = 500..4_000;
+pub(crate) const LONG_MS: Range<u64> = 500..4_000;
 
 /// Holds a job as it is sent.
 pub(crate) struct Shape {
@@ -23,6 +24,8 @@
 pub(crate) struct Shapes {
     rng: Rng,
     timed: u32,
+    /// Run time of a long task in milliseconds.
+    long_ms: Range<u64>,
 }
 
 impl Shapes {
@@ -31,12 +34,18 @@
         Self {
             rng: Rng::with_seed(seed.rotate_left(23)),
             timed,
+            long_ms: LONG_MS,
         }
     }
 
+    /// Sets the range from which the run time of a long task is drawn, in milliseconds.
+    pub(crate) fn with_long_ms(self, long_ms: Range<u64>) -> Self {
+        Self { long_ms, ..self }
+    }
+
     /// Draws a job with `tasks` tasks in its first step.
     pub(crate) fn draw(&mut self, id: &str, tasks: u64, is_long_running: bool) -> Shape {
-        let long_ms = (self.rng.u32(..3) == 0).then(|| self.rng.u64(LONG_MS));
+        let long_ms = (self.rng.u32(..3) == 0).then(|| self.rng.u64(self.long_ms.clone()));
         let more_steps = self.rng.usize(..8).saturating_sub(5);
         let is_timed = self.timed > 0 && self.rng.u32(..self.timed) == 0;
         let long_ms = long_ms.filter(|_| !is_long_running);
