Test soak_recuts, which fails: held-up orders reach later instances

On the code as it is both broke in each of two plays: tasks that had ended as done, their ends noted, were started again, by orders of 2 to 6 s before on an instance that no owner had reached, or anew after a held-up renewal of the former instance had made the later one forget ends that nobody had read.

--- a/tests/test_soak.rs
+++ b/tests/test_soak.rs
@@ -37,6 +37,18 @@
     ));
 }
 
+/// Workers restart under their ids and are cut off soon after, while orders to their former instances are held up and
+/// owners are killed. The seeds run beside each other, since each waits long for the last orders that are held up.
+#[test]
+fn soak_recuts() {
+    std::thread::scope(|scope| {
+        for seed in [2, 8] {
+            let options = format!("--seed {seed} --seconds 8 --recuts");
+            scope.spawn(move || run_soak(&split_options(&options)));
+        }
+    });
+}
+
 /// Replays seeds that failed once; the first line of each file in `tests/seeds` holds the options.
 #[test]
 fn soak_saved_seeds() {
