Soak of recuts: workers up for long before, cuts one way and at once

Cause: in a run of 8 s every instance counted as young, so the owner reckoned with the longest lease throughout, and clocks of earlier and later instances were seconds apart; on the users' machines both are not so. Every cut also held orders back, so none was carried out by an instance whose answers are lost.

Change: with `--recuts` the first instances state that they have been up for 60 s, with clocks to match; a cut may be one way, and half of them come within 0.2 s after the restart.

--- a/standin/src/fleet/clocks.rs
+++ b/standin/src/fleet/clocks.rs
@@ -33,6 +33,14 @@
         }
     }
 
+    /// Returns this clock, set forward by `by_ms`.
+    pub(super) fn set_forward(self, by_ms: u64) -> Self {
+        Self {
+            base_ms: self.base_ms + by_ms,
+            ..self
+        }
+    }
+
     /// Returns what this clock shows at a time of the platform's clock.
     pub(super) fn local_ms(self, now_ms: u64) -> u64 {
         let elapsed_ms = now_ms - self.started_ms;
--- a/standin/src/fleet/restarts.rs
+++ b/standin/src/fleet/restarts.rs
@@ -34,6 +34,19 @@
 }
 
 impl Fleet {
+    /// Makes the instances that run now state that they started `age_ms` earlier than they said, with clocks that show
+    /// as much more; call before entries read the list.
+    pub fn age_workers(&self, age_ms: u64) {
+        let mut state = self.lock();
+        for worker in state.workers.values_mut() {
+            worker.born_ms = worker.born_ms.saturating_sub(age_ms);
+            worker.clock = worker.clock.set_forward(age_ms);
+        }
+        let hosts = state.hosts.len();
+        drop(state);
+        (0..hosts).for_each(|n| self.relist(n));
+    }
+
     /// Crashes a host's worker, and restarts it under its id after `back_ms`.
     pub fn restart(&self, n: usize, back_ms: u64) {
         let instance = self.lock().end_instance(n, self.clock_ms());
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -176,6 +176,9 @@
         let fleet = Fleet::start(POOL, args.workers, WORK_MS)?;
         fleet.set_seed(seed);
         fleet.use_own_clocks();
+        if args.recuts {
+            fleet.age_workers(recuts::AGE_MS);
+        }
         let logs = args.logs.join(seed.to_string());
         std::fs::create_dir_all(&logs)?;
         // Runs a copy, so that a build during the soak does not replace the program under test.
--- a/standin/src/soak/recuts.rs
+++ b/standin/src/soak/recuts.rs
@@ -12,6 +12,9 @@
 /// Run time of a long task in milliseconds; it may outlast a series.
 pub(crate) const LONG_MS: Range<u64> = 1_000..5_000;
 
+/// Age of the workers' first instances: orders that were meant for earlier ones have come long ago.
+pub(crate) const AGE_MS: u64 = 60_000;
+
 /// Names a step of a series; times are in milliseconds, hosts are given by their numbers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Step {
@@ -54,10 +57,15 @@
         let delay_ms = crash_ms + self.rng.u64(..2_000);
         let mut steps = vec![(0, Step::DelayOrders(fault, delay_ms))];
         let back_ms = self.rng.u64(20..1_500);
-        let cut_at_ms = crash_ms + back_ms + self.rng.u64(..2_500);
+        let reach_ms = match self.rng.bool() {
+            true => self.rng.u64(..2_500),
+            false => self.rng.u64(..200),
+        };
+        let cut_at_ms = crash_ms + back_ms + reach_ms;
         let cut_ms = self.rng.u64(2_000..9_000);
         let link_fault = match self.rng.u32(..3) {
             0 => LinkFault::Reset,
+            1 => LinkFault::OneWay,
             _ => LinkFault::Silence,
         };
         let first = self.rng.usize(..hosts);
