soak_recuts: seeds that break under the shape as it stands

Cause: seeds 2 and 8 were chosen before the shape drew one-way cuts and cuts at once; they draw other series since, and both held in one play each.

--- a/tests/test_soak.rs
+++ b/tests/test_soak.rs
@@ -42,7 +42,7 @@
 #[test]
 fn soak_recuts() {
     std::thread::scope(|scope| {
-        for seed in [2, 8] {
+        for seed in [24, 25] {
             let options = format!("--seed {seed} --seconds 8 --recuts");
             scope.spawn(move || run_soak(&split_options(&options)));
         }
