Times of a row of another writer can't overflow; a job's bindings are found by its key

Read-through: the store's times in a progress row were added without a bound, which a row of another writer could overflow (by reading; no run showed it), and each record looked through the bindings of all jobs.

--- a/src/core/sched/late_starts.rs
+++ b/src/core/sched/late_starts.rs
@@ -143,8 +143,12 @@
 
     /// Returns the bindings of a job's tasks as the job's progress lists them.
     pub(super) fn bound_rows(&self, job: JobKey) -> Vec<BoundRow> {
-        let bindings = self.late_starts.bindings.iter();
-        let of_job = bindings.filter(|(key, _)| key.job == job);
+        let first = TaskKey {
+            job,
+            ..TaskKey::default()
+        };
+        let from_job = self.late_starts.bindings.range(first..);
+        let of_job = from_job.take_while(|(key, _)| key.job == job);
         let rows = of_job.map(|(key, binding)| {
             let worker = binding.worker.clone();
             BoundRow(
@@ -176,7 +180,10 @@
             let latest_ms = began_ms + ORDER_DELAY_MAX_MS;
             let until_ms = match (now.store_ms, *until_store_ms) {
                 (0, _) | (_, 0) => latest_ms,
-                (store_ms, until) => (now.ms + until).saturating_sub(store_ms).min(latest_ms),
+                (store_ms, until_ms) => {
+                    let left_ms = until_ms.saturating_sub(store_ms);
+                    now.ms.saturating_add(left_ms).min(latest_ms)
+                }
             };
             let binding = Binding {
                 worker: worker.clone(),
@@ -304,8 +311,8 @@
         return;
     };
     let tasks: Vec<TaskKey> = w.tasks.iter().copied().collect();
-    for key in tasks {
-        bind_unclear(pool_state, key, true, ctx);
+    for task in tasks {
+        bind_unclear(pool_state, task, true, ctx);
     }
 }
 
--- a/src/core/sched/load.rs
+++ b/src/core/sched/load.rs
@@ -48,7 +48,8 @@
     /// Returns whether an earlier owner knew what became of the starts of a row: those without an answer or a report are
     /// then listed in the row.
     fn are_settled(self, row: &ProgressRow) -> bool {
-        row.written_store_ms > 0 && row.written_store_ms + START_SETTLED_MS <= self.store_ms
+        row.written_store_ms > 0
+            && row.written_store_ms.saturating_add(START_SETTLED_MS) <= self.store_ms
     }
 }
 
