--- a/src/core/sched/worker_list.rs
+++ b/src/core/sched/worker_list.rs
@@ -298,8 +298,6 @@
     start_renewing(pool_state, key, epoch, ctx);
 }
 
-/// Logs a change of a worker's capacity. After a reduction, runs that no longer fit continue until they end, and no
-/// further run is started beside them while they exceed the capacity.
 /// Suspends the instances of an id until it is clear which of them is alive.
 fn suspend_instances(pool_state: &mut PoolState, id: &str, ctx: &mut Ctx<'_>) {
     let instances: Vec<WorkerKey> = pool_state.instances_of(id).map(|(key, _)| key).collect();
@@ -308,6 +306,8 @@
     }
 }
 
+/// Logs a change of a worker's capacity. After a reduction, runs that no longer fit continue until they end, and no
+/// further run is started beside them while they exceed the capacity.
 fn log_resized(worker: &Worker, info: &WorkerInfo, ctx: &mut Ctx<'_>) {
     let (before, current) = (worker.info.capacity, info.capacity);
     if before == current {
