entry-stopped tells how many calls are open

The log had the number of open connections at the end, not whether a call was open on one of them, so a process that drops a call could not be told from one whose callers keep idle connections.

The event has `calls` now: calls that were read and not answered. Both daemons count with one guard (util::CountGuard). No logic is changed.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,7 +30,8 @@
 use crate::http::{server, Intake, Limits, Seat};
 use crate::log::Log;
 use crate::runtime::Runtime;
-use shared::{CountGuard, Shared};
+use crate::util::CountGuard;
+use shared::Shared;
 
 /// Runs an entry until SIGTERM or SIGINT; returns when the last connection has ended or `stop_ms` has passed.
 pub fn run(settings: Settings) -> Result<()> {
@@ -148,11 +149,11 @@
 }
 
 fn serve_connection(shared: &Arc<Shared>, seat: Seat) {
-    shared.connections.fetch_add(1, Ordering::SeqCst);
+    let connected = CountGuard::new(Arc::clone(&shared.connections));
     let shared = Arc::clone(shared);
     let runtime = shared.runtime;
     runtime.spawn_detached(async move {
-        let _connected = CountGuard(&shared.connections);
+        let _connected = connected;
         let limits = Limits {
             body_bytes: shared.settings.body_bytes,
             ..Limits::default()
@@ -196,7 +197,7 @@
         }
         Timer::after(Duration::from_millis(CHECK_MS)).await;
     }
-    let left = count_connections(shared) as u64;
+    let left = count_connections(shared);
     let why = if left == 0 {
         "all connections have ended"
     } else {
@@ -208,6 +209,6 @@
     Ok(())
 }
 
-fn count_connections(shared: &Shared) -> usize {
+fn count_connections(shared: &Shared) -> u64 {
     shared.connections.load(Ordering::SeqCst)
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -4,7 +4,7 @@
 //! The control thread publishes into it; traffic, peer and admin code read it.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
@@ -94,7 +94,7 @@
     /// Whether the last connection has been accepted, so that `connections` can only fall.
     pub(super) listener_closed: AtomicBool,
     /// Number of callers' open connections.
-    pub(super) connections: AtomicUsize,
+    pub(super) connections: Arc<AtomicU64>,
     next_request_number: AtomicU64,
     control: Sender<Message>,
 }
@@ -137,7 +137,7 @@
             stopping: AtomicBool::new(false),
             accept_stopped: AtomicBool::new(false),
             listener_closed: AtomicBool::new(false),
-            connections: AtomicUsize::new(0),
+            connections: Arc::default(),
             next_request_number: AtomicU64::new(1),
             control,
         };
@@ -179,12 +179,3 @@
         Ok(())
     }
 }
-
-/// Decrements a counter when it is dropped.
-pub(super) struct CountGuard<'a>(pub(super) &'a AtomicUsize);
-
-impl Drop for CountGuard<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -180,7 +180,8 @@
         let open = shared.connections.load(Ordering::SeqCst);
         if let Some(why) = stop.poll(since_ms, open) {
             let decision = Decision::new(Code::EntryStopped, Subject::Entry, name, why);
-            let decision = decision.with("connections", open);
+            let calls = shared.open_calls.load(Ordering::SeqCst);
+            let decision = decision.with("connections", open).with("calls", calls);
             log_platform_use(shared);
             shared.log_decision(decision.with("standstills", stop.standstills()));
             return Ok(());
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -81,6 +81,8 @@
     pub(super) intake_timeout: AdaptiveTimeout,
     /// The number of open connections of callers.
     pub(super) connections: AtomicU64,
+    /// The number of calls that were read and not answered yet.
+    pub(super) open_calls: AtomicU64,
     waiting_by_pool: Mutex<BTreeMap<String, WaitingCounts>>,
     /// The pools whose rows are being counted.
     pub(super) counts_under_way: CountsUnderWay,
@@ -137,6 +139,7 @@
             store_timeout: AdaptiveTimeout::new(TX_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
             intake_timeout: AdaptiveTimeout::new(INTAKE_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
             connections: AtomicU64::new(0),
+            open_calls: AtomicU64::new(0),
             waiting_by_pool: Mutex::new(BTreeMap::new()),
             counts_under_way: CountsUnderWay::default(),
             count_budget: Mutex::default(),
--- a/src/serve/traffic.rs
+++ b/src/serve/traffic.rs
@@ -24,6 +24,7 @@
 use crate::event::{Code, Decision, Subject};
 use crate::http::{server, Incoming, Intake, Limits, Seat};
 use crate::platform::{edge, Platform};
+use crate::util::CountGuard;
 
 /// Limits on callers' connections and requests: the users' configuration names 256 KB and 15 s.
 const CALLER_LIMITS: Limits = Limits {
@@ -194,6 +195,7 @@
 }
 
 async fn answer_call(shared: &Shared, platform: &Platform, incoming: Incoming) -> Response {
+    let _open_call = CountGuard::new(&shared.open_calls);
     let began = Instant::now();
     let began_ms = shared.clock.now_ms();
     shared.metrics.requests.fetch_add(1, Ordering::Relaxed);
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,9 +1,11 @@
 //! Helpers shared by several modules: locking, hashing, joining futures, percent-encoding.
 
 use std::future::{poll_fn, Future};
+use std::ops::Deref;
 use std::pin::Pin;
 use std::task::Poll;
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 /// Locks a mutex, even if a thread panicked while it held the lock: no code leaves the data behind a mutex half updated
@@ -12,6 +14,23 @@
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
 
+/// Counts something in a shared counter for as long as the guard exists.
+pub struct CountGuard<C: Deref<Target = AtomicU64>>(C);
+
+impl<C: Deref<Target = AtomicU64>> CountGuard<C> {
+    /// Adds one to the counter until the guard is dropped.
+    pub fn new(counter: C) -> Self {
+        counter.fetch_add(1, Ordering::SeqCst);
+        Self(counter)
+    }
+}
+
+impl<C: Deref<Target = AtomicU64>> Drop for CountGuard<C> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Returns the 64-bit FNV-1a hash, which is the same in every build.
 pub fn fnv1a(bytes: impl IntoIterator<Item = u8>) -> u64 {
     const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
