Each call that a stopping entry has read is answered

Cause: the end of a stop and the wait of a call were bounded independently. A call waits for rows, a read of the store or a transaction until its own deadline, 3 s by default; the process ends 5.3 s after the signal with whatever is open. A process without open connections ended at 3.2 s while its listener still accepted.

Change: a stop has a moment by which calls are answered, 1 s before the process ends. Calls that wait longer are ended with a truthful outcome (504 where a write may have been sent, else 503), calls that arrive less than 0.3 s before are refused at once, and a request that has arrived in part is refused as well. The listener is closed, with its queue served, before the process ends, so nothing is accepted that can't be answered; connections count as open from their acceptance. A standstill extends the stop by 1.3 s in place of 2.1 s, since waits are bounded now, and the platform's 6 s are not used up by it.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -50,6 +50,23 @@
 /// Longest interval between two checks of a connection that waits for a request.
 const CHECK_MS: u64 = 500;
 
+/// What the end of the process means for a connection.
+pub trait Lifetime {
+    /// Whether the connection closes after the present request, or at once if it is idle.
+    fn is_closing(&self) -> bool;
+
+    /// Whether a request that has not arrived completely is refused.
+    fn is_refusing(&self) -> bool {
+        false
+    }
+}
+
+impl<F: Fn() -> bool> Lifetime for F {
+    fn is_closing(&self) -> bool {
+        self()
+    }
+}
+
 /// A complete request.
 #[derive(Debug)]
 pub struct Incoming {
@@ -86,30 +103,30 @@
 }
 
 /// Serves a connection that no listener counts, as [`serve_seat`] does.
-pub async fn serve<H, F, S>(wire: Wire, limits: Limits, stopping: S, handler: H)
+pub async fn serve<H, F, L>(wire: Wire, limits: Limits, lifetime: L, handler: H)
 where
     H: Fn(Incoming) -> F,
     F: Future<Output = Response>,
-    S: Fn() -> bool,
+    L: Lifetime,
 {
-    serve_seat(seat_alone(wire), limits, stopping, handler).await;
+    serve_seat(seat_alone(wire), limits, lifetime, handler).await;
 }
 
 fn seat_alone(wire: Wire) -> Seat {
     Arc::new(Intake::new(ConnectionLimits::NONE)).seat_wire(wire)
 }
 
-/// Serves the connection until it closes, an error ends it, or `stopping` returns true between two requests.
-pub async fn serve_seat<H, F, S>(seat: Seat, limits: Limits, stopping: S, handler: H)
+/// Serves the connection until it closes, an error ends it, or it is closing between two requests.
+pub async fn serve_seat<H, F, L>(seat: Seat, limits: Limits, lifetime: L, handler: H)
 where
     H: Fn(Incoming) -> F,
     F: Future<Output = Response>,
-    S: Fn() -> bool,
+    L: Lifetime,
 {
     let wire = seat.wire();
     loop {
         seat.set_phase(Phase::Waiting);
-        match read_seated(&seat, limits, &stopping).await {
+        match read_seated(&seat, limits, &lifetime).await {
             Arrival::Nothing => return,
             Arrival::Bad(failure) => {
                 let res = problem(&failure);
@@ -123,7 +140,7 @@
                 let wants_close = incoming.wants_close();
                 let is_end_known = wire.at_end();
                 let res = handler(*incoming).await;
-                let close = wants_close || stopping() || !is_end_known;
+                let close = wants_close || lifetime.is_closing() || !is_end_known;
                 let res = charge_answer(&seat, res, method).await;
                 if write_answer(wire, res, method, close).await.is_err() {
                     return;
@@ -151,29 +168,37 @@
     problem(&Kind::Overloaded.into())
 }
 
-/// Reads one complete request. Returns [`Arrival::Nothing`] if the connection is idle and `stopping` returns true.
-pub async fn read_request(wire: &Wire, limits: Limits, stopping: impl Fn() -> bool) -> Arrival {
-    read_seated(&seat_alone(wire.clone()), limits, stopping).await
+/// Reads one complete request. Returns [`Arrival::Nothing`] if the connection is idle and closing.
+pub async fn read_request(wire: &Wire, limits: Limits, lifetime: impl Lifetime) -> Arrival {
+    read_seated(&seat_alone(wire.clone()), limits, &lifetime).await
 }
 
-async fn read_seated(seat: &Seat, limits: Limits, stopping: impl Fn() -> bool) -> Arrival {
+async fn read_seated(seat: &Seat, limits: Limits, lifetime: &impl Lifetime) -> Arrival {
     let wire = seat.wire();
     wire.begin_request();
     let head = async { Some(async_h1::server::decode(wire.clone()).await) };
     let timeout = async {
-        wait_for_head_deadline(wire, limits, &stopping).await;
+        wait_for_head_deadline(wire, limits, lifetime).await;
         None
     };
     let decoded = match head.or(timeout).await {
-        None if wire.has_buffered() => return Arrival::Bad(Kind::SlowRequest.into()),
+        None if wire.has_buffered() => return Arrival::Bad(refusal_of_partial(lifetime).into()),
         None | Some(Ok(None)) => return Arrival::Nothing,
         Some(Err(e)) => return arrival_of_bad_head(wire, &e),
         Some(Ok(Some((req, _)))) => req,
     };
-    read_body(seat, decoded, limits).await
+    read_body(seat, decoded, limits, lifetime).await
+}
+
+/// Returns why a request is refused that has not arrived completely by its deadline.
+fn refusal_of_partial(lifetime: &impl Lifetime) -> Kind {
+    match lifetime.is_refusing() {
+        true => Kind::Stopping,
+        false => Kind::SlowRequest,
+    }
 }
 
-async fn wait_for_head_deadline(wire: &Wire, limits: Limits, stopping: impl Fn() -> bool) {
+async fn wait_for_head_deadline(wire: &Wire, limits: Limits, lifetime: &impl Lifetime) {
     let idle = Duration::from_millis(limits.idle_ms);
     let arrive = Duration::from_millis(limits.receive_ms);
     let step = Duration::from_millis(limits.receive_ms.min(CHECK_MS));
@@ -183,15 +208,24 @@
         Timer::after(step).await;
         if wire.has_buffered() {
             let first = *first_seen.get_or_insert_with(Instant::now);
-            if first.elapsed() + step >= arrive {
+            if first.elapsed() + step >= arrive || lifetime.is_refusing() {
                 return;
             }
-        } else if began.elapsed() >= idle || stopping() {
+        } else if began.elapsed() >= idle || lifetime.is_closing() {
             return;
         }
     }
 }
 
+async fn wait_for_body_deadline(limits: Limits, lifetime: &impl Lifetime) {
+    let arrive = Duration::from_millis(limits.receive_ms);
+    let step = Duration::from_millis(limits.receive_ms.min(CHECK_MS));
+    let began = Instant::now();
+    while began.elapsed() < arrive && !lifetime.is_refusing() {
+        Timer::after(step).await;
+    }
+}
+
 fn arrival_of_bad_head(wire: &Wire, err: &http_types::Error) -> Arrival {
     match wire.framing_error() {
         Some(FramingError::CutHead | FramingError::CutBody) => Arrival::Nothing,
@@ -204,7 +238,12 @@
     }
 }
 
-async fn read_body(seat: &Seat, mut head: Request, limits: Limits) -> Arrival {
+async fn read_body(
+    seat: &Seat,
+    mut head: Request,
+    limits: Limits,
+    lifetime: &impl Lifetime,
+) -> Arrival {
     let arrived = Instant::now();
     let (wire, max_bytes) = (seat.wire(), limits.body_bytes);
     let too_large = || Kind::BodyTooLarge.with_detail(format!("at most {max_bytes} bytes"));
@@ -215,12 +254,13 @@
     let reader = head.take_body();
     let work = async { Some(drive_codec(fill_body(seat, reader, length, max_bytes)).await) };
     let timeout = async {
-        Timer::after(Duration::from_millis(limits.receive_ms)).await;
+        wait_for_body_deadline(limits, lifetime).await;
         None
     };
     let body = match work.or(timeout).await {
         None => {
-            return Arrival::Bad(Kind::SlowRequest.with_detail("the body did not arrive in time"))
+            let why = "the body did not arrive in time";
+            return Arrival::Bad(refusal_of_partial(lifetime).with_detail(why));
         }
         Some(Some(Err(_))) if wire.framing_error() == Some(FramingError::CutBody) => {
             return Arrival::Nothing
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -35,7 +35,7 @@
 use crate::platform::Platform;
 use settings::ServeSettings;
 use shared::Shared;
-use stop::Stop;
+use stop::{Next, Stop};
 
 /// How often the main thread checks for signals, and for the end of a stop.
 const SIGNAL_POLL_MS: u64 = 50;
@@ -163,8 +163,7 @@
         }
         Timer::after(Duration::from_millis(SIGNAL_POLL_MS)).await;
     }
-    let now_ms = shared.clock.now_ms().max(1);
-    shared.stopping_at_ms.store(now_ms, Ordering::SeqCst);
+    shared.begin_stop();
     shared.log_decision(Decision::new(
         Code::EntryStopping,
         Subject::Entry,
@@ -175,16 +174,26 @@
     let _ = stop_sender.try_send(());
     let mut stop = Stop::new();
     loop {
+        shared.set_answer_by(stop.answer_by_ms());
         Timer::after(Duration::from_millis(SIGNAL_POLL_MS)).await;
         let since_ms = shared.stopping_for_ms().unwrap_or_default();
         let open = shared.connections.load(Ordering::SeqCst);
-        if let Some(why) = stop.poll(since_ms, open) {
-            let decision = Decision::new(Code::EntryStopped, Subject::Entry, name, why);
-            let calls = shared.open_calls.load(Ordering::SeqCst);
-            let decision = decision.with("connections", open).with("calls", calls);
-            log_platform_use(shared);
-            shared.log_decision(decision.with("standstills", stop.standstills()));
-            return Ok(());
+        match stop.poll(since_ms, open, shared.is_listening()) {
+            Next::Wait => {}
+            Next::CloseListener => shared.end_listener(),
+            Next::End(why) => {
+                log_stopped(shared, why, open, &stop);
+                return Ok(());
+            }
         }
     }
 }
+
+fn log_stopped(shared: &Shared, why: &str, open: u64, stop: &Stop) {
+    log_platform_use(shared);
+    let calls = shared.open_calls.load(Ordering::SeqCst);
+    let name = &shared.settings.name;
+    let decision = Decision::new(Code::EntryStopped, Subject::Entry, name, why);
+    let decision = decision.with("connections", open).with("calls", calls);
+    shared.log_decision(decision.with("standstills", stop.standstills()));
+}
--- a/src/serve/operations.rs
+++ b/src/serve/operations.rs
@@ -53,6 +53,7 @@
     began_ms: Millis,
 ) -> Outcome {
     let until_ms = began_ms + request.deadline_ms.saturating_sub(ANSWER_RESERVE_MS);
+    let until_ms = shared.limit_wait(until_ms);
     match &request.operation {
         Operation::Submit(id, spec) => {
             submit_job(shared, store, &request.route, id, spec, until_ms).await
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -6,12 +6,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use smol::channel::{Receiver, Sender};
+use smol::Timer;
 
 use super::settings::ServeSettings;
-use super::stop::STOP_MS;
+use super::stop::REFUSE_AFTER_MS;
 use crate::clock::{wall_ms, Clock, Millis, Now};
 use crate::core::admit::Bucket;
 use crate::core::sched::homes::{JobStorage, KnownQueues};
@@ -36,6 +38,9 @@
 const TOMBSTONES_PER_S: u64 = 4;
 const TOMBSTONES_BURST: u64 = 40;
 
+/// How often something that waits checks whether the process is about to end.
+const STOP_CHECK_MS: u64 = 100;
+
 /// The offset of the store's clock while it is unknown.
 const UNKNOWN_OFFSET_MS: i64 = i64::MIN;
 
@@ -74,13 +79,18 @@
     /// The store's clock less this process's clock, as of the store's last answer; [`UNKNOWN_OFFSET_MS`] before that.
     store_offset_ms: AtomicI64,
     /// When the process received the signal to stop; 0 before.
-    pub(super) stopping_at_ms: AtomicU64,
+    stopping_at_ms: AtomicU64,
+    /// When the waits of calls end, since the process ends soon after; 0 before the signal to stop.
+    answer_by_ms: AtomicU64,
+    /// Tells the traffic thread to close the listener for callers.
+    listener_end: (Sender<()>, Receiver<()>),
+    is_listener_closed: AtomicBool,
     /// The timeout of transactions with the store.
     pub(super) store_timeout: AdaptiveTimeout,
     /// The timeout of transactions that can go to another partition instead.
     pub(super) intake_timeout: AdaptiveTimeout,
     /// The number of open connections of callers.
-    pub(super) connections: AtomicU64,
+    pub(super) connections: Arc<AtomicU64>,
     /// The number of calls that were read and not answered yet.
     pub(super) open_calls: AtomicU64,
     waiting_by_pool: Mutex<BTreeMap<String, WaitingCounts>>,
@@ -136,9 +146,12 @@
             store_down_since_ms: AtomicU64::new(1),
             store_offset_ms: AtomicI64::new(UNKNOWN_OFFSET_MS),
             stopping_at_ms: AtomicU64::new(0),
+            answer_by_ms: AtomicU64::new(0),
+            listener_end: smol::channel::bounded(1),
+            is_listener_closed: AtomicBool::new(false),
             store_timeout: AdaptiveTimeout::new(TX_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
             intake_timeout: AdaptiveTimeout::new(INTAKE_TIMEOUT_MS, TX_TIMEOUT_MAX_MS),
-            connections: AtomicU64::new(0),
+            connections: Arc::default(),
             open_calls: AtomicU64::new(0),
             waiting_by_pool: Mutex::new(BTreeMap::new()),
             counts_under_way: CountsUnderWay::default(),
@@ -219,10 +232,64 @@
         (at_ms > 0).then(|| self.clock.now_ms().saturating_sub(at_ms))
     }
 
-    /// Whether the normal time for a stop is over, which happens only after a standstill of the process. Requests that
-    /// have begun are still answered, and new ones are refused.
-    pub(super) fn is_stop_overdue(&self) -> bool {
-        self.stopping_for_ms().is_some_and(|ms| ms >= STOP_MS)
+    /// Notes that the process received the signal to stop.
+    pub(super) fn begin_stop(&self) {
+        let now_ms = self.clock.now_ms().max(1);
+        self.stopping_at_ms.store(now_ms, Ordering::SeqCst);
+    }
+
+    /// Sets when the waits of calls end, counted from the signal to stop.
+    pub(super) fn set_answer_by(&self, since_ms: Millis) {
+        let stopping_at_ms = self.stopping_at_ms.load(Ordering::SeqCst);
+        self.answer_by_ms
+            .store(stopping_at_ms + since_ms, Ordering::SeqCst);
+    }
+
+    /// Whether calls are refused because the process ends soon. Those that have begun are still answered.
+    pub(super) fn is_refusing(&self) -> bool {
+        self.stopping_for_ms()
+            .is_some_and(|ms| ms >= REFUSE_AFTER_MS)
+    }
+
+    /// Waits until the process stops and calls must not wait any longer.
+    pub(super) async fn wait_for_answer_by(&self) {
+        loop {
+            Timer::after(Duration::from_millis(STOP_CHECK_MS)).await;
+            let answer_by_ms = self.answer_by_ms.load(Ordering::SeqCst);
+            if answer_by_ms > 0 && self.clock.now_ms() >= answer_by_ms {
+                return;
+            }
+        }
+    }
+
+    /// Tells the traffic thread to accept no more connections of callers.
+    pub(super) fn end_listener(&self) {
+        // A full channel means that the message is on its way already.
+        let _ = self.listener_end.0.try_send(());
+    }
+
+    /// Waits until connections of callers are no longer to be accepted.
+    pub(super) async fn wait_for_listener_end(&self) {
+        // The sender is kept next to the receiver, so the channel is never closed.
+        let _ = self.listener_end.1.recv().await;
+    }
+
+    /// Notes that the listener for callers is closed.
+    pub(super) fn note_listener_closed(&self) {
+        self.is_listener_closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether callers' connections are accepted.
+    pub(super) fn is_listening(&self) -> bool {
+        !self.is_listener_closed.load(Ordering::SeqCst)
+    }
+
+    /// Returns when a wait ends that should end at `until_ms`: earlier if the process stops before.
+    pub(super) fn limit_wait(&self, until_ms: Millis) -> Millis {
+        match self.answer_by_ms.load(Ordering::SeqCst) {
+            0 => until_ms,
+            answer_by_ms => until_ms.min(answer_by_ms),
+        }
     }
 
     /// Waits until a transaction gets no answer.
--- a/src/serve/traffic.rs
+++ b/src/serve/traffic.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_lite::future::poll_once;
+use futures_lite::FutureExt;
 use http_types::Response;
 use smol::channel::{Receiver, Sender};
 use smol::{Async, LocalExecutor, Timer};
@@ -22,6 +24,7 @@
 use crate::core::connections::ConnectionLimits;
 use crate::core::sched::operation::{Operation, Outcome, Request};
 use crate::event::{Code, Decision, Subject};
+use crate::http::server::Lifetime;
 use crate::http::{server, Incoming, Intake, Limits, Seat};
 use crate::platform::{edge, Platform};
 use crate::util::CountGuard;
@@ -75,18 +78,15 @@
         process.for_checks(CHECK_LIMITS.body_bytes),
         &limited,
     );
-    let serve_caller = {
+    let serve_callers = {
         let (shared, platform) = (Arc::clone(shared), platform.clone());
-        move |seat| serve_connection(Arc::clone(&shared), platform.clone(), seat)
+        let executor = Rc::clone(&executor);
+        async move {
+            let serve = |seat| serve_connection(Arc::clone(&shared), platform.clone(), seat);
+            accept_callers(&shared, &executor, caller_listener, &callers, serve).await;
+        }
     };
-    executor
-        .spawn(accept_connections(
-            Rc::clone(&executor),
-            caller_listener,
-            callers,
-            serve_caller,
-        ))
-        .detach();
+    executor.spawn(serve_callers).detach();
     let report = report_limits(Arc::clone(shared), limited_receiver);
     executor.spawn(report).detach();
     let follow_configurations = {
@@ -95,24 +95,10 @@
     };
     executor.spawn(follow_configurations).detach();
     let serve_readiness = make_status_server(shared, status::answer_readiness);
-    executor
-        .spawn(accept_connections(
-            Rc::clone(&executor),
-            readiness_listener,
-            readiness,
-            serve_readiness,
-        ))
-        .detach();
+    spawn_status_server(&executor, readiness_listener, readiness, serve_readiness);
     if let Some(listener) = metrics_listener {
         let serve_metrics = make_status_server(shared, status::answer_metrics);
-        executor
-            .spawn(accept_connections(
-                Rc::clone(&executor),
-                listener,
-                metrics,
-                serve_metrics,
-            ))
-            .detach();
+        spawn_status_server(&executor, listener, metrics, serve_metrics);
     }
     smol::block_on(executor.run(std::future::pending::<()>()));
 }
@@ -152,13 +138,13 @@
 }
 
 async fn accept_connections<F: Future<Output = ()> + 'static>(
-    executor: Rc<LocalExecutor<'static>>,
-    listener: Async<TcpListener>,
-    intake: Arc<Intake>,
+    executor: &LocalExecutor<'static>,
+    listener: &Async<TcpListener>,
+    intake: &Arc<Intake>,
     serve: impl Fn(Seat) -> F,
 ) {
     loop {
-        match intake.accept(&listener).await {
+        match intake.accept(listener).await {
             Ok(seat) => executor.spawn(serve(seat)).detach(),
             Err(_) => {
                 Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
@@ -167,6 +153,36 @@
     }
 }
 
+/// Accepts callers' connections until the process is about to end. Connections that were made before the listener closes
+/// are still served.
+async fn accept_callers<F: Future<Output = ()> + 'static>(
+    shared: &Shared,
+    executor: &LocalExecutor<'static>,
+    listener: Async<TcpListener>,
+    intake: &Arc<Intake>,
+    serve: impl Fn(Seat) -> F,
+) {
+    accept_connections(executor, &listener, intake, &serve)
+        .or(shared.wait_for_listener_end())
+        .await;
+    while let Some(Ok(seat)) = poll_once(intake.accept(&listener)).await {
+        executor.spawn(serve(seat)).detach();
+    }
+    drop(listener);
+    shared.note_listener_closed();
+}
+
+fn spawn_status_server<F: Future<Output = ()> + 'static>(
+    executor: &Rc<LocalExecutor<'static>>,
+    listener: Async<TcpListener>,
+    intake: Arc<Intake>,
+    serve: impl Fn(Seat) -> F + 'static,
+) {
+    let tasks = Rc::clone(executor);
+    let accept = async move { accept_connections(&tasks, &listener, &intake, serve).await };
+    executor.spawn(accept).detach();
+}
+
 /// Returns a function that serves connections of the balancer or of the metrics endpoint.
 fn make_status_server<F: Future<Output = Response> + 'static>(
     shared: &Arc<Shared>,
@@ -182,16 +198,32 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, platform: Platform, seat: Seat) {
-    shared.connections.fetch_add(1, Ordering::SeqCst);
-    let stopping = || {
-        shared
-            .stopping_for_ms()
-            .is_some_and(|ms| ms >= KEEP_OPEN_MS)
-    };
-    let handle = |incoming| answer_call(&shared, &platform, incoming);
-    server::serve_seat(seat, CALLER_LIMITS, stopping, handle).await;
-    shared.connections.fetch_sub(1, Ordering::SeqCst);
+/// What the stop of the process means for a caller's connection.
+struct CallerLifetime<'a>(&'a Shared);
+
+impl Lifetime for CallerLifetime<'_> {
+    fn is_closing(&self) -> bool {
+        let stopping_for_ms = self.0.stopping_for_ms();
+        stopping_for_ms.is_some_and(|ms| ms >= KEEP_OPEN_MS)
+    }
+
+    fn is_refusing(&self) -> bool {
+        self.0.is_refusing()
+    }
+}
+
+/// Returns the task of a caller's connection, which counts as open from now on.
+fn serve_connection(
+    shared: Arc<Shared>,
+    platform: Platform,
+    seat: Seat,
+) -> impl Future<Output = ()> {
+    let open = CountGuard::new(Arc::clone(&shared.connections));
+    async move {
+        let _open = open;
+        let handle = |incoming| answer_call(&shared, &platform, incoming);
+        server::serve_seat(seat, CALLER_LIMITS, CallerLifetime(&shared), handle).await;
+    }
 }
 
 async fn answer_call(shared: &Shared, platform: &Platform, incoming: Incoming) -> Response {
@@ -200,7 +232,7 @@
     let began_ms = shared.clock.now_ms();
     shared.metrics.requests.fetch_add(1, Ordering::Relaxed);
     let routing = shared.current_routing();
-    let decoded = match shared.is_stop_overdue() {
+    let decoded = match shared.is_refusing() {
         true => Err(Outcome::NotTaken {
             retry_after_s: RETRY_ELSEWHERE_S,
         }),
@@ -208,7 +240,9 @@
     };
     let outcome = match decoded {
         Ok(request) => {
-            let outcome = operations::run_operation(shared, platform, &request, began_ms).await;
+            let outcome = operations::run_operation(shared, platform, &request, began_ms)
+                .or(end_wait(shared, &request.operation))
+                .await;
             log_call(shared, &request, &outcome, began);
             outcome
         }
@@ -226,6 +260,18 @@
     edge::encode(&outcome)
 }
 
+/// Waits until a stopping process has to answer, and returns the outcome of an operation that was under way.
+async fn end_wait(shared: &Shared, operation: &Operation) -> Outcome {
+    shared.wait_for_answer_by().await;
+    match operation {
+        // A write may have been sent.
+        Operation::Submit(..) | Operation::Cancel(_) => Outcome::Unsure,
+        Operation::Read(_) | Operation::CountWaiting => Outcome::Unavailable {
+            retry_after_s: RETRY_ELSEWHERE_S,
+        },
+    }
+}
+
 fn log_call(shared: &Shared, request: &Request, outcome: &Outcome, began: Instant) {
     let (id, what) = match &request.operation {
         Operation::Submit(id, _) => (id.as_str(), "submit"),
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -90,6 +90,7 @@
 mod test_start_check;
 mod test_starts;
 mod test_stop;
+mod test_stop_answers;
 mod test_stragglers;
 mod test_timeout;
 mod test_times;
