Daemons handle signals before they accept connections, and rockwick entry outlives SIGHUP

Callers saw a request that ended without an answer: SIGHUP ended a process of `rockwick entry` with whatever it served, and a process of `rockwick serve` that had just begun to accept connections.

Cause: `entry` never handled SIGHUP, whose default ends the process; `serve` set its handlers after its listeners and threads. The class is the one of the stop: a signal of planned work ends a process with calls open.

Change: both daemons handle SIGTERM, SIGINT and SIGHUP by one module before they bind a listener; a reload is logged.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,11 +30,13 @@
 use crate::http::{server, Intake, Limits, Seat};
 use crate::log::Log;
 use crate::runtime::Runtime;
+use crate::signals::Signals;
 use crate::util::CountGuard;
 use shared::Shared;
 
 /// Runs an entry until SIGTERM or SIGINT; returns when the last connection has ended or `stop_ms` has passed.
 pub fn run(settings: Settings) -> Result<()> {
+    let signals = Signals::new()?;
     let caller_listener = bind_listener("listen", settings.listen)?;
     let operator_listener = bind_listener("admin", settings.admin)?;
     let log = Log::new()?;
@@ -50,7 +52,7 @@
     runtime
         .spawn(accept_callers(Arc::clone(&shared), caller_listener))
         .detach();
-    smol::block_on(wait_until_stopped(&shared))?;
+    smol::block_on(wait_until_stopped(&shared, &signals));
     shared.send_to_control(control::Message::Leave);
     let _ = control.join();
     shared.log.close();
@@ -168,17 +170,12 @@
 ///
 /// `/readyz` fails from the signal on, but the entry accepts new connections for another `grace_ms`, so that the load
 /// balancer notices first. Then it accepts no more connections and waits up to `stop_ms` for the open ones.
-async fn wait_until_stopped(shared: &Arc<Shared>) -> Result<()> {
-    let flag = Arc::new(std::sync::atomic::AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, Arc::clone(&flag))
-            .map_err(|e| Error::Io("signal".to_string(), e))?;
-    }
+async fn wait_until_stopped(shared: &Shared, signals: &Signals) {
     const CHECK_MS: u64 = 50;
-    while !flag.load(Ordering::SeqCst) {
-        Timer::after(Duration::from_millis(CHECK_MS)).await;
-    }
     let name = shared.settings.name.clone();
+    signals
+        .wait_for_stop(&name, |decision| shared.log_decision(decision))
+        .await;
     shared.stopping.store(true, Ordering::SeqCst);
     shared.log_decision(Decision::new(
         Code::EntryStopping,
@@ -206,7 +203,6 @@
     shared.log_decision(
         Decision::new(Code::EntryStopped, Subject::Entry, &name, why).with("connections", left),
     );
-    Ok(())
 }
 
 fn count_connections(shared: &Shared) -> u64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod report;
 pub mod runtime;
 pub mod serve;
+pub mod signals;
 pub mod util;
 pub mod view;
 pub mod wire;
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -20,7 +20,7 @@
 mod traffic;
 
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,12 +33,13 @@
 use crate::log::Log;
 use crate::metrics::CallUse;
 use crate::platform::Platform;
+use crate::signals::Signals;
 use settings::ServeSettings;
 use shared::Shared;
 use stop::{Next, Stop};
 
-/// How often the main thread checks for signals, and for the end of a stop.
-const SIGNAL_POLL_MS: u64 = 50;
+/// How often the main thread checks for the end of a stop.
+const STOP_POLL_MS: u64 = 50;
 
 /// How long after SIGTERM connections stay open for requests that are under way. The balancer needs two checks, a
 /// second apart, before it sends new requests to other entries, and callers may take 3 s to send one.
@@ -46,6 +47,7 @@
 
 /// Serves until SIGTERM or SIGINT, and returns when the stop is complete.
 pub fn run(settings: ServeSettings) -> Result<()> {
+    let signals = Signals::new()?;
     let caller_listener = bind("listen", settings.listen)?;
     let readiness_listener = bind("ready", settings.ready)?;
     let metrics_listener = settings.metrics.map(|a| bind("metrics", a)).transpose()?;
@@ -74,7 +76,7 @@
             restart_thread_after_panic(run, may_restart, report);
         })
         .map_err(|e| Error::Io("control thread".to_string(), e))?;
-    smol::block_on(wait_until_stopped(&shared, stop_sender))?;
+    smol::block_on(wait_until_stopped(&shared, &signals, stop_sender));
     shared.log.close();
     Ok(())
 }
@@ -140,29 +142,18 @@
     shared.log_decision(decision.with("received_bytes", total(|used| used.received_bytes)));
 }
 
-/// Returns a flag that is set when the process receives `signal`.
-fn signal_flag(signal: i32) -> Result<Arc<AtomicBool>> {
-    let signal_flag = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal, Arc::clone(&signal_flag))
-        .map_err(|e| Error::Io("signal".to_string(), e))?;
-    Ok(signal_flag)
-}
-
 /// Waits for SIGTERM or SIGINT and then until the process may end. After the signal, the entry reports at once that it
 /// is not ready and releases its pools; callers are answered until their connections are closed or the time for a stop
 /// is over.
-async fn wait_until_stopped(shared: &Shared, stop_sender: smol::channel::Sender<()>) -> Result<()> {
-    let term = signal_flag(signal_hook::consts::SIGTERM)?;
-    let int = signal_flag(signal_hook::consts::SIGINT)?;
-    let hup = signal_flag(signal_hook::consts::SIGHUP)?;
+async fn wait_until_stopped(
+    shared: &Shared,
+    signals: &Signals,
+    stop_sender: smol::channel::Sender<()>,
+) {
     let name = &shared.settings.name;
-    while !term.load(Ordering::SeqCst) && !int.load(Ordering::SeqCst) {
-        if hup.swap(false, Ordering::SeqCst) {
-            let why = "SIGHUP received: flags and environment variables are read only at start";
-            shared.log_decision(Decision::new(Code::Reloaded, Subject::Entry, name, why));
-        }
-        Timer::after(Duration::from_millis(SIGNAL_POLL_MS)).await;
-    }
+    signals
+        .wait_for_stop(name, |decision| shared.log_decision(decision))
+        .await;
     shared.begin_stop();
     shared.log_decision(Decision::new(
         Code::EntryStopping,
@@ -175,15 +166,14 @@
     let mut stop = Stop::new();
     loop {
         shared.set_answer_by(stop.answer_by_ms());
-        Timer::after(Duration::from_millis(SIGNAL_POLL_MS)).await;
+        Timer::after(Duration::from_millis(STOP_POLL_MS)).await;
         let since_ms = shared.stopping_for_ms().unwrap_or_default();
         let open = shared.connections.load(Ordering::SeqCst);
         match stop.poll(since_ms, open, shared.is_listening()) {
             Next::Wait => {}
             Next::CloseListener => shared.end_listener(),
             Next::End(why) => {
-                log_stopped(shared, why, open, &stop);
-                return Ok(());
+                return log_stopped(shared, why, open, &stop);
             }
         }
     }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -84,6 +84,7 @@
 mod test_serve;
 mod test_shards;
 mod test_shrinks;
+mod test_signals;
 mod test_sizing;
 mod test_soak;
 mod test_standby;
