Worlds in which hosts crash again and again, seen failing

The worlds have 20 workers, about 16 jobs of six short tasks a second and 45 s of crashes: two hosts at a time once a second, the same with owners that are killed, and a host drawn at random every 0.9 s. All three are listed until the fix.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -23,6 +23,7 @@
 mod test_compare;
 mod test_config;
 mod test_connections;
+mod test_crash_loops;
 mod test_crashes;
 mod test_data_racks;
 mod test_deadlines;
