Crashes of unsound hosts no longer give harmless jobs up

Cause: a task was given up by counts of crashes alone. A host in a crash loop crashes whatever it runs, and a task that had lost a worker went back to that host, since it was the one with room.

Change: the owner remembers which hosts crashed lately (host_crashes.rs). A crash of a host that crashed within 20 s is no certain crash of its tasks; it still counts towards the bound on starts. Where a third of the hosts crashed lately, a crash can make a task a suspect but not be its second blame, so three certain crashes are needed. A crash is forgotten once a task that it counted against is given up as its cause. A task that has lost a worker goes to a host that did not crash lately, and waits up to 1 s for one. Lasting tasks are counted as before.

A harmless task that meets certain crashes of sound hosts by chance can still be given up, since tasks that crash workers must be.

--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -15,6 +15,7 @@
 //! and 1,080 runs were lost, and no other job was given up.
 
 use super::gang;
+use super::host_crashes::CrashContext;
 use super::job::StepSpec;
 use super::keys::{TaskKey, WorkerKey};
 use super::limits::{
@@ -106,15 +107,21 @@
     is_gapless: bool,
     /// When it last answered.
     answered_ms: Millis,
+    /// What the other crashes in the pool say about it.
+    context: CrashContext,
 }
 
 impl WorkerEnd {
-    fn new(worker: &Worker, cause: EndCause) -> Self {
+    fn new(pool_state: &PoolState, worker: &Worker, cause: EndCause) -> Self {
+        let lost_ms = worker.disconnected_ms.unwrap_or(worker.answered_ms);
+        let hosts = pool_state.workers_by_host.len();
+        let crashes = &pool_state.host_crashes;
         Self {
             is_crash: cause != EndCause::Lease && !worker.is_leaving(),
             disconnected_ms: worker.disconnected_ms,
             is_gapless: worker.is_gapless,
             answered_ms: worker.answered_ms,
+            context: crashes.context(&worker.info.host, lost_ms, hosts),
         }
     }
 
@@ -141,7 +148,11 @@
         let may_be_crash = self.is_crash && order != GangLossOrder::Later && has_begun;
         let is_first_loss = may_be_crash && order == GangLossOrder::First;
         let was_seen = matches!(task.phase, Phase::Suspect(_)) && task.seen >= Seen::Gone;
-        let is_certain = is_first_loss && (was_seen || self.was_running_to_end(task, spec, now_ms));
+        // A lasting task has no other host to go to if it is limited to one on each, and its bounds ask for certain
+        // crashes.
+        let is_recurring = self.context == CrashContext::Recurring && !spec.lasting;
+        let was_running = was_seen || self.was_running_to_end(task, spec, now_ms);
+        let is_certain = is_first_loss && was_running && !is_recurring;
         // A worker that fell silent first may have been cut off, so that its runs had already expired when it crashed.
         let is_confirmed =
             self.disconnected_ms.is_some() || matches!(task.phase, Phase::Suspect(_));
@@ -149,7 +160,10 @@
             may_be_crash && !is_certain && is_starting && is_confirmed && !was_stopped(task);
         let is_fresh =
             task.seen == Seen::GoneFresh || self.was_disconnected_within(task, BLAME_WINDOW_MS);
-        let is_blamed = is_certain && (spec.lasting || is_fresh);
+        // Where crashes are widespread, a task may meet two by chance: the first makes it a suspect, the others count as
+        // certain crashes only.
+        let may_blame = self.context == CrashContext::Isolated || task.losses.blamed == 0;
+        let is_blamed = is_certain && (spec.lasting || is_fresh && may_blame);
         WorkerLosses {
             blamed: u8::from(is_blamed),
             crashed: u8::from(is_certain),
@@ -212,13 +226,25 @@
         // The worker announced its end by draining.
         return;
     }
-    let end = WorkerEnd::new(w, cause);
+    let end = WorkerEnd::new(pool_state, w, cause);
+    let host = w.info.host.clone();
     let tasks: Vec<TaskKey> = w.tasks.iter().copied().collect();
     if end.is_crash {
         pool_state.crashed_ms = pool_state.crashed_ms.max(end.lost_ms());
     }
+    let mut suspects = Vec::new();
     for key in tasks {
-        count_loss(pool_state, key, end, ctx);
+        let added = count_loss(pool_state, key, end, ctx);
+        if added.crashed + added.likely > 0 {
+            suspects.push(key);
+        }
+    }
+    if end.is_crash {
+        let explains = |key: &TaskKey| is_given_up(pool_state, *key);
+        let explaining: Vec<TaskKey> = suspects.iter().copied().filter(explains).collect();
+        let crashes = &mut pool_state.host_crashes;
+        crashes.note(&host, end.lost_ms(), suspects);
+        explaining.into_iter().for_each(|key| crashes.explain(key));
     }
 }
 
@@ -233,7 +259,7 @@
     let Some(w) = pool_state.workers.get(worker) else {
         return;
     };
-    let end = WorkerEnd::new(w, EndCause::LaterInstance);
+    let end = WorkerEnd::new(pool_state, w, EndCause::LaterInstance);
     if !end.is_crash {
         return;
     }
@@ -307,19 +333,24 @@
 }
 
 /// Adds a worker's end to the losses of one task. Logs the losses if the task is blamed for this end, has at least
-/// [`LOSSES_LOGGED_FROM`] losses, or is given up.
-fn count_loss(pool_state: &mut PoolState, key: TaskKey, end: WorkerEnd, ctx: &mut Ctx<'_>) {
+/// [`LOSSES_LOGGED_FROM`] losses, or is given up. Returns what was added.
+fn count_loss(
+    pool_state: &mut PoolState,
+    key: TaskKey,
+    end: WorkerEnd,
+    ctx: &mut Ctx<'_>,
+) -> WorkerLosses {
     let Some(spec) = pool_state.step_spec(key).cloned() else {
-        return;
+        return WorkerLosses::NONE;
     };
     let order = gang_loss_order(pool_state, key, end);
     let Some(task) = pool_state.task_mut(key) else {
-        return;
+        return WorkerLosses::NONE;
     };
     task.lost_ms = Some(end.lost_ms());
     let added = end.losses_for(task, &spec, order, ctx.now.ms);
     if added == WorkerLosses::NONE {
-        return;
+        return added;
     }
     task.losses.add(added, task.run);
     let (losses, run) = (task.losses, task.run);
@@ -346,9 +377,18 @@
             .with("ended", u64::from(losses.all))
             .with("third_run", u64::from(losses.third_run))
             .with("pause_ms", pause_ms)
+            .with(
+                "recurring",
+                u64::from(end.context == CrashContext::Recurring),
+            )
+            .with(
+                "widespread",
+                u64::from(end.context == CrashContext::Widespread),
+            )
             .with("given_up", u64::from(is_given_up)),
         );
     }
+    added
 }
 
 /// Returns whether a task is given up and no longer started.
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -203,6 +203,15 @@
 /// workers.
 pub const ENDED_MAX: u8 = 5;
 
+/// A host that crashed is unsound for this long. Hosts in a crash loop are down for some seconds between two crashes.
+pub const UNSOUND_MS: Millis = 20_000;
+
+/// Crashes are widespread if one host in this many has crashed within [`UNSOUND_MS`] and no task explains it.
+pub const WIDESPREAD_SHARE: usize = 3;
+
+/// Least number of hosts whose crashes are widespread.
+pub const WIDESPREAD_MIN: usize = 2;
+
 /// Pause before the next start of a lasting task after two certain crashes. Doubles with each further crash.
 pub const RESTART_PAUSE_MS: Millis = 1_250;
 
@@ -216,8 +225,8 @@
 /// Longest time that a lasting task waits for its pool to be calm.
 pub const CALM_WAIT_MAX_MS: Millis = 60_000;
 
-/// A suspect that finds no worker without another suspect is placed next to one after this long. Workers report within
-/// a second.
+/// A suspect that finds no worker without another suspect is placed next to one after this long, and a task that has
+/// lost a worker and finds no sound host is placed on another one. Workers report within a second.
 pub const SUSPECT_APART_MS: Millis = 1_000;
 
 /// A worker that refused a task for lack of capacity gets no tasks for this long. Its report comes with a renewal.
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -23,6 +23,7 @@
 mod halls;
 mod handover;
 pub mod homes;
+mod host_crashes;
 pub mod hosts;
 pub mod insert;
 mod instances;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -12,7 +12,7 @@
 use super::gang;
 use super::job::{JobState, StepSpec};
 use super::keys::{StepKey, TaskKey, WorkerKey};
-use super::limits::{SUSPEND_MAX_MS, SUSPEND_MS};
+use super::limits::{SUSPECT_APART_MS, SUSPEND_MAX_MS, SUSPEND_MS};
 use super::pool_state::PoolState;
 use super::reservations;
 use super::state::Ctx;
@@ -118,10 +118,16 @@
         must_be_placed_apart: pool_state
             .task(key)
             .is_some_and(|t| t.must_be_placed_apart(now_ms)),
+        needs_sound_host: pool_state.task(key).is_some_and(|t| t.losses.has_losses()),
         has_room: Cell::new(false),
         takes_reserved: false,
     };
     let mut worker = search.choose();
+    let may_wait = |t: &Task| now_ms < t.since_ms + SUSPECT_APART_MS;
+    if worker.is_none() && search.needs_sound_host && !pool_state.task(key).is_some_and(may_wait) {
+        search.needs_sound_host = false;
+        worker = search.choose();
+    }
     if worker.is_none() && spec.lasting && !pool_state.reserved.is_empty() {
         search.takes_reserved = true;
         worker = search.choose();
@@ -159,6 +165,9 @@
     now_ms: u64,
     /// The task must not go to a worker that runs a task suspected of crashes.
     must_be_placed_apart: bool,
+    /// The task must not go to a host that crashed lately: the host may crash again, and that would say nothing about the
+    /// task.
+    needs_sound_host: bool,
     /// Set once an open worker with room was found that is not reserved for another task, whether or not it may take
     /// this one.
     has_room: Cell<bool>,
@@ -217,6 +226,11 @@
                 .is_reserved_for_other(key, self.key)
     }
 
+    fn is_unsound(&self, key: WorkerKey) -> bool {
+        let host = &self.pool_state.workers[key].info.host;
+        self.pool_state.host_crashes.is_unsound(host, self.now_ms)
+    }
+
     fn may_take(&self, key: WorkerKey) -> bool {
         let worker = &self.pool_state.workers[key];
         if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) || self.is_reserved(key)
@@ -228,6 +242,7 @@
             && self.pool_state.has_ticket(self.key, key, self.now_ms)
             && !should_avoid(self.pool_state, self.key, self.spec, key, self.now_ms)
             && !(self.must_be_placed_apart && self.pool_state.is_watched(key))
+            && !(self.needs_sound_host && self.is_unsound(key))
     }
 }
 
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -12,6 +12,7 @@
 use super::data_racks::DataRacks;
 use super::free_index::FreeIndex;
 use super::homes::GuestIds;
+use super::host_crashes::HostCrashes;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, PoolStateId, StepKey, TaskKey, WorkerKey};
 use super::late_starts::LateStarts;
@@ -116,6 +117,8 @@
     pub broken_gangs: Vec<TaskKey>,
     /// Tasks that are suspected of crashing workers and whose current run may still do so, with the worker of that run.
     pub watched: BTreeMap<TaskKey, WorkerKey>,
+    /// Hosts that crashed lately.
+    pub host_crashes: HostCrashes,
     /// When a worker last crashed, as far as is known.
     pub crashed_ms: Millis,
     /// Jobs with tasks that crashed too many workers: they are to be ended.
