--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -9,6 +9,8 @@
 //! start. A second crash then singles out one task, and its job is given up. The counts are recorded, and a new owner
 //! continues from them.
 //!
+//! A crash of a host that crashed lately, or one among many, says less about its tasks: see `host_crashes`.
+//!
 //! Measured eight times on a pool of 16 workers that got 300 jobs of 8 tasks in 30 s, one job in 30 of this kind (81 in
 //! all): 162 workers and 938 runs of other jobs were lost, and 1 of 2,319 other jobs was given up. Without placing
 //! suspects apart, 1,574 runs were lost and 30 other jobs given up. With giving up only on the third crash, 243 workers
