--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -26,6 +26,7 @@
 mod test_crash_loops;
 mod test_crashes;
 mod test_data_racks;
+mod test_day_end;
 mod test_deadlines;
 mod test_drain;
 mod test_draining;
