Soak: the configuration check and pauses of the soak itself don't hold up the faults' ends

Cause: the main loop asked each entry for its configuration and waited for the answer, also from an entry that it had suspended. It ended faults late by these waits, so that an entry still stood still when it counted as undisturbed. A caller measured 3.5 s of patience on the clock, also while it got no processor itself.

Change: the check of configurations runs on a thread of its own; the main loop only injects and ends faults, reaps and checks drains. A fault's mark is renewed when the fault really ends. A caller gives up once it has run for 3.5 s itself: of each step of 50 ms at most twice that counts. The promises are as before: an answer that a running caller waits 3.5 s for breaks one, and a configuration has to be in force after 2.5 s. Answers to the check that may come from either of two processes of an entry are left out; before, no process could start during the check.

--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -9,10 +9,12 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use http_types::Method;
+use futures_lite::FutureExt;
+use http_types::{Method, Request};
 use rockwick::http::client::deadline_after_ms;
-use rockwick::http::{Answer, Client, ExchangeError};
+use rockwick::http::{Answer, Client, ExchangeError, Sent};
 use serde_json::Value;
+use smol::Timer;
 
 use super::disturbances::Disturbances;
 use super::shapes::Shapes;
@@ -21,6 +23,15 @@
 /// Deadline that a caller sends with each call.
 const DEADLINE_MS: u64 = 3_000;
 
+/// Time for which a caller waits for an answer, in which the caller itself must run.
+const PATIENCE_MS: u64 = DEADLINE_MS + 500;
+
+/// Part of that time; of a longer pause of the caller, at most twice this counts.
+const PATIENCE_STEP: Duration = Duration::from_millis(50);
+
+/// Longest time for an exchange, however little the caller runs.
+const EXCHANGE_MAX_MS: u64 = 60_000;
+
 /// Largest number of times that a caller sends a job, each time to a random entry.
 const ATTEMPTS_MAX: u32 = 6;
 
@@ -122,7 +133,7 @@
             req.set_body(body.to_string().into_bytes());
         }
         let began = Instant::now();
-        let result = smol::block_on(client.exchange(req, deadline_after_ms(DEADLINE_MS + 500)));
+        let result = smol::block_on(exchange_while_awake(client, req));
         match result {
             Ok(answer) => Some(answer),
             Err(error) => {
@@ -139,11 +150,12 @@
     /// Reports a broken promise if an undisturbed entry, or one that is stopping in an orderly way, did not answer a
     /// request that it had read.
     fn check_unanswered(&self, entry: usize, began: Instant, error: ExchangeError, path: &str) {
-        let is_sent = error.sent() == rockwick::http::Sent::Some;
+        let is_sent = error.sent() == Sent::Some;
         // A call that fails sooner may have been sent on an idle connection that the entry was closing.
         let is_read = began.elapsed() > Duration::from_millis(200);
         if is_sent && is_read && self.shared.disturbances.is_undisturbed_since(entry, began) {
-            let what = format!("{path} at entry {entry} got no answer: {error:?}");
+            let after_ms = began.elapsed().as_millis();
+            let what = format!("{path} at entry {entry} got no answer in {after_ms} ms: {error:?}");
             self.shared.fleet.report_broken(what);
         }
     }
@@ -278,6 +290,23 @@
     }
 }
 
+/// Sends a request; gives up once the caller itself has run for `PATIENCE_MS`, so that time in which this process got no
+/// processor does not count as time without an answer.
+async fn exchange_while_awake(client: &Client, req: Request) -> Result<Answer, ExchangeError> {
+    let patience = async {
+        let mut awake = Duration::ZERO;
+        while awake < Duration::from_millis(PATIENCE_MS) {
+            let began = Instant::now();
+            Timer::after(PATIENCE_STEP).await;
+            awake += began.elapsed().min(2 * PATIENCE_STEP);
+        }
+        client.close_idle();
+        Err(ExchangeError::Timeout(Sent::Some))
+    };
+    let exchange = client.exchange(req, deadline_after_ms(EXCHANGE_MAX_MS));
+    exchange.or(patience).await
+}
+
 /// Locks a mutex, also after a panic of another holder.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -5,6 +5,8 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{kill, Signal};
@@ -27,7 +29,7 @@
     log: PathBuf,
     child: Option<Child>,
     /// Number of processes started so far.
-    pub(crate) starts: u64,
+    pub(crate) starts: Arc<AtomicU64>,
     stop_sent: Option<Instant>,
     started_at: Instant,
 }
@@ -69,7 +71,7 @@
             store_address,
             log: logs.join(format!("{name}.log")),
             child: None,
-            starts: 0,
+            starts: Arc::default(),
             stop_sent: None,
             started_at: Instant::now(),
         })
@@ -93,7 +95,7 @@
             .stdout(Stdio::from(log))
             .spawn()?;
         self.child = Some(child);
-        self.starts += 1;
+        self.starts.fetch_add(1, Ordering::SeqCst);
         self.started_at = Instant::now();
         self.stop_sent = None;
         Ok(())
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -152,8 +152,8 @@
             10 => self.lose_orders(cluster, 30, ms),
             11 => self.crash_worker(cluster, ms),
             _ => {
-                cluster.change_config();
-                self.record(format!("configuration {}", cluster.version));
+                let version = cluster.change_config();
+                self.record(format!("configuration {version}"));
                 if self.waves < 3 && self.rng.bool() {
                     self.waves += 1;
                     let hosts_max = self.rng.usize(1..4);
@@ -444,13 +444,28 @@
     ) -> std::io::Result<()> {
         for (_, recovery) in over {
             match recovery {
-                Recovery::ResumeEntry(n) => cluster.entries[n].signal(Signal::SIGCONT),
+                Recovery::ResumeEntry(n) => {
+                    cluster.entries[n].signal(Signal::SIGCONT);
+                    cluster.disturbances.disturb(n, 0);
+                }
                 // `tick` starts every entry that does not run.
                 Recovery::StartEntry(_) => {}
-                Recovery::RestoreStorePath(n) => cluster.store_paths[n].set(LinkFault::None),
-                Recovery::RestoreWorkerPath(n) => cluster.worker_paths[n].set(LinkFault::None),
-                Recovery::RestoreStore => cluster.fleet.set_store_fault(StoreFault::None),
-                Recovery::RestorePartitions => cluster.fleet.set_unavailable_parts(&[]),
+                Recovery::RestoreStorePath(n) => {
+                    cluster.store_paths[n].set(LinkFault::None);
+                    cluster.disturbances.disturb(n, 0);
+                }
+                Recovery::RestoreWorkerPath(n) => {
+                    cluster.worker_paths[n].set(LinkFault::None);
+                    cluster.worker_disturbances.disturb(n, 0);
+                }
+                Recovery::RestoreStore => {
+                    cluster.fleet.set_store_fault(StoreFault::None);
+                    cluster.disturbances.disturb_all(0);
+                }
+                Recovery::RestorePartitions => {
+                    cluster.fleet.set_unavailable_parts(&[]);
+                    cluster.disturbances.disturb_all(0);
+                }
                 Recovery::RelistWorker(host) => cluster.fleet.relist(host),
                 Recovery::CrashWorker(host) => cluster.fleet.crash(host, RESTART_MS),
                 Recovery::UseNewIds => cluster.fleet.set_keeps_ids(false),
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! one seed. Called by the `soak` command, which the test suite runs.
 
 mod callers;
+mod configs;
 mod disturbances;
 mod entry;
 mod faults;
@@ -14,7 +15,7 @@
 use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bpaf::{construct, long, Parser};
@@ -22,6 +23,7 @@
 use serde_json::{json, Value};
 
 use callers::{lock, AcceptedJob, Caller, Callers};
+use configs::{ConfigCheck, NewestConfig};
 use disturbances::Disturbances;
 use entry::{Entry, Ports};
 use faults::{Faults, Scope};
@@ -37,9 +39,6 @@
 /// Longest time, after the last fault, for all jobs to end and all waves to complete.
 const SETTLE_MS: u64 = 60_000;
 
-/// Longest time for an undisturbed entry to apply a configuration change.
-const CONFIG_MS: u64 = 2_500;
-
 /// Largest number of broken promises printed per seed; the report lists all of them.
 const BROKEN_SHOWN: usize = 10;
 
@@ -164,10 +163,7 @@
     disturbances: Arc<Disturbances>,
     /// Faults of the paths to workers.
     worker_disturbances: Disturbances,
-    /// Version of the configuration; version N has N - 1 queues besides the first.
-    version: u64,
-    /// When that version was written.
-    config_changed_at: Instant,
+    newest_config: Arc<Mutex<NewestConfig>>,
 }
 
 impl Cluster {
@@ -208,8 +204,10 @@
             worker_paths,
             disturbances: Arc::new(Disturbances::new(args.entries)),
             worker_disturbances: Disturbances::new(args.workers),
-            version: 1,
-            config_changed_at: Instant::now(),
+            newest_config: Arc::new(Mutex::new(NewestConfig {
+                version: 1,
+                changed_at: Instant::now(),
+            })),
         })
     }
 
@@ -228,11 +226,14 @@
         all.filter(|n| n % 2 == owner % 2).collect()
     }
 
-    fn change_config(&mut self) {
-        self.version += 1;
-        self.config_changed_at = Instant::now();
+    /// Writes the next configuration; returns its version.
+    fn change_config(&mut self) -> u64 {
+        let mut newest = lock(&self.newest_config);
+        newest.version += 1;
+        newest.changed_at = Instant::now();
         self.fleet
-            .configure_queues(self.version, POOL, self.version - 1);
+            .configure_queues(newest.version, POOL, newest.version - 1);
+        newest.version
     }
 }
 
@@ -243,54 +244,6 @@
     }
 }
 
-/// Holds the newest configuration version that an entry's process has shown.
-struct SeenConfig {
-    version: u64,
-    process: u64,
-}
-
-/// Checks the configuration of each entry: a process never goes back to an older version, and an undisturbed
-/// entry applies the newest one within `CONFIG_MS`.
-fn check_config(cluster: &Cluster, caller: &mut Caller, seen: &mut [SeenConfig], starts: &[u64]) {
-    if cluster.version < 2 {
-        return;
-    }
-    let asked = Instant::now();
-    for n in 0..cluster.entries.len() {
-        if seen[n].process != starts[n] {
-            seen[n] = SeenConfig {
-                version: 1,
-                process: starts[n],
-            };
-        }
-        let newest = cluster.version - 1;
-        let must_be_in_force =
-            cluster.config_changed_at.elapsed() > Duration::from_millis(CONFIG_MS);
-        let is_undisturbed = cluster
-            .disturbances
-            .is_undisturbed_since(n, cluster.config_changed_at)
-            && cluster.disturbances.is_undisturbed_since(n, asked);
-        match caller.has_queue(n, &format!("x{newest}")) {
-            Some(true) => seen[n].version = cluster.version,
-            Some(false) if seen[n].version == cluster.version => {
-                let what = format!(
-                    "entry {n} went back behind configuration {}",
-                    cluster.version
-                );
-                cluster.fleet.report_broken(what);
-            }
-            Some(false) if must_be_in_force && is_undisturbed => {
-                let what = format!(
-                    "configuration {} is not in force at entry {n}",
-                    cluster.version
-                );
-                cluster.fleet.report_broken(what);
-            }
-            _ => {}
-        }
-    }
-}
-
 /// Checks that undisturbed entries order nothing to workers that announced their end a while before.
 fn check_drains(cluster: &Cluster) {
     for late in cluster.fleet.take_late_starts() {
@@ -333,28 +286,32 @@
         timed: args.timed,
         long_ms: args.long_ms(),
     };
-    let threads: Vec<_> = (1..=args.callers)
+    let mut threads: Vec<_> = (1..=args.callers)
         .map(|n| {
             let caller = Caller::new(shared.clone(), seed, n);
             std::thread::spawn(move || caller.run())
         })
         .collect();
+    let config_check = ConfigCheck::new(
+        Caller::new(shared.clone(), seed, 0),
+        shared.clone(),
+        Arc::clone(&cluster.newest_config),
+        cluster
+            .entries
+            .iter()
+            .map(|e| Arc::clone(&e.starts))
+            .collect(),
+    );
+    threads.push(std::thread::spawn(move || config_check.run()));
     let mut checker = Caller::new(shared.clone(), seed, 0);
     let until = Instant::now() + Duration::from_secs(args.seconds);
     let mut next = Instant::now() + faults.draw_pause();
-    let mut seen: Vec<SeenConfig> = Vec::new();
-    seen.resize_with(args.entries, || SeenConfig {
-        version: 1,
-        process: 0,
-    });
     while Instant::now() < until {
         if Instant::now() >= next {
             faults.inject_next(&mut cluster);
             next = Instant::now() + faults.draw_pause();
         }
         faults.tick(&mut cluster)?;
-        let starts: Vec<u64> = cluster.entries.iter().map(|e| e.starts).collect();
-        check_config(&cluster, &mut checker, &mut seen, &starts);
         check_drains(&cluster);
         std::thread::sleep(Duration::from_millis(20));
     }
@@ -364,7 +321,7 @@
         if thread.join().is_err() {
             cluster
                 .fleet
-                .report_broken("a caller of the soak panicked".to_string());
+                .report_broken("a caller or a check of the soak panicked".to_string());
         }
     }
     settle(&mut cluster, &mut faults, &mut checker, &shared)?;
