Soak: planned work alone, in which nothing excuses a call without an answer

Callers follow the entries' readiness like the platform's balancer (fewer than half ready: all are used), keep open connections until the entry closes them, and also ask for the number of waiting jobs. Four more pools without workers make counts by the rows as slow as with the users' five pools. No entry counts as disturbed at any time; the other scopes draw as before.

--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -16,6 +16,7 @@
 use serde_json::Value;
 use smol::Timer;
 
+use super::balancer::Balancer;
 use super::disturbances::Disturbances;
 use super::shapes::Shapes;
 use standin::fleet::Fleet;
@@ -46,6 +47,8 @@
     pub(crate) unknown: AtomicU64,
     /// Calls that got no answer.
     pub(crate) unanswered: AtomicU64,
+    /// Answered questions for the number of waiting jobs.
+    pub(crate) counted: AtomicU64,
     /// Jobs that an entry reported as completed.
     pub(crate) completed: AtomicU64,
 }
@@ -70,6 +73,11 @@
     pub(crate) fleet: Fleet,
     /// Addresses of the entries, by number.
     pub(crate) entries: Vec<SocketAddr>,
+    /// Chooses the entries for new connections; callers choose any entry if there is none. With it, callers also ask for
+    /// the number of waiting jobs.
+    pub(crate) balancer: Option<Balancer>,
+    /// Queues of pools without workers.
+    pub(crate) empty_pools: &'static [&'static str],
     /// Records when each entry was last disturbed by a fault.
     pub(crate) disturbances: Arc<Disturbances>,
     /// Accepted jobs that are not known to have ended.
@@ -113,6 +121,7 @@
         while !self.shared.is_over.load(Ordering::SeqCst) {
             match self.rng.u32(..10) {
                 0..=3 => self.submit_job(),
+                4 | 5 if self.shared.balancer.is_some() => self.count_waiting(),
                 4..=8 => self.query_any_job(),
                 _ => self.cancel_any_job(),
             }
@@ -135,8 +144,14 @@
         let began = Instant::now();
         let result = smol::block_on(exchange_while_awake(client, req));
         match result {
-            Ok(answer) => Some(answer),
+            Ok(answer) => {
+                if answer.header("connection") == Some("close") {
+                    self.clients.remove(&entry);
+                }
+                Some(answer)
+            }
             Err(error) => {
+                self.clients.remove(&entry);
                 self.shared
                     .counts
                     .unanswered
@@ -160,8 +175,38 @@
         }
     }
 
+    /// Picks an entry that receives new connections, or that this caller has an open connection to.
     fn pick_entry(&mut self) -> usize {
-        self.rng.usize(..self.shared.entries.len())
+        let Some(balancer) = &self.shared.balancer else {
+            return self.rng.usize(..self.shared.entries.len());
+        };
+        let mut targets = balancer.targets();
+        let open = self.clients.keys().filter(|n| !targets.contains(n));
+        let mut open: Vec<usize> = open.copied().collect();
+        open.sort_unstable();
+        targets.append(&mut open);
+        targets[self.rng.usize(..targets.len())]
+    }
+
+    fn count_waiting(&mut self) {
+        let entry = self.pick_entry();
+        let queues = self.shared.empty_pools;
+        let queue = queues.get(self.rng.usize(..=queues.len()));
+        let path = format!("/{}/", queue.unwrap_or(&"q"));
+        let Some(answer) = self.call(entry, Method::Get, &path, &Value::Null) else {
+            return;
+        };
+        let waiting = answer.json::<Value>().and_then(|v| v["waiting"].as_u64());
+        match answer.status {
+            200 if waiting.is_some() => {
+                self.shared.counts.counted.fetch_add(1, Ordering::Relaxed);
+            }
+            429 | 503 => {}
+            status => {
+                let what = format!("a count of waiting jobs is answered {status}, {waiting:?}");
+                self.shared.fleet.report_broken(what);
+            }
+        }
     }
 
     fn submit_job(&mut self) {
--- a/standin/src/soak/disturbances.rs
+++ b/standin/src/soak/disturbances.rs
@@ -25,6 +25,16 @@
         }
     }
 
+    /// Starts with no entry disturbed.
+    pub(crate) fn none(entries: usize) -> Self {
+        let now = Instant::now();
+        let long_ago = now.checked_sub(2 * RECOVERY).unwrap_or(now);
+        Self {
+            entries: Mutex::new(vec![long_ago; entries]),
+            platform: Mutex::new(long_ago),
+        }
+    }
+
     /// Marks an entry as disturbed for the next `ms` milliseconds.
     pub(crate) fn disturb(&self, entry: usize, ms: u64) {
         let until = Instant::now() + Duration::from_millis(ms);
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -6,15 +6,19 @@
 use fastrand::Rng;
 use nix::sys::signal::Signal;
 
+use super::planned::{self, Planned};
 use super::proxy::LinkFault;
 use super::rare::{partitions_from, RareFault, RareFaults};
-use super::recuts::{Recuts, Step};
+use super::recuts::{self, Recuts};
 use super::Cluster;
 use standin::fleet::{HallCut, OrderFault, StoreFault};
 
 /// One fault in this many also silences all open connections: a few times in a run of 10 s.
 const SILENCE_ONE_IN: u32 = 6;
 
+/// Largest number of waves in a run.
+const WAVES_MAX: u64 = 3;
+
 /// Time until a host whose worker has left starts its next worker.
 const RESTART_MS: u64 = 1_000;
 
@@ -28,6 +32,15 @@
     Workers,
     /// Series of workers that restart under their ids and are cut off, among kills of the owner.
     Recuts,
+    /// Planned work alone.
+    Planned,
+}
+
+/// Names a step of a series.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Recut(recuts::Step),
+    Planned(planned::Step),
 }
 
 /// Names the action that ends a fault; a number is that of the entry or host.
@@ -61,8 +74,9 @@
     /// One line per event, for the report.
     pub(crate) events: Vec<String>,
     /// Steps of series that are still to come: when, and the step.
-    planned: Vec<(Instant, Step)>,
+    steps: Vec<(Instant, Step)>,
     recuts: Recuts,
+    planned: Planned,
     scope: Scope,
     waves: u64,
     drains: u64,
@@ -80,8 +94,9 @@
             due: Vec::new(),
             killed: vec![false; entries],
             events: Vec::new(),
-            planned: Vec::new(),
+            steps: Vec::new(),
             recuts: Recuts::new(seed),
+            planned: Planned::new(seed),
             scope: Scope::default(),
             waves: 0,
             drains: 0,
@@ -108,6 +123,7 @@
     pub(crate) fn draw_pause(&mut self) -> Duration {
         match self.scope {
             Scope::Recuts => self.recuts.draw_pause(),
+            Scope::Planned => self.planned.draw_pause(),
             _ => Duration::from_millis(self.rng.u64(50..1_500)),
         }
     }
@@ -129,7 +145,14 @@
         match self.scope {
             Scope::All => {}
             Scope::Workers => return self.inject_worker_fault(cluster, ms),
-            Scope::Recuts => return self.plan_recuts(cluster),
+            Scope::Recuts => {
+                let series = self.recuts.draw(cluster.worker_paths.len());
+                return self.plan_series(series, Step::Recut);
+            }
+            Scope::Planned => {
+                let series = self.planned.draw(cluster.entries.len());
+                return self.plan_series(series, Step::Planned);
+            }
         }
         if self.silence_rng.u32(..SILENCE_ONE_IN) == 0 {
             self.silence_connections(cluster);
@@ -152,13 +175,10 @@
             10 => self.lose_orders(cluster, 30, ms),
             11 => self.crash_worker(cluster, ms),
             _ => {
-                let version = cluster.change_config();
-                self.record(format!("configuration {version}"));
-                if self.waves < 3 && self.rng.bool() {
-                    self.waves += 1;
+                self.change_config(cluster);
+                if self.waves < WAVES_MAX && self.rng.bool() {
                     let hosts_max = self.rng.usize(1..4);
-                    cluster.fleet.begin_wave(self.waves, 30, hosts_max);
-                    self.record(format!("wave {}, {hosts_max} at once", self.waves));
+                    self.begin_wave(cluster, hosts_max);
                 }
             }
         }
@@ -173,27 +193,59 @@
         }
     }
 
-    /// Plans the steps of the next series of restarts and cuts.
-    fn plan_recuts(&mut self, cluster: &Cluster) {
+    fn change_config(&mut self, cluster: &mut Cluster) {
+        let version = cluster.change_config();
+        self.record(format!("configuration {version}"));
+    }
+
+    fn begin_wave(&mut self, cluster: &Cluster, hosts_max: usize) {
+        self.waves += 1;
+        cluster.fleet.begin_wave(self.waves, 30, hosts_max);
+        self.record(format!("wave {}, {hosts_max} at once", self.waves));
+    }
+
+    /// Plans the steps of a series, given with their times from now in milliseconds.
+    fn plan_series<T>(&mut self, series: Vec<(u64, T)>, to_step: impl Fn(T) -> Step) {
         let now = Instant::now();
-        let steps = self.recuts.draw(cluster.worker_paths.len());
-        let planned = steps
+        let steps = series
             .into_iter()
-            .map(|(after_ms, step)| (now + Duration::from_millis(after_ms), step));
-        self.planned.extend(planned);
+            .map(|(after_ms, step)| (now + Duration::from_millis(after_ms), to_step(step)));
+        self.steps.extend(steps);
     }
 
     fn take_step(&mut self, cluster: &mut Cluster, step: Step) {
+        match step {
+            Step::Recut(step) => self.take_recut_step(cluster, step),
+            Step::Planned(step) => self.take_planned_step(cluster, step),
+        }
+    }
+
+    fn take_planned_step(&mut self, cluster: &mut Cluster, step: planned::Step) {
+        match step {
+            planned::Step::Stop(n) => self.stop(cluster, n),
+            planned::Step::Reload(n) => {
+                cluster.entries[n].signal(Signal::SIGHUP);
+                self.record(format!("entry {n} is told to reload"));
+            }
+            planned::Step::ChangeConfig => self.change_config(cluster),
+            planned::Step::BeginWave(hosts_max) if self.waves < WAVES_MAX => {
+                self.begin_wave(cluster, hosts_max);
+            }
+            planned::Step::BeginWave(_) => {}
+        }
+    }
+
+    fn take_recut_step(&mut self, cluster: &mut Cluster, step: recuts::Step) {
         self.record(format!("{step:?}"));
         match step {
-            Step::DelayOrders(fault, ms) => self.delay_orders(cluster, fault, ms),
-            Step::Restart(host, back_ms) => cluster.fleet.restart(host, back_ms),
-            Step::Cut(host, link_fault, ms) => {
+            recuts::Step::DelayOrders(fault, ms) => self.delay_orders(cluster, fault, ms),
+            recuts::Step::Restart(host, back_ms) => cluster.fleet.restart(host, back_ms),
+            recuts::Step::Cut(host, link_fault, ms) => {
                 cluster.worker_disturbances.disturb(host, ms);
                 cluster.worker_paths[host].set(link_fault);
                 self.end_after(ms, Recovery::RestoreWorkerPath(host));
             }
-            Step::KillOwner(down_ms) => {
+            recuts::Step::KillOwner(down_ms) => {
                 if let Some(n) = cluster.owner() {
                     self.kill(cluster, n, down_ms);
                 }
@@ -406,8 +458,8 @@
         let (over, rest) = self.due.drain(..).partition(|(at, _)| *at <= now);
         self.due = rest;
         self.end_faults(cluster, over)?;
-        let (due, rest): (Vec<_>, Vec<_>) = self.planned.drain(..).partition(|(at, _)| *at <= now);
-        self.planned = rest;
+        let (due, rest): (Vec<_>, Vec<_>) = self.steps.drain(..).partition(|(at, _)| *at <= now);
+        self.steps = rest;
         for (_, step) in due {
             self.take_step(cluster, step);
         }
@@ -431,7 +483,7 @@
         let all = std::mem::take(&mut self.due);
         // A fault that begins after the last one has ended may never be ended.
         self.suspend_ms = None;
-        self.planned.clear();
+        self.steps.clear();
         self.end_faults(cluster, all)?;
         self.record("calm".to_string());
         Ok(())
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -2,11 +2,13 @@
 //! rockwick's promises by what callers and workers observe. Owns the processes, the relays and the callers of
 //! one seed. Called by the `soak` command, which the test suite runs.
 
+mod balancer;
 mod callers;
 mod configs;
 mod disturbances;
 mod entry;
 mod faults;
+mod planned;
 mod proxy;
 mod rare;
 mod recuts;
@@ -22,6 +24,7 @@
 use rockwick::runtime::Runtime;
 use serde_json::{json, Value};
 
+use balancer::Balancer;
 use callers::{lock, AcceptedJob, Caller, Callers};
 use configs::{ConfigCheck, NewestConfig};
 use disturbances::Disturbances;
@@ -33,6 +36,10 @@
 /// Name of the only pool.
 const POOL: &str = "pool";
 
+/// Pools without workers, each with a queue of its name, of which callers only ask for the number of waiting jobs. Planned
+/// work has them: entries read the rows of all pools for such counts, and several pools make that take long.
+const EMPTY_POOLS: [&str; 4] = ["empty1", "empty2", "empty3", "empty4"];
+
 /// Run time of a task whose text states none.
 const WORK_MS: u64 = 250;
 
@@ -58,6 +65,7 @@
     drains: u32,
     workers_only: bool,
     recuts: bool,
+    planned_only: bool,
     logs: PathBuf,
     binary: Option<PathBuf>,
     report: Option<PathBuf>,
@@ -103,6 +111,9 @@
     let recuts = long("recuts")
         .help("Inject only series of workers that restart under their ids and are cut off, among kills of the owner")
         .switch();
+    let planned_only = long("planned-only")
+        .help("Inject only planned work: SIGTERM, SIGHUP, configurations and waves, in series that overlap")
+        .switch();
     let logs = long("logs")
         .help("Directory for the entries' logs; logs of passing seeds are removed")
         .argument("DIR")
@@ -126,6 +137,7 @@
         drains,
         workers_only,
         recuts,
+        planned_only,
         logs,
         binary,
         report
@@ -135,13 +147,21 @@
 impl Args {
     /// Returns which faults to inject.
     fn scope(&self) -> Scope {
-        match (self.recuts, self.workers_only) {
-            (true, _) => Scope::Recuts,
-            (_, true) => Scope::Workers,
+        match (self.planned_only, self.recuts, self.workers_only) {
+            (true, ..) => Scope::Planned,
+            (_, true, _) => Scope::Recuts,
+            (.., true) => Scope::Workers,
             _ => Scope::All,
         }
     }
 
+    fn empty_pools(&self) -> &'static [&'static str] {
+        match self.planned_only {
+            true => &EMPTY_POOLS,
+            false => &[],
+        }
+    }
+
     /// Returns the range of the run time of long tasks, in milliseconds.
     fn long_ms(&self) -> Range<u64> {
         match self.recuts {
@@ -164,6 +184,7 @@
     /// Faults of the paths to workers.
     worker_disturbances: Disturbances,
     newest_config: Arc<Mutex<NewestConfig>>,
+    empty_pools: &'static [&'static str],
 }
 
 impl Cluster {
@@ -195,20 +216,25 @@
             entries.push(Entry::new(&name, proxy.address, &logs, &mut ports)?);
             store_paths.push(proxy);
         }
-        fleet.configure_queues(1, POOL, 0);
-        Ok(Self {
+        let mut cluster = Self {
             binary,
             fleet,
             entries,
             store_paths,
             worker_paths,
-            disturbances: Arc::new(Disturbances::new(args.entries)),
+            disturbances: Arc::new(match args.scope() {
+                Scope::Planned => Disturbances::none(args.entries),
+                _ => Disturbances::new(args.entries),
+            }),
             worker_disturbances: Disturbances::new(args.workers),
             newest_config: Arc::new(Mutex::new(NewestConfig {
                 version: 1,
                 changed_at: Instant::now(),
             })),
-        })
+            empty_pools: args.empty_pools(),
+        };
+        cluster.write_config(1);
+        Ok(cluster)
     }
 
     /// Returns the number of the entry that owns the pool.
@@ -228,13 +254,27 @@
 
     /// Writes the next configuration; returns its version.
     fn change_config(&mut self) -> u64 {
-        let mut newest = lock(&self.newest_config);
+        let newest_config = Arc::clone(&self.newest_config);
+        let mut newest = lock(&newest_config);
         newest.version += 1;
         newest.changed_at = Instant::now();
-        self.fleet
-            .configure_queues(newest.version, POOL, newest.version - 1);
+        self.write_config(newest.version);
         newest.version
     }
+
+    fn write_config(&mut self, version: u64) {
+        if self.empty_pools.is_empty() {
+            self.fleet.configure_queues(version, POOL, version - 1);
+            return;
+        }
+        let more: Vec<String> = (1..version).map(|n| format!("x{n}")).collect();
+        let mut routes = vec![("q", POOL)];
+        routes.extend(more.iter().map(|name| (name.as_str(), POOL)));
+        routes.extend(self.empty_pools.iter().map(|pool| (*pool, *pool)));
+        let mut pools = vec![POOL];
+        pools.extend(self.empty_pools);
+        self.fleet.configure_routes(version, &routes, &pools);
+    }
 }
 
 fn binary_path(args: &Args) -> std::io::Result<PathBuf> {
@@ -276,13 +316,18 @@
     let mut cluster = Cluster::new(args, seed)?;
     let mut faults = Faults::new(seed, args.entries, args.drains).with_scope(args.scope());
     faults.tick(&mut cluster)?;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let ready_addresses: Vec<_> = cluster.entries.iter().map(|e| e.ready_address).collect();
     let shared = Callers {
+        balancer: (args.scope() == Scope::Planned)
+            .then(|| Balancer::start(&ready_addresses, &is_over)),
+        empty_pools: args.empty_pools(),
         fleet: cluster.fleet.clone(),
         entries: cluster.entries.iter().map(|e| e.caller_address).collect(),
         disturbances: Arc::clone(&cluster.disturbances),
         open: Arc::default(),
         counts: Arc::default(),
-        is_over: Arc::new(AtomicBool::new(false)),
+        is_over,
         timed: args.timed,
         long_ms: args.long_ms(),
     };
@@ -335,6 +380,7 @@
             "unknown": counts.unknown.load(Ordering::Relaxed),
             "unanswered": counts.unanswered.load(Ordering::Relaxed),
             "completed": counts.completed.load(Ordering::Relaxed),
+            "counted": counts.counted.load(Ordering::Relaxed),
             "starts": cluster.fleet.starts(),
             "waves": faults.waves(),
             "drains": faults.drains(),
