Soak: busy threads beside the entries

The entries, the stand-in platform and the soak's callers then get little processor time, as on users' small machines; no priority is changed.

--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! one seed. Called by the `soak` command, which the test suite runs.
 
 mod balancer;
+mod busy;
 mod callers;
 mod configs;
 mod disturbances;
@@ -25,6 +26,7 @@
 use serde_json::{json, Value};
 
 use balancer::Balancer;
+use busy::BusyThreads;
 use callers::{lock, AcceptedJob, Caller, Callers};
 use configs::{ConfigCheck, NewestConfig};
 use disturbances::Disturbances;
@@ -66,6 +68,7 @@
     workers_only: bool,
     recuts: bool,
     planned_only: bool,
+    busy: usize,
     logs: PathBuf,
     binary: Option<PathBuf>,
     report: Option<PathBuf>,
@@ -114,6 +117,10 @@
     let planned_only = long("planned-only")
         .help("Inject only planned work: SIGTERM, SIGHUP, configurations and waves, in series that overlap")
         .switch();
+    let busy = long("busy")
+        .help("Number of busy threads that take processor time from the entries")
+        .argument("N")
+        .fallback(0);
     let logs = long("logs")
         .help("Directory for the entries' logs; logs of passing seeds are removed")
         .argument("DIR")
@@ -138,6 +145,7 @@
         workers_only,
         recuts,
         planned_only,
+        busy,
         logs,
         binary,
         report
@@ -313,6 +321,7 @@
 
 fn run_seed(args: &Args, seed: u64) -> std::io::Result<SeedResult> {
     let began = Instant::now();
+    let _busy_threads = BusyThreads::start(args.busy);
     let mut cluster = Cluster::new(args, seed)?;
     let mut faults = Faults::new(seed, args.entries, args.drains).with_scope(args.scope());
     faults.tick(&mut cluster)?;
