Soak: faults end and entries restart also while the callers end

The loop now ticks until the callers have ended, and an entry that was killed counts as disturbed until it is started again.

--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -471,6 +471,9 @@
             let is_due =
                 |(_, r): &(Instant, Recovery)| matches!(r, Recovery::StartEntry(m) if *m == n);
             if !cluster.entries[n].is_running() && !self.due.iter().any(is_due) {
+                if self.killed[n] {
+                    cluster.disturbances.disturb(n, 0);
+                }
                 self.killed[n] = false;
                 cluster.entries[n].start(&cluster.binary)?;
             }
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -51,6 +51,9 @@
 /// Largest number of broken promises printed per seed; the report lists all of them.
 const BROKEN_SHOWN: usize = 10;
 
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+
 /// Threads that run the relays.
 const RELAY_THREADS: usize = 2;
 
@@ -367,10 +370,14 @@
         }
         faults.tick(&mut cluster)?;
         check_drains(&cluster);
-        std::thread::sleep(Duration::from_millis(20));
+        std::thread::sleep(TICK);
     }
     faults.end_all(&mut cluster)?;
     shared.is_over.store(true, Ordering::SeqCst);
+    while !threads.iter().all(|thread| thread.is_finished()) {
+        faults.tick(&mut cluster)?;
+        std::thread::sleep(TICK);
+    }
     for thread in threads {
         if thread.join().is_err() {
             cluster
