Entries under test have process groups of their own

Seen: `stop_suspended` failed 3 of 3 times in a trial; all 64 calls got 200. By the log the entry wrote entry-stopped at 3.2 s of its 6 s of suspension, at the moment at which the shell that had started the test in the background ended.

Cause: when the last parent outside of a process group ends, the system sends SIGHUP and SIGCONT to a group with a suspended member. So tests and soaks that are started in the background resume what they have suspended. A five-line shell script shows the same with `sleep`.

Change: the tests and the soak start entries in process groups of their own, whose parent is the test.

--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -3,6 +3,7 @@
 
 use std::fs::{File, OpenOptions};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -93,6 +94,8 @@
             .args(["--store", &self.store_address.to_string()])
             .args(["--hosts", &self.store_address.to_string()])
             .stdout(Stdio::from(log))
+            // A process group with a suspended member is resumed when its last parent outside of it ends.
+            .process_group(0)
             .spawn()?;
         self.child = Some(child);
         self.starts.fetch_add(1, Ordering::SeqCst);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -68,6 +69,8 @@
             .args(args)
             .stdout(Stdio::piped())
             .stderr(Stdio::inherit())
+            // A process group with a suspended member is resumed when its last parent outside of it ends.
+            .process_group(0)
             .spawn()
             .expect("the binary starts");
         let lines = Arc::new(Mutex::new(Vec::new()));
