--- a/tests/test_stop.rs
+++ b/tests/test_stop.rs
@@ -97,6 +97,11 @@
     let send = |n: u64| std::thread::spawn(move || submit_job(to, &format!("{n:016x}"), "work"));
     fleet.set_store_fault(StoreFault::Turns(STORE_WRITE_MS));
     one.process.signal(Signal::SIGTERM);
+    wait_for("the entry has noticed the signal", || {
+        let lines = one.lines();
+        let is_stopping = lines.iter().any(|l| l.contains("\"entry-stopping\""));
+        is_stopping.then_some(())
+    });
     let first = send(0);
     std::thread::sleep(FIRST_CALL_WAIT);
     one.process.signal(Signal::SIGSTOP);
