--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -9,11 +9,14 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use http_types::Method;
+use futures_lite::FutureExt;
+use http_types::{Method, Request};
 use rockwick::http::client::deadline_after_ms;
-use rockwick::http::{Answer, Client, ExchangeError};
+use rockwick::http::{Answer, Client, ExchangeError, Sent};
 use serde_json::Value;
+use smol::Timer;
 
+use super::balancer::Balancer;
 use super::disturbances::Disturbances;
 use super::shapes::Shapes;
 use standin::fleet::Fleet;
@@ -21,6 +24,15 @@
 /// Deadline that a caller sends with each call.
 const DEADLINE_MS: u64 = 3_000;
 
+/// Time for which a caller waits for an answer, in which the caller itself must run.
+const PATIENCE_MS: u64 = DEADLINE_MS + 500;
+
+/// Part of that time; of a longer pause of the caller, at most twice this counts.
+const PATIENCE_STEP: Duration = Duration::from_millis(50);
+
+/// Longest time for an exchange, however little the caller runs.
+const EXCHANGE_MAX_MS: u64 = 60_000;
+
 /// Largest number of times that a caller sends a job, each time to a random entry.
 const ATTEMPTS_MAX: u32 = 6;
 
@@ -35,6 +47,8 @@
     pub(crate) unknown: AtomicU64,
     /// Calls that got no answer.
     pub(crate) unanswered: AtomicU64,
+    /// Answered questions for the number of waiting jobs.
+    pub(crate) counted: AtomicU64,
     /// Jobs that an entry reported as completed.
     pub(crate) completed: AtomicU64,
 }
@@ -59,6 +73,11 @@
     pub(crate) fleet: Fleet,
     /// Addresses of the entries, by number.
     pub(crate) entries: Vec<SocketAddr>,
+    /// Chooses the entries for new connections; callers choose any entry if there is none. With it, callers also ask for
+    /// the number of waiting jobs.
+    pub(crate) balancer: Option<Balancer>,
+    /// Queues of pools without workers.
+    pub(crate) empty_pools: &'static [&'static str],
     /// Records when each entry was last disturbed by a fault.
     pub(crate) disturbances: Arc<Disturbances>,
     /// Accepted jobs that are not known to have ended.
@@ -102,6 +121,7 @@
         while !self.shared.is_over.load(Ordering::SeqCst) {
             match self.rng.u32(..10) {
                 0..=3 => self.submit_job(),
+                4 | 5 if self.shared.balancer.is_some() => self.count_waiting(),
                 4..=8 => self.query_any_job(),
                 _ => self.cancel_any_job(),
             }
@@ -122,10 +142,16 @@
             req.set_body(body.to_string().into_bytes());
         }
         let began = Instant::now();
-        let result = smol::block_on(client.exchange(req, deadline_after_ms(DEADLINE_MS + 500)));
+        let result = smol::block_on(exchange_while_awake(client, req));
         match result {
-            Ok(answer) => Some(answer),
+            Ok(answer) => {
+                if answer.header("connection") == Some("close") {
+                    self.clients.remove(&entry);
+                }
+                Some(answer)
+            }
             Err(error) => {
+                self.clients.remove(&entry);
                 self.shared
                     .counts
                     .unanswered
@@ -139,17 +165,48 @@
     /// Reports a broken promise if an undisturbed entry, or one that is stopping in an orderly way, did not answer a
     /// request that it had read.
     fn check_unanswered(&self, entry: usize, began: Instant, error: ExchangeError, path: &str) {
-        let is_sent = error.sent() == rockwick::http::Sent::Some;
+        let is_sent = error.sent() == Sent::Some;
         // A call that fails sooner may have been sent on an idle connection that the entry was closing.
         let is_read = began.elapsed() > Duration::from_millis(200);
         if is_sent && is_read && self.shared.disturbances.is_undisturbed_since(entry, began) {
-            let what = format!("{path} at entry {entry} got no answer: {error:?}");
+            let after_ms = began.elapsed().as_millis();
+            let what = format!("{path} at entry {entry} got no answer in {after_ms} ms: {error:?}");
             self.shared.fleet.report_broken(what);
         }
     }
 
+    /// Picks an entry that receives new connections, or that this caller has an open connection to.
     fn pick_entry(&mut self) -> usize {
-        self.rng.usize(..self.shared.entries.len())
+        let Some(balancer) = &self.shared.balancer else {
+            return self.rng.usize(..self.shared.entries.len());
+        };
+        let mut targets = balancer.targets();
+        let open = self.clients.keys().filter(|n| !targets.contains(n));
+        let mut open: Vec<usize> = open.copied().collect();
+        open.sort_unstable();
+        targets.append(&mut open);
+        targets[self.rng.usize(..targets.len())]
+    }
+
+    fn count_waiting(&mut self) {
+        let entry = self.pick_entry();
+        let queues = self.shared.empty_pools;
+        let queue = queues.get(self.rng.usize(..=queues.len()));
+        let path = format!("/{}/", queue.unwrap_or(&"q"));
+        let Some(answer) = self.call(entry, Method::Get, &path, &Value::Null) else {
+            return;
+        };
+        let waiting = answer.json::<Value>().and_then(|v| v["waiting"].as_u64());
+        match answer.status {
+            200 if waiting.is_some() => {
+                self.shared.counts.counted.fetch_add(1, Ordering::Relaxed);
+            }
+            429 | 503 => {}
+            status => {
+                let what = format!("a count of waiting jobs is answered {status}, {waiting:?}");
+                self.shared.fleet.report_broken(what);
+            }
+        }
     }
 
     fn submit_job(&mut self) {
@@ -278,6 +335,23 @@
     }
 }
 
+/// Sends a request; gives up once the caller itself has run for `PATIENCE_MS`, so that time in which this process got no
+/// processor does not count as time without an answer.
+async fn exchange_while_awake(client: &Client, req: Request) -> Result<Answer, ExchangeError> {
+    let patience = async {
+        let mut awake = Duration::ZERO;
+        while awake < Duration::from_millis(PATIENCE_MS) {
+            let began = Instant::now();
+            Timer::after(PATIENCE_STEP).await;
+            awake += began.elapsed().min(2 * PATIENCE_STEP);
+        }
+        client.close_idle();
+        Err(ExchangeError::Timeout(Sent::Some))
+    };
+    let exchange = client.exchange(req, deadline_after_ms(EXCHANGE_MAX_MS));
+    exchange.or(patience).await
+}
+
 /// Locks a mutex, also after a panic of another holder.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
