Log why a ready task waits although a worker has room for it

The log names a task that is bound, a worker that is suspended, a host that is reserved; nothing said which of these keeps a given task from starting, or that any does.

Cause: placement skips a task without a note of the reason.

Change: `task-waits` (675). The upkeep of a pool, every second, examines up to 400 waiting tasks in turn, and logs up to four of those that have waited for 2 s although a worker that answers has room, with the reason (a closed enum), the time waited, what ends the wait, and the worker that a bound task waits for. A task is logged once in 10 s for a reason. Placement itself is not changed, so placing a task costs nothing more.

The tests of the log line need the new event, so they were not seen failing on the code before.

--- a/src/core/sched/data_racks.rs
+++ b/src/core/sched/data_racks.rs
@@ -162,6 +162,11 @@
         !self.sought.is_empty()
     }
 
+    /// Returns whether a task waits for room in the rack of its data although there is room elsewhere.
+    pub(super) fn is_awaiting(&self, task: TaskKey) -> bool {
+        self.waiting_since_ms.contains_key(&task)
+    }
+
     fn wanted_hosts(&self, rack: &str) -> u64 {
         self.demands.get(rack).map_or(0, |demand| demand.hosts)
     }
--- a/src/core/sched/late_starts.rs
+++ b/src/core/sched/late_starts.rs
@@ -201,6 +201,13 @@
         binding.is_some_and(|binding| binding.worker != worker.info.id)
     }
 
+    /// Returns the worker id that a task is bound to, and the longest time for which it still is.
+    pub(super) fn binding_of(&self, key: TaskKey, now_ms: Millis) -> Option<(&str, Millis)> {
+        let binding = self.late_starts.bindings.get(&key)?;
+        let left_ms = (binding.until_ms + STRAY_LEASE_MS).saturating_sub(now_ms);
+        Some((&binding.worker, left_ms))
+    }
+
     /// Returns whether an earlier start of a task can't meet a new one on a worker: no instance that would carry out the
     /// earlier one may have taken the worker's place.
     pub(super) fn is_start_safe(&self, key: TaskKey, worker: WorkerKey, now_ms: Millis) -> bool {
--- a/src/core/sched/mod.rs
+++ b/src/core/sched/mod.rs
@@ -63,6 +63,7 @@
 pub mod starts;
 pub mod state;
 pub mod stragglers;
+pub mod task_waits;
 pub mod tasks;
 pub mod tickets;
 pub mod times;
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -233,7 +233,7 @@
 
 /// Whether the task's last run failed on this worker and another one may take it, with room now or soon: three
 /// failures on one bad worker would end the job.
-fn should_avoid(
+pub(super) fn should_avoid(
     pool_state: &PoolState,
     key: TaskKey,
     spec: &StepSpec,
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -22,6 +22,7 @@
 use super::reservations::Reservations;
 use super::run_log::StartAnswers;
 use super::speeds::Speeds;
+use super::task_waits::TaskWaits;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::tickets::AdviceBook;
 use super::times::Times;
@@ -152,6 +153,8 @@
     pub speeds: Speeds,
     /// Answers to starts that are not logged yet.
     pub answers: StartAnswers,
+    /// Waits of tasks that were logged recently.
+    pub task_waits: TaskWaits,
 }
 
 impl PoolState {
--- a/src/core/sched/reduce.rs
+++ b/src/core/sched/reduce.rs
@@ -44,6 +44,7 @@
 use super::starts;
 use super::state::{Ctx, Effect, Event, LoadedRows, PoolKey, State, Timer, WaveKnown};
 use super::stragglers;
+use super::task_waits;
 use super::wave;
 use super::worker_list::{
     apply_feed_list, apply_separate_list, apply_worker_event, start_renewing,
@@ -657,6 +658,7 @@
         Timer::ResendStart(task, run) => starts::send_start(pool_state, task, run, epoch, ctx),
         Timer::ResendStop(task, run) => runs::resend_stop(pool_state, task, run, epoch, ctx),
         Timer::Upkeep => {
+            task_waits::log(pool_state, ctx);
             pool_state.resort(ctx.now.ms);
             sizing::log_load(pool_state, ctx);
             runs::begin_due_rounds(pool_state, ctx);
--- a/src/event.rs
+++ b/src/event.rs
@@ -159,6 +159,7 @@
     RoundsHeld, 672, "rounds-held", "Rounds of a scheduled job that are due wait until earlier ones end, since the job's record has no room for them.";
     RecordTooLarge, 673, "record-too-large", "The progress of a job is larger than a row may be; the job is not recorded until it is smaller, and starts nothing new.";
     TaskBound, 674, "task-bound", "A start of a task got no answer, or its run was given up unreported; until no such start can be carried out any more, the task runs on no other worker.";
+    TaskWaits, 675, "task-waits", "A task waits although a worker has room for it; the event shows the reason, how long the task has waited, and what ends the wait.";
 }
 
 impl Code {
--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -6,7 +6,9 @@
 use rockwick::core::sched::job::JobState;
 use rockwick::core::sched::rows::shard_parts;
 
-use crate::world::{job, lasting, with_schedule, DeliveryOrder, Faults, World, POOL, WALL_MS};
+use crate::world::{
+    job, lasting, with_schedule, DeliveryOrder, Faults, LongWaits, World, POOL, WALL_MS,
+};
 
 /// Number of seeds in CI. ROCKWICK_SEEDS sets another number, or a range such as `6000..9000`.
 const SEEDS: u64 = 60;
@@ -121,6 +123,9 @@
 /// An additional fault occurs in one of this many rounds on average.
 const ROUNDS_PER_EXTRA: u32 = 4;
 
+/// Time for which waits are watched once faults have ended.
+const WAITS_WATCHED_MS: u64 = 40_000;
+
 /// Longest time of a stop in worlds with slow workers.
 const STOP_MS: u64 = 400;
 
@@ -193,6 +198,33 @@
 
 /// Plays a world, and returns it as it ended.
 fn play_world(seed: u64, extra: Extra, delivery_order: DeliveryOrder, drains: Drains) -> World {
+    let (mut world, jobs) = play_faults(seed, extra, delivery_order, drains);
+    world.run(90_000);
+    for id in &jobs {
+        let state = world.recorded_state(id);
+        let is_settled = match state {
+            JobState::Completed | JobState::Failed => true,
+            // Lasting tasks run, except those under which workers crash.
+            JobState::Running => world.running(id) > 0 || world.may_be_given_up(id),
+            JobState::Queued | JobState::Cancelled => false,
+        };
+        assert!(
+            is_settled,
+            "seed {seed}: {id} is {state:?} after 90 s without new faults: {}",
+            world.describe(id)
+        );
+    }
+    world
+}
+
+/// Plays a world until all entries are up and no further faults are drawn, and returns it with the jobs that were not
+/// cancelled.
+fn play_faults(
+    seed: u64,
+    extra: Extra,
+    delivery_order: DeliveryOrder,
+    drains: Drains,
+) -> (World, Vec<String>) {
     let mut draining = Rng::with_seed(seed ^ 0xd7a1);
     let mut extras = Rng::with_seed(seed ^ 0xe874);
     let mut rng = Rng::with_seed(seed ^ 0x5eed);
@@ -296,22 +328,7 @@
             world.boot(n);
         }
     }
-    world.run(90_000);
-    for id in &jobs {
-        let state = world.recorded_state(id);
-        let is_settled = match state {
-            JobState::Completed | JobState::Failed => true,
-            // Lasting tasks run, except those under which workers crash.
-            JobState::Running => world.running(id) > 0 || world.may_be_given_up(id),
-            JobState::Queued | JobState::Cancelled => false,
-        };
-        assert!(
-            is_settled,
-            "seed {seed}: {id} is {state:?} after 90 s without new faults: {}",
-            world.describe(id)
-        );
-    }
-    world
+    (world, jobs)
 }
 
 #[test]
@@ -558,6 +575,103 @@
     }
 }
 
+/// Once faults have ended, no job has nothing running for 3 s, and no lasting task is away 6 s after its last run, while
+/// there is room for it twice over.
+fn find_waits(extra: Extra) -> Vec<u64> {
+    let has_waits = |seed: &u64| {
+        let (mut world, jobs) =
+            play_faults(*seed, extra, DeliveryOrder::InOrder, Drains::Sometimes);
+        let mut waits = LongWaits::default();
+        world.run_watched(WAITS_WATCHED_MS, &jobs, &mut waits);
+        if !waits.found.is_empty() {
+            println!("{extra:?}, seed {seed}: {:?}", waits.found);
+        }
+        !waits.found.is_empty()
+    };
+    let is_failing = |seed: &u64| std::panic::catch_unwind(|| has_waits(seed)).unwrap_or_default();
+    seeds().filter(is_failing).collect()
+}
+
+fn check_waits(extra: Extra) {
+    let failing = find_waits(extra);
+    assert!(
+        failing.is_empty(),
+        "{extra:?}: {} of {:?} have tasks that wait too long: {failing:?}",
+        failing.len(),
+        seeds()
+    );
+}
+
+#[test]
+fn sched_model_waits() {
+    check_waits(Extra::Nothing);
+}
+
+#[test]
+fn sched_model_waits_timed() {
+    check_waits(Extra::Timed);
+}
+
+#[test]
+fn sched_model_waits_reread() {
+    check_waits(Extra::Reread);
+}
+
+#[test]
+fn sched_model_waits_unlisted() {
+    check_waits(Extra::Unlisted);
+}
+
+#[test]
+fn sched_model_waits_late() {
+    check_waits(Extra::Late);
+}
+
+#[test]
+fn sched_model_waits_restarts() {
+    check_waits(Extra::Restarts);
+}
+
+#[test]
+fn sched_model_waits_late_restarts() {
+    check_waits(Extra::LateRestarts);
+}
+
+#[test]
+fn sched_model_waits_recuts() {
+    check_waits(Extra::Recuts);
+}
+
+#[test]
+fn sched_model_waits_configs() {
+    check_waits(Extra::Configs);
+}
+
+#[test]
+fn sched_model_waits_checkpoints() {
+    check_waits(Extra::Checkpoints);
+}
+
+#[test]
+fn sched_model_waits_halls() {
+    check_waits(Extra::Halls);
+}
+
+#[test]
+fn sched_model_waits_speeds() {
+    check_waits(Extra::Speeds);
+}
+
+#[test]
+fn sched_model_waits_two_lives() {
+    check_waits(Extra::TwoInstances);
+}
+
+#[test]
+fn sched_model_waits_readdressed() {
+    check_waits(Extra::Readdressed);
+}
+
 /// Plays a world in which workers announce their ends.
 fn play_with_drains(seed: u64, extra: Extra) {
     play_world(seed, extra, DeliveryOrder::InOrder, Drains::Sometimes);
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -95,5 +95,6 @@
 mod test_times;
 mod test_tombstones;
 mod test_unknown;
+mod test_waits;
 mod test_waves;
 mod test_wide;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -51,6 +51,7 @@
 
 use timed_events::{LateOrder, QueuedEvent, TimedEvent};
 
+pub(crate) use calm::LongWaits;
 pub(crate) use jobs::{config, job, lasting, listed_worker, with_schedule};
 
 /// Name of the only pool.
