The worlds' calm begins once entries and workers are in touch

The rule binds machines that are in touch, "throughout the contact_ms preceding that moment ... no kill, ... freeze, ... or loss or squeeze on its links". Calm now begins when the last freeze or cut of an entry or of a worker that is up is over.

--- a/tests/world/calm.rs
+++ b/tests/world/calm.rs
@@ -51,6 +51,12 @@
             waits.seen = seen;
             waits.calm_since_ms = self.now_ms;
         }
+        // An entry or a worker that is frozen or cut off is disturbed until that is over.
+        let entries = self.entries.iter().map(|e| e.undisturbed_since_ms);
+        let workers = self.workers.values().filter(|w| w.is_up);
+        let workers = workers.map(|w| w.disconnected_until_ms);
+        let disturbed_ms = entries.chain(workers).max().unwrap_or(0);
+        waits.calm_since_ms = waits.calm_since_ms.max(disturbed_ms);
         let is_half_free = self.is_half_free();
         for id in jobs {
             let spec = &self.specs[id];
