--- a/tests/test_waits.rs
+++ b/tests/test_waits.rs
@@ -12,7 +12,7 @@
 use rockwick::port::fleet::StoredRow;
 
 use crate::decide::{add_answering_worker, decide};
-use crate::world::{config, job, listed_worker, Faults, LongWaits, World, POOL};
+use crate::world::{config, job, lasting, listed_worker, Faults, LongWaits, World, POOL};
 
 /// The owner's epoch.
 const EPOCH: u64 = 7;
@@ -194,3 +194,26 @@
         assert!(jobs.is_empty(), "seed {seed}: {} jobs are left", jobs.len());
     }
 }
+
+/// Guards against a job that waits with room behind thousands of tasks that no worker may take.
+#[test]
+fn waits_behind_barred() {
+    let mut world = World::new(1, 1, 4);
+    world.run(SETTLE_MS);
+    for n in 0..8 {
+        let mut spec = lasting(2_000, 1);
+        spec.steps[0].cpu_milli = 10;
+        spec.steps[0].mem_mb = 1;
+        world.submit(&format!("wide-{n}"), spec);
+    }
+    world.run(SETTLE_MS);
+    let mut waits = LongWaits::default();
+    for n in 0..10 {
+        let id = format!("small-{n}");
+        world.submit(&id, job(1, 1_000, 500));
+        world.run_watched(1_300, &[id], &mut waits);
+    }
+    let jobs: Vec<String> = (0..10).map(|n| format!("small-{n}")).collect();
+    world.run_watched(10_000, &jobs, &mut waits);
+    assert!(waits.found.is_empty(), "{:?}", waits.found);
+}
