--- a/src/core/sched/task_waits.rs
+++ b/src/core/sched/task_waits.rs
@@ -298,7 +298,7 @@
     let copies = [
         free.cpu_milli.checked_div(demand.cpu_milli),
         free.mem_mb.checked_div(demand.mem_mb),
-        free.gpu.checked_div(demand.gpu).map(u64::from),
+        free.gpu.checked_div(demand.gpu),
     ];
     copies.into_iter().flatten().min().unwrap_or(u64::MAX >> 16)
 }
