Soak: a process that is late to end is reported with its wait for a processor

By the logs e0 and e1 both wrote no line until the same millisecond, for 3.0 and 2.7 s; e0's four open calls took 3.05 s each and were answered, and the standstill prolonged the stop to 7.2 s. Whether they had no processor or waited for something else the logs don't tell. The message now says for how many seconds the main thread was ready to run and had no processor. The check is as before.

--- a/standin/src/soak/entry.rs
+++ b/standin/src/soak/entry.rs
@@ -131,7 +131,14 @@
             Ok(None) => {
                 let since = self.stop_sent?;
                 let is_late = since.elapsed() > Duration::from_millis(GRACE_MS);
-                is_late.then(|| format!("{} still runs {GRACE_MS} ms after SIGTERM", self.name))
+                let pid = child.id();
+                is_late.then(|| {
+                    let waited_s = processor_wait_s(pid).unwrap_or_default();
+                    format!(
+                        "{} still runs {GRACE_MS} ms after SIGTERM; it waited {waited_s} s for a processor",
+                        self.name
+                    )
+                })
             }
             Err(e) => Some(format!("{}: {e}", self.name)),
         }
@@ -149,6 +156,13 @@
     }
 }
 
+/// Returns for how many seconds of its life the main thread of a process was ready to run and had no processor.
+fn processor_wait_s(pid: u32) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).ok()?;
+    let wait_ns: u64 = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(wait_ns / 1_000_000_000)
+}
+
 impl Drop for Entry {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
