--- a/tests/test_waits.rs
+++ b/tests/test_waits.rs
@@ -139,8 +139,8 @@
 fn waits_name_binding() {
     let mut world = world_with_lost_start(1);
     world.run(12_000);
-    let lines = world.log.iter().filter(|d| d.code == Code::TaskWaits);
-    let line = lines.last().expect("the wait is logged");
+    let mut lines = world.log.iter().filter(|d| d.code == Code::TaskWaits);
+    let line = lines.next_back().expect("the wait is logged");
     assert_eq!(line.why, WaitReason::Binding.why());
     assert!(line.names.iter().any(|(what, _)| *what == "bound_to"));
 }
