--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -5,6 +5,7 @@
 use fastrand::Rng;
 use rockwick::core::sched::job::JobState;
 use rockwick::core::sched::rows::shard_parts;
+use rockwick::event::Code;
 
 use crate::world::{
     job, lasting, with_schedule, DeliveryOrder, Faults, LongWaits, World, POOL, WALL_MS,
@@ -581,10 +582,14 @@
     let has_waits = |seed: &u64| {
         let (mut world, jobs) =
             play_faults(*seed, extra, DeliveryOrder::InOrder, Drains::Sometimes);
+        world.keeps_log = true;
         let mut waits = LongWaits::default();
         world.run_watched(WAITS_WATCHED_MS, &jobs, &mut waits);
-        if !waits.found.is_empty() {
-            println!("{extra:?}, seed {seed}: {:?}", waits.found);
+        for (waiter, since_ms) in &waits.found {
+            let lines = world.log.iter().filter(|d| d.code == Code::TaskWaits);
+            let last = lines.filter(|d| d.id == waiter.0).last();
+            let why = last.map_or("no reason is logged", |d| &d.why);
+            println!("{extra:?}, seed {seed}: {waiter:?} waits from {since_ms} ms: {why}");
         }
         !waits.found.is_empty()
     };
