Revert "Examine tasks behind thousands that no worker may take"

The likely cause, not run: the step of every skipped task is put into a hash set, where the last one that was put there would do.

--- a/src/core/sched/advice.rs
+++ b/src/core/sched/advice.rs
@@ -55,7 +55,7 @@
 pub fn next_request(pool_state: &PoolState, now_ms: Millis) -> Option<AdviceRequest> {
     let mut waiting: BTreeMap<StepKey, (TaskKey, u64)> = BTreeMap::new();
     let mut steps = Vec::new();
-    for rank in pool_state.first_to_place(now_ms) {
+    for rank in pool_state.placeable(None, now_ms) {
         if terms(pool_state, rank.task.job).is_none() {
             continue;
         }
--- a/src/core/sched/limits.rs
+++ b/src/core/sched/limits.rs
@@ -224,8 +224,8 @@
 pub const FULL_PAUSE_MS: Millis = 200;
 
 /// Most waiting tasks that one round of placement examines from the front of the queue. Every [`RESORT_MS`] it examines
-/// the same number of the tasks behind them in rotation, and skips tasks of steps that no worker takes, so that each of
-/// n other tasks is examined within n / 400 of these periods.
+/// the same number of the tasks behind them in rotation, so that each of n tasks is examined within n / 400 of these
+/// periods.
 pub const PLACE_SCAN_MAX: usize = 400;
 
 /// After this many times its objective, a job has no value and waits behind all others.
--- a/src/core/sched/order.rs
+++ b/src/core/sched/order.rs
@@ -2,23 +2,17 @@
 //!
 //! Placement takes its candidates from here; the owner of a pool calls `resort` regularly.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::ops::Bound;
 
-use super::keys::{RoundKey, StepKey, TaskKey};
+use super::keys::{RoundKey, TaskKey};
 use super::limits::{PLACE_SCAN_MAX, RESORT_MS};
 use super::overload::{self, Contender, Supply};
 use super::pool_state::PoolState;
 use super::runs;
-use super::tasks::{Class, Outlook, Rank, Task};
+use super::tasks::{Class, Outlook, Rank};
 use crate::clock::Millis;
 
-/// Tasks of a scan that are examined before the steps that are barred are looked up again.
-const SCAN_CHUNK: usize = 32;
-
-/// Most tasks of barred steps that a scan skips.
-const SCAN_SKIPPED_MAX: usize = 8 * PLACE_SCAN_MAX;
-
 /// Position of the scan over tasks behind the first [`PLACE_SCAN_MAX`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ScanCursor {
@@ -28,88 +22,38 @@
     at_ms: Millis,
 }
 
-/// A scan of the tasks behind the first [`PLACE_SCAN_MAX`] in one pass of placement.
-#[derive(Debug)]
-pub(super) struct Scan {
-    after: Option<Rank>,
-    /// Number of tasks that were returned.
-    examined: usize,
-    /// Number of tasks that were skipped because their step was barred.
-    skipped: usize,
-}
-
 impl PoolState {
-    /// Returns the scan of the tasks behind `first`, the first tasks of a pass of placement, or `None` if there are none
-    /// or the last scan was less than [`RESORT_MS`] ago.
-    pub(super) fn begin_scan(&mut self, first: &[Rank], now_ms: Millis) -> Option<Scan> {
-        let is_cut = first.len() == PLACE_SCAN_MAX;
+    /// Returns the waiting tasks for a round of placement: the first ones, and every [`RESORT_MS`] also the next
+    /// part of those behind them, in turn.
+    pub(super) fn next_to_place(&mut self, now_ms: Millis) -> Vec<Rank> {
+        let mut ranks = self.placeable(None, now_ms);
+        let is_cut = ranks.len() == PLACE_SCAN_MAX;
         if !is_cut || now_ms < self.scan_cursor.at_ms + RESORT_MS {
-            return None;
-        }
-        self.scan_cursor.at_ms = now_ms;
-        Some(Scan {
-            after: self.scan_cursor.after.max(first.last().copied()),
-            examined: 0,
-            skipped: 0,
-        })
-    }
-
-    /// Returns the next tasks of a scan, and none once it is over. Tasks of the steps in `barred` are skipped if nothing
-    /// but their step decides where they may start.
-    pub(super) fn next_to_scan(
-        &mut self,
-        scan: &mut Scan,
-        barred: &HashSet<StepKey>,
-        now_ms: Millis,
-    ) -> Vec<Rank> {
-        let mut chunk = Vec::new();
-        let mut is_cut = false;
-        for rank in self.waiting_after(scan.after, now_ms) {
-            if chunk.len() == SCAN_CHUNK
-                || scan.examined == PLACE_SCAN_MAX
-                || scan.skipped == SCAN_SKIPPED_MAX
-            {
-                is_cut = true;
-                break;
-            }
-            scan.after = Some(*rank);
-            if barred.contains(&StepKey::from(rank.task)) && self.is_like_its_step(rank.task) {
-                scan.skipped += 1;
-            } else {
-                scan.examined += 1;
-                chunk.push(*rank);
-            }
+            return ranks;
         }
-        self.scan_cursor.after = scan.after.filter(|_| is_cut);
-        chunk
-    }
-
-    /// Returns whether a task may start on the same workers as any other task of its step.
-    pub(super) fn is_like_its_step(&self, key: TaskKey) -> bool {
-        let is_gang = self.step_spec(key).is_some_and(|s| s.gang);
-        let is_plain = |t: &Task| t.failed_on.is_none() && !t.is_crash_suspect();
-        is_gang || (self.task(key).is_some_and(is_plain) && !self.is_bound(key))
-    }
-
-    /// Returns the first waiting tasks.
-    pub(super) fn first_to_place(&self, now_ms: Millis) -> Vec<Rank> {
-        let waiting = self.waiting_after(None, now_ms);
-        waiting.take(PLACE_SCAN_MAX).copied().collect()
+        let after = self.scan_cursor.after.max(ranks.last().copied());
+        let later = self.placeable(after, now_ms);
+        let is_cut = later.len() == PLACE_SCAN_MAX;
+        self.scan_cursor = ScanCursor {
+            after: later.last().copied().filter(|_| is_cut),
+            at_ms: now_ms,
+        };
+        ranks.extend(later);
+        ranks
     }
 
-    /// Returns the waiting tasks after a rank. Tasks that are delayed, have no attempt left or exceed their quota are
-    /// left out, so that they don't block others.
-    fn waiting_after(
-        &self,
-        after: Option<Rank>,
-        now_ms: Millis,
-    ) -> impl Iterator<Item = &Rank> + '_ {
+    /// Returns the first waiting tasks after a rank. Tasks that are delayed, have no attempt left or exceed their
+    /// quota are skipped, so that they don't block others.
+    pub(super) fn placeable(&self, after: Option<Rank>, now_ms: Millis) -> Vec<Rank> {
         let first = after.map_or(Bound::Unbounded, Bound::Excluded);
         let waiting = self.ready.range((first, Bound::Unbounded));
         waiting
-            .filter(move |r| r.class > Class::Lasting || !self.must_delay_start(r.task, now_ms))
+            .filter(|r| r.class > Class::Lasting || !self.must_delay_start(r.task, now_ms))
             .filter(|r| !runs::is_exhausted(self, r.task))
             .filter(|r| self.is_within_quota(r.task, 1))
+            .take(PLACE_SCAN_MAX)
+            .copied()
+            .collect()
     }
 
     pub(super) fn rank(&self, key: TaskKey, now_ms: Millis) -> Option<Rank> {
--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -45,70 +45,37 @@
     pool_state.wants_placing = false;
     reservations::settle(pool_state, ctx);
     pool_state.data_racks.begin_pass();
-    let mut pass = Pass::default();
-    let first = pool_state.first_to_place(ctx.now.ms);
-    pass.place(pool_state, &first, ctx);
-    if let Some(mut scan) = pool_state.begin_scan(&first, ctx.now.ms) {
-        loop {
-            let ranks = pool_state.next_to_scan(&mut scan, &pass.barred, ctx.now.ms);
-            if ranks.is_empty() {
-                break;
+    let mut too_large: Vec<Capacity> = Vec::new();
+    let mut tried_gangs: HashSet<TaskKey> = HashSet::new();
+    for Rank { task: key, .. } in pool_state.next_to_place(ctx.now.ms) {
+        let Some(spec) = pool_state.step_spec(key) else {
+            continue;
+        };
+        if spec.gang {
+            // The other members of the gang are in the list, too.
+            if tried_gangs.insert(TaskKey { index: 0, ..key }) {
+                gang::place(pool_state, key, ctx);
             }
-            pass.place(pool_state, &ranks, ctx);
+            continue;
         }
-    }
-    reservations::reserve(pool_state, ctx);
-}
-
-/// What one pass of placement has found out.
-#[derive(Default)]
-struct Pass {
-    /// Demands for which no worker has room.
-    too_large: Vec<Capacity>,
-    tried_gangs: HashSet<TaskKey>,
-    /// Steps whose tasks no worker takes now, apart from tasks that differ from the others of their step.
-    barred: HashSet<StepKey>,
-}
-
-impl Pass {
-    fn place(&mut self, pool_state: &mut PoolState, ranks: &[Rank], ctx: &mut Ctx<'_>) {
-        for Rank { task: key, .. } in ranks.iter().copied() {
-            let Some(spec) = pool_state.step_spec(key) else {
-                continue;
-            };
-            if spec.gang {
-                // The other members of the gang are in the list, too.
-                self.barred.insert(StepKey::from(key));
-                if self.tried_gangs.insert(TaskKey { index: 0, ..key }) {
-                    gang::place(pool_state, key, ctx);
-                }
-                continue;
-            }
-            let demand = spec.demand();
-            if pool_state.has_leftover_run(key) {
-                continue;
-            }
-            if self.too_large.iter().any(|d| demand.contains(*d)) {
-                self.barred.insert(StepKey::from(key));
-                continue;
-            }
-            if !pool_state.is_within_quota(key, 1) {
-                continue;
-            }
-            match choose_worker(pool_state, key, ctx.now.ms) {
-                Choice::Worker(worker) => {
-                    if !data_racks::should_wait(pool_state, key, worker, ctx) {
-                        assign(pool_state, key, worker, ctx);
-                    }
-                }
-                Choice::NoRoom => self.too_large.push(demand),
-                Choice::NoneAllowed if pool_state.is_like_its_step(key) => {
-                    self.barred.insert(StepKey::from(key));
+        let demand = spec.demand();
+        if pool_state.has_leftover_run(key) {
+            continue;
+        }
+        if too_large.iter().any(|d| demand.contains(*d)) || !pool_state.is_within_quota(key, 1) {
+            continue;
+        }
+        match choose_worker(pool_state, key, ctx.now.ms) {
+            Choice::Worker(worker) => {
+                if !data_racks::should_wait(pool_state, key, worker, ctx) {
+                    assign(pool_state, key, worker, ctx);
                 }
-                Choice::NoneAllowed => {}
             }
+            Choice::NoRoom => too_large.push(demand),
+            Choice::NoneAllowed => {}
         }
     }
+    reservations::reserve(pool_state, ctx);
 }
 
 /// The result of the search for a task's worker.
