The operator's feed waits shorter while the store answers late

Callers: while each call to the store took 0.4 s, 11 of 100 calls were refused with 503; with 400 clients that ask for all jobs at once, 131 to 301 of 1,500.

Cause: the feed that confirms the configuration waits 1 s for changes and is late by twice the store's delay until the next confirmation arrives. The configuration counts as too old at 1.6 s, so a delay above 300 ms made the entry refuse all calls for a part of each round, although the store answered and nothing had changed. The log of the refusals: NotReady, config_age_ms 1,602 to 2,239.

Change: the wait of the next call becomes shorter by three delays of the last answer (FeedWait), between 250 ms and the usual 1 s with the default bound. Without delay nothing changes, so the calls to the store don't increase. What counts as too old is as before.

--- a/src/port/timeout.rs
+++ b/src/port/timeout.rs
@@ -7,6 +7,30 @@
 
 use crate::clock::Millis;
 
+/// The time by which a value that a feed confirms must not be older, and how long the store may delay an answer without
+/// changes.
+#[derive(Clone, Copy, Debug)]
+pub struct FeedWait {
+    /// The age at which the value counts as too old.
+    pub age_max_ms: Millis,
+    /// The wait while the store answers without delay.
+    pub longest_ms: Millis,
+    /// The wait while the store answers late.
+    pub shortest_ms: Millis,
+}
+
+/// The delays that pass between two confirmations: the first one's answer, the next call's, and one in reserve.
+const FEED_DELAYS: Millis = 3;
+
+impl FeedWait {
+    /// Returns the wait of the next call, if the last answer came `delay_ms` after the end of its wait: a later answer takes
+    /// from the wait, so that the value is confirmed before it counts as too old.
+    pub fn next_ms(&self, delay_ms: Millis) -> Millis {
+        let left_ms = self.age_max_ms.saturating_sub(FEED_DELAYS * delay_ms);
+        left_ms.clamp(self.shortest_ms, self.longest_ms)
+    }
+}
+
 /// The current timeout for calls to one store; threads share it.
 #[derive(Debug)]
 pub struct AdaptiveTimeout {
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -26,6 +26,7 @@
     WorkerEvent,
 };
 use crate::port::part_scan::PartScan;
+use crate::port::timeout::FeedWait;
 use crate::util::join_all;
 
 /// How long the store may delay the answer to a feed that has no changes. This wait also bounds the time until an entry
@@ -36,6 +37,9 @@
 /// would let the configuration become too old.
 const OPERATOR_WAITS_PER_BOUND: Millis = 2;
 
+/// The same number while the store answers late.
+const LATE_WAITS_PER_BOUND: Millis = 8;
+
 /// The number of reads that tell an outage of the whole store from one of the operator's partition. With a quarter of
 /// the partitions down, both fail in one case of sixteen.
 const PROBES: usize = 2;
@@ -87,7 +91,13 @@
     shared: Arc<Shared>,
     events: Sender<Event>,
 ) {
-    let wait_ms = FEED_WAIT_MS.min(shared.settings.config_within_ms / OPERATOR_WAITS_PER_BOUND);
+    let within_ms = shared.settings.config_within_ms;
+    let wait = FeedWait {
+        age_max_ms: shared.config_age_max_ms(),
+        longest_ms: FEED_WAIT_MS.min(within_ms / OPERATOR_WAITS_PER_BOUND),
+        shortest_ms: FEED_WAIT_MS.min(within_ms / LATE_WAITS_PER_BOUND),
+    };
+    let mut delay_ms = 0;
     let mut since = None;
     // An answer with changes may be incomplete: a row of 1,500 queues is half a megabyte, and an answer holds two such
     // rows. Only an answer without changes proves that everything is known.
@@ -95,7 +105,11 @@
     let mut is_store_up = false;
     loop {
         let asked_ms = shared.clock.now_ms();
-        let call_wait_ms = if may_have_more { 0 } else { wait_ms };
+        let call_wait_ms = if may_have_more {
+            0
+        } else {
+            wait.next_ms(delay_ms)
+        };
         let call = async {
             match since {
                 None => platform.read_operator_table().await,
@@ -130,8 +144,10 @@
                 forward_operator_events(&shared, &events, &feed).await;
                 if !may_have_more {
                     // The store saw no change until the end of its wait, so everything up to then is known.
-                    let known_ms = (asked_ms + call_wait_ms).min(shared.clock.now_ms());
-                    shared.set_routing_known(known_ms);
+                    let (waited_until_ms, now_ms) =
+                        (asked_ms + call_wait_ms, shared.clock.now_ms());
+                    shared.set_routing_known(waited_until_ms.min(now_ms));
+                    delay_ms = now_ms.saturating_sub(waited_until_ms);
                 }
                 Some(feed.revision)
             }
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -306,15 +306,20 @@
     /// calls. While reads of the operator's table fail, it is assumed that no entry can learn of newer configurations,
     /// so the last one decides calls for longer, up to `config_outage_ms`.
     pub(super) fn current_routing(&self) -> Option<Arc<Routing>> {
-        let within_ms = self.settings.config_within_ms;
         let age_max_ms = match self.is_operator_table_down.load(Ordering::SeqCst) {
             true => self.settings.config_outage_ms,
-            false => within_ms - within_ms / CONFIG_MARGIN_DIVISOR,
+            false => self.config_age_max_ms(),
         };
         let is_current = self.routing_age_ms() <= age_max_ms;
         self.routing.load_full().filter(|_| is_current)
     }
 
+    /// Returns the age up to which the configuration decides calls while the operator's table can be read.
+    pub(super) fn config_age_max_ms(&self) -> Millis {
+        let within_ms = self.settings.config_within_ms;
+        within_ms - within_ms / CONFIG_MARGIN_DIVISOR
+    }
+
     /// Returns the time since the configuration was last known to be the newest.
     pub(super) fn routing_age_ms(&self) -> Millis {
         let known_ms = self.routing_known_ms.load(Ordering::SeqCst);
--- a/tests/test_day_end.rs
+++ b/tests/test_day_end.rs
@@ -260,3 +260,15 @@
     }
     assert_states(&told, JOBS);
 }
+
+#[test]
+fn day_end_slow_store() {
+    // A store that answers late, each call after 0.4 s, makes no entry refuse calls.
+    const JOBS: usize = 100;
+    let fleet = Fleet::start(POOL, 4, 50).expect("the stand-in starts");
+    fleet.configure(1, POOL);
+    let entries = start_two(&fleet, "1", &MACHINE);
+    submit_all(&entries, JOBS);
+    fleet.set_store_fault(StoreFault::Slow(400));
+    ask_all(&entries, JOBS, 10);
+}
--- a/tests/test_timeout.rs
+++ b/tests/test_timeout.rs
@@ -1,6 +1,6 @@
 //! The timeout for calls to the store, which adapts to a slow one.
 
-use rockwick::port::timeout::AdaptiveTimeout;
+use rockwick::port::timeout::{AdaptiveTimeout, FeedWait};
 
 #[test]
 fn timeout_grows() {
@@ -28,3 +28,19 @@
     timeout.record_answer(8);
     assert_eq!(timeout.current_ms(), 800);
 }
+
+#[test]
+fn timeout_feed_wait() {
+    // However late the store answers, within reason, the next answer comes before the value is too old.
+    let wait = FeedWait {
+        age_max_ms: 1_600,
+        longest_ms: 1_000,
+        shortest_ms: 250,
+    };
+    for delay_ms in 0..=650 {
+        let next_ms = wait.next_ms(delay_ms);
+        assert!(next_ms + 2 * delay_ms <= wait.age_max_ms, "{delay_ms} ms");
+    }
+    assert_eq!(wait.next_ms(200), wait.longest_ms);
+    assert_eq!(wait.next_ms(10_000), wait.shortest_ms);
+}
