--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwapOption;
 use smol::channel::{Receiver, Sender};
+use smol::lock::Semaphore;
 use smol::Timer;
 
 use super::settings::ServeSettings;
@@ -41,6 +42,10 @@
 /// How often something that waits checks whether the process is about to end.
 const STOP_CHECK_MS: u64 = 100;
 
+/// The number of look-ups of jobs that may read the store at the same time. The reads of a crowd of callers would delay those
+/// that keep this entry's configuration current.
+const LOOK_UPS_MAX: usize = 64;
+
 /// The offset of the store's clock while it is unknown.
 const UNKNOWN_OFFSET_MS: i64 = i64::MIN;
 
@@ -100,6 +105,8 @@
     count_budget: Mutex<ReadBudget>,
     /// The cancels that may write tombstones.
     tombstone_limit: Mutex<Bucket>,
+    /// The turns of look-ups that read the store.
+    pub(super) look_ups: Semaphore,
 }
 
 /// Lets one caller at a time count the rows of a pool.
@@ -157,6 +164,7 @@
             counts_under_way: CountsUnderWay::default(),
             count_budget: Mutex::default(),
             tombstone_limit: Mutex::new(Bucket::new(TOMBSTONES_PER_S, TOMBSTONES_BURST, 1, 0)),
+            look_ups: Semaphore::new(LOOK_UPS_MAX),
         }
     }
 
@@ -368,15 +376,20 @@
     /// calls. While reads of the operator's table fail, it is assumed that no entry can learn of newer configurations,
     /// so the last one decides calls for longer, up to `config_outage_ms`.
     pub(super) fn current_routing(&self) -> Option<Arc<Routing>> {
-        let within_ms = self.settings.config_within_ms;
         let age_max_ms = match self.is_operator_table_down.load(Ordering::SeqCst) {
             true => self.settings.config_outage_ms,
-            false => within_ms - within_ms / CONFIG_MARGIN_DIVISOR,
+            false => self.config_age_max_ms(),
         };
         let is_current = self.routing_age_ms() <= age_max_ms;
         self.routing.load_full().filter(|_| is_current)
     }
 
+    /// Returns the age up to which the configuration decides calls while the operator's table can be read.
+    pub(super) fn config_age_max_ms(&self) -> Millis {
+        let within_ms = self.settings.config_within_ms;
+        within_ms - within_ms / CONFIG_MARGIN_DIVISOR
+    }
+
     /// Returns the time since the configuration was last known to be the newest.
     pub(super) fn routing_age_ms(&self) -> Millis {
         let known_ms = self.routing_known_ms.load(Ordering::SeqCst);
