Crashes of unsound hosts count in full once a task's starts are limited

Random worlds started tasks that crash workers more often than allowed after crashes of unsound hosts had begun to weigh less: a sixth start in world 773 of sched_model_late_restarts.

Change: from the third instance that ended under a task on, a crash weighs the same on every host, since the next starts must show whether the task is the cause.

--- a/src/core/sched/crashes.rs
+++ b/src/core/sched/crashes.rs
@@ -151,8 +151,10 @@
         let is_first_loss = may_be_crash && order == GangLossOrder::First;
         let was_seen = matches!(task.phase, Phase::Suspect(_)) && task.seen >= Seen::Gone;
         // A lasting task has no other host to go to if it is limited to one on each, and its bounds ask for certain
-        // crashes.
-        let is_recurring = self.context == CrashContext::Recurring && !spec.lasting;
+        // crashes. Once starts are limited, each crash counts in full.
+        let is_recurring = self.context == CrashContext::Recurring
+            && !spec.lasting
+            && !task.losses.is_start_limited();
         let was_running = was_seen || self.was_running_to_end(task, spec, now_ms);
         let was_lost_running = is_first_loss && was_running;
         let is_certain = was_lost_running && !is_recurring;
