--- a/tests/test_soak.rs
+++ b/tests/test_soak.rs
@@ -49,6 +49,15 @@
     });
 }
 
+/// Entries stop and reload shortly after each other while callers use their open connections; every call that was read is
+/// answered.
+#[test]
+fn soak_planned() {
+    run_soak(&split_options(
+        "--seed 401 --seconds 7 --callers 8 --entries 3 --planned-only",
+    ));
+}
+
 /// Replays seeds that failed once; the first line of each file in `tests/seeds` holds the options.
 #[test]
 fn soak_saved_seeds() {
