--- a/tests/test_stop.rs
+++ b/tests/test_stop.rs
@@ -1,11 +1,14 @@
 //! A planned stop of an entry cuts no request.
 
-use std::time::Duration;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 use standin::fleet::{Fleet, StoreFault};
 
-use crate::fleet::{failures, get, post, wait_for, LoadCallers, Plan};
+use crate::fleet::{
+    failures, free_addr, get, post, wait_for, LoadCallers, Plan, Process, WAIT_MAX,
+};
 use crate::test_serve::{self, submit_job};
 
 /// The time that the store takes for a write.
@@ -20,6 +23,9 @@
 /// The time for which the entry is suspended; longer than a stop may take.
 const SUSPENSION: Duration = Duration::from_secs(6);
 
+/// The number of entries that are stopped while they start.
+const EARLY_STOPS: usize = 10;
+
 /// An entry is stopped under load: it must refuse to be ready, finish its requests and leave, and no request may fail.
 #[test]
 fn stop_under_load() {
@@ -117,3 +123,26 @@
     assert_eq!(refused.count() as u64, CALLS_WHILE_SUSPENDED, "{answers:?}");
     assert_eq!(one.process.wait_exit(), Some(0));
 }
+
+/// SIGHUP and SIGTERM that arrive as soon as an entry accepts connections are handled like later ones.
+#[test]
+fn stop_while_starting() {
+    let fleet = Fleet::start("pool", 1, 50).expect("the stand-in starts");
+    fleet.configure(1, "pool");
+    for _ in 0..EARLY_STOPS {
+        let (callers, ready, store) = (free_addr(), free_addr(), fleet.address);
+        let args = format!(
+            "serve --name e1 --hall hall --listen {callers} --ready {ready} --store {store} --hosts {store}"
+        );
+        let args: Vec<String> = args.split(' ').map(str::to_string).collect();
+        let mut process = Process::start("rockwick", &args);
+        let deadline = Instant::now() + WAIT_MAX;
+        while TcpStream::connect(callers).is_err() {
+            assert!(Instant::now() < deadline, "the entry accepts connections");
+            std::thread::sleep(Duration::from_micros(200));
+        }
+        process.signal(Signal::SIGHUP);
+        process.signal(Signal::SIGTERM);
+        assert_eq!(process.wait_exit(), Some(0));
+    }
+}
