--- a/src/core/sched/place.rs
+++ b/src/core/sched/place.rs
@@ -12,7 +12,7 @@
 use super::gang;
 use super::job::{JobState, StepSpec};
 use super::keys::{StepKey, TaskKey, WorkerKey};
-use super::limits::{SUSPEND_MAX_MS, SUSPEND_MS};
+use super::limits::{SUSPECT_APART_MS, SUSPEND_MAX_MS, SUSPEND_MS};
 use super::pool_state::PoolState;
 use super::reservations;
 use super::state::Ctx;
@@ -45,37 +45,70 @@
     pool_state.wants_placing = false;
     reservations::settle(pool_state, ctx);
     pool_state.data_racks.begin_pass();
-    let mut too_large: Vec<Capacity> = Vec::new();
-    let mut tried_gangs: HashSet<TaskKey> = HashSet::new();
-    for Rank { task: key, .. } in pool_state.next_to_place(ctx.now.ms) {
-        let Some(spec) = pool_state.step_spec(key) else {
-            continue;
-        };
-        if spec.gang {
-            // The other members of the gang are in the list, too.
-            if tried_gangs.insert(TaskKey { index: 0, ..key }) {
-                gang::place(pool_state, key, ctx);
+    let mut pass = Pass::default();
+    let first = pool_state.first_to_place(ctx.now.ms);
+    pass.place(pool_state, &first, ctx);
+    if let Some(mut scan) = pool_state.begin_scan(&first, ctx.now.ms) {
+        loop {
+            let ranks = pool_state.next_to_scan(&mut scan, &pass.barred, ctx.now.ms);
+            if ranks.is_empty() {
+                break;
             }
-            continue;
-        }
-        let demand = spec.demand();
-        if pool_state.has_leftover_run(key) {
-            continue;
-        }
-        if too_large.iter().any(|d| demand.contains(*d)) || !pool_state.is_within_quota(key, 1) {
-            continue;
+            pass.place(pool_state, &ranks, ctx);
         }
-        match choose_worker(pool_state, key, ctx.now.ms) {
-            Choice::Worker(worker) => {
-                if !data_racks::should_wait(pool_state, key, worker, ctx) {
-                    assign(pool_state, key, worker, ctx);
+    }
+    reservations::reserve(pool_state, ctx);
+}
+
+/// What one pass of placement has found out.
+#[derive(Default)]
+struct Pass {
+    /// Demands for which no worker has room.
+    too_large: Vec<Capacity>,
+    tried_gangs: HashSet<TaskKey>,
+    /// Steps whose tasks no worker takes now, apart from tasks that differ from the others of their step.
+    barred: HashSet<StepKey>,
+}
+
+impl Pass {
+    fn place(&mut self, pool_state: &mut PoolState, ranks: &[Rank], ctx: &mut Ctx<'_>) {
+        for Rank { task: key, .. } in ranks.iter().copied() {
+            let Some(spec) = pool_state.step_spec(key) else {
+                continue;
+            };
+            if spec.gang {
+                // The other members of the gang are in the list, too.
+                self.barred.insert(StepKey::from(key));
+                if self.tried_gangs.insert(TaskKey { index: 0, ..key }) {
+                    gang::place(pool_state, key, ctx);
+                }
+                continue;
+            }
+            let demand = spec.demand();
+            if pool_state.has_leftover_run(key) {
+                continue;
+            }
+            if self.too_large.iter().any(|d| demand.contains(*d)) {
+                self.barred.insert(StepKey::from(key));
+                continue;
+            }
+            if !pool_state.is_within_quota(key, 1) {
+                continue;
+            }
+            match choose_worker(pool_state, key, ctx.now.ms) {
+                Choice::Worker(worker) => {
+                    if !data_racks::should_wait(pool_state, key, worker, ctx) {
+                        assign(pool_state, key, worker, ctx);
+                    }
                 }
+                Choice::NoRoom => self.too_large.push(demand),
+                Choice::NoneAllowed if pool_state.is_like_its_step(key) => {
+                    self.barred.insert(StepKey::from(key));
+                }
+                Choice::NoneAllowed => {}
             }
-            Choice::NoRoom => too_large.push(demand),
-            Choice::NoneAllowed => {}
         }
     }
-    reservations::reserve(pool_state, ctx);
 }
 
 /// The result of the search for a task's worker.
@@ -118,10 +151,16 @@
         must_be_placed_apart: pool_state
             .task(key)
             .is_some_and(|t| t.must_be_placed_apart(now_ms)),
+        needs_sound_host: pool_state.task(key).is_some_and(|t| t.losses.has_losses()),
         has_room: Cell::new(false),
         takes_reserved: false,
     };
     let mut worker = search.choose();
+    let may_wait = |t: &Task| now_ms < t.since_ms + SUSPECT_APART_MS;
+    if worker.is_none() && search.needs_sound_host && !pool_state.task(key).is_some_and(may_wait) {
+        search.needs_sound_host = false;
+        worker = search.choose();
+    }
     if worker.is_none() && spec.lasting && !pool_state.reserved.is_empty() {
         search.takes_reserved = true;
         worker = search.choose();
@@ -159,6 +198,9 @@
     now_ms: u64,
     /// The task must not go to a worker that runs a task suspected of crashes.
     must_be_placed_apart: bool,
+    /// The task must not go to a host that crashed lately: the host may crash again, and that would say nothing about the
+    /// task.
+    needs_sound_host: bool,
     /// Set once an open worker with room was found that is not reserved for another task, whether or not it may take
     /// this one.
     has_room: Cell<bool>,
@@ -217,6 +259,11 @@
                 .is_reserved_for_other(key, self.key)
     }
 
+    fn is_unsound(&self, key: WorkerKey) -> bool {
+        let host = &self.pool_state.workers[key].info.host;
+        self.pool_state.host_crashes.is_unsound(host, self.now_ms)
+    }
+
     fn may_take(&self, key: WorkerKey) -> bool {
         let worker = &self.pool_state.workers[key];
         if !worker.is_open(self.now_ms) || !worker.fits(self.spec.demand()) || self.is_reserved(key)
@@ -228,12 +275,13 @@
             && self.pool_state.has_ticket(self.key, key, self.now_ms)
             && !should_avoid(self.pool_state, self.key, self.spec, key, self.now_ms)
             && !(self.must_be_placed_apart && self.pool_state.is_watched(key))
+            && !(self.needs_sound_host && self.is_unsound(key))
     }
 }
 
 /// Whether the task's last run failed on this worker and another one may take it, with room now or soon: three
 /// failures on one bad worker would end the job.
-fn should_avoid(
+pub(super) fn should_avoid(
     pool_state: &PoolState,
     key: TaskKey,
     spec: &StepSpec,
--- a/src/core/sched/pool_state.rs
+++ b/src/core/sched/pool_state.rs
@@ -12,6 +12,7 @@
 use super::data_racks::DataRacks;
 use super::free_index::FreeIndex;
 use super::homes::GuestIds;
+use super::host_crashes::HostCrashes;
 use super::job::{JobState, StepSpec};
 use super::keys::{AccountKey, JobKey, PoolStateId, StepKey, TaskKey, WorkerKey};
 use super::late_starts::LateStarts;
@@ -22,6 +23,7 @@
 use super::reservations::Reservations;
 use super::run_log::StartAnswers;
 use super::speeds::Speeds;
+use super::task_waits::TaskWaits;
 use super::tasks::{Job, Phase, Rank, Round, Seen, StepRun, Task};
 use super::tickets::AdviceBook;
 use super::times::Times;
@@ -116,6 +118,8 @@
     pub broken_gangs: Vec<TaskKey>,
     /// Tasks that are suspected of crashing workers and whose current run may still do so, with the worker of that run.
     pub watched: BTreeMap<TaskKey, WorkerKey>,
+    /// Hosts that crashed lately.
+    pub host_crashes: HostCrashes,
     /// When a worker last crashed, as far as is known.
     pub crashed_ms: Millis,
     /// Jobs with tasks that crashed too many workers: they are to be ended.
@@ -152,6 +156,8 @@
     pub speeds: Speeds,
     /// Answers to starts that are not logged yet.
     pub answers: StartAnswers,
+    /// Waits of tasks that were logged recently.
+    pub task_waits: TaskWaits,
 }
 
 impl PoolState {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -140,7 +140,8 @@
                 let wants_close = incoming.wants_close();
                 let is_end_known = wire.at_end();
                 let res = handler(*incoming).await;
-                let close = wants_close || lifetime.is_closing() || !is_end_known;
+                let is_ending = wants_close || lifetime.is_closing();
+                let close = is_ending || !is_end_known || seat.is_crowded();
                 let res = charge_answer(&seat, res, method).await;
                 if write_answer(wire, res, method, close).await.is_err() {
                     return;
