--- a/tests/test_sched_model.rs
+++ b/tests/test_sched_model.rs
@@ -586,8 +586,8 @@
         let mut waits = LongWaits::default();
         world.run_watched(WAITS_WATCHED_MS, &jobs, &mut waits);
         for (waiter, since_ms) in &waits.found {
-            let lines = world.log.iter().filter(|d| d.code == Code::TaskWaits);
-            let last = lines.filter(|d| d.id == waiter.0).next_back();
+            let mut lines = world.log.iter().filter(|d| d.code == Code::TaskWaits);
+            let last = lines.rfind(|d| d.id == waiter.0);
             let why = last.map_or("no reason is logged", |d| &d.why);
             println!("{extra:?}, seed {seed}: {waiter:?} waits from {since_ms} ms: {why}");
         }
